--- /dev/null
+++ b/src/magnoliahold/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Commands of the `magnoliahold` program."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/core/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of entries and sidecars, free of input and output."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/core/systems/__init__.py
@@ -0,0 +1,3 @@
+"""Functions that run over the tables of a world each tick."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Rigs behind `magnoliahold measure`."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces of the platform's services and clients for them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""The sidecar process beside one upstream."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between processes and the links that carry them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform package."""
+
+from __future__ import annotations
