--- /dev/null
+++ b/src/magnoliahold/logs.py
@@ -0,0 +1,198 @@
+"""Structured logs: one JSON object a line, without credentials."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+import time
+from typing import TYPE_CHECKING, Any, TextIO, cast
+
+from pythonjsonlogger.json import JsonFormatter
+from twisted.logger import STDLibLogObserver, globalLogBeginner
+
+if TYPE_CHECKING:
+    from pythonjsonlogger.core import LogData
+    from twisted.logger import ILogObserver
+
+REDACTED = "[redacted]"
+SECRET_PREFIX_LENGTH = 8
+MIN_SECRET_LENGTH = SECRET_PREFIX_LENGTH
+ROOT_NAME = "magnoliahold"
+
+
+class Redactor:
+    """Replaces registered secrets in texts.
+
+    Secrets are found by their first characters, so that the cost for a text does not
+    grow with the number of secrets.
+    """
+
+    def __init__(self) -> None:
+        self._secrets_by_prefix: dict[str, list[str]] = {}
+
+    def register(self, secret: str) -> None:
+        """Adds a secret; one shorter than `MIN_SECRET_LENGTH` is not looked for."""
+        for form in {secret, json.dumps(secret)[1:-1]}:
+            if len(form) < MIN_SECRET_LENGTH:
+                continue
+            known = self._secrets_by_prefix.setdefault(form[:SECRET_PREFIX_LENGTH], [])
+            if form not in known:
+                known.append(form)
+                known.sort(key=len, reverse=True)
+
+    def redact(self, text: str) -> str:
+        """Returns the text with each registered secret replaced."""
+        if not self._secrets_by_prefix:
+            return text
+        for secret in self._find_secrets(text):
+            text = text.replace(secret, REDACTED)
+        return text
+
+    def _find_secrets(self, text: str) -> list[str]:
+        """Finds the registered secrets that a text holds, longest first."""
+        found = set()
+        for start in range(len(text) - SECRET_PREFIX_LENGTH + 1):
+            prefix = text[start : start + SECRET_PREFIX_LENGTH]
+            for secret in self._secrets_by_prefix.get(prefix, ()):
+                if text.startswith(secret, start):
+                    found.add(secret)
+        return sorted(found, key=len, reverse=True)
+
+
+REDACTOR = Redactor()
+
+
+def register_secret(secret: str) -> None:
+    """Keeps a credential out of every log line of this process."""
+    REDACTOR.register(secret)
+
+
+class LineFormatter(JsonFormatter):
+    """Formats a record as one JSON object on one line, with secrets redacted."""
+
+    def __init__(self, process_name: str) -> None:
+        super().__init__(
+            "%(message)s",
+            rename_fields={"message": "message"},
+            json_ensure_ascii=True,
+        )
+        self.process_name = process_name
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Adds time, level, process and part before the fields of the record."""
+        log_data["time"] = self.formatTime(record)
+        log_data["level"] = record.levelname.lower()
+        log_data["process"] = self.process_name
+        log_data["message"] = record.getMessage()
+        log_data.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            log_data["exception"] = self.formatException(record.exc_info)
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Formats the time of a record as RFC 3339 in UTC with milliseconds."""
+        seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        return f"{seconds}.{int(record.msecs):03d}Z"
+
+    def serialize_log_record(self, log_data: LogData) -> str:
+        """Serializes a record and redacts the secrets in the line."""
+        return REDACTOR.redact(super().serialize_log_record(log_data))
+
+
+class PartLogger:
+    """Logs short sentences of one part under its fixed prefix, with ids as fields."""
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix.rstrip(": ")
+        self._logger = logging.getLogger(f"{ROOT_NAME}.{self.prefix}")
+
+    def debug(self, sentence: str, **fields: object) -> None:
+        """Logs detail that is only wanted while looking for a fault."""
+        self._log(logging.DEBUG, sentence, fields)
+
+    def info(self, sentence: str, **fields: object) -> None:
+        """Logs a decision or a change of state."""
+        self._log(logging.INFO, sentence, fields)
+
+    def warning(self, sentence: str, **fields: object) -> None:
+        """Logs something that operators may have to act on."""
+        self._log(logging.WARNING, sentence, fields)
+
+    def error(self, sentence: str, **fields: object) -> None:
+        """Logs a failure that operators have to act on."""
+        self._log(logging.ERROR, sentence, fields)
+
+    def exception(self, sentence: str, **fields: object) -> None:
+        """Logs a failure with the exception that is being handled."""
+        self._log(logging.ERROR, sentence, fields, with_exception=True)
+
+    def _log(
+        self,
+        level: int,
+        sentence: str,
+        fields: dict[str, object],
+        with_exception: bool = False,
+    ) -> None:
+        if self._logger.isEnabledFor(level):
+            message = f"{self.prefix}: {sentence}"
+            self._logger.log(
+                level,
+                "%s",
+                message,
+                exc_info=with_exception,
+                extra={"fields": fields},
+            )
+
+
+def make_part_logger(prefix: str) -> PartLogger:
+    """Makes the logger of one part; `prefix` is for instance `routing`."""
+    return PartLogger(prefix)
+
+
+class LogState:
+    """Remembers whether the events of the runtime already reach the logs."""
+
+    runtime_connected = False
+
+
+def configure_logging(
+    process_name: str, level: str = "info", stream: TextIO | None = None
+) -> logging.Handler:
+    """Sends all logs of this process to `stream`, standard error by default.
+
+    Replaces an earlier configuration. Returns the handler, which a test may remove.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(LineFormatter(process_name))
+    root = logging.getLogger()
+    for old in [old for old in root.handlers if is_own_handler(old)]:
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(logging.WARNING)
+    logging.getLogger(ROOT_NAME).setLevel(level.upper())
+    connect_runtime_log()
+    return handler
+
+
+def is_own_handler(handler: logging.Handler) -> bool:
+    """Tells whether a handler was installed by `configure_logging`."""
+    return isinstance(handler.formatter, LineFormatter)
+
+
+def connect_runtime_log() -> None:
+    """Passes events of the Twisted runtime on to the standard logs, once."""
+    if LogState.runtime_connected:
+        return
+    LogState.runtime_connected = True
+    globalLogBeginner.beginLoggingTo(
+        [cast("ILogObserver", STDLibLogObserver("twisted"))],
+        discardBuffer=True,
+        redirectStandardIO=False,
+    )
--- /dev/null
+++ b/src/magnoliahold/settings/credentials.py
@@ -0,0 +1,133 @@
+"""Credentials of callers and operators, kept out of logs and representations."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from attrs import field, frozen
+
+from magnoliahold.errors import SettingsError
+from magnoliahold.logs import register_secret
+from magnoliahold.settings.documents import read_text
+from magnoliahold.settings.structuring import (
+    FieldError,
+    Relation,
+    checks,
+    raise_faults,
+    require_names,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+FILE_MARK = "file:"
+MIN_CREDENTIAL_CHARACTERS = 8
+MAX_CREDENTIAL_CHARACTERS = 4096
+
+
+@frozen
+class Secret:
+    """One credential; its value shows in no representation."""
+
+    value: str = field(repr=False)
+
+    def matches(self, candidate: str) -> bool:
+        """Compares a presented credential in constant time."""
+        return hmac.compare_digest(
+            self.value.encode(), candidate.encode("utf-8", "surrogatepass")
+        )
+
+    def __str__(self) -> str:
+        return "[redacted]"
+
+
+def require_different_secrets(
+    callers: dict[str, Secret], operators: tuple[Secret, ...]
+) -> None:
+    """Checks that no credential stands for two parties."""
+    faults = []
+    known: set[str] = set()
+    places = [(f".callers.{name}", secret) for name, secret in callers.items()]
+    places += [(f".operators[{index}]", item) for index, item in enumerate(operators)]
+    for path, secret in places:
+        if secret.value in known:
+            faults.append(
+                FieldError(
+                    "the credential is in use elsewhere in this file",
+                    "give each workspace and operator a credential of its own",
+                    path,
+                )
+            )
+        known.add(secret.value)
+    raise_faults(faults)
+
+
+@frozen
+class CredentialSettings:
+    """The credentials that an entry accepts, as workspace names and operators."""
+
+    callers: dict[str, Secret] = field(metadata=checks(require_names))
+    operators: tuple[Secret, ...]
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("callers", "operators"), require_different_secrets),
+    )
+
+    def find_workspace(self, candidate: str) -> str | None:
+        """Finds the workspace of a caller's credential, looking at every one."""
+        found = None
+        for workspace, secret in self.callers.items():
+            if secret.matches(candidate):
+                found = workspace
+        return found
+
+    def is_operator(self, candidate: str) -> bool:
+        """Tells whether a credential is an operator's, looking at every one."""
+        return sum(secret.matches(candidate) for secret in self.operators) > 0
+
+
+def make_secret_hook(base_directory: Path) -> Any:
+    """Makes the hook that structures `Secret` from a value or `file:PATH`.
+
+    Relative paths are taken from `base_directory`.
+    """
+
+    def structure_secret(value: Any, _: Any) -> Secret:
+        if not isinstance(value, str):
+            raise FieldError(
+                "the credential is not a string", "put it in quotes or use file:PATH"
+            )
+        if value.startswith(FILE_MARK):
+            value = read_credential(base_directory / value.removeprefix(FILE_MARK))
+        return make_secret(value)
+
+    return structure_secret
+
+
+def make_secret(value: str) -> Secret:
+    """Makes a secret and keeps its value out of the logs."""
+    if not MIN_CREDENTIAL_CHARACTERS <= len(value) <= MAX_CREDENTIAL_CHARACTERS:
+        raise FieldError(
+            "the credential is too short or too long",
+            f"use {MIN_CREDENTIAL_CHARACTERS} to {MAX_CREDENTIAL_CHARACTERS} "
+            "characters",
+        )
+    if not value.isascii() or not value.isprintable() or " " in value:
+        raise FieldError(
+            "the credential has characters that HTTP headers cannot carry",
+            "use printable ASCII characters without spaces",
+        )
+    register_secret(value)
+    return Secret(value)
+
+
+def read_credential(path: Path) -> str:
+    """Reads a credential from a file, without white space around it."""
+    try:
+        return read_text(path).strip()
+    except SettingsError as error:
+        raise FieldError(
+            f"the credential file {error.path} cannot be used: {error.problem}",
+            error.remedy,
+        ) from None
--- /dev/null
+++ b/src/magnoliahold/settings/model.py
@@ -0,0 +1,172 @@
+"""The settings of entries and sidecars."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, Literal
+
+from attrs import field, frozen
+
+from magnoliahold.settings.credentials import CredentialSettings  # noqa: TC001
+from magnoliahold.settings.structuring import (
+    FieldError,
+    Relation,
+    checks,
+    raise_faults,
+    require_address,
+    require_http_url,
+    require_name,
+    require_port,
+    require_range,
+)
+
+DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_MAX_QUEUED_PER_WORKSPACE = 200
+DEFAULT_REQUEST_TIMEOUT_S = 600.0
+DEFAULT_PLATFORM_TIMEOUT_S = 2.0
+DEFAULT_CAPACITY = 8
+
+
+def require_different_ports(**ports: int) -> None:
+    """Checks that no two listeners share a port."""
+    faults = []
+    names_by_port: dict[int, str] = {}
+    for name, port in ports.items():
+        if port in names_by_port:
+            faults.append(
+                FieldError(
+                    f"it is the same as {names_by_port[port]}",
+                    "give each listener a port of its own",
+                    f".{name}",
+                )
+            )
+        names_by_port.setdefault(port, name)
+    raise_faults(faults)
+
+
+@frozen
+class PlatformSettings:
+    """Where the platform's services answer, and how long to wait for them."""
+
+    base_url: str = field(metadata=checks(require_http_url))
+    timeout_s: float = field(
+        metadata=checks(require_range(0.05, 60)), default=DEFAULT_PLATFORM_TIMEOUT_S
+    )
+
+
+@frozen
+class PeerSettings:
+    """A process to connect to besides those of the instance list."""
+
+    name: str = field(metadata=checks(require_name))
+    role: Literal["entry", "sidecar"]
+    address: str = field(metadata=checks(require_address))
+    link_port: int = field(metadata=checks(require_port))
+    data_centre: str = field(metadata=checks(require_name))
+
+
+def require_unique_peers(name: str, peers: tuple[PeerSettings, ...]) -> None:
+    """Checks that peers have different names, none of them the process's own."""
+    faults = []
+    known = {name}
+    for index, peer in enumerate(peers):
+        if peer.name in known:
+            faults.append(
+                FieldError(
+                    f"the name {peer.name!r} is taken",
+                    "give each process a name of its own",
+                    f".peers[{index}].name",
+                )
+            )
+        known.add(peer.name)
+    raise_faults(faults)
+
+
+@frozen
+class LimitSettings:
+    """Bounds on what one entry accepts and holds."""
+
+    max_body_bytes: int = field(
+        metadata=checks(require_range(1024, 1024**3)), default=DEFAULT_MAX_BODY_BYTES
+    )
+    max_queued_per_workspace: int = field(
+        metadata=checks(require_range(1, 1_000_000)),
+        default=DEFAULT_MAX_QUEUED_PER_WORKSPACE,
+    )
+    request_timeout_s: float = field(
+        metadata=checks(require_range(0.1, 86_400)), default=DEFAULT_REQUEST_TIMEOUT_S
+    )
+
+
+@frozen
+class LogSettings:
+    """What is logged."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@frozen
+class EntrySettings:
+    """The settings of one entry process.
+
+    `policy` overrides fields of the decision policy by name; the entry checks them.
+    """
+
+    name: str = field(metadata=checks(require_name))
+    data_centre: str = field(metadata=checks(require_name))
+    address: str = field(metadata=checks(require_address))
+    caller_port: int = field(metadata=checks(require_port))
+    operator_port: int = field(metadata=checks(require_port))
+    link_port: int = field(metadata=checks(require_port))
+    platform: PlatformSettings
+    credentials: CredentialSettings
+    peers: tuple[PeerSettings, ...] = ()
+    limits: LimitSettings = field(factory=LimitSettings)
+    log: LogSettings = field(factory=LogSettings)
+    policy: dict[str, Any] = field(factory=dict)
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(
+            ("caller_port", "operator_port", "link_port"), require_different_ports
+        ),
+        Relation(("name", "peers"), require_unique_peers),
+    )
+
+
+@frozen
+class UpstreamSettings:
+    """The upstream beside a sidecar.
+
+    `serves_work` names the work of a plain service. `checks_fencing` says whether the
+    upstream itself refuses an order with an old fencing number. `capacity` is the
+    number of requests that it runs at the same time.
+    """
+
+    kind: Literal["engine", "service"]
+    name: str = field(metadata=checks(require_name))
+    base_url: str = field(metadata=checks(require_http_url))
+    serves_work: str | None = field(metadata=checks(require_name), default=None)
+    checks_fencing: bool = False
+    capacity: int = field(
+        metadata=checks(require_range(1, 10_000)), default=DEFAULT_CAPACITY
+    )
+
+
+@frozen
+class SidecarSettings:
+    """The settings of one sidecar process."""
+
+    name: str = field(metadata=checks(require_name))
+    data_centre: str = field(metadata=checks(require_name))
+    address: str = field(metadata=checks(require_address))
+    link_port: int = field(metadata=checks(require_port))
+    operator_port: int = field(metadata=checks(require_port))
+    platform: PlatformSettings
+    upstream: UpstreamSettings
+    peers: tuple[PeerSettings, ...] = ()
+    log: LogSettings = field(factory=LogSettings)
+    policy: dict[str, Any] = field(factory=dict)
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("operator_port", "link_port"), require_different_ports),
+        Relation(("name", "peers"), require_unique_peers),
+    )
