Add workspace templates with parameters and checks

Change: a template is YAML with declared parameters that are filled in after parsing, so that a value can never change the structure. All faults are reported together. Templates are encoded as JSON for the table row.

--- /dev/null
+++ b/src/magnoliahold/templates/model.py
@@ -0,0 +1,289 @@
+"""The content of a workspace template after its parameters are filled in."""
+
+from __future__ import annotations
+
+from datetime import datetime  # noqa: TC003
+from typing import Any, ClassVar, Literal
+
+from attrs import field, frozen
+
+from magnoliahold.settings.structuring import (
+    FieldError,
+    Relation,
+    checks,
+    raise_faults,
+    require_name,
+    require_names,
+    require_range,
+)
+from magnoliahold.templates.patterns import find_pattern_problem, matches_pattern
+
+SHARE_TOLERANCE = 1e-6
+MAX_CANARY_CAP = 0.1
+DEFAULT_CANARY_CAP = 0.05
+DEFAULT_DEADLINE_S = 600.0
+DEFAULT_PROBATION_S = 300.0
+DEFAULT_MAX_QUEUED = 200
+DEFAULT_MAX_RUNNING = 1000
+MAX_DURATION_S = 7 * 86_400
+MAX_PRIORITY = 9
+
+
+def require_upstreams(upstreams: tuple[str, ...]) -> None:
+    """Checks that upstreams or roles are named, each once."""
+    if not upstreams:
+        raise FieldError("no upstream is named", "name upstreams or roles")
+    for upstream in upstreams:
+        require_name(upstream)
+    if len(set(upstreams)) != len(upstreams):
+        raise FieldError("an upstream is named twice", "name each upstream once")
+
+
+def require_patterns(patterns: tuple[str, ...]) -> None:
+    """Checks the patterns of repeatable calls."""
+    faults = []
+    for index, pattern in enumerate(patterns):
+        problem = find_pattern_problem(pattern)
+        if problem:
+            remedy = "write a method and a path such as GET /lookup/*"
+            faults.append(FieldError(problem, remedy, f"[{index}]"))
+    raise_faults(faults)
+
+
+@frozen
+class VersionShare:
+    """The share of new requests that a version gets, and what serves it.
+
+    `upstreams` names upstreams or roles of upstreams.
+    """
+
+    version: str = field(metadata=checks(require_name))
+    upstreams: tuple[str, ...] = field(metadata=checks(require_upstreams))
+    share: float = field(metadata=checks(require_range(0, 1)))
+
+
+def require_versions(versions: tuple[VersionShare, ...]) -> None:
+    """Checks that versions are named once and that their shares add to 1."""
+    if not versions:
+        raise FieldError("no version is listed", "list at least one version")
+    faults = []
+    known = set()
+    for index, version in enumerate(versions):
+        if version.version in known:
+            problem = f"the version {version.version!r} is listed twice"
+            faults.append(FieldError(problem, "list it once", f"[{index}].version"))
+        known.add(version.version)
+    total = sum(version.share for version in versions)
+    if abs(total - 1) > SHARE_TOLERANCE:
+        faults.append(FieldError(f"the shares add to {total:g}", "make them add to 1"))
+    raise_faults(faults)
+
+
+@frozen
+class MoveGuards:
+    """How much worse than the old version the new one may be.
+
+    `max_error_increase` is a difference between shares of failed requests.
+    `max_latency_increase` is a fraction of the old version's latency.
+    """
+
+    max_error_increase: float = field(
+        metadata=checks(require_range(0, 1)), default=0.02
+    )
+    max_latency_increase: float = field(
+        metadata=checks(require_range(0.01, 100)), default=0.5
+    )
+
+
+def require_canary_cap(canary_cap: float) -> None:
+    """Checks that the canary cap is above 0 and within the bound of the product."""
+    if not 0 < canary_cap <= MAX_CANARY_CAP:
+        raise FieldError(
+            f"{canary_cap:g} is out of range",
+            f"use a share above 0 and up to {MAX_CANARY_CAP:g}",
+        )
+
+
+def require_stages(canary_cap: float, stages: tuple[float, ...]) -> None:
+    """Checks that stages rise from at most the canary cap to 1."""
+    if not stages:
+        return
+    faults = []
+    before = 0.0
+    for index, stage in enumerate(stages):
+        if not before < stage <= 1:
+            faults.append(
+                FieldError(
+                    f"{stage:g} does not lie above {before:g} and up to 1",
+                    "let stages rise to 1",
+                    f".stages[{index}]",
+                )
+            )
+        before = stage
+    if stages[0] > canary_cap:
+        faults.append(
+            FieldError(
+                f"{stages[0]:g} is above the canary cap of {canary_cap:g}",
+                "begin at or below the cap",
+                ".stages[0]",
+            )
+        )
+    if stages[-1] != 1:
+        faults.append(
+            FieldError("the last stage is not 1", "end with stage 1", ".stages")
+        )
+    raise_faults(faults)
+
+
+@frozen
+class Move:
+    """How traffic moves to another version, and by when.
+
+    Without `stages` they are fitted to the deadline. No stage before the version has
+    proved itself goes above `canary_cap`. The old version stays loaded for
+    `probation_s` seconds after the last stage.
+    """
+
+    to: str = field(metadata=checks(require_name))
+    deadline: datetime
+    stages: tuple[float, ...] = ()
+    canary_cap: float = field(
+        metadata=checks(require_canary_cap), default=DEFAULT_CANARY_CAP
+    )
+    probation_s: float = field(
+        metadata=checks(require_range(0, MAX_DURATION_S)), default=DEFAULT_PROBATION_S
+    )
+    guards: MoveGuards = field(factory=MoveGuards)
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("canary_cap", "stages"), require_stages),
+    )
+
+
+def require_move_versions(
+    versions: tuple[VersionShare, ...], move: Move | None
+) -> None:
+    """Checks that a move leads from the one version in use to another one."""
+    if move is None:
+        return
+    shares = {version.version: version.share for version in versions}
+    if move.to not in shares:
+        raise FieldError(
+            f"the version {move.to!r} is unknown",
+            "list it under `versions` with share 0",
+            ".move.to",
+        )
+    faults = []
+    if shares.pop(move.to) != 0:
+        faults.append(
+            FieldError(
+                f"the version {move.to!r} already has a share",
+                "give it share 0; the move raises it",
+                ".move.to",
+            )
+        )
+    if sum(share > 0 for share in shares.values()) > 1:
+        faults.append(
+            FieldError(
+                "the move would lead from several versions",
+                "give one other version share 1",
+                ".move",
+            )
+        )
+    raise_faults(faults)
+
+
+@frozen
+class WorkLimits:
+    """Bounds on the requests of a work; `requests_per_s` of None is no bound."""
+
+    max_running: int = field(
+        metadata=checks(require_range(1, 1_000_000)), default=DEFAULT_MAX_RUNNING
+    )
+    max_queued: int = field(
+        metadata=checks(require_range(0, 1_000_000)), default=DEFAULT_MAX_QUEUED
+    )
+    requests_per_s: float | None = field(
+        metadata=checks(require_range(0.001, 1_000_000)), default=None
+    )
+
+
+@frozen
+class Work:
+    """One kind of work of a workspace, which callers name as `model`.
+
+    `deadline_s` bounds a request from its arrival. A higher `priority` goes first
+    within its class.
+    """
+
+    kind: Literal["generation", "service"]
+    versions: tuple[VersionShare, ...] = field(metadata=checks(require_versions))
+    class_: Literal["interactive", "batch"] = "interactive"
+    deadline_s: float = field(
+        metadata=checks(require_range(0.1, MAX_DURATION_S)), default=DEFAULT_DEADLINE_S
+    )
+    priority: int = field(metadata=checks(require_range(0, MAX_PRIORITY)), default=0)
+    move: Move | None = None
+    limits: WorkLimits = field(factory=WorkLimits)
+    cross_version_resume: bool = False
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("versions", "move"), require_move_versions),
+    )
+
+    @property
+    def from_version(self) -> str | None:
+        """The version that a move leads away from."""
+        for version in self.versions:
+            if version.share > 0:
+                return version.version
+        return None
+
+
+@frozen
+class Service:
+    """One plain service; calls not listed as repeatable run at most once."""
+
+    upstreams: tuple[str, ...] = field(metadata=checks(require_upstreams))
+    repeatable: tuple[str, ...] = field(metadata=checks(require_patterns), default=())
+
+    def is_repeatable(self, method: str, path: str) -> bool:
+        """Tells whether a call may be sent again."""
+        return any(
+            matches_pattern(pattern, method, path) for pattern in self.repeatable
+        )
+
+
+@frozen
+class UpstreamRule:
+    """Whether an upstream itself refuses orders with an old fencing number."""
+
+    checks_fencing: bool
+
+
+def require_content(works: dict[str, Work], services: dict[str, Service]) -> None:
+    """Checks that a template serves something."""
+    if not works and not services:
+        raise FieldError(
+            "no work and no service is defined", "define at least one", ".works"
+        )
+
+
+@frozen
+class WorkspaceTemplate:
+    """The whole configuration of one workspace.
+
+    `parameters` holds the values that were filled in, for reading back.
+    """
+
+    workspace: str = field(metadata=checks(require_name))
+    works: dict[str, Work] = field(metadata=checks(require_names), factory=dict)
+    services: dict[str, Service] = field(metadata=checks(require_names), factory=dict)
+    upstreams: dict[str, UpstreamRule] = field(
+        metadata=checks(require_names), factory=dict
+    )
+    parameters: dict[str, Any] = field(factory=dict)
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("works", "services"), require_content),
+    )
--- /dev/null
+++ b/src/magnoliahold/templates/parameters.py
@@ -0,0 +1,188 @@
+"""Parameters of a template: their declaration, values and substitution."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import TYPE_CHECKING, Any, ClassVar, Literal
+
+from attrs import field, frozen
+
+from magnoliahold.errors import SettingsError
+from magnoliahold.settings.structuring import (
+    FieldError,
+    Relation,
+    join_path,
+    raise_faults,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+ParameterValue = str | int | float | bool
+
+REFERENCE = re.compile(r"\$\{([^{}]*)\}")
+MAX_SUBSTITUTED_CHARACTERS = 10_000
+BOOLEAN_WORDS = {"true": True, "false": False}
+
+
+def require_default_type(type: str, default: Any) -> None:
+    """Checks that the default of a parameter has the parameter's type."""
+    if default is None:
+        return
+    try:
+        convert_parameter(type, default)
+    except FieldError as error:
+        raise_faults([FieldError(error.problem, error.remedy, ".default")])
+
+
+@frozen
+class Parameter:
+    """The declaration of one parameter; without a default a value must be given."""
+
+    type: Literal["string", "integer", "number", "boolean"]
+    default: Any = None
+    description: str = ""
+
+    relations: ClassVar[tuple[Relation, ...]] = (
+        Relation(("type", "default"), require_default_type),
+    )
+
+
+@frozen
+class Substitution:
+    """Replaces `${name}` in the values of a document, collecting faults by path."""
+
+    values: Mapping[str, ParameterValue]
+    declared: frozenset[str]
+    faults: dict[str, SettingsError] = field(factory=dict)
+
+    def substitute(self, node: Any, path: str = "") -> Any:
+        """Returns a copy of a node of the document with its references replaced."""
+        if isinstance(node, dict):
+            return {
+                key: self.substitute(value, join_path(path, str(key)))
+                for key, value in node.items()
+            }
+        if isinstance(node, list):
+            return [
+                self.substitute(value, f"{path}[{index}]")
+                for index, value in enumerate(node)
+            ]
+        if isinstance(node, str):
+            return self.substitute_text(node, path)
+        return node
+
+    def substitute_text(self, text: str, path: str) -> ParameterValue:
+        """Replaces the references in a text.
+
+        A text that is one reference takes the value with its type.
+        """
+        whole = REFERENCE.fullmatch(text)
+        if whole:
+            return self.find_value(whole[1], path)
+        result = REFERENCE.sub(
+            lambda match: format_value(self.find_value(match[1], path)), text
+        )
+        if len(result) > max(len(text), MAX_SUBSTITUTED_CHARACTERS):
+            self.add_fault(path, "it grows too long", "use shorter parameters")
+            return text
+        return result
+
+    def find_value(self, name: str, path: str) -> ParameterValue:
+        """Finds the value of a parameter, or adds a fault."""
+        if name in self.values:
+            return self.values[name]
+        if name not in self.declared:
+            self.add_fault(
+                path,
+                f"the parameter {name[:50]!r} is not declared",
+                "declare it under `parameters`",
+            )
+        else:
+            self.add_fault(
+                path,
+                f"the parameter {name[:50]!r} has no usable value",
+                "give it a value or a default",
+            )
+        return ""
+
+    def add_fault(self, path: str, problem: str, remedy: str) -> None:
+        """Adds the first fault of a path."""
+        self.faults.setdefault(path, SettingsError(path, problem, remedy))
+
+
+def format_value(value: ParameterValue) -> str:
+    """Formats a value within a text."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value)
+
+
+def convert_parameter(kind: str, value: Any) -> ParameterValue:
+    """Converts a value given as text, or checks one that has a type already.
+
+    Raises `FieldError` when the value is not of `kind`.
+    """
+    converted = convert_text(kind, value) if isinstance(value, str) else value
+    if not is_of_kind(kind, converted):
+        raise FieldError(f"the value is not of type {kind}", f"give one of type {kind}")
+    result: ParameterValue = converted
+    return result
+
+
+def convert_text(kind: str, text: str) -> Any:
+    """Converts a text to a type, or returns the text when that is impossible."""
+    try:
+        if kind == "integer":
+            return int(text)
+        if kind == "number":
+            return float(text)
+    except ValueError:
+        return text
+    if kind == "boolean":
+        return BOOLEAN_WORDS.get(text.strip().lower(), text)
+    return text
+
+
+def is_of_kind(kind: str, value: Any) -> bool:
+    """Tells whether a value has the type of a parameter."""
+    if kind == "boolean":
+        return isinstance(value, bool)
+    if kind == "string":
+        return isinstance(value, str)
+    if isinstance(value, bool):
+        return False
+    if kind == "integer":
+        return isinstance(value, int)
+    return isinstance(value, int) or (isinstance(value, float) and math.isfinite(value))
+
+
+def settle_parameters(
+    declared: Mapping[str, Parameter], supplied: Mapping[str, Any]
+) -> tuple[dict[str, ParameterValue], list[SettingsError]]:
+    """Settles the value of each parameter, and lists the faults of those given."""
+    values = {}
+    faults = []
+    for name in supplied:
+        if name not in declared:
+            faults.append(
+                SettingsError(
+                    join_path("parameters", str(name)[:50]),
+                    "a value is given but the parameter is not declared",
+                    "declare it or leave the value out",
+                )
+            )
+    for name, parameter in declared.items():
+        value = supplied.get(name, parameter.default)
+        place = join_path("parameters", name)
+        if value is None:
+            faults.append(
+                SettingsError(place, "it has no value", "give a value or a default")
+            )
+            continue
+        try:
+            values[name] = convert_parameter(parameter.type, value)
+        except FieldError as error:
+            faults.append(SettingsError(place, error.problem, error.remedy))
+    return values, faults
--- /dev/null
+++ b/src/magnoliahold/templates/parsing.py
@@ -0,0 +1,138 @@
+"""Parses and checks workspace templates, and encodes them for the table service."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from magnoliahold.errors import SettingsError
+from magnoliahold.settings.documents import parse_document
+from magnoliahold.settings.structuring import (
+    FieldError,
+    group_faults,
+    make_converter,
+    structure_document,
+)
+from magnoliahold.templates.model import WorkspaceTemplate
+from magnoliahold.templates.parameters import (
+    Parameter,
+    Substitution,
+    settle_parameters,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cattrs import Converter
+
+PARAMETERS = "parameters"
+FIRST_DEADLINE_YEAR = 2000
+LAST_DEADLINE_YEAR = 2200
+
+ENCODER = msgspec.json.Encoder()
+DECODER = msgspec.json.Decoder(WorkspaceTemplate)
+
+
+def parse_template(
+    text: str, parameters: Mapping[str, Any] | None = None
+) -> WorkspaceTemplate:
+    """Parses a template and fills in its parameters.
+
+    Raises an exception group of `SettingsError` that names every fault found.
+    """
+    try:
+        document = parse_document(text)
+    except SettingsError as error:
+        raise group_faults([error]) from None
+    return check_template(document, parameters or {})
+
+
+def check_template(
+    document: dict[str, Any], supplied: Mapping[str, Any]
+) -> WorkspaceTemplate:
+    """Checks a parsed template; see `parse_template`."""
+    converter = make_converter()
+    converter.register_structure_hook(datetime, structure_deadline)
+    declared, faults = read_declarations(converter, document.get(PARAMETERS))
+    values, value_faults = settle_parameters(declared, supplied)
+    faults.extend(value_faults)
+    body = {key: value for key, value in document.items() if key != PARAMETERS}
+    substitution = Substitution(values, frozenset(declared))
+    filled = {**substitution.substitute(body), PARAMETERS: values}
+    faults.extend(substitution.faults.values())
+    try:
+        template = structure_document(converter, filled, WorkspaceTemplate)
+    except ExceptionGroup as group:
+        known = substitution.faults
+        for fault in group.exceptions:
+            if isinstance(fault, SettingsError) and fault.path not in known:
+                faults.append(fault)
+    if faults:
+        raise group_faults(faults)
+    return template
+
+
+def read_declarations(
+    converter: Converter, declared: Any
+) -> tuple[dict[str, Parameter], list[SettingsError]]:
+    """Reads the declared parameters, and lists the faults of the others."""
+    if declared is None:
+        return {}, []
+    if not isinstance(declared, dict):
+        problem = "it is not a mapping"
+        remedy = "declare each parameter as `name: {type: ...}`"
+        return {}, [SettingsError(PARAMETERS, problem, remedy)]
+    parameters = {}
+    faults = []
+    for name, declaration in declared.items():
+        try:
+            parameters[str(name)] = structure_document(
+                converter, declaration, Parameter
+            )
+        except ExceptionGroup as group:
+            faults.extend(place_faults(group, f"{PARAMETERS}.{name}"))
+    return parameters, faults
+
+
+def place_faults(group: ExceptionGroup[Exception], path: str) -> list[SettingsError]:
+    """Puts a path before the paths of the faults of a group."""
+    faults = [fault for fault in group.exceptions if isinstance(fault, SettingsError)]
+    placed = []
+    for fault in faults:
+        inner = "" if fault.path == "document" else f".{fault.path}"
+        placed.append(SettingsError(path + inner, fault.problem, fault.remedy))
+    return placed
+
+
+def structure_deadline(value: Any, _: Any) -> datetime:
+    """Accepts an RFC 3339 time with a time zone."""
+    remedy = "write an RFC 3339 time with a zone, such as 2027-02-06T05:30:00+04:00"
+    try:
+        deadline = datetime.fromisoformat(value)
+    except (TypeError, ValueError):
+        raise FieldError("it is not a time", remedy) from None
+    if deadline.utcoffset() is None:
+        raise FieldError("it has no time zone", remedy)
+    if not FIRST_DEADLINE_YEAR <= deadline.year <= LAST_DEADLINE_YEAR:
+        raise FieldError("the year is out of range", remedy)
+    return deadline
+
+
+def encode_template(template: WorkspaceTemplate) -> bytes:
+    """Encodes a template as JSON for a table row."""
+    return ENCODER.encode(template)
+
+
+def decode_template(content: bytes) -> WorkspaceTemplate:
+    """Decodes a template from a table row.
+
+    Raises `SettingsError` when the content is not an encoded template.
+    """
+    try:
+        return DECODER.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            "template row", str(error), "apply the workspace's template again"
+        ) from None
--- /dev/null
+++ b/src/magnoliahold/templates/patterns.py
@@ -0,0 +1,52 @@
+"""Patterns that name the repeatable calls of a plain service."""
+
+from __future__ import annotations
+
+import re
+from functools import lru_cache
+
+METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
+ANY_REST = "**"
+ANY_PART = "*"
+PATTERN_CACHE_SIZE = 4096
+
+
+def find_pattern_problem(pattern: str) -> str | None:
+    """Says what is wrong with a pattern such as `GET /lookup/*`, or None."""
+    method, _, path = pattern.partition(" ")
+    if method not in METHODS:
+        return f"{method[:20]!r} is not a method"
+    if not path.startswith("/"):
+        return "the path does not begin with '/'"
+    if not path.isprintable() or any(character in path for character in " ?#"):
+        return "the path holds a space, a '?' or a '#'"
+    if ANY_REST in path[:-2] or "***" in path:
+        return "'**' stands before the end of the path"
+    return None
+
+
+def matches_pattern(pattern: str, method: str, path: str) -> bool:
+    """Tells whether a call matches a pattern.
+
+    `*` stands for any characters but '/', and a final `**` for any rest of the path.
+    A path with a '.' or '..' segment matches nothing, since a service may resolve it.
+    """
+    wanted_method, _, wanted_path = pattern.partition(" ")
+    if method.upper() != wanted_method or has_dot_segment(path):
+        return False
+    return compile_path(wanted_path).fullmatch(path) is not None
+
+
+def has_dot_segment(path: str) -> bool:
+    """Tells whether a path has a '.' or '..' segment, plain or percent-encoded."""
+    segments = path.lower().replace("%2e", ".").split("/")
+    return "." in segments or ".." in segments
+
+
+@lru_cache(maxsize=PATTERN_CACHE_SIZE)
+def compile_path(path: str) -> re.Pattern[str]:
+    """Compiles the path of a pattern."""
+    body = path.removesuffix(ANY_REST)
+    parts = [re.escape(part) for part in body.split(ANY_PART)]
+    tail = ".*" if path.endswith(ANY_REST) else ""
+    return re.compile("[^/]*".join(parts) + tail, re.DOTALL)
