--- /dev/null
+++ b/src/magnoliahold/core/effects.py
@@ -0,0 +1,236 @@
+"""Output of a world: what a daemon must do after a tick."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+from attrs import field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from magnoliahold.platform.interfaces import Condition, Write
+    from magnoliahold.wire.messages import Message
+
+FieldValue: TypeAlias = "str | int | float | bool | None"
+
+
+@frozen
+class SendMessage:
+    """Sends a message; `expires_s` bounds its age when the receiver acts on it."""
+
+    receiver: str
+    message: Message
+    expires_s: float = 0.0
+
+
+@frozen
+class OpenLink:
+    """Opens a link to a process, replacing an earlier one."""
+
+    peer: str
+    address: str
+    port: int
+
+
+@frozen
+class ReplaceLink:
+    """Replaces a link that has gone silent by a new connection."""
+
+    peer: str
+
+
+@frozen
+class CloseLink:
+    """Closes the link to a process that is gone."""
+
+    peer: str
+
+
+@frozen
+class DeliverTokens:
+    """Gives a caller tokens; `event` names the place after the last of them."""
+
+    request_id: str
+    offset: int
+    tokens: tuple[str, ...]
+    lineage: str
+    sidecar: str
+
+
+@frozen
+class FinishGeneration:
+    """Closes a caller's answer after its last token; `reason` as in the engine."""
+
+    request_id: str
+    reason: str
+    tokens: int
+
+
+@frozen
+class RefuseRequest:
+    """Gives a caller its final answer without a result.
+
+    `ran` is "not_run" or "may_have_run". `retry_after_s` is None when a repeat would
+    not help.
+    """
+
+    request_id: str
+    status: int
+    code: str
+    message: str
+    ran: str = "not_run"
+    retry_after_s: float | None = None
+
+
+@frozen
+class AnswerCall:
+    """Gives a caller the answer of a plain service."""
+
+    request_id: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class ReadRow:
+    """Reads one row; RowsRead carries the token back."""
+
+    token: str
+    table: str
+    key: str
+
+
+@frozen
+class ScanRows:
+    """Reads rows whose key is greater than `after`; RowsRead carries the token."""
+
+    token: str
+    table: str
+    after: str = ""
+    limit: int = 1000
+
+
+@frozen
+class Transact:
+    """Commits writes under conditions; TransactionFinished carries the token."""
+
+    token: str
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+@frozen
+class ListInstances:
+    """Reads the platform's instance list; InstancesListed answers."""
+
+
+@frozen
+class StartEngineStream:
+    """Starts or continues a stream at the engine; `handle` is new for each."""
+
+    handle: str
+    workspace: str
+    version: str
+    prompt: str
+    prefix: tuple[str, ...]
+    max_tokens: int
+    priority: int
+
+
+@frozen
+class CancelEngineStream:
+    """Cancels a stream at the engine."""
+
+    handle: str
+
+
+@frozen
+class PauseEngineStream:
+    """Stops reading a stream from the engine."""
+
+    handle: str
+
+
+@frozen
+class ResumeEngineStream:
+    """Reads a paused stream again."""
+
+    handle: str
+
+
+@frozen
+class ProbeUpstream:
+    """Asks the upstream for its state over a new connection; UpstreamProbed."""
+
+    timeout_s: float
+
+
+@frozen
+class ReadCacheEvents:
+    """Reads cache events after a sequence number; CacheEventsRead answers."""
+
+    after: int
+
+
+@frozen
+class StartServiceCall:
+    """Runs one call at the plain service."""
+
+    nonce: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class CancelServiceCall:
+    """Drops the connection of a call whose result is no longer wanted."""
+
+    nonce: str
+
+
+@frozen
+class SendOrder:
+    """Orders the engine; kinds are those of the engine's API. OrderFinished."""
+
+    token: str
+    kind: str
+    value: str
+    fencing: int
+
+
+@frozen
+class LogDecision:
+    """Logs one decision: a short sentence, a part's prefix and fields."""
+
+    part: str
+    sentence: str
+    fields: Mapping[str, FieldValue] = field(factory=dict)
+
+
+@frozen
+class CountMetric:
+    """Adds to a counter."""
+
+    name: str
+    amount: float = 1
+    labels: dict[str, str] = field(factory=dict)
+
+
+@frozen
+class RecordMetric:
+    """Records one value of a histogram."""
+
+    name: str
+    value: float
+    labels: dict[str, str] = field(factory=dict)
+
+
+@frozen
+class StopProcess:
+    """Stops this process; nothing is in flight any more."""
+
+    reason: str
--- /dev/null
+++ b/src/magnoliahold/core/events.py
@@ -0,0 +1,236 @@
+"""Input of a world: what happened since the last tick."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.identity import Sender
+    from magnoliahold.platform.interfaces import Instance, Row, TransactionOutcome
+
+E = TypeVar("E")
+M = TypeVar("M")
+
+
+@frozen
+class Received(Generic[M]):
+    """A message that arrived on a link."""
+
+    sender: Sender
+    message: M
+
+
+@frozen
+class MessageExpired:
+    """A message that was dropped unread: too old, or for an earlier incarnation."""
+
+    sender: Sender
+    message: object
+
+
+@frozen
+class EventId:
+    """Names a place in a stream; callers send it back as Last-Event-ID.
+
+    `offset` is the number of tokens that the caller has received.
+    """
+
+    lineage: str
+    sidecar: str
+    offset: int
+
+
+@frozen
+class GenerationArrived:
+    """A caller asks for a generation.
+
+    `arrived_at` is the process clock in seconds. `resume_from` is set when the caller
+    continues a stream that it lost.
+    """
+
+    request_id: str
+    workspace: str
+    work: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    fingerprint: str
+    resume_from: EventId | None = None
+
+
+@frozen
+class CallArrived:
+    """A caller asks for one call of a plain service."""
+
+    request_id: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    fingerprint: str
+    idempotency_key: str = ""
+
+
+@frozen
+class CallerGone:
+    """A caller closed its connection before its answer was complete."""
+
+    request_id: str
+
+
+@frozen
+class CallerPaused:
+    """A caller reads more slowly than its stream is produced."""
+
+    request_id: str
+
+
+@frozen
+class CallerResumed:
+    """A caller reads again after CallerPaused."""
+
+    request_id: str
+
+
+@frozen
+class TransactionFinished:
+    """Outcome of a Transact effect; None when no answer came."""
+
+    token: str
+    outcome: TransactionOutcome | None
+
+
+@frozen
+class RowsRead:
+    """Outcome of ReadRow (no or one row) or ScanRows; None when no answer came."""
+
+    token: str
+    rows: tuple[Row, ...] | None
+
+
+@frozen
+class InstancesListed:
+    """The platform's instance list; None when no answer came."""
+
+    instances: tuple[Instance, ...] | None
+
+
+@frozen
+class LeaveRequested:
+    """This process was told to drain and stop."""
+
+    reason: str
+
+
+@frozen
+class StreamProduced:
+    """The engine produced tokens of a stream that this sidecar runs.
+
+    `offset` counts from the start of the lineage. `end` is empty until the last token.
+    """
+
+    handle: str
+    offset: int
+    tokens: tuple[str, ...]
+    end: str = ""
+
+
+@frozen
+class StreamBroke:
+    """A stream of the engine ended early; reasons are those of StreamFailed."""
+
+    handle: str
+    reason: str
+
+
+@frozen
+class UpstreamProbed:
+    """Result of a probe over a new connection; `state` is None when it failed."""
+
+    state: ProbedState | None
+
+
+@frozen
+class ProbedState:
+    """State of an upstream as its own API tells it."""
+
+    incarnation: str
+    versions: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    running: int = 0
+    capacity: int = 1
+    fencing: int = 0
+
+
+@frozen
+class ServiceAnswered:
+    """The plain service answered a call."""
+
+    nonce: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class ServiceFailed:
+    """A call of the plain service failed; `not_sent`: no byte left this process."""
+
+    nonce: str
+    not_sent: bool
+    reason: str
+
+
+@frozen
+class OrderFinished:
+    """Outcome of an order: "done", "stale_fencing", "failed" or "lost"."""
+
+    token: str
+    outcome: str
+
+
+@frozen
+class CacheEventsRead:
+    """Cache events of the engine; `first` and `last` tell gaps in the sequence."""
+
+    stored: tuple[str, ...]
+    evicted: tuple[str, ...]
+    first: int
+    last: int
+
+
+@define
+class Inbox:
+    """Events of the current tick, by their class or by their message's class.
+
+    `senders` holds the processes that any message of this tick came from.
+    """
+
+    _events: dict[type, list[object]] = field(factory=dict)
+    senders: dict[str, Sender] = field(factory=dict)
+
+    def add_event(self, event: object) -> None:
+        """Adds an event; a Received message is filed under the message's class."""
+        kind = type(event)
+        if isinstance(event, Received):
+            kind = type(event.message)
+            self.senders[event.sender.name] = event.sender
+        self._events.setdefault(kind, []).append(event)
+
+    def read_events(self, kind: type[E]) -> list[E]:
+        """Reads the events of one class in order of arrival."""
+        return self._events.get(kind, [])  # type: ignore[return-value]
+
+    def read_messages(self, kind: type[M]) -> list[Received[M]]:
+        """Reads the received messages of one class in order of arrival."""
+        return self._events.get(kind, [])  # type: ignore[return-value]
+
+    def clear_events(self) -> None:
+        """Forgets the events of the tick that has ended."""
+        self._events.clear()
+        self.senders.clear()
--- /dev/null
+++ b/src/magnoliahold/core/invariants.py
@@ -0,0 +1,47 @@
+"""Checks of what must always hold, run on the tables after every tick."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.worlds import EntryWorld, SidecarWorld
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliahold.core.worlds import World
+
+
+class InvariantViolated(Exception):  # noqa: N818
+    """A check of the tables failed; the process must not act on them."""
+
+
+@singledispatch
+def find_violations(world: World) -> Iterator[str]:
+    """Yields a sentence for each invariant that the tables break."""
+    yield from ()
+
+
+@find_violations.register(EntryWorld)
+def _find_entry_violations(world: EntryWorld) -> Iterator[str]:
+    for generation in world.generations.by_request.values():
+        name = generation.request.request_id
+        if generation.delivered > len(generation.tokens):
+            yield f"{name}: delivered more tokens than were accepted"
+        if len(generation.tokens) > generation.request.max_tokens:
+            yield f"{name}: accepted more tokens than were asked for"
+        running = generation.state is GenerationState.RUNNING
+        if running and not generation.sidecar:
+            yield f"{name}: runs without a sidecar"
+
+
+@find_violations.register(SidecarWorld)
+def _find_sidecar_violations(world: SidecarWorld) -> Iterator[str]:
+    for stream in world.streams.by_lineage.values():
+        name = stream.start.lineage
+        if stream.sent > len(stream.tokens):
+            yield f"{name}: sent more tokens than were produced"
+        if stream.acked > stream.sent:
+            yield f"{name}: more tokens acknowledged than sent"
--- /dev/null
+++ b/src/magnoliahold/core/peers.py
@@ -0,0 +1,57 @@
+"""Processes that this process knows, with what they last told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from magnoliahold.wire.messages import EvidenceCount, UpstreamReport
+
+
+@define
+class Peer:
+    """Another process, as heard on the link to it.
+
+    Times are on this process's clock. `clock_offset` is the peer's clock minus ours, an
+    underestimate, so that an expiry computed with it is never late.
+    """
+
+    name: str
+    role: str
+    address: str
+    port: int
+    data_centre: str
+    incarnation: str = ""
+    heard_at: float | None = None
+    asked_at: float = 0.0
+    link_opened_at: float = 0.0
+    clock_offset: float = 0.0
+    leaving: bool = False
+    lost: bool = True
+    configuration_head: int = 0
+    report: UpstreamReport | None = None
+    evidence: tuple[EvidenceCount, ...] = ()
+    suspended: tuple[str, ...] = ()
+    assigned: int = 0
+    listed: bool = True
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be sent to this process."""
+        if self.lost or self.leaving or self.report is None:
+            return False
+        return self.report.ready
+
+
+@define
+class PeerTable:
+    """All known processes by name."""
+
+    peers: dict[str, Peer] = field(factory=dict)
+    next_list_at: float = 0.0
+
+    def list_by_role(self, role: str) -> list[Peer]:
+        """Lists the peers of one role: "entry" or "sidecar"."""
+        return [peer for peer in self.peers.values() if peer.role == role]
--- /dev/null
+++ b/src/magnoliahold/core/sidecar.py
@@ -0,0 +1,23 @@
+"""The systems of a sidecar in the order in which a tick runs them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.systems import membership, runs, streams, upstreams
+
+if TYPE_CHECKING:
+    from magnoliahold.core.ticks import System
+    from magnoliahold.core.worlds import SidecarWorld
+
+SIDECAR_SYSTEMS: tuple[System[SidecarWorld], ...] = (
+    membership.receive_heartbeats,
+    streams.collect_tokens,
+    upstreams.note_probes,
+    upstreams.probe_upstream,
+    streams.start_streams,
+    streams.cancel_streams,
+    streams.apply_acks,
+    runs.start_runs,
+    runs.finish_runs,
+)
--- /dev/null
+++ b/src/magnoliahold/core/systems/membership.py
@@ -0,0 +1,212 @@
+"""Heartbeats, the instance list and the judgement of silent links."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import (
+    CloseLink,
+    ListInstances,
+    OpenLink,
+    ReplaceLink,
+    SendMessage,
+)
+from magnoliahold.core.events import InstancesListed
+from magnoliahold.core.peers import Peer
+from magnoliahold.core.streams import Owner
+from magnoliahold.core.worlds import SidecarWorld
+from magnoliahold.wire.messages import Heartbeat, UpstreamReport
+
+if TYPE_CHECKING:
+    from magnoliahold.core.events import Received
+    from magnoliahold.core.worlds import World
+    from magnoliahold.platform.interfaces import Instance
+
+
+def add_peer(world: World, peer: Peer, now: float) -> None:
+    """Adds a process to the table and opens the link to it."""
+    peer.link_opened_at = now
+    world.peers.peers[peer.name] = peer
+    world.emit(OpenLink(peer.name, peer.address, peer.port))
+
+
+def list_instances(world: World, now: float) -> None:
+    """Asks for the instance list at intervals and learns new processes from it.
+
+    A process that is missing from the list is kept while it is heard: the list lags,
+    and it may be empty when the platform fails.
+    """
+    for event in world.inbox.read_events(InstancesListed):
+        if event.instances is not None:
+            _learn_instances(world, event.instances, now)
+    if now >= world.peers.next_list_at:
+        interval = world.policy.membership.list_interval_s
+        world.peers.next_list_at = now + interval * world.random.uniform(0.8, 1.2)
+        world.emit(ListInstances())
+
+
+def _learn_instances(world: World, instances: tuple[Instance, ...], now: float) -> None:
+    listed = {instance.name for instance in instances}
+    for peer in list(world.peers.peers.values()):
+        peer.listed = peer.listed and (peer.name in listed or not instances)
+        _forget_peer(world, peer, now)
+    for instance in instances:
+        if instance.name != world.identity.name:
+            _learn_instance(world, instance, now)
+
+
+def _learn_instance(world: World, instance: Instance, now: float) -> None:
+    address, _, port = instance.address.rpartition(":")
+    known = world.peers.peers.get(instance.name)
+    if known is None or (known.lost and known.address != address):
+        peer = Peer(
+            name=instance.name,
+            role=instance.role,
+            address=address,
+            port=int(port),
+            data_centre=instance.data_centre,
+        )
+        add_peer(world, peer, now)
+        return
+    known.listed = True
+    known.leaving = known.leaving or instance.leaving
+
+
+def _forget_peer(world: World, peer: Peer, now: float) -> None:
+    heard_at = peer.heard_at if peer.heard_at is not None else peer.link_opened_at
+    silent_s = now - heard_at
+    if peer.listed or silent_s < world.policy.membership.peer_forgotten_s:
+        return
+    del world.peers.peers[peer.name]
+    world.emit(CloseLink(peer.name))
+
+
+def receive_heartbeats(world: World, now: float) -> None:
+    """Notes what peers tell of themselves and answers their heartbeats."""
+    for sender in world.inbox.senders.values():
+        known = world.peers.peers.get(sender.name)
+        if known is not None and known.incarnation in ("", sender.incarnation):
+            known.heard_at = now
+    for received in world.inbox.read_messages(Heartbeat):
+        note_heartbeat(world, received, now)
+        peer = world.peers.peers.get(received.sender.name)
+        if peer is not None:
+            _update_peer(world, peer, received, now)
+        if not received.message.answer:
+            answer = make_heartbeat(world, now, answer=True)
+            world.emit(SendMessage(received.sender.name, answer))
+
+
+def _update_peer(
+    world: World, peer: Peer, received: Received[Heartbeat], now: float
+) -> None:
+    heartbeat = received.message
+    if peer.lost:
+        world.log_decision(
+            "membership",
+            "Peer is live.",
+            peer=peer.name,
+            incarnation=received.sender.incarnation,
+        )
+    if peer.incarnation != received.sender.incarnation:
+        peer.leaving = False
+    peer.incarnation = received.sender.incarnation
+    peer.heard_at = now
+    peer.lost = False
+    peer.clock_offset = heartbeat.clock - now
+    peer.leaving = peer.leaving or heartbeat.leaving
+    peer.configuration_head = heartbeat.configuration_head
+    peer.report = heartbeat.report
+    peer.evidence = heartbeat.evidence
+    peer.suspended = heartbeat.suspended
+
+
+def send_heartbeats(world: World, now: float) -> None:
+    """Sends a heartbeat on every link at intervals."""
+    interval = world.policy.membership.heartbeat_s
+    for peer in world.peers.peers.values():
+        if now - peer.asked_at >= interval:
+            peer.asked_at = now
+            world.emit(SendMessage(peer.name, make_heartbeat(world, now, answer=False)))
+
+
+def judge_links(world: World, now: float) -> None:
+    """Replaces silent links and marks processes as lost that stay silent."""
+    policy = world.policy.membership
+    for peer in world.peers.peers.values():
+        if peer.heard_at is None:
+            silent_s = now - peer.link_opened_at
+        else:
+            silent_s = now - peer.heard_at
+        if silent_s < policy.link_silent_s:
+            continue
+        if now - peer.link_opened_at >= policy.link_silent_s:
+            peer.link_opened_at = now
+            peer.asked_at = now
+            world.emit(ReplaceLink(peer.name))
+            heartbeat = make_heartbeat(world, now, answer=False)
+            world.emit(SendMessage(peer.name, heartbeat))
+        if silent_s >= policy.peer_lost_s and not peer.lost:
+            peer.lost = True
+            world.log_decision(
+                "membership",
+                "Peer is lost.",
+                peer=peer.name,
+                silent_s=round(silent_s, 3),
+            )
+
+
+def make_heartbeat(world: World, now: float, *, answer: bool) -> Heartbeat:
+    """Builds a heartbeat of this process."""
+    identity = world.identity
+    return Heartbeat(
+        clock=now,
+        answer=answer,
+        role=identity.role,
+        data_centre=identity.data_centre,
+        leaving=world.leaving_since is not None,
+        configuration_head=world.workspaces.head,
+        report=make_report(world),
+    )
+
+
+@singledispatch
+def make_report(world: World) -> UpstreamReport | None:
+    """Builds the report on the upstream; entries have none."""
+    return None
+
+
+@make_report.register(SidecarWorld)
+def _make_sidecar_report(world: SidecarWorld) -> UpstreamReport | None:
+    upstream = world.upstream
+    return UpstreamReport(
+        name=upstream.name,
+        kind=upstream.kind,
+        ready=upstream.ready,
+        role=upstream.role,
+        versions=upstream.versions,
+        adapters=upstream.adapters,
+        engine_incarnation=upstream.incarnation,
+        running=len(world.streams.by_handle),
+        reported_running=upstream.reported_running,
+        capacity=upstream.capacity,
+        checks_fencing=upstream.checks_fencing,
+    )
+
+
+@singledispatch
+def note_heartbeat(world: World, received: Received[Heartbeat], now: float) -> None:
+    """Notes an entry as an owner of streams; entries need no such note."""
+
+
+@note_heartbeat.register(SidecarWorld)
+def _note_owner(world: SidecarWorld, received: Received[Heartbeat], now: float) -> None:
+    sender = received.sender
+    world.owners.owners[sender.name] = Owner(
+        name=sender.name,
+        incarnation=sender.incarnation,
+        heard_at=now,
+        configuration_head=received.message.configuration_head,
+        data_centre=received.message.data_centre,
+    )
--- /dev/null
+++ b/src/magnoliahold/core/systems/relay.py
@@ -0,0 +1,176 @@
+"""Passes tokens of running generations on to their callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import (
+    CountMetric,
+    DeliverTokens,
+    FinishGeneration,
+    RecordMetric,
+    SendMessage,
+)
+from magnoliahold.core.events import CallerGone, CallerPaused, CallerResumed
+from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.systems.routing import end_attempt
+from magnoliahold.wire.messages import AckTokens, CancelStream, StreamTokens
+
+if TYPE_CHECKING:
+    from magnoliahold.core.events import Received
+    from magnoliahold.core.generations import Generation
+    from magnoliahold.core.worlds import EntryWorld
+
+RESEND_INTERVAL_S = 0.1
+
+
+def relay_tokens(world: EntryWorld, now: float) -> None:
+    """Accepts tokens of current attempts in order and delivers them."""
+    for received in world.inbox.read_messages(StreamTokens):
+        generation = find_current(world, received)
+        if generation is None:
+            _cancel_outdated(world, received)
+        else:
+            _accept_tokens(world, generation, received.message, now)
+
+
+def find_current(
+    world: EntryWorld, received: Received[StreamTokens]
+) -> Generation | None:
+    """Finds the generation whose current attempt a message belongs to."""
+    message = received.message
+    generation = world.generations.by_lineage.get(message.lineage)
+    if generation is None or generation.state is not GenerationState.RUNNING:
+        return None
+    same_attempt = generation.attempt == message.attempt
+    same_sidecar = generation.sidecar == received.sender.name
+    same_incarnation = generation.sidecar_incarnation == received.sender.incarnation
+    return generation if same_attempt and same_sidecar and same_incarnation else None
+
+
+def _cancel_outdated(world: EntryWorld, received: Received[StreamTokens]) -> None:
+    """Stops an attempt that nobody waits for, such as one of a lost engine."""
+    message = received.message
+    known = world.generations.by_lineage.get(message.lineage)
+    if known is None or known.attempt != message.attempt or not known.sidecar:
+        cancel = CancelStream(message.lineage, message.attempt)
+        world.emit(SendMessage(received.sender.name, cancel))
+        labels = {"reason": "outdated"}
+        world.emit(CountMetric("tokens_dropped", len(message.tokens), labels))
+
+
+def _accept_tokens(
+    world: EntryWorld, generation: Generation, message: StreamTokens, now: float
+) -> None:
+    expected = len(generation.tokens)
+    if message.offset > expected:
+        _ask_again(world, generation, now)
+        return
+    fresh = message.tokens[expected - message.offset :]
+    if fresh:
+        _note_first_token(world, generation, now)
+        _note_resumption(world, generation, now)
+        generation.tokens.extend(fresh)
+        generation.last_token_at = now
+        deliver_pending(world, generation)
+        _acknowledge(world, generation)
+    ends_here = message.offset + len(message.tokens) == len(generation.tokens)
+    if message.end and ends_here:
+        finish_generation(world, generation, message.end)
+
+
+def _note_first_token(world: EntryWorld, generation: Generation, now: float) -> None:
+    if generation.first_token_at is not None:
+        return
+    generation.first_token_at = now
+    wait_s = now - generation.arrived_at
+    labels = {"work": generation.request.work}
+    world.emit(RecordMetric("first_token_seconds", wait_s, labels))
+
+
+def _note_resumption(world: EntryWorld, generation: Generation, now: float) -> None:
+    if generation.lost_at is None:
+        return
+    world.emit(RecordMetric("resume_seconds", now - generation.lost_at))
+    generation.lost_at = None
+
+
+def deliver_pending(world: EntryWorld, generation: Generation) -> None:
+    """Delivers accepted tokens that the caller does not have yet."""
+    pending = tuple(generation.tokens[generation.delivered :])
+    if not pending:
+        return
+    effect = DeliverTokens(
+        request_id=generation.request.request_id,
+        offset=generation.delivered,
+        tokens=pending,
+        lineage=generation.lineage,
+        sidecar=generation.sidecar,
+    )
+    generation.delivered += len(pending)
+    world.emit(effect)
+
+
+def _ask_again(world: EntryWorld, generation: Generation, now: float) -> None:
+    if now - generation.resend_asked_at < RESEND_INTERVAL_S:
+        return
+    generation.resend_asked_at = now
+    send_ack(world, generation, resend=True)
+
+
+def _acknowledge(world: EntryWorld, generation: Generation) -> None:
+    interval = world.policy.streams.ack_interval_tokens
+    if generation.caller_paused:
+        return
+    if len(generation.tokens) - generation.acked >= interval:
+        send_ack(world, generation)
+
+
+def send_ack(
+    world: EntryWorld, generation: Generation, *, resend: bool = False
+) -> None:
+    """Acknowledges the accepted tokens of a generation to its sidecar."""
+    offset = len(generation.tokens)
+    generation.acked = offset
+    ack = AckTokens(generation.lineage, generation.attempt, offset, resend)
+    world.emit(SendMessage(generation.sidecar, ack))
+
+
+def finish_generation(world: EntryWorld, generation: Generation, reason: str) -> None:
+    """Closes a generation after its last token and frees the sidecar's buffer."""
+    send_ack(world, generation)
+    end_attempt(world, generation)
+    world.generations.remove_generation(generation)
+    request = generation.request
+    count = len(generation.tokens)
+    world.emit(FinishGeneration(request.request_id, reason, count))
+    labels = {"work": request.work, "reason": reason}
+    world.emit(CountMetric("generations_finished", 1, labels))
+
+
+def follow_callers(world: EntryWorld, now: float) -> None:
+    """Slows streams of slow callers and cancels those of callers that are gone."""
+    by_request = world.generations.by_request
+    for paused in world.inbox.read_events(CallerPaused):
+        generation = by_request.get(paused.request_id)
+        if generation is not None:
+            generation.caller_paused = True
+    for resumed in world.inbox.read_events(CallerResumed):
+        generation = by_request.get(resumed.request_id)
+        if generation is not None:
+            generation.caller_paused = False
+            if generation.state is GenerationState.RUNNING:
+                send_ack(world, generation)
+    for gone in world.inbox.read_events(CallerGone):
+        generation = by_request.get(gone.request_id)
+        if generation is not None:
+            cancel_generation(world, generation)
+
+
+def cancel_generation(world: EntryWorld, generation: Generation) -> None:
+    """Removes a generation and cancels its attempt."""
+    if generation.state is GenerationState.RUNNING:
+        cancel = CancelStream(generation.lineage, generation.attempt)
+        world.emit(SendMessage(generation.sidecar, cancel))
+        end_attempt(world, generation)
+    world.generations.remove_generation(generation)
--- /dev/null
+++ b/src/magnoliahold/core/systems/routing.py
@@ -0,0 +1,137 @@
+"""Chooses the upstream of each ready generation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import SendMessage
+from magnoliahold.core.generations import GenerationState
+from magnoliahold.wire.messages import StartStream
+
+if TYPE_CHECKING:
+    from magnoliahold.core.generations import Generation
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.workspaces import VersionShare
+    from magnoliahold.core.worlds import EntryWorld
+
+
+def route_generations(world: EntryWorld, now: float) -> None:
+    """Starts every ready generation on an upstream, resumed ones first."""
+    ready = world.generations.list_in_state(GenerationState.READY)
+    ready.sort(key=lambda item: item.lost_at is None)
+    for generation in ready:
+        route_generation(world, generation, now)
+
+
+def route_generation(world: EntryWorld, generation: Generation, now: float) -> bool:
+    """Starts one generation; returns false when no upstream can take it."""
+    share = choose_version(world, generation)
+    if share is None:
+        return False
+    candidates = find_candidates(world, generation, share)
+    if not candidates:
+        return False
+    peer = choose_upstream(world, candidates)
+    start_attempt(world, generation, peer, share.version, now)
+    return True
+
+
+def choose_version(world: EntryWorld, generation: Generation) -> VersionShare | None:
+    """Chooses a version by share; a generation with output keeps its version."""
+    rule = world.workspaces.find_work(*generation.key)
+    if rule is None:
+        return None
+    if generation.tokens:
+        shares = [item for item in rule.versions if item.version == generation.version]
+        return shares[0] if shares else None
+    weights = [item.share for item in rule.versions]
+    return world.random.choices(rule.versions, weights)[0]
+
+
+def find_candidates(
+    world: EntryWorld, generation: Generation, share: VersionShare
+) -> list[Peer]:
+    """Finds the usable sidecars whose upstream serves the version."""
+    candidates = []
+    for peer in world.peers.list_by_role("sidecar"):
+        report = peer.report
+        if not peer.usable or report is None or report.kind != "engine":
+            continue
+        selected = report.name in share.upstreams or report.role in share.upstreams
+        if selected and share.version in report.versions:
+            candidates.append(peer)
+    fresh = [peer for peer in candidates if peer.name not in generation.excluded]
+    return fresh or candidates
+
+
+def choose_upstream(world: EntryWorld, candidates: list[Peer]) -> Peer:
+    """Chooses the candidate with the lowest load for its capacity."""
+
+    def rank(peer: Peer) -> tuple[float, float]:
+        return (measure_load(peer), world.random.random())
+
+    return min(candidates, key=rank)
+
+
+def measure_load(peer: Peer) -> float:
+    """Measures work per slot: our own count over the upstream's lagging report."""
+    report = peer.report
+    if report is None:
+        return 1.0
+    running = max(report.running, peer.assigned)
+    return running / max(report.capacity, 1)
+
+
+def start_attempt(
+    world: EntryWorld, generation: Generation, peer: Peer, version: str, now: float
+) -> None:
+    """Sends a new attempt of a generation to a sidecar."""
+    generation.attempt += 1
+    generation.owner_epoch += 1
+    generation.version = version
+    generation.sidecar = peer.name
+    generation.sidecar_incarnation = peer.incarnation
+    generation.state = GenerationState.RUNNING
+    generation.started_at = now
+    generation.acked = len(generation.tokens)
+    peer.assigned += 1
+    request = generation.request
+    message = StartStream(
+        lineage=generation.lineage,
+        attempt=generation.attempt,
+        owner_epoch=generation.owner_epoch,
+        workspace=request.workspace,
+        work=request.work,
+        version=version,
+        prompt=request.prompt,
+        prefix=tuple(generation.tokens),
+        max_tokens=request.max_tokens,
+        priority=generation.priority,
+        fingerprint=request.fingerprint,
+        suspect=generation.suspect,
+        window=world.policy.streams.window_tokens,
+        route=world.identity.data_centre,
+    )
+    expires_s = world.policy.calls.start_expires_s
+    world.emit(SendMessage(peer.name, message, expires_s))
+    world.log_decision(
+        "routing",
+        "Upstream chosen.",
+        request=request.request_id,
+        workspace=request.workspace,
+        work=request.work,
+        version=version,
+        sidecar=peer.name,
+        attempt=generation.attempt,
+        offset=len(generation.tokens),
+        load=round(measure_load(peer), 3),
+        reason="lowest load",
+    )
+
+
+def end_attempt(world: EntryWorld, generation: Generation) -> None:
+    """Takes a generation off the sidecar that it runs on."""
+    peer = world.peers.peers.get(generation.sidecar)
+    if peer is not None and peer.assigned > 0:
+        peer.assigned -= 1
+    generation.sidecar = ""
--- /dev/null
+++ b/src/magnoliahold/core/workspaces.py
@@ -0,0 +1,93 @@
+"""Workspace configurations in the form that the decisions read."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+
+@frozen
+class VersionShare:
+    """Share of a work's new requests that one version gets, from 0 to 1.
+
+    `upstreams` names upstreams or roles that serve the version.
+    """
+
+    version: str
+    share: float
+    upstreams: tuple[str, ...]
+
+
+@frozen
+class MoveRule:
+    """How traffic moves to another version, and by when.
+
+    `deadline` is wall-clock time in seconds since the epoch.
+    """
+
+    to_version: str
+    canary_cap: float
+    deadline: float
+    stages: tuple[float, ...] = ()
+    probation_s: float = 60.0
+    max_error_increase: float = 0.02
+    max_latency_increase: float = 0.5
+
+
+@frozen
+class WorkRule:
+    """One kind of work of a workspace that is served by generations."""
+
+    name: str
+    interactive: bool
+    priority: int
+    deadline_s: float
+    versions: tuple[VersionShare, ...]
+    move: MoveRule | None = None
+    max_running: int = 1_000
+    max_queued: int = 200
+    requests_per_s: float = 0.0
+    cross_version_resume: bool = False
+
+
+@frozen
+class ServiceRule:
+    """One plain service; `repeatable` holds patterns such as "GET /lookup/*"."""
+
+    name: str
+    upstreams: tuple[str, ...]
+    repeatable: tuple[str, ...] = ()
+
+
+@frozen
+class Workspace:
+    """The configuration of a workspace that is in force in this process."""
+
+    name: str
+    version: int
+    change: int
+    works: dict[str, WorkRule]
+    services: dict[str, ServiceRule]
+    fencing_checked: dict[str, bool] = field(factory=dict)
+
+
+@define
+class WorkspaceTable:
+    """Configurations in force; versions only rise.
+
+    `head` is the change-log number up to which every change is known here, and
+    `rows` the accepted rows, kept so that neighbours can be brought up.
+    """
+
+    workspaces: dict[str, Workspace] = field(factory=dict)
+    in_force_since: dict[str, float] = field(factory=dict)
+    head: int = 0
+
+    def find_work(self, workspace: str, work: str) -> WorkRule | None:
+        """Finds a work of a workspace, or None when either is unknown."""
+        found = self.workspaces.get(workspace)
+        return found.works.get(work) if found else None
+
+    def find_service(self, workspace: str, service: str) -> ServiceRule | None:
+        """Finds a service of a workspace, or None when either is unknown."""
+        found = self.workspaces.get(workspace)
+        return found.services.get(service) if found else None
--- /dev/null
+++ b/src/magnoliahold/core/worlds.py
@@ -0,0 +1,72 @@
+"""The tables of one process and the effects of its current tick."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from magnoliahold.core.calls import CallTable
+from magnoliahold.core.effects import LogDecision
+from magnoliahold.core.events import Inbox
+from magnoliahold.core.generations import GenerationTable
+from magnoliahold.core.peers import PeerTable
+from magnoliahold.core.policy import Policy
+from magnoliahold.core.streams import OwnerTable, RunTable, StreamTable
+from magnoliahold.core.workspaces import WorkspaceTable
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from magnoliahold.core.effects import FieldValue
+    from magnoliahold.core.identity import Identity
+    from magnoliahold.core.streams import Upstream
+
+
+@define
+class World:
+    """What every process has: identity, policy, input and output of a tick.
+
+    `effects` grows during a tick and is performed and cleared by the node after it.
+    """
+
+    identity: Identity
+    random: Random
+    policy: Policy = field(factory=Policy)
+    inbox: Inbox = field(factory=Inbox)
+    effects: list[object] = field(factory=list)
+    peers: PeerTable = field(factory=PeerTable)
+    workspaces: WorkspaceTable = field(factory=WorkspaceTable)
+    leaving_since: float | None = None
+    next_serial: int = 0
+
+    def emit(self, effect: object) -> None:
+        """Adds an effect to be performed after this tick."""
+        self.effects.append(effect)
+
+    def log_decision(self, part: str, sentence: str, **fields: FieldValue) -> None:
+        """Logs one decision with its fields after this tick."""
+        self.effects.append(LogDecision(part, sentence, fields))
+
+    def make_id(self, kind: str) -> str:
+        """Makes an id that no other process and no earlier incarnation makes."""
+        self.next_serial += 1
+        return f"{kind}-{self.identity.incarnation}-{self.next_serial}"
+
+
+@define
+class EntryWorld(World):
+    """Tables of an entry."""
+
+    generations: GenerationTable = field(factory=GenerationTable)
+    calls: CallTable = field(factory=CallTable)
+
+
+@define(kw_only=True)
+class SidecarWorld(World):
+    """Tables of a sidecar."""
+
+    upstream: Upstream
+    owners: OwnerTable = field(factory=OwnerTable)
+    streams: StreamTable = field(factory=StreamTable)
+    runs: RunTable = field(factory=RunTable)
--- /dev/null
+++ b/src/magnoliahold/node.py
@@ -0,0 +1,291 @@
+"""Drives a world: events in, ticks on a clock, effects out."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from logging import getLogger
+from typing import TYPE_CHECKING, Any, Protocol
+
+from attrs import define, field
+
+from magnoliahold.core import effects
+from magnoliahold.core.events import (
+    InstancesListed,
+    MessageExpired,
+    Received,
+    RowsRead,
+    TransactionFinished,
+)
+from magnoliahold.core.identity import Sender
+from magnoliahold.core.invariants import InvariantViolated
+from magnoliahold.core.ticks import run_systems
+from magnoliahold.wire.codec import NO_EXPIRY, Header
+from magnoliahold.wire.messages import StartCall, StartStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from magnoliahold.core.worlds import World
+    from magnoliahold.platform.interfaces import (
+        InstanceList,
+        InstanceService,
+        Row,
+        TableService,
+        TransactionOutcome,
+    )
+    from magnoliahold.wire.messages import Message
+
+logger = getLogger(__name__)
+
+DISPOSABLE_WHEN_EXPIRED = (StartStream, StartCall)
+
+
+class Clock(Protocol):
+    """The part of Twisted's IReactorTime that a node uses."""
+
+    def seconds(self) -> float:
+        """Reads the monotonic clock in seconds."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., object], *args: object
+    ) -> Any:
+        """Calls a function after `delay` seconds."""
+
+
+class LinkPort(Protocol):
+    """Sends messages to other processes; nothing is kept for a lost peer."""
+
+    def open_link(self, peer: str, address: str, port: int) -> None:
+        """Opens a link, replacing an earlier one to the same process."""
+
+    def replace_link(self, peer: str) -> None:
+        """Replaces the connection of a link that has gone silent."""
+
+    def close_link(self, peer: str) -> None:
+        """Closes a link."""
+
+    def send_message(self, peer: str, message: Message, header: Header) -> bool:
+        """Sends a message now, or drops it and returns false."""
+
+
+class Journal(Protocol):
+    """Takes decision logs and metrics."""
+
+    def log_decision(self, decision: effects.LogDecision) -> None:
+        """Logs one decision."""
+
+    def count_metric(self, metric: effects.CountMetric) -> None:
+        """Adds to a counter."""
+
+    def record_metric(self, metric: effects.RecordMetric) -> None:
+        """Records a value of a histogram."""
+
+
+@define
+class Ports:
+    """What every node acts on; upstream and caller ports are None where unused."""
+
+    links: LinkPort
+    tables: TableService
+    instances: InstanceService
+    journal: Journal
+    stop: Callable[[str], None]
+    callers: Any = None
+    engine: Any = None
+    service: Any = None
+
+
+@define(eq=False)
+class Node:
+    """One process's world with its clock and ports.
+
+    Events are applied on the next turn of the clock, all together. `make_header`
+    builds the header of an outgoing message.
+    """
+
+    clock: Clock
+    world: Any
+    systems: Sequence[Callable[[Any, float], None]]
+    ports: Ports
+    longest_tick_s: float = 0.0
+    violations: int = 0
+    raise_violations: bool = False
+    running: bool = False
+    _tick_call: Any = None
+    _periodic_call: Any = None
+    _pending_performs: list[object] = field(factory=list)
+
+    def start_ticks(self) -> None:
+        """Starts periodic ticks."""
+        self.running = True
+        self._run_periodic_tick()
+
+    def stop_ticks(self) -> None:
+        """Stops all ticks; later events are ignored."""
+        self.running = False
+        for call in (self._tick_call, self._periodic_call):
+            if call is not None and call.active():
+                call.cancel()
+
+    def post_event(self, event: object) -> None:
+        """Adds an event and schedules a tick for this turn of the clock."""
+        if not self.running:
+            return
+        self.world.inbox.add_event(event)
+        if self._tick_call is None:
+            self._tick_call = self.clock.callLater(0, self._run_soon_tick)
+
+    def receive_message(self, header: Header, message: Message) -> None:
+        """Takes a message from a link, unless it is too old to be acted on."""
+        sender = make_sender(header)
+        if self._is_outdated(header):
+            event: object = MessageExpired(sender, message)
+        else:
+            event = Received(sender, message)
+        self.post_event(event)
+
+    def run_tick(self) -> None:
+        """Runs all systems and performs their effects."""
+        started = self.clock.seconds()
+        try:
+            pending = run_systems(self.world, self.systems, started)
+        except InvariantViolated as violation:
+            self._close_after(violation)
+            return
+        for effect in pending:
+            perform_effect(effect, self)
+        self.longest_tick_s = max(self.longest_tick_s, self.clock.seconds() - started)
+
+    def _is_outdated(self, header: Header) -> bool:
+        incarnation = self.world.identity.incarnation
+        if header.receiver_incarnation not in ("", incarnation):
+            return True
+        if header.expires_at == NO_EXPIRY:
+            return False
+        return self.clock.seconds() > header.expires_at
+
+    def _run_soon_tick(self) -> None:
+        self._tick_call = None
+        if self.running:
+            self.run_tick()
+
+    def _run_periodic_tick(self) -> None:
+        interval = self.world.policy.tick_s
+        self._periodic_call = self.clock.callLater(interval, self._run_periodic_tick)
+        self.run_tick()
+
+    def _close_after(self, violation: InvariantViolated) -> None:
+        """Stops the process: its tables can't be trusted any more."""
+        self.violations += 1
+        logger.critical("invariant: Tables are broken, stopping. %s", violation)
+        self.stop_ticks()
+        if self.raise_violations:
+            raise violation
+        self.ports.stop("invariant violated")
+
+
+def make_sender(header: Header) -> Sender:
+    """Reads the sender of a message from its header."""
+    return Sender(header.sender, header.incarnation)
+
+
+def make_header(world: World, receiver: str, expires_s: float, now: float) -> Header:
+    """Builds the header of a message to `receiver`.
+
+    The expiry is on the receiver's clock, as estimated from its last heartbeat.
+    """
+    peer = world.peers.peers.get(receiver)
+    incarnation = peer.incarnation if peer else ""
+    expires_at = NO_EXPIRY
+    if expires_s and peer and incarnation:
+        expires_at = now + peer.clock_offset + expires_s
+    identity = world.identity
+    return Header(identity.name, identity.incarnation, 0, incarnation, expires_at)
+
+
+@singledispatch
+def perform_effect(effect: object, node: Node) -> None:
+    """Performs one effect on the node's ports."""
+    raise TypeError(f"no performer for {type(effect).__name__}; register one")
+
+
+@perform_effect.register(effects.SendMessage)
+def _send_message(effect: effects.SendMessage, node: Node) -> None:
+    now = node.clock.seconds()
+    header = make_header(node.world, effect.receiver, effect.expires_s, now)
+    node.ports.links.send_message(effect.receiver, effect.message, header)
+
+
+@perform_effect.register(effects.OpenLink)
+def _open_link(effect: effects.OpenLink, node: Node) -> None:
+    node.ports.links.open_link(effect.peer, effect.address, effect.port)
+
+
+@perform_effect.register(effects.ReplaceLink)
+def _replace_link(effect: effects.ReplaceLink, node: Node) -> None:
+    node.ports.links.replace_link(effect.peer)
+
+
+@perform_effect.register(effects.CloseLink)
+def _close_link(effect: effects.CloseLink, node: Node) -> None:
+    node.ports.links.close_link(effect.peer)
+
+
+@perform_effect.register(effects.LogDecision)
+def _log_decision(effect: effects.LogDecision, node: Node) -> None:
+    node.ports.journal.log_decision(effect)
+
+
+@perform_effect.register(effects.CountMetric)
+def _count_metric(effect: effects.CountMetric, node: Node) -> None:
+    node.ports.journal.count_metric(effect)
+
+
+@perform_effect.register(effects.RecordMetric)
+def _record_metric(effect: effects.RecordMetric, node: Node) -> None:
+    node.ports.journal.record_metric(effect)
+
+
+@perform_effect.register(effects.StopProcess)
+def _stop_process(effect: effects.StopProcess, node: Node) -> None:
+    node.ports.stop(effect.reason)
+
+
+@perform_effect.register(effects.Transact)
+def _transact(effect: effects.Transact, node: Node) -> None:
+    def post_outcome(outcome: TransactionOutcome | None) -> None:
+        node.post_event(TransactionFinished(effect.token, outcome))
+
+    answer = node.ports.tables.transact(effect.conditions, effect.writes)
+    answer.addCallbacks(post_outcome, lambda _: post_outcome(None))
+
+
+@perform_effect.register(effects.ReadRow)
+def _read_row(effect: effects.ReadRow, node: Node) -> None:
+    def post_row(row: Row | None) -> None:
+        node.post_event(RowsRead(effect.token, (row,) if row else ()))
+
+    answer = node.ports.tables.read_row(effect.table, effect.key)
+    answer.addCallbacks(post_row, lambda _: node.post_event(_no_rows(effect.token)))
+
+
+@perform_effect.register(effects.ScanRows)
+def _scan_rows(effect: effects.ScanRows, node: Node) -> None:
+    def post_rows(rows: tuple[Row, ...]) -> None:
+        node.post_event(RowsRead(effect.token, tuple(rows)))
+
+    answer = node.ports.tables.scan_rows(effect.table, effect.after, effect.limit)
+    answer.addCallbacks(post_rows, lambda _: node.post_event(_no_rows(effect.token)))
+
+
+@perform_effect.register(effects.ListInstances)
+def _list_instances(effect: effects.ListInstances, node: Node) -> None:
+    def post_list(listed: InstanceList) -> None:
+        node.post_event(InstancesListed(listed.instances))
+
+    answer = node.ports.instances.list_instances()
+    answer.addCallbacks(post_list, lambda _: node.post_event(InstancesListed(None)))
+
+
+def _no_rows(token: str) -> RowsRead:
+    return RowsRead(token, None)
--- /dev/null
+++ b/src/magnoliahold/wire/codec.py
@@ -0,0 +1,73 @@
+"""Encodes messages as MessagePack frames and decodes them with checked types."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, get_args
+
+import msgspec
+from attrs import frozen
+
+from magnoliahold.wire.messages import Message
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+NO_EXPIRY = 0.0
+
+
+class BrokenMessage(Exception):  # noqa: N818
+    """Frames that are no message of this protocol; they are dropped and counted."""
+
+
+@frozen
+class Header:
+    """Names the sender and receiver of a message.
+
+    `receiver_incarnation` is empty when the sender has not heard from the receiver
+    yet. `expires_at` is a time on the receiver's clock, or NO_EXPIRY.
+    """
+
+    sender: str
+    incarnation: str
+    link_number: int
+    receiver_incarnation: str
+    expires_at: float
+
+
+@frozen
+class Envelope:
+    """One message with its header."""
+
+    header: Header
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder()
+_header_decoder = msgspec.msgpack.Decoder(Header)
+_decoders = {
+    kind.__name__.encode(): msgspec.msgpack.Decoder(kind) for kind in get_args(Message)
+}
+
+
+def encode_envelope(envelope: Envelope) -> list[bytes]:
+    """Encodes an envelope as the frames kind, header and body."""
+    kind = type(envelope.message).__name__.encode()
+    return [
+        kind,
+        _encoder.encode(envelope.header),
+        _encoder.encode(envelope.message),
+    ]
+
+
+def decode_envelope(frames: Sequence[bytes]) -> Envelope:
+    """Decodes frames; raises BrokenMessage when they are malformed."""
+    if len(frames) != 3:
+        raise BrokenMessage(f"{len(frames)} frames instead of 3")
+    kind, header, body = frames
+    decoder = _decoders.get(bytes(kind))
+    if decoder is None:
+        raise BrokenMessage("unknown kind of message")
+    try:
+        return Envelope(_header_decoder.decode(header), decoder.decode(body))
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise BrokenMessage(str(error)) from error
--- /dev/null
+++ b/src/magnoliahold/wire/messages.py
@@ -0,0 +1,311 @@
+"""Messages between entries and sidecars.
+
+Every message is an immutable attrs class of plain fields, encoded as MessagePack by
+`wire.codec`. Offsets count output tokens of one lineage from 0. Times are in seconds.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from attrs import frozen
+
+
+@frozen
+class UpstreamReport:
+    """What a sidecar knows of its upstream.
+
+    `kind` is "engine" or "service"; `engine_incarnation` changes when the upstream
+    restarts; `running` counts the work that this sidecar holds; `reported_running` is
+    the upstream's own figure, which lags.
+    """
+
+    name: str
+    kind: str
+    ready: bool
+    role: str = ""
+    versions: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    engine_incarnation: str = ""
+    running: int = 0
+    reported_running: int = 0
+    capacity: int = 1
+    checks_fencing: bool = True
+
+
+@frozen
+class EvidenceCount:
+    """Cumulative results of one version on one route since the sidecar started.
+
+    `route` is the data centre of the entry that sent the work. Latency is the sum over
+    `answered` of seconds to the first token or answer, and `token_gap_s` the sum over
+    `tokens` of seconds between tokens.
+    """
+
+    workspace: str
+    work: str
+    version: str
+    route: str
+    answered: int
+    failed: int
+    latency_s: float
+    tokens: int
+    token_gap_s: float
+    busy_answered: int = 0
+    busy_failed: int = 0
+
+
+@frozen
+class Heartbeat:
+    """Liveness, load and configuration head of a process.
+
+    `clock` is the sender's monotonic clock, which only the sender's own deadlines are
+    compared with. `answer` is true on the reply to a heartbeat.
+    """
+
+    clock: float
+    answer: bool
+    role: str
+    data_centre: str
+    leaving: bool
+    configuration_head: int
+    report: UpstreamReport | None = None
+    evidence: tuple[EvidenceCount, ...] = ()
+    suspended: tuple[str, ...] = ()
+
+
+@frozen
+class StartStream:
+    """Asks a sidecar to generate a stream, or to continue one from its prefix.
+
+    `max_tokens` counts the prefix too. `window` is how many tokens the sidecar may
+    send beyond the last acknowledged offset.
+    """
+
+    lineage: str
+    attempt: int
+    owner_epoch: int
+    workspace: str
+    work: str
+    version: str
+    prompt: str
+    prefix: tuple[str, ...]
+    max_tokens: int
+    priority: int
+    fingerprint: str
+    suspect: bool
+    window: int
+    route: str = ""
+
+
+@frozen
+class StreamTokens:
+    """Output tokens of one attempt; `end` names the reason on the last message."""
+
+    lineage: str
+    attempt: int
+    offset: int
+    tokens: tuple[str, ...]
+    end: str = ""
+
+
+@frozen
+class StreamFailed:
+    """An attempt ended before its last token.
+
+    `reason` is one of "engine_died", "engine_silent", "refused", "version_missing",
+    "leaving", "fenced", "unknown", "expired" or "broken".
+    """
+
+    lineage: str
+    attempt: int
+    reason: str
+
+
+@frozen
+class AckTokens:
+    """Acknowledges tokens up to `offset`; `resend` asks for those from it again."""
+
+    lineage: str
+    attempt: int
+    offset: int
+    resend: bool = False
+
+
+@frozen
+class CancelStream:
+    """Ends an attempt whose output is no longer wanted."""
+
+    lineage: str
+    attempt: int
+
+
+@frozen
+class TakeStream:
+    """Makes the sender the owner of a stream after its former entry was lost."""
+
+    lineage: str
+    request_id: str
+
+
+@frozen
+class StreamTaken:
+    """Answers TakeStream with the whole output so far, or with found=False."""
+
+    lineage: str
+    request_id: str
+    found: bool
+    attempt: int = 0
+    owner_epoch: int = 0
+    version: str = ""
+    tokens: tuple[str, ...] = ()
+    end: str = ""
+
+
+@frozen
+class StartCall:
+    """Asks a sidecar to run one call of a plain service, once."""
+
+    nonce: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    fingerprint: str = ""
+    route: str = ""
+
+
+@frozen
+class CallAnswered:
+    """The upstream's answer to a call."""
+
+    nonce: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class CallFailed:
+    """A call without an answer; `not_run` is true only when it never ran."""
+
+    nonce: str
+    not_run: bool
+    reason: str
+
+
+@frozen
+class FenceCall:
+    """Asks a sidecar to make sure that a call which has not started never runs."""
+
+    nonce: str
+
+
+@frozen
+class CallVerdict:
+    """State of a call after FenceCall: "fenced", "running", "answered" or "lost".
+
+    An "answered" verdict is followed by CallAnswered when the answer is still kept.
+    """
+
+    nonce: str
+    verdict: str
+
+
+@frozen
+class EngineDied:
+    """Reports the requests that were in flight when an upstream's engine died."""
+
+    upstream: str
+    engine_incarnation: str
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class SuspicionNotice:
+    """Shares deaths of engines that a request was part of between entries."""
+
+    fingerprint: str
+    deaths: int
+    quarantined: bool
+    seconds_left: float
+
+
+@frozen
+class SuspendVersion:
+    """Tells that a version must get no new work under the named move."""
+
+    workspace: str
+    work: str
+    version: str
+    move: str
+    reason: str
+
+
+@frozen
+class WorkspaceRow:
+    """One accepted workspace configuration; `change` is its change-log number."""
+
+    workspace: str
+    version: int
+    change: int
+    template: bytes
+
+
+@frozen
+class ConfigurationPush:
+    """Accepted configurations, and the head up to which the sender has them all."""
+
+    rows: tuple[WorkspaceRow, ...]
+    head: int
+
+
+@frozen
+class ConfigurationPull:
+    """Asks a peer for every configuration changed after `after_change`."""
+
+    after_change: int
+
+
+@frozen
+class PlacementPush:
+    """What an upstream should have loaded, by its placement row."""
+
+    upstream: str
+    versions: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    fencing: int
+
+
+@frozen
+class Leave:
+    """Orders a process to drain and stop."""
+
+    name: str
+
+
+Message: TypeAlias = (
+    Heartbeat
+    | StartStream
+    | StreamTokens
+    | StreamFailed
+    | AckTokens
+    | CancelStream
+    | TakeStream
+    | StreamTaken
+    | StartCall
+    | CallAnswered
+    | CallFailed
+    | FenceCall
+    | CallVerdict
+    | EngineDied
+    | SuspicionNotice
+    | SuspendVersion
+    | ConfigurationPush
+    | ConfigurationPull
+    | PlacementPush
+    | Leave
+)
