--- /dev/null
+++ b/src/magnoliahold/standins/engine.py
@@ -0,0 +1,234 @@
+"""A small stand-in for a model engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+from magnoliahold.standins.batch import Batch, BatchLimits
+from magnoliahold.standins.engine_faults import LASTING_KINDS, LastingFaults
+from magnoliahold.standins.engine_resource import make_engine_resource
+from magnoliahold.standins.load_report import Load, LoadReport
+from magnoliahold.standins.orders import OrderedState
+from magnoliahold.standins.prefix_cache import CacheEventLog, PrefixCache
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from magnoliahold.runtime import Reactor
+    from magnoliahold.standins.batch import Generation
+    from magnoliahold.standins.engine_faults import FaultOrder
+
+
+@frozen
+class EngineSettings:
+    """Size, speed and manners of a stand-in engine."""
+
+    name: str
+    version: str = "v1"
+    role: str = "draft"
+    token_interval_s: float = 0.02
+    prefill_s_per_token: float = 0.00005
+    max_batch: int = 16
+    max_waiting: int = 64
+    cache_tokens: int = 200_000
+    obeys_fencing: bool = True
+    load_report_lag_s: float = 0.5
+    cache_event_lag_s: float = 0.5
+    cache_event_loss: float = 0.05
+    load_version_s: float = 1.0
+
+
+@frozen
+class EngineReport:
+    """The answer to `GET /state`; the load lags, the rest is immediate."""
+
+    incarnation: str
+    versions: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    running: int
+    waiting: int
+    fencing: int
+    capacity: int
+
+
+class Engine:
+    """A model engine whose process can die, freeze and come back."""
+
+    def __init__(
+        self, reactor: Reactor, settings: EngineSettings, random: Random
+    ) -> None:
+        self.settings = settings
+        self._reactor = reactor
+        self._random = random
+        self._faults = LastingFaults(random)
+        self.orders = OrderedState(
+            reactor,
+            settings.version,
+            settings.role,
+            settings.obeys_fencing,
+            settings.load_version_s,
+        )
+        self.alive = True
+        self.frozen = False
+        self._parked: list[Callable[[], None]] = []
+        self._start_process()
+        self.resource = make_engine_resource(self)
+
+    def _start_process(self) -> None:
+        settings = self.settings
+        self.incarnation = f"{self._random.getrandbits(64):016x}"
+        self._load_report = LoadReport(self._reactor, settings.load_report_lag_s)
+        self.events = CacheEventLog(
+            self._reactor,
+            self._random,
+            settings.cache_event_lag_s,
+            settings.cache_event_loss,
+        )
+        self.batch = Batch(
+            self._reactor,
+            self._random,
+            BatchLimits(
+                settings.token_interval_s,
+                settings.prefill_s_per_token,
+                settings.max_batch,
+                settings.max_waiting,
+            ),
+            PrefixCache(settings.cache_tokens, self.events),
+            self._faults,
+            self._record_load,
+        )
+
+    def _record_load(self) -> None:
+        self._load_report.record(Load(self.batch.running, self.batch.waiting))
+
+    def report(self) -> EngineReport:
+        """Reports the state of the engine."""
+        load = self._load_report.read()
+        return EngineReport(
+            self.incarnation,
+            tuple(sorted(self.orders.versions)),
+            tuple(sorted(self.orders.adapters)),
+            self.orders.role,
+            load.running,
+            load.waiting,
+            self.orders.fencing,
+            self.settings.max_batch,
+        )
+
+    def submit(self, generation: Generation) -> bool:
+        """Takes a generation, or returns False when the engine is full.
+
+        A poisonous one kills the engine.
+        """
+        poison = self._faults.find_poison(generation)
+        if poison is not None:
+            self.die(poison.revive_after_s, poison.version)
+            return True
+        return self.batch.submit(generation)
+
+    def run_when_thawed(self, action: Callable[[], None]) -> None:
+        """Runs an action now, or when the engine is no longer frozen."""
+        if self.frozen:
+            self._parked.append(action)
+        else:
+            action()
+
+    def inject(self, fault: FaultOrder) -> None:
+        """Injects a fault; raises ValueError when its kind is unknown."""
+        if fault.kind in LASTING_KINDS:
+            self._faults.add(fault)
+            return
+        actions: dict[str, Callable[[], None]] = {
+            "clear": self._faults.clear,
+            "die": lambda: self.die(fault.revive_after_s, fault.version),
+            "revive": lambda: self.revive(fault.version),
+            "freeze": lambda: self.freeze(fault.for_s),
+            "resume": self.resume,
+            "silence_streams": self.silence_connections,
+            "reset_streams": self.reset_connections,
+        }
+        if fault.kind not in actions:
+            raise ValueError(f"unknown fault {fault.kind!r}; use one of {KNOWN_FAULTS}")
+        actions[fault.kind]()
+
+    def die(self, revive_after_s: float | None = None, version: str = "") -> None:
+        """Loses all work and connections, and refuses new ones until revived."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.frozen = False
+        self._parked.clear()
+        self.batch.discard_all()
+        if self.resource.listener is not None:
+            self.resource.listener.refuse_connections()
+        if revive_after_s is not None:
+            self._reactor.callLater(revive_after_s, self.revive, version)
+
+    def revive(self, version: str = "") -> None:
+        """Starts a new process with an empty cache and one version."""
+        if self.alive:
+            return
+        self.alive = True
+        self.orders.restart(version or self.settings.version)
+        self._start_process()
+        if self.resource.listener is not None:
+            self.resource.listener.accept_connections()
+
+    def freeze(self, for_s: float | None = None) -> None:
+        """Stops without closing anything, until resumed."""
+        self.frozen = True
+        self.batch.freeze()
+        if for_s is not None:
+            self._reactor.callLater(for_s, self.resume)
+
+    def resume(self) -> None:
+        """Goes on after a freeze."""
+        if not self.frozen:
+            return
+        self.frozen = False
+        self.batch.thaw()
+        parked, self._parked = self._parked, []
+        for action in parked:
+            action()
+
+    def silence_connections(self) -> None:
+        """Lets open connections go silent for good; new ones work."""
+        if self.resource.listener is not None:
+            self.resource.listener.silence_connections()
+
+    def reset_connections(self) -> None:
+        """Resets open connections; new ones work."""
+        if self.resource.listener is not None:
+            self.resource.listener.reset_connections()
+
+    def close(self) -> Any:
+        """Stops all timers and the listener; returns a Deferred or None."""
+        self.alive = False
+        self.batch.discard_all()
+        listener = self.resource.listener
+        return listener.close() if listener is not None else None
+
+
+KNOWN_FAULTS = ", ".join(
+    sorted(
+        LASTING_KINDS
+        | {
+            "clear",
+            "die",
+            "revive",
+            "freeze",
+            "resume",
+            "silence_streams",
+            "reset_streams",
+        }
+    )
+)
+
+
+def make_engine(reactor: Reactor, settings: EngineSettings, random: Random) -> Engine:
+    """Makes a stand-in engine; serve its `resource` with `serve_resource`."""
+    return Engine(reactor, settings, random)
--- /dev/null
+++ b/src/magnoliahold/standins/engine_faults.py
@@ -0,0 +1,88 @@
+"""Faults of the stand-in engine that a test or an operator can ask for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from magnoliahold.standins.batch import Generation
+
+
+@frozen
+class FaultOrder:
+    """A fault to inject, or "clear" to take the lasting ones back.
+
+    Kinds that act once: "die", "freeze", "resume", "silence_streams", "reset_streams".
+    Kinds that last: "slow", "fail", "poison". Empty selectors match everything.
+    `factor` stretches the token interval, `share` is the share of generations hit,
+    `after_tokens` is how many tokens come before a failure. With `revive_after_s` an
+    engine that died comes back, with `version` if that is given; with `for_s` a freeze
+    ends by itself.
+    """
+
+    kind: str
+    version: str = ""
+    workspace: str = ""
+    text: str = ""
+    minimum_running: int = 0
+    share: float = 1.0
+    factor: float = 10.0
+    after_tokens: int = 0
+    revive_after_s: float | None = None
+    for_s: float | None = None
+
+
+LASTING_KINDS = frozenset({"slow", "fail", "poison"})
+
+
+class LastingFaults:
+    """The faults that hit the generations matching them."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._faults: list[FaultOrder] = []
+
+    def add(self, fault: FaultOrder) -> None:
+        """Starts a fault."""
+        self._faults.append(fault)
+
+    def clear(self) -> None:
+        """Ends all faults."""
+        self._faults.clear()
+
+    def find_poison(self, generation: Generation) -> FaultOrder | None:
+        """Finds the fault by which this generation kills the engine."""
+        for fault in self._faults:
+            if fault.kind == "poison" and _matches(fault, generation, running=0):
+                return fault
+        return None
+
+    def draw_failure_offset(self, generation: Generation, running: int) -> int | None:
+        """Draws after how many tokens this generation fails, or None."""
+        for fault in self._faults:
+            if fault.kind != "fail" or not _matches(fault, generation, running):
+                continue
+            if self._random.random() < fault.share:
+                return fault.after_tokens
+        return None
+
+    def get_slow_factor(self, generation: Generation, running: int) -> float:
+        """Gets the factor that stretches the generation's token interval."""
+        factor = 1.0
+        for fault in self._faults:
+            if fault.kind == "slow" and _matches(fault, generation, running):
+                factor = max(factor, fault.factor)
+        return factor
+
+
+def _matches(fault: FaultOrder, generation: Generation, running: int) -> bool:
+    return (
+        fault.version in ("", generation.version)
+        and fault.workspace in ("", generation.workspace)
+        and fault.text in generation.prompt
+        and (running >= fault.minimum_running or fault.kind == "poison")
+    )
--- /dev/null
+++ b/src/magnoliahold/standins/engine_resource.py
@@ -0,0 +1,206 @@
+"""The HTTP protocol of the stand-in engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+import msgspec
+from attrs import frozen
+from twisted.web.server import NOT_DONE_YET
+
+from magnoliahold.standins.batch import Generation
+from magnoliahold.standins.engine_faults import FaultOrder
+from magnoliahold.standins.orders import KINDS, OrderRequest
+from magnoliahold.standins.replies import parse_body, reply, reply_error
+from magnoliahold.standins.server import FaultyResource, TreeResource
+
+if TYPE_CHECKING:
+    from twisted.web.resource import Resource
+    from twisted.web.server import Request
+
+    from magnoliahold.standins.engine import Engine
+
+
+@frozen
+class GenerateRequest:
+    """The body of `POST /generate`.
+
+    `max_tokens` bounds the whole output, the tokens in `prefix` included.
+    """
+
+    id: str
+    prompt: str
+    max_tokens: int
+    prefix: tuple[str, ...] = ()
+    priority: int = 0
+    version: str = ""
+    workspace: str = ""
+
+
+@frozen
+class TokenLine:
+    """A line of the answer: tokens and the offset of the first of them."""
+
+    offset: int
+    tokens: tuple[str, ...]
+
+
+@frozen
+class FinishLine:
+    """The last line of the answer: "length", "stop", "cancelled" or "error"."""
+
+    finished: str
+
+
+class _EngineResource(TreeResource):
+    def __init__(self, engine: Engine) -> None:
+        super().__init__()
+        self._engine = engine
+
+    def render(self, request: Request) -> Any:
+        if not self._engine.alive:
+            cast("Any", request.transport).abortConnection()
+            return NOT_DONE_YET
+        self._engine.run_when_thawed(lambda: self._answer(request))
+        return NOT_DONE_YET
+
+    def _answer(self, request: Request) -> None:
+        if not request._disconnected:
+            self.answer(request)
+
+    def answer(self, request: Request) -> None:
+        raise NotImplementedError
+
+
+class _Generate(_EngineResource):
+    def getChild(self, path: bytes, request: Request) -> Resource:  # noqa: N802
+        return _CancelGeneration(self._engine, path.decode("latin-1"))
+
+    def answer(self, request: Request) -> None:
+        body = parse_body(request, GenerateRequest)
+        if body is None:
+            return
+        if body.version not in self._engine.orders.versions:
+            reply_error(request, 409, f"version {body.version!r} is not loaded")
+            return
+        stream = _Stream(request)
+        generation = Generation(
+            body.id,
+            body.prompt,
+            body.prefix,
+            body.max_tokens,
+            body.priority,
+            body.version,
+            body.workspace,
+            stream.write_token,
+            stream.write_finish,
+        )
+        stream.start()
+        if not self._engine.submit(generation):
+            stream.refuse("the queue is full")
+            return
+        request.notifyFinish().addErrback(self._cancel, generation)
+
+    def _cancel(self, _failure: object, generation: Generation) -> None:
+        self._engine.batch.cancel(generation.id)
+
+
+class _Stream:
+    """Writes the lines of one answer while its connection is open."""
+
+    def __init__(self, request: Request) -> None:
+        self._request = request
+        self._open = True
+
+    def start(self) -> None:
+        self._request.setHeader(b"content-type", b"application/x-ndjson")
+        self._request.notifyFinish().addBoth(self._close)
+
+    def write_token(self, offset: int, token: str) -> None:
+        if self._open:
+            self._write(TokenLine(offset, (token,)))
+
+    def write_finish(self, reason: str) -> None:
+        if self._open:
+            self._write(FinishLine(reason))
+            self._request.finish()
+
+    def refuse(self, reason: str) -> None:
+        reply_error(self._request, 503, reason)
+
+    def _write(self, line: TokenLine | FinishLine) -> None:
+        self._request.write(msgspec.json.encode(line) + b"\n")
+
+    def _close(self, _result: object) -> None:
+        self._open = False
+
+
+class _CancelGeneration(_EngineResource):
+    def __init__(self, engine: Engine, generation_id: str) -> None:
+        super().__init__(engine)
+        self._generation_id = generation_id
+
+    def answer(self, request: Request) -> None:
+        if request.method != b"DELETE":
+            reply_error(request, 405, "use DELETE")
+            return
+        if self._engine.batch.cancel(self._generation_id):
+            reply(request, {"cancelled": self._generation_id})
+        else:
+            reply_error(request, 404, "no such generation")
+
+
+class _State(_EngineResource):
+    def answer(self, request: Request) -> None:
+        reply(request, self._engine.report())
+
+
+class _CacheEvents(_EngineResource):
+    def answer(self, request: Request) -> None:
+        after = request.args.get(b"after", [b"0"])[0]
+        if not after.isdigit():
+            reply_error(request, 400, "after must be a number")
+            return
+        reply(request, self._engine.events.read(int(after)))
+
+
+class _Orders(_EngineResource):
+    def answer(self, request: Request) -> None:
+        order = parse_body(request, OrderRequest)
+        if order is None:
+            return
+        if order.kind not in KINDS:
+            reply_error(request, 400, f"unknown order {order.kind!r}")
+        elif self._engine.orders.apply(order):
+            reply(request, {"accepted": True})
+        else:
+            reply_error(request, 409, "the fencing number is stale")
+
+
+class _Faults(TreeResource):
+    def __init__(self, engine: Engine) -> None:
+        super().__init__()
+        self._engine = engine
+
+    def render(self, request: Request) -> Any:
+        fault = parse_body(request, FaultOrder)
+        if fault is None:
+            return NOT_DONE_YET
+        try:
+            self._engine.inject(fault)
+        except ValueError as error:
+            reply_error(request, 400, str(error))
+        else:
+            reply(request, {"injected": fault.kind})
+        return NOT_DONE_YET
+
+
+def make_engine_resource(engine: Engine) -> FaultyResource:
+    """Makes the root resource of an engine."""
+    root = FaultyResource()
+    root.add_child("generate", _Generate(engine))
+    root.add_child("state", _State(engine))
+    root.add_child("cache-events", _CacheEvents(engine))
+    root.add_child("orders", _Orders(engine))
+    root.add_child("faults", _Faults(engine))
+    return root
--- /dev/null
+++ b/src/magnoliahold/standins/instances.py
@@ -0,0 +1,62 @@
+"""The lagging list of instances of the stand-in platform."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from magnoliahold.platform.interfaces import InstanceList
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+    from magnoliahold.platform.interfaces import Instance
+    from magnoliahold.runtime import Clock
+    from magnoliahold.standins.platform_faults import FaultySchedule
+
+LIST_LAG_S = 1.0
+
+
+class FaultyInstances:
+    """Live and leaving instances, as they were some time ago."""
+
+    def __init__(
+        self, clock: Clock, schedule: FaultySchedule, lag_s: float = LIST_LAG_S
+    ) -> None:
+        self._clock = clock
+        self._schedule = schedule
+        self._lag_s = lag_s
+        self._present: dict[str, Instance] = {}
+        self._history: deque[tuple[float, InstanceList]] = deque(
+            [(clock.seconds(), InstanceList())]
+        )
+
+    def put_instance(self, instance: Instance) -> None:
+        """Registers an instance or changes its entry."""
+        self._present[instance.name] = instance
+        self._record()
+
+    def delete_instance(self, name: str) -> None:
+        """Removes an instance that has ended."""
+        self._present.pop(name, None)
+        self._record()
+
+    def list_instances(self) -> Deferred[InstanceList]:
+        """Reads the list of `lag_s` seconds ago."""
+        return self._schedule.perform(self._read)
+
+    def _record(self) -> None:
+        instances = tuple(self._present[name] for name in sorted(self._present))
+        self._history.append((self._clock.seconds(), InstanceList(instances)))
+        self._forget_old()
+
+    def _read(self) -> InstanceList:
+        self._forget_old()
+        return self._history[0][1]
+
+    def _forget_old(self) -> None:
+        if self._schedule.is_active("lag"):
+            return
+        horizon = self._clock.seconds() - self._lag_s
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.popleft()
--- /dev/null
+++ b/src/magnoliahold/standins/load_report.py
@@ -0,0 +1,43 @@
+"""The engine's load report, which lags behind the truth."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.runtime import Clock
+
+
+@frozen
+class Load:
+    """Counts of generations in the batch and in the queue."""
+
+    running: int = 0
+    waiting: int = 0
+
+
+class LoadReport:
+    """Tells the load as it was some time ago."""
+
+    def __init__(self, clock: Clock, lag_s: float) -> None:
+        self._clock = clock
+        self._lag_s = lag_s
+        self._history: deque[tuple[float, Load]] = deque([(clock.seconds(), Load())])
+
+    def record(self, load: Load) -> None:
+        """Records the present load."""
+        self._history.append((self._clock.seconds(), load))
+        self._forget_old()
+
+    def read(self) -> Load:
+        """Reads the load of `lag_s` seconds ago."""
+        self._forget_old()
+        return self._history[0][1]
+
+    def _forget_old(self) -> None:
+        horizon = self._clock.seconds() - self._lag_s
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.popleft()
--- /dev/null
+++ b/src/magnoliahold/standins/platform.py
@@ -0,0 +1,39 @@
+"""A small stand-in for the platform, in memory and over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.standins.instances import FaultyInstances
+from magnoliahold.standins.objects import FaultyObjects
+from magnoliahold.standins.platform_faults import FaultySchedule
+from magnoliahold.standins.platform_resource import make_platform_resource
+from magnoliahold.standins.tables import FaultyTables, TableStore
+from magnoliahold.standins.weights import FaultyWeights
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from magnoliahold.runtime import Clock
+
+
+class Platform:
+    """The platform's services; each implements its interface in memory.
+
+    `resource` serves the same over HTTP. `store` reads the tables at once and without
+    faults, for checks in tests.
+    """
+
+    def __init__(self, clock: Clock, random: Random) -> None:
+        self.faults = FaultySchedule(clock, random)
+        self.store = TableStore()
+        self.tables = FaultyTables(self.faults, self.store)
+        self.objects = FaultyObjects(self.faults)
+        self.instances = FaultyInstances(clock, self.faults)
+        self.weights = FaultyWeights(clock, self.faults)
+        self.resource = make_platform_resource(self)
+
+
+def make_platform(reactor: Clock, random: Random) -> Platform:
+    """Makes a stand-in platform; a paused clock is enough where HTTP is not used."""
+    return Platform(reactor, random)
--- /dev/null
+++ b/src/magnoliahold/standins/platform_faults.py
@@ -0,0 +1,103 @@
+"""Outages, slowness and lost answers of the stand-in platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from attrs import frozen
+from twisted.internet.defer import Deferred
+
+from magnoliahold.platform.interfaces import PlatformUnavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from magnoliahold.runtime import Clock
+
+T = TypeVar("T")
+
+NORMAL_LATENCY_S = 0.002
+KINDS = frozenset({"outage", "slow", "lose_answers", "lag"})
+
+
+@frozen
+class PlatformFault:
+    """A fault that lasts `seconds` and hits a `share` of the requests.
+
+    Kinds: "outage" (nothing is carried out), "slow" (each answer takes `delay_s` more),
+    "lose_answers" (carried out, but not answered), "lag" (the instance list stands
+    still) and "clear".
+    """
+
+    kind: str
+    seconds: float = 1e9
+    share: float = 1.0
+    delay_s: float = 1.0
+
+
+class FaultySchedule:
+    """Carries requests out under the faults that are in force."""
+
+    def __init__(self, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._faults: dict[str, tuple[float, PlatformFault]] = {}
+
+    def inject(self, fault: PlatformFault) -> None:
+        """Starts a fault, or ends all; raises ValueError when its kind is unknown."""
+        if fault.kind == "clear":
+            self._faults.clear()
+        elif fault.kind in KINDS:
+            end = self._clock.seconds() + fault.seconds
+            self._faults[fault.kind] = (end, fault)
+        else:
+            raise ValueError(f"unknown fault {fault.kind!r}; use one of {KINDS}")
+
+    def is_active(self, kind: str) -> bool:
+        """Tells whether a fault is in force."""
+        return self._get(kind) is not None
+
+    def perform(self, action: Callable[[], T]) -> Deferred[T]:
+        """Carries out `action` once, or not at all during an outage.
+
+        The Deferred fails with `PlatformUnavailable` when the answer is lost.
+        """
+        answer: Deferred[T] = Deferred()
+        slow = self._draw("slow")
+        delay_s = NORMAL_LATENCY_S + (slow.delay_s if slow is not None else 0.0)
+        before_s = delay_s * self._random.random()
+        self._clock.callLater(before_s, self._act, action, answer, delay_s - before_s)
+        return answer
+
+    def _act(
+        self, action: Callable[[], Any], answer: Deferred[Any], after_s: float
+    ) -> None:
+        if self._draw("outage") is not None:
+            self._clock.callLater(after_s, _fail, answer, "the platform is down")
+            return
+        result = action()
+        if self._draw("lose_answers") is not None:
+            self._clock.callLater(after_s, _fail, answer, "the answer was lost")
+            return
+        self._clock.callLater(after_s, _succeed, answer, result)
+
+    def _get(self, kind: str) -> PlatformFault | None:
+        end, fault = self._faults.get(kind, (0.0, None))
+        return fault if self._clock.seconds() < end else None
+
+    def _draw(self, kind: str) -> PlatformFault | None:
+        fault = self._get(kind)
+        if fault is None or self._random.random() >= fault.share:
+            return None
+        return fault
+
+
+def _succeed(answer: Deferred[Any], result: Any) -> None:
+    if not answer.called:
+        answer.callback(result)
+
+
+def _fail(answer: Deferred[Any], reason: str) -> None:
+    if not answer.called:
+        answer.errback(PlatformUnavailable(reason))
--- /dev/null
+++ b/src/magnoliahold/standins/replies.py
@@ -0,0 +1,37 @@
+"""JSON bodies of requests and answers of the stand-ins."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar, cast
+
+import msgspec
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+T = TypeVar("T")
+
+
+def parse_body(request: Request, kind: type[T]) -> T | None:
+    """Reads a JSON body of a type; answers 400 and returns None when it is not one."""
+    try:
+        content = cast("Any", request.content).read()
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError as error:
+        reply_error(request, 400, str(error))
+        return None
+
+
+def reply(request: Request, body: Any, status: int = 200) -> None:
+    """Answers with a JSON body, if the client is still there."""
+    if request._disconnected:
+        return
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    request.write(msgspec.json.encode(body))
+    request.finish()
+
+
+def reply_error(request: Request, status: int, reason: str) -> None:
+    """Answers with an error."""
+    reply(request, {"error": reason}, status)
--- /dev/null
+++ b/src/magnoliahold/standins/server.py
@@ -0,0 +1,112 @@
+"""Serves a stand-in over TCP, with faults of its connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+if TYPE_CHECKING:
+    from magnoliahold.runtime import Reactor
+
+
+class _Connection(ProtocolWrapper):
+    """A connection that can go silent in both directions without being closed."""
+
+    silenced = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self.silenced:
+            super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+    def write(self, data: bytes) -> None:
+        if not self.silenced:
+            super().write(data)  # type: ignore[no-untyped-call]
+
+    def writeSequence(self, data: list[bytes]) -> None:  # noqa: N802
+        if not self.silenced:
+            super().writeSequence(data)  # type: ignore[no-untyped-call]
+
+
+class Listener:
+    """The listening port of a stand-in and its open connections."""
+
+    def __init__(self, reactor: Reactor, resource: Resource, address: str) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._factory: Any = WrappingFactory(Site(resource))
+        self._factory.protocol = _Connection
+        self._factory.noisy = False
+        self._factory.wrappedFactory.noisy = False
+        self._port: Any = None
+        self.port = 0
+
+    def open(self, port: int) -> None:
+        """Starts to listen; 0 picks a free port, which `port` then holds."""
+        self._port = self._reactor.listenTCP(
+            port, self._factory, interface=self._address
+        )
+        self.port = self._port.getHost().port
+
+    @property
+    def address(self) -> str:
+        """The base URL of the stand-in."""
+        return f"http://{self._address}:{self.port}"
+
+    def refuse_connections(self) -> None:
+        """Closes the port and resets every open connection, as a dead process does."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        self.reset_connections()
+
+    def accept_connections(self) -> None:
+        """Listens again on the same port."""
+        if self._port is None:
+            self.open(self.port)
+
+    def reset_connections(self) -> None:
+        """Resets every open connection."""
+        for connection in list(self._factory.protocols):
+            connection.abortConnection()
+
+    def silence_connections(self) -> None:
+        """Lets every open connection go silent for good; new ones work."""
+        for connection in list(self._factory.protocols):
+            connection.silenced = True
+
+    def close(self) -> Any:
+        """Stops listening and resets the connections; returns a Deferred or None."""
+        port, self._port = self._port, None
+        self.reset_connections()
+        return port.stopListening() if port is not None else None
+
+
+class TreeResource(Resource):
+    """A resource with children."""
+
+    def __init__(self) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+
+    def add_child(self, name: str, child: Resource) -> None:
+        """Adds a child under a path segment."""
+        self.putChild(name.encode("ascii"), cast("Any", child))
+
+
+class FaultyResource(TreeResource):
+    """The root of a stand-in whose faults reach its connections."""
+
+    listener: Listener | None = None
+
+
+def serve_resource(
+    reactor: Reactor, resource: Resource, address: str, port: int
+) -> Listener:
+    """Serves `resource` at a local address; port 0 picks a free one."""
+    listener = Listener(reactor, resource, address)
+    listener.open(port)
+    if isinstance(resource, FaultyResource):
+        resource.listener = listener
+    return listener
--- /dev/null
+++ b/src/magnoliahold/standins/service.py
@@ -0,0 +1,233 @@
+"""A small stand-in for a plain service that counts how often each call ran."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any, cast
+
+from attrs import frozen
+from twisted.web.server import NOT_DONE_YET
+
+from magnoliahold.standins.replies import parse_body, reply, reply_error
+from magnoliahold.standins.server import FaultyResource, TreeResource
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from twisted.web.resource import Resource
+    from twisted.web.server import Request
+
+    from magnoliahold.runtime import Reactor
+
+NONCE_HEADER = "x-call-nonce"
+LASTING_KINDS = frozenset({"slow", "fail", "lose_answers"})
+
+
+@frozen
+class ServiceSettings:
+    """Name and speed of a stand-in service."""
+
+    name: str = "service"
+    work_s: float = 0.005
+
+
+@frozen
+class ServiceFault:
+    """A fault to inject.
+
+    Kinds: "die" (back after `revive_after_s` if given), "revive", "silence_calls",
+    "slow" (adds `delay_s`), "fail" (answers 500 without running), "lose_answers" (runs,
+    then resets the connection) and "clear". `share` is the share of calls hit.
+    """
+
+    kind: str
+    share: float = 1.0
+    delay_s: float = 1.0
+    revive_after_s: float | None = None
+
+
+@frozen
+class CallEcho:
+    """The body of an answer."""
+
+    service: str
+    method: str
+    path: str
+    body: str
+    serial: int
+
+
+class Service:
+    """A plain service with a ledger of the calls that it ran."""
+
+    def __init__(
+        self, reactor: Reactor, random: Random, settings: ServiceSettings
+    ) -> None:
+        self.settings = settings
+        self.ledger: Counter[str] = Counter()
+        self.alive = True
+        self._reactor = reactor
+        self._random = random
+        self._life = 0
+        self._serial = 0
+        self._faults: dict[str, ServiceFault] = {}
+        self.resource: FaultyResource = _ServiceRoot(self)
+
+    def start(self, request: Request) -> None:
+        """Runs a call after its working time, unless the service dies before."""
+        if not self.alive:
+            _reset(request)
+            return
+        delay_s = self.settings.work_s
+        slow = self._draw("slow")
+        if slow is not None:
+            delay_s += slow.delay_s
+        self._reactor.callLater(delay_s, self._run, request, self._life)
+
+    def inject(self, fault: ServiceFault) -> None:
+        """Injects a fault; raises ValueError when its kind is unknown."""
+        if fault.kind in LASTING_KINDS:
+            self._faults[fault.kind] = fault
+        elif fault.kind == "clear":
+            self._faults.clear()
+        elif fault.kind == "die":
+            self.die(fault.revive_after_s)
+        elif fault.kind == "revive":
+            self.revive()
+        elif fault.kind == "silence_calls":
+            self.silence_connections()
+        else:
+            raise ValueError(f"unknown fault {fault.kind!r}")
+
+    def die(self, revive_after_s: float | None = None) -> None:
+        """Loses all calls in work and refuses connections until revived."""
+        if not self.alive:
+            return
+        self.alive = False
+        self._life += 1
+        if self.resource.listener is not None:
+            self.resource.listener.refuse_connections()
+        if revive_after_s is not None:
+            self._reactor.callLater(revive_after_s, self.revive)
+
+    def revive(self) -> None:
+        """Starts again; the ledger is kept, as it is the test's own record."""
+        if self.alive:
+            return
+        self.alive = True
+        if self.resource.listener is not None:
+            self.resource.listener.accept_connections()
+
+    def silence_connections(self) -> None:
+        """Lets open connections go silent for good; new ones work."""
+        if self.resource.listener is not None:
+            self.resource.listener.silence_connections()
+
+    def _run(self, request: Request, life: int) -> None:
+        if life != self._life:
+            return
+        if self._draw("fail") is not None:
+            reply_error(request, 500, "asked to fail; the call did not run")
+            return
+        self._record(request)
+        if self._draw("lose_answers") is not None:
+            _reset(request)
+            return
+        reply(request, self._echo(request))
+
+    def _record(self, request: Request) -> None:
+        self._serial += 1
+        nonce = request.getHeader(NONCE_HEADER)
+        if nonce:
+            self.ledger[nonce] += 1
+
+    def _echo(self, request: Request) -> CallEcho:
+        content = cast("Any", request.content).read()
+        return CallEcho(
+            self.settings.name,
+            request.method.decode("latin-1"),
+            request.uri.decode("latin-1"),
+            content.decode("utf-8", "replace"),
+            self._serial,
+        )
+
+    def _draw(self, kind: str) -> ServiceFault | None:
+        fault = self._faults.get(kind)
+        if fault is None or self._random.random() >= fault.share:
+            return None
+        return fault
+
+
+class _ServiceRoot(FaultyResource):
+    def __init__(self, service: Service) -> None:
+        super().__init__()
+        self._service = service
+        control = TreeResource()
+        control.add_child("ledger", _Ledger(service))
+        control.add_child("faults", _Faults(service))
+        control.add_child("health", _Health())
+        self.add_child("-", control)
+
+    def getChild(self, path: bytes, request: Request) -> Resource:  # noqa: N802
+        return _Call(self._service)
+
+    def render(self, request: Request) -> Any:
+        self._service.start(request)
+        return NOT_DONE_YET
+
+
+class _Call(TreeResource):
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, service: Service) -> None:
+        super().__init__()
+        self._service = service
+
+    def render(self, request: Request) -> Any:
+        self._service.start(request)
+        return NOT_DONE_YET
+
+
+class _Ledger(TreeResource):
+    def __init__(self, service: Service) -> None:
+        super().__init__()
+        self._service = service
+
+    def render(self, request: Request) -> Any:
+        reply(request, {"runs": dict(self._service.ledger)})
+        return NOT_DONE_YET
+
+
+class _Health(TreeResource):
+    def render(self, request: Request) -> Any:
+        reply(request, {"healthy": True})
+        return NOT_DONE_YET
+
+
+class _Faults(TreeResource):
+    def __init__(self, service: Service) -> None:
+        super().__init__()
+        self._service = service
+
+    def render(self, request: Request) -> Any:
+        fault = parse_body(request, ServiceFault)
+        if fault is None:
+            return NOT_DONE_YET
+        try:
+            self._service.inject(fault)
+        except ValueError as error:
+            reply_error(request, 400, str(error))
+        else:
+            reply(request, {"injected": fault.kind})
+        return NOT_DONE_YET
+
+
+def _reset(request: Request) -> None:
+    cast("Any", request.transport).abortConnection()
+
+
+def make_service(
+    reactor: Reactor, random: Random, settings: ServiceSettings | None = None
+) -> Service:
+    """Makes a stand-in service; serve its `resource` with `serve_resource`."""
+    return Service(reactor, random, settings or ServiceSettings())
--- /dev/null
+++ b/src/magnoliahold/standins/tables.py
@@ -0,0 +1,93 @@
+"""The transactional table service of the stand-in platform."""
+
+from __future__ import annotations
+
+from bisect import bisect_right, insort
+from typing import TYPE_CHECKING
+
+from magnoliahold.platform.interfaces import Row, TransactionOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from twisted.internet.defer import Deferred
+
+    from magnoliahold.platform.interfaces import Condition, Write
+    from magnoliahold.standins.platform_faults import FaultySchedule
+
+
+class TableStore:
+    """Rows in memory, in key order."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._keys: dict[str, list[str]] = {}
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Reads one row."""
+        return self._rows.get((table, key))
+
+    def scan(self, table: str, after: str, limit: int) -> tuple[Row, ...]:
+        """Reads rows in key order whose key is greater than `after`."""
+        keys = self._keys.get(table, [])
+        first = bisect_right(keys, after) if after else 0
+        return tuple(self._rows[table, key] for key in keys[first : first + limit])
+
+    def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> TransactionOutcome:
+        """Commits all writes if every condition holds."""
+        failed = [condition for condition in conditions if not self._holds(condition)]
+        if failed:
+            return TransactionOutcome(False, tuple(self._read_rows(failed)))
+        for write in writes:
+            self._write(write)
+        return TransactionOutcome(True)
+
+    def _holds(self, condition: Condition) -> bool:
+        row = self.read(condition.table, condition.key)
+        return condition.version == (row.version if row is not None else 0)
+
+    def _read_rows(self, conditions: Sequence[Condition]) -> Iterator[Row]:
+        for condition in conditions:
+            row = self.read(condition.table, condition.key)
+            if row is not None:
+                yield row
+
+    def _write(self, write: Write) -> None:
+        place = (write.table, write.key)
+        if write.value is None:
+            self._delete(write.table, write.key)
+            return
+        if place not in self._rows:
+            insort(self._keys.setdefault(write.table, []), write.key)
+        version = self._rows[place].version + 1 if place in self._rows else 1
+        self._rows[place] = Row(write.table, write.key, version, write.value)
+
+    def _delete(self, table: str, key: str) -> None:
+        if self._rows.pop((table, key), None) is not None:
+            self._keys[table].remove(key)
+
+
+class FaultyTables:
+    """The table service under the platform's faults."""
+
+    def __init__(self, schedule: FaultySchedule, store: TableStore) -> None:
+        self._schedule = schedule
+        self._store = store
+
+    def read_row(self, table: str, key: str) -> Deferred[Row | None]:
+        """Reads one row, or None when it does not exist."""
+        return self._schedule.perform(lambda: self._store.read(table, key))
+
+    def scan_rows(
+        self, table: str, after: str = "", limit: int = 1000
+    ) -> Deferred[tuple[Row, ...]]:
+        """Reads rows in key order whose key is greater than `after`."""
+        return self._schedule.perform(lambda: self._store.scan(table, after, limit))
+
+    def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> Deferred[TransactionOutcome]:
+        """Commits all writes if every condition holds, else none of them."""
+        return self._schedule.perform(lambda: self._store.transact(conditions, writes))
