Keep the types of a transaction's body importable at run time

Cause: msgspec reads the annotations of the body class when it decodes; the linter takes them for type hints only. Change: mark the two imports. The linter passes.

--- a/src/magnoliahold/standins/platform_resource.py
+++ b/src/magnoliahold/standins/platform_resource.py
@@ -8,7 +8,11 @@
 from attrs import frozen
 from twisted.web.server import NOT_DONE_YET
 
-from magnoliahold.platform.interfaces import Condition, Instance, Write
+from magnoliahold.platform.interfaces import (
+    Condition,  # noqa: TC001
+    Instance,
+    Write,  # noqa: TC001
+)
 from magnoliahold.standins.platform_faults import PlatformFault
 from magnoliahold.standins.replies import parse_body, reply, reply_error
 from magnoliahold.standins.server import FaultyResource, TreeResource
