--- /dev/null
+++ b/src/magnoliahold/measure/fakes/engine.py
@@ -0,0 +1,289 @@
+"""A faked model engine that posts events to its sidecar's node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from magnoliahold.core.events import (
+    CacheEventsRead,
+    OrderFinished,
+    ProbedState,
+    StreamBroke,
+    StreamProduced,
+    UpstreamProbed,
+)
+from magnoliahold.standins.chain import make_first_token, make_next_token
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from twisted.internet.task import Clock
+
+    from magnoliahold.core import effects
+
+ANSWER_DELAY_S = 0.002
+
+
+@define(eq=False)
+class FakeStream:
+    """A stream that the engine runs."""
+
+    effect: effects.StartEngineStream
+    tokens: list[str]
+    prefilled_at: float
+    silent: bool = False
+    paused: bool = False
+    slowdown: float = 1.0
+
+
+@define
+class EngineFaults:
+    """Faults that rigs ask for.
+
+    `poison` holds texts that kill the engine when a running prompt contains them.
+    `version_error_share` and `version_slowdown` make single versions bad.
+    """
+
+    poison: set[str] = field(factory=set)
+    version_error_share: dict[str, float] = field(factory=dict)
+    version_slowdown: dict[str, float] = field(factory=dict)
+    bad_only_above_running: int = 0
+    bad_only_workspace: str = ""
+
+
+@define(eq=False)
+class FakeEngine:
+    """Batches streams, one token each per interval, on the rig's clock.
+
+    Counts `prompt_tokens` and `output_tokens` computed; `cached` prefixes of prompts
+    cost no prefill. Events go to `post`, which the rig points at the sidecar's node.
+    """
+
+    clock: Clock
+    random: Random
+    name: str
+    versions: list[str]
+    role: str = "draft"
+    capacity: int = 16
+    token_interval_s: float = 0.02
+    prefill_s_per_token: float = 0.00005
+    load_version_s: float = 1.0
+    obeys_fencing: bool = True
+    poison_delay_s: float = 0.1
+    faults: EngineFaults = field(factory=EngineFaults)
+    post: Callable[[object], None] = field(default=lambda event: None)
+    live: bool = True
+    frozen: bool = False
+    incarnation_number: int = 1
+    fencing: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    deaths: int = 0
+    streams: dict[str, FakeStream] = field(factory=dict)
+    waiting: list[effects.StartEngineStream] = field(factory=list)
+    cached: set[str] = field(factory=set)
+    started_by_version: dict[str, list[float]] = field(factory=dict)
+    _ticking: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the engine's current start."""
+        return f"{self.name}-{self.incarnation_number}"
+
+    def start_stream(self, effect: effects.StartEngineStream) -> None:
+        """Starts or continues a stream."""
+        if not self.live:
+            self._post_later(StreamBroke(effect.handle, "engine_died"))
+            return
+        if effect.version not in self.versions:
+            self._post_later(StreamBroke(effect.handle, "version_missing"))
+            return
+        started = self.started_by_version.setdefault(effect.version, [])
+        started.append(float(self.clock.seconds()))
+        if self._is_failing(effect):
+            self._post_later(StreamBroke(effect.handle, "broken"))
+            return
+        self.waiting.append(effect)
+        self.waiting.sort(key=lambda item: item.priority)
+        self._fill_batch()
+        self._start_ticking()
+
+    def cancel_stream(self, handle: str) -> None:
+        """Cancels a stream."""
+        self.streams.pop(handle, None)
+        self.waiting = [item for item in self.waiting if item.handle != handle]
+
+    def pause_stream(self, handle: str) -> None:
+        """Stops producing a stream."""
+        if handle in self.streams:
+            self.streams[handle].paused = True
+
+    def resume_stream(self, handle: str) -> None:
+        """Produces a paused stream again."""
+        if handle in self.streams:
+            self.streams[handle].paused = False
+
+    def probe_upstream(self, timeout_s: float) -> None:
+        """Answers with the state; a frozen engine lets the probe time out."""
+        if not self.live:
+            self._post_later(UpstreamProbed(None))
+        elif self.frozen:
+            self.clock.callLater(timeout_s, self.post, UpstreamProbed(None))
+        else:
+            self._post_later(UpstreamProbed(self._read_state()))
+
+    def send_order(self, effect: effects.SendOrder) -> None:
+        """Takes an order to load or unload a version or adapter, or set the role."""
+        if not self.live or self.frozen:
+            self._post_later(OrderFinished(effect.token, "lost"))
+            return
+        if self.obeys_fencing and effect.fencing < self.fencing:
+            self._post_later(OrderFinished(effect.token, "stale_fencing"))
+            return
+        self.fencing = max(self.fencing, effect.fencing)
+        delay = self.load_version_s if effect.kind == "load_version" else 0.0
+        incarnation = self.incarnation
+        self.clock.callLater(delay, self._apply_order, effect, incarnation)
+
+    def read_cache_events(self, after: int) -> None:
+        """Answers that there are no cache events."""
+        self._post_later(CacheEventsRead((), (), after, after))
+
+    def kill_engine(self) -> None:
+        """Dies: every connection is reset at once."""
+        if not self.live:
+            return
+        self.live = False
+        self.frozen = False
+        self.deaths += 1
+        handles = [*self.streams, *(item.handle for item in self.waiting)]
+        self.streams.clear()
+        self.waiting.clear()
+        self.cached.clear()
+        for handle in handles:
+            self._post_later(StreamBroke(handle, "engine_died"))
+
+    def revive_engine(self, versions: list[str] | None = None) -> None:
+        """Starts again with a new incarnation and an empty cache."""
+        self.live = True
+        self.incarnation_number += 1
+        self.fencing = 0
+        if versions is not None:
+            self.versions = versions
+
+    def freeze_engine(self) -> None:
+        """Stops without a sign."""
+        self.frozen = True
+
+    def thaw_engine(self) -> None:
+        """Goes on after a freeze."""
+        self.frozen = False
+        self._start_ticking()
+
+    def silence_streams(self) -> None:
+        """Makes the connections of all running streams silent for good."""
+        for stream in self.streams.values():
+            stream.silent = True
+
+    def _apply_order(self, effect: effects.SendOrder, incarnation: str) -> None:
+        if not self.live or incarnation != self.incarnation:
+            self.post(OrderFinished(effect.token, "lost"))
+            return
+        if effect.kind == "load_version" and effect.value not in self.versions:
+            self.versions.append(effect.value)
+        elif effect.kind == "unload_version" and effect.value in self.versions:
+            self.versions.remove(effect.value)
+        elif effect.kind == "set_role":
+            self.role = effect.value
+        self.post(OrderFinished(effect.token, "done"))
+
+    def _read_state(self) -> ProbedState:
+        return ProbedState(
+            incarnation=self.incarnation,
+            versions=tuple(self.versions),
+            role=self.role,
+            running=len(self.streams),
+            capacity=self.capacity,
+            fencing=self.fencing,
+        )
+
+    def _is_bad(self, effect: effects.StartEngineStream) -> bool:
+        running = len(self.streams) + len(self.waiting)
+        faults = self.faults
+        if running < faults.bad_only_above_running:
+            return False
+        return faults.bad_only_workspace in ("", effect.workspace)
+
+    def _is_failing(self, effect: effects.StartEngineStream) -> bool:
+        share = self.faults.version_error_share.get(effect.version, 0.0)
+        return self._is_bad(effect) and self.random.random() < share
+
+    def _fill_batch(self) -> None:
+        while self.waiting and len(self.streams) < self.capacity:
+            effect = self.waiting.pop(0)
+            self._prefill(effect)
+
+    def _prefill(self, effect: effects.StartEngineStream) -> None:
+        words = len(effect.prompt.split())
+        computed = len(effect.prefix)
+        if effect.prompt not in self.cached:
+            computed += words
+        self.cached.add(effect.prompt)
+        self.prompt_tokens += computed
+        slow = self.faults.version_slowdown.get(effect.version, 1.0)
+        slowdown = slow if self._is_bad(effect) else 1.0
+        ready_at = float(self.clock.seconds()) + computed * self.prefill_s_per_token
+        ready_at += self.token_interval_s * (slowdown - 1.0)
+        stream = FakeStream(effect, list(effect.prefix), ready_at, slowdown=slowdown)
+        self.streams[effect.handle] = stream
+        if any(text in effect.prompt for text in self.faults.poison):
+            self.clock.callLater(self.poison_delay_s, self._die_of, effect.handle)
+
+    def _die_of(self, handle: str) -> None:
+        if handle in self.streams:
+            self.kill_engine()
+
+    def _start_ticking(self) -> None:
+        if not self._ticking:
+            self._ticking = True
+            self.clock.callLater(self.token_interval_s, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = False
+        if not self.live or self.frozen:
+            return
+        now = float(self.clock.seconds())
+        for handle, stream in list(self.streams.items()):
+            if stream.prefilled_at <= now and not stream.paused:
+                self._produce(handle, stream)
+        self._fill_batch()
+        if self.streams or self.waiting:
+            self._start_ticking()
+
+    def _produce(self, handle: str, stream: FakeStream) -> None:
+        if stream.slowdown > 1.0 and self.random.random() > 1 / stream.slowdown:
+            return
+        effect = stream.effect
+        offset = len(stream.tokens)
+        if offset < effect.max_tokens:
+            stream.tokens.append(self._make_token(stream))
+            self.output_tokens += 1
+        ended = len(stream.tokens) >= effect.max_tokens
+        if ended:
+            del self.streams[handle]
+        if not stream.silent:
+            produced = tuple(stream.tokens[offset:])
+            end = "length" if ended else ""
+            self.post(StreamProduced(handle, offset, produced, end))
+
+    def _make_token(self, stream: FakeStream) -> str:
+        if not stream.tokens:
+            return make_first_token(self.random)
+        tokens = stream.tokens
+        return make_next_token(stream.effect.prompt, tokens[0], tokens[-1])
+
+    def _post_later(self, event: object) -> None:
+        self.clock.callLater(ANSWER_DELAY_S, self.post, event)
--- /dev/null
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -0,0 +1,324 @@
+"""A small fleet of real entry and sidecar nodes over fakes, on a paused clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, evolve, field, frozen
+from twisted.internet.task import Clock
+
+from magnoliahold.core.events import CallerGone
+from magnoliahold.core.identity import Identity
+from magnoliahold.core.peers import Peer
+from magnoliahold.core.policy import Policy
+from magnoliahold.core.streams import Upstream
+from magnoliahold.core.systems.membership import add_peer
+from magnoliahold.entry.nodes import make_entry_node
+from magnoliahold.measure.fakes.callers import FakeCallerPort
+from magnoliahold.measure.fakes.clock import ProcessClock
+from magnoliahold.measure.fakes.engine import FakeEngine
+from magnoliahold.measure.fakes.network import (
+    FakeLinks,
+    FakeNetwork,
+    NetworkShape,
+    Process,
+)
+from magnoliahold.measure.fakes.platform import FakePlatform
+from magnoliahold.measure.fakes.service import FakeService
+from magnoliahold.node import Ports
+from magnoliahold.platform.interfaces import Instance
+from magnoliahold.sidecar.nodes import make_sidecar_node
+
+if TYPE_CHECKING:
+    from magnoliahold.core import effects
+    from magnoliahold.core.events import CallArrived, GenerationArrived
+    from magnoliahold.core.workspaces import Workspace
+    from magnoliahold.measure.fakes.callers import Session
+    from magnoliahold.node import Node
+
+LINK_PORT = 7000
+CLOCK_SPREAD_S = 1_000_000.0
+
+
+@define
+class FakeJournal:
+    """Keeps counters and the last decisions; `decisions` counts by part and text."""
+
+    counters: Counter[str] = field(factory=Counter)
+    values: dict[str, list[float]] = field(factory=dict)
+    decisions: Counter[str] = field(factory=Counter)
+
+    def log_decision(self, decision: effects.LogDecision) -> None:
+        """Counts one decision."""
+        self.decisions[f"{decision.part}: {decision.sentence}"] += 1
+
+    def count_metric(self, metric: effects.CountMetric) -> None:
+        """Adds to a counter."""
+        self.counters[metric.name] += int(metric.amount)
+
+    def record_metric(self, metric: effects.RecordMetric) -> None:
+        """Keeps a value."""
+        self.values.setdefault(metric.name, []).append(metric.value)
+
+
+@frozen
+class FleetShape:
+    """Sizes and delays of a fleet.
+
+    `engines` maps an engine role to the number of engines with that role, `services`
+    a service's name to its number of upstreams, named like "desk-0".
+    """
+
+    entries: int = 2
+    engines: dict[str, int] = field(factory=lambda: {"draft": 4})
+    services: dict[str, int] = field(factory=dict)
+    versions: tuple[str, ...] = ("v1",)
+    data_centres: int = 3
+    capacity: int = 16
+    caller_delay_s: float = 0.002
+    network: NetworkShape = field(factory=NetworkShape)
+
+
+@define(eq=False)
+class Fleet:
+    """The fleet with its faults. Entry names are entry-N, sidecars sidecar-UPSTREAM."""
+
+    clock: Clock
+    random: Random
+    shape: FleetShape
+    policy: Policy
+    network: FakeNetwork
+    platform: FakePlatform
+    workspaces: list[Workspace] = field(factory=list)
+    journal: FakeJournal = field(factory=FakeJournal)
+    engines: dict[str, FakeEngine] = field(factory=dict)
+    services: dict[str, FakeService] = field(factory=dict)
+    callers: dict[str, FakeCallerPort] = field(factory=dict)
+    stopped: list[tuple[str, str]] = field(factory=list)
+    leaving: set[str] = field(factory=set)
+    next_serial: int = 0
+
+    def now(self) -> float:
+        """Reads the rig's clock in seconds."""
+        return float(self.clock.seconds())
+
+    def run_for(self, seconds: float, step_s: float = 0.005) -> None:
+        """Advances the clock in small steps."""
+        steps = round(seconds / step_s)
+        for _ in range(steps):
+            self.clock.advance(step_s)
+
+    def find_node(self, name: str) -> Node:
+        """Finds the node of a live process."""
+        return self.network.processes[name].node
+
+    def list_entries(self) -> list[str]:
+        """Lists live entries by name."""
+        return [name for name in self.network.processes if name in self.callers]
+
+    def choose_entry(self) -> str | None:
+        """Chooses a live entry that is not leaving, like the balancer."""
+        names = [
+            name
+            for name in self.list_entries()
+            if name not in self.leaving
+            and not self.network.processes[name].clock.frozen
+        ]
+        return self.random.choice(names) if names else None
+
+    def send_request(
+        self,
+        entry: str,
+        event: GenerationArrived | CallArrived,
+        session: Session,
+    ) -> str:
+        """Sends a caller's request to an entry after the caller's delay."""
+        self.next_serial += 1
+        request_id = f"request-{self.next_serial}"
+        port = self.callers[entry]
+        port.sessions[request_id] = session
+        arrived = evolve(event, request_id=request_id)
+        delay = self.shape.caller_delay_s
+        self.clock.callLater(delay, self._post_to, entry, arrived)
+        return request_id
+
+    def drop_request(self, entry: str, request_id: str) -> None:
+        """Closes a caller's connection."""
+        if entry in self.callers:
+            self.callers[entry].sessions.pop(request_id, None)
+            self._post_to(entry, CallerGone(request_id))
+
+    def add_entry(self, name: str) -> None:
+        """Starts an entry that knows every live process."""
+        clock = self._make_clock()
+        port = FakeCallerPort(self.clock, self.shape.caller_delay_s)
+        ports = self._make_ports(name, callers=port)
+        identity = self._make_identity(name, "entry")
+        random = Random(self.random.getrandbits(32))
+        node = make_entry_node(clock, identity, ports, random, self.policy)
+        self.callers[name] = port
+        self._add_process(name, node, clock, "entry")
+        self._install_workspaces(node)
+        self._introduce(name)
+
+    def add_engine(self, name: str, role: str) -> None:
+        """Starts an engine with its sidecar."""
+        engine = FakeEngine(
+            clock=self.clock,
+            random=Random(self.random.getrandbits(32)),
+            name=name,
+            versions=list(self.shape.versions),
+            role=role,
+            capacity=self.shape.capacity,
+        )
+        self.engines[name] = engine
+        self.add_sidecar(name)
+
+    def add_service(self, name: str) -> None:
+        """Starts a plain service with its sidecar."""
+        random = Random(self.random.getrandbits(32))
+        self.services[name] = FakeService(self.clock, random, name)
+        self.add_sidecar(name)
+
+    def add_sidecar(self, upstream: str) -> None:
+        """Starts the sidecar of an existing engine or service."""
+        name = f"sidecar-{upstream}"
+        clock = self._make_clock()
+        engine = self.engines.get(upstream)
+        service = self.services.get(upstream)
+        target: Any = engine or service
+        ports = self._make_ports(name, engine=engine, service=service)
+        entity = Upstream(
+            name=upstream,
+            kind="engine" if engine else "service",
+            capacity=self.shape.capacity,
+            role=engine.role if engine else "service",
+        )
+        identity = self._make_identity(name, "sidecar")
+        random = Random(self.random.getrandbits(32))
+        node = make_sidecar_node(clock, identity, entity, ports, random, self.policy)
+        target.post = lambda event: clock.run_call(lambda: node.post_event(event))
+        self._add_process(name, node, clock, "sidecar")
+        self._introduce(name)
+
+    def kill_process(self, name: str) -> None:
+        """Kills an entry or sidecar; callers of an entry see a reset."""
+        if name in self.callers:
+            self.callers.pop(name).reset_connections()
+        self.network.remove_process(name)
+
+    def freeze_process(self, name: str) -> None:
+        """Freezes an entry or sidecar, as by SIGSTOP."""
+        self.network.processes[name].clock.freeze_calls()
+
+    def thaw_process(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        process = self.network.processes.get(name)
+        if process is not None:
+            process.clock.thaw_calls()
+
+    def kill_instance(self, upstream: str) -> None:
+        """Kills an engine together with its sidecar."""
+        self.engines[upstream].kill_engine()
+        self.kill_process(f"sidecar-{upstream}")
+
+    def _post_to(self, name: str, event: object) -> None:
+        process = self.network.processes.get(name)
+        if process is not None:
+            node = process.node
+            process.clock.run_call(lambda: node.post_event(event))
+
+    def _add_process(
+        self, name: str, node: Node, clock: ProcessClock, role: str
+    ) -> None:
+        self.network.add_process(Process(name, node, clock))
+        address = f"10.0.0.1:{LINK_PORT}"
+        centre = node.world.identity.data_centre
+        self.platform.instances[name] = Instance(name, role, address, centre)
+        node.raise_violations = True
+        node.start_ticks()
+
+    def _introduce(self, name: str) -> None:
+        """Makes entries and the new process known to each other."""
+        for entry in self.list_entries():
+            for other in list(self.network.processes):
+                if entry != other and name in (entry, other):
+                    self._add_peer(entry, other)
+
+    def _add_peer(self, entry: str, other: str) -> None:
+        node = self.find_node(entry)
+        identity = self.find_node(other).world.identity
+        peer = Peer(
+            name=other,
+            role=identity.role,
+            address="10.0.0.1",
+            port=LINK_PORT,
+            data_centre=identity.data_centre,
+        )
+        add_peer(node.world, peer, node.clock.seconds())
+
+    def _install_workspaces(self, node: Node) -> None:
+        for workspace in self.workspaces:
+            node.world.workspaces.workspaces[workspace.name] = workspace
+            head = max(node.world.workspaces.head, workspace.change)
+            node.world.workspaces.head = head
+
+    def _make_clock(self) -> ProcessClock:
+        return ProcessClock(self.clock, self.random.uniform(0, CLOCK_SPREAD_S))
+
+    def _make_identity(self, name: str, role: str) -> Identity:
+        self.next_serial += 1
+        centre = f"dc-{self.next_serial % self.shape.data_centres}"
+        return Identity(name, f"{name}.{self.next_serial}", role, centre)
+
+    def _make_ports(self, name: str, **ports: object) -> Ports:
+        return Ports(
+            links=FakeLinks(name, self.network),
+            tables=self.platform,
+            instances=self.platform,
+            journal=self.journal,
+            stop=lambda reason: self._stop_process(name, reason),
+            **ports,
+        )
+
+    def _stop_process(self, name: str, reason: str) -> None:
+        self.stopped.append((name, reason))
+        self.clock.callLater(0, self._remove_stopped, name)
+
+    def _remove_stopped(self, name: str) -> None:
+        if name in self.network.processes:
+            self.kill_process(name)
+
+
+def make_fleet(
+    seed: int,
+    shape: FleetShape | None = None,
+    workspaces: list[Workspace] | None = None,
+    policy: Policy | None = None,
+) -> Fleet:
+    """Builds a fleet; the same seed gives the same run."""
+    clock = Clock()
+    random = Random(seed)
+    shape = shape or FleetShape()
+    network = FakeNetwork(clock, Random(random.getrandbits(32)), shape.network)
+    platform = FakePlatform(clock, Random(random.getrandbits(32)))
+    fleet = Fleet(
+        clock=clock,
+        random=random,
+        shape=shape,
+        policy=policy or Policy(),
+        network=network,
+        platform=platform,
+        workspaces=workspaces or [],
+    )
+    for role, count in shape.engines.items():
+        for number in range(count):
+            fleet.add_engine(f"{role}-{number}", role)
+    for service, count in shape.services.items():
+        for number in range(count):
+            fleet.add_service(f"{service}-{number}")
+    for number in range(shape.entries):
+        fleet.add_entry(f"entry-{number}")
+    return fleet
--- /dev/null
+++ b/src/magnoliahold/measure/fakes/network.py
@@ -0,0 +1,180 @@
+"""Links between faked processes, with delay, loss, cuts, silence and crossing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field, frozen
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from twisted.internet.task import Clock
+
+    from magnoliahold.measure.fakes.clock import ProcessClock
+    from magnoliahold.node import Node
+    from magnoliahold.wire.codec import Header
+    from magnoliahold.wire.messages import Message
+
+
+@frozen
+class NetworkShape:
+    """Delays in seconds, and the share of messages lost or overtaken by later ones."""
+
+    delay_s: float = 0.001
+    jitter_s: float = 0.0005
+    lost_share: float = 0.0
+    crossed_share: float = 0.0
+    crossed_delay_s: float = 0.05
+
+
+@define(eq=False)
+class Connection:
+    """One connection that `client` opened to `server`.
+
+    A silent connection carries nothing, in either direction, for good.
+    """
+
+    client: str
+    server: str
+    number: int
+    silent: bool = False
+    next_arrival: dict[str, float] = field(factory=dict)
+
+
+@define(eq=False)
+class Process:
+    """A live faked process."""
+
+    name: str
+    node: Node
+    clock: ProcessClock
+
+
+@define(eq=False)
+class FakeNetwork:
+    """All connections and the faults between processes.
+
+    Messages on one connection keep their order, except for the crossed share. A
+    message to a process that has died is lost.
+    """
+
+    clock: Clock
+    random: Random
+    shape: NetworkShape = field(factory=NetworkShape)
+    processes: dict[str, Process] = field(factory=dict)
+    connections: dict[tuple[str, str], Connection] = field(factory=dict)
+    routes: dict[tuple[str, str], Connection] = field(factory=dict)
+    cut_pairs: set[frozenset[str]] = field(factory=set)
+    messages: int = 0
+    next_number: int = 0
+
+    def add_process(self, process: Process) -> None:
+        """Adds a process; an earlier one of that name must have been removed."""
+        self.processes[process.name] = process
+
+    def remove_process(self, name: str) -> None:
+        """Removes a process with all its connections."""
+        process = self.processes.pop(name)
+        process.clock.stop_calls()
+        process.node.stop_ticks()
+        for pair in [pair for pair in self.connections if name in pair]:
+            del self.connections[pair]
+        for pair in [pair for pair in self.routes if name in pair]:
+            del self.routes[pair]
+
+    def cut_pair(self, first: str, second: str) -> None:
+        """Cuts all messages between two processes."""
+        self.cut_pairs.add(frozenset((first, second)))
+
+    def mend_pair(self, first: str, second: str) -> None:
+        """Ends a cut."""
+        self.cut_pairs.discard(frozenset((first, second)))
+
+    def silence_connection(self, client: str, server: str) -> bool:
+        """Makes the current connection silent; false when there is none."""
+        connection = self.connections.get((client, server))
+        if connection is not None:
+            connection.silent = True
+        return connection is not None
+
+    def open_connection(self, client: str, server: str) -> None:
+        """Opens a new connection in place of an earlier one."""
+        self.next_number += 1
+        connection = Connection(client, server, self.next_number)
+        self.connections[client, server] = connection
+
+    def close_connection(self, client: str, server: str) -> None:
+        """Closes a connection."""
+        self.connections.pop((client, server), None)
+
+    def send_message(
+        self, sender: str, receiver: str, message: Message, header: Header
+    ) -> bool:
+        """Sends on the connection to the receiver, or on the one it opened to us."""
+        connection = self.connections.get((sender, receiver))
+        if connection is None:
+            connection = self.routes.get((sender, receiver))
+        if connection is None or receiver not in self.processes:
+            return False
+        self.messages += 1
+        header = evolve(header, link_number=connection.number)
+        at = self._time_arrival(connection, receiver)
+        if self.random.random() >= self.shape.lost_share:
+            delay = at - self.clock.seconds()
+            self.clock.callLater(
+                delay, self._arrive, connection, receiver, header, message
+            )
+        return True
+
+    def _time_arrival(self, connection: Connection, receiver: str) -> float:
+        shape = self.shape
+        delay = shape.delay_s + self.random.uniform(0, shape.jitter_s)
+        at = float(self.clock.seconds()) + delay
+        if self.random.random() < shape.crossed_share:
+            return at + self.random.uniform(0, shape.crossed_delay_s)
+        at = max(at, connection.next_arrival.get(receiver, 0.0))
+        connection.next_arrival[receiver] = at
+        return at
+
+    def _arrive(
+        self, connection: Connection, receiver: str, header: Header, message: Message
+    ) -> None:
+        process = self.processes.get(receiver)
+        pair = frozenset((connection.client, connection.server))
+        if process is None or connection.silent or pair in self.cut_pairs:
+            return
+        if receiver == connection.server:
+            self._note_route(connection)
+        process.clock.run_call(lambda: process.node.receive_message(header, message))
+
+    def _note_route(self, connection: Connection) -> None:
+        """Answers go to the newest connection that the client has used."""
+        key = (connection.server, connection.client)
+        known = self.routes.get(key)
+        if known is None or known.number < connection.number:
+            self.routes[key] = connection
+
+
+@frozen
+class FakeLinks:
+    """The link port of one faked process."""
+
+    name: str
+    network: FakeNetwork
+
+    def open_link(self, peer: str, address: str, port: int) -> None:
+        """Opens a link."""
+        self.network.open_connection(self.name, peer)
+
+    def replace_link(self, peer: str) -> None:
+        """Replaces a link by a new connection."""
+        self.network.open_connection(self.name, peer)
+
+    def close_link(self, peer: str) -> None:
+        """Closes a link."""
+        self.network.close_connection(self.name, peer)
+
+    def send_message(self, peer: str, message: Message, header: Header) -> bool:
+        """Sends a message."""
+        return self.network.send_message(self.name, peer, message, header)
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the core package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the measure package."""
+
+from __future__ import annotations
