Add the command line

Change: one module a command by defopt; errors are one line a fault with the remedy and an exit code. An apply carries an apply id, so a request whose answer was lost is sent again.

--- /dev/null
+++ b/src/magnoliahold/cli/drain.py
@@ -0,0 +1,29 @@
+"""The `drain` command."""
+
+from __future__ import annotations
+
+from pathlib import Path  # noqa: TC003
+from typing import TYPE_CHECKING
+
+from magnoliahold.cli.operator_api import call_operator_api, quote_segment
+
+if TYPE_CHECKING:
+    from magnoliahold.cli.operator_api import OperatorApi
+
+
+def drain(name: str, *, operator: str, credential_file: Path) -> None:
+    """Tells an upstream, sidecar or entry to take no new work.
+
+    What it runs is finished there or goes on elsewhere; nothing is cut.
+
+    Args:
+        name: The name of the upstream, sidecar or entry.
+        operator: The URL of the operators' port of any entry.
+        credential_file: The file that holds an operator's credential.
+    """
+
+    async def send_order(api: OperatorApi) -> bytes:
+        return await api.post(f"/v1/drain/{quote_segment(name)}")
+
+    call_operator_api(operator, credential_file, send_order)
+    print(f"{name} takes no new work")
--- /dev/null
+++ b/src/magnoliahold/cli/measure.py
@@ -0,0 +1,57 @@
+"""The `measure` command."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from magnoliahold.errors import UsageError
+
+
+def measure(
+    name: str,
+    *,
+    seed: int = 1,
+    runs: int = 20,
+    json: bool = False,
+    policy: Literal["product", "baseline"] = "product",
+    faults: float = 1.0,
+    entries: int | None = None,
+    workspaces: int | None = None,
+    url: str | None = None,
+    seconds: float | None = None,
+) -> None:
+    """Measures how the system behaves under load and faults.
+
+    The last line with --json is one JSON object.
+
+    Args:
+        name: What to measure, such as generations, calls, poison, drain, overload,
+            moves, configuration, capacity or load.
+        seed: The seed of the scenarios.
+        runs: The number of scenarios.
+        json: Prints one JSON object on the last line.
+        policy: The product's decisions, or the plain alternative.
+        faults: Multiplies the number of faults.
+        entries: The number of entries, for `configuration`.
+        workspaces: The number of workspaces, for `configuration`.
+        url: The callers' URL of a running entry, for `load`.
+        seconds: How long to send load, for `load`.
+    """
+    if runs < 1:
+        raise UsageError(f"--runs {runs} is too small; give at least 1")
+    if faults < 0:
+        raise UsageError(f"--faults {faults:g} is negative; give 0 or more")
+    from magnoliahold.measure.commands import run_measure
+
+    run_measure(
+        name,
+        seed=seed,
+        runs=runs,
+        json=json,
+        policy=policy,
+        faults=faults,
+        entries=entries,
+        workspaces=workspaces,
+        url=url,
+        seconds=seconds,
+    )
--- /dev/null
+++ b/src/magnoliahold/cli/moves.py
@@ -0,0 +1,66 @@
+"""The `moves` command."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from pathlib import Path  # noqa: TC003
+from typing import TYPE_CHECKING
+
+from magnoliahold.cli.answers import MovesAnswer
+from magnoliahold.cli.operator_api import call_operator_api, decode_answer
+from magnoliahold.cli.tables import format_table
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliahold.cli.answers import MoveStatus
+    from magnoliahold.cli.operator_api import OperatorApi
+
+HEADINGS = (
+    *("WORKSPACE", "WORK", "FROM", "TO", "STATE", "SHARE", "STAGE", "DEADLINE"),
+    "REASON",
+)
+
+
+def moves(*, operator: str, credential_file: Path, json: bool = False) -> None:
+    """Lists the moves between versions: those under way, done and taken back.
+
+    Args:
+        operator: The URL of the operators' port of any entry.
+        credential_file: The file that holds an operator's credential.
+        json: Prints JSON instead of a table.
+    """
+
+    async def read_moves(api: OperatorApi) -> bytes:
+        return await api.get("/v1/moves")
+
+    body = call_operator_api(operator, credential_file, read_moves)
+    answer = decode_answer(body, MovesAnswer)
+    if json:
+        print(body.decode())
+    else:
+        print(format_table(HEADINGS, [list_cells(move) for move in answer.moves]))
+
+
+def list_cells(move: MoveStatus) -> Sequence[str]:
+    """Lists the cells of one row of the table."""
+    return (
+        move.workspace,
+        move.work,
+        move.from_version,
+        move.to_version,
+        move.state,
+        f"{move.share:.1%}",
+        "-" if move.stage is None else str(move.stage),
+        format_deadline(move.deadline),
+        move.reason or "-",
+    )
+
+
+def format_deadline(deadline: str | float | None) -> str:
+    """Formats a deadline given as text or as seconds since the epoch."""
+    if deadline is None:
+        return "-"
+    if isinstance(deadline, str):
+        return deadline
+    return datetime.fromtimestamp(deadline, UTC).isoformat(timespec="seconds")
--- /dev/null
+++ b/src/magnoliahold/cli/operator_api.py
@@ -0,0 +1,174 @@
+"""A client of the operators' API for commands."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any, TypeVar, cast
+from urllib.parse import quote
+
+import msgspec
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import react
+
+from magnoliahold.cli.answers import ErrorAnswer
+from magnoliahold.errors import (
+    OperatorRefusedError,
+    OperatorUnreachableError,
+    UsageError,
+    VersionConflictError,
+)
+from magnoliahold.httpclient import HttpClient, HttpExchangeError
+from magnoliahold.logs import configure_logging, register_secret
+from magnoliahold.settings.documents import read_text
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+    from magnoliahold.errors import MagnoliaholdError
+    from magnoliahold.httpclient import HttpAnswer
+
+T = TypeVar("T")
+
+REQUEST_TIMEOUT_S = 10.0
+ATTEMPTS = 3
+RETRY_DELAY_S = 0.5
+HTTP_OK = 200
+HTTP_UNAUTHORIZED = 401
+HTTP_CONFLICT = 409
+CONFLICT_CODE = "version_conflict"
+
+
+class OperatorApi:
+    """Sends requests to the operators' API of one entry.
+
+    Every request here is safe to repeat: readings, drains, and applies that carry an
+    apply id. One without an answer is therefore sent again.
+    """
+
+    def __init__(self, reactor: Any, base_url: str, credential: str) -> None:
+        self._reactor = reactor
+        self._base_url = base_url
+        self._client = HttpClient(reactor, base_url)
+        self._headers = (
+            ("authorization", f"Bearer {credential}"),
+            ("content-type", "application/json"),
+        )
+
+    async def get(self, path: str) -> bytes:
+        """Reads a resource and returns the body of the answer."""
+        return await self._request("GET", path, b"")
+
+    async def post(self, path: str, content: object = None) -> bytes:
+        """Sends an order and returns the body of the answer."""
+        body = msgspec.json.encode(content) if content is not None else b"{}"
+        return await self._request("POST", path, body)
+
+    async def _request(self, method: str, path: str, body: bytes) -> bytes:
+        answer = await self._send_until_answered(method, path, body)
+        if answer.status == HTTP_OK:
+            return answer.body
+        raise make_refusal(answer, path)
+
+    async def _send_until_answered(
+        self, method: str, path: str, body: bytes
+    ) -> HttpAnswer:
+        reason = ""
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                await self._wait(RETRY_DELAY_S)
+            try:
+                return await self._client.send(
+                    method, path, body, self._headers, REQUEST_TIMEOUT_S
+                )
+            except HttpExchangeError as error:
+                reason = error.reason
+        raise OperatorUnreachableError(
+            f"{self._base_url} gave no answer ({reason}); check that it is the "
+            "operators' port of a running entry, or name another entry"
+        )
+
+    def _wait(self, delay_s: float) -> Deferred[None]:
+        waited: Deferred[None] = Deferred()
+        self._reactor.callLater(delay_s, waited.callback, None)
+        return waited
+
+
+def make_refusal(answer: HttpAnswer, path: str) -> MagnoliaholdError:
+    """Makes the error for an answer that refuses a request."""
+    try:
+        detail = msgspec.json.decode(answer.body, type=ErrorAnswer).error
+    except msgspec.DecodeError:
+        return OperatorRefusedError(
+            f"{path} was answered with status {answer.status} in an unknown form; "
+            "check that the URL is the operators' port of an entry"
+        )
+    if answer.status == HTTP_CONFLICT and detail.code == CONFLICT_CODE:
+        return VersionConflictError(path.split("/")[3], detail.current_version)
+    remedy = detail.remedy or suggest_remedy(answer.status)
+    return OperatorRefusedError(f"{detail.message}; {remedy}")
+
+
+def suggest_remedy(status: int) -> str:
+    """Suggests a remedy where the answer names none."""
+    if status == HTTP_UNAUTHORIZED:
+        return "name the file of an operator's credential with --credential-file"
+    return "correct the request, or try again later"
+
+
+def decode_answer(body: bytes, kind: type[T]) -> T:
+    """Decodes the body of an answer."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise OperatorRefusedError(
+            f"the answer has an unknown form ({error}); use the command of the "
+            "entry's own version"
+        ) from None
+
+
+def quote_segment(name: str) -> str:
+    """Quotes a name as one segment of a path."""
+    return quote(name, safe="")
+
+
+def call_operator_api(
+    base_url: str, credential_file: Path, operation: Callable[[OperatorApi], Any]
+) -> Any:
+    """Runs one operation against the operators' API and returns its result."""
+    credential = read_text(credential_file).strip()
+    if not credential or not credential.isascii() or not credential.isprintable():
+        raise UsageError(
+            f"{credential_file} holds no credential; name a file with one on one line"
+        )
+    if not base_url.startswith(("http://", "https://")):
+        raise UsageError(
+            f"{base_url!r} is not an HTTP URL; write one such as http://127.0.0.1:8081"
+        )
+    register_secret(credential)
+    configure_logging("command", "critical")
+    logging.getLogger("twisted").setLevel(logging.CRITICAL + 1)
+    return run_until_done(
+        lambda reactor: operation(OperatorApi(reactor, base_url, credential))
+    )
+
+
+def run_until_done(operation: Callable[[Any], Awaitable[T]]) -> T:
+    """Runs the reactor until an operation is done and returns its result."""
+    results: list[T] = []
+    errors: list[BaseException] = []
+
+    async def run(reactor: Any) -> None:
+        try:
+            results.append(await operation(reactor))
+        except Exception as error:  # raised again outside the reactor
+            errors.append(error)
+
+    with contextlib.suppress(SystemExit):
+        react(cast("Any", lambda reactor: ensureDeferred(run(reactor))))
+    if errors:
+        raise errors[0]
+    if not results:
+        raise KeyboardInterrupt
+    return results[0]
--- /dev/null
+++ b/src/magnoliahold/cli/status.py
@@ -0,0 +1,50 @@
+"""The `status` command."""
+
+from __future__ import annotations
+
+from pathlib import Path  # noqa: TC003
+from typing import TYPE_CHECKING
+
+from magnoliahold.cli.answers import StatusAnswer
+from magnoliahold.cli.operator_api import call_operator_api, decode_answer
+from magnoliahold.cli.tables import format_duration, format_table
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliahold.cli.operator_api import OperatorApi
+
+HEADINGS = ("INSTANCE", "ROLE", "DATA CENTRE", "WORKSPACE", "VERSION", "IN FORCE FOR")
+
+
+def status(*, operator: str, credential_file: Path, json: bool = False) -> None:
+    """Shows by instance which workspace versions are in force, and since when.
+
+    Args:
+        operator: The URL of the operators' port of any entry.
+        credential_file: The file that holds an operator's credential.
+        json: Prints JSON instead of a table.
+    """
+
+    async def read_status(api: OperatorApi) -> bytes:
+        return await api.get("/v1/status")
+
+    body = call_operator_api(operator, credential_file, read_status)
+    answer = decode_answer(body, StatusAnswer)
+    if json:
+        print(body.decode())
+    else:
+        print(format_table(HEADINGS, list_rows(answer)))
+
+
+def list_rows(answer: StatusAnswer) -> Sequence[Sequence[str]]:
+    """Lists the rows of the table."""
+    rows: list[Sequence[str]] = []
+    for instance in answer.instances:
+        place = (instance.name, instance.role, instance.data_centre)
+        if not instance.workspaces:
+            rows.append((*place, "-", "-", "-"))
+        for item in instance.workspaces:
+            duration = format_duration(item.since_s)
+            rows.append((*place, item.workspace, str(item.version), duration))
+    return rows
--- a/src/magnoliahold/errors.py
+++ b/src/magnoliahold/errors.py
@@ -22,3 +22,36 @@
         self.path = path
         self.problem = problem
         self.remedy = remedy
+
+
+class UsageError(MagnoliaholdError):
+    """A command was given arguments that it cannot use."""
+
+    exit_code = 2
+
+
+class OperatorUnreachableError(MagnoliaholdError):
+    """The operators' API of an entry gave no answer."""
+
+    exit_code = 3
+
+
+class OperatorRefusedError(MagnoliaholdError):
+    """The operators' API of an entry refused a request."""
+
+    exit_code = 4
+
+
+class VersionConflictError(MagnoliaholdError):
+    """Another operator changed the workspace first."""
+
+    exit_code = 5
+
+    def __init__(self, workspace: str, current_version: int | None) -> None:
+        super().__init__(
+            f"workspace {workspace} was changed by someone else and is now at version "
+            f"{current_version}; read it back with `magnoliahold status`, then apply "
+            f"again with --expected-version {current_version}"
+        )
+        self.workspace = workspace
+        self.current_version = current_version
