--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -1,4 +1,4 @@
-"""Streams and calls that a sidecar runs at its upstream."""
+"""Streams that a sidecar runs at its upstream."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 if TYPE_CHECKING:
-    from magnoliahold.wire.messages import CallAnswered, StartCall, StartStream
+    from magnoliahold.wire.messages import StartStream
 
 
 class StreamState(Enum):
@@ -66,34 +66,6 @@
         self.by_handle.pop(stream.handle, None)
 
 
-class RunState(Enum):
-    """State of one call at the upstream."""
-
-    RUNNING = "running"
-    ANSWERED = "answered"
-    FENCED = "fenced"
-    LOST = "lost"
-
-
-@define
-class Run:
-    """One call at this upstream, or a fence that keeps it from ever running."""
-
-    nonce: str
-    owner: str
-    state: RunState
-    started_at: float
-    start: StartCall | None = None
-    answer: CallAnswered | None = None
-
-
-@define
-class RunTable:
-    """Runs and fences by nonce."""
-
-    by_nonce: dict[str, Run] = field(factory=dict)
-
-
 @define
 class Upstream:
     """The one upstream of a sidecar."""
--- a/src/magnoliahold/core/systems/runs.py
+++ b/src/magnoliahold/core/systems/runs.py
@@ -6,7 +6,7 @@
 
 from magnoliahold.core.effects import SendMessage, StartServiceCall
 from magnoliahold.core.events import MessageExpired, ServiceAnswered, ServiceFailed
-from magnoliahold.core.streams import Run, RunState
+from magnoliahold.core.runs import Run, RunState
 from magnoliahold.wire.messages import CallAnswered, CallFailed, StartCall
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -12,7 +12,8 @@
 from magnoliahold.core.generations import GenerationTable
 from magnoliahold.core.peers import PeerTable
 from magnoliahold.core.policy import Policy
-from magnoliahold.core.streams import OwnerTable, RunTable, StreamTable
+from magnoliahold.core.runs import RunTable
+from magnoliahold.core.streams import OwnerTable, StreamTable
 from magnoliahold.core.workspaces import WorkspaceTable
 
 if TYPE_CHECKING:
