Prove the stand-ins and the clients of outside systems

Cause: the clients had been tried once by hand only, and the tests showed a fault of the stand-in platform: it unquoted keys twice, so that a key with a slash or a letter outside ASCII was written but not found. Ruled out: the client's quoting, which the write's row in the store confirmed. Change: decode path segments once; bodies are written at once instead of through the global cooperator, so that a client works on any reactor; an engine refuses a second generation of a running id; faults asked for over HTTP are answered first; loads of versions take a place of the weight store; the engine client is split into protocol, stream and client. Tests over loopback sockets and a paused clock.

--- a/src/magnoliahold/httpclient.py
+++ b/src/magnoliahold/httpclient.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any, cast
 
 from attrs import define, frozen
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.endpoints import (
     HostnameEndpoint,
     TCP4ClientEndpoint,
@@ -17,13 +16,12 @@
 from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
-    FileBodyProducer,
     HTTPConnectionPool,
     ResponseDone,
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 if TYPE_CHECKING:
@@ -192,7 +190,7 @@
     fields = Headers()
     for name, value in headers:
         fields.addRawHeader(name, value)
-    producer = FileBodyProducer(BytesIO(body)) if body else None
+    producer = _BytesProducer(body) if body else None
     return maybeDeferred(
         lambda: cast("Any", agent).request(
             method.encode("ascii"), url.encode("ascii"), fields, producer
@@ -200,6 +198,28 @@
     )
 
 
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Writes a body of known length at once."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        pass
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        pass
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
+
+
 @define
 class _Timer:
     call: Any = None
--- /dev/null
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -0,0 +1,191 @@
+"""One generation at a model engine, read as lines of JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from attrs import frozen
+from twisted.internet.protocol import Protocol
+
+from magnoliahold.httpclient import (
+    DirectConnector,
+    build_agent,
+    describe_failure,
+    start_request,
+)
+from magnoliahold.sidecar.engine_protocol import (
+    JSON_HEADERS,
+    EndKind,
+    EngineStreamEnd,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+
+    from magnoliahold.runtime import Reactor
+    from magnoliahold.sidecar.engine_protocol import EngineRequest
+
+MAX_LINE_BYTES = 1024 * 1024
+
+
+@frozen
+class _StreamLine:
+    offset: int = -1
+    tokens: tuple[str, ...] = ()
+    finished: str = ""
+
+
+class EngineStream:
+    """One generation at the engine, on a connection of its own.
+
+    `on_tokens` gets an offset and tokens; `on_end` is called once, at the end.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        on_tokens: Callable[[int, tuple[str, ...]], None],
+        on_end: Callable[[EngineStreamEnd], None],
+    ) -> None:
+        self._connector = DirectConnector(reactor)
+        self._agent = build_agent(reactor, self._connector)
+        self._on_tokens = on_tokens
+        self._on_end = on_end
+        self._reader: _LineReader | None = None
+        self._paused = False
+        self._ended = False
+        self._waiting: Deferred[Any] | None = None
+
+    def start(self, base_url: str, stream_id: str, request: EngineRequest) -> None:
+        """Sends the request."""
+        body = msgspec.json.encode(
+            {
+                "id": stream_id,
+                "prompt": request.prompt,
+                "prefix": request.prefix,
+                "max_tokens": request.max_tokens,
+                "priority": request.priority,
+                "version": request.version,
+                "workspace": request.workspace,
+            }
+        )
+        self._waiting = start_request(
+            self._agent, "POST", f"{base_url}/generate", body, JSON_HEADERS
+        )
+        self._waiting.addCallbacks(self._read_answer, self._lose_connection)
+
+    def cancel(self) -> None:
+        """Ends the stream as CANCELLED and drops its connection."""
+        self._end(EndKind.CANCELLED, "cancelled by the caller")
+
+    def pause(self) -> None:
+        """Stops reading the connection."""
+        self._paused = True
+        if self._reader is not None:
+            self._reader.pause()
+
+    def resume(self) -> None:
+        """Reads the connection again."""
+        self._paused = False
+        if self._reader is not None:
+            self._reader.resume()
+
+    def _read_answer(self, response: Any) -> None:
+        if self._ended:
+            return
+        if response.code != 200:
+            self._end(_classify_status(response.code), f"status {response.code}")
+            return
+        self._reader = _LineReader(self._take_line, self._finish_body)
+        response.deliverBody(self._reader)
+        if self._paused:
+            self._reader.pause()
+
+    def _lose_connection(self, failure: Failure) -> None:
+        self._end(EndKind.CONNECTION_LOST, describe_failure(failure))
+
+    def _take_line(self, line: bytes) -> None:
+        if self._ended:
+            return
+        try:
+            parsed = msgspec.json.decode(line, type=_StreamLine)
+        except msgspec.MsgspecError as error:
+            self._end(EndKind.BROKEN, f"malformed line: {error}")
+            return
+        if parsed.finished:
+            self._end(_classify_finish(parsed.finished), parsed.finished)
+        elif parsed.offset < 0:
+            self._end(EndKind.BROKEN, "line without an offset")
+        elif parsed.tokens:
+            self._on_tokens(parsed.offset, parsed.tokens)
+
+    def _finish_body(self, problem: EngineStreamEnd) -> None:
+        self._end(problem.kind, problem.reason)
+
+    def _end(self, kind: EndKind, reason: str) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._connector.abort()
+        if self._waiting is not None:
+            self._waiting.cancel()
+        self._on_end(EngineStreamEnd(kind, reason))
+
+
+def _classify_status(status: int) -> EndKind:
+    if status == 409:
+        return EndKind.VERSION_MISSING
+    if status == 503:
+        return EndKind.REFUSED
+    return EndKind.BROKEN
+
+
+def _classify_finish(finished: str) -> EndKind:
+    if finished in ("length", "stop"):
+        return EndKind.FINISHED
+    if finished == "cancelled":
+        return EndKind.CANCELLED
+    return EndKind.BROKEN
+
+
+class _LineReader(Protocol):
+    """Cuts a body into lines of bounded length."""
+
+    def __init__(
+        self,
+        on_line: Callable[[bytes], None],
+        on_problem: Callable[[EngineStreamEnd], None],
+    ) -> None:
+        self._on_line = on_line
+        self._on_problem = on_problem
+        self._rest = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        for line in lines:
+            self._on_line(line)
+        if len(self._rest) > MAX_LINE_BYTES:
+            reason = f"line is longer than {MAX_LINE_BYTES} bytes"
+            self._on_problem(EngineStreamEnd(EndKind.BROKEN, reason))
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        description = describe_failure(reason)
+        self._on_problem(
+            EngineStreamEnd(
+                EndKind.CONNECTION_LOST, f"ended without a finish: {description}"
+            )
+        )
+
+    def pause(self) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.pauseProducing()
+
+    def resume(self) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.resumeProducing()
--- a/src/magnoliahold/standins/batch.py
+++ b/src/magnoliahold/standins/batch.py
@@ -109,6 +109,19 @@
         self._fill()
         return True
 
+    def contains(self, generation_id: str) -> bool:
+        """Tells whether a generation runs or is queued."""
+        if generation_id in self._running:
+            return True
+        return any(entry[2].id == generation_id for entry in self._waiting)
+
+    def drop(self, generation: Generation) -> None:
+        """Cancels this very generation, if it has not ended."""
+        if self._running.get(generation.id) is generation or any(
+            entry[2] is generation for entry in self._waiting
+        ):
+            self.cancel(generation.id)
+
     def discard_all(self) -> None:
         """Forgets every generation without a word to its sinks."""
         self._running.clear()
--- a/src/magnoliahold/standins/engine.py
+++ b/src/magnoliahold/standins/engine.py
@@ -7,11 +7,12 @@
 from attrs import frozen
 
 from magnoliahold.standins.batch import Batch, BatchLimits
-from magnoliahold.standins.engine_faults import LASTING_KINDS, LastingFaults
+from magnoliahold.standins.engine_faults import LastingFaults
 from magnoliahold.standins.engine_resource import make_engine_resource
 from magnoliahold.standins.load_report import Load, LoadReport
 from magnoliahold.standins.orders import OrderedState
 from magnoliahold.standins.prefix_cache import CacheEventLog, PrefixCache
+from magnoliahold.standins.weight_loader import WeightLoader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,7 +25,10 @@
 
 @frozen
 class EngineSettings:
-    """Size, speed and manners of a stand-in engine."""
+    """Size, speed and manners of a stand-in engine.
+
+    With `weights_url` each load of a version takes a place at the weight store there.
+    """
 
     name: str
     version: str = "v1"
@@ -39,6 +43,7 @@
     cache_event_lag_s: float = 0.5
     cache_event_loss: float = 0.05
     load_version_s: float = 1.0
+    weights_url: str = ""
 
 
 @frozen
@@ -66,11 +71,12 @@
         self._random = random
         self._faults = LastingFaults(random)
         self.orders = OrderedState(
-            reactor,
+            WeightLoader(
+                reactor, settings.name, settings.load_version_s, settings.weights_url
+            ),
             settings.version,
             settings.role,
             settings.obeys_fencing,
-            settings.load_version_s,
         )
         self.alive = True
         self.frozen = False
@@ -138,22 +144,26 @@
             action()
 
     def inject(self, fault: FaultOrder) -> None:
-        """Injects a fault; raises ValueError when its kind is unknown."""
-        if fault.kind in LASTING_KINDS:
-            self._faults.add(fault)
-            return
-        actions: dict[str, Callable[[], None]] = {
-            "clear": self._faults.clear,
-            "die": lambda: self.die(fault.revive_after_s, fault.version),
-            "revive": lambda: self.revive(fault.version),
-            "freeze": lambda: self.freeze(fault.for_s),
-            "resume": self.resume,
-            "silence_streams": self.silence_connections,
-            "reset_streams": self.reset_connections,
-        }
-        if fault.kind not in actions:
-            raise ValueError(f"unknown fault {fault.kind!r}; use one of {KNOWN_FAULTS}")
-        actions[fault.kind]()
+        """Injects a fault of a known kind."""
+        match fault.kind:
+            case "clear":
+                self._faults.clear()
+            case "die":
+                self.die(fault.revive_after_s, fault.version)
+            case "freeze":
+                self.freeze(fault.for_s)
+            case "resume":
+                self.resume()
+            case "silence_streams":
+                self.silence_connections()
+            case "reset_streams":
+                self.reset_connections()
+            case _:
+                self._faults.add(fault)
+
+    def inject_later(self, fault: FaultOrder, delay_s: float) -> None:
+        """Injects a fault after a delay, so that its order can be answered first."""
+        self._reactor.callLater(delay_s, self.inject, fault)
 
     def die(self, revive_after_s: float | None = None, version: str = "") -> None:
         """Loses all work and connections, and refuses new ones until revived."""
@@ -213,22 +223,6 @@
         return listener.close() if listener is not None else None
 
 
-KNOWN_FAULTS = ", ".join(
-    sorted(
-        LASTING_KINDS
-        | {
-            "clear",
-            "die",
-            "revive",
-            "freeze",
-            "resume",
-            "silence_streams",
-            "reset_streams",
-        }
-    )
-)
-
-
 def make_engine(reactor: Reactor, settings: EngineSettings, random: Random) -> Engine:
     """Makes a stand-in engine; serve its `resource` with `serve_resource`."""
     return Engine(reactor, settings, random)
--- a/src/magnoliahold/standins/engine_faults.py
+++ b/src/magnoliahold/standins/engine_faults.py
@@ -36,7 +36,19 @@
     for_s: float | None = None
 
 
-LASTING_KINDS = frozenset({"slow", "fail", "poison"})
+KINDS = frozenset(
+    {
+        "clear",
+        "die",
+        "fail",
+        "freeze",
+        "poison",
+        "reset_streams",
+        "resume",
+        "silence_streams",
+        "slow",
+    }
+)
 
 
 class LastingFaults:
--- a/src/magnoliahold/standins/engine_resource.py
+++ b/src/magnoliahold/standins/engine_resource.py
@@ -9,8 +9,10 @@
 from twisted.web.server import NOT_DONE_YET
 
 from magnoliahold.standins.batch import Generation
+from magnoliahold.standins.engine_faults import KINDS as FAULT_KINDS
 from magnoliahold.standins.engine_faults import FaultOrder
-from magnoliahold.standins.orders import KINDS, OrderRequest
+from magnoliahold.standins.orders import KINDS as ORDER_KINDS
+from magnoliahold.standins.orders import OrderRequest
 from magnoliahold.standins.replies import parse_body, reply, reply_error
 from magnoliahold.standins.server import FaultyResource, TreeResource
 
@@ -21,6 +23,9 @@
     from magnoliahold.standins.engine import Engine
 
 
+FAULT_DELAY_S = 0.01
+
+
 @frozen
 class GenerateRequest:
     """The body of `POST /generate`.
@@ -83,6 +88,9 @@
         if body.version not in self._engine.orders.versions:
             reply_error(request, 409, f"version {body.version!r} is not loaded")
             return
+        if self._engine.batch.contains(body.id):
+            reply_error(request, 400, f"generation {body.id!r} runs already")
+            return
         stream = _Stream(request)
         generation = Generation(
             body.id,
@@ -99,10 +107,8 @@
         if not self._engine.submit(generation):
             stream.refuse("the queue is full")
             return
-        request.notifyFinish().addErrback(self._cancel, generation)
-
-    def _cancel(self, _failure: object, generation: Generation) -> None:
-        self._engine.batch.cancel(generation.id)
+        batch = self._engine.batch
+        request.notifyFinish().addErrback(lambda _failure: batch.drop(generation))
 
 
 class _Stream:
@@ -169,7 +175,7 @@
         order = parse_body(request, OrderRequest)
         if order is None:
             return
-        if order.kind not in KINDS:
+        if order.kind not in ORDER_KINDS:
             reply_error(request, 400, f"unknown order {order.kind!r}")
         elif self._engine.orders.apply(order):
             reply(request, {"accepted": True})
@@ -186,12 +192,11 @@
         fault = parse_body(request, FaultOrder)
         if fault is None:
             return NOT_DONE_YET
-        try:
-            self._engine.inject(fault)
-        except ValueError as error:
-            reply_error(request, 400, str(error))
-        else:
-            reply(request, {"injected": fault.kind})
+        if fault.kind not in FAULT_KINDS:
+            reply_error(request, 400, f"unknown fault {fault.kind!r}")
+            return NOT_DONE_YET
+        reply(request, {"injected": fault.kind})
+        self._engine.inject_later(fault, FAULT_DELAY_S)
         return NOT_DONE_YET
 
 
--- a/src/magnoliahold/standins/instances.py
+++ b/src/magnoliahold/standins/instances.py
@@ -25,7 +25,7 @@
     ) -> None:
         self._clock = clock
         self._schedule = schedule
-        self._lag_s = lag_s
+        self.lag_s = lag_s
         self._present: dict[str, Instance] = {}
         self._history: deque[tuple[float, InstanceList]] = deque(
             [(clock.seconds(), InstanceList())]
@@ -57,6 +57,6 @@
     def _forget_old(self) -> None:
         if self._schedule.is_active("lag"):
             return
-        horizon = self._clock.seconds() - self._lag_s
+        horizon = self._clock.seconds() - self.lag_s
         while len(self._history) > 1 and self._history[1][0] <= horizon:
             self._history.popleft()
--- a/src/magnoliahold/standins/load_report.py
+++ b/src/magnoliahold/standins/load_report.py
@@ -29,6 +29,8 @@
 
     def record(self, load: Load) -> None:
         """Records the present load."""
+        if self._history[-1][1] == load:
+            return
         self._history.append((self._clock.seconds(), load))
         self._forget_old()
 
--- a/src/magnoliahold/standins/orders.py
+++ b/src/magnoliahold/standins/orders.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 if TYPE_CHECKING:
-    from magnoliahold.runtime import Clock
+    from magnoliahold.standins.weight_loader import WeightLoader
 
 KINDS = frozenset({"load_version", "unload_version", "load_adapter", "set_role"})
 
@@ -26,16 +26,14 @@
 
     def __init__(
         self,
-        clock: Clock,
+        loader: WeightLoader,
         version: str,
         role: str,
         obeys_fencing: bool,
-        load_version_s: float,
     ) -> None:
-        self._clock = clock
+        self._loader = loader
         self._obeys_fencing = obeys_fencing
-        self._load_version_s = load_version_s
-        self._life = 0
+        self._loading: dict[str, object] = {}
         self.fencing = 0
         self.role = role
         self.versions: set[str] = {version}
@@ -51,10 +49,9 @@
                 return False
             self.fencing = order.fencing
         if order.kind == "load_version":
-            self._clock.callLater(
-                self._load_version_s, self._finish_load, order.value, self._life
-            )
+            self._start_load(order.value)
         elif order.kind == "unload_version":
+            self._loading.pop(order.value, None)
             self.versions.discard(order.value)
         elif order.kind == "load_adapter":
             self.adapters.add(order.value)
@@ -64,11 +61,19 @@
 
     def restart(self, version: str) -> None:
         """Forgets everything but the version that a new process starts with."""
-        self._life += 1
+        self._loading = {}
         self.fencing = 0
         self.versions = {version}
         self.adapters = set()
 
-    def _finish_load(self, version: str, life: int) -> None:
-        if life == self._life:
+    def _start_load(self, version: str) -> None:
+        if version in self.versions or version in self._loading:
+            return
+        load = object()
+        self._loading[version] = load
+        self._loader.load(version, lambda: self._finish_load(version, load))
+
+    def _finish_load(self, version: str, load: object) -> None:
+        if self._loading.get(version) is load:
+            del self._loading[version]
             self.versions.add(version)
--- a/src/magnoliahold/standins/platform_resource.py
+++ b/src/magnoliahold/standins/platform_resource.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, cast
-from urllib.parse import unquote
 
 from attrs import frozen
 from twisted.web.server import NOT_DONE_YET
@@ -45,7 +44,7 @@
 
     def render(self, request: Request) -> Any:
         postpath: list[bytes] = cast("Any", request).postpath
-        path = [unquote(part.decode("latin-1")) for part in postpath]
+        path = [part.decode("utf-8", "replace") for part in postpath]
         self.answer(request, path)
         return NOT_DONE_YET
 
--- a/src/magnoliahold/standins/server.py
+++ b/src/magnoliahold/standins/server.py
@@ -36,7 +36,7 @@
     def __init__(self, reactor: Reactor, resource: Resource, address: str) -> None:
         self._reactor = reactor
         self._address = address
-        self._factory: Any = WrappingFactory(Site(resource))
+        self._factory: Any = WrappingFactory(Site(resource, reactor=reactor))
         self._factory.protocol = _Connection
         self._factory.noisy = False
         self._factory.wrappedFactory.noisy = False
--- a/src/magnoliahold/standins/service.py
+++ b/src/magnoliahold/standins/service.py
@@ -19,8 +19,9 @@
 
     from magnoliahold.runtime import Reactor
 
+FAULT_DELAY_S = 0.01
 NONCE_HEADER = "x-call-nonce"
-LASTING_KINDS = frozenset({"slow", "fail", "lose_answers"})
+KINDS = frozenset({"clear", "die", "fail", "lose_answers", "silence_calls", "slow"})
 
 
 @frozen
@@ -35,7 +36,7 @@
 class ServiceFault:
     """A fault to inject.
 
-    Kinds: "die" (back after `revive_after_s` if given), "revive", "silence_calls",
+    Kinds: "die" (back after `revive_after_s` if given), "silence_calls",
     "slow" (adds `delay_s`), "fail" (answers 500 without running), "lose_answers" (runs,
     then resets the connection) and "clear". `share` is the share of calls hit.
     """
@@ -85,19 +86,20 @@
         self._reactor.callLater(delay_s, self._run, request, self._life)
 
     def inject(self, fault: ServiceFault) -> None:
-        """Injects a fault; raises ValueError when its kind is unknown."""
-        if fault.kind in LASTING_KINDS:
-            self._faults[fault.kind] = fault
-        elif fault.kind == "clear":
-            self._faults.clear()
-        elif fault.kind == "die":
-            self.die(fault.revive_after_s)
-        elif fault.kind == "revive":
-            self.revive()
-        elif fault.kind == "silence_calls":
-            self.silence_connections()
-        else:
-            raise ValueError(f"unknown fault {fault.kind!r}")
+        """Injects a fault of a known kind."""
+        match fault.kind:
+            case "clear":
+                self._faults.clear()
+            case "die":
+                self.die(fault.revive_after_s)
+            case "silence_calls":
+                self.silence_connections()
+            case _:
+                self._faults[fault.kind] = fault
+
+    def inject_later(self, fault: ServiceFault, delay_s: float) -> None:
+        """Injects a fault after a delay, so that its order can be answered first."""
+        self._reactor.callLater(delay_s, self.inject, fault)
 
     def die(self, revive_after_s: float | None = None) -> None:
         """Loses all calls in work and refuses connections until revived."""
@@ -213,12 +215,11 @@
         fault = parse_body(request, ServiceFault)
         if fault is None:
             return NOT_DONE_YET
-        try:
-            self._service.inject(fault)
-        except ValueError as error:
-            reply_error(request, 400, str(error))
-        else:
-            reply(request, {"injected": fault.kind})
+        if fault.kind not in KINDS:
+            reply_error(request, 400, f"unknown fault {fault.kind!r}")
+            return NOT_DONE_YET
+        reply(request, {"injected": fault.kind})
+        self._service.inject_later(fault, FAULT_DELAY_S)
         return NOT_DONE_YET
 
 
--- /dev/null
+++ b/src/magnoliahold/standins/weight_loader.py
@@ -0,0 +1,65 @@
+"""Loads weights for the stand-in engine within the weight store's limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from magnoliahold.httpclient import HttpClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
+    from magnoliahold.httpclient import HttpAnswer
+    from magnoliahold.runtime import Reactor
+
+RETRY_S = 0.5
+STORE_TIMEOUT_S = 2.0
+
+
+class WeightLoader:
+    """Loads weights, each load in a place of the weight store.
+
+    Without a store a load starts at once.
+    """
+
+    def __init__(
+        self, reactor: Reactor, engine: str, load_s: float, store_url: str
+    ) -> None:
+        self._reactor = reactor
+        self._engine = engine
+        self._load_s = load_s
+        self._store = HttpClient(reactor, store_url) if store_url else None
+
+    def load(self, version: str, on_loaded: Callable[[], None]) -> None:
+        """Loads a version and calls `on_loaded` when it is there."""
+        if self._store is None:
+            self._reactor.callLater(self._load_s, on_loaded)
+            return
+        self._ask_for_place(self._store, version, on_loaded)
+
+    def _ask_for_place(
+        self, store: HttpClient, version: str, on_loaded: Callable[[], None]
+    ) -> None:
+        place = f"/weights/{quote(self._engine + ':' + version, safe='')}"
+
+        def judge(answer: HttpAnswer) -> None:
+            if answer.status == 200:
+                self._reactor.callLater(self._load_s, finish)
+            else:
+                retry()
+
+        def retry(_failure: Failure | None = None) -> None:
+            self._reactor.callLater(
+                RETRY_S, self._ask_for_place, store, version, on_loaded
+            )
+
+        def finish() -> None:
+            returning = store.send("DELETE", place, timeout_s=STORE_TIMEOUT_S)
+            returning.addErrback(lambda _failure: None)
+            on_loaded()
+
+        asking = store.send("PUT", place, timeout_s=STORE_TIMEOUT_S)
+        asking.addCallbacks(judge, retry)
--- a/src/magnoliahold/standins/weights.py
+++ b/src/magnoliahold/standins/weights.py
@@ -22,7 +22,7 @@
     ) -> None:
         self._clock = clock
         self._schedule = schedule
-        self._limit = limit
+        self.limit = limit
         self._loads: dict[str, float] = {}
 
     def count_free_loads(self) -> Deferred[int]:
@@ -40,7 +40,7 @@
     def _count_free(self) -> int:
         now = self._clock.seconds()
         self._loads = {name: end for name, end in self._loads.items() if end > now}
-        return self._limit - len(self._loads)
+        return self.limit - len(self._loads)
 
     def _start(self, name: str) -> bool:
         if name not in self._loads and self._count_free() <= 0:
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+from twisted.internet.defer import gatherResults
+
+from magnoliahold.platform.instances import make_instance_client
+from magnoliahold.platform.interfaces import (
+    Condition,
+    Instance,
+    PlatformUnavailable,
+    Row,
+    Write,
+)
+from magnoliahold.platform.objects import make_object_client
+from magnoliahold.platform.tables import make_table_client
+from magnoliahold.platform.weights import make_weight_client
+from magnoliahold.standins.platform import make_platform
+from magnoliahold.standins.platform_faults import PlatformFault
+from tests.loopback import LoopbackTestCase, on_loopback
+
+TIMEOUT_S = 0.3
+
+
+class PlatformClientTests(LoopbackTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = make_platform(self.reactor, self.random)
+        self.listener = self.serve(self.platform.resource)
+        self.tables = make_table_client(self.reactor, self.listener.address, TIMEOUT_S)
+
+    @on_loopback
+    async def test_rows(self) -> None:
+        outcome = await self.tables.transact(
+            [Condition("t", "k/ö?", 0)], [Write("t", "k/ö?", b"\x00\xff")]
+        )
+        self.assertTrue(outcome.committed)
+        row = Row("t", "k/ö?", 1, b"\x00\xff")
+        self.assertEqual(await self.tables.read_row("t", "k/ö?"), row)
+        self.assertIsNone(await self.tables.read_row("t", "k"))
+        await self.tables.transact([], [Write("t", "a", b"1"), Write("t", "z", b"2")])
+        rows = await self.tables.scan_rows("t", after="a", limit=1)
+        self.assertEqual(rows, (row,))
+        self.assertEqual(await self.tables.scan_rows("none"), ())
+
+    @on_loopback
+    async def test_one_of_two_racing_writes_wins(self) -> None:
+        outcomes = await gatherResults(
+            [
+                self.tables.transact(
+                    [Condition("t", "k", 0)], [Write("t", "k", f"{number}".encode())]
+                )
+                for number in range(8)
+            ]
+        )
+        self.assertEqual(sum(outcome.committed for outcome in outcomes), 1)
+        winner = await self.tables.read_row("t", "k")
+        for outcome in outcomes:
+            if not outcome.committed:
+                self.assertEqual(outcome.conflicts, (winner,))
+
+    @on_loopback
+    async def test_faults_fail_in_one_way_only(self) -> None:
+        table = (
+            (PlatformFault("outage"), False),
+            (PlatformFault("lose_answers"), True),
+            (PlatformFault("slow", delay_s=20 * TIMEOUT_S), False),
+        )
+        for fault, written in table:
+            with self.subTest(fault.kind):
+                self.platform.faults.inject(PlatformFault("clear"))
+                self.platform.faults.inject(fault)
+                with self.assertRaises(PlatformUnavailable):
+                    await self.tables.transact([], [Write("t", fault.kind, b"1")])
+                row = self.platform.store.read("t", fault.kind)
+                self.assertEqual(row is not None, written)
+
+    @on_loopback
+    async def test_nothing_is_sent_twice(self) -> None:
+        await self.tables.transact([], [Write("t", "k", b"1")])
+        self.platform.faults.inject(PlatformFault("lose_answers"))
+        for _ in range(3):
+            with self.assertRaises(PlatformUnavailable):
+                await self.tables.transact([], [Write("t", "k", b"1")])
+            with self.assertRaises(PlatformUnavailable):
+                await self.tables.read_row("t", "k")
+        await self.sleep(0.1)
+        self.assertEqual(self.platform.store.read("t", "k").version, 4)
+
+    @on_loopback
+    async def test_a_silent_connection_is_replaced(self) -> None:
+        await self.tables.transact([], [Write("t", "k", b"1")])
+        self.listener.silence_connections()
+        with self.assertRaises(PlatformUnavailable):
+            await self.tables.read_row("t", "k")
+        self.assertIsNotNone(await self.tables.read_row("t", "k"))
+
+    @on_loopback
+    async def test_a_restarted_platform_is_reached_again(self) -> None:
+        await self.tables.transact([], [Write("t", "k", b"1")])
+        self.listener.refuse_connections()
+        await self.sleep(0.02)
+        with self.assertRaises(PlatformUnavailable):
+            await self.tables.read_row("t", "k")
+        self.listener.accept_connections()
+        self.assertIsNotNone(await self.tables.read_row("t", "k"))
+
+    @on_loopback
+    async def test_objects(self) -> None:
+        objects = make_object_client(self.reactor, self.listener.address, TIMEOUT_S)
+        await objects.put_object("snapshots/1 ö", b"\x00content")
+        await objects.put_object("empty", b"")
+        self.assertEqual(await objects.get_object("snapshots/1 ö"), b"\x00content")
+        self.assertEqual(await objects.get_object("empty"), b"")
+        self.assertIsNone(await objects.get_object("none"))
+
+    @on_loopback
+    async def test_instances_lag(self) -> None:
+        self.platform.instances.lag_s = 0.1
+        instances = make_instance_client(self.reactor, self.listener.address, TIMEOUT_S)
+        instance = Instance("entry-1", "entry", "127.0.0.1:7000", "dc1", leaving=True)
+        await instances.put_instance(instance)
+        self.assertEqual((await instances.list_instances()).instances, ())
+        await self.sleep(0.12)
+        listed = await instances.list_instances()
+        self.assertEqual(listed.instances, (instance,))
+
+    @on_loopback
+    async def test_weights(self) -> None:
+        weights = make_weight_client(self.reactor, self.listener.address, TIMEOUT_S)
+        before = await weights.count_free_loads()
+        await self.platform.weights.start_load("e1:v2")
+        self.assertEqual(await weights.count_free_loads(), before - 1)
--- /dev/null
+++ b/tests/sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the sidecar."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the stand-ins."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from magnoliahold.platform.interfaces import (
+    Condition,
+    Instance,
+    PlatformUnavailable,
+    Row,
+    Write,
+)
+from magnoliahold.standins.platform import make_platform
+from magnoliahold.standins.platform_faults import NORMAL_LATENCY_S, PlatformFault
+from magnoliahold.standins.tables import TableStore
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+
+class TableStoreTests(unittest.TestCase):
+    def test_conditions(self) -> None:
+        exists, missing = Condition("t", "a", 1), Condition("t", "b", 0)
+        table = (
+            ("none", [], True),
+            ("exists", [exists], True),
+            ("missing", [missing], True),
+            ("both", [exists, missing], True),
+            ("stale", [Condition("t", "a", 0)], False),
+            ("ahead", [Condition("t", "a", 2)], False),
+            ("one fails", [exists, Condition("t", "b", 1)], False),
+        )
+        for name, conditions, committed in table:
+            with self.subTest(name):
+                store = TableStore()
+                store.transact([], [Write("t", "a", b"1")])
+                writes = [Write("t", "a", b"2"), Write("t", "c", b"3")]
+                outcome = store.transact(conditions, writes)
+                self.assertEqual(outcome.committed, committed)
+                self.assertEqual(store.read("t", "c") is not None, committed)
+                self.assertEqual(store.read("t", "a").version, 1 + committed)
+
+    def test_conflicts_show_the_rows_that_exist(self) -> None:
+        store = TableStore()
+        store.transact([], [Write("t", "a", b"1")])
+        conditions = [Condition("t", "a", 0), Condition("t", "b", 3)]
+        outcome = store.transact(conditions, [])
+        self.assertEqual(outcome.conflicts, (Row("t", "a", 1, b"1"),))
+
+    def test_a_deleted_row_is_gone(self) -> None:
+        store = TableStore()
+        store.transact([], [Write("t", "a", b"1"), Write("t", "b", b"1")])
+        store.transact([], [Write("t", "a", None), Write("t", "z", None)])
+        self.assertEqual([row.key for row in store.scan("t", "", 9)], ["b"])
+        self.assertTrue(store.transact([Condition("t", "a", 0)], []).committed)
+
+
+class PlatformTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.platform = make_platform(self.clock, Random(5))
+
+    def test_faults_end(self) -> None:
+        self.platform.faults.inject(PlatformFault("outage", seconds=3.0))
+        with self.assertRaises(PlatformUnavailable):
+            self.wait_for(self.platform.tables.read_row("t", "k"))
+        self.clock.advance(3.0)
+        self.assertIsNone(self.wait_for(self.platform.tables.read_row("t", "k")))
+
+    def wait_for(self, deferred: Deferred[Any]) -> Any:
+        """Advances the clock until a normal answer is due, and returns it."""
+        results: list[Any] = []
+        deferred.addBoth(results.append)
+        self.clock.pump([NORMAL_LATENCY_S] * 2)
+        if isinstance(results[0], Failure):
+            results[0].raiseException()
+        return results[0]
+
+    def test_a_share_of_the_requests_is_hit(self) -> None:
+        self.platform.faults.inject(PlatformFault("lose_answers", share=0.5))
+        failed: list[object] = []
+        for number in range(200):
+            write = Write("t", f"{number}", b"1")
+            self.platform.tables.transact([], [write]).addErrback(failed.append)
+        self.clock.pump([NORMAL_LATENCY_S] * 2)
+        self.assertTrue(60 < len(failed) < 140)
+        self.assertEqual(len(self.platform.store.scan("t", "", 999)), 200)
+
+    def test_slow_answers_come_in_another_order(self) -> None:
+        self.platform.faults.inject(PlatformFault("slow", share=0.5, delay_s=1.0))
+        order: list[int] = []
+        for number in range(20):
+            reading = self.platform.tables.read_row("t", "k")
+            reading.addCallback(lambda _row, number=number: order.append(number))
+        for _ in range(30):
+            self.clock.advance(0.1)
+        self.assertNotEqual(order, sorted(order))
+        self.assertEqual(sorted(order), list(range(20)))
+
+    def test_list_stands_still_under_lag(self) -> None:
+        instances = self.platform.instances
+        instances.put_instance(Instance("a", "entry", "127.0.0.1:1", "dc"))
+        self.clock.advance(2.0)
+        self.assertEqual(self.list_names(), ["a"])
+        self.platform.faults.inject(PlatformFault("lag", seconds=10.0))
+        instances.delete_instance("a")
+        self.clock.advance(5.0)
+        self.assertEqual(self.list_names(), ["a"])
+        self.clock.advance(6.0)
+        self.assertEqual(self.list_names(), [])
+
+    def list_names(self) -> list[str]:
+        listing = self.wait_for(self.platform.instances.list_instances())
+        return [instance.name for instance in listing.instances]
+
+    def test_loads_are_limited_and_expire(self) -> None:
+        weights = self.platform.weights
+        granted = [self.wait_for(weights.start_load(f"e{n}")) for n in range(5)]
+        self.assertEqual(granted, [True] * weights.limit + [False])
+        self.assertTrue(self.wait_for(weights.start_load("e0")))
+        self.clock.advance(31.0)
+        self.assertEqual(self.wait_for(weights.count_free_loads()), weights.limit)
+
+
+if __name__ == "__main__":
+    unittest.main()
