--- a/src/magnoliahold/core/events.py
+++ b/src/magnoliahold/core/events.py
@@ -126,6 +126,13 @@
     reason: str
 
 
+@frozen
+class LinkBroke:
+    """The connection to a peer was reset or closed by the other end."""
+
+    peer: str
+
+
 @frozen
 class StreamProduced:
     """The engine produced tokens of a stream that this sidecar runs.
