--- /dev/null
+++ b/src/magnoliahold/daemon.py
@@ -0,0 +1,163 @@
+"""What the daemons of entries and sidecars share."""
+
+from __future__ import annotations
+
+import signal
+from secrets import token_hex
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+
+from magnoliahold.core.events import LeaveRequested, LinkBroke
+from magnoliahold.core.identity import Identity
+from magnoliahold.core.peers import Peer
+from magnoliahold.core.systems.membership import add_peer
+from magnoliahold.journal import MetricsJournal
+from magnoliahold.logs import make_part_logger
+from magnoliahold.metrics import make_metrics
+from magnoliahold.node import Ports
+from magnoliahold.platform.instances import make_instance_client
+from magnoliahold.platform.tables import make_table_client
+from magnoliahold.wire.links import make_links
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliahold.metrics import Metrics
+    from magnoliahold.node import Node
+    from magnoliahold.settings.model import (
+        EntrySettings,
+        PeerSettings,
+        SidecarSettings,
+    )
+    from magnoliahold.wire.codec import Header
+    from magnoliahold.wire.links import ZmqLinks
+    from magnoliahold.wire.messages import Message
+
+INCARNATION_BYTES = 4
+
+logger = make_part_logger("daemon")
+
+
+@define(eq=False)
+class Daemon:
+    """One process of the system in a reactor.
+
+    `on_stopped` is called with the reason when nothing is in flight any more.
+    """
+
+    reactor: Any
+    identity: Identity
+    node: Node
+    links: ZmqLinks
+    metrics: Metrics
+    on_stopped: Callable[[str], None]
+    listeners: list[Any] = field(factory=list)
+    link_port: int = 0
+
+    def add_listener(self, site: Any, address: str, port: int) -> int:
+        """Serves a site; port 0 picks a free one. Returns the port."""
+        listener = self.reactor.listenTCP(port, site, interface=address)
+        self.listeners.append(listener)
+        return int(listener.getHost().port)
+
+    def start_links(self, address: str, port: int) -> None:
+        """Listens for links and starts to tick."""
+        self.link_port = self.links.listen(address, port)
+        self.node.start_ticks()
+        logger.info(
+            "Process started.", role=self.identity.role, name=self.identity.name
+        )
+
+    def add_peers(self, peers: Iterable[PeerSettings]) -> None:
+        """Opens links to the processes named in the settings."""
+        for settings in peers:
+            peer = Peer(
+                name=settings.name,
+                role=settings.role,
+                address=settings.address,
+                port=settings.link_port,
+                data_centre=settings.data_centre,
+            )
+            add_peer(self.node.world, peer, self.reactor.seconds())
+
+    def leave(self, reason: str) -> None:
+        """Drains; `on_stopped` follows when nothing is in flight."""
+        logger.info("Process leaves.", reason=reason)
+        self.node.post_event(LeaveRequested(reason))
+
+    def stop(self, reason: str) -> None:
+        """Closes all sockets and reports that the process has stopped."""
+        logger.info("Process stops.", reason=reason)
+        self.node.stop_ticks()
+        for listener in self.listeners:
+            listener.stopListening()
+        self.listeners.clear()
+        self.links.close_all()
+        self.metrics.shut_down()
+        self.on_stopped(reason)
+
+
+def make_identity(name: str, role: str, data_centre: str) -> Identity:
+    """Names a process; each start has an incarnation of its own."""
+    return Identity(name, f"{name}.{token_hex(INCARNATION_BYTES)}", role, data_centre)
+
+
+def make_daemon(
+    reactor: Any,
+    identity: Identity,
+    settings: EntrySettings | SidecarSettings,
+    make_node: Callable[[Ports], Node],
+    on_stopped: Callable[[str], None],
+) -> Daemon:
+    """Builds a daemon around the node that `make_node` builds on its ports."""
+
+    def take_message(header: Header, message: Message) -> None:
+        daemon.node.receive_message(header, message)
+
+    def take_broken(peer: str) -> None:
+        daemon.node.post_event(LinkBroke(peer))
+
+    def stop_later(reason: str) -> None:
+        reactor.callLater(0, daemon.stop, reason)
+
+    metrics = make_metrics(identity.name)
+    links = make_links(reactor, identity, take_message, take_broken)
+    platform = settings.platform
+    ports = Ports(
+        links=links,
+        tables=make_table_client(reactor, platform.base_url, platform.timeout_s),
+        instances=make_instance_client(reactor, platform.base_url, platform.timeout_s),
+        journal=MetricsJournal(metrics),
+        stop=stop_later,
+    )
+    node = make_node(ports)
+    daemon = Daemon(reactor, identity, node, links, metrics, on_stopped)
+    return daemon
+
+
+def run_until_stopped(reactor: Any, start: Callable[[], list[Daemon]]) -> None:
+    """Runs daemons until SIGTERM or SIGINT has drained them; a second one stops."""
+    daemons: list[Daemon] = []
+
+    def take_signal(number: int, frame: object) -> None:
+        name = signal.Signals(number).name
+        if any(item.node.world.leaving_since is not None for item in daemons):
+            reactor.callFromThread(reactor.stop)
+            return
+        for item in daemons:
+            reactor.callFromThread(item.leave, name)
+
+    def start_daemons() -> None:
+        daemons.extend(start())
+
+    signal.signal(signal.SIGTERM, take_signal)
+    signal.signal(signal.SIGINT, take_signal)
+    reactor.callWhenRunning(start_daemons)
+    reactor.run(installSignalHandlers=False)
+
+
+def stop_reactor(reactor: Any) -> None:
+    """Stops the reactor, unless it has stopped already."""
+    if reactor.running:
+        reactor.stop()
--- /dev/null
+++ b/src/magnoliahold/entry/answers.py
@@ -0,0 +1,116 @@
+"""JSON documents and headers of the callers' API."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from attrs import frozen
+
+from magnoliahold.core.events import EventId
+
+if TYPE_CHECKING:
+    from twisted.web.http import Request
+
+    from magnoliahold.core.effects import RefuseRequest
+
+EVENT_ID_SEPARATOR = "~"
+JSON_TYPE = b"application/json"
+EVENT_STREAM_TYPE = b"text/event-stream"
+REMEDIES = {
+    "unauthorized": "send the workspace's credential as 'Authorization: Bearer ...'",
+    "unknown_work": "name a work of the workspace's template as model",
+    "unknown_service": "name a service of the workspace's template",
+    "malformed_request": "send the documented JSON fields",
+    "body_too_large": "send a smaller body",
+    "malformed_event_id": "send back an event id unchanged, or leave the header out",
+    "may_have_run": "check the effect before sending the call again",
+}
+DEFAULT_REMEDY = "send the request again after the time in Retry-After"
+NO_REMEDY = "correct the request before sending it again"
+
+
+class RequestRejected(Exception):  # noqa: N818
+    """A request that is answered at once with an error."""
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+@frozen
+class ErrorDocument:
+    """The error of a request; `ran` tells whether a call ran."""
+
+    code: str
+    message: str
+    remedy: str
+    ran: str
+    retry_after_s: float | None = None
+
+
+def make_error(refusal: RefuseRequest) -> ErrorDocument:
+    """Builds the error document of a refused request."""
+    fallback = NO_REMEDY if refusal.retry_after_s is None else DEFAULT_REMEDY
+    return ErrorDocument(
+        code=refusal.code,
+        message=refusal.message,
+        remedy=REMEDIES.get(refusal.code, fallback),
+        ran=refusal.ran,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def encode_error(error: ErrorDocument) -> bytes:
+    """Encodes an error in the API's form."""
+    return msgspec.json.encode({"error": error})
+
+
+def write_error(request: Request, status: int, error: ErrorDocument) -> None:
+    """Answers a request with an error and its Retry-After."""
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", JSON_TYPE)
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        request.setHeader(b"retry-after", str(seconds).encode())
+    request.write(encode_error(error))
+    request.finish()
+
+
+def reject_request(request: Request, rejection: RequestRejected) -> None:
+    """Answers a request that never reached the decisions."""
+    remedy = REMEDIES.get(rejection.code, NO_REMEDY)
+    error = ErrorDocument(rejection.code, str(rejection), remedy, "not_run")
+    write_error(request, rejection.status, error)
+
+
+def format_event_id(event_id: EventId) -> str:
+    """Formats the id of a server-sent event."""
+    parts = (event_id.lineage, event_id.sidecar, str(event_id.offset))
+    return EVENT_ID_SEPARATOR.join(parts)
+
+
+def parse_event_id(text: str) -> EventId:
+    """Parses Last-Event-ID; raises RequestRejected when it is malformed."""
+    parts = text.split(EVENT_ID_SEPARATOR)
+    if len(parts) != 3 or not all(parts) or not parts[2].isdecimal():
+        raise RequestRejected(
+            400, "malformed_event_id", "Last-Event-ID is not an id of this API"
+        )
+    return EventId(parts[0], parts[1], int(parts[2]))
+
+
+def make_completion(
+    request_id: str, work: str, text: str, reason: str | None, created: int
+) -> dict[str, Any]:
+    """Builds a completion, whole or one chunk, in the form callers' clients read."""
+    choice = {"index": 0, "text": text, "logprobs": None, "finish_reason": reason}
+    return {
+        "id": request_id,
+        "object": "text_completion",
+        "created": created,
+        "model": work,
+        "choices": [choice],
+    }
--- a/src/magnoliahold/entry/nodes.py
+++ b/src/magnoliahold/entry/nodes.py
@@ -14,7 +14,8 @@
     from random import Random
 
     from magnoliahold.core.identity import Identity
-    from magnoliahold.node import Clock, Ports
+    from magnoliahold.node import Ports
+    from magnoliahold.runtime import Clock
 
 __all__ = ["make_entry_node", "performers"]
 
--- /dev/null
+++ b/src/magnoliahold/entry/requests.py
@@ -0,0 +1,118 @@
+"""Requests with a bounded body, and the reading of the callers' JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import xxhash
+from attrs import frozen
+from twisted.web.server import Request, Site
+
+from magnoliahold.entry.answers import RequestRejected
+
+if TYPE_CHECKING:
+    from twisted.web.resource import Resource
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 131_072
+BEARER = "Bearer "
+IDLE_CONNECTION_TIMEOUT_S = 60
+
+
+class BoundedRequest(Request):
+    """A request that drops body bytes beyond the site's limit."""
+
+    body_bytes = 0
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keeps a part of the body unless the limit is passed."""
+        self.body_bytes += len(data)
+        if not self.is_too_large:
+            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the body is larger than the site allows."""
+        site: Any = self.channel.site  # type: ignore[attr-defined]
+        return self.body_bytes > int(site.max_body_bytes)
+
+
+class BoundedSite(Site):
+    """A site whose requests have bounded bodies."""
+
+    def __init__(self, resource: Resource, max_body_bytes: int, reactor: Any) -> None:
+        super().__init__(  # type: ignore[no-untyped-call]
+            resource,
+            requestFactory=BoundedRequest,
+            timeout=IDLE_CONNECTION_TIMEOUT_S,
+            reactor=reactor,
+        )
+        self.max_body_bytes = max_body_bytes
+        self.noisy = False
+
+
+@frozen
+class CompletionBody:
+    """The fields of `POST /v1/completions` that are read; others are ignored."""
+
+    model: str
+    prompt: str | list[str]
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+_completion_decoder = msgspec.json.Decoder(CompletionBody)
+
+
+def read_completion(request: BoundedRequest) -> CompletionBody:
+    """Reads a completion request; raises RequestRejected when it is malformed."""
+    content = read_body(request)
+    try:
+        body = _completion_decoder.decode(content)
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
+        raise RequestRejected(400, "malformed_request", str(error)) from error
+    if not 1 <= body.max_tokens <= MAX_TOKENS_LIMIT:
+        message = f"max_tokens must be from 1 to {MAX_TOKENS_LIMIT}"
+        raise RequestRejected(400, "malformed_request", message)
+    if isinstance(body.prompt, list) and len(body.prompt) != 1:
+        message = "prompt must be one text or a list of one text"
+        raise RequestRejected(400, "malformed_request", message)
+    return body
+
+
+def read_prompt(body: CompletionBody) -> str:
+    """Reads the one prompt of a request."""
+    return body.prompt if isinstance(body.prompt, str) else body.prompt[0]
+
+
+def read_body(request: BoundedRequest) -> bytes:
+    """Reads the body; raises RequestRejected when it is too large."""
+    if request.is_too_large:
+        raise RequestRejected(413, "body_too_large", "the body is too large")
+    content: Any = request.content
+    return bytes(content.read())
+
+
+def read_credential(request: Request) -> str:
+    """Reads the bearer credential, or an empty string."""
+    header = read_header(request, "authorization")
+    return header[len(BEARER) :] if header.startswith(BEARER) else ""
+
+
+def read_header(request: Request, name: str) -> str:
+    """Reads a header, or an empty string."""
+    value = request.getHeader(name.encode())
+    if value is None:
+        return ""
+    return value.decode("utf-8", "replace") if isinstance(value, bytes) else value
+
+
+def make_fingerprint(*parts: str | bytes) -> str:
+    """Hashes what makes two requests the same."""
+    digest = xxhash.xxh3_128()
+    for part in parts:
+        content = part.encode() if isinstance(part, str) else part
+        digest.update(len(content).to_bytes(8, "big"))
+        digest.update(content)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/magnoliahold/entry/resources.py
@@ -0,0 +1,211 @@
+"""The callers' HTTP API: generations and calls of plain services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+from attrs import define
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from magnoliahold.core.events import CallArrived, CallerGone, GenerationArrived
+from magnoliahold.entry.answers import (
+    RequestRejected,
+    parse_event_id,
+    reject_request,
+)
+from magnoliahold.entry.requests import (
+    make_fingerprint,
+    read_body,
+    read_completion,
+    read_credential,
+    read_header,
+    read_prompt,
+)
+from magnoliahold.entry.responders import (
+    BufferedResponder,
+    CallResponder,
+    StreamResponder,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.entry.requests import (
+        BoundedRequest,
+    )
+    from magnoliahold.entry.responders import OpenRequests, Responder
+    from magnoliahold.settings.credentials import CredentialSettings
+
+UNPASSED_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@define(eq=False)
+class CallerSite:
+    """What the callers' resources share."""
+
+    credentials: CredentialSettings
+    open_requests: OpenRequests
+    post: Callable[[object], None]
+    make_request_id: Callable[[], str]
+
+    def find_workspace(self, request: BoundedRequest) -> str:
+        """Finds the workspace of the credential or raises RequestRejected."""
+        workspace = self.credentials.find_workspace(read_credential(request))
+        if workspace is None:
+            raise RequestRejected(401, "unauthorized", "the credential is unknown")
+        return workspace
+
+    def open_request(
+        self, request: Any, responder: Responder, event: Any, request_id: str
+    ) -> None:
+        """Registers a responder and posts the event of an arrived request."""
+        self.open_requests.responders[request_id] = responder
+        request.notifyFinish().addErrback(lambda _: self._close_request(request_id))
+        self.post(event)
+
+    def _close_request(self, request_id: str) -> None:
+        if self.open_requests.responders.pop(request_id, None) is not None:
+            self.post(CallerGone(request_id))
+
+
+class CompletionsResource(Resource):
+    """`POST /v1/completions`."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, site: CallerSite) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._site = site
+
+    def render_POST(self, request: BoundedRequest) -> int:  # noqa: N802
+        """Starts a generation, or continues one after Last-Event-ID."""
+        try:
+            self._start_generation(request)
+        except RequestRejected as rejection:
+            reject_request(request, rejection)
+        return NOT_DONE_YET
+
+    def _start_generation(self, request: BoundedRequest) -> None:
+        workspace = self._site.find_workspace(request)
+        body = read_completion(request)
+        prompt = read_prompt(body)
+        last_event = read_header(request, "last-event-id")
+        request_id = self._site.make_request_id()
+        event = GenerationArrived(
+            request_id=request_id,
+            workspace=workspace,
+            work=body.model,
+            prompt=prompt,
+            max_tokens=body.max_tokens,
+            stream=body.stream,
+            fingerprint=make_fingerprint(workspace, body.model, prompt),
+            resume_from=parse_event_id(last_event) if last_event else None,
+        )
+        responder: Responder
+        if body.stream:
+            responder = StreamResponder(
+                request, request_id, body.model, self._site.post
+            )
+        else:
+            responder = BufferedResponder(request, request_id, body.model)
+        self._site.open_request(request, responder, event, request_id)
+
+
+class ServicesResource(Resource):
+    """`/v1/services/{service}/{path}`, any method."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, site: CallerSite) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._site = site
+
+    def render(self, request: Any) -> int:
+        """Sends a call to a plain service."""
+        try:
+            self._start_call(request)
+        except RequestRejected as rejection:
+            reject_request(request, rejection)
+        return NOT_DONE_YET
+
+    def _start_call(self, request: BoundedRequest) -> None:
+        workspace = self._site.find_workspace(request)
+        body = read_body(request)
+        service, path = read_service_path(request)
+        method = request.method.decode("ascii", "replace")
+        request_id = self._site.make_request_id()
+        event = CallArrived(
+            request_id=request_id,
+            workspace=workspace,
+            service=service,
+            method=method,
+            path=path,
+            headers=read_passed_headers(request),
+            body=body,
+            fingerprint=make_fingerprint(workspace, service, method, path, body),
+            idempotency_key=read_header(request, "idempotency-key"),
+        )
+        responder = CallResponder(request)
+        self._site.open_request(request, responder, event, request_id)
+
+
+def read_service_path(request: BoundedRequest) -> tuple[str, str]:
+    """Reads the service's name and the path with its query."""
+    if not request.postpath or not request.postpath[0]:
+        raise RequestRejected(404, "unknown_service", "the path names no service")
+    try:
+        service = request.postpath[0].decode("utf-8")
+        whole = request.uri.decode("ascii")
+    except UnicodeDecodeError as error:
+        raise RequestRejected(400, "malformed_request", "malformed path") from error
+    marker = "/v1/services/"
+    start = whole.find("/", whole.index(marker) + len(marker))
+    path = whole[start:] if start >= 0 else "/"
+    return service, path
+
+
+def read_passed_headers(request: BoundedRequest) -> tuple[tuple[str, str], ...]:
+    """Reads the headers that go to the service: none of the connection's own."""
+    headers: list[tuple[str, str]] = []
+    for name, values in request.requestHeaders.getAllRawHeaders():
+        text = name.decode("ascii", "replace").lower()
+        if text not in UNPASSED_HEADERS:
+            headers.extend((text, value.decode("utf-8", "replace")) for value in values)
+    return tuple(headers)
+
+
+class RootResource(Resource):
+    """A resource that only has children."""
+
+    def __init__(self) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+
+    def add_child(self, path: bytes, child: Resource) -> None:
+        """Adds a child under one path segment."""
+        self.putChild(path, cast("Any", child))
+
+
+def make_caller_resource(site: CallerSite) -> Resource:
+    """Builds the callers' API."""
+    root = RootResource()
+    api = RootResource()
+    root.add_child(b"v1", api)
+    api.add_child(b"completions", CompletionsResource(site))
+    api.add_child(b"services", ServicesResource(site))
+    return root
--- /dev/null
+++ b/src/magnoliahold/health.py
@@ -0,0 +1,47 @@
+"""`/healthz`, `/readyz` and `/metrics` of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.resource import Resource
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.metrics import Metrics
+
+
+class TextResource(Resource):
+    """Answers GET with a status and a short text."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, read_answer: Callable[[], tuple[int, bytes]]) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._read_answer = read_answer
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Answers with the current text."""
+        status, text = self._read_answer()
+        request.setResponseCode(status)
+        request.setHeader(b"content-type", b"text/plain; charset=utf-8")
+        return text
+
+
+def add_health_resources(
+    root: Resource, metrics: Metrics, find_obstacle: Callable[[], str]
+) -> None:
+    """Adds the three resources; `find_obstacle` names why new work is unwelcome."""
+
+    def read_readiness() -> tuple[int, bytes]:
+        obstacle = find_obstacle()
+        return (503, f"{obstacle}\n".encode()) if obstacle else (200, b"ready\n")
+
+    readers = {
+        b"healthz": lambda: (200, b"live\n"),
+        b"readyz": read_readiness,
+        b"metrics": lambda: (200, metrics.render()),
+    }
+    for name, reader in readers.items():
+        root.putChild(name, TextResource(reader))  # type: ignore[arg-type]
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -33,6 +33,7 @@
         TableService,
         TransactionOutcome,
     )
+    from magnoliahold.runtime import Clock
     from magnoliahold.wire.messages import Message
 
 logger = getLogger(__name__)
@@ -40,18 +41,6 @@
 DISPOSABLE_WHEN_EXPIRED = (StartStream, StartCall)
 
 
-class Clock(Protocol):
-    """The part of Twisted's IReactorTime that a node uses."""
-
-    def seconds(self) -> float:
-        """Reads the monotonic clock in seconds."""
-
-    def callLater(  # noqa: N802
-        self, delay: float, callable: Callable[..., object], *args: object
-    ) -> Any:
-        """Calls a function after `delay` seconds."""
-
-
 class LinkPort(Protocol):
     """Sends messages to other processes; nothing is kept for a lost peer."""
 
--- a/src/magnoliahold/settings/model.py
+++ b/src/magnoliahold/settings/model.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any, ClassVar, Literal
+from typing import ClassVar, Literal
 
 from attrs import field, frozen
 
+from magnoliahold.core.policy import Policy
 from magnoliahold.settings.credentials import CredentialSettings  # noqa: TC001
 from magnoliahold.settings.structuring import (
     FieldError,
@@ -108,7 +109,7 @@
 class EntrySettings:
     """The settings of one entry process.
 
-    `policy` overrides fields of the decision policy by name; the entry checks them.
+    `policy` overrides limits and intervals of the decisions by name.
     """
 
     name: str = field(metadata=checks(require_name))
@@ -122,7 +123,7 @@
     peers: tuple[PeerSettings, ...] = ()
     limits: LimitSettings = field(factory=LimitSettings)
     log: LogSettings = field(factory=LogSettings)
-    policy: dict[str, Any] = field(factory=dict)
+    policy: Policy = field(factory=Policy)
 
     relations: ClassVar[tuple[Relation, ...]] = (
         Relation(
@@ -164,7 +165,7 @@
     upstream: UpstreamSettings
     peers: tuple[PeerSettings, ...] = ()
     log: LogSettings = field(factory=LogSettings)
-    policy: dict[str, Any] = field(factory=dict)
+    policy: Policy = field(factory=Policy)
 
     relations: ClassVar[tuple[Relation, ...]] = (
         Relation(("operator_port", "link_port"), require_different_ports),
--- a/src/magnoliahold/sidecar/nodes.py
+++ b/src/magnoliahold/sidecar/nodes.py
@@ -15,7 +15,8 @@
 
     from magnoliahold.core.identity import Identity
     from magnoliahold.core.streams import Upstream
-    from magnoliahold.node import Clock, Ports
+    from magnoliahold.node import Ports
+    from magnoliahold.runtime import Clock
 
 __all__ = ["make_sidecar_node", "performers"]
 
--- /dev/null
+++ b/src/magnoliahold/wire/links.py
@@ -0,0 +1,268 @@
+"""Links between processes over ZeroMQ.
+
+A process listens on one ROUTER socket and opens a DEALER socket to each peer that it
+speaks to first. Nothing is queued for a peer that is not connected, and a message that
+can't be sent now is dropped.
+"""
+
+from __future__ import annotations
+
+from logging import getLogger
+from typing import TYPE_CHECKING, Any
+
+import zmq
+from attrs import define, evolve, frozen
+from zmq.utils.monitor import parse_monitor_message
+
+from magnoliahold.wire.codec import (
+    BrokenMessage,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from magnoliahold.wire.messages import Heartbeat
+from magnoliahold.wire.sockets import SocketReader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.core.identity import Identity
+    from magnoliahold.wire.codec import Header
+    from magnoliahold.wire.messages import Message
+
+logger = getLogger(__name__)
+
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+MAX_QUEUED_MESSAGES = 1_000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2_000
+HANDSHAKE_MS = 2_000
+MONITORED_EVENTS = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+
+
+@frozen
+class Route:
+    """The newest connection that a client has used towards this process."""
+
+    incarnation: str
+    link_number: int
+    identity: bytes
+
+
+@define(eq=False)
+class ClientLink:
+    """A DEALER socket to one peer.
+
+    `greeting` is the last heartbeat that found no connection; it is sent when the
+    connection stands.
+    """
+
+    peer: str
+    endpoint: str
+    number: int
+    socket: zmq.Socket[bytes]
+    reader: SocketReader
+    monitor: zmq.Socket[bytes] | None = None
+    monitor_reader: SocketReader | None = None
+    connected: bool = False
+    greeting: list[bytes] | None = None
+
+
+class ZmqLinks:
+    """All links of one process.
+
+    `on_message` takes each message with its header, `on_link_broken` the name of a peer
+    whose connection was reset. `broken_messages` counts malformed messages, which are
+    dropped.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        identity: Identity,
+        on_message: Callable[[Header, Message], None],
+        on_link_broken: Callable[[str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._identity = identity
+        self._on_message = on_message
+        self._on_link_broken = on_link_broken
+        self._context: zmq.Context[Any] = zmq.Context()
+        self._router: Any = None
+        self._router_reader: SocketReader | None = None
+        self._clients: dict[str, ClientLink] = {}
+        self._routes: dict[str, Route] = {}
+        self._next_number = 0
+        self.broken_messages = 0
+        self.dropped_messages = 0
+
+    def listen(self, address: str, port: int) -> int:
+        """Listens on an IP number; port 0 picks a free one. Returns the port."""
+        router = self._context.socket(zmq.ROUTER)
+        self._set_limits(router)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        router.bind(f"tcp://{address}:{port if port else '*'}")
+        self._router = router
+        self._router_reader = SocketReader(self._reactor, router, self._take_routed)
+        endpoint = router.getsockopt(zmq.LAST_ENDPOINT)
+        return int(endpoint.rstrip(b"\0").rsplit(b":", 1)[1])
+
+    def open_link(self, peer: str, address: str, port: int) -> None:
+        """Opens a link, replacing an earlier one to the same process."""
+        self.close_link(peer)
+        self._clients[peer] = self._connect(peer, f"tcp://{address}:{port}")
+
+    def replace_link(self, peer: str) -> None:
+        """Replaces the connection of a link that has gone silent."""
+        link = self._clients.get(peer)
+        if link is not None:
+            self._close_client(link)
+            self._clients[peer] = self._connect(peer, link.endpoint)
+
+    def close_link(self, peer: str) -> None:
+        """Closes a link with all that it had still to send."""
+        link = self._clients.pop(peer, None)
+        if link is not None:
+            self._close_client(link)
+
+    def send_message(self, peer: str, message: Message, header: Header) -> bool:
+        """Sends a message now, or drops it and returns false."""
+        link = self._clients.get(peer)
+        if link is not None:
+            return self._send_to_client(link, message, header)
+        route = self._routes.get(peer)
+        if route is None:
+            return False
+        header = evolve(header, link_number=route.link_number)
+        frames = [route.identity, *encode_envelope(Envelope(header, message))]
+        sent = self._send(self._router, frames)
+        if self._router_reader is not None:
+            self._router_reader.look_again()
+        return sent
+
+    def close_all(self) -> None:
+        """Closes every socket."""
+        for peer in list(self._clients):
+            self.close_link(peer)
+        if self._router_reader is not None:
+            self._router_reader.stop_reading()
+            self._router_reader = None
+        if self._router is not None:
+            self._router.close(linger=0)
+            self._router = None
+        self._context.destroy(linger=0)
+
+    def _connect(self, peer: str, endpoint: str) -> ClientLink:
+        self._next_number += 1
+        socket = self._context.socket(zmq.DEALER)
+        self._set_limits(socket)
+        number = self._next_number
+        name = f"{self._identity.name}/{self._identity.incarnation}/{number}"
+        socket.setsockopt(zmq.IDENTITY, name.encode())
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        reader = SocketReader(self._reactor, socket, self._take_frames)
+        link = ClientLink(peer, endpoint, number, socket, reader)
+        self._watch_connection(link)
+        socket.connect(endpoint)
+        return link
+
+    def _watch_connection(self, link: ClientLink) -> None:
+        monitor = link.socket.get_monitor_socket(MONITORED_EVENTS)
+        link.monitor = monitor
+
+        def take_event(frames: list[bytes]) -> None:
+            self._note_connection(link, frames)
+
+        link.monitor_reader = SocketReader(self._reactor, monitor, take_event)
+
+    def _note_connection(self, link: ClientLink, frames: list[bytes]) -> None:
+        event = parse_monitor_message(frames)["event"]
+        if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+            link.connected = True
+            greeting, link.greeting = link.greeting, None
+            if greeting is not None:
+                self._send(link.socket, greeting)
+                link.reader.look_again()
+        elif link.connected:
+            link.connected = False
+            self._on_link_broken(link.peer)
+
+    def _close_client(self, link: ClientLink) -> None:
+        link.reader.stop_reading()
+        if link.monitor_reader is not None:
+            link.monitor_reader.stop_reading()
+        link.socket.disable_monitor()
+        if link.monitor is not None:
+            link.monitor.close(linger=0)
+        link.socket.close(linger=0)
+
+    def _send_to_client(
+        self, link: ClientLink, message: Message, header: Header
+    ) -> bool:
+        header = evolve(header, link_number=link.number)
+        frames = encode_envelope(Envelope(header, message))
+        sent = self._send(link.socket, frames)
+        if not sent and isinstance(message, Heartbeat):
+            link.greeting = frames
+        link.reader.look_again()
+        return sent
+
+    def _send(self, socket: Any, frames: list[bytes]) -> bool:
+        try:
+            socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.dropped_messages += 1
+            return False
+        return True
+
+    def _set_limits(self, socket: zmq.Socket[bytes]) -> None:
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
+        socket.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+
+    def _take_routed(self, frames: list[bytes]) -> None:
+        identity, *rest = frames
+        envelope = self._decode(rest)
+        if envelope is not None:
+            self._note_route(envelope.header, identity)
+            self._on_message(envelope.header, envelope.message)
+
+    def _take_frames(self, frames: list[bytes]) -> None:
+        envelope = self._decode(frames)
+        if envelope is not None:
+            self._on_message(envelope.header, envelope.message)
+
+    def _decode(self, frames: list[bytes]) -> Envelope | None:
+        try:
+            return decode_envelope(frames)
+        except BrokenMessage as error:
+            self.broken_messages += 1
+            logger.warning("links: Broken message dropped. %s", error)
+            return None
+
+    def _note_route(self, header: Header, identity: bytes) -> None:
+        known = self._routes.get(header.sender)
+        if known is not None and _is_older(header, known):
+            return
+        route = Route(header.incarnation, header.link_number, identity)
+        self._routes[header.sender] = route
+
+
+def _is_older(header: Header, route: Route) -> bool:
+    """Tells whether a message came on a connection that a newer one replaced."""
+    same_process = route.incarnation == header.incarnation
+    return same_process and route.link_number >= header.link_number
+
+
+def make_links(
+    reactor: Any,
+    identity: Identity,
+    on_message: Callable[[Header, Message], None],
+    on_link_broken: Callable[[str], None],
+) -> ZmqLinks:
+    """Makes the links of a process; call `listen` before peers connect."""
+    return ZmqLinks(reactor, identity, on_message, on_link_broken)
--- /dev/null
+++ b/src/magnoliahold/wire/sockets.py
@@ -0,0 +1,78 @@
+"""Reads ZeroMQ sockets in the Twisted reactor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import zmq
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MESSAGES_PER_READ = 200
+
+
+@implementer(IReadDescriptor)
+class SocketReader:
+    """Calls `on_frames` for each multipart message of a socket.
+
+    The descriptor of a ZeroMQ socket is edge-triggered: it is read until nothing is
+    left, and looked at again after each send.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        socket: zmq.Socket[bytes],
+        on_frames: Callable[[list[bytes]], None],
+    ) -> None:
+        self._reactor = reactor
+        self._socket = socket
+        self._on_frames = on_frames
+        self._call: Any = None
+        self._descriptor = socket.getsockopt(zmq.FD)
+        reactor.addReader(self)
+        self.look_again()
+
+    def fileno(self) -> int:
+        """Returns the descriptor that the reactor watches."""
+        return int(self._descriptor)
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Names this reader in the reactor's logs."""
+        return "links"
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Does nothing: sockets are closed by their owner."""
+
+    def doRead(self) -> None:  # noqa: N802
+        """Reads messages until none is left or the turn is over."""
+        for _ in range(MESSAGES_PER_READ):
+            if self._socket.closed:
+                return
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            except zmq.ZMQError:
+                return
+            self._on_frames(frames)
+        self.look_again()
+
+    def look_again(self) -> None:
+        """Reads once more on the reactor's next turn."""
+        if self._call is None:
+            self._call = self._reactor.callLater(0, self._look)
+
+    def stop_reading(self) -> None:
+        """Stops watching the socket."""
+        self._reactor.removeReader(self)
+        if self._call is not None:
+            self._call.cancel()
+            self._call = None
+
+    def _look(self) -> None:
+        self._call = None
+        self.doRead()
