Let an event id name the version, and a caller send its tokens back

Continuing at another entry when the former sidecar is gone too needs the tokens and the version; both are with the caller only. Fields are optional.

--- a/src/magnoliahold/core/effects.py
+++ b/src/magnoliahold/core/effects.py
@@ -49,13 +49,18 @@
 
 @frozen
 class DeliverTokens:
-    """Gives a caller tokens; `event` names the place after the last of them."""
+    """Gives a caller tokens; the rest names the place for its Last-Event-ID.
+
+    A new lineage that begins at offset 0 replaces what a buffered caller would have
+    got; one that begins later continues it.
+    """
 
     request_id: str
     offset: int
     tokens: tuple[str, ...]
     lineage: str
     sidecar: str
+    version: str = ""
 
 
 @frozen
--- a/src/magnoliahold/core/events.py
+++ b/src/magnoliahold/core/events.py
@@ -34,20 +34,22 @@
 class EventId:
     """Names a place in a stream; callers send it back as Last-Event-ID.
 
-    `offset` is the number of tokens that the caller has received.
+    `offset` is the number of tokens that the caller has received and `version` the
+    upstream version that generates them.
     """
 
     lineage: str
     sidecar: str
     offset: int
+    version: str = ""
 
 
 @frozen
 class GenerationArrived:
     """A caller asks for a generation.
 
-    `arrived_at` is the process clock in seconds. `resume_from` is set when the caller
-    continues a stream that it lost.
+    `resume_from` is set when the caller continues a stream that it lost. `prefix` then
+    holds the tokens that it has, if it sent them back: as many as the offset says.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     stream: bool
     fingerprint: str
     resume_from: EventId | None = None
+    prefix: tuple[str, ...] = ()
 
 
 @frozen
