Add the messages that fences, deaths and dropped sends need

A sidecar judges the expiry of a call when it starts it, a fence names that expiry, a report of a death counts the tokens of each request, and a message that was never handed to a socket comes back as an event. tests.measure.test_fleet passes.

--- a/src/magnoliahold/core/events.py
+++ b/src/magnoliahold/core/events.py
@@ -30,6 +30,14 @@
     message: object
 
 
+@frozen
+class MessageDropped:
+    """A message that was never handed to a socket; its receiver will not see it."""
+
+    receiver: str
+    message: object
+
+
 @frozen
 class EventId:
     """Names a place in a stream; callers send it back as Last-Event-ID.
--- a/src/magnoliahold/core/invariants.py
+++ b/src/magnoliahold/core/invariants.py
@@ -26,6 +26,7 @@
 
 @find_violations.register(EntryWorld)
 def _find_entry_violations(world: EntryWorld) -> Iterator[str]:
+    yield from world.breaches
     for generation in world.generations.by_request.values():
         name = generation.request.request_id
         if generation.delivered > len(generation.tokens):
@@ -39,6 +40,7 @@
 
 @find_violations.register(SidecarWorld)
 def _find_sidecar_violations(world: SidecarWorld) -> Iterator[str]:
+    yield from world.breaches
     for stream in world.streams.by_lineage.values():
         name = stream.start.lineage
         if stream.sent > len(stream.tokens):
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -29,6 +29,7 @@
     """What every process has: identity, policy, input and output of a tick.
 
     `effects` grows during a tick and is performed and cleared by the node after it.
+    `breaches` names invariants that a system found broken.
     """
 
     identity: Identity
@@ -40,6 +41,7 @@
     workspaces: WorkspaceTable = field(factory=WorkspaceTable)
     leaving_since: float | None = None
     next_serial: int = 0
+    breaches: list[str] = field(factory=list)
 
     def emit(self, effect: object) -> None:
         """Adds an effect to be performed after this tick."""
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -11,6 +11,7 @@
 from magnoliahold.core import effects
 from magnoliahold.core.events import (
     InstancesListed,
+    MessageDropped,
     MessageExpired,
     Received,
     RowsRead,
@@ -202,7 +203,9 @@
 def _send_message(effect: effects.SendMessage, node: Node) -> None:
     now = node.clock.seconds()
     header = make_header(node.world, effect.receiver, effect.expires_s, now)
-    node.ports.links.send_message(effect.receiver, effect.message, header)
+    sent = node.ports.links.send_message(effect.receiver, effect.message, header)
+    if not sent and isinstance(effect.message, DISPOSABLE_WHEN_EXPIRED):
+        node.post_event(MessageDropped(effect.receiver, effect.message))
 
 
 @perform_effect.register(effects.OpenLink)
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -164,7 +164,10 @@
 
 @frozen
 class StartCall:
-    """Asks a sidecar to run one call of a plain service, once."""
+    """Asks a sidecar to run one call of a plain service, once.
+
+    After `expires_at`, on the receiver's clock, the call must not be started any more.
+    """
 
     nonce: str
     workspace: str
@@ -175,6 +178,7 @@
     body: bytes
     fingerprint: str = ""
     route: str = ""
+    expires_at: float = 0.0
 
 
 @frozen
@@ -198,15 +202,22 @@
 
 @frozen
 class FenceCall:
-    """Asks a sidecar to make sure that a call which has not started never runs."""
+    """Asks a sidecar to make sure that a call which has not started never runs.
+
+    `expires_at` is that of the call's StartCall. The sender is told the outcome of a
+    call that runs already.
+    """
 
     nonce: str
+    expires_at: float = 0.0
 
 
 @frozen
 class CallVerdict:
-    """State of a call after FenceCall: "fenced", "running", "answered" or "lost".
+    """State of a call after FenceCall.
 
+    `verdict` is "fenced", "running", "answered", "lost" or "forgotten"; the last means
+    that the call may have run so long ago that no record of it is left.
     An "answered" verdict is followed by CallAnswered when the answer is still kept.
     """
 
@@ -216,11 +227,15 @@
 
 @frozen
 class EngineDied:
-    """Reports the requests that were in flight when an upstream's engine died."""
+    """Reports the requests that were in flight when an upstream's engine died.
+
+    `produced` is how many tokens each of them had from this engine, in the same order.
+    """
 
     upstream: str
     engine_incarnation: str
     fingerprints: tuple[str, ...]
+    produced: tuple[int, ...] = ()
 
 
 @frozen
@@ -244,22 +259,84 @@
     reason: str
 
 
+@frozen
+class MoveRow:
+    """State of one move between versions of a work.
+
+    `state` is a value of `core.moves.MoveState`; `stage` counts from 0; `began` and
+    `deadline` are wall-clock seconds since the epoch.
+    """
+
+    move: str
+    work: str
+    from_version: str
+    to_version: str
+    state: str
+    stage: int
+    share: float
+    began: float
+    deadline: float
+    reason: str = ""
+
+
+@frozen
+class ApplyNote:
+    """An apply that was accepted, by the id that the operator's client chose."""
+
+    apply_id: str
+    version: int
+    change: int
+
+
 @frozen
 class WorkspaceRow:
-    """One accepted workspace configuration; `change` is its change-log number."""
+    """One accepted workspace configuration with the state of its moves.
+
+    `version` counts accepted templates, `change` is the change-log number of the last
+    write, and `revision` the row's version at the table service.
+    """
 
     workspace: str
     version: int
     change: int
     template: bytes
+    revision: int = 1
+    moves: tuple[MoveRow, ...] = ()
+    applies: tuple[ApplyNote, ...] = ()
 
 
 @frozen
 class ConfigurationPush:
-    """Accepted configurations, and the head up to which the sender has them all."""
+    """Every configuration changed after `after_change`, up to `head`."""
 
     rows: tuple[WorkspaceRow, ...]
     head: int
+    after_change: int = 0
+
+
+@frozen
+class StatusPull:
+    """Asks an entry what is in force there; an empty workspace asks for all."""
+
+    query: str
+    workspace: str = ""
+
+
+@frozen
+class StatusItem:
+    """One workspace's version in force, since some seconds."""
+
+    workspace: str
+    version: int
+    since_s: float
+
+
+@frozen
+class StatusReport:
+    """Answers StatusPull."""
+
+    query: str
+    items: tuple[StatusItem, ...]
 
 
 @frozen
@@ -306,6 +383,8 @@
     | SuspendVersion
     | ConfigurationPush
     | ConfigurationPull
+    | StatusPull
+    | StatusReport
     | PlacementPush
     | Leave
 )
