Serve operators over HTTP and start a deployment in one process

Cause: templates could not be applied and the whole path not be tried by hand. Change: the operators' API over the administration events, `dev` on free ports, and a keyed index of credentials. Ruled out: comparing every credential of 29,000 workspaces for each request, which grows with their number.

--- /dev/null
+++ b/src/magnoliahold/development.py
@@ -0,0 +1,241 @@
+"""A whole small deployment in one process on loopback."""
+
+from __future__ import annotations
+
+from random import Random
+from secrets import token_hex
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+
+from magnoliahold.daemon import run_until_stopped, stop_reactor
+from magnoliahold.entry.daemon import make_entry
+from magnoliahold.logs import configure_logging
+from magnoliahold.platform.interfaces import Instance
+from magnoliahold.settings.credentials import CredentialSettings, make_secret
+from magnoliahold.settings.model import (
+    EntrySettings,
+    LogSettings,
+    PeerSettings,
+    PlatformSettings,
+    SidecarSettings,
+    UpstreamSettings,
+)
+from magnoliahold.sidecar.daemon import make_sidecar
+from magnoliahold.standins.engine import EngineSettings, make_engine
+from magnoliahold.standins.platform import make_platform
+from magnoliahold.standins.server import serve_resource
+from magnoliahold.standins.service import ServiceSettings, make_service
+
+if TYPE_CHECKING:
+    from magnoliahold.daemon import Daemon
+    from magnoliahold.standins.platform import Platform
+
+LOOPBACK = "127.0.0.1"
+ENTRIES = 2
+FREE_PORT = 0
+READY_POLL_S = 0.1
+CREDENTIAL_BYTES = 12
+
+
+@define(frozen=True)
+class EngineShape:
+    """One engine of the deployment."""
+
+    name: str
+    role: str
+    version: str
+
+
+ENGINES = (
+    EngineShape("drafting-1", "drafting", "v1"),
+    EngineShape("drafting-2", "drafting", "v1"),
+    EngineShape("reports-1", "reports", "v2"),
+    EngineShape("reports-2", "reports", "v2"),
+)
+SERVICE = "order-desk"
+
+
+@define(eq=False)
+class Deployment:
+    """The running parts of the deployment; `credentials` are by workspace."""
+
+    reactor: Any
+    platform: Platform
+    platform_url: str
+    credentials: dict[str, str]
+    operator_credential: str
+    sidecars: list[Daemon] = field(factory=list)
+    entries: list[Daemon] = field(factory=list)
+    entry_urls: list[str] = field(factory=list)
+    operator_urls: list[str] = field(factory=list)
+    standins: list[Any] = field(factory=list)
+    stopped: int = 0
+
+    def note_stopped(self, reason: str) -> None:
+        """Stops the reactor after the last daemon has stopped."""
+        self.stopped += 1
+        if self.stopped == len(self.sidecars) + len(self.entries):
+            stop_reactor(self.reactor)
+
+    def is_ready(self) -> bool:
+        """Whether every entry can use every upstream."""
+        expected = len(self.sidecars)
+        return all(
+            sum(peer.usable for peer in entry.node.world.peers.list_by_role("sidecar"))
+            == expected
+            for entry in self.entries
+        )
+
+
+def start_deployment(reactor: Any) -> Deployment:
+    """Starts all parts on free ports of loopback."""
+    platform = make_platform(reactor, Random())
+    listener = serve_resource(reactor, platform.resource, LOOPBACK, FREE_PORT)
+    deployment = Deployment(
+        reactor=reactor,
+        platform=platform,
+        platform_url=listener.address,
+        credentials={
+            name: token_hex(CREDENTIAL_BYTES) for name in ("rochebrune", "naulakko")
+        },
+        operator_credential=token_hex(CREDENTIAL_BYTES),
+    )
+    deployment.standins.append(listener)
+    for shape in ENGINES:
+        _start_engine(deployment, shape)
+    _start_service(deployment)
+    for number in range(ENTRIES):
+        _start_entry(deployment, f"entry-{number + 1}")
+    return deployment
+
+
+def _start_engine(deployment: Deployment, shape: EngineShape) -> None:
+    settings = EngineSettings(name=shape.name, version=shape.version, role=shape.role)
+    engine = make_engine(deployment.reactor, settings, Random())
+    listener = serve_resource(deployment.reactor, engine.resource, LOOPBACK, FREE_PORT)
+    deployment.standins.append(listener)
+    upstream = UpstreamSettings(
+        kind="engine",
+        name=shape.name,
+        base_url=listener.address,
+        checks_fencing=True,
+        capacity=settings.max_batch,
+    )
+    _start_sidecar(deployment, upstream)
+
+
+def _start_service(deployment: Deployment) -> None:
+    settings = ServiceSettings(name=SERVICE)
+    service = make_service(deployment.reactor, Random(), settings)
+    listener = serve_resource(deployment.reactor, service.resource, LOOPBACK, FREE_PORT)
+    deployment.standins.append(listener)
+    upstream = UpstreamSettings("service", SERVICE, listener.address)
+    _start_sidecar(deployment, upstream)
+
+
+def _start_sidecar(deployment: Deployment, upstream: UpstreamSettings) -> None:
+    settings = SidecarSettings(
+        name=f"sidecar-{upstream.name}",
+        data_centre="local",
+        address=LOOPBACK,
+        link_port=FREE_PORT,
+        operator_port=FREE_PORT,
+        platform=PlatformSettings(deployment.platform_url),
+        upstream=upstream,
+    )
+    daemon = make_sidecar(deployment.reactor, settings, deployment.note_stopped)
+    deployment.sidecars.append(daemon)
+    _register(deployment, daemon)
+
+
+def _start_entry(deployment: Deployment, name: str) -> None:
+    secrets = deployment.credentials
+    credentials = CredentialSettings(
+        callers={name: make_secret(value) for name, value in secrets.items()},
+        operators=(make_secret(deployment.operator_credential),),
+    )
+    settings = EntrySettings(
+        name=name,
+        data_centre="local",
+        address=LOOPBACK,
+        caller_port=FREE_PORT,
+        operator_port=FREE_PORT,
+        link_port=FREE_PORT,
+        platform=PlatformSettings(deployment.platform_url),
+        credentials=credentials,
+        peers=tuple(_describe(daemon) for daemon in deployment.sidecars),
+    )
+    daemon = make_entry(deployment.reactor, settings, deployment.note_stopped)
+    deployment.entries.append(daemon)
+    caller_port, operator_port = (item.getHost().port for item in daemon.listeners)
+    deployment.entry_urls.append(f"http://{LOOPBACK}:{caller_port}")
+    deployment.operator_urls.append(f"http://{LOOPBACK}:{operator_port}")
+    _register(deployment, daemon)
+
+
+def _describe(daemon: Daemon) -> PeerSettings:
+    identity = daemon.identity
+    return PeerSettings(
+        name=identity.name,
+        role="sidecar",
+        address=LOOPBACK,
+        link_port=daemon.link_port,
+        data_centre=identity.data_centre,
+    )
+
+
+def _register(deployment: Deployment, daemon: Daemon) -> None:
+    identity = daemon.identity
+    address = f"{LOOPBACK}:{daemon.link_port}"
+    instance = Instance(identity.name, identity.role, address, identity.data_centre)
+    deployment.platform.instances.put_instance(instance)
+
+
+def print_addresses(deployment: Deployment) -> None:
+    """Prints the addresses and a curl line that works as it stands."""
+    for url in deployment.entry_urls:
+        print(f"entry:     {url}")
+    for url in deployment.operator_urls:
+        print(f"operators: {url}")
+    print(f"operator credential: {deployment.operator_credential}")
+    for workspace, credential in deployment.credentials.items():
+        print(f"{workspace} credential: {credential}")
+    credential = deployment.credentials["rochebrune"]
+    print(
+        f"curl -N {deployment.entry_urls[0]}/v1/completions"
+        f" -H 'Authorization: Bearer {credential}'"
+        " -H 'Content-Type: application/json'"
+        ' -d \'{"model": "drafts", "prompt": "List the hounds.",'
+        ' "max_tokens": 50, "stream": true}\'',
+        flush=True,
+    )
+
+
+def run_development(duration_s: float | None = None) -> None:
+    """Serves until interrupted, or for `duration_s` seconds, then drains."""
+    from twisted.internet import reactor
+
+    configure_logging("dev", LogSettings().level)
+
+    def start() -> list[Daemon]:
+        deployment = start_deployment(reactor)
+        _print_when_ready(deployment)
+        daemons = [*deployment.entries, *deployment.sidecars]
+        if duration_s is not None:
+            _leave_after(reactor, daemons, duration_s)
+        return daemons
+
+    run_until_stopped(reactor, start)
+
+
+def _print_when_ready(deployment: Deployment) -> None:
+    if deployment.is_ready():
+        print_addresses(deployment)
+    else:
+        deployment.reactor.callLater(READY_POLL_S, _print_when_ready, deployment)
+
+
+def _leave_after(reactor: Any, daemons: list[Daemon], seconds: float) -> None:
+    for daemon in daemons:
+        reactor.callLater(seconds, daemon.leave, "time is over")
--- a/src/magnoliahold/entry/daemon.py
+++ b/src/magnoliahold/entry/daemon.py
@@ -14,6 +14,11 @@
     stop_reactor,
 )
 from magnoliahold.entry.nodes import make_entry_node
+from magnoliahold.entry.operators import (
+    OperatorRequests,
+    OperatorSite,
+    add_operator_resources,
+)
 from magnoliahold.entry.requests import BoundedSite
 from magnoliahold.entry.resources import CallerSite, make_caller_resource
 from magnoliahold.entry.responders import OpenRequests
@@ -35,16 +40,18 @@
     """Builds an entry that listens on the ports of its settings."""
     identity = make_identity(settings.name, "entry", settings.data_centre)
     open_requests = OpenRequests()
+    operator_requests = OperatorRequests()
 
     def make_node(ports: Ports) -> Node:
         ports.callers = open_requests
+        ports.operators = operator_requests
         return make_entry_node(reactor, identity, ports, Random(), settings.policy)
 
     daemon = make_daemon(reactor, identity, settings, make_node, on_stopped)
     daemon.start_links(settings.address, settings.link_port)
     daemon.add_peers(settings.peers)
     _serve_callers(daemon, settings, open_requests)
-    _serve_operators(daemon, settings)
+    _serve_operators(daemon, settings, operator_requests)
     return daemon
 
 
@@ -64,9 +71,18 @@
     daemon.add_listener(site, settings.address, settings.caller_port)
 
 
-def _serve_operators(daemon: Daemon, settings: EntrySettings) -> None:
+def _serve_operators(
+    daemon: Daemon, settings: EntrySettings, open_requests: OperatorRequests
+) -> None:
     root = Resource()
     world = daemon.node.world
+    operator_site = OperatorSite(
+        credentials=settings.credentials,
+        open_requests=open_requests,
+        post=daemon.node.post_event,
+        make_request_id=lambda: world.make_id("operation"),
+    )
+    add_operator_resources(root, operator_site)
     add_health_resources(root, daemon.metrics, lambda: find_obstacle(world))
     site = BoundedSite(root, settings.limits.max_body_bytes, daemon.reactor)
     daemon.add_listener(site, settings.address, settings.operator_port)
--- a/src/magnoliahold/entry/performers.py
+++ b/src/magnoliahold/entry/performers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core import effects
+from magnoliahold.core import administration, effects
 from magnoliahold.node import perform_effect
 
 if TYPE_CHECKING:
@@ -29,3 +29,8 @@
 @perform_effect.register(effects.AnswerCall)
 def _answer_call(effect: effects.AnswerCall, node: Node) -> None:
     node.ports.callers.answer_call(effect)
+
+
+@perform_effect.register(administration.AnswerOperator)
+def _answer_operator(effect: administration.AnswerOperator, node: Node) -> None:
+    node.ports.operators.answer_operator(effect)
--- a/src/magnoliahold/entry/ports.py
+++ b/src/magnoliahold/entry/ports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from magnoliahold.core import effects
+    from magnoliahold.core import administration, effects
 
 
 class CallerPort(Protocol):
@@ -22,3 +22,10 @@
 
     def answer_call(self, effect: effects.AnswerCall) -> None:
         """Gives a caller the answer of a plain service."""
+
+
+class OperatorPort(Protocol):
+    """The open requests of operators; unknown request ids are ignored."""
+
+    def answer_operator(self, effect: administration.AnswerOperator) -> None:
+        """Gives an operator the final answer."""
--- a/src/magnoliahold/settings/credentials.py
+++ b/src/magnoliahold/settings/credentials.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import hmac
+from secrets import token_bytes
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from attrs import field, frozen
@@ -22,6 +24,7 @@
     from pathlib import Path
 
 FILE_MARK = "file:"
+INDEX_KEY_BYTES = 32
 MIN_CREDENTIAL_CHARACTERS = 8
 MAX_CREDENTIAL_CHARACTERS = 4096
 
@@ -74,19 +77,38 @@
         Relation(("callers", "operators"), require_different_secrets),
     )
 
+    _index: dict[bytes, str] = field(init=False, repr=False, eq=False)
+    _index_key: bytes = field(init=False, repr=False, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        key = token_bytes(INDEX_KEY_BYTES)
+        callers = self.callers.items()
+        index = {digest_credential(key, item.value): name for name, item in callers}
+        object.__setattr__(self, "_index_key", key)
+        object.__setattr__(self, "_index", index)
+
     def find_workspace(self, candidate: str) -> str | None:
-        """Finds the workspace of a caller's credential, looking at every one."""
-        found = None
-        for workspace, secret in self.callers.items():
-            if secret.matches(candidate):
-                found = workspace
-        return found
+        """Finds the workspace of a caller's credential.
+
+        The look-up is by a digest with a secret key, so that its time tells nothing
+        about the credentials and does not grow with their number.
+        """
+        workspace = self._index.get(digest_credential(self._index_key, candidate))
+        if workspace is None or not self.callers[workspace].matches(candidate):
+            return None
+        return workspace
 
     def is_operator(self, candidate: str) -> bool:
         """Tells whether a credential is an operator's, looking at every one."""
         return sum(secret.matches(candidate) for secret in self.operators) > 0
 
 
+def digest_credential(key: bytes, credential: str) -> bytes:
+    """Digests a credential with a secret key."""
+    content = credential.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(content, key=key).digest()
+
+
 def make_secret_hook(base_directory: Path) -> Any:
     """Makes the hook that structures `Secret` from a value or `file:PATH`.
 
