Commit workspace rows by compare-and-set and spread them between entries

Templates had no way into force. One row per workspace holds the template and the state of its moves; a transaction writes it with a change-log row under a condition on the row and on the head. Lost answers are settled by reading the apply id back, losers of a race are told the winner's version. Entries push rows, pull them from any entry ahead of them and poll the head.

--- a/src/magnoliahold/core/entry.py
+++ b/src/magnoliahold/core/entry.py
@@ -7,10 +7,13 @@
 from magnoliahold.core.systems import (
     admission,
     calls,
+    configuration,
     membership,
+    operators,
     relay,
     resumption,
     routing,
+    spread,
 )
 
 if TYPE_CHECKING:
@@ -21,6 +24,12 @@
     membership.receive_heartbeats,
     membership.list_instances,
     membership.judge_links,
+    spread.receive_configurations,
+    configuration.settle_commits,
+    configuration.queue_applies,
+    configuration.start_commit,
+    spread.follow_head,
+    operators.answer_operators,
     relay.relay_tokens,
     relay.follow_callers,
     resumption.resume_failed,
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -53,12 +53,39 @@
 
 @frozen
 class CallPolicy:
-    """Calls of plain services."""
+    """Calls of plain services.
+
+    A sidecar keeps the answer of a run for `answer_kept_s` and the fact that it ran
+    for `run_kept_s`. A retry costs one of the tokens that each call adds
+    `retry_share` to, up to `retry_burst`.
+    """
 
     start_expires_s: float = _seconds(2.0)
     answer_patience_s: float = _seconds(8.0)
-    verdict_patience_s: float = _seconds(1.0)
+    unreachable_patience_s: float = _seconds(3.0)
+    inquiry_s: float = _seconds(1.0)
+    repeat_after_s: float = _seconds(1.5)
+    max_attempts: int = _count(3)
+    retry_share: float = field(default=0.2, validator=gt(0))
+    retry_burst: int = _count(20)
     answer_kept_s: float = _seconds(60.0)
+    run_kept_s: float = _seconds(3600.0)
+    run_limit_s: float = _seconds(120.0)
+
+
+@frozen
+class ClaimPolicy:
+    """Claims of idempotency keys in the table service."""
+
+    patience_s: float = _seconds(1.0)
+    resend_s: float = _seconds(0.25)
+    grace_s: float = _seconds(0.5)
+    retry_after_s: float = _seconds(1.0)
+    max_per_transaction: int = _count(64)
+    max_result_bytes: int = _count(32_768)
+    max_unwritten_results: int = _count(4_096)
+    kept_epochs: int = _count(24)
+    epoch_s: float = _seconds(3600.0)
 
 
 @frozen
@@ -78,6 +105,27 @@
     drain_limit_s: float = _seconds(900.0)
 
 
+@frozen
+class ConfigurationPolicy:
+    """Commits of workspace rows and their spread between entries.
+
+    Each entry polls the head at `poll_s`, or more rarely so that all entries together
+    read it at most `poll_reads_per_s` times a second.
+    """
+
+    apply_patience_s: float = _seconds(8.0)
+    retry_min_s: float = _seconds(0.01)
+    retry_max_s: float = _seconds(0.3)
+    settle_interval_s: float = _seconds(0.25)
+    poll_s: float = _seconds(1.0)
+    poll_reads_per_s: float = _seconds(20.0)
+    pull_delay_s: float = _seconds(0.3)
+    pull_interval_s: float = _seconds(0.5)
+    push_rows: int = _count(200)
+    scan_rows: int = _count(500)
+    status_patience_s: float = _seconds(1.0)
+
+
 @frozen
 class Policy:
     """All limits and intervals of one process."""
@@ -87,5 +135,7 @@
     streams: StreamPolicy = field(factory=StreamPolicy)
     admission: AdmissionPolicy = field(factory=AdmissionPolicy)
     calls: CallPolicy = field(factory=CallPolicy)
+    claims: ClaimPolicy = field(factory=ClaimPolicy)
     quarantine: QuarantinePolicy = field(factory=QuarantinePolicy)
     drain: DrainPolicy = field(factory=DrainPolicy)
+    configuration: ConfigurationPolicy = field(factory=ConfigurationPolicy)
--- a/src/magnoliahold/core/sidecar.py
+++ b/src/magnoliahold/core/sidecar.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.systems import membership, runs, streams, upstreams
+from magnoliahold.core.systems import membership, runs, spread, streams, upstreams
 
 if TYPE_CHECKING:
     from magnoliahold.core.ticks import System
@@ -12,12 +12,15 @@
 
 SIDECAR_SYSTEMS: tuple[System[SidecarWorld], ...] = (
     membership.receive_heartbeats,
+    spread.note_heads,
     streams.collect_tokens,
     upstreams.note_probes,
     upstreams.probe_upstream,
     streams.start_streams,
     streams.cancel_streams,
     streams.apply_acks,
-    runs.start_runs,
     runs.finish_runs,
+    runs.start_runs,
+    runs.fence_runs,
+    runs.expire_runs,
 )
--- /dev/null
+++ b/src/magnoliahold/core/systems/configuration.py
@@ -0,0 +1,298 @@
+"""Commits workspace rows: applied templates and steps of moves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from magnoliahold.core.administration import (
+    AnswerOperator,
+    ApplyDocument,
+    TemplateApplied,
+    make_error,
+)
+from magnoliahold.core.configuration import (
+    APPLIES_KEPT,
+    HEAD,
+    HEAD_KEY,
+    WORKSPACES,
+    Commit,
+    compile_workspace,
+    decode_row,
+    make_conditions,
+    make_writes,
+)
+from magnoliahold.core.effects import CountMetric, ReadRow, Transact
+from magnoliahold.core.events import RowsRead, TransactionFinished
+from magnoliahold.core.moves import plan_moves
+from magnoliahold.core.systems.spread import install_row, push_row
+from magnoliahold.errors import SettingsError
+from magnoliahold.wire.messages import ApplyNote, WorkspaceRow
+
+if TYPE_CHECKING:
+    from magnoliahold.core.configuration import MoveStep
+    from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.platform.interfaces import Row
+
+
+def queue_applies(world: EntryWorld, now: float) -> None:
+    """Queues the templates that operators apply."""
+    for applied in world.inbox.read_events(TemplateApplied):
+        commit = Commit(applied.workspace, now, applied=applied)
+        try:
+            compile_workspace(WorkspaceRow(applied.workspace, 0, 0, applied.template))
+        except SettingsError as error:
+            answer = make_error(
+                applied.request_id, 400, "bad_template", str(error), error.remedy
+            )
+            world.emit(answer)
+            continue
+        world.configuration.commits.append(commit)
+
+
+def queue_step(world: EntryWorld, workspace: str, step: MoveStep, now: float) -> None:
+    """Queues a step of a move unless one of that move is queued already."""
+    for commit in world.configuration.commits:
+        queued = commit.step
+        same = queued is not None and queued.before.move == step.before.move
+        if same and commit.workspace == workspace:
+            return
+    world.configuration.commits.append(Commit(workspace, now, step=step))
+
+
+def start_commit(world: EntryWorld, now: float) -> None:
+    """Starts the next attempt of the oldest commit; one is under way at a time."""
+    table = world.configuration
+    patience_s = world.policy.configuration.apply_patience_s
+    for commit in list(table.commits):
+        if now - commit.queued_at > patience_s:
+            _give_up(world, commit)
+    while table.commits:
+        commit = table.commits[0]
+        if commit.token or now < commit.retry_at:
+            return
+        if _needs_reading(world, commit):
+            _read_state(world, commit)
+            return
+        if _attempt(world, commit, now):
+            return
+
+
+def _needs_reading(world: EntryWorld, commit: Commit) -> bool:
+    """Tells whether the stored row must be read before the next attempt."""
+    known = commit.workspace in world.workspaces.rows or world.configuration.loaded
+    return commit.unsettled or not known
+
+
+def _read_state(world: EntryWorld, commit: Commit) -> None:
+    commit.token = world.make_id("read")
+    commit.reading = True
+    world.emit(ReadRow(commit.token, WORKSPACES, commit.workspace))
+
+
+def _attempt(world: EntryWorld, commit: Commit, now: float) -> bool:
+    """Sends one attempt; returns false when the commit has ended instead."""
+    row = _make_next_row(world, commit, now)
+    if row is None:
+        world.configuration.commits.remove(commit)
+        return False
+    commit.row = row
+    commit.token = world.make_id("commit")
+    commit.attempts += 1
+    world.emit(Transact(commit.token, make_conditions(row), make_writes(row)))
+    return True
+
+
+def _make_next_row(
+    world: EntryWorld, commit: Commit, now: float
+) -> WorkspaceRow | None:
+    """Builds the row to write, or ends the commit and returns None."""
+    base = world.workspaces.rows.get(commit.workspace)
+    change = world.configuration.store_head + 1
+    if commit.applied is not None:
+        return _make_applied_row(world, commit, commit.applied, base, change, now)
+    if commit.step is None or base is None:
+        return None
+    if commit.step.before not in base.moves:
+        return None
+    moves = tuple(
+        commit.step.after if move == commit.step.before else move for move in base.moves
+    )
+    return evolve(base, change=change, revision=base.revision + 1, moves=moves)
+
+
+def _make_applied_row(
+    world: EntryWorld,
+    commit: Commit,
+    applied: TemplateApplied,
+    base: WorkspaceRow | None,
+    change: int,
+    now: float,
+) -> WorkspaceRow | None:
+    if _answer_repeat(world, applied, base):
+        return None
+    current = base.version if base else 0
+    expected = applied.expected_version
+    if expected is None:
+        expected = current
+        commit.applied = applied = evolve(applied, expected_version=current)
+    if expected != current:
+        _answer_conflict(world, applied, current)
+        return None
+    version = current + 1
+    row = WorkspaceRow(
+        workspace=applied.workspace,
+        version=version,
+        change=change,
+        template=applied.template,
+        revision=base.revision + 1 if base else 1,
+    )
+    before = base.moves if base else ()
+    moves = plan_moves(compile_workspace(row), before, world.wall_clock(now))
+    notes = (base.applies if base else ())[1 - APPLIES_KEPT :]
+    note = ApplyNote(applied.apply_id, version, change)
+    return evolve(row, moves=moves, applies=(*notes, note))
+
+
+def _answer_repeat(
+    world: EntryWorld, applied: TemplateApplied, base: WorkspaceRow | None
+) -> bool:
+    """Answers an apply that took effect before; returns false when it has not."""
+    for note in base.applies if base else ():
+        if note.apply_id == applied.apply_id:
+            _answer_accepted(world, applied, note)
+            return True
+    return False
+
+
+def _answer_accepted(
+    world: EntryWorld, applied: TemplateApplied, note: ApplyNote
+) -> None:
+    document = ApplyDocument(applied.workspace, note.version, note.change)
+    world.emit(AnswerOperator(applied.request_id, 200, document))
+    world.log_decision(
+        "configuration",
+        "Template accepted.",
+        workspace=applied.workspace,
+        version=note.version,
+        change=note.change,
+        apply_id=applied.apply_id,
+    )
+
+
+def _answer_conflict(world: EntryWorld, applied: TemplateApplied, current: int) -> None:
+    message = f"the workspace is at version {current} by another change"
+    remedy = "read it back, merge your change and apply again"
+    answer = make_error(
+        applied.request_id, 409, "version_conflict", message, remedy, current
+    )
+    world.emit(answer)
+    world.log_decision(
+        "configuration",
+        "Template refused, another was first.",
+        workspace=applied.workspace,
+        version=current,
+        apply_id=applied.apply_id,
+    )
+
+
+def _give_up(world: EntryWorld, commit: Commit) -> None:
+    world.configuration.commits.remove(commit)
+    if commit.applied is None:
+        return
+    message = "the table service gave no answer; the template may have been accepted"
+    remedy = "apply again with the same apply id, which is safe"
+    answer = make_error(
+        commit.applied.request_id, 503, "unknown_outcome", message, remedy
+    )
+    world.emit(answer)
+    world.emit(CountMetric("applies_unsettled"))
+
+
+def settle_commits(world: EntryWorld, now: float) -> None:
+    """Takes the outcomes of transactions and of readings after lost answers."""
+    if not world.configuration.commits:
+        return
+    commit = world.configuration.commits[0]
+    for finished in world.inbox.read_events(TransactionFinished):
+        if finished.token == commit.token:
+            _settle(world, commit, finished, now)
+    for read in world.inbox.read_events(RowsRead):
+        if read.token == commit.token:
+            _settle_reading(world, commit, read, now)
+
+
+def _settle(
+    world: EntryWorld, commit: Commit, finished: TransactionFinished, now: float
+) -> None:
+    commit.token = ""
+    outcome = finished.outcome
+    if outcome is None:
+        commit.unsettled = True
+        world.configuration.store_failed_at = now
+        return
+    world.configuration.store_failed_at = None
+    if outcome.committed:
+        _finish(world, commit, now)
+        return
+    for row in outcome.conflicts:
+        install_conflict(world, row, now)
+    policy = world.policy.configuration
+    limit = min(policy.retry_max_s, policy.retry_min_s * 2**commit.attempts)
+    commit.retry_at = now + world.random.uniform(0, limit)
+
+
+def _settle_reading(
+    world: EntryWorld, commit: Commit, read: RowsRead, now: float
+) -> None:
+    commit.token = ""
+    commit.reading = False
+    if read.rows is None:
+        world.configuration.store_failed_at = now
+        commit.unsettled = True
+        commit.retry_at = now + world.policy.configuration.settle_interval_s
+        return
+    world.configuration.store_failed_at = None
+    commit.unsettled = False
+    for row in read.rows:
+        install_conflict(world, row, now)
+    if not read.rows and commit.workspace not in world.workspaces.rows:
+        world.configuration.loaded = True
+
+
+def install_conflict(world: EntryWorld, row: Row, now: float) -> None:
+    """Learns from a stored row that differs from what this entry knew."""
+    if row.table == WORKSPACES:
+        install_row(world, decode_row(row), now)
+    elif row.table == HEAD and row.key == HEAD_KEY:
+        table = world.configuration
+        table.store_head = max(table.store_head, row.version)
+        table.head_seen = max(table.head_seen, row.version)
+
+
+def _finish(world: EntryWorld, commit: Commit, now: float) -> None:
+    world.configuration.commits.remove(commit)
+    row = commit.row
+    if row is None:
+        return
+    install_row(world, row, now)
+    push_row(world, row)
+    if commit.applied is not None:
+        _answer_accepted(world, commit.applied, row.applies[-1])
+    elif commit.step is not None:
+        _log_step(world, commit.step)
+
+
+def _log_step(world: EntryWorld, step: MoveStep) -> None:
+    after = step.after
+    world.log_decision(
+        "moves",
+        "Move advanced.",
+        move=after.move,
+        state=after.state,
+        stage=after.stage,
+        share=after.share,
+        reason=after.reason,
+    )
+    world.emit(CountMetric("move_steps", 1, {"state": after.state}))
--- /dev/null
+++ b/src/magnoliahold/core/systems/spread.py
@@ -0,0 +1,232 @@
+"""Spreads accepted workspace rows to every process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.configuration import (
+    CHANGES,
+    HEAD,
+    HEAD_KEY,
+    WORKSPACES,
+    compile_workspace,
+    decode_row,
+    make_change_key,
+)
+from magnoliahold.core.effects import CountMetric, ReadRow, ScanRows, SendMessage
+from magnoliahold.core.events import RowsRead
+from magnoliahold.wire.messages import (
+    ConfigurationPull,
+    ConfigurationPush,
+    Heartbeat,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import EntryWorld, SidecarWorld
+    from magnoliahold.wire.messages import WorkspaceRow
+
+
+def install_row(world: EntryWorld, row: WorkspaceRow, now: float) -> bool:
+    """Puts a row in force unless a newer one is; returns whether it did."""
+    table = world.workspaces
+    seen = world.configuration
+    seen.store_head = max(seen.store_head, row.change)
+    seen.head_seen = max(seen.head_seen, row.change)
+    known = table.rows.get(row.workspace)
+    if row.change > table.head:
+        table.ahead.add(row.change)
+    if known is not None and known.change >= row.change:
+        table.raise_head(table.head)
+        return False
+    if known is None or known.version != row.version:
+        table.in_force_since[row.workspace] = now
+    table.rows[row.workspace] = row
+    table.workspaces[row.workspace] = compile_workspace(row)
+    table.raise_head(table.head)
+    return True
+
+
+def push_row(world: EntryWorld, row: WorkspaceRow) -> None:
+    """Sends a row that was just committed to every entry."""
+    push = ConfigurationPush((row,), row.change, row.change - 1)
+    for peer in world.peers.list_by_role("entry"):
+        world.emit(SendMessage(peer.name, push))
+
+
+def receive_configurations(world: EntryWorld, now: float) -> None:
+    """Takes pushed rows and answers peers that ask for rows."""
+    for pushed in world.inbox.read_messages(ConfigurationPush):
+        message = pushed.message
+        for row in message.rows:
+            install_row(world, row, now)
+        if message.after_change <= world.workspaces.head:
+            world.workspaces.raise_head(message.head)
+            world.configuration.pull_at = -1_000.0
+        _note_head(world, message.head)
+    for pulled in world.inbox.read_messages(ConfigurationPull):
+        _answer_pull(world, pulled.sender.name, pulled.message.after_change)
+    for heartbeat in world.inbox.read_messages(Heartbeat):
+        _note_head(world, heartbeat.message.configuration_head)
+
+
+def _note_head(world: EntryWorld, head: int) -> None:
+    table = world.configuration
+    table.head_seen = max(table.head_seen, head)
+
+
+def _answer_pull(world: EntryWorld, receiver: str, after_change: int) -> None:
+    """Sends the next rows in order of change; the peer asks on for more."""
+    head = world.workspaces.head
+    rows = [
+        row
+        for row in world.workspaces.rows.values()
+        if after_change < row.change <= head
+    ]
+    rows.sort(key=lambda row: row.change)
+    limit = world.policy.configuration.push_rows
+    chunk = tuple(rows[:limit])
+    complete_to = head if len(rows) <= limit else chunk[-1].change
+    if complete_to > after_change:
+        push = ConfigurationPush(chunk, complete_to, after_change)
+        world.emit(SendMessage(receiver, push))
+
+
+def note_heads(world: SidecarWorld, now: float) -> None:
+    """Keeps the highest head that any entry told, to pass it on."""
+    for received in world.inbox.read_messages(Heartbeat):
+        head = received.message.configuration_head
+        world.workspaces.head = max(world.workspaces.head, head)
+
+
+def follow_head(world: EntryWorld, now: float) -> None:
+    """Brings this entry up to the newest head from peers or from the store."""
+    _take_rows(world, now)
+    _pull_from_peer(world, now)
+    _poll_head(world, now)
+
+
+def _pull_from_peer(world: EntryWorld, now: float) -> None:
+    table = world.configuration
+    policy = world.policy.configuration
+    if table.head_seen <= world.workspaces.head:
+        table.behind_since = None
+        return
+    if table.behind_since is None:
+        table.behind_since = now
+    if now - table.behind_since < policy.pull_delay_s:
+        return
+    if now - table.pull_at < policy.pull_interval_s:
+        return
+    ahead = _list_ahead(world)
+    if not ahead:
+        return
+    table.pull_at = now
+    peer = world.random.choice(ahead)
+    pull = ConfigurationPull(world.workspaces.head)
+    world.emit(SendMessage(peer.name, pull))
+
+
+def _list_ahead(world: EntryWorld) -> list[Peer]:
+    return [
+        peer
+        for peer in world.peers.list_by_role("entry")
+        if not peer.lost and peer.configuration_head > world.workspaces.head
+    ]
+
+
+def _poll_head(world: EntryWorld, now: float) -> None:
+    """Reads the head row at intervals, or at once to load everything at start."""
+    table = world.configuration
+    if table.poll_token or table.scan_token or now < table.next_poll_at:
+        return
+    table.next_poll_at = now + find_poll_interval(world) * world.random.uniform(
+        0.7, 1.3
+    )
+    table.poll_token = world.make_id("poll")
+    world.emit(ReadRow(table.poll_token, HEAD, HEAD_KEY))
+
+
+def find_poll_interval(world: EntryWorld) -> float:
+    """Finds the interval that keeps the store's reads of all entries bounded."""
+    policy = world.policy.configuration
+    entries = 1 + len(world.peers.list_by_role("entry"))
+    return max(policy.poll_s, entries / policy.poll_reads_per_s)
+
+
+def _take_rows(world: EntryWorld, now: float) -> None:
+    table = world.configuration
+    for read in world.inbox.read_events(RowsRead):
+        if read.token and read.token == table.poll_token:
+            table.poll_token = ""
+            _take_head(world, read, now)
+        elif read.token and read.token == table.scan_token:
+            table.scan_token = ""
+            _take_scan(world, read, now)
+
+
+def _take_head(world: EntryWorld, read: RowsRead, now: float) -> None:
+    table = world.configuration
+    if read.rows is None:
+        table.store_failed_at = now
+        return
+    table.store_failed_at = None
+    head = read.rows[0].version if read.rows else 0
+    table.store_head = max(table.store_head, head)
+    _note_head(world, head)
+    if head <= world.workspaces.head:
+        table.loaded = True
+        return
+    if table.loaded or world.workspaces.head:
+        _scan(world, CHANGES, make_change_key(world.workspaces.head))
+    else:
+        table.load_head = head
+        _scan(world, WORKSPACES, "")
+
+
+def _scan(world: EntryWorld, name: str, after: str) -> None:
+    table = world.configuration
+    table.scan_token = world.make_id("scan")
+    table.scan_table = name
+    table.scan_after = after
+    limit = world.policy.configuration.scan_rows
+    world.emit(ScanRows(table.scan_token, name, after, limit))
+
+
+def _take_scan(world: EntryWorld, read: RowsRead, now: float) -> None:
+    if read.rows is None:
+        world.configuration.store_failed_at = now
+        return
+    rows = [decode_row(row) for row in read.rows]
+    if world.configuration.scan_table == CHANGES:
+        _take_changes(world, rows, now)
+        return
+    for row in rows:
+        install_row(world, row, now)
+    if len(rows) < world.policy.configuration.scan_rows:
+        _finish_load(world)
+    else:
+        _scan(world, WORKSPACES, read.rows[-1].key)
+
+
+def _take_changes(world: EntryWorld, rows: list[WorkspaceRow], now: float) -> None:
+    """Takes the next changes of the log, or loads all after a gap in it."""
+    if rows and rows[0].change > world.workspaces.head + 1:
+        world.emit(CountMetric("change_log_gaps"))
+        world.configuration.load_head = world.configuration.store_head
+        _scan(world, WORKSPACES, "")
+        return
+    for row in rows:
+        install_row(world, row, now)
+        world.workspaces.raise_head(row.change)
+    world.configuration.loaded = True
+    if len(rows) == world.policy.configuration.scan_rows:
+        _scan(world, CHANGES, make_change_key(world.workspaces.head))
+
+
+def _finish_load(world: EntryWorld) -> None:
+    table = world.configuration
+    if table.load_head is not None:
+        world.workspaces.raise_head(table.load_head)
+    table.load_head = None
+    table.loaded = True
--- a/src/magnoliahold/core/workspaces.py
+++ b/src/magnoliahold/core/workspaces.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from attrs import define, field, frozen
 
+if TYPE_CHECKING:
+    from magnoliahold.wire.messages import MoveRow, WorkspaceRow
+
 
 @frozen
 class VersionShare:
@@ -68,19 +73,23 @@
     works: dict[str, WorkRule]
     services: dict[str, ServiceRule]
     fencing_checked: dict[str, bool] = field(factory=dict)
+    moves: tuple[MoveRow, ...] = ()
 
 
 @define
 class WorkspaceTable:
     """Configurations in force; versions only rise.
 
-    `head` is the change-log number up to which every change is known here, and
-    `rows` the accepted rows, kept so that neighbours can be brought up.
+    `head` is the change-log number up to which every change is known here. `rows`
+    holds the accepted rows, kept so that neighbours can be brought up, and `ahead` the
+    changes above the head that are known already.
     """
 
     workspaces: dict[str, Workspace] = field(factory=dict)
     in_force_since: dict[str, float] = field(factory=dict)
     head: int = 0
+    rows: dict[str, WorkspaceRow] = field(factory=dict)
+    ahead: set[int] = field(factory=set)
 
     def find_work(self, workspace: str, work: str) -> WorkRule | None:
         """Finds a work of a workspace, or None when either is unknown."""
@@ -91,3 +100,10 @@
         """Finds a service of a workspace, or None when either is unknown."""
         found = self.workspaces.get(workspace)
         return found.services.get(service) if found else None
+
+    def raise_head(self, head: int) -> None:
+        """Moves the head on to `head`, and over the changes known beyond it."""
+        self.head = max(self.head, head)
+        while self.head + 1 in self.ahead:
+            self.head += 1
+        self.ahead = {change for change in self.ahead if change > self.head}
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from magnoliahold.core.calls import CallTable
+from magnoliahold.core.configuration import ConfigurationTable
 from magnoliahold.core.effects import LogDecision
 from magnoliahold.core.events import Inbox
 from magnoliahold.core.generations import GenerationTable
@@ -17,6 +18,7 @@
 from magnoliahold.core.workspaces import WorkspaceTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from magnoliahold.core.effects import FieldValue
@@ -41,6 +43,7 @@
     workspaces: WorkspaceTable = field(factory=WorkspaceTable)
     leaving_since: float | None = None
     next_serial: int = 0
+    wall_clock: Callable[[float], float] = float
     breaches: list[str] = field(factory=list)
 
     def emit(self, effect: object) -> None:
@@ -63,6 +66,7 @@
 
     generations: GenerationTable = field(factory=GenerationTable)
     calls: CallTable = field(factory=CallTable)
+    configuration: ConfigurationTable = field(factory=ConfigurationTable)
 
 
 @define(kw_only=True)
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -73,7 +73,10 @@
 
 @define
 class Ports:
-    """What every node acts on; upstream and caller ports are None where unused."""
+    """What every node acts on.
+
+    The ports of upstreams, callers and operators are None where unused.
+    """
 
     links: LinkPort
     tables: TableService
@@ -81,6 +84,7 @@
     journal: Journal
     stop: Callable[[str], None]
     callers: Any = None
+    operators: Any = None
     engine: Any = None
     service: Any = None
 
