Prove the codec and the links over real sockets

Cause: links and codec had no tests. Change: tests of round trips, of frames that are no message (also any bytes), of a link that nobody listens on, of a reset connection, of a replaced link; the command that runs rigs by name.

--- /dev/null
+++ b/src/magnoliahold/measure/commands.py
@@ -0,0 +1,84 @@
+"""Runs a rig by its name and prints the report."""
+
+from __future__ import annotations
+
+import json as json_library
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+from attrs import asdict, frozen
+
+from magnoliahold.errors import UsageError
+from magnoliahold.measure.options import MeasureOptions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+INDENT = "  "
+
+
+@frozen
+class Rig:
+    """A rig: the module of this package and its function, imported when needed."""
+
+    module: str
+    function: str
+
+
+RIGS = {
+    "generations": Rig("generations", "run_generations"),
+    "calls": Rig("calls", "run_calls"),
+    "poison": Rig("poison", "run_poison"),
+    "drain": Rig("drain", "run_drain"),
+    "overload": Rig("overload", "run_overload"),
+    "moves": Rig("moves", "run_moves"),
+    "configuration": Rig("configuration", "run_configuration"),
+    "capacity": Rig("capacity", "run_capacity"),
+    "load": Rig("load", "run_load"),
+}
+
+
+def run_measure(
+    name: str,
+    *,
+    seed: int,
+    runs: int,
+    json: bool,
+    policy: str,
+    faults: float,
+    entries: int | None,
+    workspaces: int | None,
+    url: str | None,
+    seconds: float | None,
+) -> None:
+    """Runs a rig and prints its report; raises UsageError when it is unknown."""
+    rig = RIGS.get(name)
+    if rig is None:
+        names = ", ".join(sorted(RIGS))
+        raise UsageError(f"there is no rig {name!r}; use one of {names}")
+    given: dict[str, Any] = {
+        "entries": entries,
+        "workspaces": workspaces,
+        "url": url,
+        "seconds": seconds,
+    }
+    known = {key: value for key, value in given.items() if value is not None}
+    options = MeasureOptions(
+        seed=seed, runs=runs, policy=policy, faults=faults, **known
+    )
+    module = import_module(f"magnoliahold.measure.{rig.module}")
+    report = asdict(getattr(module, rig.function)(options))
+    if json:
+        print(json_library.dumps(report))
+    else:
+        print("\n".join(format_report(report)))
+
+
+def format_report(report: dict[str, Any], indent: str = "") -> Iterator[str]:
+    """Formats a report as one line a figure, with nested figures indented."""
+    for name, value in report.items():
+        if isinstance(value, dict):
+            yield f"{indent}{name}:"
+            yield from format_report(value, indent + INDENT)
+        else:
+            yield f"{indent}{name}: {value}"
--- /dev/null
+++ b/tests/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the wire package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,119 @@
+"""Tests of links over real sockets of loopback."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import zmq
+from twisted.internet.selectreactor import SelectReactor
+
+from magnoliahold.core.identity import Identity
+from magnoliahold.wire.codec import NO_EXPIRY, Header
+from magnoliahold.wire.links import make_links
+from magnoliahold.wire.messages import CancelStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.wire.links import ZmqLinks
+    from magnoliahold.wire.messages import Message
+
+LOOPBACK = "127.0.0.1"
+DEADLINE_S = 5.0
+LARGE_TOKENS = 2_000
+
+
+class LinkEnd:
+    """The links of one process with what they received."""
+
+    def __init__(self, reactor: SelectReactor, name: str) -> None:
+        self.identity = Identity(name, f"{name}.1", "entry", "dc-1")
+        self.received: list[tuple[str, Message]] = []
+        self.broken: list[str] = []
+        self.links: ZmqLinks = make_links(
+            reactor, self.identity, self._take, self.broken.append
+        )
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Sends a message without expiry."""
+        identity = self.identity
+        header = Header(identity.name, identity.incarnation, 0, "", NO_EXPIRY)
+        return self.links.send_message(peer, message, header)
+
+    def _take(self, header: Header, message: Message) -> None:
+        self.received.append((header.sender, message))
+
+
+class LinkTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reactor = SelectReactor()
+        self.server = LinkEnd(self.reactor, "server")
+        self.client = LinkEnd(self.reactor, "client")
+        self.port = self.server.links.listen(LOOPBACK, 0)
+        self.addCleanup(self.server.links.close_all)
+        self.addCleanup(self.client.links.close_all)
+
+    def run_until(self, condition: Callable[[], bool]) -> bool:
+        """Runs the reactor until the condition holds or the deadline is over."""
+        deadline = time.monotonic() + DEADLINE_S
+        while not condition() and time.monotonic() < deadline:
+            self.reactor.runUntilCurrent()
+            self.reactor.doIteration(0.01)
+        return condition()
+
+    def connect(self) -> None:
+        """Sends until the first message has arrived."""
+        self.client.links.open_link("server", LOOPBACK, self.port)
+        message = CancelStream("hello", 1)
+
+        def try_sending() -> bool:
+            return bool(self.server.received) or not self.client.send("server", message)
+
+        self.run_until(lambda: try_sending() and bool(self.server.received))
+        self.server.received.clear()
+
+    def test_messages_pass_both_ways(self) -> None:
+        self.connect()
+        for number in range(LARGE_TOKENS):
+            self.client.send("server", CancelStream("to-server", number))
+            if number % 100 == 0:
+                self.reactor.doIteration(0)
+                self.run_until(lambda: True)
+        self.assertTrue(self.run_until(lambda: bool(self.server.received)))
+        self.assertTrue(self.server.send("client", CancelStream("to-client", 1)))
+        self.assertTrue(self.run_until(lambda: bool(self.client.received)))
+
+    def test_nothing_is_queued_for_an_unconnected_peer(self) -> None:
+        self.client.links.open_link("server", LOOPBACK, 1)
+        self.assertFalse(self.client.send("server", CancelStream("lost", 1)))
+        self.assertFalse(self.client.send("nobody", CancelStream("lost", 1)))
+
+    def test_broken_messages_are_dropped_and_counted(self) -> None:
+        self.connect()
+        context = zmq.Context()
+        self.addCleanup(context.destroy, linger=0)
+        stranger = context.socket(zmq.DEALER)
+        stranger.connect(f"tcp://{LOOPBACK}:{self.port}")
+        stranger.send_multipart([b"StreamTokens", b"junk", b"junk"])
+        stranger.send(b"junk")
+        links = self.server.links
+        with self.assertLogs("magnoliahold.wire.links", "WARNING"):
+            self.assertTrue(self.run_until(lambda: links.broken_messages == 2))
+        self.client.send("server", CancelStream("after", 1))
+        self.assertTrue(self.run_until(lambda: bool(self.server.received)))
+
+    def test_reset_connection_is_reported(self) -> None:
+        self.connect()
+        self.server.links.close_all()
+        self.assertTrue(self.run_until(lambda: self.client.broken == ["server"]))
+
+    def test_replaced_link_carries_answers(self) -> None:
+        self.connect()
+        self.client.links.replace_link("server")
+        message = CancelStream("again", 2)
+        self.run_until(lambda: self.client.send("server", message))
+        self.assertTrue(self.run_until(lambda: bool(self.server.received)))
+        self.server.send("client", CancelStream("answer", 1))
+        self.assertTrue(self.run_until(lambda: bool(self.client.received)))
