--- a/src/magnoliahold/measure/fakes/callers.py
+++ b/src/magnoliahold/measure/fakes/callers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from magnoliahold.core.effects import (
     AnswerCall,
@@ -45,7 +45,9 @@
     def choose_entry(self) -> str | None:
         """Chooses a live entry by name, or None when there is none."""
 
-    def send_request(self, entry: str, event: object, session: Session) -> str:
+    def send_request(
+        self, entry: str, event: GenerationArrived | CallArrived, session: Session
+    ) -> str:
         """Sends a request to an entry and returns its request id."""
 
     def drop_request(self, entry: str, request_id: str) -> None:
@@ -99,8 +101,10 @@
 class GenerationCaller:
     """Asks for one generation and keeps what it receives.
 
-    Reconnects with the last event id after its entry is lost, and comes back after a
-    refusal that names a time. `token_times` are on the rig's clock.
+    Reconnects after its entry is lost, with the last event id unless `resumes` is
+    false and with the tokens it has unless `sends_prefix` is false. Comes back after a
+    refusal that names a time. `token_times` holds the arrival of each kept token and
+    `progress` the first arrival at each offset, on the rig's clock.
     """
 
     clock: Clock
@@ -108,9 +112,12 @@
     request: GenerationArrived
     reconnect_s: float = 0.2
     max_refusals: int = 50
+    resumes: bool = True
+    sends_prefix: bool = True
     started_at: float = 0.0
     tokens: list[str] = field(factory=list)
     token_times: list[float] = field(factory=list)
+    progress: list[float] = field(factory=list)
     finished_at: float | None = None
     finish_reason: str = ""
     refusals: list[RefuseRequest] = field(factory=list)
@@ -150,6 +157,8 @@
         """Comes back to another entry."""
         if not self.done:
             self.reconnects += 1
+            if not self.resumes:
+                self.last_event = None
             self.clock.callLater(self.reconnect_s, self._send)
 
     def find_break(self) -> int | None:
@@ -157,13 +166,12 @@
         return find_chain_break(self.request.prompt, self.tokens)
 
     def _send(self) -> None:
-        from attrs import evolve
-
         entry = self.door.choose_entry()
         if entry is None:
             self.clock.callLater(self.reconnect_s, self._send)
             return
-        event = evolve(self.request, resume_from=self.last_event)
+        prefix = tuple(self.tokens) if self.last_event and self.sends_prefix else ()
+        event = evolve(self.request, resume_from=self.last_event, prefix=prefix)
         self.entry = entry
         self.request_id = self.door.send_request(entry, event, self)
 
@@ -179,8 +187,12 @@
         now = float(self.clock.seconds())
         self.tokens.extend(effect.tokens)
         self.token_times.extend(now for _ in effect.tokens)
+        fresh = len(self.tokens) - len(self.progress)
+        self.progress.extend(now for _ in range(fresh))
         offset = effect.offset + len(effect.tokens)
-        self.last_event = EventId(effect.lineage, effect.sidecar, offset)
+        self.last_event = EventId(
+            effect.lineage, effect.sidecar, offset, effect.version
+        )
 
     def _lineage(self) -> str:
         return self.last_event.lineage if self.last_event else ""
@@ -191,6 +203,8 @@
             self.gave_up = True
             self.on_done(self)
             return
+        if refusal.code == "stream_lost":
+            self.last_event = None
         self.clock.callLater(refusal.retry_after_s, self._send)
 
     def _end(self) -> None:
--- a/src/magnoliahold/measure/fakes/engine.py
+++ b/src/magnoliahold/measure/fakes/engine.py
@@ -25,6 +25,7 @@
     from magnoliahold.core import effects
 
 ANSWER_DELAY_S = 0.002
+CACHED_OUTPUTS = 256
 
 
 @define(eq=False)
@@ -39,6 +40,20 @@
     slowdown: float = 1.0
 
 
+@define
+class EngineRun:
+    """What the engine computed for one stream, kept for the rig's accounts.
+
+    `prefilled` counts prompt and prefix tokens computed; `tokens` is the stream's own
+    list, which begins with the `prefix` tokens it was given.
+    """
+
+    prompt: str
+    prefix: int
+    prefilled: int
+    tokens: list[str]
+
+
 @define
 class EngineFaults:
     """Faults that rigs ask for.
@@ -58,8 +73,9 @@
 class FakeEngine:
     """Batches streams, one token each per interval, on the rig's clock.
 
-    Counts `prompt_tokens` and `output_tokens` computed; `cached` prefixes of prompts
-    cost no prefill. Events go to `post`, which the rig points at the sidecar's node.
+    Counts `prompt_tokens` and `output_tokens` computed and keeps `runs`; `cached`
+    prompts, and the latest outputs generated here, cost no prefill. Events go to
+    `post`, which the rig points at the sidecar's node.
     """
 
     clock: Clock
@@ -85,6 +101,8 @@
     streams: dict[str, FakeStream] = field(factory=dict)
     waiting: list[effects.StartEngineStream] = field(factory=list)
     cached: set[str] = field(factory=set)
+    cached_outputs: dict[str, list[str]] = field(factory=dict)
+    runs: list[EngineRun] = field(factory=list)
     started_by_version: dict[str, list[float]] = field(factory=dict)
     _ticking: bool = False
 
@@ -108,7 +126,8 @@
             return
         self.waiting.append(effect)
         self.waiting.sort(key=lambda item: item.priority)
-        self._fill_batch()
+        if not self.frozen:
+            self._fill_batch()
         self._start_ticking()
 
     def cancel_stream(self, handle: str) -> None:
@@ -163,6 +182,7 @@
         self.streams.clear()
         self.waiting.clear()
         self.cached.clear()
+        self.cached_outputs.clear()
         for handle in handles:
             self._post_later(StreamBroke(handle, "engine_died"))
 
@@ -183,6 +203,11 @@
         self.frozen = False
         self._start_ticking()
 
+    def drop_streams(self) -> None:
+        """Cancels every stream, as when the sidecar's connections are reset."""
+        self.streams.clear()
+        self.waiting.clear()
+
     def silence_streams(self) -> None:
         """Makes the connections of all running streams silent for good."""
         for stream in self.streams.values():
@@ -228,7 +253,7 @@
 
     def _prefill(self, effect: effects.StartEngineStream) -> None:
         words = len(effect.prompt.split())
-        computed = len(effect.prefix)
+        computed = self._count_uncached(effect)
         if effect.prompt not in self.cached:
             computed += words
         self.cached.add(effect.prompt)
@@ -239,9 +264,27 @@
         ready_at += self.token_interval_s * (slowdown - 1.0)
         stream = FakeStream(effect, list(effect.prefix), ready_at, slowdown=slowdown)
         self.streams[effect.handle] = stream
+        run = EngineRun(effect.prompt, len(effect.prefix), computed, stream.tokens)
+        self.runs.append(run)
+        self._cache_output(stream)
         if any(text in effect.prompt for text in self.faults.poison):
             self.clock.callLater(self.poison_delay_s, self._die_of, effect.handle)
 
+    def _count_uncached(self, effect: effects.StartEngineStream) -> int:
+        """Counts the tokens of a prefix that this engine has not generated itself."""
+        if not effect.prefix:
+            return 0
+        cached = self.cached_outputs.get(effect.prefix[0], [])
+        return max(0, len(effect.prefix) - len(cached))
+
+    def _cache_output(self, stream: FakeStream) -> None:
+        if not stream.tokens:
+            return
+        self.cached_outputs.pop(stream.tokens[0], None)
+        self.cached_outputs[stream.tokens[0]] = stream.tokens
+        if len(self.cached_outputs) > CACHED_OUTPUTS:
+            del self.cached_outputs[next(iter(self.cached_outputs))]
+
     def _die_of(self, handle: str) -> None:
         if handle in self.streams:
             self.kill_engine()
@@ -271,6 +314,8 @@
         if offset < effect.max_tokens:
             stream.tokens.append(self._make_token(stream))
             self.output_tokens += 1
+            if offset == 0:
+                self._cache_output(stream)
         ended = len(stream.tokens) >= effect.max_tokens
         if ended:
             del self.streams[handle]
--- /dev/null
+++ b/src/magnoliahold/measure/fakes/faults.py
@@ -0,0 +1,264 @@
+"""Faults that rigs inject into a fleet, drawn from a seed."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from magnoliahold.measure.fakes.fleet import Fleet
+
+RESTART_S = (2.0, 5.0)
+FREEZE_S = (0.5, 5.0)
+CUT_S = (0.5, 4.0)
+OUTAGE_S = (2.0, 8.0)
+
+
+@frozen
+class Hit:
+    """What a fault has struck: an entry, an upstream, or the link between both."""
+
+    kind: str
+    at: float
+    entry: str = ""
+    upstream: str = ""
+
+
+@frozen
+class KillEngine:
+    """An engine dies and is started again later."""
+
+
+@frozen
+class KillInstance:
+    """An engine and its sidecar die together."""
+
+
+@frozen
+class KillSidecar:
+    """A sidecar dies; its engine cancels the streams of the reset connections."""
+
+
+@frozen
+class KillEntry:
+    """An entry dies and is replaced by one of the same name."""
+
+
+@frozen
+class FreezeEngine:
+    """An engine stops without a sign and goes on later."""
+
+
+@frozen
+class FreezeSidecar:
+    """A sidecar stops without a sign and goes on later."""
+
+
+@frozen
+class FreezeEntry:
+    """An entry stops without a sign and goes on later."""
+
+
+@frozen
+class SilenceEngine:
+    """The connections of an engine's streams go silent for good."""
+
+
+@frozen
+class SilenceLink:
+    """The link between an entry and a sidecar goes silent for good."""
+
+
+@frozen
+class CutLink:
+    """An entry and a sidecar can't reach each other for a while."""
+
+
+@frozen
+class StopStore:
+    """The platform's table service and instance list fail for a while."""
+
+
+@define(eq=False)
+class FaultInjector:
+    """Injects faults at random targets of a fleet and keeps what they hit."""
+
+    fleet: Fleet
+    random: Random
+    hits: list[Hit] = field(factory=list)
+    on_hit: Callable[[Hit], None] = field(default=lambda hit: None)
+
+    def plan_fault(self, at: float, fault: object) -> None:
+        """Injects a fault at a time of the rig's clock."""
+        delay = at - self.fleet.now()
+        self.fleet.clock.callLater(max(0.0, delay), inject_fault, fault, self)
+
+    def choose_upstream(self) -> str | None:
+        """Chooses a busy engine that lives and whose sidecar lives."""
+        processes = self.fleet.network.processes
+        names = [
+            name
+            for name, engine in self.fleet.engines.items()
+            if engine.live
+            and not engine.frozen
+            and f"sidecar-{name}" in processes
+            and not processes[f"sidecar-{name}"].clock.frozen
+        ]
+        busy = [name for name in names if self.fleet.engines[name].streams]
+        return self.random.choice(busy or names) if names else None
+
+    def choose_entry(self) -> str | None:
+        """Chooses a live entry, unless it is the only one."""
+        processes = self.fleet.network.processes
+        names = [
+            name
+            for name in self.fleet.list_entries()
+            if not processes[name].clock.frozen
+        ]
+        return self.random.choice(names) if len(names) > 1 else None
+
+    def note_hit(self, kind: str, entry: str = "", upstream: str = "") -> None:
+        """Notes what a fault has struck now."""
+        hit = Hit(kind, self.fleet.now(), entry, upstream)
+        self.hits.append(hit)
+        self.on_hit(hit)
+
+    def end_later(
+        self, span: tuple[float, float], end: Callable[..., object], *args: object
+    ) -> None:
+        """Ends a fault after a random time."""
+        self.fleet.clock.callLater(self.random.uniform(*span), end, *args)
+
+    def restart_sidecar(self, upstream: str) -> None:
+        """Starts the sidecar of an upstream again."""
+        if f"sidecar-{upstream}" not in self.fleet.network.processes:
+            self.fleet.add_sidecar(upstream)
+
+    def restart_entry(self, name: str) -> None:
+        """Starts an entry again."""
+        if name not in self.fleet.network.processes:
+            self.fleet.add_entry(name)
+
+
+@singledispatch
+def inject_fault(fault: object, injector: FaultInjector) -> None:
+    """Injects one fault at a random target."""
+    raise TypeError(f"no injection for {type(fault).__name__}; register one")
+
+
+@inject_fault.register(KillEngine)
+def _kill_engine(fault: KillEngine, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    engine = injector.fleet.engines[name]
+    injector.note_hit("engine_killed", upstream=name)
+    engine.kill_engine()
+    injector.end_later(RESTART_S, engine.revive_engine)
+
+
+@inject_fault.register(KillInstance)
+def _kill_instance(fault: KillInstance, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    injector.note_hit("instance_killed", upstream=name)
+    injector.fleet.kill_instance(name)
+    injector.end_later(RESTART_S, injector.fleet.engines[name].revive_engine)
+    injector.end_later(RESTART_S, injector.restart_sidecar, name)
+
+
+@inject_fault.register(KillSidecar)
+def _kill_sidecar(fault: KillSidecar, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    injector.note_hit("sidecar_killed", upstream=name)
+    injector.fleet.kill_process(f"sidecar-{name}")
+    injector.end_later(RESTART_S, injector.restart_sidecar, name)
+
+
+@inject_fault.register(KillEntry)
+def _kill_entry(fault: KillEntry, injector: FaultInjector) -> None:
+    name = injector.choose_entry()
+    if name is None:
+        return
+    injector.note_hit("entry_killed", entry=name)
+    injector.fleet.kill_process(name)
+    injector.end_later(RESTART_S, injector.restart_entry, name)
+
+
+@inject_fault.register(FreezeEngine)
+def _freeze_engine(fault: FreezeEngine, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    engine = injector.fleet.engines[name]
+    injector.note_hit("engine_frozen", upstream=name)
+    engine.freeze_engine()
+    injector.end_later(FREEZE_S, engine.thaw_engine)
+
+
+@inject_fault.register(FreezeSidecar)
+def _freeze_sidecar(fault: FreezeSidecar, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    injector.note_hit("sidecar_frozen", upstream=name)
+    injector.fleet.freeze_process(f"sidecar-{name}")
+    injector.end_later(FREEZE_S, injector.fleet.thaw_process, f"sidecar-{name}")
+
+
+@inject_fault.register(FreezeEntry)
+def _freeze_entry(fault: FreezeEntry, injector: FaultInjector) -> None:
+    name = injector.choose_entry()
+    if name is None:
+        return
+    injector.note_hit("entry_frozen", entry=name)
+    injector.fleet.freeze_process(name)
+    injector.end_later(FREEZE_S, injector.fleet.thaw_process, name)
+
+
+@inject_fault.register(SilenceEngine)
+def _silence_engine(fault: SilenceEngine, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    injector.note_hit("engine_silenced", upstream=name)
+    injector.fleet.engines[name].silence_streams()
+
+
+@inject_fault.register(SilenceLink)
+def _silence_link(fault: SilenceLink, injector: FaultInjector) -> None:
+    upstream = injector.choose_upstream()
+    entry = injector.choose_entry()
+    if upstream is None or entry is None:
+        return
+    injector.note_hit("link_silenced", entry, upstream)
+    injector.fleet.network.silence_connection(entry, f"sidecar-{upstream}")
+
+
+@inject_fault.register(CutLink)
+def _cut_link(fault: CutLink, injector: FaultInjector) -> None:
+    upstream = injector.choose_upstream()
+    entry = injector.choose_entry()
+    if upstream is None or entry is None:
+        return
+    injector.note_hit("link_cut", entry, upstream)
+    network = injector.fleet.network
+    sidecar = f"sidecar-{upstream}"
+    network.cut_pair(entry, sidecar)
+    injector.end_later(CUT_S, network.mend_pair, entry, sidecar)
+
+
+@inject_fault.register(StopStore)
+def _stop_store(fault: StopStore, injector: FaultInjector) -> None:
+    platform = injector.fleet.platform
+    platform.outage = True
+    injector.note_hit("store_stopped")
+    injector.end_later(OUTAGE_S, setattr, platform, "outage", False)
--- a/src/magnoliahold/measure/fakes/fleet.py
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -40,6 +40,7 @@
 
 LINK_PORT = 7000
 CLOCK_SPREAD_S = 1_000_000.0
+BALANCER_CHECK_S = 1.0
 
 
 @define
@@ -204,14 +205,25 @@
         self._introduce(name)
 
     def kill_process(self, name: str) -> None:
-        """Kills an entry or sidecar; callers of an entry see a reset."""
+        """Kills an entry or sidecar; all its connections are reset."""
         if name in self.callers:
             self.callers.pop(name).reset_connections()
+        engine = self.engines.get(name.removeprefix("sidecar-"))
+        if engine is not None:
+            engine.drop_streams()
+        self.network.break_links(name)
         self.network.remove_process(name)
 
     def freeze_process(self, name: str) -> None:
-        """Freezes an entry or sidecar, as by SIGSTOP."""
-        self.network.processes[name].clock.freeze_calls()
+        """Freezes an entry or sidecar, as by SIGSTOP.
+
+        The balancer's health check resets the callers' connections of an entry that
+        stays frozen for BALANCER_CHECK_S.
+        """
+        process = self.network.processes[name]
+        process.clock.freeze_calls()
+        if name in self.callers:
+            self.clock.callLater(BALANCER_CHECK_S, self._check_entry, process)
 
     def thaw_process(self, name: str) -> None:
         """Lets a frozen process go on."""
@@ -224,6 +236,15 @@
         self.engines[upstream].kill_engine()
         self.kill_process(f"sidecar-{upstream}")
 
+    def _check_entry(self, process: Process) -> None:
+        if not process.clock.frozen or process.clock.stopped:
+            return
+        port = self.callers[process.name]
+        for request_id, session in port.sessions.items():
+            self._post_to(process.name, CallerGone(request_id))
+            self.clock.callLater(port.delay_s, session.lose_connection)
+        port.sessions.clear()
+
     def _post_to(self, name: str, event: object) -> None:
         process = self.network.processes.get(name)
         if process is not None:
@@ -249,6 +270,9 @@
 
     def _add_peer(self, entry: str, other: str) -> None:
         node = self.find_node(entry)
+        if other in node.world.peers.peers:
+            self.network.open_connection(entry, other)
+            return
         identity = self.find_node(other).world.identity
         peer = Peer(
             name=other,
--- a/src/magnoliahold/measure/fakes/network.py
+++ b/src/magnoliahold/measure/fakes/network.py
@@ -6,6 +6,8 @@
 
 from attrs import define, evolve, field, frozen
 
+from magnoliahold.core.events import LinkBroke
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -83,6 +85,22 @@
         for pair in [pair for pair in self.routes if name in pair]:
             del self.routes[pair]
 
+    def break_links(self, name: str) -> None:
+        """Tells the clients of a process that died that their connection was reset."""
+        for client, server in list(self.connections):
+            process = self.processes.get(client)
+            silent = self.connections[client, server].silent
+            if server != name or process is None or silent:
+                continue
+            if frozenset((client, server)) in self.cut_pairs:
+                continue
+            self.clock.callLater(
+                self.shape.delay_s, self._post_break, process, LinkBroke(name)
+            )
+
+    def _post_break(self, process: Process, event: LinkBroke) -> None:
+        process.clock.run_call(lambda: process.node.post_event(event))
+
     def cut_pair(self, first: str, second: str) -> None:
         """Cuts all messages between two processes."""
         self.cut_pairs.add(frozenset((first, second)))
