--- a/src/magnoliahold/core/calls.py
+++ b/src/magnoliahold/core/calls.py
@@ -8,58 +8,104 @@
 from attrs import define, field
 
 if TYPE_CHECKING:
+    from magnoliahold.core.claims import Claim
     from magnoliahold.core.events import CallArrived
 
 
 class CallState(Enum):
     """Where a call stands.
 
-    CLAIMING waits for the claim row, READY for an upstream, SENT for the answer and
-    FENCING for the verdict of the sidecar it was sent to.
+    CLAIMING waits for its claim row, FOLLOWING for the outcome of another claim of the
+    same key, READY for an upstream and SENT for an answer.
     """
 
     CLAIMING = "claiming"
+    FOLLOWING = "following"
     READY = "ready"
     SENT = "sent"
-    FENCING = "fencing"
+
+
+@define
+class Dispatch:
+    """One run of a call that is, or is to be, handed to a sidecar.
+
+    `expires_at` is on the sidecar's clock; the call must not start after it. `lost`
+    means that the call may have run and that no answer will come.
+    """
+
+    nonce: str
+    sidecar: str
+    incarnation: str
+    expires_at: float
+    sent_at: float = 0.0
+    inquired_at: float = 0.0
+    heard_at: float = 0.0
+    lost: bool = False
+    overdue: bool = False
 
 
 @define
 class Call:
-    """One caller's call; `nonce` names its only run at an upstream."""
+    """One caller's call.
+
+    `target` is the dispatch to be sent next, and `open` holds by nonce those that were
+    sent and may have run. Times are on this process's clock.
+    """
 
     request: CallArrived
-    nonce: str
     arrived_at: float
     repeatable: bool
     state: CallState = CallState.READY
-    sidecar: str = ""
-    sidecar_incarnation: str = ""
-    sent_at: float = 0.0
-    fence_at: float = 0.0
+    target: Dispatch | None = None
+    open: dict[str, Dispatch] = field(factory=dict)
     attempts: int = 0
     excluded: set[str] = field(factory=set)
+    claim: Claim | None = None
+    suspect: bool = False
 
 
 @define
 class CallTable:
-    """Calls by request id and by nonce."""
+    """Calls by request id and by the nonces of their dispatches.
+
+    `retry_tokens` is what the retry budget holds now.
+    """
 
     by_request: dict[str, Call] = field(factory=dict)
     by_nonce: dict[str, Call] = field(factory=dict)
+    retry_tokens: float = 0.0
 
     def add_call(self, call: Call) -> None:
-        """Adds a call under both keys."""
+        """Adds a call that has arrived."""
         self.by_request[call.request.request_id] = call
-        self.by_nonce[call.nonce] = call
 
-    def change_nonce(self, call: Call, nonce: str) -> None:
-        """Gives a call that provably never ran a new nonce for another try."""
-        self.by_nonce.pop(call.nonce, None)
-        call.nonce = nonce
-        self.by_nonce[nonce] = call
+    def open_dispatch(self, call: Call, dispatch: Dispatch) -> None:
+        """Notes that a dispatch is handed to its sidecar."""
+        call.open[dispatch.nonce] = dispatch
+        self.by_nonce[dispatch.nonce] = call
+
+    def close_dispatch(self, call: Call, nonce: str) -> None:
+        """Forgets a dispatch that provably never ran and never will."""
+        del call.open[nonce]
+        del self.by_nonce[nonce]
 
     def remove_call(self, call: Call) -> None:
         """Removes a call that has its final answer."""
         self.by_request.pop(call.request.request_id, None)
-        self.by_nonce.pop(call.nonce, None)
+        for nonce in call.open:
+            del self.by_nonce[nonce]
+
+    def list_in_state(self, state: CallState) -> list[Call]:
+        """Lists the calls in one state in order of arrival."""
+        return [call for call in self.by_request.values() if call.state is state]
+
+    def add_retry_tokens(self, amount: float, limit: float) -> None:
+        """Adds to the retry budget."""
+        self.retry_tokens = min(limit, self.retry_tokens + amount)
+
+    def take_retry_token(self) -> bool:
+        """Takes one retry from the budget; false when it is used up."""
+        if self.retry_tokens < 1.0:
+            return False
+        self.retry_tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/magnoliahold/core/claims.py
@@ -0,0 +1,161 @@
+"""Claims of idempotency keys: rows of the table service and their batches."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import define, evolve, field, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.calls import Call
+    from magnoliahold.core.events import CallArrived
+
+CLAIMS_TABLE = "claims"
+DIGEST_BYTES = 16
+
+
+class ClaimState(Enum):
+    """What a claim row says of its nonce.
+
+    CLAIMED: it may run. ANSWERED: it ran, with the recorded result. NOT_RUN: it never
+    ran and never will. LOST: it may have run, and no answer is known.
+    """
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    LOST = "lost"
+
+
+@frozen
+class ClaimRow:
+    """Value of the row of one idempotency key.
+
+    `expires_at` is on the sidecar's clock: the nonce never starts after it. `digest`
+    names the claimed request. `body` is None when the result is too large to keep.
+    """
+
+    state: ClaimState
+    nonce: str
+    sidecar: str
+    incarnation: str
+    expires_at: float
+    digest: bytes
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
+@define
+class Claim:
+    """One call's work on the row of its key.
+
+    `version` is the row version that the next write builds on. `row` is our own row
+    once it is committed, or the row of another claim that is followed; `rechecked`
+    tells that the followed row was read again. `fenced` holds nonces that will never
+    run.
+    """
+
+    key: str
+    digest: bytes
+    asked_at: float
+    version: int = 0
+    row: ClaimRow | None = None
+    owned: bool = False
+    read_token: str = ""
+    followed_at: float = 0.0
+    inquired_at: float | None = None
+    answered_inquiry: bool = False
+    rechecked: bool = False
+    fenced: set[str] = field(factory=set)
+
+
+@define
+class ClaimBatch:
+    """Claims of one transaction; `rows` are their values by key.
+
+    A transaction without an answer is sent again: a conflict with our own nonce shows
+    that it took effect. `tokens` name all its tries.
+    """
+
+    calls: dict[str, Call]
+    rows: dict[str, ClaimRow]
+    sent_at: float
+    tokens: set[str] = field(factory=set)
+
+
+@define
+class ResultWrite:
+    """A result to be recorded over a claim row of a known version."""
+
+    key: str
+    version: int
+    row: ClaimRow
+    since: float
+
+
+@define
+class ResultBatch:
+    """Results of one transaction."""
+
+    token: str
+    sent_at: float
+    results: dict[str, ResultWrite]
+
+
+@define
+class ClaimTable:
+    """Claims that wait for a transaction, and the transactions in flight.
+
+    `failing` is set while the store gives no answers.
+    """
+
+    pending: deque[Call] = field(factory=deque)
+    flight: ClaimBatch | None = None
+    failing: bool = False
+    results: dict[str, ResultWrite] = field(factory=dict)
+    results_flight: ResultBatch | None = None
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ClaimRow)
+
+
+def encode_claim(row: ClaimRow) -> bytes:
+    """Encodes the value of a claim row."""
+    return _encoder.encode(row)
+
+
+def decode_claim(value: bytes) -> ClaimRow | None:
+    """Decodes the value of a claim row, or returns None when it is malformed."""
+    try:
+        return _decoder.decode(value)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+
+
+def make_claim(request: CallArrived, now: float) -> Claim:
+    """Makes the claim of a request's idempotency key."""
+    key = f"{request.workspace}/{request.idempotency_key}"
+    return Claim(key, digest_request(request), asked_at=now)
+
+
+def digest_request(request: CallArrived) -> bytes:
+    """Digests what must be the same in each repeat of a key."""
+    parts = (request.service, request.method, request.path, request.body)
+    return blake2b(_encoder.encode(parts), digest_size=DIGEST_BYTES).digest()
+
+
+def record_result(
+    row: ClaimRow,
+    state: ClaimState,
+    status: int = 0,
+    headers: tuple[tuple[str, str], ...] = (),
+    body: bytes | None = None,
+) -> ClaimRow:
+    """Builds the row that records the outcome of a claim."""
+    return evolve(row, state=state, status=status, headers=headers, body=body)
--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -56,6 +56,8 @@
     failures: int = 0
     excluded: set[str] = field(factory=set)
     suspect: bool = False
+    runs_as_suspect: bool = False
+    attempt_offset: int = 0
     caller_paused: bool = False
     refused_upstreams: int = 0
 
--- a/src/magnoliahold/core/invariants.py
+++ b/src/magnoliahold/core/invariants.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from itertools import chain, islice
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.runs import RunState
 from magnoliahold.core.worlds import EntryWorld, SidecarWorld
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from magnoliahold.core.calls import CallTable
+    from magnoliahold.core.runs import RunTable
     from magnoliahold.core.worlds import World
 
 
+RECENT_RUNS = 16
+
+
 class InvariantViolated(Exception):  # noqa: N818
     """A check of the tables failed; the process must not act on them."""
 
@@ -27,6 +34,7 @@
 @find_violations.register(EntryWorld)
 def _find_entry_violations(world: EntryWorld) -> Iterator[str]:
     yield from world.breaches
+    yield from _find_call_violations(world.calls)
     for generation in world.generations.by_request.values():
         name = generation.request.request_id
         if generation.delivered > len(generation.tokens):
@@ -47,3 +55,19 @@
             yield f"{name}: sent more tokens than were produced"
         if stream.acked > stream.sent:
             yield f"{name}: more tokens acknowledged than sent"
+    yield from _find_run_violations(world.runs)
+
+
+def _find_run_violations(runs: RunTable) -> Iterator[str]:
+    recent = islice(reversed(runs.ended), RECENT_RUNS)
+    for run in chain(runs.open.values(), recent):
+        if run.handed_over > 1:
+            yield f"{run.nonce}: handed to the upstream more than once"
+        if run.state is RunState.FENCED and run.handed_over:
+            yield f"{run.nonce}: fenced after it was handed to the upstream"
+
+
+def _find_call_violations(calls: CallTable) -> Iterator[str]:
+    for call in calls.by_request.values():
+        if not call.repeatable and len(call.open) > 1:
+            yield f"{call.request.request_id}: sent again while it may still run"
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -90,11 +90,21 @@
 
 @frozen
 class QuarantinePolicy:
-    """Suspicion of requests that crash engines."""
+    """Suspicion of requests that crash their upstreams.
+
+    Two deaths are alike when the second came at most `at_once_tokens` after the start,
+    or when the requests had come equally far but for `alike_tokens` or `alike_share`.
+    """
 
     deaths_to_quarantine: int = _count(2)
+    deaths_without_pattern: int = _count(3)
+    at_once_tokens: int = _count(1)
+    alike_tokens: int = _count(4)
+    alike_share: float = field(default=0.25, validator=gt(0))
+    cleared_after_tokens: int = _count(8)
     quarantine_s: float = _seconds(600.0)
-    cleared_after_tokens: int = _count(32)
+    suspicion_s: float = _seconds(120.0)
+    scan_interval_s: float = _seconds(20.0)
 
 
 @frozen
--- /dev/null
+++ b/src/magnoliahold/core/quarantine.py
@@ -0,0 +1,98 @@
+"""Suspicions that a request crashes the upstreams that run it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+QUARANTINE_TABLE = "quarantine"
+
+
+@frozen
+class Death:
+    """A death of an upstream that a request was part of.
+
+    `produced` is how far the request had come there: tokens of a generation, or
+    twentieths of a second of a call.
+    """
+
+    upstream: str
+    incarnation: str
+    produced: int
+
+
+@define
+class Suspicion:
+    """What is held against one fingerprint; times are on this process's clock.
+
+    `quarantined_until` is None unless the fingerprint is quarantined.
+    """
+
+    fingerprint: str
+    deaths: list[Death] = field(factory=list)
+    noted_at: float = 0.0
+    quarantined_until: float | None = None
+
+
+@frozen
+class QuarantineRow:
+    """Value of the row of a quarantined fingerprint; `until` is wall-clock time."""
+
+    until: float
+
+
+@define
+class SuspicionTable:
+    """Suspicions by fingerprint.
+
+    `seen` holds the deaths that were noted, as upstream and incarnation.
+    """
+
+    by_fingerprint: dict[str, Suspicion] = field(factory=dict)
+    seen: dict[tuple[str, str], float] = field(factory=dict)
+    next_scan_at: float = 0.0
+    scan_token: str = ""
+
+    def find_suspicion(self, fingerprint: str) -> Suspicion:
+        """Finds or makes the suspicion of a fingerprint."""
+        known = self.by_fingerprint.get(fingerprint)
+        if known is None:
+            known = Suspicion(fingerprint)
+            self.by_fingerprint[fingerprint] = known
+        return known
+
+    def clear_suspicion(self, fingerprint: str) -> bool:
+        """Drops a suspicion that is no quarantine; false when there was none."""
+        known = self.by_fingerprint.get(fingerprint)
+        if known is None or known.quarantined_until is not None:
+            return False
+        del self.by_fingerprint[fingerprint]
+        return True
+
+    def list_open(self) -> Iterator[Suspicion]:
+        """Lists suspicions that are no quarantine."""
+        for suspicion in list(self.by_fingerprint.values()):
+            if suspicion.quarantined_until is None:
+                yield suspicion
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(QuarantineRow)
+
+
+def encode_quarantine(row: QuarantineRow) -> bytes:
+    """Encodes the value of a quarantine row."""
+    return _encoder.encode(row)
+
+
+def decode_quarantine(value: bytes) -> QuarantineRow | None:
+    """Decodes the value of a quarantine row, or returns None when it is malformed."""
+    try:
+        return _decoder.decode(value)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
--- a/src/magnoliahold/core/runs.py
+++ b/src/magnoliahold/core/runs.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
 if TYPE_CHECKING:
-    from magnoliahold.wire.messages import CallAnswered, StartCall
+    from magnoliahold.wire.messages import CallAnswered
 
 
 class RunState(Enum):
-    """State of one call at the upstream."""
+    """State of one call at the upstream.
+
+    FENCED never ran and never will. LOST may have run, and its answer is not known.
+    """
 
     RUNNING = "running"
     ANSWERED = "answered"
@@ -22,18 +26,48 @@
 
 @define
 class Run:
-    """One call at this upstream, or a fence that keeps it from ever running."""
+    """One call at this upstream, or a fence that keeps it from ever running.
+
+    `owners` are the entries that wait for its outcome. `handed_over` counts how often
+    the upstream may have seen the call. `answer` is dropped some time after the end.
+    """
 
     nonce: str
-    owner: str
     state: RunState
     started_at: float
-    start: StartCall | None = None
+    owners: list[str] = field(factory=list)
+    fingerprint: str = ""
+    suspect: bool = False
     answer: CallAnswered | None = None
+    ended_at: float | None = None
+    handed_over: int = 0
 
 
 @define
 class RunTable:
-    """Runs and fences by nonce."""
+    """Runs and fences by nonce; `open` holds those that the upstream works on.
+
+    `ended` and `answers` hold ended runs and kept answers in the order of their end,
+    `broken` those that ended without an answer since the last probe.
+    """
 
     by_nonce: dict[str, Run] = field(factory=dict)
+    open: dict[str, Run] = field(factory=dict)
+    ended: deque[Run] = field(factory=deque)
+    answers: deque[Run] = field(factory=deque)
+    broken: list[Run] = field(factory=list)
+
+    def add_run(self, run: Run) -> None:
+        """Adds a run or a fence."""
+        self.by_nonce[run.nonce] = run
+        if run.state is RunState.RUNNING:
+            self.open[run.nonce] = run
+
+    def end_run(self, run: Run, state: RunState, now: float) -> None:
+        """Notes the outcome of a run or the time of a fence."""
+        run.state = state
+        run.ended_at = now
+        self.open.pop(run.nonce, None)
+        self.ended.append(run)
+        if run.answer is not None:
+            self.answers.append(run)
--- a/src/magnoliahold/core/sidecar.py
+++ b/src/magnoliahold/core/sidecar.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.systems import membership, runs, spread, streams, upstreams
+from magnoliahold.core.systems import (
+    deaths,
+    membership,
+    runs,
+    spread,
+    streams,
+    upstreams,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.core.ticks import System
@@ -13,6 +20,7 @@
 SIDECAR_SYSTEMS: tuple[System[SidecarWorld], ...] = (
     membership.receive_heartbeats,
     spread.note_heads,
+    deaths.note_broken_streams,
     streams.collect_tokens,
     upstreams.note_probes,
     upstreams.probe_upstream,
--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -84,6 +84,7 @@
     probe_failures: int = 0
     answered_at: float = 0.0
     checks_fencing: bool = True
+    reported_death: str = "-"
 
 
 @define
--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.effects import RefuseRequest
 from magnoliahold.core.events import GenerationArrived
 from magnoliahold.core.generations import Generation, GenerationState
+from magnoliahold.core.systems.suspects import refuse_quarantined
 
 if TYPE_CHECKING:
     from magnoliahold.core.worlds import EntryWorld
@@ -25,6 +26,8 @@
             )
             world.emit(refusal)
             continue
+        if refuse_quarantined(world, request.request_id, request.fingerprint, now):
+            continue
         generation = Generation(
             request=request,
             lineage=world.make_id("lineage"),
--- a/src/magnoliahold/core/systems/calls.py
+++ b/src/magnoliahold/core/systems/calls.py
@@ -1,4 +1,4 @@
-"""Sends calls of plain services to sidecars and settles their answers."""
+"""Sends calls of plain services to sidecars and settles their outcomes."""
 
 from __future__ import annotations
 
@@ -6,24 +6,35 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.calls import Call, CallState
-from magnoliahold.core.effects import (
-    AnswerCall,
-    RefuseRequest,
-    SendMessage,
+from magnoliahold.core.effects import CountMetric, RefuseRequest, SendMessage
+from magnoliahold.core.events import CallArrived, MessageDropped
+from magnoliahold.core.systems.answers import answer_call, conclude_call
+from magnoliahold.core.systems.claims import claim_again, open_claim
+from magnoliahold.core.systems.dispatch import (
+    aim_call,
+    is_target_usable,
+    release_upstream,
+    send_call,
+)
+from magnoliahold.core.systems.suspects import is_suspect, refuse_quarantined
+from magnoliahold.wire.messages import (
+    CallAnswered,
+    CallFailed,
+    CallVerdict,
+    FenceCall,
+    StartCall,
 )
-from magnoliahold.core.events import CallArrived
-from magnoliahold.wire.messages import CallAnswered, CallFailed, StartCall
 
 if TYPE_CHECKING:
-    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.calls import Dispatch
+    from magnoliahold.core.identity import Sender
     from magnoliahold.core.workspaces import ServiceRule
     from magnoliahold.core.worlds import EntryWorld
 
-RETRY_AFTER_S = 1.0
-
 
 def accept_calls(world: EntryWorld, now: float) -> None:
     """Accepts arrived calls or refuses those of unknown services."""
+    policy = world.policy.calls
     for request in world.inbox.read_events(CallArrived):
         rule = world.workspaces.find_service(request.workspace, request.service)
         if rule is None:
@@ -33,9 +44,15 @@
             )
             world.emit(refusal)
             continue
+        fingerprint = request.fingerprint
+        if refuse_quarantined(world, request.request_id, fingerprint, now):
+            continue
         repeatable = is_repeatable(rule, request.method, request.path)
-        call = Call(request, world.make_id("call"), now, repeatable)
+        call = Call(request, now, repeatable, suspect=is_suspect(world, fingerprint))
         world.calls.add_call(call)
+        world.calls.add_retry_tokens(policy.retry_share, policy.retry_burst)
+        if request.idempotency_key and not repeatable:
+            open_claim(world, call, now)
 
 
 def is_repeatable(rule: ServiceRule, method: str, path: str) -> bool:
@@ -45,109 +62,156 @@
 
 
 def route_calls(world: EntryWorld, now: float) -> None:
-    """Sends every ready call to a sidecar, or refuses it as not run."""
-    for call in list(world.calls.by_request.values()):
-        if call.state is not CallState.READY:
-            continue
-        peer = _choose_service_upstream(world, call)
-        if peer is None:
-            _refuse_not_run(world, call, "no upstream of the service is live")
-        else:
-            _send_call(world, call, peer, now)
+    """Sends every ready call to a sidecar, or ends it when no upstream is live.
+
+    A claimed call goes only to the sidecar that its claim names.
+    """
+    for call in world.calls.list_in_state(CallState.READY):
+        if call.claim is None:
+            aim_call(world, call, now)
+        target = call.target
+        if target is None:
+            conclude_call(world, call, "no upstream of the service is live", now)
+        elif is_target_usable(world, target, now):
+            send_call(world, call, target, now)
+        elif call.claim is not None:
+            claim_again(world, call, call.claim, now)
 
 
-def _choose_service_upstream(world: EntryWorld, call: Call) -> Peer | None:
-    request = call.request
-    rule = world.workspaces.find_service(request.workspace, request.service)
-    if rule is None:
+def settle_calls(world: EntryWorld, now: float) -> None:
+    """Acts on what sidecars report of the dispatches of our calls."""
+    for answered in world.inbox.read_messages(CallAnswered):
+        found = _find_dispatch(world, answered.message.nonce, answered.sender)
+        if found is not None:
+            answer_call(world, found[0], answered.message, now)
+    for failed in world.inbox.read_messages(CallFailed):
+        found = _find_dispatch(world, failed.message.nonce, failed.sender)
+        if found is not None and failed.message.not_run:
+            _settle_not_run(world, *found, failed.message.reason, now)
+        elif found is not None:
+            _settle_lost(world, *found, failed.message.reason, now)
+    for told in world.inbox.read_messages(CallVerdict):
+        found = _find_dispatch(world, told.message.nonce, told.sender)
+        if found is not None:
+            _settle_verdict(world, *found, told.message.verdict, now)
+    _settle_dropped(world, now)
+
+
+def _find_dispatch(
+    world: EntryWorld, nonce: str, sender: Sender
+) -> tuple[Call, Dispatch] | None:
+    """Finds the dispatch that a message speaks of, if it is for its sender to say."""
+    call = world.calls.by_nonce.get(nonce)
+    if call is None:
         return None
-    candidates = [
-        peer
-        for peer in world.peers.list_by_role("sidecar")
-        if peer.usable
-        and peer.report is not None
-        and peer.report.kind == "service"
-        and peer.report.name in rule.upstreams
-        and peer.name not in call.excluded
-    ]
-    if not candidates:
+    dispatch = call.open[nonce]
+    if (dispatch.sidecar, dispatch.incarnation) != (sender.name, sender.incarnation):
         return None
-    return min(candidates, key=lambda peer: (peer.assigned, world.random.random()))
-
-
-def _send_call(world: EntryWorld, call: Call, peer: Peer, now: float) -> None:
-    call.state = CallState.SENT
-    call.sidecar = peer.name
-    call.sidecar_incarnation = peer.incarnation
-    call.sent_at = now
-    call.attempts += 1
-    request = call.request
-    start = StartCall(
-        nonce=call.nonce,
-        workspace=request.workspace,
-        service=request.service,
-        method=request.method,
-        path=request.path,
-        headers=request.headers,
-        body=request.body,
-        fingerprint=request.fingerprint,
-        route=world.identity.data_centre,
-    )
-    expires_s = world.policy.calls.start_expires_s
-    world.emit(SendMessage(peer.name, start, expires_s))
-    world.log_decision(
-        "calls",
-        "Upstream chosen.",
-        request=request.request_id,
-        service=request.service,
-        sidecar=peer.name,
-        nonce=call.nonce,
-    )
+    return call, dispatch
 
 
-def settle_calls(world: EntryWorld, now: float) -> None:
-    """Gives callers the answers and failures that sidecars report."""
-    for answered in world.inbox.read_messages(CallAnswered):
-        call = world.calls.by_nonce.get(answered.message.nonce)
-        if call is None:
+def _settle_dropped(world: EntryWorld, now: float) -> None:
+    for dropped in world.inbox.read_events(MessageDropped):
+        if not isinstance(dropped.message, StartCall):
             continue
-        world.calls.remove_call(call)
-        message = answered.message
-        answer = AnswerCall(
-            call.request.request_id, message.status, message.headers, message.body
-        )
-        world.emit(answer)
-    for failed in world.inbox.read_messages(CallFailed):
-        call = world.calls.by_nonce.get(failed.message.nonce)
-        if call is None:
-            continue
-        if failed.message.not_run:
-            _refuse_not_run(world, call, failed.message.reason)
-        else:
-            refuse_may_have_run(world, call, failed.message.reason)
-
-
-def _refuse_not_run(world: EntryWorld, call: Call, reason: str) -> None:
-    world.calls.remove_call(call)
-    refusal = RefuseRequest(
-        call.request.request_id,
-        status=503,
-        code="not_run",
-        message=f"the call did not run: {reason}; send it again",
-        ran="not_run",
-        retry_after_s=RETRY_AFTER_S,
-    )
-    world.emit(refusal)
-
-
-def refuse_may_have_run(world: EntryWorld, call: Call, reason: str) -> None:
-    """Tells the caller that the call may have run."""
-    world.calls.remove_call(call)
-    refusal = RefuseRequest(
-        call.request.request_id,
-        status=502,
-        code="may_have_run",
-        message=f"the call may have run: {reason}; check before sending it again",
-        ran="may_have_run",
+        call = world.calls.by_nonce.get(dropped.message.nonce)
+        if call is not None:
+            dispatch = call.open[dropped.message.nonce]
+            _settle_not_run(world, call, dispatch, "the link is down", now)
+
+
+def _settle_verdict(
+    world: EntryWorld, call: Call, dispatch: Dispatch, verdict: str, now: float
+) -> None:
+    dispatch.heard_at = now
+    if verdict == "fenced":
+        _settle_not_run(world, call, dispatch, "the upstream never got it", now)
+    elif verdict in ("lost", "forgotten"):
+        _settle_lost(world, call, dispatch, "the upstream lost its answer", now)
+
+
+def _settle_not_run(
+    world: EntryWorld, call: Call, dispatch: Dispatch, reason: str, now: float
+) -> None:
+    """Forgets a dispatch that provably never ran; the call may be sent again."""
+    world.calls.close_dispatch(call, dispatch.nonce)
+    if call.claim is not None:
+        call.claim.fenced.add(dispatch.nonce)
+    release_upstream(world, dispatch)
+    if not retry_call(world, call, dispatch, reason, now):
+        _conclude_if_idle(world, call, reason, now)
+
+
+def _settle_lost(
+    world: EntryWorld, call: Call, dispatch: Dispatch, reason: str, now: float
+) -> None:
+    """Notes that a dispatch may have run and will not answer."""
+    dispatch.lost = True
+    if not call.repeatable or not retry_call(world, call, dispatch, reason, now):
+        _conclude_if_idle(world, call, reason, now)
+
+
+def _conclude_if_idle(world: EntryWorld, call: Call, reason: str, now: float) -> None:
+    """Ends a call of which no dispatch can answer any more."""
+    waiting = any(not dispatch.lost for dispatch in call.open.values())
+    if call.state is CallState.SENT and not waiting:
+        conclude_call(world, call, reason, now)
+
+
+def retry_call(
+    world: EntryWorld, call: Call, failed: Dispatch, reason: str, now: float
+) -> bool:
+    """Makes a call ready for another upstream, within its limits and the budget."""
+    policy = world.policy.calls
+    if call.state is not CallState.SENT or call.attempts >= policy.max_attempts:
+        return False
+    if not call.repeatable and call.open:
+        return False
+    if not world.calls.take_retry_token():
+        return False
+    call.excluded.add(failed.sidecar)
+    call.suspect = is_suspect(world, call.request.fingerprint)
+    if call.claim is not None:
+        claim_again(world, call, call.claim, now)
+    else:
+        call.state = CallState.READY
+    world.emit(CountMetric("call_retries"))
+    world.log_decision(
+        "calls",
+        "Sending again.",
+        request=call.request.request_id,
+        failed=failed.sidecar,
+        reason=reason,
     )
-    world.emit(refusal)
+    return True
+
+
+def watch_calls(world: EntryWorld, now: float) -> None:
+    """Inquires after calls without an answer and ends those that take too long."""
+    patience_s = world.policy.calls.answer_patience_s
+    for call in world.calls.list_in_state(CallState.SENT):
+        for dispatch in list(call.open.values()):
+            if not dispatch.lost and call.state is CallState.SENT:
+                _watch_dispatch(world, call, dispatch, now)
+        if call.state is CallState.SENT and now - call.arrived_at >= patience_s:
+            conclude_call(world, call, "no answer in time", now)
+
+
+def _watch_dispatch(
+    world: EntryWorld, call: Call, dispatch: Dispatch, now: float
+) -> None:
+    policy = world.policy.calls
+    peer = world.peers.peers.get(dispatch.sidecar)
+    silent_s = now - dispatch.heard_at
+    if peer is None or peer.incarnation != dispatch.incarnation:
+        _settle_lost(world, call, dispatch, "its sidecar is gone", now)
+    elif peer.lost and silent_s >= policy.unreachable_patience_s:
+        _settle_lost(world, call, dispatch, "its sidecar can't be reached", now)
+    elif call.repeatable and not dispatch.overdue:
+        overdue = now - dispatch.sent_at >= policy.repeat_after_s
+        if overdue and retry_call(world, call, dispatch, "no answer yet", now):
+            dispatch.overdue = True
+    elif not call.repeatable and now - dispatch.inquired_at >= policy.inquiry_s:
+        dispatch.inquired_at = now
+        fence = FenceCall(dispatch.nonce, dispatch.expires_at)
+        world.emit(SendMessage(dispatch.sidecar, fence))
--- /dev/null
+++ b/src/magnoliahold/core/systems/claims.py
@@ -0,0 +1,263 @@
+"""Claims idempotency keys in batched transactions before their calls are sent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.calls import CallState
+from magnoliahold.core.claims import (
+    CLAIMS_TABLE,
+    ClaimBatch,
+    ClaimRow,
+    ClaimState,
+    decode_claim,
+    encode_claim,
+    make_claim,
+)
+from magnoliahold.core.effects import CountMetric, ReadRow, Transact
+from magnoliahold.core.events import RowsRead, TransactionFinished
+from magnoliahold.core.systems.answers import (
+    answer_from_row,
+    refuse_may_have_run,
+    refuse_not_run,
+    refuse_reused_key,
+    refuse_unchecked,
+)
+from magnoliahold.core.systems.dispatch import aim_call
+from magnoliahold.platform.interfaces import Condition, Write
+
+if TYPE_CHECKING:
+    from magnoliahold.core.calls import Call, Dispatch
+    from magnoliahold.core.claims import Claim
+    from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.platform.interfaces import Row, TransactionOutcome
+
+
+def open_claim(world: EntryWorld, call: Call, now: float) -> None:
+    """Queues the claim of a new call, or refuses it while the store is down.
+
+    While the store fails, one batch at a time is its probe.
+    """
+    call.claim = make_claim(call.request, now)
+    call.state = CallState.CLAIMING
+    if world.claims.failing and world.claims.flight is not None:
+        refuse_unchecked(world, call)
+    else:
+        world.claims.pending.append(call)
+
+
+def claim_again(world: EntryWorld, call: Call, claim: Claim, now: float) -> None:
+    """Queues a claim over a row whose nonce provably never ran."""
+    call.state = CallState.CLAIMING
+    call.target = None
+    claim.row = None
+    claim.asked_at = now
+    claim.read_token = ""
+    world.claims.pending.append(call)
+
+
+def claim_keys(world: EntryWorld, now: float) -> None:
+    """Settles the transaction in flight and starts the next one."""
+    for event in world.inbox.read_events(TransactionFinished):
+        batch = world.claims.flight
+        if batch is not None and event.token in batch.tokens and event.outcome:
+            _settle_batch(world, batch, event.outcome, now)
+    for read in world.inbox.read_events(RowsRead):
+        _settle_read(world, read, now)
+    _refuse_overdue(world, now)
+    _resend_batch(world, now)
+    if world.claims.flight is None and world.claims.pending:
+        _start_batch(world, now)
+
+
+def _settle_batch(
+    world: EntryWorld, batch: ClaimBatch, outcome: TransactionOutcome, now: float
+) -> None:
+    world.claims.flight = None
+    world.claims.failing = False
+    found = {row.key: row for row in outcome.conflicts}
+    for key, call in batch.calls.items():
+        if not _is_claiming(world, call) or call.claim is None:
+            continue
+        if outcome.committed:
+            _own_row(call, call.claim, batch.rows[key], call.claim.version + 1)
+        elif key in found:
+            _settle_conflict(world, call, call.claim, batch, found[key], now)
+        else:
+            if not found:
+                call.claim.version = 0
+            world.claims.pending.appendleft(call)
+
+
+def _settle_conflict(
+    world: EntryWorld,
+    call: Call,
+    claim: Claim,
+    batch: ClaimBatch,
+    row: Row,
+    now: float,
+) -> None:
+    """Takes a conflict with our own nonce as the lost answer of our own commit."""
+    value = decode_claim(row.value)
+    ours = batch.rows[row.key]
+    if value is not None and value.nonce == ours.nonce:
+        _own_row(call, claim, ours, row.version)
+        world.emit(CountMetric("claims_settled_by_nonce"))
+    else:
+        meet_row(world, call, claim, row, now)
+
+
+def _own_row(call: Call, claim: Claim, row: ClaimRow, version: int) -> None:
+    claim.row = row
+    claim.version = version
+    call.state = CallState.READY
+
+
+def meet_row(world: EntryWorld, call: Call, claim: Claim, row: Row, now: float) -> None:
+    """Acts on the row that another request with the same key has left."""
+    value = decode_claim(row.value)
+    if value is None:
+        refuse_may_have_run(world, call, "the record of its key is damaged")
+    elif value.digest != claim.digest:
+        refuse_reused_key(world, call)
+    elif value.state is ClaimState.ANSWERED:
+        answer_from_row(world, call, value)
+    elif value.state is ClaimState.LOST:
+        refuse_may_have_run(world, call, "an earlier request with its key was lost")
+    elif value.state is ClaimState.NOT_RUN or value.nonce in claim.fenced:
+        claim.version = row.version
+        claim_again(world, call, claim, now)
+    else:
+        _follow_row(world, call, claim, row, value, now)
+
+
+def _follow_row(
+    world: EntryWorld, call: Call, claim: Claim, row: Row, value: ClaimRow, now: float
+) -> None:
+    known = claim.row
+    claim.rechecked = known is not None and known.nonce == value.nonce
+    claim.version = row.version
+    claim.row = value
+    call.state = CallState.FOLLOWING
+    if not claim.rechecked:
+        claim.followed_at = now
+        claim.read_token = ""
+        claim.inquired_at = None
+        claim.answered_inquiry = False
+        world.log_decision(
+            "claims",
+            "Key is claimed already, following.",
+            request=call.request.request_id,
+            nonce=value.nonce,
+            sidecar=value.sidecar,
+        )
+
+
+def read_key(world: EntryWorld, call: Call, claim: Claim) -> None:
+    """Reads the row of a key; RowsRead settles it."""
+    claim.read_token = world.make_id("claim-read")
+    world.emit(ReadRow(claim.read_token, CLAIMS_TABLE, claim.key))
+
+
+def _settle_read(world: EntryWorld, read: RowsRead, now: float) -> None:
+    for call in list(world.calls.by_request.values()):
+        claim = call.claim
+        if claim is None or claim.read_token != read.token or read.rows is None:
+            continue
+        if call.state is CallState.FOLLOWING and read.rows:
+            meet_row(world, call, claim, read.rows[0], now)
+        elif call.state is CallState.CLAIMING:
+            _settle_unaimed(world, call, claim, read.rows, now)
+
+
+def _settle_unaimed(
+    world: EntryWorld, call: Call, claim: Claim, rows: tuple[Row, ...], now: float
+) -> None:
+    """Refuses a call without a live upstream, unless its key was used before."""
+    value = decode_claim(rows[0].value) if rows else None
+    unused = value is not None and (
+        value.state is ClaimState.NOT_RUN or value.nonce in claim.fenced
+    )
+    if rows and not unused:
+        meet_row(world, call, claim, rows[0], now)
+    else:
+        refuse_not_run(world, call, "no upstream of the service is live")
+
+
+def _is_claiming(world: EntryWorld, call: Call) -> bool:
+    current = world.calls.by_request.get(call.request.request_id)
+    return current is call and call.state is CallState.CLAIMING
+
+
+def _refuse_overdue(world: EntryWorld, now: float) -> None:
+    patience_s = world.policy.claims.patience_s
+    for call in world.calls.list_in_state(CallState.CLAIMING):
+        if call.claim is not None and now - call.claim.asked_at >= patience_s:
+            refuse_unchecked(world, call)
+
+
+def _resend_batch(world: EntryWorld, now: float) -> None:
+    """Sends a batch without an answer again, or gives it up with its calls."""
+    batch = world.claims.flight
+    if batch is None:
+        return
+    if not any(_is_claiming(world, call) for call in batch.calls.values()):
+        world.claims.flight = None
+        world.claims.failing = True
+        world.log_decision("claims", "Store gives no answer.", keys=len(batch.calls))
+    elif now - batch.sent_at >= world.policy.claims.resend_s * len(batch.tokens):
+        _send_batch(world, batch, now)
+
+
+def _start_batch(world: EntryWorld, now: float) -> None:
+    """Starts a transaction with one claim for each of the keys that wait."""
+    batch = ClaimBatch({}, {}, now)
+    later = []
+    pending = world.claims.pending
+    while pending and len(batch.calls) < world.policy.claims.max_per_transaction:
+        call = pending.popleft()
+        claim = call.claim
+        if claim is None or not _is_claiming(world, call):
+            continue
+        if claim.key in batch.calls:
+            later.append(call)
+        elif call.target is not None or aim_call(world, call, now):
+            _add_to_batch(batch, call, claim)
+        else:
+            read_key(world, call, claim)
+    pending.extendleft(reversed(later))
+    if batch.calls:
+        world.claims.flight = batch
+        _send_batch(world, batch, now)
+
+
+def _add_to_batch(batch: ClaimBatch, call: Call, claim: Claim) -> None:
+    target = call.target
+    if target is not None:
+        batch.calls[claim.key] = call
+        batch.rows[claim.key] = _make_row(target, claim)
+
+
+def _make_row(target: Dispatch, claim: Claim) -> ClaimRow:
+    return ClaimRow(
+        state=ClaimState.CLAIMED,
+        nonce=target.nonce,
+        sidecar=target.sidecar,
+        incarnation=target.incarnation,
+        expires_at=target.expires_at,
+        digest=claim.digest,
+    )
+
+
+def _send_batch(world: EntryWorld, batch: ClaimBatch, now: float) -> None:
+    token = world.make_id("claims")
+    batch.tokens.add(token)
+    batch.sent_at = now
+    conditions = []
+    writes = []
+    for key, call in batch.calls.items():
+        if call.claim is not None:
+            conditions.append(Condition(CLAIMS_TABLE, key, call.claim.version))
+            writes.append(Write(CLAIMS_TABLE, key, encode_claim(batch.rows[key])))
+    world.emit(Transact(token, tuple(conditions), tuple(writes)))
+    world.emit(CountMetric("claim_transactions"))
--- /dev/null
+++ b/src/magnoliahold/core/systems/followers.py
@@ -0,0 +1,118 @@
+"""Settles repeats of an idempotency key whose first call is claimed elsewhere."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.calls import CallState
+from magnoliahold.core.effects import SendMessage
+from magnoliahold.core.systems.answers import (
+    answer_call,
+    refuse_in_progress,
+    refuse_may_have_run,
+)
+from magnoliahold.core.systems.claims import claim_again, read_key
+from magnoliahold.wire.messages import (
+    CallAnswered,
+    CallFailed,
+    CallVerdict,
+    FenceCall,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliahold.core.calls import Call
+    from magnoliahold.core.claims import Claim, ClaimRow
+    from magnoliahold.core.identity import Sender
+    from magnoliahold.core.worlds import EntryWorld
+
+
+def settle_followers(world: EntryWorld, now: float) -> None:
+    """Takes what the sidecar named in a claim says of its nonce."""
+    for answered in world.inbox.read_messages(CallAnswered):
+        answer = answered.message
+        for call, _ in _find_followers(world, answer.nonce, answered.sender):
+            answer_call(world, call, answer, now)
+    for failed in world.inbox.read_messages(CallFailed):
+        nonce = failed.message.nonce
+        verdict = "fenced" if failed.message.not_run else "lost"
+        for call, claim in _find_followers(world, nonce, failed.sender):
+            _settle_verdict(world, call, claim, verdict, now)
+    for told in world.inbox.read_messages(CallVerdict):
+        nonce = told.message.nonce
+        for call, claim in _find_followers(world, nonce, told.sender):
+            _settle_verdict(world, call, claim, told.message.verdict, now)
+
+
+def _find_followers(
+    world: EntryWorld, nonce: str, sender: Sender
+) -> Iterator[tuple[Call, Claim]]:
+    for call in world.calls.list_in_state(CallState.FOLLOWING):
+        claim = call.claim
+        if claim is None or claim.row is None or claim.row.nonce != nonce:
+            continue
+        named = (claim.row.sidecar, claim.row.incarnation)
+        if named == (sender.name, sender.incarnation):
+            yield call, claim
+
+
+def _settle_verdict(
+    world: EntryWorld, call: Call, claim: Claim, verdict: str, now: float
+) -> None:
+    if verdict == "fenced" and claim.row is not None:
+        claim.fenced.add(claim.row.nonce)
+        claim_again(world, call, claim, now)
+    elif verdict in ("lost", "forgotten"):
+        refuse_may_have_run(world, call, "its answer was lost at the upstream")
+    else:
+        claim.answered_inquiry = True
+
+
+def follow_claims(world: EntryWorld, now: float) -> None:
+    """Asks the sidecars named in followed claims, and ends waits that are too long.
+
+    The first request of the key gets a grace to start its call, as asking fences it.
+    """
+    for call in world.calls.list_in_state(CallState.FOLLOWING):
+        claim = call.claim
+        if claim is None or claim.row is None:
+            continue
+        waited_s = now - claim.followed_at
+        if now - call.arrived_at >= world.policy.calls.answer_patience_s:
+            refuse_in_progress(world, call)
+        elif waited_s >= world.policy.claims.grace_s:
+            _inquire(world, call, claim, claim.row, now)
+
+
+def _inquire(
+    world: EntryWorld, call: Call, claim: Claim, row: ClaimRow, now: float
+) -> None:
+    if not claim.read_token:
+        read_key(world, call, claim)
+        return
+    waited_s = now - claim.followed_at
+    peer = world.peers.peers.get(row.sidecar)
+    if not claim.rechecked and waited_s < 2 * world.policy.claims.grace_s:
+        return
+    if peer is not None and peer.incarnation not in ("", row.incarnation):
+        refuse_may_have_run(world, call, "the sidecar that had it is gone")
+    elif _is_unreachable(world, claim, waited_s):
+        reason = "the sidecar that has it can't be reached"
+        retry_after_s = world.policy.claims.retry_after_s
+        refuse_may_have_run(world, call, reason, retry_after_s)
+    elif _is_inquiry_due(world, claim, now):
+        claim.inquired_at = now
+        fence = FenceCall(row.nonce, row.expires_at)
+        world.emit(SendMessage(row.sidecar, fence))
+
+
+def _is_unreachable(world: EntryWorld, claim: Claim, waited_s: float) -> bool:
+    patience_s = world.policy.calls.unreachable_patience_s
+    return not claim.answered_inquiry and waited_s >= patience_s
+
+
+def _is_inquiry_due(world: EntryWorld, claim: Claim, now: float) -> bool:
+    if claim.inquired_at is None:
+        return True
+    return now - claim.inquired_at >= world.policy.calls.inquiry_s
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -192,9 +192,15 @@
         reported_running=upstream.reported_running,
         capacity=upstream.capacity,
         checks_fencing=upstream.checks_fencing,
+        suspects=_count_suspects(world),
     )
 
 
+def _count_suspects(world: SidecarWorld) -> int:
+    streams = sum(item.start.suspect for item in world.streams.by_handle.values())
+    return streams + sum(run.suspect for run in world.runs.open.values())
+
+
 @singledispatch
 def note_heartbeat(world: World, received: Received[Heartbeat], now: float) -> None:
     """Notes an entry as an owner of streams; entries need no such note."""
--- /dev/null
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -0,0 +1,250 @@
+"""Suspects requests that were in flight at deaths of upstreams, and refuses killers."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import (
+    CountMetric,
+    ScanRows,
+    SendMessage,
+    Transact,
+)
+from magnoliahold.core.events import RowsRead
+from magnoliahold.core.quarantine import (
+    QUARANTINE_TABLE,
+    Death,
+    QuarantineRow,
+    decode_quarantine,
+    encode_quarantine,
+)
+from magnoliahold.core.systems.relay import cancel_generation
+from magnoliahold.core.systems.suspects import refuse_quarantined
+from magnoliahold.platform.interfaces import Write
+from magnoliahold.wire.messages import EngineDied, SuspicionNotice
+
+if TYPE_CHECKING:
+    from magnoliahold.core.quarantine import Suspicion
+    from magnoliahold.core.worlds import EntryWorld
+
+
+def note_deaths(world: EntryWorld, now: float) -> None:
+    """Holds each reported death against the requests that were in flight."""
+    for received in world.inbox.read_messages(EngineDied):
+        died = received.message
+        place = (died.upstream, died.engine_incarnation)
+        if place not in world.suspicions.seen:
+            world.suspicions.seen[place] = now
+            _note_death(world, died, now)
+
+
+def _note_death(world: EntryWorld, died: EngineDied, now: float) -> None:
+    """Looks for a killer among the suspects first, as it explains the death.
+
+    Only a request that ran as a suspect has its further deaths counted: several
+    upstreams lost at once may all have run the same harmless request.
+    """
+    produced = dict(zip(died.fingerprints, died.produced, strict=False))
+    rerun = set(died.suspects)
+    killers = []
+    for fingerprint in dict.fromkeys(died.fingerprints):
+        suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+        if suspicion is not None and fingerprint in rerun:
+            _add_death(suspicion, died, produced.get(fingerprint, 0), now)
+            if _is_killer(world, suspicion):
+                killers.append(suspicion)
+    for killer in killers:
+        quarantine_request(world, killer, now)
+    if killers:
+        _drop_explained(world, killers)
+        return
+    for fingerprint in dict.fromkeys(died.fingerprints):
+        if fingerprint not in world.suspicions.by_fingerprint:
+            suspicion = world.suspicions.find_suspicion(fingerprint)
+            _add_death(suspicion, died, produced.get(fingerprint, 0), now)
+    world.log_decision(
+        "quarantine",
+        "Upstream died, its requests are suspect.",
+        upstream=died.upstream,
+        suspects=len(died.fingerprints),
+    )
+
+
+def _add_death(
+    suspicion: Suspicion, died: EngineDied, produced: int, now: float
+) -> None:
+    if suspicion.quarantined_until is None:
+        death = Death(died.upstream, died.engine_incarnation, produced)
+        suspicion.deaths.append(death)
+        suspicion.noted_at = now
+
+
+def _is_killer(world: EntryWorld, suspicion: Suspicion) -> bool:
+    """Tells whether the deaths can only be this request's doing.
+
+    A killer dies again at the same point, or at once where it was continued. Deaths at
+    unlike points need one more to confirm them.
+    """
+    policy = world.policy.quarantine
+    if suspicion.quarantined_until is not None:
+        return False
+    if len(suspicion.deaths) >= policy.deaths_without_pattern:
+        return True
+    if len(suspicion.deaths) < policy.deaths_to_quarantine:
+        return False
+    return all(_is_alike(world, *pair) for pair in pairwise(suspicion.deaths))
+
+
+def _is_alike(world: EntryWorld, first: Death, second: Death) -> bool:
+    policy = world.policy.quarantine
+    if second.produced <= policy.at_once_tokens:
+        return True
+    tolerance = max(policy.alike_tokens, policy.alike_share * first.produced)
+    return abs(first.produced - second.produced) <= tolerance
+
+
+def _drop_explained(world: EntryWorld, killers: list[Suspicion]) -> None:
+    """Takes the deaths that a killer explains off all other suspects."""
+    explained = {
+        (death.upstream, death.incarnation)
+        for killer in killers
+        for death in killer.deaths
+    }
+    for suspicion in world.suspicions.list_open():
+        suspicion.deaths = [
+            death
+            for death in suspicion.deaths
+            if (death.upstream, death.incarnation) not in explained
+        ]
+        if not suspicion.deaths:
+            world.suspicions.clear_suspicion(suspicion.fingerprint)
+
+
+def quarantine_request(world: EntryWorld, suspicion: Suspicion, now: float) -> None:
+    """Quarantines a fingerprint here, at the other entries and in the table."""
+    quarantine_s = world.policy.quarantine.quarantine_s
+    suspicion.quarantined_until = now + quarantine_s
+    world.log_decision(
+        "quarantine",
+        "Request is quarantined.",
+        fingerprint=suspicion.fingerprint,
+        deaths=len(suspicion.deaths),
+        produced=",".join(str(death.produced) for death in suspicion.deaths),
+    )
+    world.emit(CountMetric("requests_quarantined"))
+    _tell_entries(world, suspicion, quarantine_s)
+    row = QuarantineRow(world.wall_clock(now) + quarantine_s)
+    write = Write(QUARANTINE_TABLE, suspicion.fingerprint, encode_quarantine(row))
+    world.emit(Transact(world.make_id("quarantine"), (), (write,)))
+
+
+def _tell_entries(world: EntryWorld, suspicion: Suspicion, seconds_left: float) -> None:
+    notice = SuspicionNotice(
+        fingerprint=suspicion.fingerprint,
+        deaths=len(suspicion.deaths),
+        quarantined=suspicion.quarantined_until is not None,
+        seconds_left=seconds_left,
+    )
+    for peer in world.peers.list_by_role("entry"):
+        world.emit(SendMessage(peer.name, notice))
+
+
+def take_notices(world: EntryWorld, now: float) -> None:
+    """Takes over quarantines and clearances from the other entries."""
+    for received in world.inbox.read_messages(SuspicionNotice):
+        notice = received.message
+        if notice.quarantined:
+            _take_quarantine(world, notice.fingerprint, now + notice.seconds_left)
+        elif notice.deaths == 0:
+            world.suspicions.clear_suspicion(notice.fingerprint)
+
+
+def _take_quarantine(world: EntryWorld, fingerprint: str, until: float) -> None:
+    suspicion = world.suspicions.find_suspicion(fingerprint)
+    known = suspicion.quarantined_until
+    suspicion.quarantined_until = max(until, known) if known is not None else until
+
+
+def clear_request(world: EntryWorld, fingerprint: str) -> None:
+    """Clears a suspect that outlived its suspicion, here and at the other entries."""
+    suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+    if suspicion is not None and world.suspicions.clear_suspicion(fingerprint):
+        suspicion.deaths.clear()
+        _tell_entries(world, suspicion, 0.0)
+
+
+def clear_suspects(world: EntryWorld, now: float) -> None:
+    """Clears generations that came further than where they were when one died."""
+    suspicions = world.suspicions.by_fingerprint
+    if not suspicions:
+        return
+    for generation in world.generations.by_request.values():
+        fingerprint = generation.request.fingerprint
+        suspicion = suspicions.get(fingerprint)
+        generation.suspect = suspicion is not None
+        if suspicion is None or not generation.runs_as_suspect:
+            continue
+        produced = len(generation.tokens) - generation.attempt_offset
+        if produced >= _count_clearing_tokens(world, suspicion):
+            generation.suspect = False
+            clear_request(world, fingerprint)
+
+
+def _count_clearing_tokens(world: EntryWorld, suspicion: Suspicion) -> float:
+    policy = world.policy.quarantine
+    reached = max((death.produced for death in suspicion.deaths), default=0)
+    return policy.cleared_after_tokens + reached * (1 + policy.alike_share)
+
+
+def end_quarantined(world: EntryWorld, now: float) -> None:
+    """Gives generations with a quarantined fingerprint their final answer."""
+    if not world.suspicions.by_fingerprint:
+        return
+    for generation in list(world.generations.by_request.values()):
+        request = generation.request
+        if refuse_quarantined(world, request.request_id, request.fingerprint, now):
+            cancel_generation(world, generation)
+
+
+def expire_suspicions(world: EntryWorld, now: float) -> None:
+    """Drops suspicions and quarantines that have lapsed."""
+    policy = world.policy.quarantine
+    table = world.suspicions
+    for suspicion in list(table.by_fingerprint.values()):
+        until = suspicion.quarantined_until
+        if until is None:
+            until = suspicion.noted_at + policy.suspicion_s
+        if now >= until:
+            del table.by_fingerprint[suspicion.fingerprint]
+    while table.seen:
+        place, noted_at = next(iter(table.seen.items()))
+        if now - noted_at < policy.quarantine_s:
+            break
+        del table.seen[place]
+
+
+def read_quarantines(world: EntryWorld, now: float) -> None:
+    """Reads the quarantines in the table, at the start and then at intervals."""
+    table = world.suspicions
+    for read in world.inbox.read_events(RowsRead):
+        if read.token == table.scan_token and read.rows is not None:
+            for row in read.rows:
+                _take_row(world, row.key, decode_quarantine(row.value), now)
+    if now >= table.next_scan_at:
+        interval_s = world.policy.quarantine.scan_interval_s
+        table.next_scan_at = now + interval_s * world.random.uniform(0.8, 1.2)
+        table.scan_token = world.make_id("quarantine-scan")
+        world.emit(ScanRows(table.scan_token, QUARANTINE_TABLE))
+
+
+def _take_row(
+    world: EntryWorld, fingerprint: str, row: QuarantineRow | None, now: float
+) -> None:
+    left_s = row.until - world.wall_clock(now) if row else 0.0
+    if left_s > 0:
+        limit_s = world.policy.quarantine.quarantine_s
+        _take_quarantine(world, fingerprint, now + min(left_s, limit_s))
+    else:
+        delete = Write(QUARANTINE_TABLE, fingerprint, None)
+        world.emit(Transact(world.make_id("quarantine"), (), (delete,)))
--- /dev/null
+++ b/src/magnoliahold/core/systems/results.py
@@ -0,0 +1,65 @@
+"""Records the outcomes of claimed calls for repeats of their keys."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.claims import CLAIMS_TABLE, ResultBatch, encode_claim
+from magnoliahold.core.effects import CountMetric, Transact
+from magnoliahold.core.events import TransactionFinished
+from magnoliahold.platform.interfaces import Condition, Write
+
+if TYPE_CHECKING:
+    from magnoliahold.core.claims import ResultWrite
+    from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.platform.interfaces import TransactionOutcome
+
+
+def write_results(world: EntryWorld, now: float) -> None:
+    """Writes the queued outcomes, one transaction at a time."""
+    batch = world.claims.results_flight
+    if batch is not None:
+        for event in world.inbox.read_events(TransactionFinished):
+            if event.token == batch.token:
+                _settle_results(world, batch, event.outcome)
+        if now - batch.sent_at >= world.policy.claims.patience_s:
+            world.claims.results_flight = None
+    if world.claims.results_flight is None and world.claims.results:
+        _start_results(world, now)
+
+
+def _settle_results(
+    world: EntryWorld, batch: ResultBatch, outcome: TransactionOutcome | None
+) -> None:
+    """Drops what is written, and what conflicts as its row has changed since.
+
+    A commit whose answer was lost shows as a conflict when it is sent again.
+    """
+    if outcome is None:
+        return
+    world.claims.results_flight = None
+    conflicts = {row.key for row in outcome.conflicts}
+    for key, result in batch.results.items():
+        ended = outcome.committed or key in conflicts or not conflicts
+        if ended and world.claims.results.get(key) is result:
+            del world.claims.results[key]
+
+
+def _start_results(world: EntryWorld, now: float) -> None:
+    limit = world.policy.claims.max_per_transaction
+    chosen = dict(islice(world.claims.results.items(), limit))
+    token = world.make_id("results")
+    world.claims.results_flight = ResultBatch(token, now, chosen)
+    conditions = tuple(_require_claim(result) for result in chosen.values())
+    writes = tuple(_write_result(result) for result in chosen.values())
+    world.emit(Transact(token, conditions, writes))
+    world.emit(CountMetric("result_transactions"))
+
+
+def _require_claim(result: ResultWrite) -> Condition:
+    return Condition(CLAIMS_TABLE, result.key, result.version)
+
+
+def _write_result(result: ResultWrite) -> Write:
+    return Write(CLAIMS_TABLE, result.key, encode_claim(result.row))
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -6,6 +6,7 @@
 
 from magnoliahold.core.effects import SendMessage
 from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.systems.suspects import is_suspect, prefer_unsuspected
 from magnoliahold.wire.messages import StartStream
 
 if TYPE_CHECKING:
@@ -31,6 +32,9 @@
     candidates = find_candidates(world, generation, share)
     if not candidates:
         return False
+    generation.suspect = is_suspect(world, generation.request.fingerprint)
+    if generation.suspect:
+        candidates = prefer_unsuspected(world, candidates)
     peer = choose_upstream(world, candidates)
     start_attempt(world, generation, peer, share.version, now)
     return True
@@ -94,6 +98,8 @@
     generation.state = GenerationState.RUNNING
     generation.started_at = now
     generation.acked = len(generation.tokens)
+    generation.runs_as_suspect = generation.suspect
+    generation.attempt_offset = len(generation.tokens)
     peer.assigned += 1
     request = generation.request
     message = StartStream(
--- a/src/magnoliahold/core/systems/runs.py
+++ b/src/magnoliahold/core/systems/runs.py
@@ -4,58 +4,164 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.effects import SendMessage, StartServiceCall
+from magnoliahold.core.effects import CancelServiceCall, SendMessage, StartServiceCall
 from magnoliahold.core.events import MessageExpired, ServiceAnswered, ServiceFailed
 from magnoliahold.core.runs import Run, RunState
-from magnoliahold.wire.messages import CallAnswered, CallFailed, StartCall
+from magnoliahold.wire.messages import (
+    CallAnswered,
+    CallFailed,
+    CallVerdict,
+    FenceCall,
+    StartCall,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.core.events import Received
     from magnoliahold.core.worlds import SidecarWorld
 
 
-def start_runs(world: SidecarWorld, now: float) -> None:
-    """Starts the calls that entries ask for."""
-    for received in world.inbox.read_messages(StartCall):
-        nonce = received.message.nonce
-        if nonce in world.runs.by_nonce:
-            continue
-        if world.leaving_since is not None or not world.upstream.ready:
-            failed = CallFailed(nonce, not_run=True, reason="upstream unavailable")
-            world.emit(SendMessage(received.sender.name, failed))
+def finish_runs(world: SidecarWorld, now: float) -> None:
+    """Passes answers and failures of calls on to the entries that wait for them."""
+    for answered in world.inbox.read_events(ServiceAnswered):
+        run = world.runs.open.get(answered.nonce)
+        if run is not None:
+            run.answer = CallAnswered(
+                answered.nonce, answered.status, answered.headers, answered.body
+            )
+            world.runs.end_run(run, RunState.ANSWERED, now)
+            _tell_owners(world, run, run.answer)
+    for failure in world.inbox.read_events(ServiceFailed):
+        run = world.runs.open.get(failure.nonce)
+        if run is None:
             continue
-        _start_run(world, received, now)
+        run.handed_over -= failure.not_sent
+        state = RunState.FENCED if failure.not_sent else RunState.LOST
+        world.runs.end_run(run, state, now)
+        failed = CallFailed(run.nonce, failure.not_sent, failure.reason)
+        _tell_owners(world, run, failed)
+        if state is RunState.LOST:
+            world.runs.broken.append(run)
+
+
+def start_runs(world: SidecarWorld, now: float) -> None:
+    """Starts the calls that entries ask for, unless they are fenced or expired."""
     for expired in world.inbox.read_events(MessageExpired):
         if isinstance(expired.message, StartCall):
-            failed = CallFailed(expired.message.nonce, not_run=True, reason="expired")
-            world.emit(SendMessage(expired.sender.name, failed))
+            _refuse_run(world, expired.sender.name, expired.message, "expired", now)
+    for received in world.inbox.read_messages(StartCall):
+        start = received.message
+        reason = _find_refusal(world, start, now)
+        if reason:
+            _refuse_run(world, received.sender.name, start, reason, now)
+        elif start.nonce not in world.runs.by_nonce:
+            _start_run(world, received, now)
+
+
+def _find_refusal(world: SidecarWorld, start: StartCall, now: float) -> str:
+    """Finds why a call can't start; the expiry counts when it starts, not before."""
+    if now > start.expires_at:
+        return "expired"
+    if world.leaving_since is not None:
+        return "the upstream is leaving"
+    return "" if world.upstream.ready else "the upstream is down"
+
+
+def _refuse_run(
+    world: SidecarWorld, owner: str, start: StartCall, reason: str, now: float
+) -> None:
+    """Fences a call that did not start here, then says so."""
+    run = world.runs.by_nonce.get(start.nonce)
+    if run is None:
+        run = _add_fence(world, start.nonce, now)
+    if run.state is RunState.FENCED:
+        failed = CallFailed(start.nonce, not_run=True, reason=reason)
+        world.emit(SendMessage(owner, failed))
+
+
+def _add_fence(world: SidecarWorld, nonce: str, now: float) -> Run:
+    run = Run(nonce, RunState.FENCED, now)
+    world.runs.add_run(run)
+    world.runs.end_run(run, RunState.FENCED, now)
+    return run
 
 
 def _start_run(world: SidecarWorld, received: Received[StartCall], now: float) -> None:
     start = received.message
-    run = Run(start.nonce, received.sender.name, RunState.RUNNING, now, start)
-    world.runs.by_nonce[start.nonce] = run
+    run = world.runs.by_nonce.get(start.nonce)
+    if run is None:
+        run = Run(start.nonce, RunState.RUNNING, now)
+        run.fingerprint = start.fingerprint
+        run.suspect = start.suspect
+        world.runs.add_run(run)
+    run.owners.append(received.sender.name)
+    run.handed_over += 1
     effect = StartServiceCall(
         start.nonce, start.method, start.path, start.headers, start.body
     )
     world.emit(effect)
 
 
-def finish_runs(world: SidecarWorld, now: float) -> None:
-    """Passes answers and failures of calls on to the entries."""
-    for answered in world.inbox.read_events(ServiceAnswered):
-        run = world.runs.by_nonce.get(answered.nonce)
-        if run is None:
+def fence_runs(world: SidecarWorld, now: float) -> None:
+    """Fences calls that have not started and tells the state of the others."""
+    for received in world.inbox.read_messages(FenceCall):
+        fence = received.message
+        owner = received.sender.name
+        run = world.runs.by_nonce.get(fence.nonce)
+        if run is None and _is_forgotten(world, fence, now):
+            verdict = CallVerdict(fence.nonce, "forgotten")
+            world.emit(SendMessage(owner, verdict))
             continue
-        run.state = RunState.ANSWERED
-        run.answer = CallAnswered(
-            answered.nonce, answered.status, answered.headers, answered.body
-        )
-        world.emit(SendMessage(run.owner, run.answer))
-    for failure in world.inbox.read_events(ServiceFailed):
-        run = world.runs.by_nonce.get(failure.nonce)
         if run is None:
-            continue
-        run.state = RunState.FENCED if failure.not_sent else RunState.LOST
-        failed = CallFailed(failure.nonce, failure.not_sent, failure.reason)
-        world.emit(SendMessage(run.owner, failed))
+            run = _add_fence(world, fence.nonce, now)
+        _tell_state(world, run, owner)
+
+
+def _is_forgotten(world: SidecarWorld, fence: FenceCall, now: float) -> bool:
+    """Tells whether the record of a run with this expiry may be gone already."""
+    return now - fence.expires_at >= world.policy.calls.run_kept_s
+
+
+def _tell_state(world: SidecarWorld, run: Run, owner: str) -> None:
+    world.emit(SendMessage(owner, CallVerdict(run.nonce, run.state.value)))
+    if run.state is RunState.RUNNING and owner not in run.owners:
+        run.owners.append(owner)
+    if run.answer is not None:
+        world.emit(SendMessage(owner, run.answer))
+
+
+def _tell_owners(world: SidecarWorld, run: Run, outcome: object) -> None:
+    for owner in run.owners:
+        world.emit(SendMessage(owner, outcome))  # type: ignore[arg-type]
+
+
+def expire_runs(world: SidecarWorld, now: float) -> None:
+    """Drops old answers, then old records, and gives up runs that never end.
+
+    Runs last in a tick, so that a fence outlives every call of the same tick.
+    """
+    policy = world.policy.calls
+    for run in list(world.runs.open.values()):
+        if now - run.started_at < policy.run_limit_s:
+            break
+        world.runs.end_run(run, RunState.LOST, now)
+        world.emit(CancelServiceCall(run.nonce))
+        failed = CallFailed(run.nonce, not_run=False, reason="no answer in time")
+        _tell_owners(world, run, failed)
+    _drop_answers(world, now)
+    _drop_records(world, now)
+
+
+def _drop_answers(world: SidecarWorld, now: float) -> None:
+    kept_s = world.policy.calls.answer_kept_s
+    answers = world.runs.answers
+    while answers and now - (answers[0].ended_at or 0.0) >= kept_s:
+        answers.popleft().answer = None
+
+
+def _drop_records(world: SidecarWorld, now: float) -> None:
+    """Forgets runs long after their calls have expired."""
+    policy = world.policy.calls
+    kept_s = policy.run_kept_s + policy.start_expires_s
+    ended = world.runs.ended
+    while ended and now - (ended[0].ended_at or 0.0) >= kept_s:
+        del world.runs.by_nonce[ended.popleft().nonce]
--- /dev/null
+++ b/src/magnoliahold/core/systems/suspects.py
@@ -0,0 +1,64 @@
+"""Keeps suspect requests apart and refuses those that are quarantined."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric, RefuseRequest
+
+if TYPE_CHECKING:
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import EntryWorld
+
+MIN_RETRY_AFTER_S = 1.0
+
+
+def refuse_quarantined(
+    world: EntryWorld, request_id: str, fingerprint: str, now: float
+) -> bool:
+    """Refuses a request whose fingerprint is quarantined; false when it is not."""
+    suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+    if suspicion is None or suspicion.quarantined_until is None:
+        return False
+    left_s = suspicion.quarantined_until - now
+    if left_s <= 0:
+        return False
+    refusal = RefuseRequest(
+        request_id,
+        status=422,
+        code="quarantined",
+        message="upstreams crashed whenever they ran this request; change it",
+        ran="may_have_run",
+        retry_after_s=round(max(left_s, MIN_RETRY_AFTER_S), 1),
+    )
+    world.emit(refusal)
+    world.emit(CountMetric("quarantined_refused"))
+    return True
+
+
+def is_suspect(world: EntryWorld, fingerprint: str) -> bool:
+    """Tells whether a request must run apart from other suspects."""
+    return fingerprint in world.suspicions.by_fingerprint
+
+
+def prefer_unsuspected(world: EntryWorld, candidates: list[Peer]) -> list[Peer]:
+    """Keeps the candidates that run no suspects, or the fewest of them."""
+    own = _count_own_suspects(world)
+
+    def count(peer: Peer) -> int:
+        reported = peer.report.suspects if peer.report else 0
+        return max(reported, own.get(peer.name, 0))
+
+    fewest = min((count(peer) for peer in candidates), default=0)
+    return [peer for peer in candidates if count(peer) == fewest]
+
+
+def _count_own_suspects(world: EntryWorld) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for generation in world.generations.by_request.values():
+        if generation.suspect and generation.sidecar:
+            counts[generation.sidecar] = counts.get(generation.sidecar, 0) + 1
+    for call in world.calls.by_request.values():
+        for dispatch in call.open.values() if call.suspect else ():
+            counts[dispatch.sidecar] = counts.get(dispatch.sidecar, 0) + 1
+    return counts
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -7,12 +7,14 @@
 from attrs import define, field
 
 from magnoliahold.core.calls import CallTable
+from magnoliahold.core.claims import ClaimTable
 from magnoliahold.core.configuration import ConfigurationTable
 from magnoliahold.core.effects import LogDecision
 from magnoliahold.core.events import Inbox
 from magnoliahold.core.generations import GenerationTable
 from magnoliahold.core.peers import PeerTable
 from magnoliahold.core.policy import Policy
+from magnoliahold.core.quarantine import SuspicionTable
 from magnoliahold.core.runs import RunTable
 from magnoliahold.core.streams import OwnerTable, StreamTable
 from magnoliahold.core.workspaces import WorkspaceTable
@@ -66,6 +68,8 @@
 
     generations: GenerationTable = field(factory=GenerationTable)
     calls: CallTable = field(factory=CallTable)
+    claims: ClaimTable = field(factory=ClaimTable)
+    suspicions: SuspicionTable = field(factory=SuspicionTable)
     configuration: ConfigurationTable = field(factory=ConfigurationTable)
 
 
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -31,6 +31,7 @@
     reported_running: int = 0
     capacity: int = 1
     checks_fencing: bool = True
+    suspects: int = 0
 
 
 @frozen
@@ -179,6 +180,7 @@
     fingerprint: str = ""
     route: str = ""
     expires_at: float = 0.0
+    suspect: bool = False
 
 
 @frozen
@@ -229,13 +231,16 @@
 class EngineDied:
     """Reports the requests that were in flight when an upstream's engine died.
 
-    `produced` is how many tokens each of them had from this engine, in the same order.
+    `produced` is how far each of them had come at this upstream, in the same order:
+    tokens of a generation, or twentieths of a second of a call. `suspects` names those
+    that were started as suspects.
     """
 
     upstream: str
     engine_incarnation: str
     fingerprints: tuple[str, ...]
     produced: tuple[int, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @frozen
