Let messages carry the evidence of moves and the placement that is followed

Evidence is counted by move, route and load with histograms, so that versions can be compared at like load; suspensions travel with their reason.

--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -7,7 +7,11 @@
 from attrs import define, field
 
 if TYPE_CHECKING:
-    from magnoliahold.wire.messages import EvidenceCount, UpstreamReport
+    from magnoliahold.wire.messages import (
+        EvidenceCount,
+        SuspendVersion,
+        UpstreamReport,
+    )
 
 
 @define
@@ -33,7 +37,7 @@
     configuration_head: int = 0
     report: UpstreamReport | None = None
     evidence: tuple[EvidenceCount, ...] = ()
-    suspended: tuple[str, ...] = ()
+    suspended: tuple[SuspendVersion, ...] = ()
     assigned: int = 0
     listed: bool = True
 
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -17,7 +17,8 @@
 
     `kind` is "engine" or "service"; `engine_incarnation` changes when the upstream
     restarts; `running` counts the work that this sidecar holds; `reported_running` is
-    the upstream's own figure, which lags.
+    the upstream's own figure, which lags. `placed` and `placement` are the versions and
+    the fencing number of the placement row that the sidecar follows.
     """
 
     name: str
@@ -32,28 +33,27 @@
     capacity: int = 1
     checks_fencing: bool = True
     suspects: int = 0
+    placed: tuple[str, ...] = ()
+    placement: int = 0
 
 
 @frozen
 class EvidenceCount:
-    """Cumulative results of one version on one route since the sidecar started.
+    """Cumulative results of one version in a move since the sidecar started.
 
-    `route` is the data centre of the entry that sent the work. Latency is the sum over
-    `answered` of seconds to the first token or answer, and `token_gap_s` the sum over
-    `tokens` of seconds between tokens.
+    `route` is the data centre of the entry that sent the work, and `busy` tells
+    whether the upstream was at least half full. `latencies` and `gaps` hold pairs of a
+    histogram bucket and a count: seconds to the first token, and between tokens.
     """
 
-    workspace: str
-    work: str
+    move: str
     version: str
     route: str
+    busy: bool
     answered: int
     failed: int
-    latency_s: float
-    tokens: int
-    token_gap_s: float
-    busy_answered: int = 0
-    busy_failed: int = 0
+    latencies: tuple[tuple[int, int], ...] = ()
+    gaps: tuple[tuple[int, int], ...] = ()
 
 
 @frozen
@@ -72,7 +72,7 @@
     configuration_head: int
     report: UpstreamReport | None = None
     evidence: tuple[EvidenceCount, ...] = ()
-    suspended: tuple[str, ...] = ()
+    suspended: tuple[SuspendVersion, ...] = ()
 
 
 @frozen
@@ -80,7 +80,8 @@
     """Asks a sidecar to generate a stream, or to continue one from its prefix.
 
     `max_tokens` counts the prefix too. `window` is how many tokens the sidecar may
-    send beyond the last acknowledged offset.
+    send beyond the last acknowledged offset. `move` names the move between versions
+    that the work is part of, if any.
     """
 
     lineage: str
@@ -97,6 +98,7 @@
     suspect: bool
     window: int
     route: str = ""
+    move: str = ""
 
 
 @frozen
@@ -353,13 +355,18 @@
 
 @frozen
 class PlacementPush:
-    """What an upstream should have loaded, by its placement row."""
+    """What an upstream should have loaded, by its placement row.
+
+    `fencing` is the row's version at the table service, `head` the change-log number
+    of the configuration that it follows from.
+    """
 
     upstream: str
     versions: tuple[str, ...]
     adapters: tuple[str, ...]
     role: str
     fencing: int
+    head: int = 0
 
 
 @frozen
