--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from attrs import field, frozen
-from attrs.validators import gt
+from attrs.validators import ge, gt
 
 
 def _seconds(default: float) -> float:
@@ -23,11 +23,16 @@
     peer_lost_s: float = _seconds(1.1)
     peer_forgotten_s: float = _seconds(60.0)
     list_interval_s: float = _seconds(5.0)
+    broken_link_s: float = _seconds(0.3)
 
 
 @frozen
 class StreamPolicy:
-    """Relay of tokens and detection of silent engines."""
+    """Relay of tokens, detection of silent engines and takeover.
+
+    `local_restarts` bounds how often a sidecar continues a silent stream at its own
+    engine. Without `resume_by_prefix` a lost generation starts again from offset 0.
+    """
 
     window_tokens: int = _count(256)
     ack_interval_tokens: int = _count(32)
@@ -36,8 +41,17 @@
     first_token_silent_s: float = _seconds(5.0)
     probe_timeout_s: float = _seconds(0.3)
     probe_interval_s: float = _seconds(0.25)
+    local_restarts: int = field(default=2, validator=ge(0))
+    ask_again_s: float = _seconds(0.3)
+    ask_again_max_s: float = _seconds(2.0)
+    take_retry_s: float = _seconds(0.25)
+    take_patience_s: float = _seconds(0.7)
     owner_grace_s: float = _seconds(20.0)
+    buffered_grace_s: float = _seconds(3.0)
+    caller_grace_s: float = _seconds(3.0)
     finished_kept_s: float = _seconds(30.0)
+    attempts_kept_s: float = _seconds(300.0)
+    resume_by_prefix: bool = True
 
 
 @frozen
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -61,7 +61,8 @@
     """Liveness, load and configuration head of a process.
 
     `clock` is the sender's monotonic clock, which only the sender's own deadlines are
-    compared with. `answer` is true on the reply to a heartbeat.
+    compared with. `answer` is true on the reply to a heartbeat, and `echo` is then the
+    clock of the heartbeat that it answers.
     """
 
     clock: float
@@ -73,6 +74,7 @@
     report: UpstreamReport | None = None
     evidence: tuple[EvidenceCount, ...] = ()
     suspended: tuple[SuspendVersion, ...] = ()
+    echo: float = 0.0
 
 
 @frozen
@@ -99,6 +101,7 @@
     window: int
     route: str = ""
     move: str = ""
+    resumable: bool = True
 
 
 @frozen
@@ -137,18 +140,26 @@
 
 @frozen
 class CancelStream:
-    """Ends an attempt whose output is no longer wanted."""
+    """Ends an attempt whose output is no longer wanted.
+
+    With `keep_s` the stream is paused instead and kept so long for a TakeStream.
+    """
 
     lineage: str
     attempt: int
+    keep_s: float = 0.0
 
 
 @frozen
 class TakeStream:
-    """Makes the sender the owner of a stream after its former entry was lost."""
+    """Makes the sender the owner of a stream after its former entry was lost.
+
+    It is refused when `fingerprint` is not that of the stream's request.
+    """
 
     lineage: str
     request_id: str
+    fingerprint: str
 
 
 @frozen
