--- a/src/magnoliahold/cli/arguments.py
+++ b/src/magnoliahold/cli/arguments.py
@@ -17,10 +17,15 @@
 
     Commands = Mapping[str, Any]
 
+PROGRAM = "magnoliahold"
 LIST_OPTIONS = ("--parameter",)
 # `for` is a Python keyword, so no parameter can have that name.
 OPTION_ALIASES = {"--for": "--duration-s"}
-HELP_REPLACEMENTS = (("--duration-s DURATION_S", "--for SECONDS"),)
+PRINTED_REPLACEMENTS = (
+    ("--duration-s DURATION_S", "--for SECONDS"),
+    ("--duration-s", "--for"),
+    (" | None value", " value"),
+)
 
 
 def parse_arguments(commands: Commands, argv: Sequence[str]) -> Callable[[], Any]:
@@ -35,7 +40,11 @@
     try:
         with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
             command: Callable[[], Any] = defopt.bind(
-                commands, argv=list(argv), version=__version__, short={}
+                commands,
+                argv=list(argv),
+                version=__version__,
+                short={},
+                argparse_kwargs={"prog": PROGRAM},
             )
             return command
     except SystemExit as exit_request:
@@ -43,42 +52,52 @@
             raise UsageError(
                 describe_usage(errors.getvalue(), commands, argv)
             ) from None
-        sys.stdout.write(adapt_help(output.getvalue()))
+        sys.stdout.write(adapt_printed(output.getvalue()))
         raise
 
 
 def gather_option(argv: Sequence[str], option: str) -> list[str]:
-    """Joins the values of an option that is given several times."""
+    """Joins the NAME=VALUE arguments of an option that is given several times."""
     others: list[str] = []
     values: list[str] = []
-    arguments = iter(argv)
-    for argument in arguments:
+    previous = ""
+    taking = False
+    for argument in argv:
         if argument == option:
-            values.append(next(arguments, ""))
+            taking = True
         elif argument.startswith(f"{option}="):
             values.append(argument.removeprefix(f"{option}="))
+        elif taking and (previous == option or is_assignment(argument)):
+            values.append(argument)
         else:
             others.append(argument)
+            taking = False
+        previous = argument
     return [*others, option, *values] if values else others
 
 
+def is_assignment(argument: str) -> bool:
+    """Tells whether an argument has the form NAME=VALUE."""
+    return "=" in argument and not argument.startswith("-")
+
+
 def replace_alias(argument: str) -> str:
     """Replaces an option's alias by the option's name."""
     option, separator, value = argument.partition("=")
     return OPTION_ALIASES.get(option, option) + separator + value
 
 
-def adapt_help(text: str) -> str:
-    """Shows options that have an alias by that alias."""
-    for old, new in HELP_REPLACEMENTS:
+def adapt_printed(text: str) -> str:
+    """Adapts what the parser prints: options are shown as they are typed."""
+    for old, new in PRINTED_REPLACEMENTS:
         text = text.replace(old, new)
     return text
 
 
 def describe_usage(printed: str, commands: Commands, argv: Sequence[str]) -> str:
     """Describes faulty arguments in one line, given what the parser printed."""
-    reason = printed.strip().rsplit("error: ", 1)[-1]
-    command = " ".join(["magnoliahold", *find_command_words(commands, argv)])
+    reason = adapt_printed(printed).strip().rsplit("error: ", 1)[-1]
+    command = " ".join([PROGRAM, *find_command_words(commands, argv)])
     return f"{' '.join(reason.split())}; see `{command} --help`"
 
 
--- a/src/magnoliahold/cli/measure.py
+++ b/src/magnoliahold/cli/measure.py
@@ -32,10 +32,10 @@
         json: Prints one JSON object on the last line.
         policy: The product's decisions, or the plain alternative.
         faults: Multiplies the number of faults.
-        entries: The number of entries, for `configuration`.
-        workspaces: The number of workspaces, for `configuration`.
-        url: The callers' URL of a running entry, for `load`.
-        seconds: How long to send load, for `load`.
+        entries: The number of entries, when measuring configuration.
+        workspaces: The number of workspaces, when measuring configuration.
+        url: The callers' URL of a running entry, when measuring load.
+        seconds: How long to send load, when measuring load.
     """
     if runs < 1:
         raise UsageError(f"--runs {runs} is too small; give at least 1")
--- a/src/magnoliahold/cli/operator_api.py
+++ b/src/magnoliahold/cli/operator_api.py
@@ -28,6 +28,7 @@
 
     from magnoliahold.errors import MagnoliaholdError
     from magnoliahold.httpclient import HttpAnswer
+    from magnoliahold.runtime import Clock
 
 T = TypeVar("T")
 
@@ -47,10 +48,12 @@
     apply id. One without an answer is therefore sent again.
     """
 
-    def __init__(self, reactor: Any, base_url: str, credential: str) -> None:
-        self._reactor = reactor
+    def __init__(
+        self, clock: Clock, client: HttpClient, base_url: str, credential: str
+    ) -> None:
+        self._clock = clock
         self._base_url = base_url
-        self._client = HttpClient(reactor, base_url)
+        self._client = client
         self._headers = (
             ("authorization", f"Bearer {credential}"),
             ("content-type", "application/json"),
@@ -91,10 +94,15 @@
 
     def _wait(self, delay_s: float) -> Deferred[None]:
         waited: Deferred[None] = Deferred()
-        self._reactor.callLater(delay_s, waited.callback, None)
+        self._clock.callLater(delay_s, waited.callback, None)
         return waited
 
 
+def make_operator_api(reactor: Any, base_url: str, credential: str) -> OperatorApi:
+    """Makes a client of the operators' API at a URL."""
+    return OperatorApi(reactor, HttpClient(reactor, base_url), base_url, credential)
+
+
 def make_refusal(answer: HttpAnswer, path: str) -> MagnoliaholdError:
     """Makes the error for an answer that refuses a request."""
     try:
@@ -150,7 +158,7 @@
     configure_logging("command", "critical")
     logging.getLogger("twisted").setLevel(logging.CRITICAL + 1)
     return run_until_done(
-        lambda reactor: operation(OperatorApi(reactor, base_url, credential))
+        lambda reactor: operation(make_operator_api(reactor, base_url, credential))
     )
 
 
--- a/src/magnoliahold/cli/standin.py
+++ b/src/magnoliahold/cli/standin.py
@@ -21,7 +21,7 @@
     address: str = LOOPBACK,
     name: str = "engine-1",
     version: str = "v1",
-    role: str = "draft",
+    role: str = "drafting",
     capacity: int = 16,
     token_interval_s: float = 0.02,
     obeys_fencing: bool = True,
@@ -106,5 +106,7 @@
 
     configure_logging(name)
     listener = serve_resource(reactor, resource, address, port)
-    logger.info("Listening.", name=name, address=listener.address)
+    reactor.callWhenRunning(
+        logger.info, "Listening.", name=name, address=listener.address
+    )
     reactor.run()
--- a/src/magnoliahold/errors.py
+++ b/src/magnoliahold/errors.py
@@ -12,13 +12,23 @@
     exit_code = 1
 
 
+def make_printable(text: str) -> str:
+    """Escapes the characters of a text that do not print, such as line breaks."""
+    return "".join(
+        character
+        if character.isprintable()
+        else character.encode("unicode_escape").decode("ascii")
+        for character in text
+    )
+
+
 class SettingsError(MagnoliaholdError):
     """One fault in a settings or template file, with its path and remedy."""
 
     exit_code = 2
 
     def __init__(self, path: str, problem: str, remedy: str) -> None:
-        super().__init__(f"{path}: {problem}; {remedy}")
+        super().__init__(make_printable(f"{path}: {problem}; {remedy}"))
         self.path = path
         self.problem = problem
         self.remedy = remedy
--- a/src/magnoliahold/logs.py
+++ b/src/magnoliahold/logs.py
@@ -8,6 +8,7 @@
 import time
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
+from pythonjsonlogger.core import RESERVED_ATTRS, merge_record_extra
 from pythonjsonlogger.json import JsonFormatter
 from twisted.logger import STDLibLogObserver, globalLogBeginner
 
@@ -19,6 +20,8 @@
 SECRET_PREFIX_LENGTH = 8
 MIN_SECRET_LENGTH = SECRET_PREFIX_LENGTH
 ROOT_NAME = "magnoliahold"
+FIELDS = "fields"
+OWN_ATTRIBUTES = frozenset((*RESERVED_ATTRS, FIELDS))
 
 
 class Redactor:
@@ -90,7 +93,8 @@
         log_data["level"] = record.levelname.lower()
         log_data["process"] = self.process_name
         log_data["message"] = record.getMessage()
-        log_data.update(getattr(record, "fields", {}))
+        merge_record_extra(record, log_data, OWN_ATTRIBUTES)
+        log_data.update(getattr(record, FIELDS, {}))
         if record.exc_info:
             log_data["exception"] = self.formatException(record.exc_info)
 
@@ -113,23 +117,23 @@
         self.prefix = prefix.rstrip(": ")
         self._logger = logging.getLogger(f"{ROOT_NAME}.{self.prefix}")
 
-    def debug(self, sentence: str, **fields: object) -> None:
+    def debug(self, sentence: str, /, **fields: object) -> None:
         """Logs detail that is only wanted while looking for a fault."""
         self._log(logging.DEBUG, sentence, fields)
 
-    def info(self, sentence: str, **fields: object) -> None:
+    def info(self, sentence: str, /, **fields: object) -> None:
         """Logs a decision or a change of state."""
         self._log(logging.INFO, sentence, fields)
 
-    def warning(self, sentence: str, **fields: object) -> None:
+    def warning(self, sentence: str, /, **fields: object) -> None:
         """Logs something that operators may have to act on."""
         self._log(logging.WARNING, sentence, fields)
 
-    def error(self, sentence: str, **fields: object) -> None:
+    def error(self, sentence: str, /, **fields: object) -> None:
         """Logs a failure that operators have to act on."""
         self._log(logging.ERROR, sentence, fields)
 
-    def exception(self, sentence: str, **fields: object) -> None:
+    def exception(self, sentence: str, /, **fields: object) -> None:
         """Logs a failure with the exception that is being handled."""
         self._log(logging.ERROR, sentence, fields, with_exception=True)
 
@@ -147,7 +151,7 @@
                 "%s",
                 message,
                 exc_info=with_exception,
-                extra={"fields": fields},
+                extra={FIELDS: fields},
             )
 
 
--- a/src/magnoliahold/metrics.py
+++ b/src/magnoliahold/metrics.py
@@ -37,7 +37,9 @@
         self._histograms: dict[str, Histogram] = {}
         self._gauges: dict[str, Gauge] = {}
 
-    def count(self, name: str, amount: float = 1, **labels: str | int | float) -> None:
+    def count(
+        self, name: str, amount: float = 1, /, **labels: str | int | float
+    ) -> None:
         """Adds to a counter."""
         counter = self._counters.get(name)
         if counter is None:
@@ -45,7 +47,7 @@
             self._counters[name] = counter
         counter.add(amount, labels)
 
-    def record(self, name: str, value: float, **labels: str | int | float) -> None:
+    def record(self, name: str, value: float, /, **labels: str | int | float) -> None:
         """Adds a value to a histogram whose buckets suit durations in seconds."""
         histogram = self._histograms.get(name)
         if histogram is None:
@@ -55,7 +57,9 @@
             self._histograms[name] = histogram
         histogram.record(value, labels)
 
-    def set_gauge(self, name: str, value: float, **labels: str | int | float) -> None:
+    def set_gauge(
+        self, name: str, value: float, /, **labels: str | int | float
+    ) -> None:
         """Sets the current value of a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
--- a/src/magnoliahold/templates/parameters.py
+++ b/src/magnoliahold/templates/parameters.py
@@ -51,11 +51,15 @@
 
 @frozen
 class Substitution:
-    """Replaces `${name}` in the values of a document, collecting faults by path."""
+    """Replaces `${name}` in the values of a document, collecting faults by path.
+
+    `unsettled` holds the paths of references to parameters whose own fault is known.
+    """
 
     values: Mapping[str, ParameterValue]
     declared: frozenset[str]
     faults: dict[str, SettingsError] = field(factory=dict)
+    unsettled: set[str] = field(factory=set)
 
     def substitute(self, node: Any, path: str = "") -> Any:
         """Returns a copy of a node of the document with its references replaced."""
@@ -90,25 +94,21 @@
         return result
 
     def find_value(self, name: str, path: str) -> ParameterValue:
-        """Finds the value of a parameter, or adds a fault."""
+        """Finds the value of a parameter, or notes the path of the reference."""
         if name in self.values:
             return self.values[name]
-        if name not in self.declared:
+        if name in self.declared:
+            self.unsettled.add(path)
+        else:
             self.add_fault(
                 path,
                 f"the parameter {name[:50]!r} is not declared",
                 "declare it under `parameters`",
             )
-        else:
-            self.add_fault(
-                path,
-                f"the parameter {name[:50]!r} has no usable value",
-                "give it a value or a default",
-            )
         return ""
 
     def add_fault(self, path: str, problem: str, remedy: str) -> None:
-        """Adds the first fault of a path."""
+        """Adds a fault unless the path has one."""
         self.faults.setdefault(path, SettingsError(path, problem, remedy))
 
 
--- a/src/magnoliahold/templates/parsing.py
+++ b/src/magnoliahold/templates/parsing.py
@@ -10,10 +10,14 @@
 from magnoliahold.errors import SettingsError
 from magnoliahold.settings.documents import parse_document
 from magnoliahold.settings.structuring import (
+    MAX_NAME_LENGTH,
     FieldError,
     group_faults,
+    join_path,
     make_converter,
+    require_name,
     structure_document,
+    structure_string,
 )
 from magnoliahold.templates.model import WorkspaceTemplate
 from magnoliahold.templates.parameters import (
@@ -59,13 +63,13 @@
     values, value_faults = settle_parameters(declared, supplied)
     faults.extend(value_faults)
     body = {key: value for key, value in document.items() if key != PARAMETERS}
-    substitution = Substitution(values, frozenset(declared))
+    substitution = Substitution(values, list_names(document.get(PARAMETERS)))
     filled = {**substitution.substitute(body), PARAMETERS: values}
     faults.extend(substitution.faults.values())
     try:
         template = structure_document(converter, filled, WorkspaceTemplate)
     except ExceptionGroup as group:
-        known = substitution.faults
+        known = substitution.unsettled | set(substitution.faults)
         for fault in group.exceptions:
             if isinstance(fault, SettingsError) and fault.path not in known:
                 faults.append(fault)
@@ -87,15 +91,30 @@
     parameters = {}
     faults = []
     for name, declaration in declared.items():
+        place = join_path(PARAMETERS, str(name)[:MAX_NAME_LENGTH])
         try:
-            parameters[str(name)] = structure_document(
+            parameters[structure_name(name)] = structure_document(
                 converter, declaration, Parameter
             )
+        except FieldError as error:
+            faults.append(SettingsError(place, error.problem, error.remedy))
         except ExceptionGroup as group:
-            faults.extend(place_faults(group, f"{PARAMETERS}.{name}"))
+            faults.extend(place_faults(group, place))
     return parameters, faults
 
 
+def list_names(declared: Any) -> frozenset[str]:
+    """Lists the names of all declared parameters, also of faulty ones."""
+    return frozenset(map(str, declared)) if isinstance(declared, dict) else frozenset()
+
+
+def structure_name(name: Any) -> str:
+    """Accepts a name only."""
+    accepted = structure_string(name, str)
+    require_name(accepted)
+    return accepted
+
+
 def place_faults(group: ExceptionGroup[Exception], path: str) -> list[SettingsError]:
     """Puts a path before the paths of the faults of a group."""
     faults = [fault for fault in group.exceptions if isinstance(fault, SettingsError)]
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of magnoliahold.cli."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/cli/test_application.py
@@ -0,0 +1,182 @@
+"""Tests of the command line: errors are one line with a remedy, and exit codes."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from magnoliahold.cli.application import COMMANDS, run_command
+from magnoliahold.cli.errors import TRACEBACK_VARIABLE
+
+ROOT = Path(__file__).resolve().parents[2]
+EXAMPLES = ROOT / "examples"
+CREDENTIAL = str(EXAMPLES / "credentials" / "operator")
+OPERATOR = ("--operator", "http://127.0.0.1:9", "--credential-file", CREDENTIAL)
+THREE_FAULTS = """
+name: entry-1
+data_centre: dc-1
+caller_port: 70000
+operator_port: 8081
+link_port: 8082
+colour: red
+platform: {base_url: "http://127.0.0.1:8100"}
+credentials: {callers: {}, operators: []}
+"""
+
+
+def run(*argv: str) -> tuple[int, str, str]:
+    """Runs a command here and returns its exit code and what it printed."""
+    output, errors = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+        code = run_command(argv)
+    return code, output.getvalue(), errors.getvalue()
+
+
+class ErrorTests(unittest.TestCase):
+    def test_errors_are_one_line_with_an_exit_code(self) -> None:
+        template = str(EXAMPLES / "rochebrune.yaml")
+        cases: tuple[tuple[tuple[str, ...], int, str], ...] = (
+            ((), 2, "too few arguments; see `magnoliahold --help`"),
+            (("bogus",), 2, "invalid choice: 'bogus'"),
+            (("standin",), 2, "too few arguments; see `magnoliahold standin --help`"),
+            (("standin", "gpu"), 2, "see `magnoliahold standin --help`"),
+            (("entry",), 2, "required: settings; see `magnoliahold entry --help`"),
+            (("entry", "absent.yaml"), 2, "cannot read it"),
+            (("sidecar", str(EXAMPLES)), 2, "cannot read it"),
+            (("dev", "--for", "soon"), 2, "invalid float value: 'soon'"),
+            (("dev", "--for=-1"), 2, "--for -1 is not positive"),
+            (("check",), 2, "no file is given"),
+            (("check", template, "--parameter", "x"), 2, "write NAME=VALUE"),
+            (("measure", "calls", "--runs", "0"), 2, "--runs 0 is too small"),
+            (("measure", "calls", "--policy", "best"), 2, "invalid choice"),
+            (("status",), 2, "are required: --operator, --credential-file"),
+            (("status", *OPERATOR[:3], "absent"), 2, "cannot read it"),
+            (("moves", "--operator", "here", *OPERATOR[2:]), 2, "not an HTTP URL"),
+            (("apply", "absent.yaml", *OPERATOR), 2, "cannot read it"),
+            (("apply", template, *OPERATOR, "--parameter", "a=1"), 2, "not declared"),
+        )
+        for argv, expected_code, message in cases:
+            with self.subTest(argv):
+                code, output, errors = run(*argv)
+                self.assertEqual((code, output), (expected_code, ""))
+                self.assertIn(message, errors)
+                self.assertRegex(errors, r"\Amagnoliahold: [^\n]+\n\Z")
+                self.assertNotIn("Traceback", errors)
+
+    def test_unexpected_errors_have_no_traceback_unless_asked_for(self) -> None:
+        for variable, shown in (("", False), ("1", True)):
+            with (
+                self.subTest(variable),
+                mock.patch.dict(os.environ, {TRACEBACK_VARIABLE: variable}),
+                mock.patch(
+                    "magnoliahold.cli.check.parse_template",
+                    side_effect=KeyError("a\nb"),
+                ),
+            ):
+                code, _, errors = run("check", str(EXAMPLES / "rochebrune.yaml"))
+                self.assertEqual(code, 70)
+                self.assertTrue(errors.startswith("magnoliahold: internal error"))
+                self.assertEqual("Traceback" in errors, shown)
+
+    def test_interrupts_are_silent(self) -> None:
+        target = "magnoliahold.cli.check.parse_template"
+        with mock.patch(target, side_effect=KeyboardInterrupt):
+            result = run("check", str(EXAMPLES / "rochebrune.yaml"))
+        self.assertEqual(result, (130, "", ""))
+
+
+class HelpTests(unittest.TestCase):
+    def test_every_command_has_help(self) -> None:
+        standins = [("standin", name) for name in ("engine", "service", "platform")]
+        for argv in [(name,) for name in COMMANDS] + standins:
+            with self.subTest(argv):
+                code, output, errors = run(*argv, "--help")
+                self.assertEqual((code, errors), (0, ""))
+                self.assertIn(f"usage: magnoliahold {' '.join(argv)}", output)
+
+    def test_options_named_after_keywords_show_as_typed(self) -> None:
+        _, output, _ = run("dev", "--help")
+        self.assertIn("--for SECONDS", output)
+        self.assertNotIn("duration", output)
+
+
+class CheckTests(unittest.TestCase):
+    def test_examples_are_recognised_and_sound(self) -> None:
+        cases = {
+            "entry": "entry settings",
+            "sidecar": "sidecar settings",
+            "rochebrune": "template",
+            "naulakko": "template",
+        }
+        paths = [str(EXAMPLES / f"{name}.yaml") for name in cases]
+        code, output, errors = run("check", *paths)
+        self.assertEqual((code, errors), (0, ""))
+        for line, kind in zip(output.splitlines(), cases.values(), strict=True):
+            self.assertTrue(line.endswith(f": {kind} without faults"), line)
+
+    def test_every_fault_of_a_file_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "entry.yaml"
+            path.write_text(THREE_FAULTS)
+            code, _, errors = run("check", str(path), str(EXAMPLES / "sidecar.yaml"))
+        self.assertEqual(code, 2)
+        lines = errors.splitlines()
+        self.assertEqual(len(lines), 3)
+        for fault in (
+            "address: it is missing",
+            "caller_port: 70000",
+            "colour: the key",
+        ):
+            with self.subTest(fault):
+                self.assertEqual(sum(f"entry.yaml: {fault}" in x for x in lines), 1)
+
+    def test_parameters_may_be_given_together_or_apart(self) -> None:
+        template = str(EXAMPLES / "rochebrune.yaml")
+        pairs = ("draft_queue=0", "draft_version=v9")
+        cases: tuple[tuple[tuple[str, ...], int], ...] = (
+            (("--parameter", *pairs), 0),
+            (("--parameter", pairs[0], "--parameter", pairs[1]), 0),
+            ((f"--parameter={pairs[0]}", f"--parameter={pairs[1]}"), 0),
+            (("--parameter", "draft_queue=many"), 2),
+            (("--parameter", "draft_version=v2"), 2),
+            (("--parameter", pairs[0], "--parameter", pairs[0]), 2),
+        )
+        for arguments, expected in cases:
+            with self.subTest(arguments):
+                self.assertEqual(run("check", template, *arguments)[0], expected)
+
+    def test_other_files_are_not_recognised(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "other.yaml"
+            path.write_text("colour: red")
+            code, _, errors = run("check", str(path))
+        self.assertEqual(code, 2)
+        self.assertIn("neither settings nor a template", errors)
+
+
+class StandinCommandTests(unittest.TestCase):
+    """Runs the stand-ins as processes of their own."""
+
+    def test_standins_listen_until_they_are_told_to_stop(self) -> None:
+        for kind in ("engine", "service", "platform"):
+            with self.subTest(kind):
+                process = subprocess.Popen(
+                    [sys.executable, "-m", "magnoliahold", "standin", kind, "--port=0"],
+                    stderr=subprocess.PIPE,
+                    text=True,
+                    cwd=ROOT,
+                )
+                self.addCleanup(process.kill)
+                assert process.stderr is not None
+                self.assertIn("standin: Listening.", process.stderr.readline())
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(process.wait(timeout=10), 0)
+                process.stderr.close()
--- /dev/null
+++ b/tests/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of magnoliahold.settings."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/templates/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of magnoliahold.templates."""
+
+from __future__ import annotations
