Advance moves by compare-and-set and judge new versions by sidecars' evidence

Sidecars count results by move, version, route and load; entries compare old and new at like load by sequential likelihood ratios and suspend a version alone and at once. Not measured yet.

--- /dev/null
+++ b/src/magnoliahold/core/judgement.py
@@ -0,0 +1,293 @@
+"""Sequential comparison of a new version with the old one.
+
+Every result is a trial that is good or bad: an answer or a failure, a latency or a
+token gap below or above a limit that follows from the old version. Under the
+hypothesis that the new version is no worse than the guards allow, a trial is bad with
+probability `p0`, taken from the old version at the same time and like load. A score is
+a log likelihood ratio against one of several worse probabilities:
+
+- from the first trial on; by Ville's inequality it passes log(1/a) with a probability
+  of at most `a`;
+- or restarted whenever it falls to zero (CUSUM), which finds versions that turn bad
+  later. Its limit is higher, since it is as good as many tests in a row.
+"""
+
+from __future__ import annotations
+
+from math import exp, log
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from magnoliahold.core.evidence import BUCKETS, BUCKETS_PER_DOUBLING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from magnoliahold.core.policy import MovePolicy
+    from magnoliahold.core.workspaces import MoveRule
+    from magnoliahold.wire.messages import EvidenceCount
+
+FAILURES = "failures"
+LATENCY = "latency"
+GAPS = "token gaps"
+ALL = "all"
+HARM_LEVELS = (0.08, 0.25, 0.5, 0.9)
+HIGHEST_P0 = 0.7
+SLOW_ALLOWANCE = 0.1
+
+
+@frozen
+class Trials:
+    """Good and bad results of one kind."""
+
+    good: float
+    bad: float
+
+
+@define
+class Reference:
+    """Results of the old version, in which older ones fade."""
+
+    answered: float = 0.0
+    failed: float = 0.0
+    latencies: dict[int, float] = field(factory=dict)
+    gaps: dict[int, float] = field(factory=dict)
+    faded_at: float = 0.0
+
+    def add(self, delta: Delta, now: float, fade_s: float) -> None:
+        """Adds results after fading the earlier ones."""
+        factor = exp(-max(0.0, now - self.faded_at) / fade_s)
+        self.faded_at = now
+        self.answered = self.answered * factor + delta.answered
+        self.failed = self.failed * factor + delta.failed
+        _add_histogram(self.latencies, delta.latencies, factor)
+        _add_histogram(self.gaps, delta.gaps, factor)
+
+
+def _add_histogram(
+    histogram: dict[int, float], added: Mapping[int, int], factor: float
+) -> None:
+    for bucket in histogram:
+        histogram[bucket] *= factor
+    for bucket, count in added.items():
+        histogram[bucket] = histogram.get(bucket, 0.0) + count
+
+
+@frozen
+class Delta:
+    """Results of one cell since they were last seen."""
+
+    answered: int
+    failed: int
+    latencies: Mapping[int, int]
+    gaps: Mapping[int, int]
+
+
+def find_delta(before: EvidenceCount | None, after: EvidenceCount) -> Delta:
+    """Finds the results that `after` has beyond `before`."""
+    return Delta(
+        answered=after.answered - (before.answered if before else 0),
+        failed=after.failed - (before.failed if before else 0),
+        latencies=_subtract(after.latencies, before.latencies if before else ()),
+        gaps=_subtract(after.gaps, before.gaps if before else ()),
+    )
+
+
+def _subtract(
+    after: tuple[tuple[int, int], ...], before: tuple[tuple[int, int], ...]
+) -> dict[int, int]:
+    known = dict(before)
+    return {
+        bucket: count - known.get(bucket, 0)
+        for bucket, count in after
+        if count > known.get(bucket, 0)
+    }
+
+
+@define
+class Scores:
+    """Log likelihood ratios against each level of harm."""
+
+    total: list[float] = field(factory=lambda: [0.0] * len(HARM_LEVELS))
+    recent: list[float] = field(factory=lambda: [0.0] * len(HARM_LEVELS))
+
+    def add(self, trials: Trials, p0: float, *, lately: bool) -> None:
+        """Adds trials; those that are not of lately count in the total only."""
+        for index, harm in enumerate(HARM_LEVELS):
+            p1 = p0 + (1 - p0) * harm
+            gain = trials.bad * log(p1 / p0) + trials.good * log((1 - p1) / (1 - p0))
+            self.total[index] += gain
+            if lately:
+                self.recent[index] = max(0.0, self.recent[index] + gain)
+
+    @property
+    def total_evidence(self) -> float:
+        """Log of the mean likelihood ratio over the levels of harm."""
+        top = max(self.total)
+        mean = sum(exp(value - top) for value in self.total) / len(self.total)
+        return top + log(mean)
+
+    @property
+    def recent_evidence(self) -> float:
+        """The highest restarted score."""
+        return max(self.recent)
+
+
+Slice = tuple[str, str]
+
+
+@define
+class Judgement:
+    """What one entry holds for and against the new version of one move.
+
+    `scores` are kept by kind of result and by slice: all results, one route, one
+    upstream, or busy upstreams only.
+    """
+
+    references: dict[Slice, Reference] = field(factory=dict)
+    scores: dict[tuple[str, Slice], Scores] = field(factory=dict)
+    seen: dict[tuple[str, str, str, str, bool], EvidenceCount] = field(factory=dict)
+    answered: int = 0
+    failed: int = 0
+    verdict: str = ""
+
+    def add_old(self, cell: Cell, delta: Delta, now: float, policy: MovePolicy) -> None:
+        """Adds results of the old version."""
+        for name in cell.list_references():
+            reference = self.references.setdefault(name, Reference())
+            reference.add(delta, now, policy.reference_fade_s)
+
+    def add_new(
+        self,
+        cell: Cell,
+        delta: Delta,
+        rule: MoveRule,
+        policy: MovePolicy,
+        *,
+        lately: bool,
+    ) -> None:
+        """Adds results of the new version and judges it by them."""
+        self.answered += delta.answered
+        self.failed += delta.failed
+        trials = Trials(delta.answered, delta.failed)
+        reference = self._find_reference(cell, FAILURES, policy)
+        p0 = find_failure_p0(reference, rule, policy)
+        self._score(FAILURES, cell, trials, p0, lately=lately)
+        for kind in (LATENCY, GAPS):
+            reference = self._find_reference(cell, kind, policy)
+            if reference is None:
+                continue
+            old = reference.latencies if kind == LATENCY else reference.gaps
+            new = delta.latencies if kind == LATENCY else delta.gaps
+            limit = find_limit(old, rule.max_latency_increase)
+            slow = split_trials(old, limit)
+            p0 = slow.bad / (slow.good + slow.bad) + SLOW_ALLOWANCE
+            self._score(
+                kind, cell, split_trials(new, limit), min(p0, HIGHEST_P0), lately=lately
+            )
+        self._decide(policy)
+
+    def _find_reference(
+        self, cell: Cell, kind: str, policy: MovePolicy
+    ) -> Reference | None:
+        """Finds the closest reference with enough results."""
+        for name in cell.list_references():
+            reference = self.references.get(name)
+            if (
+                reference is not None
+                and _count(reference, kind) >= policy.reference_min
+            ):
+                return reference
+        return None
+
+    def _score(
+        self, kind: str, cell: Cell, trials: Trials, p0: float, *, lately: bool
+    ) -> None:
+        if not trials.good and not trials.bad:
+            return
+        for name in cell.list_slices():
+            scores = self.scores.setdefault((kind, name), Scores())
+            scores.add(trials, p0, lately=lately)
+
+    def _decide(self, policy: MovePolicy) -> None:
+        if self.verdict:
+            return
+        for (kind, name), scores in self.scores.items():
+            extra = 0.0 if name[0] == ALL else policy.slice_evidence
+            if (
+                scores.total_evidence >= policy.total_evidence + extra
+                or scores.recent_evidence >= policy.recent_evidence + extra
+            ):
+                self.verdict = f"more {kind} than the old version, {' '.join(name)}"
+                return
+
+    @property
+    def suspicion(self) -> float:
+        """The strongest evidence against the new version, over all results."""
+        return max(
+            (
+                max(scores.total_evidence, scores.recent_evidence)
+                for (_, name), scores in self.scores.items()
+                if name[0] == ALL
+            ),
+            default=0.0,
+        )
+
+
+@frozen
+class Cell:
+    """Where results come from."""
+
+    upstream: str
+    route: str
+    busy: bool
+
+    def list_references(self) -> tuple[Slice, ...]:
+        """Lists the references to compare with, closest first."""
+        load = "busy" if self.busy else "idle"
+        return ((self.upstream, load), ("any", load), ("any", "any"))
+
+    def list_slices(self) -> tuple[Slice, ...]:
+        """Lists the slices that results of this cell belong to."""
+        slices = [(ALL, "results"), ("route", self.route), ("upstream", self.upstream)]
+        if self.busy:
+            slices.append(("load", "busy"))
+        return tuple(slices)
+
+
+def _count(reference: Reference, kind: str) -> float:
+    if kind == FAILURES:
+        return reference.answered + reference.failed
+    histogram = reference.latencies if kind == LATENCY else reference.gaps
+    return sum(histogram.values())
+
+
+def find_failure_p0(
+    reference: Reference | None, rule: MoveRule, policy: MovePolicy
+) -> float:
+    """Finds the highest failure probability that the guard allows."""
+    old = 0.0
+    if reference is not None:
+        old = reference.failed / (reference.answered + reference.failed)
+    allowed = max(rule.max_error_increase, policy.failure_floor)
+    return min(HIGHEST_P0, old + allowed)
+
+
+def find_limit(histogram: Mapping[int, float], increase: float) -> int:
+    """Finds the first bucket that counts as slow: above the median and the guard."""
+    half = sum(histogram.values()) / 2
+    median = 0
+    for bucket in sorted(histogram):
+        half -= histogram[bucket]
+        if half <= 0:
+            median = bucket
+            break
+    steps = log(1 + increase, 2) * BUCKETS_PER_DOUBLING
+    return min(BUCKETS - 1, median + max(1, round(steps)))
+
+
+def split_trials(histogram: Mapping[int, float], limit: int) -> Trials:
+    """Splits a histogram at the first slow bucket."""
+    bad = sum(count for bucket, count in histogram.items() if bucket >= limit)
+    return Trials(sum(histogram.values()) - bad, bad)
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -150,6 +150,35 @@
     status_patience_s: float = _seconds(1.0)
 
 
+@frozen
+class MovePolicy:
+    """Moves between versions and the judgement of new ones.
+
+    Evidence is measured as the natural logarithm of a likelihood ratio: from the first
+    result on (`total_evidence`), or since the score last fell to zero
+    (`recent_evidence`); single routes, upstreams and loads need `slice_evidence` more.
+    No stage grows above `doubt_evidence`. `probation_part` and `reserve_part` are parts
+    of the time up to the deadline. The plain alternative judges by a count of
+    `plain_failures` instead; 0 turns it off.
+    """
+
+    step_in_s: float = _seconds(1.0)
+    step_in_max_s: float = _seconds(5.0)
+    stage_min_s: float = _seconds(1.0)
+    probation_part: float = field(default=0.25, validator=gt(0))
+    reserve_part: float = field(default=0.15, validator=gt(0))
+    answered_per_stage: int = _count(20)
+    gap_window_tokens: int = _count(8)
+    reference_fade_s: float = _seconds(20.0)
+    reference_min: int = _count(20)
+    failure_floor: float = field(default=0.002, validator=gt(0))
+    total_evidence: float = field(default=6.5, validator=gt(0))
+    recent_evidence: float = field(default=13.0, validator=gt(0))
+    slice_evidence: float = field(default=2.5, validator=gt(0))
+    doubt_evidence: float = field(default=3.0, validator=gt(0))
+    plain_failures: int = 0
+
+
 @frozen
 class Policy:
     """All limits and intervals of one process."""
@@ -163,3 +192,4 @@
     quarantine: QuarantinePolicy = field(factory=QuarantinePolicy)
     drain: DrainPolicy = field(factory=DrainPolicy)
     configuration: ConfigurationPolicy = field(factory=ConfigurationPolicy)
+    moves: MovePolicy = field(factory=MovePolicy)
--- /dev/null
+++ b/src/magnoliahold/core/systems/judgement.py
@@ -0,0 +1,132 @@
+"""Judges new versions by the evidence of sidecars, and suspends bad ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric, SendMessage
+from magnoliahold.core.judgement import Cell, Judgement, find_delta
+from magnoliahold.wire.messages import Heartbeat, SuspendVersion
+
+if TYPE_CHECKING:
+    from magnoliahold.core.events import Received
+    from magnoliahold.core.identity import Sender
+    from magnoliahold.core.moves import ActiveMove
+    from magnoliahold.core.workspaces import MoveRule
+    from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.wire.messages import EvidenceCount
+
+
+def judge_versions(world: EntryWorld, now: float) -> None:
+    """Takes in the evidence on heartbeats and suspends versions that fail."""
+    heartbeats = world.inbox.read_messages(Heartbeat)
+    for received in heartbeats:
+        _take_evidence(world, received, now)
+    for name in list(world.judgements):
+        if name not in world.moves.active:
+            del world.judgements[name]
+
+
+def _take_evidence(
+    world: EntryWorld, received: Received[Heartbeat], now: float
+) -> None:
+    counts = received.message.evidence
+    for old_first in (True, False):
+        for count in counts:
+            active = world.moves.active.get(count.move)
+            if active is None:
+                continue
+            if (count.version == active.row.from_version) is old_first:
+                _take_count(world, active, received.sender, count, now)
+
+
+def _take_count(
+    world: EntryWorld,
+    active: ActiveMove,
+    sender: Sender,
+    count: EvidenceCount,
+    now: float,
+) -> None:
+    rule = find_rule(world, active)
+    if rule is None:
+        return
+    judgement = world.judgements.setdefault(count.move, Judgement())
+    source = (sender.name, sender.incarnation, count.version, count.route, count.busy)
+    before = judgement.seen.get(source)
+    if before is not None and _is_older(before, count):
+        return
+    judgement.seen[source] = count
+    delta = find_delta(before, count)
+    cell = Cell(sender.name, count.route, count.busy)
+    policy = world.policy.moves
+    if count.version == active.row.from_version:
+        judgement.add_old(cell, delta, now, policy)
+    elif count.version == active.row.to_version:
+        judgement.add_new(cell, delta, rule, policy, lately=before is not None)
+        _suspend_failed(world, active, judgement)
+
+
+def _is_older(before: EvidenceCount, after: EvidenceCount) -> bool:
+    return after.answered + after.failed < before.answered + before.failed
+
+
+def find_rule(world: EntryWorld, active: ActiveMove) -> MoveRule | None:
+    """Finds the rule that a move follows."""
+    rule = world.workspaces.find_work(active.workspace, active.row.work)
+    return rule.move if rule else None
+
+
+def _suspend_failed(
+    world: EntryWorld, active: ActiveMove, judgement: Judgement
+) -> None:
+    verdict = judgement.verdict
+    plain_limit = world.policy.moves.plain_failures
+    if plain_limit:
+        verdict = "too many failures" if judgement.failed >= plain_limit else ""
+    if verdict:
+        suspend_version(world, active, verdict)
+
+
+def suspend_version(world: EntryWorld, active: ActiveMove, reason: str) -> None:
+    """Stops new work on a move's new version at once and tells every entry."""
+    row = active.row
+    if row.move in world.moves.suspended:
+        return
+    notice = SuspendVersion(
+        active.workspace, row.work, row.to_version, row.move, reason
+    )
+    world.moves.suspended[row.move] = notice
+    for peer in world.peers.list_by_role("entry"):
+        world.emit(SendMessage(peer.name, notice))
+    world.emit(CountMetric("versions_suspended"))
+    world.log_decision(
+        "moves",
+        "Version suspended.",
+        workspace=active.workspace,
+        work=row.work,
+        version=row.to_version,
+        move=row.move,
+        reason=reason,
+    )
+
+
+def learn_suspensions(world: EntryWorld, now: float) -> None:
+    """Takes suspensions that other entries tell at once or on heartbeats."""
+    for received in world.inbox.read_messages(SuspendVersion):
+        _learn(world, received.message)
+    for heartbeat in world.inbox.read_messages(Heartbeat):
+        for notice in heartbeat.message.suspended:
+            _learn(world, notice)
+
+
+def _learn(world: EntryWorld, notice: SuspendVersion) -> None:
+    world.moves.suspended.setdefault(notice.move, notice)
+
+
+def list_suspended(world: EntryWorld) -> tuple[SuspendVersion, ...]:
+    """Lists the suspensions whose move has not ended, for heartbeats."""
+    return tuple(
+        notice
+        for notice in world.moves.suspended.values()
+        if notice.move in world.moves.active
+    )
--- /dev/null
+++ b/src/magnoliahold/core/systems/moves.py
@@ -0,0 +1,141 @@
+"""Advances moves between versions by compare-and-set on their rows."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+from xxhash import xxh64_intdigest
+
+from magnoliahold.core.configuration import MoveStep
+from magnoliahold.core.moves import (
+    MoveState,
+    count_loaded,
+    find_probation_s,
+    find_stage_s,
+    find_stages,
+)
+from magnoliahold.core.systems.configuration import queue_step
+
+if TYPE_CHECKING:
+    from magnoliahold.core.moves import ActiveMove
+    from magnoliahold.core.workspaces import MoveRule, WorkRule
+    from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.wire.messages import MoveRow
+
+
+def advance_moves(world: EntryWorld, now: float) -> None:
+    """Takes the next step of each move that is due, first by the preferred entry."""
+    for active in list(world.moves.active.values()):
+        rule = world.workspaces.find_work(active.workspace, active.row.work)
+        if rule is None or rule.move is None:
+            continue
+        after = find_step(world, active, rule, rule.move, now)
+        if after is None:
+            active.due_since = None
+            continue
+        if active.due_since is None:
+            active.due_since = now
+        if now - active.due_since >= find_turn_s(world, active.row.move):
+            step = MoveStep(active.row, after)
+            queue_step(world, active.workspace, step, now)
+
+
+def find_turn_s(world: EntryWorld, key: str) -> float:
+    """Finds how long this entry leaves a due step to the entries before it."""
+    names = [
+        peer.name
+        for peer in world.peers.list_by_role("entry")
+        if not peer.lost and not peer.leaving
+    ]
+    own = _rank(key, world.identity.name)
+    before = sum(_rank(key, name) < own for name in names)
+    policy = world.policy.moves
+    return min(before * policy.step_in_s, policy.step_in_max_s)
+
+
+def _rank(key: str, name: str) -> int:
+    return xxh64_intdigest(f"{key} {name}".encode())
+
+
+def find_step(
+    world: EntryWorld, active: ActiveMove, rule: WorkRule, move: MoveRule, now: float
+) -> MoveRow | None:
+    """Finds the row after the next step of a move, or None when none is due."""
+    row = active.row
+    suspended = world.moves.suspended.get(row.move)
+    if suspended is not None:
+        return _take_back(row, suspended.reason)
+    wall_now = world.wall_clock(now)
+    if wall_now >= row.deadline:
+        return _end_at_deadline(world, row)
+    if row.state == MoveState.PROBATION:
+        return _end_probation(world, active, move, now)
+    stages = find_stages(move)
+    if row.state == MoveState.WAITING:
+        return (
+            _enter_stage(row, stages, 0) if _has_room(world, rule, stages[0]) else None
+        )
+    stage_s = find_stage_s(row, move, world.policy.moves, wall_now)
+    if now - active.since < stage_s or not _is_trusted(world, row):
+        return None
+    following = row.stage + 1
+    if not _has_room(world, rule, stages[following]):
+        return None
+    return _enter_stage(row, stages, following)
+
+
+def _enter_stage(row: MoveRow, stages: tuple[float, ...], stage: int) -> MoveRow:
+    share = stages[stage]
+    state = MoveState.CANARY if stage == 0 else MoveState.GROWING
+    if share >= 1:
+        state = MoveState.PROBATION
+    return evolve(row, state=state, stage=stage, share=share)
+
+
+def _take_back(row: MoveRow, reason: str) -> MoveRow:
+    return evolve(row, state=MoveState.TAKEN_BACK, share=0.0, reason=reason)
+
+
+def _end_at_deadline(world: EntryWorld, row: MoveRow) -> MoveRow:
+    if row.state == MoveState.PROBATION and _is_trusted(world, row):
+        return _finish(row)
+    if row.state == MoveState.WAITING:
+        return _take_back(row, "the new version was not loaded by the deadline")
+    return _take_back(row, "too little evidence by the deadline")
+
+
+def _end_probation(
+    world: EntryWorld, active: ActiveMove, move: MoveRule, now: float
+) -> MoveRow | None:
+    probation_s = find_probation_s(active.row, move, world.policy.moves)
+    if now - active.since < probation_s or not _is_trusted(world, active.row):
+        return None
+    return _finish(active.row)
+
+
+def _finish(row: MoveRow) -> MoveRow:
+    reason = "no worse than the old version through all stages and the probation"
+    return evolve(row, state=MoveState.DONE, share=1.0, reason=reason)
+
+
+def _is_trusted(world: EntryWorld, row: MoveRow) -> bool:
+    """Tells whether there is enough evidence for the next stage, and none against."""
+    policy = world.policy.moves
+    if policy.plain_failures:
+        return True
+    judgement = world.judgements.get(row.move)
+    if judgement is None:
+        return False
+    enough = policy.answered_per_stage * (row.stage + 1)
+    unsuspected = judgement.suspicion < policy.doubt_evidence
+    return judgement.answered >= enough and unsuspected
+
+
+def _has_room(world: EntryWorld, rule: WorkRule, share: float) -> bool:
+    """Tells whether enough upstreams have the new version loaded for a share."""
+    if rule.move is None:
+        return False
+    loaded, selected = count_loaded(world, rule, rule.move.to_version)
+    return loaded > 0 and loaded >= ceil(share * selected)
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -11,7 +11,9 @@
 from magnoliahold.core.configuration import ConfigurationTable
 from magnoliahold.core.effects import LogDecision
 from magnoliahold.core.events import Inbox
+from magnoliahold.core.evidence import EvidenceTable
 from magnoliahold.core.generations import GenerationTable
+from magnoliahold.core.moves import MoveTable
 from magnoliahold.core.peers import PeerTable
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.quarantine import SuspicionTable
@@ -25,6 +27,7 @@
 
     from magnoliahold.core.effects import FieldValue
     from magnoliahold.core.identity import Identity
+    from magnoliahold.core.judgement import Judgement
     from magnoliahold.core.streams import Upstream
 
 
@@ -71,6 +74,8 @@
     claims: ClaimTable = field(factory=ClaimTable)
     suspicions: SuspicionTable = field(factory=SuspicionTable)
     configuration: ConfigurationTable = field(factory=ConfigurationTable)
+    moves: MoveTable = field(factory=MoveTable)
+    judgements: dict[str, Judgement] = field(factory=dict)
 
 
 @define(kw_only=True)
@@ -78,6 +83,7 @@
     """Tables of a sidecar."""
 
     upstream: Upstream
+    evidence: EvidenceTable = field(factory=EvidenceTable)
     owners: OwnerTable = field(factory=OwnerTable)
     streams: StreamTable = field(factory=StreamTable)
     runs: RunTable = field(factory=RunTable)
--- a/src/magnoliahold/measure/fakes/engine.py
+++ b/src/magnoliahold/measure/fakes/engine.py
@@ -59,7 +59,8 @@
     """Faults that rigs ask for.
 
     `poison` holds texts that kill the engine when a running prompt contains them.
-    `version_error_share` and `version_slowdown` make single versions bad.
+    `version_error_share` and `version_slowdown` make single versions bad, while
+    `is_bad_now` says so for a stream.
     """
 
     poison: set[str] = field(factory=set)
@@ -67,6 +68,9 @@
     version_slowdown: dict[str, float] = field(factory=dict)
     bad_only_above_running: int = 0
     bad_only_workspace: str = ""
+    is_bad_now: Callable[[effects.StartEngineStream], bool] = field(
+        default=lambda effect: True
+    )
 
 
 @define(eq=False)
@@ -240,7 +244,9 @@
         faults = self.faults
         if running < faults.bad_only_above_running:
             return False
-        return faults.bad_only_workspace in ("", effect.workspace)
+        if faults.bad_only_workspace not in ("", effect.workspace):
+            return False
+        return faults.is_bad_now(effect)
 
     def _is_failing(self, effect: effects.StartEngineStream) -> bool:
         share = self.faults.version_error_share.get(effect.version, 0.0)
