Take streams over, tell silent connections from frozen engines, ask after gaps

Cause of the slow and lost answers: a killed process was seen only by missed heartbeats, a silent engine connection only when the caller gave up, a lost entry started every stream again from 0, and a lost StartStream or last token was never asked after. Ruled out: a higher rate of heartbeats alone (it does not help a lost entry, and costs control bytes at every node).

Change: a reset link is asked at once over a new connection; a stream silent for a multiple of its own gap is continued locally when a probe is answered and given back when it is not; an entry takes a stream over from the sidecar that the event id names, or goes on from the tokens that the caller sent back; owners and attempts are fenced by (owner epoch, attempt); the entry asks after silent streams, at once over a replaced link; a process does not blame its peers for its own pause.

--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -29,8 +29,10 @@
     """One caller's generation.
 
     `tokens` holds the accepted output from offset 0; `delivered` is how many of them
-    the caller has. `lost_at` is when the last token before a loss was accepted and is
-    None unless the generation is being resumed. Times are on this process's clock.
+    the caller has, and `opening` the first that it was given. `lost_at` is when the last token before a loss was accepted and is
+    None unless the generation is being resumed. `heard_at` is when anything of the
+    current attempt was last heard or it was started, and `asks` how often it was asked
+    after since. Times are on this process's clock.
     """
 
     request: GenerationArrived
@@ -41,18 +43,21 @@
     priority: int
     state: GenerationState = GenerationState.QUEUED
     attempt: int = 0
-    owner_epoch: int = 0
+    owner_epoch: int = 1
     sidecar: str = ""
     sidecar_incarnation: str = ""
     version: str = ""
     tokens: list[str] = field(factory=list)
     delivered: int = 0
+    opening: str = ""
     acked: int = 0
     started_at: float = 0.0
     last_token_at: float = 0.0
     first_token_at: float | None = None
     lost_at: float | None = None
     resend_asked_at: float = 0.0
+    heard_at: float = 0.0
+    asks: int = 0
     failures: int = 0
     excluded: set[str] = field(factory=set)
     suspect: bool = False
@@ -73,6 +78,7 @@
 
     by_request: dict[str, Generation] = field(factory=dict)
     by_lineage: dict[str, Generation] = field(factory=dict)
+    next_watch_at: float = 0.0
 
     def add_generation(self, generation: Generation) -> None:
         """Adds a generation under both keys."""
@@ -85,6 +91,14 @@
         generation.lineage = lineage
         self.by_lineage[lineage] = generation
 
+    def change_request(
+        self, generation: Generation, request: GenerationArrived
+    ) -> None:
+        """Gives a generation to the request of a caller that came back."""
+        self.by_request.pop(generation.request.request_id, None)
+        generation.request = request
+        self.by_request[request.request_id] = generation
+
     def remove_generation(self, generation: Generation) -> None:
         """Removes a generation that has ended."""
         self.by_request.pop(generation.request.request_id, None)
--- a/src/magnoliahold/core/invariants.py
+++ b/src/magnoliahold/core/invariants.py
@@ -14,11 +14,14 @@
     from collections.abc import Iterator
 
     from magnoliahold.core.calls import CallTable
+    from magnoliahold.core.generations import Generation, GenerationTable
     from magnoliahold.core.runs import RunTable
+    from magnoliahold.core.streams import Stream, StreamTable
     from magnoliahold.core.worlds import World
 
 
 RECENT_RUNS = 16
+OVERDUE_S = 1.0
 
 
 class InvariantViolated(Exception):  # noqa: N818
@@ -36,28 +39,59 @@
     yield from world.breaches
     yield from _find_call_violations(world.calls)
     for generation in world.generations.by_request.values():
-        name = generation.request.request_id
-        if generation.delivered > len(generation.tokens):
-            yield f"{name}: delivered more tokens than were accepted"
-        if len(generation.tokens) > generation.request.max_tokens:
-            yield f"{name}: accepted more tokens than were asked for"
-        running = generation.state is GenerationState.RUNNING
-        if running and not generation.sidecar:
-            yield f"{name}: runs without a sidecar"
+        yield from _find_generation_violations(world.generations, generation)
+
+
+def _find_generation_violations(
+    table: GenerationTable, generation: Generation
+) -> Iterator[str]:
+    name = generation.request.request_id
+    tokens = generation.tokens
+    if table.by_lineage.get(generation.lineage) is not generation:
+        yield f"{name}: its lineage names another generation"
+    if len(tokens) > generation.request.max_tokens:
+        yield f"{name}: accepted more tokens than were asked for"
+    if generation.state is GenerationState.TAKING:
+        return
+    if generation.delivered > len(tokens):
+        yield f"{name}: delivered more tokens than were accepted"
+    if generation.acked > len(tokens):
+        yield f"{name}: acknowledged more tokens than were accepted"
+    if generation.delivered and tokens[0] != generation.opening:
+        yield f"{name}: mixes tokens of two generations"
+    running = generation.state is GenerationState.RUNNING
+    if running and not (generation.sidecar and generation.attempt):
+        yield f"{name}: runs without an attempt at a sidecar"
 
 
 @find_violations.register(SidecarWorld)
 def _find_sidecar_violations(world: SidecarWorld) -> Iterator[str]:
     yield from world.breaches
     for stream in world.streams.by_lineage.values():
-        name = stream.start.lineage
-        if stream.sent > len(stream.tokens):
-            yield f"{name}: sent more tokens than were produced"
-        if stream.acked > stream.sent:
-            yield f"{name}: more tokens acknowledged than sent"
+        yield from _find_stream_violations(world.streams, stream)
     yield from _find_run_violations(world.runs)
 
 
+def _find_stream_violations(table: StreamTable, stream: Stream) -> Iterator[str]:
+    name = stream.start.lineage
+    if stream.sent > len(stream.tokens):
+        yield f"{name}: sent more tokens than were produced"
+    if stream.acked > stream.sent:
+        yield f"{name}: more tokens acknowledged than sent"
+    if len(stream.tokens) > stream.start.max_tokens:
+        yield f"{name}: produced more tokens than were asked for"
+    if table.by_handle.get(stream.handle) is not stream:
+        yield f"{name}: its handle names another stream"
+    fence = table.fences.get(name)
+    owned = (stream.owner_epoch, stream.start.attempt)
+    if fence is None or owned < (fence.owner_epoch, fence.attempt):
+        yield f"{name}: runs for an owner or attempt that is fenced"
+    if stream.unowned_since is not None and table.next_watch_at > (
+        stream.dropped_at + OVERDUE_S
+    ):
+        yield f"{name}: kept without an owner for too long"
+
+
 def _find_run_violations(runs: RunTable) -> Iterator[str]:
     recent = islice(reversed(runs.ended), RECENT_RUNS)
     for run in chain(runs.open.values(), recent):
--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -19,7 +19,10 @@
     """Another process, as heard on the link to it.
 
     Times are on this process's clock. `clock_offset` is the peer's clock minus ours, an
-    underestimate, so that an expiry computed with it is never late.
+    underestimate, so that an expiry computed with it is never late. `broken_at` is when
+    its connection was reset, until a heartbeat sent since then is answered.
+    `listed_leaving` is what the instance list says, `leaving` what the process itself
+    told; `leaving_since` is when either was first known.
     """
 
     name: str
@@ -32,28 +35,33 @@
     asked_at: float = 0.0
     link_opened_at: float = 0.0
     clock_offset: float = 0.0
+    broken_at: float | None = None
     leaving: bool = False
+    listed_leaving: bool = False
+    leaving_since: float | None = None
     lost: bool = True
     configuration_head: int = 0
     report: UpstreamReport | None = None
     evidence: tuple[EvidenceCount, ...] = ()
     suspended: tuple[SuspendVersion, ...] = ()
     assigned: int = 0
+    assigned_reported: int = 0
     listed: bool = True
 
     @property
     def usable(self) -> bool:
         """Whether new work may be sent to this process."""
-        if self.lost or self.leaving or self.report is None:
+        if self.lost or self.leaving_since is not None or self.report is None:
             return False
         return self.report.ready
 
 
 @define
 class PeerTable:
-    """All known processes by name."""
+    """All known processes by name; `judged_at` is when links were last judged."""
 
     peers: dict[str, Peer] = field(factory=dict)
+    judged_at: float | None = None
     next_list_at: float = 0.0
 
     def list_by_role(self, role: str) -> list[Peer]:
--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 if TYPE_CHECKING:
     from magnoliahold.wire.messages import StartStream
@@ -23,7 +23,11 @@
     """One attempt of a lineage at this upstream.
 
     `tokens` holds the output from offset 0 with the prefix; `sent` and `acked` are
-    offsets towards the owner. Times are on this process's clock.
+    offsets towards the owner. `unowned_since` is set while the owner is lost or its
+    caller gone, and `dropped_at` is when the stream is then given up. `quiet_since`
+    is when the engine last produced or was asked to. `restarts` counts how often the
+    stream was continued over a new connection without a token since. Times are on
+    this process's clock.
     """
 
     start: StartStream
@@ -40,25 +44,57 @@
     first_token_at: float | None = None
     last_token_at: float = 0.0
     token_gap_s: float = 0.0
-    owner_heard_at: float = 0.0
     ended_at: float = 0.0
     paused: bool = False
-    probed_at: float = 0.0
+    unowned_since: float | None = None
+    dropped_at: float = 0.0
+    quiet_since: float = 0.0
+    restarts: int = 0
+
+
+@frozen(order=True)
+class Fence:
+    """The newest owner and attempt seen of a lineage; older ones are refused."""
+
+    owner_epoch: int
+    attempt: int
+    seen_at: float = field(order=False)
 
 
 @define
 class StreamTable:
-    """Streams by lineage and by engine handle; highest attempt seen by lineage."""
+    """Streams by lineage and by engine handle; fences by lineage, oldest first."""
 
     by_lineage: dict[str, Stream] = field(factory=dict)
     by_handle: dict[str, Stream] = field(factory=dict)
-    attempts_seen: dict[str, int] = field(factory=dict)
+    fences: dict[str, Fence] = field(factory=dict)
+    next_watch_at: float = 0.0
 
     def add_stream(self, stream: Stream) -> None:
         """Adds a stream under both keys."""
         self.by_lineage[stream.start.lineage] = stream
         self.by_handle[stream.handle] = stream
 
+    def change_handle(self, stream: Stream, handle: str) -> None:
+        """Gives a stream a new handle; events of the old one find nothing."""
+        del self.by_handle[stream.handle]
+        stream.handle = handle
+        self.by_handle[handle] = stream
+
+    def raise_fence(self, lineage: str, epoch: int, attempt: int, now: float) -> None:
+        """Refuses from now on what is not newer than an owner's attempt."""
+        fence = Fence(epoch, attempt, now)
+        known = self.fences.pop(lineage, fence)
+        self.fences[lineage] = evolve(max(known, fence), seen_at=now)
+
+    def expire_fences(self, before: float) -> None:
+        """Forgets the fences that were last raised before a time."""
+        while self.fences:
+            lineage = next(iter(self.fences))
+            if self.fences[lineage].seen_at >= before:
+                return
+            del self.fences[lineage]
+
     def remove_stream(self, stream: Stream) -> None:
         """Removes a stream that has ended or was cancelled."""
         if self.by_lineage.get(stream.start.lineage) is stream:
@@ -80,8 +116,10 @@
     role: str = ""
     reported_running: int = 0
     probe_pending: bool = False
+    probe_wanted: bool = False
     probe_sent_at: float = -1_000.0
     probe_failures: int = 0
+    reset_at: float = -1_000.0
     answered_at: float = 0.0
     checks_fencing: bool = True
     reported_death: str = "-"
--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -16,27 +16,33 @@
 def queue_generations(world: EntryWorld, now: float) -> None:
     """Puts arrived generations in the queue of their workspace."""
     for request in world.inbox.read_events(GenerationArrived):
-        rule = world.workspaces.find_work(request.workspace, request.work)
-        if rule is None:
-            refusal = RefuseRequest(
-                request.request_id,
-                status=404,
-                code="unknown_work",
-                message=f"the workspace has no work {request.work!r}",
-            )
-            world.emit(refusal)
-            continue
-        if refuse_quarantined(world, request.request_id, request.fingerprint, now):
-            continue
-        generation = Generation(
-            request=request,
-            lineage=world.make_id("lineage"),
-            arrived_at=now,
-            deadline_at=now + rule.deadline_s,
-            interactive=rule.interactive,
-            priority=rule.priority,
+        if request.resume_from is None:
+            queue_generation(world, request, now)
+
+
+def queue_generation(world: EntryWorld, request: GenerationArrived, now: float) -> None:
+    """Queues one generation that starts from offset 0, or refuses it."""
+    rule = world.workspaces.find_work(request.workspace, request.work)
+    if rule is None:
+        refusal = RefuseRequest(
+            request.request_id,
+            status=404,
+            code="unknown_work",
+            message=f"the workspace has no work {request.work!r}",
         )
-        world.generations.add_generation(generation)
+        world.emit(refusal)
+        return
+    if refuse_quarantined(world, request.request_id, request.fingerprint, now):
+        return
+    generation = Generation(
+        request=request,
+        lineage=world.make_id("lineage"),
+        arrived_at=now,
+        deadline_at=now + rule.deadline_s,
+        interactive=rule.interactive,
+        priority=rule.priority,
+    )
+    world.generations.add_generation(generation)
 
 
 def admit_generations(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -5,6 +5,8 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.effects import (
     CloseLink,
     ListInstances,
@@ -12,16 +14,19 @@
     ReplaceLink,
     SendMessage,
 )
-from magnoliahold.core.events import InstancesListed
+from magnoliahold.core.events import InstancesListed, LinkBroke
 from magnoliahold.core.peers import Peer
 from magnoliahold.core.streams import Owner
-from magnoliahold.core.worlds import SidecarWorld
+from magnoliahold.core.systems.evidence import list_evidence
+from magnoliahold.core.systems.judgement import list_suspended
+from magnoliahold.core.worlds import EntryWorld, SidecarWorld
 from magnoliahold.wire.messages import Heartbeat, UpstreamReport
 
 if TYPE_CHECKING:
     from magnoliahold.core.events import Received
     from magnoliahold.core.worlds import World
     from magnoliahold.platform.interfaces import Instance
+    from magnoliahold.wire.messages import EvidenceCount, SuspendVersion
 
 
 def add_peer(world: World, peer: Peer, now: float) -> None:
@@ -70,7 +75,16 @@
         add_peer(world, peer, now)
         return
     known.listed = True
-    known.leaving = known.leaving or instance.leaving
+    known.listed_leaving = instance.leaving
+    _note_leaving(known, now)
+
+
+def _note_leaving(peer: Peer, now: float) -> None:
+    """Keeps since when a process is known to leave."""
+    if not (peer.leaving or peer.listed_leaving):
+        peer.leaving_since = None
+    elif peer.leaving_since is None:
+        peer.leaving_since = now
 
 
 def _forget_peer(world: World, peer: Peer, now: float) -> None:
@@ -94,7 +108,8 @@
         if peer is not None:
             _update_peer(world, peer, received, now)
         if not received.message.answer:
-            answer = make_heartbeat(world, now, answer=True)
+            echo = received.message.clock
+            answer = evolve(make_heartbeat(world, now, answer=True), echo=echo)
             world.emit(SendMessage(received.sender.name, answer))
 
 
@@ -114,8 +129,12 @@
     peer.incarnation = received.sender.incarnation
     peer.heard_at = now
     peer.lost = False
+    if peer.broken_at is not None and heartbeat.echo >= peer.broken_at:
+        peer.broken_at = None
     peer.clock_offset = heartbeat.clock - now
     peer.leaving = peer.leaving or heartbeat.leaving
+    _note_leaving(peer, now)
+    peer.assigned_reported = peer.assigned
     peer.configuration_head = heartbeat.configuration_head
     peer.report = heartbeat.report
     peer.evidence = heartbeat.evidence
@@ -132,29 +151,62 @@
 
 
 def judge_links(world: World, now: float) -> None:
-    """Replaces silent links and marks processes as lost that stay silent."""
+    """Replaces broken and silent links and marks processes that stay silent as lost."""
+    _forgive_own_pause(world, now)
+    _note_broken_links(world, now)
     policy = world.policy.membership
     for peer in world.peers.peers.values():
-        if peer.heard_at is None:
-            silent_s = now - peer.link_opened_at
-        else:
-            silent_s = now - peer.heard_at
+        if peer.broken_at is not None and now - peer.broken_at >= policy.broken_link_s:
+            peer.broken_at = None
+            _lose_peer(world, peer, "link reset")
+        silent_s = now - _read_last_sign(peer)
         if silent_s < policy.link_silent_s:
             continue
         if now - peer.link_opened_at >= policy.link_silent_s:
-            peer.link_opened_at = now
-            peer.asked_at = now
-            world.emit(ReplaceLink(peer.name))
-            heartbeat = make_heartbeat(world, now, answer=False)
-            world.emit(SendMessage(peer.name, heartbeat))
-        if silent_s >= policy.peer_lost_s and not peer.lost:
-            peer.lost = True
-            world.log_decision(
-                "membership",
-                "Peer is lost.",
-                peer=peer.name,
-                silent_s=round(silent_s, 3),
-            )
+            replace_link(world, peer, now)
+        if silent_s >= policy.peer_lost_s:
+            _lose_peer(world, peer, "silent")
+
+
+def _read_last_sign(peer: Peer) -> float:
+    return peer.link_opened_at if peer.heard_at is None else peer.heard_at
+
+
+def _forgive_own_pause(world: World, now: float) -> None:
+    """Takes the time that this process itself stood still off the peers' silence."""
+    judged_at = world.peers.judged_at
+    world.peers.judged_at = now
+    pause_s = 0.0 if judged_at is None else now - judged_at
+    if pause_s < world.policy.membership.heartbeat_s:
+        return
+    for peer in world.peers.peers.values():
+        peer.link_opened_at += pause_s
+        if peer.heard_at is not None and peer.heard_at < now:
+            peer.heard_at += pause_s
+        if peer.broken_at is not None:
+            peer.broken_at += pause_s
+
+
+def _note_broken_links(world: World, now: float) -> None:
+    for event in world.inbox.read_events(LinkBroke):
+        peer = world.peers.peers.get(event.peer)
+        if peer is not None and not peer.lost and peer.broken_at is None:
+            peer.broken_at = now
+            replace_link(world, peer, now)
+
+
+def replace_link(world: World, peer: Peer, now: float) -> None:
+    """Opens a new connection to a process and asks at once whether it answers."""
+    peer.link_opened_at = now
+    peer.asked_at = now
+    world.emit(ReplaceLink(peer.name))
+    world.emit(SendMessage(peer.name, make_heartbeat(world, now, answer=False)))
+
+
+def _lose_peer(world: World, peer: Peer, reason: str) -> None:
+    if not peer.lost:
+        peer.lost = True
+        world.log_decision("membership", "Peer is lost.", peer=peer.name, reason=reason)
 
 
 def make_heartbeat(world: World, now: float, *, answer: bool) -> Heartbeat:
@@ -168,9 +220,35 @@
         leaving=world.leaving_since is not None,
         configuration_head=world.workspaces.head,
         report=make_report(world),
+        evidence=make_evidence(world, now),
+        suspended=make_suspended(world),
     )
 
 
+@singledispatch
+def make_evidence(world: World, now: float) -> tuple[EvidenceCount, ...]:
+    """Lists the counts of results that a sidecar tells; entries have none."""
+    return ()
+
+
+@make_evidence.register(SidecarWorld)
+def _make_sidecar_evidence(
+    world: SidecarWorld, now: float
+) -> tuple[EvidenceCount, ...]:
+    return list_evidence(world, now)
+
+
+@singledispatch
+def make_suspended(world: World) -> tuple[SuspendVersion, ...]:
+    """Lists the versions that an entry has suspended; sidecars have none."""
+    return ()
+
+
+@make_suspended.register(EntryWorld)
+def _make_entry_suspended(world: EntryWorld) -> tuple[SuspendVersion, ...]:
+    return list_suspended(world)
+
+
 @singledispatch
 def make_report(world: World) -> UpstreamReport | None:
     """Builds the report on the upstream; entries have none."""
--- a/src/magnoliahold/core/systems/relay.py
+++ b/src/magnoliahold/core/systems/relay.py
@@ -22,6 +22,7 @@
     from magnoliahold.core.worlds import EntryWorld
 
 RESEND_INTERVAL_S = 0.1
+MAX_ASKS_DOUBLED = 8
 
 
 def relay_tokens(world: EntryWorld, now: float) -> None:
@@ -49,11 +50,17 @@
 
 
 def _cancel_outdated(world: EntryWorld, received: Received[StreamTokens]) -> None:
-    """Stops an attempt that nobody waits for, such as one of a lost engine."""
+    """Stops an attempt that nobody waits for, such as one of a lost engine.
+
+    A stream that is being taken over is current, but its tokens so far come first.
+    """
     message = received.message
     known = world.generations.by_lineage.get(message.lineage)
+    if known is not None and known.state is GenerationState.TAKING:
+        return
     if known is None or known.attempt != message.attempt or not known.sidecar:
-        cancel = CancelStream(message.lineage, message.attempt)
+        epoch = known.owner_epoch if known else 0
+        cancel = CancelStream(message.lineage, message.attempt, epoch)
         world.emit(SendMessage(received.sender.name, cancel))
         labels = {"reason": "outdated"}
         world.emit(CountMetric("tokens_dropped", len(message.tokens), labels))
@@ -62,6 +69,8 @@
 def _accept_tokens(
     world: EntryWorld, generation: Generation, message: StreamTokens, now: float
 ) -> None:
+    generation.heard_at = now
+    generation.asks = 0
     expected = len(generation.tokens)
     if message.offset > expected:
         _ask_again(world, generation, now)
@@ -100,12 +109,15 @@
     pending = tuple(generation.tokens[generation.delivered :])
     if not pending:
         return
+    if generation.delivered == 0:
+        generation.opening = pending[0]
     effect = DeliverTokens(
         request_id=generation.request.request_id,
         offset=generation.delivered,
         tokens=pending,
         lineage=generation.lineage,
         sidecar=generation.sidecar,
+        version=generation.version,
     )
     generation.delivered += len(pending)
     world.emit(effect)
@@ -118,6 +130,33 @@
     send_ack(world, generation, resend=True)
 
 
+def ask_silent_streams(world: EntryWorld, now: float) -> None:
+    """Asks after streams that are silent, in case a message or a link was lost.
+
+    The sidecar then sends again what was not acknowledged, or tells that it does not
+    know the attempt. A replaced link is reason to ask at once.
+    """
+    table = world.generations
+    if now < table.next_watch_at:
+        return
+    table.next_watch_at = now + world.policy.tick_s
+    for generation in table.list_in_state(GenerationState.RUNNING):
+        if not generation.caller_paused and _is_due_to_ask(world, generation, now):
+            generation.asks += 1
+            generation.resend_asked_at = now
+            send_ack(world, generation, resend=True)
+
+
+def _is_due_to_ask(world: EntryWorld, generation: Generation, now: float) -> bool:
+    policy = world.policy.streams
+    last = max(generation.heard_at, generation.resend_asked_at)
+    peer = world.peers.peers.get(generation.sidecar)
+    if peer is not None and peer.link_opened_at > last:
+        return True
+    doubled = 1 << min(generation.asks, MAX_ASKS_DOUBLED)
+    return now - last >= min(policy.ask_again_s * doubled, policy.ask_again_max_s)
+
+
 def _acknowledge(world: EntryWorld, generation: Generation) -> None:
     interval = world.policy.streams.ack_interval_tokens
     if generation.caller_paused:
@@ -143,13 +182,15 @@
     world.generations.remove_generation(generation)
     request = generation.request
     count = len(generation.tokens)
+    if generation.delivered != count:
+        world.breaches.append(f"{request.request_id}: closed before its last token")
     world.emit(FinishGeneration(request.request_id, reason, count))
     labels = {"work": request.work, "reason": reason}
     world.emit(CountMetric("generations_finished", 1, labels))
 
 
 def follow_callers(world: EntryWorld, now: float) -> None:
-    """Slows streams of slow callers and cancels those of callers that are gone."""
+    """Slows streams of slow callers and gives up those of callers that are gone."""
     by_request = world.generations.by_request
     for paused in world.inbox.read_events(CallerPaused):
         generation = by_request.get(paused.request_id)
@@ -168,9 +209,12 @@
 
 
 def cancel_generation(world: EntryWorld, generation: Generation) -> None:
-    """Removes a generation and cancels its attempt."""
+    """Removes a generation; the sidecar keeps its stream for the caller's return."""
     if generation.state is GenerationState.RUNNING:
-        cancel = CancelStream(generation.lineage, generation.attempt)
+        keep_s = world.policy.streams.caller_grace_s
+        cancel = CancelStream(
+            generation.lineage, generation.attempt, generation.owner_epoch, keep_s
+        )
         world.emit(SendMessage(generation.sidecar, cancel))
         end_attempt(world, generation)
     world.generations.remove_generation(generation)
--- a/src/magnoliahold/core/systems/resumption.py
+++ b/src/magnoliahold/core/systems/resumption.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.effects import CountMetric, SendMessage
+from attrs import evolve
+
+from magnoliahold.core.effects import CountMetric, RefuseRequest, SendMessage
 from magnoliahold.core.generations import GenerationState
 from magnoliahold.core.systems.routing import end_attempt
 from magnoliahold.wire.messages import CancelStream, StreamFailed
@@ -13,6 +15,9 @@
     from magnoliahold.core.generations import Generation
     from magnoliahold.core.worlds import EntryWorld
 
+UPSTREAM_FAILURES = frozenset({"engine_died"})
+NOT_FAILURES = frozenset({"leaving", "unknown", "expired"})
+
 
 def resume_failed(world: EntryWorld, now: float) -> None:
     """Makes generations ready again whose sidecar reports a failed attempt."""
@@ -21,8 +26,38 @@
         generation = world.generations.by_lineage.get(message.lineage)
         if generation is None or generation.state is not GenerationState.RUNNING:
             continue
-        if generation.attempt == message.attempt:
-            resume_generation(world, generation, message.reason, now)
+        current = (generation.attempt, generation.sidecar)
+        if current != (message.attempt, received.sender.name):
+            continue
+        if message.reason == "fenced":
+            _give_up_ownership(world, generation)
+            continue
+        _note_upstream_failure(world, generation, message.reason)
+        resume_generation(world, generation, message.reason, now)
+
+
+def _give_up_ownership(world: EntryWorld, generation: Generation) -> None:
+    """Ends a generation that another entry has taken over for its caller."""
+    end_attempt(world, generation)
+    world.generations.remove_generation(generation)
+    refusal = RefuseRequest(
+        generation.request.request_id,
+        status=409,
+        code="stream_taken",
+        message="another connection continues this stream; read on there",
+    )
+    world.emit(refusal)
+
+
+def _note_upstream_failure(
+    world: EntryWorld, generation: Generation, reason: str
+) -> None:
+    """Sends no work to a failed upstream before its next heartbeat."""
+    peer = world.peers.peers.get(generation.sidecar)
+    if peer is None:
+        return
+    if reason in UPSTREAM_FAILURES and peer.report is not None:
+        peer.report = evolve(peer.report, ready=False)
 
 
 def resume_lost(world: EntryWorld, now: float) -> None:
@@ -39,7 +74,9 @@
     world: EntryWorld, generation: Generation, reason: str, now: float
 ) -> None:
     """Ends the current attempt and makes the generation ready for the next."""
-    cancel = CancelStream(generation.lineage, generation.attempt)
+    cancel = CancelStream(
+        generation.lineage, generation.attempt, generation.owner_epoch
+    )
     world.emit(SendMessage(generation.sidecar, cancel))
     world.log_decision(
         "resumption",
@@ -51,9 +88,22 @@
         reason=reason,
     )
     world.emit(CountMetric("attempts_lost", 1, {"reason": reason}))
-    generation.excluded.add(generation.sidecar)
+    if reason not in NOT_FAILURES:
+        generation.excluded.add(generation.sidecar)
+        generation.failures += 1
     end_attempt(world, generation)
-    generation.failures += 1
     if generation.lost_at is None:
         generation.lost_at = generation.last_token_at or now
     generation.state = GenerationState.READY
+    if not world.policy.streams.resume_by_prefix:
+        restart_generation(world, generation)
+
+
+def restart_generation(world: EntryWorld, generation: Generation) -> None:
+    """Starts a generation again from offset 0 as a new lineage."""
+    lineage = world.make_id("lineage")
+    world.generations.rename_lineage(generation, lineage)
+    generation.tokens.clear()
+    generation.delivered = 0
+    generation.attempt = 0
+    generation.owner_epoch = 1
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -6,6 +6,7 @@
 
 from magnoliahold.core.effects import SendMessage
 from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.moves import find_active_move, find_shares
 from magnoliahold.core.systems.suspects import is_suspect, prefer_unsuspected
 from magnoliahold.wire.messages import StartStream
 
@@ -15,6 +16,8 @@
     from magnoliahold.core.workspaces import VersionShare
     from magnoliahold.core.worlds import EntryWorld
 
+RESUMED_PRIORITY_GAIN = 100
+
 
 def route_generations(world: EntryWorld, now: float) -> None:
     """Starts every ready generation on an upstream, resumed ones first."""
@@ -48,8 +51,9 @@
     if generation.tokens:
         shares = [item for item in rule.versions if item.version == generation.version]
         return shares[0] if shares else None
-    weights = [item.share for item in rule.versions]
-    return world.random.choices(rule.versions, weights)[0]
+    versions = find_shares(world, *generation.key)
+    weights = [item.share for item in versions]
+    return world.random.choices(versions, weights)[0]
 
 
 def find_candidates(
@@ -78,25 +82,35 @@
 
 
 def measure_load(peer: Peer) -> float:
-    """Measures work per slot: our own count over the upstream's lagging report."""
+    """Measures work per slot: the upstream's report and what we sent since."""
     report = peer.report
     if report is None:
         return 1.0
-    running = max(report.running, peer.assigned)
-    return running / max(report.capacity, 1)
+    running = report.running + max(0, peer.assigned - peer.assigned_reported)
+    return max(running, peer.assigned) / max(report.capacity, 1)
+
+
+def choose_priority(generation: Generation) -> int:
+    """Lets the engine take resumed work before new work; lower goes first."""
+    if generation.lost_at is None:
+        return generation.priority
+    return generation.priority - RESUMED_PRIORITY_GAIN
 
 
 def start_attempt(
     world: EntryWorld, generation: Generation, peer: Peer, version: str, now: float
 ) -> None:
     """Sends a new attempt of a generation to a sidecar."""
+    if peer.leaving_since is not None:
+        world.breaches.append(f"{peer.name}: given new work while it leaves")
     generation.attempt += 1
-    generation.owner_epoch += 1
     generation.version = version
     generation.sidecar = peer.name
     generation.sidecar_incarnation = peer.incarnation
     generation.state = GenerationState.RUNNING
     generation.started_at = now
+    generation.heard_at = now
+    generation.asks = 0
     generation.acked = len(generation.tokens)
     generation.runs_as_suspect = generation.suspect
     generation.attempt_offset = len(generation.tokens)
@@ -112,11 +126,13 @@
         prompt=request.prompt,
         prefix=tuple(generation.tokens),
         max_tokens=request.max_tokens,
-        priority=generation.priority,
+        priority=choose_priority(generation),
         fingerprint=request.fingerprint,
         suspect=generation.suspect,
         window=world.policy.streams.window_tokens,
         route=world.identity.data_centre,
+        move=find_active_move(world, request.workspace, request.work),
+        resumable=request.stream,
     )
     expires_s = world.policy.calls.start_expires_s
     world.emit(SendMessage(peer.name, message, expires_s))
--- /dev/null
+++ b/src/magnoliahold/core/systems/silence.py
@@ -0,0 +1,80 @@
+"""Tells silent connections from frozen engines and continues streams locally."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CancelEngineStream, CountMetric
+from magnoliahold.core.streams import StreamState
+from magnoliahold.core.systems.streams import (
+    end_stream,
+    fail_stream,
+    send_pending,
+    start_engine_stream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliahold.core.streams import Stream
+    from magnoliahold.core.worlds import SidecarWorld
+
+
+def watch_silence(world: SidecarWorld, now: float) -> None:
+    """Continues silent streams of an engine that answers probes.
+
+    A stream is silent when its engine gave no token for a multiple of the stream's own
+    mean gap. A probe over a new connection, answered after the silence began, shows
+    that only the stream's connection is lost; the failure of one shows that the engine
+    is, which is judged where probes are noted.
+    """
+    for stream in list(iterate_silent(world, now)):
+        if world.upstream.answered_at > stream.quiet_since + _limit_s(world, stream):
+            _continue_stream(world, stream, now)
+        else:
+            world.upstream.probe_wanted = True
+
+
+def iterate_silent(world: SidecarWorld, now: float) -> Iterator[Stream]:
+    """Yields the running streams whose engine has been silent for too long."""
+    for stream in world.streams.by_handle.values():
+        if stream.state is not StreamState.RUNNING or stream.paused:
+            continue
+        if now - stream.quiet_since > _limit_s(world, stream):
+            yield stream
+
+
+def _limit_s(world: SidecarWorld, stream: Stream) -> float:
+    """Computes the silence that a stream is allowed; it doubles at each restart."""
+    policy = world.policy.streams
+    if stream.first_token_at is None:
+        limit_s = policy.first_token_silent_s
+    else:
+        gaps_s = policy.engine_silent_gaps * stream.token_gap_s
+        limit_s = max(policy.engine_silent_min_s, gaps_s)
+    return limit_s * (1 << stream.restarts)
+
+
+def _continue_stream(world: SidecarWorld, stream: Stream, now: float) -> None:
+    """Continues a stream over a new connection, or gives it back to its owner."""
+    if len(stream.tokens) >= stream.start.max_tokens:
+        world.emit(CancelEngineStream(stream.handle))
+        end_stream(stream, "length", now)
+        send_pending(world, stream, now)
+        return
+    if stream.restarts >= world.policy.streams.local_restarts:
+        fail_stream(world, stream, "engine_silent")
+        return
+    world.log_decision(
+        "streams",
+        "Connection is silent, continuing over a new one.",
+        lineage=stream.start.lineage,
+        offset=len(stream.tokens),
+        silent_s=round(now - stream.quiet_since, 3),
+    )
+    world.emit(CountMetric("streams_reconnected"))
+    world.emit(CancelEngineStream(stream.handle))
+    world.streams.change_handle(stream, world.make_id("stream"))
+    stream.restarts += 1
+    stream.quiet_since = now
+    start_engine_stream(world, stream)
--- a/src/magnoliahold/core/systems/streams.py
+++ b/src/magnoliahold/core/systems/streams.py
@@ -23,12 +23,17 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.events import Received
+    from magnoliahold.core.identity import Sender
     from magnoliahold.core.worlds import SidecarWorld
 
+GAP_WEIGHT = 0.2
+
 
 def start_streams(world: SidecarWorld, now: float) -> None:
     """Starts the attempts that entries ask for."""
     for received in world.inbox.read_messages(StartStream):
+        if _is_running(world, received):
+            continue
         reason = find_refusal(world, received.message)
         if reason:
             refuse_start(world, received.sender.name, received.message, reason)
@@ -39,11 +44,29 @@
             refuse_start(world, expired.sender.name, expired.message, "expired")
 
 
+def _is_running(world: SidecarWorld, received: Received[StartStream]) -> bool:
+    """Tells whether a message is a second copy of one that was acted on."""
+    start = received.message
+    stream = world.streams.by_lineage.get(start.lineage)
+    if stream is None or not is_owner(stream, received.sender):
+        return False
+    return stream.start.attempt == start.attempt
+
+
+def is_owner(stream: Stream, sender: Sender) -> bool:
+    """Tells whether a process, in its present incarnation, owns a stream."""
+    return (stream.owner, stream.owner_incarnation) == (sender.name, sender.incarnation)
+
+
 def find_refusal(world: SidecarWorld, start: StartStream) -> str:
     """Finds the reason why an attempt can't start here, or an empty string."""
     if world.leaving_since is not None:
         return "leaving"
-    if world.streams.attempts_seen.get(start.lineage, 0) >= start.attempt:
+    fence = world.streams.fences.get(start.lineage)
+    if fence and (start.owner_epoch, start.attempt) <= (
+        fence.owner_epoch,
+        fence.attempt,
+    ):
         return "fenced"
     if not world.upstream.ready:
         return "engine_died"
@@ -64,10 +87,11 @@
     world: SidecarWorld, received: Received[StartStream], now: float
 ) -> None:
     start = received.message
-    older = world.streams.by_lineage.get(start.lineage)
+    streams = world.streams
+    older = streams.by_lineage.get(start.lineage)
     if older is not None:
         drop_stream(world, older)
-    world.streams.attempts_seen[start.lineage] = start.attempt
+    streams.raise_fence(start.lineage, start.owner_epoch, start.attempt, now)
     stream = Stream(
         start=start,
         owner=received.sender.name,
@@ -79,15 +103,21 @@
         acked=len(start.prefix),
         started_at=now,
         last_token_at=now,
-        owner_heard_at=now,
+        quiet_since=now,
     )
-    world.streams.add_stream(stream)
+    streams.add_stream(stream)
+    start_engine_stream(world, stream)
+
+
+def start_engine_stream(world: SidecarWorld, stream: Stream) -> None:
+    """Starts a stream at the engine from the tokens that are here."""
+    start = stream.start
     effect = StartEngineStream(
         handle=stream.handle,
         workspace=start.workspace,
         version=start.version,
         prompt=start.prompt,
-        prefix=start.prefix,
+        prefix=tuple(stream.tokens),
         max_tokens=start.max_tokens,
         priority=start.priority,
     )
@@ -103,9 +133,17 @@
     for broken in world.inbox.read_events(StreamBroke):
         stream = world.streams.by_handle.get(broken.handle)
         if stream is not None:
+            _note_reset(world, broken, now)
             fail_stream(world, stream, broken.reason)
 
 
+def _note_reset(world: SidecarWorld, broken: StreamBroke, now: float) -> None:
+    """Asks for a probe at once: the other streams may be lost with this one."""
+    if broken.reason == "engine_died":
+        world.upstream.reset_at = now
+        world.upstream.probe_wanted = True
+
+
 def _collect(
     world: SidecarWorld, stream: Stream, event: StreamProduced, now: float
 ) -> None:
@@ -114,19 +152,37 @@
         fail_stream(world, stream, "broken")
         return
     if event.tokens:
-        if stream.first_token_at is None:
-            stream.first_token_at = now
+        _note_gap(stream, len(event.tokens), now)
         stream.tokens.extend(event.tokens)
-        stream.last_token_at = now
     if event.end:
-        stream.state = StreamState.ENDED
-        stream.end = event.end
-        stream.ended_at = now
-    send_pending(world, stream)
+        end_stream(stream, event.end, now)
+    send_pending(world, stream, now)
+
+
+def _note_gap(stream: Stream, count: int, now: float) -> None:
+    """Keeps the mean gap between tokens, with more weight on the latest."""
+    if stream.first_token_at is None:
+        stream.first_token_at = now
+    elif not stream.restarts:
+        gap_s = (now - stream.quiet_since) / count
+        known_s = stream.token_gap_s
+        stream.token_gap_s = known_s + GAP_WEIGHT * (gap_s - known_s)
+    stream.last_token_at = now
+    stream.quiet_since = now
+    stream.restarts = 0
 
 
-def send_pending(world: SidecarWorld, stream: Stream) -> None:
+def end_stream(stream: Stream, reason: str, now: float) -> None:
+    """Notes that the last token of a stream is here."""
+    stream.state = StreamState.ENDED
+    stream.end = reason
+    stream.ended_at = now
+
+
+def send_pending(world: SidecarWorld, stream: Stream, now: float) -> None:
     """Sends buffered tokens as far as the owner's window allows."""
+    if stream.unowned_since is not None:
+        return
     limit = stream.acked + stream.start.window
     tokens = tuple(stream.tokens[stream.sent : limit])
     complete = stream.sent + len(tokens) == len(stream.tokens)
@@ -137,19 +193,30 @@
         )
         stream.sent += len(tokens)
         world.emit(SendMessage(stream.owner, message))
-    _balance_buffer(world, stream)
+    _balance_buffer(world, stream, now)
 
 
-def _balance_buffer(world: SidecarWorld, stream: Stream) -> None:
+def _balance_buffer(world: SidecarWorld, stream: Stream, now: float) -> None:
     """Pauses the engine's stream while the owner's window is used up."""
-    if stream.state is StreamState.ENDED:
-        return
     unsent = len(stream.tokens) - stream.sent
-    if unsent >= stream.start.window and not stream.paused:
+    if unsent >= stream.start.window:
+        pause_stream(world, stream)
+    elif unsent == 0:
+        resume_stream(world, stream, now)
+
+
+def pause_stream(world: SidecarWorld, stream: Stream) -> None:
+    """Pauses a running stream at the engine."""
+    if stream.state is StreamState.RUNNING and not stream.paused:
         stream.paused = True
         world.emit(PauseEngineStream(stream.handle))
-    elif unsent == 0 and stream.paused:
+
+
+def resume_stream(world: SidecarWorld, stream: Stream, now: float) -> None:
+    """Lets the engine go on with a paused stream; its silence counts from now."""
+    if stream.state is StreamState.RUNNING and stream.paused:
         stream.paused = False
+        stream.quiet_since = now
         world.emit(ResumeEngineStream(stream.handle))
 
 
@@ -163,9 +230,8 @@
                 failed = StreamFailed(message.lineage, message.attempt, "unknown")
                 world.emit(SendMessage(received.sender.name, failed))
             continue
-        if received.sender.name != stream.owner:
+        if not is_owner(stream, received.sender):
             continue
-        stream.owner_heard_at = now
         stream.acked = max(stream.acked, min(message.offset, stream.sent))
         if message.resend:
             stream.sent = stream.acked
@@ -173,18 +239,43 @@
         if stream.state is StreamState.ENDED and all_received and not message.resend:
             world.streams.remove_stream(stream)
         else:
-            send_pending(world, stream)
+            send_pending(world, stream, now)
 
 
 def cancel_streams(world: SidecarWorld, now: float) -> None:
-    """Cancels attempts and fences those that have not arrived yet."""
+    """Cancels attempts of their owners and fences those that have not arrived yet."""
     for received in world.inbox.read_messages(CancelStream):
         message = received.message
-        seen = world.streams.attempts_seen
-        seen[message.lineage] = max(seen.get(message.lineage, 0), message.attempt)
         stream = world.streams.by_lineage.get(message.lineage)
-        if stream is not None and stream.start.attempt <= message.attempt:
-            drop_stream(world, stream)
+        if stream is None:
+            epoch = message.owner_epoch
+            world.streams.raise_fence(message.lineage, epoch, message.attempt, now)
+        elif not is_owner(stream, received.sender):
+            continue
+        elif stream.start.attempt <= message.attempt:
+            _cancel_stream(world, stream, message, now)
+
+
+def _cancel_stream(
+    world: SidecarWorld, stream: Stream, message: CancelStream, now: float
+) -> None:
+    if message.keep_s and stream.start.resumable:
+        stream.owner = ""
+        stream.owner_incarnation = ""
+        disown_stream(world, stream, message.keep_s, now)
+        return
+    epoch = stream.owner_epoch
+    world.streams.raise_fence(message.lineage, epoch, message.attempt, now)
+    drop_stream(world, stream)
+
+
+def disown_stream(
+    world: SidecarWorld, stream: Stream, grace_s: float, now: float
+) -> None:
+    """Pauses a stream without owner and keeps it for a takeover for a while."""
+    stream.unowned_since = now
+    stream.dropped_at = now + grace_s
+    pause_stream(world, stream)
 
 
 def drop_stream(world: SidecarWorld, stream: Stream) -> None:
@@ -195,7 +286,16 @@
 
 
 def fail_stream(world: SidecarWorld, stream: Stream, reason: str) -> None:
-    """Removes a stream that broke and tells its owner."""
-    world.streams.remove_stream(stream)
-    failed = StreamFailed(stream.start.lineage, stream.start.attempt, reason)
-    world.emit(SendMessage(stream.owner, failed))
+    """Removes a stream that broke and tells its owner.
+
+    It is cancelled too, so that an engine which comes back does not go on with it.
+    """
+    drop_stream(world, stream)
+    tell_owner(world, stream, reason)
+
+
+def tell_owner(world: SidecarWorld, stream: Stream, reason: str) -> None:
+    """Tells the owner of a stream, if it has one, that its attempt has failed."""
+    if stream.owner:
+        failed = StreamFailed(stream.start.lineage, stream.start.attempt, reason)
+        world.emit(SendMessage(stream.owner, failed))
--- /dev/null
+++ b/src/magnoliahold/core/systems/takeover.py
@@ -0,0 +1,222 @@
+"""Continues streams for callers that lost their connection or their entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric, RefuseRequest, SendMessage
+from magnoliahold.core.events import GenerationArrived
+from magnoliahold.core.generations import Generation, GenerationState
+from magnoliahold.core.systems.admission import queue_generation
+from magnoliahold.core.systems.relay import deliver_pending, finish_generation
+from magnoliahold.wire.messages import CancelStream, StreamTaken, TakeStream
+
+if TYPE_CHECKING:
+    from magnoliahold.core.events import EventId, Received
+    from magnoliahold.core.workspaces import WorkRule
+    from magnoliahold.core.worlds import EntryWorld
+
+LOST_RETRY_AFTER_S = 0.1
+
+
+def accept_returns(world: EntryWorld, now: float) -> None:
+    """Accepts callers that come back with the place that they have reached."""
+    for request in world.inbox.read_events(GenerationArrived):
+        place = request.resume_from
+        if place is None:
+            continue
+        rule = world.workspaces.find_work(request.workspace, request.work)
+        if rule is None or place.offset == 0:
+            queue_generation(world, request, now)
+        elif not _adopt_generation(world, request, place):
+            _take_stream(world, request, place, rule, now)
+
+
+def _adopt_generation(
+    world: EntryWorld, request: GenerationArrived, place: EventId
+) -> bool:
+    """Continues a generation that this entry still holds for the caller."""
+    generation = world.generations.by_lineage.get(place.lineage)
+    if generation is None or generation.request.fingerprint != request.fingerprint:
+        return False
+    if generation.request.workspace != request.workspace:
+        return False
+    if generation.state is GenerationState.TAKING:
+        world.generations.change_request(generation, request)
+        generation.delivered = place.offset
+        return True
+    if place.offset > len(generation.tokens):
+        return False
+    world.generations.change_request(generation, request)
+    generation.delivered = place.offset
+    generation.caller_paused = False
+    deliver_pending(world, generation)
+    return True
+
+
+def _take_stream(
+    world: EntryWorld,
+    request: GenerationArrived,
+    place: EventId,
+    rule: WorkRule,
+    now: float,
+) -> None:
+    """Asks the sidecar that the caller's last event names for its stream."""
+    lineage = place.lineage
+    if lineage in world.generations.by_lineage:
+        lineage = world.make_id("lineage")
+    generation = Generation(
+        request=request,
+        lineage=lineage,
+        arrived_at=now,
+        deadline_at=now + rule.deadline_s,
+        interactive=rule.interactive,
+        priority=rule.priority,
+        state=GenerationState.TAKING,
+        sidecar=place.sidecar,
+        version=place.version,
+        delivered=place.offset,
+        started_at=now,
+        first_token_at=now,
+        lost_at=now,
+    )
+    world.generations.add_generation(generation)
+    if lineage != place.lineage or not _is_reachable(world, place.sidecar):
+        _continue_without(world, generation, now)
+    else:
+        _ask_sidecar(world, generation, now)
+
+
+def _is_reachable(world: EntryWorld, sidecar: str) -> bool:
+    peer = world.peers.peers.get(sidecar)
+    return peer is not None and not peer.lost
+
+
+def _ask_sidecar(world: EntryWorld, generation: Generation, now: float) -> None:
+    generation.heard_at = now
+    request = generation.request
+    take = TakeStream(generation.lineage, request.request_id, request.fingerprint)
+    patience_s = world.policy.streams.take_patience_s
+    world.emit(SendMessage(generation.sidecar, take, patience_s))
+
+
+def take_over_streams(world: EntryWorld, now: float) -> None:
+    """Goes on with streams that sidecars hand over."""
+    for received in world.inbox.read_messages(StreamTaken):
+        message = received.message
+        generation = world.generations.by_lineage.get(message.lineage)
+        waiting = generation is not None and (
+            generation.state is GenerationState.TAKING
+            and generation.sidecar == received.sender.name
+        )
+        if not waiting or generation is None:
+            _release_stream(world, generation, received)
+        elif _fits_caller(generation, message):
+            _take_over(world, generation, received, now)
+        else:
+            _release_stream(world, None, received)
+            _continue_without(world, generation, now)
+
+
+def _fits_caller(generation: Generation, message: StreamTaken) -> bool:
+    """Tells whether a stream holds all that the caller has already received."""
+    if not message.found or len(message.tokens) < generation.delivered:
+        return False
+    prefix = generation.request.prefix
+    return not prefix or message.tokens[: len(prefix)] == prefix
+
+
+def _release_stream(
+    world: EntryWorld,
+    generation: Generation | None,
+    received: Received[StreamTaken],
+) -> None:
+    """Cancels a stream that was handed over too late."""
+    message = received.message
+    if message.found and generation is None:
+        cancel = CancelStream(message.lineage, message.attempt, message.owner_epoch)
+        world.emit(SendMessage(received.sender.name, cancel))
+
+
+def _take_over(
+    world: EntryWorld,
+    generation: Generation,
+    received: Received[StreamTaken],
+    now: float,
+) -> None:
+    message = received.message
+    generation.tokens = list(message.tokens)
+    generation.opening = message.tokens[0]
+    generation.attempt = message.attempt
+    generation.owner_epoch = message.owner_epoch
+    generation.version = message.version
+    generation.sidecar_incarnation = received.sender.incarnation
+    generation.state = GenerationState.RUNNING
+    generation.acked = len(generation.tokens)
+    generation.attempt_offset = generation.acked
+    generation.lost_at = None
+    generation.heard_at = now
+    peer = world.peers.peers.get(generation.sidecar)
+    if peer is not None:
+        peer.assigned += 1
+    world.log_decision(
+        "takeover",
+        "Stream taken over.",
+        request=generation.request.request_id,
+        sidecar=generation.sidecar,
+        offset=generation.delivered,
+        owner_epoch=generation.owner_epoch,
+    )
+    deliver_pending(world, generation)
+    if message.end:
+        finish_generation(world, generation, message.end)
+
+
+def watch_takeovers(world: EntryWorld, now: float) -> None:
+    """Asks sidecars again and goes on without those that do not answer in time."""
+    policy = world.policy.streams
+    for generation in world.generations.list_in_state(GenerationState.TAKING):
+        waited_s = now - generation.started_at
+        reachable = _is_reachable(world, generation.sidecar)
+        if not reachable or waited_s >= policy.take_patience_s:
+            _continue_without(world, generation, now)
+        elif now - generation.heard_at >= policy.take_retry_s:
+            _ask_sidecar(world, generation, now)
+
+
+def _continue_without(world: EntryWorld, generation: Generation, now: float) -> None:
+    """Continues from the tokens that the caller sent back, or ends with an answer."""
+    request = generation.request
+    has_prefix = bool(generation.version)
+    has_prefix = has_prefix and len(request.prefix) == generation.delivered
+    world.emit(CountMetric("takeovers_failed"))
+    world.log_decision(
+        "takeover",
+        "Stream can't be taken over.",
+        request=request.request_id,
+        sidecar=generation.sidecar,
+        offset=generation.delivered,
+        prefix=has_prefix,
+    )
+    if not has_prefix:
+        _refuse_lost(world, generation)
+        return
+    lineage = world.make_id("lineage")
+    world.generations.rename_lineage(generation, lineage)
+    generation.tokens = list(request.prefix)
+    generation.opening = request.prefix[0]
+    generation.sidecar = ""
+    generation.state = GenerationState.READY
+
+
+def _refuse_lost(world: EntryWorld, generation: Generation) -> None:
+    world.generations.remove_generation(generation)
+    refusal = RefuseRequest(
+        generation.request.request_id,
+        status=410,
+        code="stream_lost",
+        message="the stream was lost; send the request again without Last-Event-ID",
+        ran="may_have_run",
+        retry_after_s=LOST_RETRY_AFTER_S,
+    )
+    world.emit(refusal)
--- a/src/magnoliahold/core/systems/upstreams.py
+++ b/src/magnoliahold/core/systems/upstreams.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.effects import ProbeUpstream
+from magnoliahold.core.effects import ProbeUpstream, SendMessage
 from magnoliahold.core.events import UpstreamProbed
 from magnoliahold.core.systems.deaths import report_death
+from magnoliahold.core.systems.membership import make_heartbeat
+from magnoliahold.core.systems.silence import iterate_silent
 from magnoliahold.core.systems.streams import fail_stream
 
 if TYPE_CHECKING:
@@ -14,15 +16,17 @@
     from magnoliahold.core.worlds import SidecarWorld
 
 PROBE_FAILURES_TO_DOWN = 2
+RESET_MEMORY_S = 1.0
 
 
 def probe_upstream(world: SidecarWorld, now: float) -> None:
-    """Probes the upstream at intervals."""
+    """Probes the upstream at intervals, and at once after a sign of trouble."""
     policy = world.policy.streams
     upstream = world.upstream
     due = now - upstream.probe_sent_at >= policy.probe_interval_s
-    if due and not upstream.probe_pending:
+    if (due or upstream.probe_wanted) and not upstream.probe_pending:
         upstream.probe_pending = True
+        upstream.probe_wanted = False
         upstream.probe_sent_at = now
         world.emit(ProbeUpstream(policy.probe_timeout_s))
 
@@ -30,19 +34,33 @@
 def note_probes(world: SidecarWorld, now: float) -> None:
     """Notes the upstream's state; a new incarnation or silence ends its streams."""
     for event in world.inbox.read_events(UpstreamProbed):
+        was_ready = world.upstream.ready
         world.upstream.probe_pending = False
         if event.state is None:
             _note_failure(world, now)
         else:
             _note_state(world, event.state, now)
+        if world.upstream.ready is not was_ready:
+            tell_owners(world, now)
+
+
+def tell_owners(world: SidecarWorld, now: float) -> None:
+    """Sends a heartbeat to every entry without waiting to be asked."""
+    heartbeat = make_heartbeat(world, now, answer=True)
+    for owner in world.owners.owners:
+        world.emit(SendMessage(owner, heartbeat))
 
 
 def _note_failure(world: SidecarWorld, now: float) -> None:
+    """Gives the engine up after a second failure, or the first of one in doubt."""
     upstream = world.upstream
     upstream.probe_failures += 1
-    if upstream.probe_failures >= PROBE_FAILURES_TO_DOWN and upstream.ready:
+    was_reset = now - upstream.reset_at < RESET_MEMORY_S
+    in_doubt = was_reset or any(iterate_silent(world, now))
+    enough = in_doubt or upstream.probe_failures >= PROBE_FAILURES_TO_DOWN
+    if enough and upstream.ready:
         upstream.ready = False
-        lose_engine(world, "engine_silent", now)
+        lose_engine(world, "engine_died" if was_reset else "engine_silent", now)
 
 
 def _note_state(world: SidecarWorld, state: ProbedState, now: float) -> None:
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -147,6 +147,7 @@
 
     lineage: str
     attempt: int
+    owner_epoch: int = 0
     keep_s: float = 0.0
 
 
