--- /dev/null
+++ b/src/magnoliahold/measure/calls.py
@@ -0,0 +1,321 @@
+"""Measures calls of plain services, some of which may not be repeated, under faults."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from magnoliahold.core.events import CallArrived
+from magnoliahold.core.workspaces import ServiceRule
+from magnoliahold.measure.fakes import faults, service_faults
+from magnoliahold.measure.fakes.callers import ServiceCaller
+from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
+from magnoliahold.measure.fakes.network import NetworkShape
+from magnoliahold.measure.fakes.service_faults import ServiceFaultInjector
+from magnoliahold.measure.fakes.workspaces import make_workspace
+from magnoliahold.measure.options import find_quantiles, find_share
+from magnoliahold.measure.plain_calls import use_plain_calls
+
+if TYPE_CHECKING:
+    from magnoliahold.measure.fakes.fleet import Fleet
+    from magnoliahold.measure.fakes.service import LedgerEntry
+    from magnoliahold.measure.options import MeasureOptions, Quantiles
+
+ENTRIES = 3
+WORKSPACES = 10
+CALLS = 240
+SERVICES = (("desk", 3, 3), ("counter", 4, 4))
+WARM_UP_S = 1.0
+ARRIVALS_S = 12.0
+FAULTS_S = (1.5, 13.0)
+DRAIN_S = 30.0
+LATE_RUNS_S = 6.0
+STEP_S = 0.005
+KEYED_REPEATS = 6
+RACING_SHARE = 0.15
+RACING_S = 0.02
+
+FAULTS: tuple[tuple[object, float], ...] = (
+    (service_faults.KillService(), 1.5),
+    (service_faults.FreezeService(), 1.0),
+    (service_faults.KillServiceInstance(), 0.5),
+    (faults.KillSidecar(), 0.7),
+    (faults.FreezeSidecar(), 0.8),
+    (faults.KillEntry(), 1.0),
+    (faults.FreezeEntry(), 0.5),
+    (faults.SilenceLink(), 1.0),
+    (faults.CutLink(), 1.0),
+    (faults.StopStore(), 0.5),
+    (service_faults.SlowStore(), 0.5),
+)
+DOUBLE_SHARE = 0.25
+DOUBLE_GAP_S = 0.5
+LOST_SHARE = 0.001
+CROSSED_SHARE = 0.02
+LOST_TABLE_ANSWERS_SHARE = 0.02
+LOST_SERVICE_ANSWERS_SHARE = 0.005
+SLOW_CALLS_SHARE = 0.02
+
+
+@frozen
+class CallsReport:
+    """Results over all scenarios; times in seconds at the caller.
+
+    `told_not_run_but_ran` counts callers that were told "not run" of a request that
+    ran, see `is_told_untruth`. `may_have_run_share` and
+    `refused_share` are shares of all calls by their final answers, which
+    `final_answers` counts by code. `unanswered` calls got none.
+    """
+
+    calls: int
+    ran_twice: int
+    told_not_run_but_ran: int
+    wrong_answers: int
+    may_have_run_share: float
+    refused_share: float
+    answer_s: Quantiles
+    unanswered: int
+    final_answers: dict[str, int]
+    keyed_calls: int
+    keys_repeated: int
+    table_transactions: int
+    invariant_violations: int
+
+
+@define(eq=False)
+class CallScenario:
+    """One fleet with its callers; callers that race share a body and a key."""
+
+    fleet: Fleet
+    injector: ServiceFaultInjector
+    baseline: bool
+    callers: list[ServiceCaller] = field(factory=list)
+
+    def run_scenario(self) -> None:
+        """Runs until every caller is done, then until late runs would have shown."""
+        self.fleet.run_for(FAULTS_S[1] - WARM_UP_S, STEP_S)
+        limit = self.fleet.now() + DRAIN_S
+        while self.fleet.now() < limit:
+            if all(caller.done for caller in self.callers):
+                break
+            self.fleet.run_for(0.25, STEP_S)
+        self.fleet.run_for(LATE_RUNS_S, STEP_S)
+
+
+@define(eq=False)
+class PlainServiceFaultInjector(ServiceFaultInjector):
+    """Starts entries again with the plain alternative."""
+
+    def restart_entry(self, name: str) -> None:
+        """Starts an entry again."""
+        if name not in self.fleet.network.processes:
+            self.fleet.add_entry(name)
+            use_plain_calls(self.fleet.find_node(name))
+
+
+@define
+class CallTally:
+    """Sums over scenarios."""
+
+    counts: Counter[str] = field(factory=Counter)
+    codes: Counter[str] = field(factory=Counter)
+    answer_s: list[float] = field(factory=list)
+
+
+def run_calls(options: MeasureOptions) -> CallsReport:
+    """Runs seeded scenarios at the sizes of the two deployments in turn."""
+    tally = CallTally()
+    for number in range(options.runs):
+        scenario = make_scenario(options, number)
+        scenario.run_scenario()
+        add_scenario(tally, scenario)
+    return make_report(tally)
+
+
+def make_scenario(options: MeasureOptions, number: int) -> CallScenario:
+    """Builds one scenario; the same seed and number give the same run."""
+    random = Random(f"calls {options.seed} {number}")
+    service, upstreams, centres = SERVICES[number % len(SERVICES)]
+    fleet = make_call_fleet(random, service, upstreams, centres, options.faults)
+    kind = PlainServiceFaultInjector if options.baseline else ServiceFaultInjector
+    injector = kind(fleet, Random(random.getrandbits(32)))
+    scenario = CallScenario(fleet, injector, options.baseline)
+    if options.baseline:
+        for name in fleet.list_entries():
+            use_plain_calls(fleet.find_node(name))
+    fleet.run_for(WARM_UP_S, STEP_S)
+    for serial in range(CALLS):
+        plan_call(scenario, random, service, f"{number}-{serial}")
+    plan_faults(injector, random, options.faults)
+    return scenario
+
+
+def make_call_fleet(
+    random: Random, service: str, upstreams: int, centres: int, scale: float
+) -> Fleet:
+    """Builds a fleet with one plain service and no engines."""
+    shape = FleetShape(
+        entries=ENTRIES,
+        engines={},
+        services={service: upstreams},
+        data_centres=centres,
+        network=NetworkShape(
+            lost_share=min(0.05, LOST_SHARE * scale),
+            crossed_share=min(0.2, CROSSED_SHARE * scale),
+        ),
+    )
+    names = tuple(f"{service}-{number}" for number in range(upstreams))
+    rule = ServiceRule(service, names, ("GET /*",))
+    workspaces = [
+        make_workspace(f"workspace-{n}", [], [rule]) for n in range(WORKSPACES)
+    ]
+    fleet = make_fleet(random.getrandbits(32), shape, workspaces)
+    fleet.platform.lost_answer_share = min(0.2, LOST_TABLE_ANSWERS_SHARE * scale)
+    for faked in fleet.services.values():
+        faked.lost_answer_share = min(0.1, LOST_SERVICE_ANSWERS_SHARE * scale)
+        faked.slow_share = SLOW_CALLS_SHARE
+    return fleet
+
+
+def plan_call(scenario: CallScenario, random: Random, service: str, name: str) -> None:
+    """Draws one call: a lookup, a booking, or a booking with a key and its repeats."""
+    kind = random.choices(("lookup", "booking", "keyed"), (0.4, 0.2, 0.4))[0]
+    at = WARM_UP_S + random.uniform(0.0, ARRIVALS_S)
+    request = CallArrived(
+        request_id="",
+        workspace=f"workspace-{int(WORKSPACES * random.random() ** 2)}",
+        service=service,
+        method="GET" if kind == "lookup" else "POST",
+        path=f"/{kind}",
+        headers=(),
+        body=f"{kind}-{name}".encode(),
+        fingerprint=f"print-{name}",
+        idempotency_key=f"key-{name}" if kind == "keyed" else "",
+    )
+    repeats = 0 if kind == "booking" else KEYED_REPEATS
+    _add_caller(scenario, request, at, repeats)
+    if kind == "keyed" and random.random() < RACING_SHARE:
+        _add_caller(scenario, request, at + random.uniform(0.0, RACING_S), repeats)
+
+
+def _add_caller(
+    scenario: CallScenario, request: CallArrived, at: float, repeats: int
+) -> None:
+    fleet = scenario.fleet
+    caller = ServiceCaller(fleet.clock, fleet, request, max_repeats=repeats)
+    scenario.callers.append(caller)
+    fleet.clock.callLater(at - fleet.now(), caller.start_request)
+
+
+def plan_faults(injector: ServiceFaultInjector, random: Random, scale: float) -> None:
+    """Draws the times of all faults; some come double or within a moment."""
+    for fault, mean in FAULTS:
+        expected = mean * scale
+        count = int(expected) + (random.random() < expected - int(expected))
+        for _ in range(count):
+            at = random.uniform(*FAULTS_S)
+            injector.plan_fault(at, fault)
+            if random.random() < DOUBLE_SHARE:
+                second, _mean = random.choice(FAULTS)
+                gap = random.choice((0.0, random.uniform(0.0, DOUBLE_GAP_S)))
+                injector.plan_fault(at + gap, second)
+
+
+def add_scenario(tally: CallTally, scenario: CallScenario) -> None:
+    """Adds a finished scenario to the sums."""
+    counts = tally.counts
+    runs = count_runs(scenario.fleet)
+    bodies = {caller.request.body: caller.request for caller in scenario.callers}
+    once = [body for body, request in bodies.items() if request.method != "GET"]
+    counts["ran_twice"] += sum(runs[body] > 1 for body in once)
+    counts["keys_repeated"] += sum(caller.repeats > 0 for caller in scenario.callers)
+    counts["transactions"] += scenario.fleet.platform.writes
+    stopped = scenario.fleet.stopped
+    counts["violations"] += sum("invariant" in why for _, why in stopped)
+    for caller in scenario.callers:
+        _add_outcome(tally, scenario.fleet, caller)
+
+
+def count_runs(fleet: Fleet) -> Counter[bytes]:
+    """Counts how often each body ran, over all services."""
+    runs: Counter[bytes] = Counter()
+    for service in fleet.services.values():
+        runs.update(entry.body for entry in service.ledger if entry.ran_at is not None)
+    return runs
+
+
+def _add_outcome(tally: CallTally, fleet: Fleet, caller: ServiceCaller) -> None:
+    counts = tally.counts
+    counts["calls"] += 1
+    counts["keyed"] += bool(caller.request.idempotency_key)
+    counts["untrue"] += is_told_untruth(fleet, caller)
+    if not caller.done or caller.answered_at is None:
+        counts["unanswered"] += 1
+        return
+    tally.answer_s.append(caller.answered_at - caller.started_at)
+    tally.codes[name_outcome(caller)] += 1
+    if caller.answer is not None:
+        counts["wrong"] += caller.answer.body != caller.request.body
+
+
+def name_outcome(caller: ServiceCaller) -> str:
+    """Names a caller's final answer: "answered", a refusal's code, or the loss."""
+    if caller.answer is not None:
+        return "answered"
+    return caller.refusal.code if caller.refusal else "connection_lost"
+
+
+def is_told_untruth(fleet: Fleet, caller: ServiceCaller) -> bool:
+    """Tells whether "not run" was said of a request that ran.
+
+    All sendings of a key are one request; without a key each sending is its own. A run
+    counts when it was handed to a service before the caller was told, or at any time
+    after the final answer to a call without a key.
+    """
+    keyed = bool(caller.request.idempotency_key)
+    ran = list_runs(fleet, caller.request.body)
+    for told in caller.told:
+        if told.refusal.ran != "not_run":
+            continue
+        begun_at = 0.0 if keyed else told.sent_at
+        if any(begun_at <= entry.handed_at <= told.told_at for entry in ran):
+            return True
+        final = told.refusal is caller.refusal
+        if final and not keyed and any(e.handed_at > told.told_at for e in ran):
+            return True
+    return False
+
+
+def list_runs(fleet: Fleet, body: bytes) -> list[LedgerEntry]:
+    """Lists the runs of a body at all services."""
+    return [
+        entry
+        for service in fleet.services.values()
+        for entry in service.ledger
+        if entry.body == body and entry.ran_at is not None
+    ]
+
+
+def make_report(tally: CallTally) -> CallsReport:
+    """Builds the report from the sums."""
+    counts, codes = tally.counts, tally.codes
+    unsure = codes["may_have_run"] + codes["connection_lost"]
+    refused = sum(codes.values()) - codes["answered"] - unsure
+    return CallsReport(
+        calls=counts["calls"],
+        ran_twice=counts["ran_twice"],
+        told_not_run_but_ran=counts["untrue"],
+        wrong_answers=counts["wrong"],
+        may_have_run_share=find_share(unsure, counts["calls"]),
+        refused_share=find_share(refused, counts["calls"]),
+        answer_s=find_quantiles(tally.answer_s),
+        unanswered=counts["unanswered"],
+        final_answers=dict(sorted(codes.items())),
+        keyed_calls=counts["keyed"],
+        keys_repeated=counts["keys_repeated"],
+        table_transactions=counts["transactions"],
+        invariant_violations=counts["violations"],
+    )
--- a/src/magnoliahold/measure/fakes/callers.py
+++ b/src/magnoliahold/measure/fakes/callers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.effects import (
     AnswerCall,
@@ -212,21 +212,39 @@
         self.on_done(self)
 
 
+@frozen
+class ToldRefusal:
+    """One refusal of a call."""
+
+    sent_at: float
+    told_at: float
+    refusal: RefuseRequest
+
+
 @define(eq=False)
 class ServiceCaller:
-    """Sends one call, once, and keeps its final answer.
+    """Sends one call and keeps its final answer.
 
-    `connection_lost` is set when the entry died before it answered.
+    A call that may be sent again, up to `max_repeats` times, is sent to another entry
+    after its connection was lost or a refusal that names a time. `connection_lost` is
+    set when the last entry died before it answered. `told` holds every refusal with
+    the times at which its request was sent and it came, on the rig's clock.
     """
 
     clock: Clock
     door: Door
     request: CallArrived
+    max_repeats: int = 0
+    repeat_s: float = 0.1
     started_at: float = 0.0
     answered_at: float | None = None
     answer: AnswerCall | None = None
     refusal: RefuseRequest | None = None
     connection_lost: bool = False
+    repeats: int = 0
+    request_id: str = ""
+    sent_at: float = 0.0
+    told: list[ToldRefusal] = field(factory=list)
     on_done: Callable[[ServiceCaller], None] = field(default=lambda caller: None)
 
     @property
@@ -237,26 +255,43 @@
     def start_request(self) -> None:
         """Sends the call to a live entry."""
         self.started_at = float(self.clock.seconds())
-        entry = self.door.choose_entry()
-        if entry is None:
-            self.lose_connection()
-            return
-        self.door.send_request(entry, self.request, self)
+        self._send()
 
     def receive(self, effect: object) -> None:
         """Takes the answer or the refusal."""
+        if self.done:
+            return
         if isinstance(effect, AnswerCall):
             self.answer = effect
+            self._end()
         elif isinstance(effect, RefuseRequest):
-            self.refusal = effect
-        self._end()
+            now = float(self.clock.seconds())
+            self.told.append(ToldRefusal(self.sent_at, now, effect))
+            if effect.retry_after_s is None or not self._repeat(effect.retry_after_s):
+                self.refusal = effect
+                self._end()
 
     def lose_connection(self) -> None:
-        """Ends without an answer."""
-        if not self.done:
+        """Sends the call again where that is allowed, or ends without an answer."""
+        if not self.done and not self._repeat(self.repeat_s):
             self.connection_lost = True
             self._end()
 
+    def _send(self) -> None:
+        entry = self.door.choose_entry()
+        if entry is None:
+            self.lose_connection()
+        else:
+            self.sent_at = float(self.clock.seconds())
+            self.request_id = self.door.send_request(entry, self.request, self)
+
+    def _repeat(self, delay_s: float) -> bool:
+        if self.repeats >= self.max_repeats:
+            return False
+        self.repeats += 1
+        self.clock.callLater(delay_s, self._send)
+        return True
+
     def _end(self) -> None:
         self.answered_at = float(self.clock.seconds())
         self.on_done(self)
@@ -269,4 +304,5 @@
     "GenerationCaller",
     "ServiceCaller",
     "Session",
+    "ToldRefusal",
 ]
--- a/src/magnoliahold/measure/fakes/platform.py
+++ b/src/magnoliahold/measure/fakes/platform.py
@@ -34,7 +34,7 @@
     """Tables with compare-and-set and an instance list, on the rig's clock.
 
     During an outage every request fails after `timeout_s`. The lost share of
-    transactions takes effect without an answer.
+    transactions takes effect without an answer, the late share up to `late_s` later.
     """
 
     clock: Clock
@@ -42,6 +42,8 @@
     delay_s: float = 0.004
     timeout_s: float = 2.0
     lost_answer_share: float = 0.0
+    late_share: float = 0.0
+    late_s: float = 3.0
     outage: bool = False
     reads: int = 0
     writes: int = 0
@@ -102,6 +104,8 @@
     def _answer(self, read: Callable[[], T], *, lost: bool = False) -> Deferred[T]:
         answer: Deferred[T] = Deferred()
         delay = self.delay_s * self.random.uniform(0.5, 2.0)
+        if self.random.random() < self.late_share:
+            delay += self.random.uniform(0.0, self.late_s)
         self.clock.callLater(delay, self._finish, answer, read, lost)
         return answer
 
--- a/src/magnoliahold/measure/fakes/service.py
+++ b/src/magnoliahold/measure/fakes/service.py
@@ -1,7 +1,8 @@
-"""A faked plain service that counts how often each call ran."""
+"""A faked plain service that keeps a ledger of the calls that ran."""
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -14,7 +15,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections import Counter
     from collections.abc import Callable
     from random import Random
 
@@ -25,31 +25,45 @@
 ANSWER_DELAY_S = 0.002
 
 
-def _make_ledger() -> Counter[str]:
-    from collections import Counter
+@define
+class LedgerEntry:
+    """One call that was handed to the service; times are on the rig's clock.
 
-    return Counter()
+    `ran_at` is None as long as it did not run.
+    """
+
+    body: bytes
+    nonce: str
+    handed_at: float
+    ran_at: float | None = None
 
 
 @define(eq=False)
 class FakeService:
-    """Runs calls after `work_s`; `runs` counts them by the body, which names the call.
+    """Runs calls after `work_s`, a slow share of them after `slow_work_s`.
 
-    Answers carry the body back, so that a caller can tell its own answer.
+    `runs` counts runs by the body, which names the call, and `ledger` holds every call
+    in order. Answers carry the body back, so that a caller can tell its own answer. A
+    call whose body holds one of the `poison` texts kills the service.
     """
 
     clock: Clock
     random: Random
     name: str
     work_s: float = 0.03
+    slow_share: float = 0.0
+    slow_work_s: float = 2.5
     lost_answer_share: float = 0.0
+    poison: set[str] = field(factory=set)
     post: Callable[[object], None] = field(default=lambda event: None)
     live: bool = True
     frozen: bool = False
     incarnation_number: int = 1
-    runs: Counter[str] = field(factory=_make_ledger)
-    _open: dict[str, effects.StartServiceCall] = field(factory=dict)
-    _held: list[effects.StartServiceCall] = field(factory=list)
+    deaths: int = 0
+    runs: Counter[str] = field(factory=Counter)
+    ledger: list[LedgerEntry] = field(factory=list)
+    _open: dict[str, LedgerEntry] = field(factory=dict)
+    _held: list[LedgerEntry] = field(factory=list)
 
     def start_call(self, effect: effects.StartServiceCall) -> None:
         """Runs one call after its working time."""
@@ -57,8 +71,12 @@
             failed = ServiceFailed(effect.nonce, True, "connection refused")
             self.clock.callLater(ANSWER_DELAY_S, self.post, failed)
             return
-        self._open[effect.nonce] = effect
-        self.clock.callLater(self.work_s, self._run, effect, self.incarnation_number)
+        entry = LedgerEntry(effect.body, effect.nonce, float(self.clock.seconds()))
+        self.ledger.append(entry)
+        self._open[effect.nonce] = entry
+        slow = self.random.random() < self.slow_share
+        work_s = self.slow_work_s if slow else self.work_s
+        self.clock.callLater(work_s, self._run, entry, self.incarnation_number)
 
     def cancel_call(self, nonce: str) -> None:
         """Drops the connection; the call runs on."""
@@ -74,10 +92,16 @@
         self.clock.callLater(ANSWER_DELAY_S, self.post, UpstreamProbed(state))
 
     def kill_service(self) -> None:
-        """Dies: calls in flight may or may not have run."""
+        """Dies: of the calls in flight some have run already."""
+        if not self.live:
+            return
         self.live = False
+        self.frozen = False
+        self.deaths += 1
         self.incarnation_number += 1
-        for nonce in list(self._open):
+        for nonce, entry in self._open.items():
+            if entry.ran_at is None and self.random.random() < 0.5:
+                self._note_run(entry)
             failed = ServiceFailed(nonce, False, "connection reset")
             self.clock.callLater(ANSWER_DELAY_S, self.post, failed)
         self._open.clear()
@@ -96,19 +120,26 @@
         """Goes on after a freeze."""
         self.frozen = False
         held, self._held = self._held, []
-        for effect in held:
-            self._run(effect, self.incarnation_number)
+        for entry in held:
+            self._run(entry, self.incarnation_number)
 
-    def _run(self, effect: effects.StartServiceCall, incarnation: int) -> None:
+    def _run(self, entry: LedgerEntry, incarnation: int) -> None:
         if incarnation != self.incarnation_number or not self.live:
             return
         if self.frozen:
-            self._held.append(effect)
+            self._held.append(entry)
+            return
+        if any(text.encode() in entry.body for text in self.poison):
+            self.kill_service()
             return
-        self.runs[effect.body.decode()] += 1
-        if self._open.pop(effect.nonce, None) is None:
+        self._note_run(entry)
+        if self._open.pop(entry.nonce, None) is None:
             return
         if self.random.random() < self.lost_answer_share:
-            self.post(ServiceFailed(effect.nonce, False, "connection reset"))
+            self.post(ServiceFailed(entry.nonce, False, "connection reset"))
             return
-        self.post(ServiceAnswered(effect.nonce, 200, (), effect.body))
+        self.post(ServiceAnswered(entry.nonce, 200, (), entry.body))
+
+    def _note_run(self, entry: LedgerEntry) -> None:
+        entry.ran_at = float(self.clock.seconds())
+        self.runs[entry.body.decode()] += 1
--- /dev/null
+++ b/src/magnoliahold/measure/fakes/service_faults.py
@@ -0,0 +1,102 @@
+"""Faults of plain services and of the store under their claims."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+from magnoliahold.measure.fakes.faults import (
+    FREEZE_S,
+    RESTART_S,
+    FaultInjector,
+    inject_fault,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.measure.fakes.service import FakeService
+
+SLOW_S = (1.0, 6.0)
+
+
+@frozen
+class KillService:
+    """A service dies and is started again later."""
+
+
+@frozen
+class FreezeService:
+    """A service stops without a sign; what it holds runs at the thaw."""
+
+
+@frozen
+class KillServiceInstance:
+    """A service and its sidecar die together."""
+
+
+@frozen
+class SlowStore:
+    """Part of the store's transactions take effect late, without an answer."""
+
+
+@define(eq=False)
+class ServiceFaultInjector(FaultInjector):
+    """Injects faults at services, their sidecars and links."""
+
+    def choose_upstream(self) -> str | None:
+        """Chooses a service that lives and whose sidecar lives."""
+        processes = self.fleet.network.processes
+        names = [
+            name
+            for name, service in self.fleet.services.items()
+            if service.live
+            and not service.frozen
+            and f"sidecar-{name}" in processes
+            and not processes[f"sidecar-{name}"].clock.frozen
+        ]
+        return self.random.choice(names) if names else None
+
+    def choose_service(self) -> FakeService | None:
+        """Chooses a live service whose sidecar lives."""
+        name = self.choose_upstream()
+        return self.fleet.services[name] if name is not None else None
+
+
+@inject_fault.register(KillService)
+def _kill_service(fault: KillService, injector: ServiceFaultInjector) -> None:
+    service = injector.choose_service()
+    if service is None:
+        return
+    injector.note_hit("service_killed", upstream=service.name)
+    service.kill_service()
+    injector.end_later(RESTART_S, service.revive_service)
+
+
+@inject_fault.register(FreezeService)
+def _freeze_service(fault: FreezeService, injector: ServiceFaultInjector) -> None:
+    service = injector.choose_service()
+    if service is None:
+        return
+    injector.note_hit("service_frozen", upstream=service.name)
+    service.freeze_service()
+    injector.end_later(FREEZE_S, service.thaw_service)
+
+
+@inject_fault.register(KillServiceInstance)
+def _kill_instance(fault: KillServiceInstance, injector: ServiceFaultInjector) -> None:
+    service = injector.choose_service()
+    if service is None:
+        return
+    injector.note_hit("service_instance_killed", upstream=service.name)
+    service.kill_service()
+    injector.fleet.kill_process(f"sidecar-{service.name}")
+    injector.end_later(RESTART_S, service.revive_service)
+    injector.end_later(RESTART_S, injector.restart_sidecar, service.name)
+
+
+@inject_fault.register(SlowStore)
+def _slow_store(fault: SlowStore, injector: ServiceFaultInjector) -> None:
+    platform = injector.fleet.platform
+    injector.note_hit("store_slowed")
+    platform.late_share = 0.4
+    injector.end_later(SLOW_S, setattr, platform, "late_share", 0.0)
