Hear restarted sidecars, and tell a racing repeat from an untruth

Cause: a heartbeat named the incarnation that the sender knew, so that a sidecar which was started again dropped it unread and stayed lost for good; repeats of a key went on for 36 s. Heartbeats are now always answered. Lookups no longer end while one attempt may still answer, a key that provably did not run is recorded so, and a new process starts with some retries. Without the exception for heartbeats test_sidecar_that_was_started_again_takes_calls fails.

--- a/src/magnoliahold/core/calls.py
+++ b/src/magnoliahold/core/calls.py
@@ -12,6 +12,9 @@
     from magnoliahold.core.events import CallArrived
 
 
+INITIAL_RETRY_TOKENS = 5.0
+
+
 class CallState(Enum):
     """Where a call stands.
 
@@ -73,7 +76,7 @@
 
     by_request: dict[str, Call] = field(factory=dict)
     by_nonce: dict[str, Call] = field(factory=dict)
-    retry_tokens: float = 0.0
+    retry_tokens: float = INITIAL_RETRY_TOKENS
 
     def add_call(self, call: Call) -> None:
         """Adds a call that has arrived."""
--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -29,10 +29,11 @@
     """One caller's generation.
 
     `tokens` holds the accepted output from offset 0; `delivered` is how many of them
-    the caller has, and `opening` the first that it was given. `lost_at` is when the last token before a loss was accepted and is
-    None unless the generation is being resumed. `heard_at` is when anything of the
-    current attempt was last heard or it was started, and `asks` how often it was asked
-    after since. Times are on this process's clock.
+    the caller has, and `opening` the first that it was given. `lost_at` is when the
+    last token before a loss was accepted and is None unless the generation is being
+    resumed. `heard_at` is when anything of the current attempt was last heard or it was
+    started, and `asks` how often it was asked after since. Times are on this process's
+    clock.
     """
 
     request: GenerationArrived
--- a/src/magnoliahold/core/systems/answers.py
+++ b/src/magnoliahold/core/systems/answers.py
@@ -45,10 +45,10 @@
 def conclude_call(world: EntryWorld, call: Call, reason: str, now: float) -> None:
     """Ends a call without a result: as not run only if no dispatch may have run."""
     if call.open:
-        _record(world, call, ClaimState.LOST, now)
+        record_outcome(world, call, ClaimState.LOST, now)
         refuse_may_have_run(world, call, reason)
     else:
-        _record(world, call, ClaimState.NOT_RUN, now)
+        record_outcome(world, call, ClaimState.NOT_RUN, now)
         refuse_not_run(world, call, reason)
 
 
@@ -137,10 +137,10 @@
     fits = len(answer.body) <= world.policy.claims.max_result_bytes
     body = answer.body if fits else None
     result = (answer.status, answer.headers, body)
-    _record(world, call, ClaimState.ANSWERED, now, *result)
+    record_outcome(world, call, ClaimState.ANSWERED, now, *result)
 
 
-def _record(
+def record_outcome(
     world: EntryWorld,
     call: Call,
     state: ClaimState,
--- a/src/magnoliahold/core/systems/calls.py
+++ b/src/magnoliahold/core/systems/calls.py
@@ -71,7 +71,9 @@
             aim_call(world, call, now)
         target = call.target
         if target is None:
-            conclude_call(world, call, "no upstream of the service is live", now)
+            call.state = CallState.SENT
+            reason = "no upstream of the service is live"
+            _conclude_if_idle(world, call, reason, now)
         elif is_target_usable(world, target, now):
             send_call(world, call, target, now)
         elif call.claim is not None:
--- a/src/magnoliahold/core/systems/claims.py
+++ b/src/magnoliahold/core/systems/claims.py
@@ -18,6 +18,7 @@
 from magnoliahold.core.events import RowsRead, TransactionFinished
 from magnoliahold.core.systems.answers import (
     answer_from_row,
+    record_outcome,
     refuse_may_have_run,
     refuse_not_run,
     refuse_reused_key,
@@ -181,6 +182,10 @@
     if rows and not unused:
         meet_row(world, call, claim, rows[0], now)
     else:
+        if rows and value is not None:
+            claim.version = rows[0].version
+            claim.row = value
+            record_outcome(world, call, ClaimState.NOT_RUN, now)
         refuse_not_run(world, call, "no upstream of the service is live")
 
 
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -21,7 +21,7 @@
 from magnoliahold.core.invariants import InvariantViolated
 from magnoliahold.core.ticks import run_systems
 from magnoliahold.wire.codec import NO_EXPIRY, Header
-from magnoliahold.wire.messages import StartCall, StartStream
+from magnoliahold.wire.messages import Heartbeat, StartCall, StartStream
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -130,9 +130,13 @@
             self._tick_call = self.clock.callLater(0, self._run_soon_tick)
 
     def receive_message(self, header: Header, message: Message) -> None:
-        """Takes a message from a link, unless it is too old to be acted on."""
+        """Takes a message from a link, unless it is too old to be acted on.
+
+        A heartbeat for an earlier incarnation is answered, so that the sender learns
+        of this one.
+        """
         sender = make_sender(header)
-        if self._is_outdated(header):
+        if self._is_outdated(header) and not isinstance(message, Heartbeat):
             event: object = MessageExpired(sender, message)
         else:
             event = Received(sender, message)
