Lose hosts without a sign and drop what is sent before a handshake

The fakes were kinder than the real links: those drop all but the last heartbeat until the new connection stands, so that an AckTokens sent together with a replaced link is lost; and a host that is lost resets nothing. The entry now asks after its streams when the peer has answered on the new link.

Ruled out: queueing at the link, which would carry out old messages later.

--- a/src/magnoliahold/core/systems/relay.py
+++ b/src/magnoliahold/core/systems/relay.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from magnoliahold.core.events import Received
     from magnoliahold.core.generations import Generation
+    from magnoliahold.core.peers import Peer
     from magnoliahold.core.worlds import EntryWorld
 
 RESEND_INTERVAL_S = 0.1
@@ -151,12 +152,19 @@
     policy = world.policy.streams
     last = max(generation.heard_at, generation.resend_asked_at)
     peer = world.peers.peers.get(generation.sidecar)
-    if peer is not None and peer.link_opened_at > last:
+    if peer is not None and _is_newly_linked(peer, generation.resend_asked_at):
         return True
     doubled = 1 << min(generation.asks, MAX_ASKS_DOUBLED)
     return now - last >= min(policy.ask_again_s * doubled, policy.ask_again_max_s)
 
 
+def _is_newly_linked(peer: Peer, asked_at: float) -> bool:
+    """Tells whether a peer has answered on a link that was replaced since a time."""
+    if peer.heard_at is None or peer.lost:
+        return False
+    return peer.heard_at > peer.link_opened_at > asked_at
+
+
 def _acknowledge(world: EntryWorld, generation: Generation) -> None:
     interval = world.policy.streams.ack_interval_tokens
     if generation.caller_paused:
--- a/src/magnoliahold/measure/fakes/faults.py
+++ b/src/magnoliahold/measure/fakes/faults.py
@@ -39,6 +39,11 @@
     """An engine and its sidecar die together."""
 
 
+@frozen
+class LoseInstance:
+    """The host of an engine and its sidecar is gone; no connection is reset."""
+
+
 @frozen
 class KillSidecar:
     """A sidecar dies; its engine cancels the streams of the reset connections."""
@@ -173,6 +178,17 @@
     injector.end_later(RESTART_S, injector.restart_sidecar, name)
 
 
+@inject_fault.register(LoseInstance)
+def _lose_instance(fault: LoseInstance, injector: FaultInjector) -> None:
+    name = injector.choose_upstream()
+    if name is None:
+        return
+    injector.note_hit("instance_lost", upstream=name)
+    injector.fleet.lose_instance(name)
+    injector.end_later(RESTART_S, injector.fleet.engines[name].revive_engine)
+    injector.end_later(RESTART_S, injector.restart_sidecar, name)
+
+
 @inject_fault.register(KillSidecar)
 def _kill_sidecar(fault: KillSidecar, injector: FaultInjector) -> None:
     name = injector.choose_upstream()
--- a/src/magnoliahold/measure/fakes/fleet.py
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -236,6 +236,11 @@
         self.engines[upstream].kill_engine()
         self.kill_process(f"sidecar-{upstream}")
 
+    def lose_instance(self, upstream: str) -> None:
+        """Loses an engine with its sidecar and host, without any reset."""
+        self.engines[upstream].kill_engine()
+        self.network.remove_process(f"sidecar-{upstream}")
+
     def _check_entry(self, process: Process) -> None:
         if not process.clock.frozen or process.clock.stopped:
             return
--- a/src/magnoliahold/measure/fakes/network.py
+++ b/src/magnoliahold/measure/fakes/network.py
@@ -7,6 +7,7 @@
 from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.events import LinkBroke
+from magnoliahold.wire.messages import Heartbeat
 
 if TYPE_CHECKING:
     from random import Random
@@ -34,12 +35,16 @@
 class Connection:
     """One connection that `client` opened to `server`.
 
-    A silent connection carries nothing, in either direction, for good.
+    A silent connection carries nothing, in either direction, for good. Until the
+    handshake at `ready_at` the client's messages are dropped, but for the last
+    heartbeat, which is sent then.
     """
 
     client: str
     server: str
     number: int
+    ready_at: float = 0.0
+    greeting: tuple[Header, Message] | None = None
     silent: bool = False
     next_arrival: dict[str, float] = field(factory=dict)
 
@@ -119,8 +124,19 @@
     def open_connection(self, client: str, server: str) -> None:
         """Opens a new connection in place of an earlier one."""
         self.next_number += 1
-        connection = Connection(client, server, self.next_number)
+        handshake_s = 2 * self.shape.delay_s
+        ready_at = float(self.clock.seconds()) + handshake_s
+        connection = Connection(client, server, self.next_number, ready_at)
         self.connections[client, server] = connection
+        self.clock.callLater(handshake_s, self._greet, connection)
+
+    def _greet(self, connection: Connection) -> None:
+        greeting, connection.greeting = connection.greeting, None
+        if greeting is not None:
+            header, message = greeting
+            client, server = connection.client, connection.server
+            if self.connections.get((client, server)) is connection:
+                self.send_message(client, server, message, header)
 
     def close_connection(self, client: str, server: str) -> None:
         """Closes a connection."""
@@ -135,6 +151,10 @@
             connection = self.routes.get((sender, receiver))
         if connection is None or receiver not in self.processes:
             return False
+        if sender == connection.client and self.clock.seconds() < connection.ready_at:
+            if isinstance(message, Heartbeat):
+                connection.greeting = (header, message)
+            return False
         self.messages += 1
         header = evolve(header, link_number=connection.number)
         at = self._time_arrival(connection, receiver)
--- a/src/magnoliahold/measure/generations.py
+++ b/src/magnoliahold/measure/generations.py
@@ -44,7 +44,8 @@
 
 FAULTS: tuple[tuple[object, float], ...] = (
     (faults.KillEngine(), 1.5),
-    (faults.KillInstance(), 1.0),
+    (faults.KillInstance(), 0.7),
+    (faults.LoseInstance(), 0.4),
     (faults.KillSidecar(), 0.5),
     (faults.KillEntry(), 0.7),
     (faults.FreezeEngine(), 0.7),
@@ -179,6 +180,8 @@
             engine_silent_min_s=timeout_s,
             first_token_silent_s=timeout_s,
             probe_timeout_s=timeout_s,
+            local_restarts=0,
+            resume_by_prefix=False,
         ),
     )
 
@@ -259,7 +262,7 @@
     return GenerationsReport(
         streams=counts["streams"],
         engines_killed=hits["engine_killed"],
-        instances_killed=hits["instance_killed"],
+        instances_killed=hits["instance_killed"] + hits["instance_lost"],
         entries_killed=hits["entry_killed"],
         freezes=sum(count for kind, count in hits.items() if "frozen" in kind),
         silent_connections=hits["engine_silenced"] + hits["link_silenced"],
