Let the clients' tests fail when a protection is taken out

Ruled out: the stand-in was the reason for the cancel order's: a silenced connection still told the engine of the client's end; it no longer does. Change: tests of each, tests of the HTTP client itself, and loopback tests fail on timeouts inside a subTest and on failures that are only logged. Left: the connect timeout of 1 s makes one test take that long.

--- a/src/magnoliahold/standins/server.py
+++ b/src/magnoliahold/standins/server.py
@@ -13,7 +13,10 @@
 
 
 class _Connection(ProtocolWrapper):
-    """A connection that can go silent in both directions without being closed."""
+    """A connection that can go silent in both directions without being closed.
+
+    Once silent it doesn't learn either that the other end has gone.
+    """
 
     silenced = False
 
@@ -21,6 +24,12 @@
         if not self.silenced:
             super().dataReceived(data)  # type: ignore[no-untyped-call]
 
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        if self.silenced:
+            self.factory.unregisterProtocol(self)
+        else:
+            super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
     def write(self, data: bytes) -> None:
         if not self.silenced:
             super().write(data)  # type: ignore[no-untyped-call]
@@ -72,6 +81,10 @@
         for connection in list(self._factory.protocols):
             connection.abortConnection()
 
+    def count_connections(self) -> int:
+        """Counts the open connections."""
+        return len(self._factory.protocols)
+
     def silence_connections(self) -> None:
         """Lets every open connection go silent for good; new ones work."""
         for connection in list(self._factory.protocols):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import gc
 import unittest
 from functools import wraps
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.selectreactor import SelectReactor
 from twisted.internet.task import deferLater
+from twisted.logger import globalLogPublisher
+from twisted.python.failure import Failure
 
 from magnoliahold.standins.server import serve_resource
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from twisted.logger import LogEvent
+
     from magnoliahold.standins.server import Listener
 
 TEST_TIMEOUT_S = 10.0
@@ -49,25 +54,41 @@
 def on_loopback(
     test: Callable[[Any], Coroutine[Any, Any, None]],
 ) -> Callable[[Any], None]:
-    """Marks a coroutine as a test that runs on the reactor, for a bounded time."""
+    """Marks a coroutine as a test that runs on the reactor, for a bounded time.
+
+    A failure that is only logged, such as an unhandled error, fails the test too.
+    """
 
     @wraps(test)
     def run(case: LoopbackTestCase) -> None:
-        problems: list[Any] = []
-
-        def finish(_result: Any) -> None:
-            closing = [maybeDeferred(listener.close) for listener in case.listeners]
-            for deferred in closing:
-                deferred.addErrback(problems.append)
-            case.reactor.callLater(0, case.reactor.stop)
+        reactor = case.reactor
+        problems: list[Failure] = []
 
         def start() -> None:
             running = Deferred.fromCoroutine(test(case))
-            running.addTimeout(TEST_TIMEOUT_S, case.reactor)
-            running.addErrback(problems.append).addBoth(finish)
-
-        case.reactor.callWhenRunning(start)
-        case.reactor.run(installSignalHandlers=False)
+            running.addErrback(problems.append).addBoth(stop)
+
+        def give_up() -> None:
+            problems.append(Failure(TimeoutError(f"not done in {TEST_TIMEOUT_S} s")))
+            stop(None)
+
+        def stop(_result: object) -> None:
+            if timeout.active():
+                timeout.cancel()
+            for listener in case.listeners:
+                listener.close()
+            reactor.callLater(0, reactor.stop)
+
+        def collect_failure(event: LogEvent) -> None:
+            if event.get("log_failure") is not None:
+                problems.append(event["log_failure"])
+
+        timeout = reactor.callLater(TEST_TIMEOUT_S, give_up)
+        reactor.callWhenRunning(start)
+        globalLogPublisher.addObserver(collect_failure)
+        reactor.run(installSignalHandlers=False)
+        gc.collect()
+        globalLogPublisher.removeObserver(collect_failure)
         if problems:
             problems[0].raiseException()
 
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from unittest.mock import patch
+
 from twisted.internet.defer import gatherResults
 
 from magnoliahold.platform.instances import make_instance_client
@@ -77,17 +79,34 @@
     async def test_nothing_is_sent_twice(self) -> None:
         await self.tables.transact([], [Write("t", "k", b"1")])
         self.platform.faults.inject(PlatformFault("lose_answers"))
-        for _ in range(3):
-            with self.assertRaises(PlatformUnavailable):
-                await self.tables.transact([], [Write("t", "k", b"1")])
-            with self.assertRaises(PlatformUnavailable):
-                await self.tables.read_row("t", "k")
-        await self.sleep(0.1)
-        self.assertEqual(self.platform.store.read("t", "k").version, 4)
+        store = self.platform.store
+        with patch.object(store, "read", wraps=store.read) as reads:
+            for _ in range(3):
+                with self.assertRaises(PlatformUnavailable):
+                    await self.tables.transact([], [Write("t", "k", b"1")])
+                with self.assertRaises(PlatformUnavailable):
+                    await self.tables.read_row("t", "k")
+            await self.sleep(0.1)
+        self.assertEqual(reads.call_count, 3)
+        self.assertEqual(store.read("t", "k").version, 4)
 
     @on_loopback
-    async def test_a_silent_connection_is_replaced(self) -> None:
-        await self.tables.transact([], [Write("t", "k", b"1")])
+    async def test_a_read_is_not_repeated_on_another_connection(self) -> None:
+        await self.tables.read_row("t", "k")
+        store = self.platform.store
+        self.platform.faults.inject(PlatformFault("lose_answers"))
+        with (
+            patch.object(store, "read", wraps=store.read) as reads,
+            self.assertRaises(PlatformUnavailable),
+        ):
+            await self.tables.read_row("t", "k")
+        self.assertEqual(reads.call_count, 1)
+
+    @on_loopback
+    async def test_silent_connections_are_replaced_together(self) -> None:
+        writes = [Write("t", "k", b"1")]
+        await gatherResults([self.tables.transact([], writes) for _ in range(4)])
+        self.assertEqual(self.listener.count_connections(), 4)
         self.listener.silence_connections()
         with self.assertRaises(PlatformUnavailable):
             await self.tables.read_row("t", "k")
--- a/tests/sidecar/test_engine_client.py
+++ b/tests/sidecar/test_engine_client.py
@@ -137,6 +137,32 @@
         self.client.cancel_stream("a")
         await self.wait_until(lambda: self.engine.batch.running == 0)
 
+    @on_loopback
+    async def test_ended_streams_leave_no_connection(self) -> None:
+        endless = HEAD.replace(b"400", b"900000")
+        for name, answer in (("silent", b""), ("broken", b"{nonsense\n")):
+            with self.subTest(name):
+                url = self.serve_bytes(endless + answer, closes=False)
+                client = make_engine_client(self.reactor, url)
+                reader = Reader(client, "a")
+                await self.sleep(0.05)
+                client.cancel_stream("a")
+                await reader.end
+                await self.wait_until(lambda: self.raw_connections == 0)
+
+    @on_loopback
+    async def test_lines_may_be_cut_anywhere(self) -> None:
+        lines = (
+            b'{"offset":0,"tokens":["a"]}\n{"offset":1,"tokens":["b","c"]}\n'
+            b'{"finished":"stop"}\n'
+        )
+        for size in (1, 7, 30):
+            with self.subTest(size=size):
+                url = self.serve_bytes(HEAD + lines, closes=False, piece=size)
+                reader = Reader(make_engine_client(self.reactor, url), "a")
+                self.assertEqual((await reader.end).kind, EndKind.FINISHED)
+                self.assertEqual(reader.tokens, ["a", "b", "c"])
+
     @on_loopback
     async def test_cancel_reaches_the_engine_past_a_silent_connection(self) -> None:
         reader = Reader(self.client, "a", max_tokens=10_000)
@@ -263,13 +289,29 @@
                 with self.assertRaises(EngineUnavailable):
                     await client.probe(0.3)
 
-    def serve_bytes(self, answer: bytes, closes: bool = True) -> str:
-        """Serves the same raw bytes on each connection; returns the base URL."""
+    def serve_bytes(
+        self, answer: bytes, closes: bool = True, piece: int = 1 << 30
+    ) -> str:
+        """Serves raw bytes, in pieces, on each connection; returns the base URL."""
+        self.raw_connections = 0
+        case = self
 
         class Answerer(Protocol):
+            def connectionMade(self) -> None:  # noqa: N802
+                case.raw_connections += 1
+                self.transport.setTcpNoDelay(True)
+
+            def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+                case.raw_connections -= 1
+
             def dataReceived(self, data: bytes) -> None:  # noqa: N802
-                self.transport.write(answer)
-                if closes:
+                self.write_rest(answer)
+
+            def write_rest(self, rest: bytes) -> None:
+                self.transport.write(rest[:piece])
+                if len(rest) > piece:
+                    case.reactor.callLater(0, self.write_rest, rest[piece:])
+                elif closes:
                     self.transport.loseConnection()
 
         factory = Factory.forProtocol(Answerer)
