Take no unframed answer for whole and let no caller choose a nonce

Cause: an answer that only the end of its connection delimits looks the same when it was cut, and was taken for whole; a caller's own X-Call-Nonce header was passed on beside the system's. Ruled out: telling a clean close from a reset there, which the library doesn't pass on. Change: such an answer fails with its remedy, as LOST for a call; the caller's header is dropped.

--- a/src/magnoliahold/httpclient.py
+++ b/src/magnoliahold/httpclient.py
@@ -291,7 +291,11 @@
 
 
 class _BodyReader(Protocol):
-    """Collects a body of bounded size."""
+    """Collects a body of bounded size.
+
+    A body that only the end of the connection delimits may have been cut, so it is not
+    taken for whole.
+    """
 
     def __init__(self, max_bytes: int, on_whole: Any, on_failure: Any) -> None:
         self._max_bytes = max_bytes
@@ -308,10 +312,12 @@
         self._chunks.append(data)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        if reason.check(ResponseDone, PotentialDataLoss):
+        if reason.check(ResponseDone):
             self._on_whole(b"".join(self._chunks))
-            return
-        self._on_failure(describe_failure(reason))
+        elif reason.check(PotentialDataLoss):
+            self._on_failure("answer has neither a length nor chunks; send one of them")
+        else:
+            self._on_failure(describe_failure(reason))
 
     def stop(self) -> None:
         """Closes the connection that carries the body."""
--- a/src/magnoliahold/sidecar/service_client.py
+++ b/src/magnoliahold/sidecar/service_client.py
@@ -76,7 +76,7 @@
             request.method,
             request.path,
             request.body,
-            (*request.headers, (NONCE_HEADER, nonce)),
+            (*_drop_nonce(request.headers), (NONCE_HEADER, nonce)),
             max_body_bytes=MAX_ANSWER_BYTES,
         )
         self._calls[nonce] = call
@@ -109,6 +109,10 @@
     return ServiceClient(reactor, base_url)
 
 
+def _drop_nonce(headers: HeaderPairs) -> HeaderPairs:
+    return tuple(pair for pair in headers if pair[0].lower() != NONCE_HEADER.lower())
+
+
 def _accept_answer(answer: HttpAnswer) -> ServiceOutcome:
     return ServiceOutcome(
         ServiceOutcomeKind.ANSWERED, answer.status, answer.headers, answer.body
--- a/tests/sidecar/test_engine_client.py
+++ b/tests/sidecar/test_engine_client.py
@@ -24,6 +24,10 @@
 
 PROMPT = "summarise the lost property of the night"
 INTERVAL_S = 0.002
+STATE = (
+    b'{"incarnation":"i","versions":[],"adapters":[],"role":"draft","running":0,'
+    b'"waiting":0,"fencing":0,"capacity":1}'
+)
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n"
 
 
@@ -58,7 +62,12 @@
         self.client = make_engine_client(self.reactor, self.listener.address)
 
     def make_engine(self, **fields: Any) -> Any:
-        values = {"name": "e", "token_interval_s": INTERVAL_S, **fields}
+        values = {
+            "name": "e",
+            "token_interval_s": INTERVAL_S,
+            "load_version_s": 0.05,
+            **fields,
+        }
         return make_engine(self.reactor, EngineSettings(**values), self.random)
 
     @on_loopback
@@ -103,7 +112,7 @@
         refused = await Reader(self.client, "r").end
         self.assertEqual(refused.kind, EndKind.CONNECTION_LOST)
         self.engine.revive("v0")
-        await self.sleep(1.2)
+        await self.sleep(0.1)
         after = await self.client.probe(1.0)
         self.assertNotEqual(before.incarnation, after.incarnation)
         self.assertEqual((after.versions, after.fencing), (("v0",), 0))
@@ -277,14 +286,16 @@
     async def test_control_answers_are_bounded_and_checked(self) -> None:
         huge = b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 9_000_000
         table = (
-            ("huge", huge),
-            ("malformed", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
-            ("error", b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
-            ("silent", b""),
+            ("huge", huge, False),
+            ("no length", b"HTTP/1.1 200 OK\r\n\r\n" + STATE, True),
+            ("malformed", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", False),
+            ("error", b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", False),
+            ("cut", HEAD + STATE, True),
+            ("silent", b"", False),
         )
-        for name, answer in table:
+        for name, answer, closes in table:
             with self.subTest(name):
-                address = self.serve_bytes(answer, closes=False)
+                address = self.serve_bytes(answer, closes)
                 client = make_engine_client(self.reactor, address)
                 with self.assertRaises(EngineUnavailable):
                     await client.probe(0.3)
--- a/tests/sidecar/test_service_client.py
+++ b/tests/sidecar/test_service_client.py
@@ -42,6 +42,13 @@
         self.assertIn(b'"body":"two runs"', outcome.body)
         self.assertEqual(self.service.ledger, {"n1": 1})
 
+    @on_loopback
+    async def test_a_caller_cannot_choose_the_nonce(self) -> None:
+        headers = (("x-call-NONCE", "chosen"),)
+        outcome = await self.call("n1", ServiceRequest("POST", "/a", headers, b""))
+        self.assertEqual(outcome.kind, ServiceOutcomeKind.ANSWERED)
+        self.assertEqual(self.service.ledger, {"n1": 1})
+
     @on_loopback
     async def test_not_sent_is_said_only_when_nothing_ran(self) -> None:
         lost, answered = ServiceOutcomeKind.LOST, ServiceOutcomeKind.ANSWERED
