--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -19,8 +19,8 @@
     """Heartbeats and the judgement of silent links."""
 
     heartbeat_s: float = _seconds(0.25)
-    link_silent_s: float = _seconds(0.7)
-    peer_lost_s: float = _seconds(1.1)
+    link_silent_s: float = _seconds(0.4)
+    peer_lost_s: float = _seconds(0.75)
     peer_forgotten_s: float = _seconds(60.0)
     list_interval_s: float = _seconds(5.0)
     broken_link_s: float = _seconds(0.3)
@@ -36,7 +36,7 @@
 
     window_tokens: int = _count(256)
     ack_interval_tokens: int = _count(32)
-    engine_silent_min_s: float = _seconds(0.5)
+    engine_silent_min_s: float = _seconds(0.35)
     engine_silent_gaps: float = _seconds(8.0)
     first_token_silent_s: float = _seconds(5.0)
     probe_timeout_s: float = _seconds(0.3)
--- a/src/magnoliahold/core/systems/silence.py
+++ b/src/magnoliahold/core/systems/silence.py
@@ -44,6 +44,21 @@
             yield stream
 
 
+def is_all_quiet(world: SidecarWorld, since: float) -> bool:
+    """Tells whether no running stream has had a token since a time.
+
+    Streams that wait for their first token say nothing about the engine.
+    """
+    quiet = [
+        stream.quiet_since <= since
+        for stream in world.streams.by_handle.values()
+        if stream.state is StreamState.RUNNING
+        and not stream.paused
+        and stream.first_token_at is not None
+    ]
+    return bool(quiet) and all(quiet)
+
+
 def _limit_s(world: SidecarWorld, stream: Stream) -> float:
     """Computes the silence that a stream is allowed; it doubles at each restart."""
     policy = world.policy.streams
