Limit the rate of the stand-in table service and silence its connections

Cause: the platform carries several hundred writes and about 2,000 reads a second; the stand-in carried any rate, so that a storm of reads went unseen.

--- a/src/magnoliahold/standins/platform.py
+++ b/src/magnoliahold/standins/platform.py
@@ -27,11 +27,18 @@
     def __init__(self, clock: Clock, random: Random) -> None:
         self.faults = FaultySchedule(clock, random)
         self.store = TableStore()
-        self.tables = FaultyTables(self.faults, self.store)
+        self.tables = FaultyTables(clock, self.faults, self.store)
         self.objects = FaultyObjects(self.faults)
         self.instances = FaultyInstances(clock, self.faults)
         self.weights = FaultyWeights(clock, self.faults)
         self.resource = make_platform_resource(self)
+        self._clock = clock
+
+    def silence_later(self, delay_s: float) -> None:
+        """Lets the open connections go silent for good after a delay."""
+        listener = self.resource.listener
+        if listener is not None:
+            self._clock.callLater(delay_s, listener.silence_connections)
 
 
 def make_platform(reactor: Clock, random: Random) -> Platform:
--- a/src/magnoliahold/standins/platform_faults.py
+++ b/src/magnoliahold/standins/platform_faults.py
@@ -14,11 +14,14 @@
     from random import Random
 
     from magnoliahold.runtime import Clock
+    from magnoliahold.standins.rate_limit import RateLimit
 
 T = TypeVar("T")
 
 NORMAL_LATENCY_S = 0.002
-KINDS = frozenset({"outage", "slow", "lose_answers", "lag"})
+KINDS = frozenset(
+    {"clear", "lag", "lose_answers", "outage", "silence_connections", "slow"}
+)
 
 
 @frozen
@@ -27,7 +30,8 @@
 
     Kinds: "outage" (nothing is carried out), "slow" (each answer takes `delay_s` more),
     "lose_answers" (carried out, but not answered), "lag" (the instance list stands
-    still) and "clear".
+    still), "clear", and over HTTP "silence_connections" (open connections go silent for
+    good).
     """
 
     kind: str
@@ -45,20 +49,20 @@
         self._faults: dict[str, tuple[float, PlatformFault]] = {}
 
     def inject(self, fault: PlatformFault) -> None:
-        """Starts a fault, or ends all; raises ValueError when its kind is unknown."""
+        """Starts a fault of a known kind, or ends all."""
         if fault.kind == "clear":
             self._faults.clear()
-        elif fault.kind in KINDS:
+        else:
             end = self._clock.seconds() + fault.seconds
             self._faults[fault.kind] = (end, fault)
-        else:
-            raise ValueError(f"unknown fault {fault.kind!r}; use one of {KINDS}")
 
     def is_active(self, kind: str) -> bool:
         """Tells whether a fault is in force."""
         return self._get(kind) is not None
 
-    def perform(self, action: Callable[[], T]) -> Deferred[T]:
+    def perform(
+        self, action: Callable[[], T], limit: RateLimit | None = None
+    ) -> Deferred[T]:
         """Carries out `action` once, or not at all during an outage.
 
         The Deferred fails with `PlatformUnavailable` when the answer is lost.
@@ -67,7 +71,10 @@
         slow = self._draw("slow")
         delay_s = NORMAL_LATENCY_S + (slow.delay_s if slow is not None else 0.0)
         before_s = delay_s * self._random.random()
-        self._clock.callLater(before_s, self._act, action, answer, delay_s - before_s)
+        queued_s = limit.reserve() if limit is not None else 0.0
+        self._clock.callLater(
+            queued_s + before_s, self._act, action, answer, delay_s - before_s
+        )
         return answer
 
     def _act(
--- a/src/magnoliahold/standins/platform_resource.py
+++ b/src/magnoliahold/standins/platform_resource.py
@@ -12,7 +12,7 @@
     Instance,
     Write,  # noqa: TC001
 )
-from magnoliahold.standins.platform_faults import PlatformFault
+from magnoliahold.standins.platform_faults import KINDS, PlatformFault
 from magnoliahold.standins.replies import parse_body, reply, reply_error
 from magnoliahold.standins.server import FaultyResource, TreeResource
 
@@ -24,6 +24,7 @@
 
     from magnoliahold.standins.platform import Platform
 
+FAULT_DELAY_S = 0.01
 MAX_SCAN_ROWS = 1000
 
 
@@ -120,12 +121,14 @@
         fault = parse_body(request, PlatformFault)
         if fault is None:
             return
-        try:
-            self._platform.faults.inject(fault)
-        except ValueError as error:
-            reply_error(request, 400, str(error))
+        if fault.kind not in KINDS:
+            reply_error(request, 400, f"unknown fault {fault.kind!r}")
+            return
+        reply(request, {"injected": fault.kind})
+        if fault.kind == "silence_connections":
+            self._platform.silence_later(FAULT_DELAY_S)
         else:
-            reply(request, {"injected": fault.kind})
+            self._platform.faults.inject(fault)
 
 
 def _read_argument(request: Request, name: str, default: str) -> str:
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import gatherResults
 
+from magnoliahold.httpclient import HttpClient
 from magnoliahold.platform.instances import make_instance_client
 from magnoliahold.platform.interfaces import (
     Condition,
@@ -112,6 +113,23 @@
             await self.tables.read_row("t", "k")
         self.assertIsNotNone(await self.tables.read_row("t", "k"))
 
+    @on_loopback
+    async def test_faults_can_be_asked_for_over_http(self) -> None:
+        client = HttpClient(self.reactor, self.listener.address)
+        await self.tables.read_row("t", "k")
+        for body, status in (
+            (b'{"kind":"dance"}', 400),
+            (b'{"kind":"silence_connections"}', 200),
+            (b'{"kind":"outage","seconds":0.2}', 200),
+        ):
+            answer = await client.send("POST", "/faults", body)
+            self.assertEqual(answer.status, status)
+        for _ in range(2):
+            with self.assertRaises(PlatformUnavailable):
+                await self.tables.read_row("t", "k")
+        await self.sleep(0.2)
+        self.assertIsNone(await self.tables.read_row("t", "k"))
+
     @on_loopback
     async def test_a_restarted_platform_is_reached_again(self) -> None:
         await self.tables.transact([], [Write("t", "k", b"1")])
