--- a/src/magnoliahold/core/entry.py
+++ b/src/magnoliahold/core/entry.py
@@ -56,6 +56,7 @@
     quarantine.end_quarantined,
     admission.admit_generations,
     routing.route_generations,
+    quarantine.end_quarantined_calls,
     calls.settle_calls,
     followers.settle_followers,
     calls.accept_calls,
--- a/src/magnoliahold/core/runs.py
+++ b/src/magnoliahold/core/runs.py
@@ -48,7 +48,7 @@
     """Runs and fences by nonce; `open` holds those that the upstream works on.
 
     `ended` and `answers` hold ended runs and kept answers in the order of their end,
-    `broken` those that ended without an answer since the last probe.
+    `broken` those that were lost and whose owners are not told yet.
     """
 
     by_nonce: dict[str, Run] = field(factory=dict)
--- a/src/magnoliahold/core/systems/answers.py
+++ b/src/magnoliahold/core/systems/answers.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.claims import ClaimState, ResultWrite, record_result
 from magnoliahold.core.effects import AnswerCall, CountMetric, RefuseRequest
 from magnoliahold.core.systems.dispatch import release_upstream
+from magnoliahold.core.systems.suspects import clear_request
 
 if TYPE_CHECKING:
     from magnoliahold.core.calls import Call
@@ -23,10 +24,12 @@
 ) -> None:
     """Gives a caller the result and records it for repeats of the key."""
     _record_answer(world, call, answer, now)
+    if call.suspect:
+        clear_request(world, call.request.fingerprint)
     effect = AnswerCall(
         call.request.request_id, answer.status, answer.headers, answer.body
     )
-    _end_call(world, call, "answered")
+    end_call(world, call, "answered")
     world.emit(effect)
 
 
@@ -38,7 +41,7 @@
         return
     request_id = call.request.request_id
     effect = AnswerCall(request_id, row.status, row.headers, row.body)
-    _end_call(world, call, "recorded")
+    end_call(world, call, "recorded")
     world.emit(effect)
 
 
@@ -105,7 +108,7 @@
     ran: str = "not_run",
     retry_after_s: float | None = None,
 ) -> None:
-    _end_call(world, call, code)
+    end_call(world, call, code)
     request_id = call.request.request_id
     refusal = RefuseRequest(request_id, status, code, message, ran, retry_after_s)
     world.emit(refusal)
@@ -116,7 +119,8 @@
     return round(world.random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S), 2)
 
 
-def _end_call(world: EntryWorld, call: Call, outcome: str) -> None:
+def end_call(world: EntryWorld, call: Call, outcome: str) -> None:
+    """Removes a call that has its final answer."""
     for dispatch in call.open.values():
         release_upstream(world, dispatch)
     world.calls.remove_call(call)
--- a/src/magnoliahold/core/systems/quarantine.py
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -19,12 +19,18 @@
     decode_quarantine,
     encode_quarantine,
 )
-from magnoliahold.core.systems.relay import cancel_generation
-from magnoliahold.core.systems.suspects import refuse_quarantined
+from magnoliahold.core.systems.answers import end_call
+from magnoliahold.core.systems.routing import end_attempt
+from magnoliahold.core.systems.suspects import (
+    clear_request,
+    refuse_quarantined,
+    tell_entries,
+)
 from magnoliahold.platform.interfaces import Write
-from magnoliahold.wire.messages import EngineDied, SuspicionNotice
+from magnoliahold.wire.messages import CancelStream, EngineDied, SuspicionNotice
 
 if TYPE_CHECKING:
+    from magnoliahold.core.generations import Generation
     from magnoliahold.core.quarantine import Suspicion
     from magnoliahold.core.worlds import EntryWorld
 
@@ -133,23 +139,12 @@
         produced=",".join(str(death.produced) for death in suspicion.deaths),
     )
     world.emit(CountMetric("requests_quarantined"))
-    _tell_entries(world, suspicion, quarantine_s)
+    tell_entries(world, suspicion, quarantine_s)
     row = QuarantineRow(world.wall_clock(now) + quarantine_s)
     write = Write(QUARANTINE_TABLE, suspicion.fingerprint, encode_quarantine(row))
     world.emit(Transact(world.make_id("quarantine"), (), (write,)))
 
 
-def _tell_entries(world: EntryWorld, suspicion: Suspicion, seconds_left: float) -> None:
-    notice = SuspicionNotice(
-        fingerprint=suspicion.fingerprint,
-        deaths=len(suspicion.deaths),
-        quarantined=suspicion.quarantined_until is not None,
-        seconds_left=seconds_left,
-    )
-    for peer in world.peers.list_by_role("entry"):
-        world.emit(SendMessage(peer.name, notice))
-
-
 def take_notices(world: EntryWorld, now: float) -> None:
     """Takes over quarantines and clearances from the other entries."""
     for received in world.inbox.read_messages(SuspicionNotice):
@@ -166,14 +161,6 @@
     suspicion.quarantined_until = max(until, known) if known is not None else until
 
 
-def clear_request(world: EntryWorld, fingerprint: str) -> None:
-    """Clears a suspect that outlived its suspicion, here and at the other entries."""
-    suspicion = world.suspicions.by_fingerprint.get(fingerprint)
-    if suspicion is not None and world.suspicions.clear_suspicion(fingerprint):
-        suspicion.deaths.clear()
-        _tell_entries(world, suspicion, 0.0)
-
-
 def clear_suspects(world: EntryWorld, now: float) -> None:
     """Clears generations that came further than where they were when one died."""
     suspicions = world.suspicions.by_fingerprint
@@ -204,7 +191,28 @@
     for generation in list(world.generations.by_request.values()):
         request = generation.request
         if refuse_quarantined(world, request.request_id, request.fingerprint, now):
-            cancel_generation(world, generation)
+            _cancel_attempt(world, generation)
+
+
+def _cancel_attempt(world: EntryWorld, generation: Generation) -> None:
+    """Removes a generation and stops its attempt, which must not be kept."""
+    if generation.sidecar:
+        cancel = CancelStream(
+            generation.lineage, generation.attempt, generation.owner_epoch
+        )
+        world.emit(SendMessage(generation.sidecar, cancel))
+        end_attempt(world, generation)
+    world.generations.remove_generation(generation)
+
+
+def end_quarantined_calls(world: EntryWorld, now: float) -> None:
+    """Gives calls with a quarantined fingerprint their final answer."""
+    if not world.suspicions.by_fingerprint:
+        return
+    for call in list(world.calls.by_request.values()):
+        request = call.request
+        if refuse_quarantined(world, request.request_id, request.fingerprint, now):
+            end_call(world, call, "quarantined")
 
 
 def expire_suspicions(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/runs.py
+++ b/src/magnoliahold/core/systems/runs.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CancelServiceCall, SendMessage, StartServiceCall
-from magnoliahold.core.events import MessageExpired, ServiceAnswered, ServiceFailed
+from magnoliahold.core.events import (
+    MessageExpired,
+    ServiceAnswered,
+    ServiceFailed,
+    UpstreamProbed,
+)
 from magnoliahold.core.runs import Run, RunState
 from magnoliahold.wire.messages import (
     CallAnswered,
@@ -20,6 +25,9 @@
     from magnoliahold.core.worlds import SidecarWorld
 
 
+BROKEN_HELD_S = 0.5
+
+
 def finish_runs(world: SidecarWorld, now: float) -> None:
     """Passes answers and failures of calls on to the entries that wait for them."""
     for answered in world.inbox.read_events(ServiceAnswered):
@@ -37,10 +45,27 @@
         run.handed_over -= failure.not_sent
         state = RunState.FENCED if failure.not_sent else RunState.LOST
         world.runs.end_run(run, state, now)
-        failed = CallFailed(run.nonce, failure.not_sent, failure.reason)
-        _tell_owners(world, run, failed)
         if state is RunState.LOST:
             world.runs.broken.append(run)
+            world.upstream.probe_wanted = True
+            world.upstream.reset_at = now
+        else:
+            _tell_owners(world, run, CallFailed(run.nonce, True, failure.reason))
+
+
+def tell_broken_runs(world: SidecarWorld, now: float) -> None:
+    """Tells of runs that were lost, after a probe has told whether the service died.
+
+    So a report of the death reaches the entries before they send a call again.
+    """
+    probed = bool(world.inbox.read_events(UpstreamProbed))
+    for run in list(world.runs.broken):
+        ended_at = run.ended_at or 0.0
+        settled = probed and world.upstream.probe_sent_at >= ended_at
+        if settled or now - ended_at >= BROKEN_HELD_S:
+            world.runs.broken.remove(run)
+            failed = CallFailed(run.nonce, False, "the service broke its connection")
+            _tell_owners(world, run, failed)
 
 
 def start_runs(world: SidecarWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/suspects.py
+++ b/src/magnoliahold/core/systems/suspects.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.effects import CountMetric, RefuseRequest
+from magnoliahold.core.effects import CountMetric, RefuseRequest, SendMessage
+from magnoliahold.wire.messages import SuspicionNotice
 
 if TYPE_CHECKING:
     from magnoliahold.core.peers import Peer
+    from magnoliahold.core.quarantine import Suspicion
     from magnoliahold.core.worlds import EntryWorld
 
 MIN_RETRY_AFTER_S = 1.0
@@ -62,3 +64,23 @@
         for dispatch in call.open.values() if call.suspect else ():
             counts[dispatch.sidecar] = counts.get(dispatch.sidecar, 0) + 1
     return counts
+
+
+def clear_request(world: EntryWorld, fingerprint: str) -> None:
+    """Clears a suspect that outlived its suspicion, here and at the other entries."""
+    suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+    if suspicion is not None and world.suspicions.clear_suspicion(fingerprint):
+        suspicion.deaths.clear()
+        tell_entries(world, suspicion, 0.0)
+
+
+def tell_entries(world: EntryWorld, suspicion: Suspicion, seconds_left: float) -> None:
+    """Tells every other entry what is held against a fingerprint."""
+    notice = SuspicionNotice(
+        fingerprint=suspicion.fingerprint,
+        deaths=len(suspicion.deaths),
+        quarantined=suspicion.quarantined_until is not None,
+        seconds_left=seconds_left,
+    )
+    for peer in world.peers.list_by_role("entry"):
+        world.emit(SendMessage(peer.name, notice))
--- a/src/magnoliahold/measure/fakes/engine.py
+++ b/src/magnoliahold/measure/fakes/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -58,12 +59,17 @@
 class EngineFaults:
     """Faults that rigs ask for.
 
-    `poison` holds texts that kill the engine when a running prompt contains them.
+    `poison` holds texts that kill the engine when a running prompt contains them: some
+    time after its prefill, or as soon as its output has as many tokens as
+    `poison_tokens` says. `poisoned` counts the deaths by text.
     `version_error_share` and `version_slowdown` make single versions bad, while
     `is_bad_now` says so for a stream.
     """
 
     poison: set[str] = field(factory=set)
+    poison_delays_s: dict[str, float] = field(factory=dict)
+    poison_tokens: dict[str, int] = field(factory=dict)
+    poisoned: Counter[str] = field(factory=Counter)
     version_error_share: dict[str, float] = field(factory=dict)
     version_slowdown: dict[str, float] = field(factory=dict)
     bad_only_above_running: int = 0
@@ -273,8 +279,10 @@
         run = EngineRun(effect.prompt, len(effect.prefix), computed, stream.tokens)
         self.runs.append(run)
         self._cache_output(stream)
-        if any(text in effect.prompt for text in self.faults.poison):
-            self.clock.callLater(self.poison_delay_s, self._die_of, effect.handle)
+        for text in self._find_poison(effect.prompt):
+            if text not in self.faults.poison_tokens:
+                delay_s = self.faults.poison_delays_s.get(text, self.poison_delay_s)
+                self.clock.callLater(delay_s, self._die_of, effect.handle, text)
 
     def _count_uncached(self, effect: effects.StartEngineStream) -> int:
         """Counts the tokens of a prefix that this engine has not generated itself."""
@@ -291,10 +299,22 @@
         if len(self.cached_outputs) > CACHED_OUTPUTS:
             del self.cached_outputs[next(iter(self.cached_outputs))]
 
-    def _die_of(self, handle: str) -> None:
+    def _die_of(self, handle: str, text: str) -> None:
         if handle in self.streams:
+            self.faults.poisoned[text] += 1
             self.kill_engine()
 
+    def _is_poisoned(self, stream: FakeStream) -> bool:
+        """Dies of a stream whose output has reached its poisonous length."""
+        for text, count in self.faults.poison_tokens.items():
+            if text in stream.effect.prompt and len(stream.tokens) >= count:
+                self._die_of(stream.effect.handle, text)
+                return True
+        return False
+
+    def _find_poison(self, prompt: str) -> list[str]:
+        return [text for text in self.faults.poison if text in prompt]
+
     def _start_ticking(self) -> None:
         if not self._ticking:
             self._ticking = True
@@ -313,6 +333,8 @@
             self._start_ticking()
 
     def _produce(self, handle: str, stream: FakeStream) -> None:
+        if not self.live or self._is_poisoned(stream):
+            return
         if stream.slowdown > 1.0 and self.random.random() > 1 / stream.slowdown:
             return
         effect = stream.effect
--- /dev/null
+++ b/src/magnoliahold/measure/plain_quarantine.py
@@ -0,0 +1,25 @@
+"""The plain alternative for requests that crash engines: no suspicion at all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.systems import quarantine
+
+if TYPE_CHECKING:
+    from magnoliahold.node import Node
+
+UNUSED = {
+    quarantine.take_notices,
+    quarantine.read_quarantines,
+    quarantine.note_deaths,
+    quarantine.clear_suspects,
+    quarantine.end_quarantined,
+    quarantine.end_quarantined_calls,
+    quarantine.expire_suspicions,
+}
+
+
+def use_no_quarantine(node: Node) -> None:
+    """Takes suspicion and quarantine out of an entry's decisions."""
+    node.systems = tuple(system for system in node.systems if system not in UNUSED)
--- /dev/null
+++ b/src/magnoliahold/measure/poison.py
@@ -0,0 +1,362 @@
+"""Measures requests that crash each upstream that runs them, among other faults."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field, frozen
+
+from magnoliahold.core.events import CallArrived, GenerationArrived
+from magnoliahold.core.workspaces import ServiceRule
+from magnoliahold.measure.fakes import faults
+from magnoliahold.measure.fakes.callers import GenerationCaller, ServiceCaller
+from magnoliahold.measure.fakes.engine import EngineFaults
+from magnoliahold.measure.fakes.faults import RESTART_S, FaultInjector, inject_fault
+from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
+from magnoliahold.measure.options import find_share
+from magnoliahold.measure.plain_quarantine import use_no_quarantine
+from magnoliahold.measure.scenarios import DEPLOYMENTS, CallerMix, make_workspaces
+
+if TYPE_CHECKING:
+    from magnoliahold.core.effects import RefuseRequest
+    from magnoliahold.measure.fakes.fleet import Fleet
+    from magnoliahold.measure.options import MeasureOptions
+    from magnoliahold.measure.scenarios import Deployment
+
+ENTRIES = 3
+STREAMS = 60
+LOOKUPS = 40
+SERVICE = "lookup"
+SERVICE_UPSTREAMS = 3
+WARM_UP_S = 1.0
+ARRIVALS_S = 9.0
+FAULTS_S = (1.5, 11.0)
+DRAIN_S = 40.0
+STEP_S = 0.005
+POISON_REPEATS = 3
+POISON_REPEAT_S = (0.2, 2.0)
+ENGINE_POISONS_SHARES = (0.0, 0.6, 0.4)
+SERVICE_POISON_SHARE = 0.3
+RACK_ENGINES = 3
+
+FAULTS: tuple[tuple[object, float], ...] = (
+    (faults.KillEngine(), 1.5),
+    (faults.KillInstance(), 0.7),
+    (faults.KillSidecar(), 0.4),
+    (faults.KillEntry(), 0.4),
+    (faults.FreezeEngine(), 0.3),
+    (faults.FreezeEntry(), 0.2),
+    (faults.CutLink(), 0.4),
+    (faults.StopStore(), 0.3),
+)
+DOUBLE_SHARE = 0.3
+DOUBLE_GAP_S = 0.6
+RACKS_MEAN = 0.4
+
+
+@frozen
+class LossPerPoison:
+    """Upstreams lost for each poisonous request."""
+
+    mean: float
+    max: int
+
+
+@frozen
+class PoisonReport:
+    """Results over all scenarios.
+
+    `lost_by_kind` splits the losses by how the request kills: soon or late after its
+    prefill, at a token, or as a call. `innocents_refused` counts other callers that
+    were told that their request is quarantined. `final_answers_to_poison` counts how
+    poisonous requests ended, and `repeats_ran` their repeats that killed once more
+    after a final answer.
+    """
+
+    poison_requests: int
+    engines_lost_per_poison_request: LossPerPoison
+    innocents_refused: int
+    innocents: int
+    innocents_incomplete: int
+    lost_by_kind: dict[str, LossPerPoison]
+    final_answers_to_poison: dict[str, int]
+    repeats_ran: int
+    killed_by_faults: int
+    invariant_violations: int
+
+
+@define(eq=False)
+class PoisonCaller:
+    """Sends a poisonous generation, and again soon after each final answer."""
+
+    fleet: Fleet
+    random: Random
+    request: GenerationArrived
+    kind: str
+    text: str
+    refusals: list[RefuseRequest] = field(factory=list)
+    deaths_at_refusal: int | None = None
+
+    def start_request(self) -> None:
+        """Sends the request to any entry."""
+        caller = GenerationCaller(self.fleet.clock, self.fleet, self.request)
+        caller.max_refusals = 0
+        caller.on_done = self._note_end
+        caller.start_request()
+
+    def _note_end(self, caller: GenerationCaller) -> None:
+        self.refusals.extend(caller.refusals)
+        if self.deaths_at_refusal is None:
+            self.deaths_at_refusal = count_deaths(self.fleet, self.text)
+        if len(self.refusals) <= POISON_REPEATS:
+            delay = self.random.uniform(*POISON_REPEAT_S)
+            self.fleet.clock.callLater(delay, self.start_request)
+
+
+@frozen
+class LoseRack:
+    """Several engines and their sidecars die at the same moment."""
+
+    engines: int = RACK_ENGINES
+
+
+@define(eq=False)
+class PoisonScenario:
+    """One fleet with innocent and poisonous callers."""
+
+    fleet: Fleet
+    mix: CallerMix
+    injector: FaultInjector
+    lookups: list[ServiceCaller] = field(factory=list)
+    poisons: list[PoisonCaller] = field(factory=list)
+    poisonous_lookups: list[ServiceCaller] = field(factory=list)
+
+    def run_scenario(self) -> None:
+        """Runs until every innocent caller is done, or DRAIN_S after the faults."""
+        self.fleet.run_for(FAULTS_S[1], STEP_S)
+        limit = self.fleet.now() + DRAIN_S
+        innocents = [*self.mix.callers, *self.lookups]
+        while self.fleet.now() < limit:
+            if all(caller.done for caller in innocents):
+                break
+            self.fleet.run_for(0.2, STEP_S)
+
+
+@define(eq=False)
+class PlainFaultInjector(FaultInjector):
+    """Starts entries again without suspicion."""
+
+    def restart_entry(self, name: str) -> None:
+        """Starts an entry again."""
+        if name not in self.fleet.network.processes:
+            self.fleet.add_entry(name)
+            use_no_quarantine(self.fleet.find_node(name))
+
+
+@inject_fault.register(LoseRack)
+def _lose_rack(fault: LoseRack, injector: FaultInjector) -> None:
+    for _ in range(fault.engines):
+        name = injector.choose_upstream()
+        if name is None:
+            return
+        injector.note_hit("instance_killed", upstream=name)
+        injector.fleet.kill_instance(name)
+        injector.end_later(RESTART_S, injector.fleet.engines[name].revive_engine)
+        injector.end_later(RESTART_S, injector.restart_sidecar, name)
+
+
+def run_poison(options: MeasureOptions) -> PoisonReport:
+    """Runs seeded scenarios at the sizes of the two deployments in turn."""
+    tally = PoisonTally()
+    for number in range(options.runs):
+        scenario = make_scenario(options, number)
+        scenario.run_scenario()
+        add_scenario(tally, scenario)
+    return make_report(tally)
+
+
+def make_scenario(options: MeasureOptions, number: int) -> PoisonScenario:
+    """Builds one scenario; the same seed and number give the same run."""
+    random = Random(f"poison {options.seed} {number}")
+    deployment = DEPLOYMENTS[number % len(DEPLOYMENTS)]
+    fleet = _make_fleet(random, deployment)
+    kind = PlainFaultInjector if options.baseline else FaultInjector
+    injector = kind(fleet, Random(random.getrandbits(32)))
+    if options.baseline:
+        for name in fleet.list_entries():
+            use_no_quarantine(fleet.find_node(name))
+    fleet.run_for(WARM_UP_S, STEP_S)
+    mix = CallerMix(fleet, Random(random.getrandbits(32)))
+    scenario = PoisonScenario(fleet, mix, injector)
+    for _ in range(STREAMS):
+        mix.plan_caller(WARM_UP_S + random.uniform(0.0, ARRIVALS_S), _keep)
+    for serial in range(LOOKUPS):
+        scenario.lookups.append(_plan_lookup(fleet, random, f"lookup-{serial}"))
+    _plan_poison(scenario, random, number)
+    _plan_faults(injector, random, options.faults)
+    return scenario
+
+
+def _make_fleet(random: Random, deployment: Deployment) -> Fleet:
+    shape = FleetShape(
+        entries=ENTRIES,
+        engines=deployment.engines,
+        services={SERVICE: SERVICE_UPSTREAMS},
+        data_centres=deployment.data_centres,
+    )
+    names = tuple(f"{SERVICE}-{number}" for number in range(SERVICE_UPSTREAMS))
+    rule = ServiceRule(SERVICE, names, ("GET /*",))
+    workspaces = [
+        evolve(workspace, services={SERVICE: rule})
+        for workspace in make_workspaces(deployment)
+    ]
+    fleet = make_fleet(random.getrandbits(32), shape, workspaces)
+    shared = EngineFaults()
+    for engine in fleet.engines.values():
+        engine.faults = shared
+    return fleet
+
+
+def _keep(caller: GenerationCaller) -> None:
+    caller.resumes = caller.request.stream
+
+
+def _plan_lookup(fleet: Fleet, random: Random, body: str) -> ServiceCaller:
+    request = CallArrived(
+        request_id="",
+        workspace="workspace-0",
+        service=SERVICE,
+        method="GET",
+        path=f"/{body}",
+        headers=(),
+        body=body.encode(),
+        fingerprint=f"print-{body}",
+    )
+    caller = ServiceCaller(fleet.clock, fleet, request, max_repeats=5)
+    at = WARM_UP_S + random.uniform(0.0, ARRIVALS_S)
+    fleet.clock.callLater(at - fleet.now(), caller.start_request)
+    return caller
+
+
+def _plan_poison(scenario: PoisonScenario, random: Random, number: int) -> None:
+    """Draws poisonous requests, each with its own way to kill."""
+    counts = range(len(ENGINE_POISONS_SHARES))
+    count = random.choices(counts, ENGINE_POISONS_SHARES)[0]
+    for serial in range(count):
+        scenario.poisons.append(_plan_engine_poison(scenario, random, serial))
+    if random.random() < SERVICE_POISON_SHARE:
+        text = f"poison-{number}"
+        for service in scenario.fleet.services.values():
+            service.poison.add(text)
+        caller = _plan_lookup(scenario.fleet, random, text)
+        scenario.poisonous_lookups.append(caller)
+
+
+def _plan_engine_poison(
+    scenario: PoisonScenario, random: Random, serial: int
+) -> PoisonCaller:
+    fleet = scenario.fleet
+    kinds = ("prefill", "soon", "late", "token")
+    kind = random.choice(kinds)
+    text = f"poison-{serial}-{kind}"
+    engine_faults = next(iter(fleet.engines.values())).faults
+    engine_faults.poison.add(text)
+    if kind == "token":
+        engine_faults.poison_tokens[text] = random.randint(2, 120)
+    else:
+        spans = {"prefill": (0.0, 0.0), "soon": (0.02, 0.3), "late": (0.5, 2.5)}
+        engine_faults.poison_delays_s[text] = random.uniform(*spans[kind])
+    request = GenerationArrived(
+        request_id="",
+        workspace=f"workspace-{serial}",
+        work="long",
+        prompt=f"{text} please",
+        max_tokens=300,
+        stream=random.random() < 0.8,
+        fingerprint=f"print-{text}",
+    )
+    caller = PoisonCaller(fleet, random, request, kind, text)
+    at = WARM_UP_S + random.uniform(1.0, ARRIVALS_S)
+    fleet.clock.callLater(at - fleet.now(), caller.start_request)
+    return caller
+
+
+def _plan_faults(injector: FaultInjector, random: Random, scale: float) -> None:
+    for fault, mean in (*FAULTS, (LoseRack(), RACKS_MEAN)):
+        expected = mean * scale
+        count = int(expected) + (random.random() < expected - int(expected))
+        for _ in range(count):
+            at = random.uniform(*FAULTS_S)
+            injector.plan_fault(at, fault)
+            if random.random() < DOUBLE_SHARE:
+                second = random.choice((faults.KillEngine(), faults.KillInstance()))
+                gap = random.uniform(0.0, DOUBLE_GAP_S)
+                injector.plan_fault(at + gap, second)
+
+
+@define
+class PoisonTally:
+    """Sums over scenarios; `lost` holds the losses of each poisonous request."""
+
+    counts: Counter[str] = field(factory=Counter)
+    codes: Counter[str] = field(factory=Counter)
+    lost: list[tuple[str, int]] = field(factory=list)
+
+
+def add_scenario(tally: PoisonTally, scenario: PoisonScenario) -> None:
+    """Adds a finished scenario to the sums."""
+    counts, fleet = tally.counts, scenario.fleet
+    for poison in scenario.poisons:
+        deaths = count_deaths(fleet, poison.text)
+        tally.lost.append((poison.kind, deaths))
+        tally.codes.update(refusal.code for refusal in poison.refusals)
+        known = poison.deaths_at_refusal
+        counts["repeats_ran"] += deaths - known if known is not None else 0
+    for lookup in scenario.poisonous_lookups:
+        deaths = sum(service.deaths for service in fleet.services.values())
+        tally.lost.append(("call", deaths))
+        tally.codes.update(told.refusal.code for told in lookup.told)
+    for caller in scenario.mix.callers:
+        counts["innocents"] += 1
+        counts["refused"] += any(r.code == "quarantined" for r in caller.refusals)
+        counts["incomplete"] += caller.finished_at is None
+    for innocent in scenario.lookups:
+        counts["innocents"] += 1
+        codes = [told.refusal.code for told in innocent.told]
+        counts["refused"] += "quarantined" in codes
+        counts["incomplete"] += innocent.answer is None
+    counts["killed"] += sum("kill" in hit.kind for hit in scenario.injector.hits)
+    counts["violations"] += sum("invariant" in why for _, why in fleet.stopped)
+
+
+def count_deaths(fleet: Fleet, text: str) -> int:
+    """Counts the engines that a poisonous text has killed."""
+    return next(iter(fleet.engines.values())).faults.poisoned[text]
+
+
+def make_report(tally: PoisonTally) -> PoisonReport:
+    """Builds the report from the sums."""
+    counts = tally.counts
+    kinds = sorted({kind for kind, _ in tally.lost})
+    return PoisonReport(
+        poison_requests=len(tally.lost),
+        engines_lost_per_poison_request=find_loss([lost for _, lost in tally.lost]),
+        innocents_refused=counts["refused"],
+        innocents=counts["innocents"],
+        innocents_incomplete=counts["incomplete"],
+        lost_by_kind={
+            kind: find_loss([lost for other, lost in tally.lost if other == kind])
+            for kind in kinds
+        },
+        final_answers_to_poison=dict(sorted(tally.codes.items())),
+        repeats_ran=counts["repeats_ran"],
+        killed_by_faults=counts["killed"],
+        invariant_violations=counts["violations"],
+    )
+
+
+def find_loss(lost: list[int]) -> LossPerPoison:
+    """Finds the mean and the maximum of losses."""
+    return LossPerPoison(find_share(sum(lost), len(lost)), max(lost, default=0))
