--- a/src/magnoliahold/standins/service.py
+++ b/src/magnoliahold/standins/service.py
@@ -75,7 +75,10 @@
         self.resource: FaultyResource = _ServiceRoot(self)
 
     def start(self, request: Request) -> None:
-        """Runs a call after its working time, unless the service dies before."""
+        """Runs a call after its working time, unless the service dies before.
+
+        It runs also when its caller has gone meanwhile.
+        """
         if not self.alive:
             _reset(request)
             return
@@ -83,7 +86,8 @@
         slow = self._draw("slow")
         if slow is not None:
             delay_s += slow.delay_s
-        self._reactor.callLater(delay_s, self._run, request, self._life)
+        body = cast("Any", request.content).read()
+        self._reactor.callLater(delay_s, self._run, request, body, self._life)
 
     def inject(self, fault: ServiceFault) -> None:
         """Injects a fault of a known kind."""
@@ -125,7 +129,7 @@
         if self.resource.listener is not None:
             self.resource.listener.silence_connections()
 
-    def _run(self, request: Request, life: int) -> None:
+    def _run(self, request: Request, body: bytes, life: int) -> None:
         if life != self._life:
             return
         if self._draw("fail") is not None:
@@ -135,7 +139,7 @@
         if self._draw("lose_answers") is not None:
             _reset(request)
             return
-        reply(request, self._echo(request))
+        reply(request, self._echo(request, body))
 
     def _record(self, request: Request) -> None:
         self._serial += 1
@@ -143,13 +147,12 @@
         if nonce:
             self.ledger[nonce] += 1
 
-    def _echo(self, request: Request) -> CallEcho:
-        content = cast("Any", request.content).read()
+    def _echo(self, request: Request, body: bytes) -> CallEcho:
         return CallEcho(
             self.settings.name,
             request.method.decode("latin-1"),
             request.uri.decode("latin-1"),
-            content.decode("utf-8", "replace"),
+            body.decode("utf-8", "replace"),
             self._serial,
         )
 
--- a/tests/sidecar/test_service_client.py
+++ b/tests/sidecar/test_service_client.py
@@ -92,6 +92,15 @@
         self.assertEqual((await late).kind, ServiceOutcomeKind.LOST)
         self.client.cancel_call("unknown")
 
+    @on_loopback
+    async def test_a_cancelled_call_may_run_all_the_same(self) -> None:
+        self.service.inject(ServiceFault("slow", delay_s=0.1))
+        lost = self.call("n")
+        await self.sleep(0.05)
+        self.client.cancel_call("n")
+        self.assertEqual((await lost).kind, ServiceOutcomeKind.LOST)
+        await self.wait_until(lambda: self.service.ledger["n"] == 1)
+
     @on_loopback
     async def test_connect_timeout_is_not_sent(self) -> None:
         full = socket.socket()
