--- a/src/magnoliahold/standins/engine_resource.py
+++ b/src/magnoliahold/standins/engine_resource.py
@@ -13,7 +13,7 @@
 from magnoliahold.standins.engine_faults import FaultOrder
 from magnoliahold.standins.orders import KINDS as ORDER_KINDS
 from magnoliahold.standins.orders import OrderRequest
-from magnoliahold.standins.replies import parse_body, reply, reply_error
+from magnoliahold.standins.replies import is_open, parse_body, reply, reply_error
 from magnoliahold.standins.server import FaultyResource, TreeResource
 
 if TYPE_CHECKING:
@@ -70,7 +70,7 @@
         return NOT_DONE_YET
 
     def _answer(self, request: Request) -> None:
-        if not request._disconnected:
+        if is_open(request):
             self.answer(request)
 
     def answer(self, request: Request) -> None:
--- a/src/magnoliahold/standins/platform_resource.py
+++ b/src/magnoliahold/standins/platform_resource.py
@@ -13,7 +13,7 @@
     Write,  # noqa: TC001
 )
 from magnoliahold.standins.platform_faults import KINDS, PlatformFault
-from magnoliahold.standins.replies import parse_body, reply, reply_error
+from magnoliahold.standins.replies import is_open, parse_body, reply, reply_error
 from magnoliahold.standins.server import FaultyResource, TreeResource
 
 if TYPE_CHECKING:
@@ -155,7 +155,7 @@
     if content is None:
         reply_error(request, 404, "no such object")
         return
-    if not request._disconnected:
+    if is_open(request):
         request.setHeader(b"content-type", b"application/octet-stream")
         request.write(content)
         request.finish()
--- a/src/magnoliahold/standins/replies.py
+++ b/src/magnoliahold/standins/replies.py
@@ -22,9 +22,14 @@
         return None
 
 
+def is_open(request: Request) -> bool:
+    """Tells whether the client is still there."""
+    return cast("Any", request).channel is not None
+
+
 def reply(request: Request, body: Any, status: int = 200) -> None:
     """Answers with a JSON body, if the client is still there."""
-    if request._disconnected:
+    if not is_open(request):
         return
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
--- a/tests/sidecar/test_engine_client.py
+++ b/tests/sidecar/test_engine_client.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
+from magnoliahold.httpclient import HttpClient
 from magnoliahold.sidecar.engine_client import (
     EndKind,
     EngineOrder,
@@ -255,6 +257,35 @@
         self.assertEqual(sum("v2" in e.orders.versions for e in engines), 1)
         await self.wait_until(lambda: all("v2" in e.orders.versions for e in engines))
 
+    @on_loopback
+    async def test_faults_can_be_asked_for_over_http(self) -> None:
+        http = HttpClient(self.reactor, self.listener.address)
+        table = (
+            ({"kind": "dance"}, 400, True),
+            ({"kind": "slow", "factor": "a"}, 400, True),
+            ({"kind": "fail", "version": "v2"}, 200, True),
+            ({"kind": "reset_streams"}, 200, True),
+            ({"kind": "freeze", "for_s": 0.3}, 200, False),
+            ({"kind": "resume"}, 200, True),
+            ({"kind": "die", "revive_after_s": 0.2}, 200, False),
+        )
+        for fault, status, answers in table:
+            with self.subTest(fault=fault):
+                body = json.dumps(fault).encode("ascii")
+                answer = await http.send("POST", "/faults", body)
+                self.assertEqual(answer.status, status)
+                await self.sleep(0.03)
+                self.assertEqual(await self.is_live(0.1), answers)
+        await self.sleep(0.2)
+        self.assertTrue(await self.is_live(0.1))
+
+    async def is_live(self, timeout_s: float) -> bool:
+        try:
+            await self.client.probe(timeout_s)
+        except EngineUnavailable:
+            return False
+        return True
+
     @on_loopback
     async def test_cache_events(self) -> None:
         engine = self.make_engine(cache_event_lag_s=0.0, cache_event_loss=0.0)
