Split connections from exchanges and send nothing after an abort

Change: httpconnections.py makes connections, httpclient.py runs exchanges; a connection that is made after an abort is dropped before the request is written.

--- a/src/magnoliahold/httpclient.py
+++ b/src/magnoliahold/httpclient.py
@@ -2,42 +2,30 @@
 
 from __future__ import annotations
 
-from ipaddress import ip_address
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, frozen
-from twisted.internet.defer import Deferred, maybeDeferred, succeed
-from twisted.internet.endpoints import (
-    HostnameEndpoint,
-    TCP4ClientEndpoint,
-    TCP6ClientEndpoint,
-)
-from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    ResponseDone,
-)
+from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
-from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
-from zope.interface import implementer
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
+from magnoliahold.httpconnections import (
+    DirectConnector,
+    build_agent,
+    build_pool,
+    describe_failure,
+    read_headers,
+    start_request,
+)
 
+if TYPE_CHECKING:
     from twisted.python.failure import Failure
-    from twisted.web.client import URI
 
+    from magnoliahold.httpconnections import HeaderPairs
     from magnoliahold.runtime import Reactor
 
-CONNECT_TIMEOUT_S = 1.0
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
-IDLE_CONNECTION_TIMEOUT_S = 20.0
-POOLED_CONNECTIONS = 8
-
-HeaderPairs = tuple[tuple[str, str], ...]
 
 
 class HttpExchangeError(Exception):
@@ -61,60 +49,6 @@
     body: bytes
 
 
-@implementer(IAgentEndpointFactory)
-class DirectConnector:
-    """Connects to the host that a URI names and remembers the last connection."""
-
-    def __init__(self, reactor: Reactor) -> None:
-        self._reactor = reactor
-        self._transport: Any = None
-
-    @property
-    def connected(self) -> bool:
-        """Tells whether a connection was ever made."""
-        return self._transport is not None
-
-    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
-        """Builds the endpoint; IP numbers need no name look-up."""
-        return cast("IStreamClientEndpoint", _RecordingEndpoint(self, uri))
-
-    def connect(self, uri: URI, factory: Any) -> Deferred[Any]:
-        """Connects `factory` to the host and port of `uri`."""
-        connecting: Deferred[Any] = self._build_endpoint(uri).connect(factory)
-        connecting.addCallback(self._remember)
-        return connecting
-
-    def abort(self) -> None:
-        """Drops the connection, if any, without waiting for unsent bytes."""
-        if self._transport is not None:
-            self._transport.abortConnection()
-
-    def _remember(self, protocol: Any) -> Any:
-        self._transport = protocol.transport
-        return protocol
-
-    def _build_endpoint(self, uri: URI) -> Any:
-        reactor = cast("Any", self._reactor)
-        host = uri.host.decode("ascii").strip("[]")
-        try:
-            version = ip_address(host).version
-        except ValueError:
-            return HostnameEndpoint(reactor, host, uri.port, CONNECT_TIMEOUT_S)
-        if version == 4:
-            return TCP4ClientEndpoint(reactor, host, uri.port, CONNECT_TIMEOUT_S)
-        return TCP6ClientEndpoint(reactor, host, uri.port, CONNECT_TIMEOUT_S)
-
-
-@implementer(IStreamClientEndpoint)
-@frozen
-class _RecordingEndpoint:
-    connector: DirectConnector
-    uri: URI
-
-    def connect(self, protocolFactory: Any) -> Deferred[Any]:  # noqa: N803
-        return self.connector.connect(self.uri, protocolFactory)
-
-
 class HttpClient:
     """Sends requests to one base URL and never repeats one.
 
@@ -161,65 +95,6 @@
         return failure
 
 
-def build_pool(reactor: Reactor) -> HTTPConnectionPool:
-    """Builds a pool of connections that never sends a request twice."""
-    pool = HTTPConnectionPool(cast("Any", reactor), persistent=True)
-    pool.retryAutomatically = False
-    pool.maxPersistentPerHost = POOLED_CONNECTIONS
-    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S  # type: ignore[assignment]
-    return pool
-
-
-def build_agent(
-    reactor: Reactor, connector: DirectConnector, pool: HTTPConnectionPool | None = None
-) -> Agent:
-    """Builds an agent; without a pool its requests use one connection each."""
-    if pool is None:
-        pool = HTTPConnectionPool(cast("Any", reactor), persistent=False)
-        pool.retryAutomatically = False
-    return Agent.usingEndpointFactory(reactor, connector, pool)  # type: ignore[no-any-return]
-
-
-def start_request(
-    agent: Agent, method: str, url: str, body: bytes, headers: HeaderPairs
-) -> Deferred[Any]:
-    """Starts a request; the Deferred fires when the answer's headers have come.
-
-    It fails when the method or the URL is invalid.
-    """
-    fields = Headers()
-    for name, value in headers:
-        fields.addRawHeader(name, value)
-    producer = _BytesProducer(body) if body else None
-    return maybeDeferred(
-        lambda: cast("Any", agent).request(
-            method.encode("ascii"), url.encode("ascii"), fields, producer
-        )
-    )
-
-
-@implementer(IBodyProducer)
-class _BytesProducer:
-    """Writes a body of known length at once."""
-
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        pass
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        pass
-
-    def stopProducing(self) -> None:  # noqa: N802
-        pass
-
-
 @define
 class _Timer:
     call: Any = None
@@ -324,20 +199,3 @@
         transport: Any = self.transport
         if transport is not None:
             transport.loseConnection()
-
-
-def read_headers(response: Any) -> HeaderPairs:
-    """Reads the headers of an answer as pairs of text."""
-    return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, values in response.headers.getAllRawHeaders()
-        for value in values
-    )
-
-
-def describe_failure(failure: Failure) -> str:
-    """Describes why an exchange failed, in one line."""
-    reasons: Sequence[Any] = getattr(failure.value, "reasons", None) or ()
-    if reasons:
-        return describe_failure(reasons[-1])
-    return f"{type(failure.value).__name__}: {failure.getErrorMessage()}"
--- a/src/magnoliahold/sidecar/engine_stream.py
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 from twisted.internet.protocol import Protocol
 
-from magnoliahold.httpclient import (
+from magnoliahold.httpconnections import (
     DirectConnector,
     build_agent,
     describe_failure,
--- a/src/magnoliahold/sidecar/service_client.py
+++ b/src/magnoliahold/sidecar/service_client.py
@@ -15,7 +15,8 @@
     from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
 
-    from magnoliahold.httpclient import HeaderPairs, HttpAnswer
+    from magnoliahold.httpclient import HttpAnswer
+    from magnoliahold.httpconnections import HeaderPairs
     from magnoliahold.runtime import Reactor
 
 NONCE_HEADER = "X-Call-Nonce"
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -2,10 +2,16 @@
 
 from typing import TYPE_CHECKING, Any, cast
 
+from twisted.internet.error import ConnectionAborted
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from magnoliahold.httpclient import HttpClient, HttpExchangeError
+from magnoliahold.httpconnections import (
+    DirectConnector,
+    build_agent,
+    start_request,
+)
 from tests.loopback import LoopbackTestCase, on_loopback
 
 if TYPE_CHECKING:
@@ -69,6 +75,15 @@
                 self.assertIn(reason, caught.exception.reason)
                 await self.wait_until(lambda: not self.listener.count_connections())
 
+    @on_loopback
+    async def test_nothing_is_sent_after_an_abort(self) -> None:
+        connector = DirectConnector(self.reactor)
+        connector.abort()
+        agent = build_agent(self.reactor, connector)
+        with self.assertRaises(ConnectionAborted):
+            await start_request(agent, "POST", self.listener.address, b"x", ())
+        self.assertFalse(connector.connected)
+
     @on_loopback
     async def test_cancelling_drops_the_connection(self) -> None:
         exchange = self.client.send("GET", SILENT_PATH)
