Decode operators' answers with the classes that the entry encodes

Cause: the command line had classes of its own for the documents of the operators' API, and did not show that an instance had given no answer. A policy value out of bounds was reported without its path. Change: the commands use core.administration; status shows '(no answer)'; drain names the processes that leave; validators of fields are applied with the field's path.

--- a/src/magnoliahold/cli/apply.py
+++ b/src/magnoliahold/cli/apply.py
@@ -8,7 +8,6 @@
 
 from attrs import frozen
 
-from magnoliahold.cli.answers import ApplyAnswer
 from magnoliahold.cli.check import name_file
 from magnoliahold.cli.operator_api import (
     call_operator_api,
@@ -16,6 +15,7 @@
     quote_segment,
 )
 from magnoliahold.cli.parameters import parse_parameters
+from magnoliahold.core.administration import ApplyDocument
 from magnoliahold.settings.documents import read_text
 from magnoliahold.templates import parse_template
 
@@ -64,7 +64,7 @@
         return await api.post(path, order)
 
     body = call_operator_api(operator, credential_file, send_order)
-    answer = decode_answer(body, ApplyAnswer)
+    answer = decode_answer(body, ApplyDocument)
     print(
         f"workspace {answer.workspace} is accepted as version {answer.version}, "
         f"change {answer.change}"
--- a/src/magnoliahold/cli/drain.py
+++ b/src/magnoliahold/cli/drain.py
@@ -5,7 +5,12 @@
 from pathlib import Path  # noqa: TC003
 from typing import TYPE_CHECKING
 
-from magnoliahold.cli.operator_api import call_operator_api, quote_segment
+from magnoliahold.cli.operator_api import (
+    call_operator_api,
+    decode_answer,
+    quote_segment,
+)
+from magnoliahold.core.administration import DrainDocument
 
 if TYPE_CHECKING:
     from magnoliahold.cli.operator_api import OperatorApi
@@ -25,5 +30,6 @@
     async def send_order(api: OperatorApi) -> bytes:
         return await api.post(f"/v1/drain/{quote_segment(name)}")
 
-    call_operator_api(operator, credential_file, send_order)
-    print(f"{name} takes no new work")
+    body = call_operator_api(operator, credential_file, send_order)
+    leaving = decode_answer(body, DrainDocument).leaving
+    print(f"{name} takes no new work; leaving: {', '.join(leaving) or 'none'}")
--- a/src/magnoliahold/cli/moves.py
+++ b/src/magnoliahold/cli/moves.py
@@ -6,15 +6,15 @@
 from pathlib import Path  # noqa: TC003
 from typing import TYPE_CHECKING
 
-from magnoliahold.cli.answers import MovesAnswer
 from magnoliahold.cli.operator_api import call_operator_api, decode_answer
 from magnoliahold.cli.tables import format_table
+from magnoliahold.core.administration import MovesDocument
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from magnoliahold.cli.answers import MoveStatus
     from magnoliahold.cli.operator_api import OperatorApi
+    from magnoliahold.core.administration import MoveStatus
 
 HEADINGS = (
     *("WORKSPACE", "WORK", "FROM", "TO", "STATE", "SHARE", "STAGE", "DEADLINE"),
@@ -35,7 +35,7 @@
         return await api.get("/v1/moves")
 
     body = call_operator_api(operator, credential_file, read_moves)
-    answer = decode_answer(body, MovesAnswer)
+    answer = decode_answer(body, MovesDocument)
     if json:
         print(body.decode())
     else:
@@ -51,16 +51,12 @@
         move.to_version,
         move.state,
         f"{move.share:.1%}",
-        "-" if move.stage is None else str(move.stage),
+        str(move.stage),
         format_deadline(move.deadline),
         move.reason or "-",
     )
 
 
-def format_deadline(deadline: str | float | None) -> str:
-    """Formats a deadline given as text or as seconds since the epoch."""
-    if deadline is None:
-        return "-"
-    if isinstance(deadline, str):
-        return deadline
+def format_deadline(deadline: float) -> str:
+    """Formats a deadline given in seconds since the epoch."""
     return datetime.fromtimestamp(deadline, UTC).isoformat(timespec="seconds")
--- a/src/magnoliahold/cli/operator_api.py
+++ b/src/magnoliahold/cli/operator_api.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import react
 
-from magnoliahold.cli.answers import ErrorAnswer
+from magnoliahold.core.administration import ErrorDocument
 from magnoliahold.errors import (
     OperatorRefusedError,
     OperatorUnreachableError,
@@ -106,7 +106,7 @@
 def make_refusal(answer: HttpAnswer, path: str) -> MagnoliaholdError:
     """Makes the error for an answer that refuses a request."""
     try:
-        detail = msgspec.json.decode(answer.body, type=ErrorAnswer).error
+        detail = msgspec.json.decode(answer.body, type=ErrorDocument).error
     except msgspec.DecodeError:
         return OperatorRefusedError(
             f"{path} was answered with status {answer.status} in an unknown form; "
--- a/src/magnoliahold/cli/status.py
+++ b/src/magnoliahold/cli/status.py
@@ -5,9 +5,9 @@
 from pathlib import Path  # noqa: TC003
 from typing import TYPE_CHECKING
 
-from magnoliahold.cli.answers import StatusAnswer
 from magnoliahold.cli.operator_api import call_operator_api, decode_answer
 from magnoliahold.cli.tables import format_duration, format_table
+from magnoliahold.core.administration import StatusDocument
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -15,6 +15,7 @@
     from magnoliahold.cli.operator_api import OperatorApi
 
 HEADINGS = ("INSTANCE", "ROLE", "DATA CENTRE", "WORKSPACE", "VERSION", "IN FORCE FOR")
+NO_ANSWER = "(no answer)"
 
 
 def status(*, operator: str, credential_file: Path, json: bool = False) -> None:
@@ -30,19 +31,21 @@
         return await api.get("/v1/status")
 
     body = call_operator_api(operator, credential_file, read_status)
-    answer = decode_answer(body, StatusAnswer)
+    answer = decode_answer(body, StatusDocument)
     if json:
         print(body.decode())
     else:
         print(format_table(HEADINGS, list_rows(answer)))
 
 
-def list_rows(answer: StatusAnswer) -> Sequence[Sequence[str]]:
+def list_rows(answer: StatusDocument) -> Sequence[Sequence[str]]:
     """Lists the rows of the table."""
     rows: list[Sequence[str]] = []
     for instance in answer.instances:
         place = (instance.name, instance.role, instance.data_centre)
-        if not instance.workspaces:
+        if not instance.answered:
+            rows.append((*place, NO_ANSWER, "-", "-"))
+        elif not instance.workspaces:
             rows.append((*place, "-", "-", "-"))
         for item in instance.workspaces:
             duration = format_duration(item.since_s)
--- a/src/magnoliahold/settings/structuring.py
+++ b/src/magnoliahold/settings/structuring.py
@@ -264,6 +264,7 @@
 
     def structure(value: Any, kind: Any) -> Any:
         result = converter.structure(value, kind)
+        check_validator(attribute, result)
         for check in functions:
             check(result)
         return result
@@ -271,6 +272,16 @@
     return structure
 
 
+def check_validator(attribute: attrs.Attribute[Any], value: Any) -> None:
+    """Applies the validator of a field, if any, so that its fault has a path."""
+    if attribute.validator is None:
+        return
+    try:
+        attribute.validator(None, attribute, value)
+    except (ValueError, TypeError) as error:
+        raise FieldError(str(error), "give a value within that bound") from None
+
+
 def make_tuple_hook(kind: Any, converter: Converter) -> Hook:
     """Makes the hook of `tuple[X, ...]`, which accepts a YAML list only."""
     structure: Hook = homogenous_tuple_structure_factory(kind, converter)
--- a/tests/cli/test_operator_api.py
+++ b/tests/cli/test_operator_api.py
@@ -36,7 +36,8 @@
             "workspaces": [{"workspace": "shop", "version": 7, "since_s": 93784.0}],
             "unknown": 1,
         },
-        {"name": "engine-1", "role": "upstream", "data_centre": "dc-1"},
+        {"name": "sidecar-1", "role": "sidecar", "data_centre": "dc-1"},
+        {"name": "entry-2", "role": "entry", "data_centre": "", "answered": False},
     ]
 }
 MOVES = {
@@ -49,7 +50,7 @@
             "state": "taken_back",
             "share": 0.05,
             "stage": 1,
-            "deadline": "2027-02-06T05:30:00+04:00",
+            "deadline": 1801877400.0,
             "reason": "more errors than v1",
         }
     ]
@@ -123,7 +124,7 @@
     answers: dict[str, tuple[int, Any]] = {
         "GET /v1/status": (200, STATUS),
         "GET /v1/moves": (200, MOVES),
-        "POST /v1/drain/engine-1": (200, {}),
+        "POST /v1/drain/engine-1": (200, {"leaving": ["sidecar-1"]}),
         f"POST {APPLY_PATH}": (
             200,
             {"workspace": "rochebrune", "version": 3, "change": 12},
@@ -175,8 +176,12 @@
     def test_status_and_moves_print_tables(self) -> None:
         cases = (
             ("status", r"entry-1 +entry +dc-1 +shop +7 +1d 2h\n"),
-            ("status", r"engine-1 +upstream +dc-1 +- +- +-\n"),
-            ("moves", r"shop +drafts +v1 +v2 +taken_back +5.0% +1 +2027\S+ +more err"),
+            ("status", r"sidecar-1 +sidecar +dc-1 +- +- +-\n"),
+            ("status", r"entry-2 +entry +\(no answer\) +- +-\n"),
+            (
+                "moves",
+                r"shop +drafts +v1 +v2 +taken_back +5.0% +1 +2027-02-06T01:30\S+ +more",
+            ),
         )
         for command, pattern in cases:
             with self.subTest(command):
@@ -205,6 +210,7 @@
     def test_drain_tells_a_refusal_in_one_line(self) -> None:
         done = self.run_command("drain", "engine-1")
         self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.assertIn("leaving: sidecar-1", done.stdout)
         done = self.run_command("drain", "engine/9")
         self.assertEqual((done.returncode, done.stdout), (4, ""))
         self.assertEqual(done.stderr, "magnoliahold: no such name; list it\n")
