Convict one request a death, and place suspects by a rank all entries share

Now suspects take upstreams by their place in the report of the death, one death convicts at most one request, chosen by the strength of the evidence (same point, at once, too often), and it takes the deaths that it explains off the others.

--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -22,7 +22,8 @@
     link_silent_s: float = _seconds(0.4)
     peer_lost_s: float = _seconds(0.75)
     peer_forgotten_s: float = _seconds(60.0)
-    list_interval_s: float = _seconds(5.0)
+    list_interval_s: float = _seconds(1.5)
+    list_retry_s: float = _seconds(0.5)
     broken_link_s: float = _seconds(0.3)
 
 
@@ -49,6 +50,7 @@
     owner_grace_s: float = _seconds(20.0)
     buffered_grace_s: float = _seconds(3.0)
     caller_grace_s: float = _seconds(3.0)
+    finished_resent_s: float = _seconds(1.0)
     finished_kept_s: float = _seconds(30.0)
     attempts_kept_s: float = _seconds(300.0)
     resume_by_prefix: bool = True
@@ -106,27 +108,34 @@
 class QuarantinePolicy:
     """Suspicion of requests that crash their upstreams.
 
-    Two deaths are alike when the second came at most `at_once_tokens` after the start,
-    or when the requests had come equally far but for `alike_tokens` or `alike_share`.
+    Two deaths are alike when the request had come equally far but for `alike_tokens`
+    or `alike_share`, and a death is at once up to `at_once_tokens` after a start.
     """
 
     deaths_to_quarantine: int = _count(2)
-    deaths_without_pattern: int = _count(3)
+    deaths_without_pattern: int = _count(4)
     at_once_tokens: int = _count(1)
-    alike_tokens: int = _count(4)
-    alike_share: float = field(default=0.25, validator=gt(0))
+    alike_tokens: int = _count(2)
+    alike_share: float = field(default=0.03, validator=gt(0))
+    clearing_share: float = field(default=0.25, validator=gt(0))
     cleared_after_tokens: int = _count(8)
     quarantine_s: float = _seconds(600.0)
     suspicion_s: float = _seconds(120.0)
-    scan_interval_s: float = _seconds(20.0)
+    scan_interval_s: float = _seconds(10.0)
 
 
 @frozen
 class DrainPolicy:
-    """Graceful stops."""
+    """Graceful stops.
+
+    New work is taken for `announce_s` after the announcement, while the balancer still
+    sends it; the process stops when it was idle for `settle_s`.
+    """
 
     announce_s: float = _seconds(1.0)
+    settle_s: float = _seconds(0.5)
     drain_limit_s: float = _seconds(900.0)
+    retry_after_s: float = _seconds(0.5)
 
 
 @frozen
@@ -158,8 +167,9 @@
     result on (`total_evidence`), or since the score last fell to zero
     (`recent_evidence`); single routes, upstreams and loads need `slice_evidence` more.
     No stage grows above `doubt_evidence`. `probation_part` and `reserve_part` are parts
-    of the time up to the deadline. The plain alternative judges by a count of
-    `plain_failures` instead; 0 turns it off.
+    of the time up to the deadline. During probation the old version keeps
+    `control_share`, so that there is something to compare with. The plain alternative
+    judges by a count of `plain_failures` instead; 0 turns it off.
     """
 
     step_in_s: float = _seconds(1.0)
@@ -167,13 +177,20 @@
     stage_min_s: float = _seconds(1.0)
     probation_part: float = field(default=0.25, validator=gt(0))
     reserve_part: float = field(default=0.15, validator=gt(0))
-    answered_per_stage: int = _count(20)
-    gap_window_tokens: int = _count(8)
+    control_share: float = field(default=0.05, validator=gt(0))
+    answered_per_stage: int = _count(8)
+    answered_per_route: int = _count(3)
+    route_share_min: float = field(default=0.05, validator=gt(0))
+    gap_window_tokens: int = _count(4)
+    gap_interval_s: float = _seconds(5.0)
     reference_fade_s: float = _seconds(20.0)
     reference_min: int = _count(20)
+    window_s: float = _seconds(0.5)
+    window_min: int = _count(5)
+    window_max_s: float = _seconds(6.0)
     failure_floor: float = field(default=0.002, validator=gt(0))
-    total_evidence: float = field(default=6.5, validator=gt(0))
-    recent_evidence: float = field(default=13.0, validator=gt(0))
+    total_evidence: float = field(default=5.3, validator=gt(0))
+    recent_evidence: float = field(default=11.0, validator=gt(0))
     slice_evidence: float = field(default=2.5, validator=gt(0))
     doubt_evidence: float = field(default=3.0, validator=gt(0))
     plain_failures: int = 0
--- a/src/magnoliahold/core/quarantine.py
+++ b/src/magnoliahold/core/quarantine.py
@@ -30,13 +30,15 @@
 class Suspicion:
     """What is held against one fingerprint; times are on this process's clock.
 
-    `quarantined_until` is None unless the fingerprint is quarantined.
+    `quarantined_until` is None unless the fingerprint is quarantined. `rank` is its
+    place among the requests of its first death, which is the same at every entry.
     """
 
     fingerprint: str
     deaths: list[Death] = field(factory=list)
     noted_at: float = 0.0
     quarantined_until: float | None = None
+    rank: int = 0
 
 
 @frozen
@@ -50,11 +52,13 @@
 class SuspicionTable:
     """Suspicions by fingerprint.
 
-    `seen` holds the deaths that were noted, as upstream and incarnation.
+    `seen` holds the deaths that were noted, by upstream and incarnation, and
+    `told_entries` the incarnations of entries that know our quarantines.
     """
 
     by_fingerprint: dict[str, Suspicion] = field(factory=dict)
     seen: dict[tuple[str, str], float] = field(factory=dict)
+    told_entries: dict[str, str] = field(factory=dict)
     next_scan_at: float = 0.0
     scan_token: str = ""
 
--- a/src/magnoliahold/core/sidecar.py
+++ b/src/magnoliahold/core/sidecar.py
@@ -6,6 +6,7 @@
 
 from magnoliahold.core.systems import (
     deaths,
+    drain,
     evidence,
     membership,
     ownership,
@@ -22,6 +23,7 @@
 
 SIDECAR_SYSTEMS: tuple[System[SidecarWorld], ...] = (
     membership.receive_heartbeats,
+    drain.start_leaving,
     spread.note_heads,
     deaths.note_broken_streams,
     evidence.count_results,
@@ -41,4 +43,6 @@
     runs.start_runs,
     runs.fence_runs,
     runs.expire_runs,
+    drain.hand_back_streams,
+    drain.stop_when_idle,
 )
--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -45,6 +45,7 @@
     last_token_at: float = 0.0
     token_gap_s: float = 0.0
     ended_at: float = 0.0
+    resent_at: float = 0.0
     paused: bool = False
     unowned_since: float | None = None
     dropped_at: float = 0.0
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -45,6 +45,8 @@
     for event in world.inbox.read_events(InstancesListed):
         if event.instances is not None:
             _learn_instances(world, event.instances, now)
+        else:
+            world.peers.next_list_at = now + world.policy.membership.list_retry_s
     if now >= world.peers.next_list_at:
         interval = world.policy.membership.list_interval_s
         world.peers.next_list_at = now + interval * world.random.uniform(0.8, 1.2)
@@ -76,10 +78,16 @@
         return
     known.listed = True
     known.listed_leaving = instance.leaving
-    _note_leaving(known, now)
+    _time_leaving(known, now)
 
 
-def _note_leaving(peer: Peer, now: float) -> None:
+def note_leaving(peer: Peer, now: float) -> None:
+    """Marks a process as leaving for the rest of its incarnation."""
+    peer.leaving = True
+    _time_leaving(peer, now)
+
+
+def _time_leaving(peer: Peer, now: float) -> None:
     """Keeps since when a process is known to leave."""
     if not (peer.leaving or peer.listed_leaving):
         peer.leaving_since = None
@@ -133,7 +141,7 @@
         peer.broken_at = None
     peer.clock_offset = heartbeat.clock - now
     peer.leaving = peer.leaving or heartbeat.leaving
-    _note_leaving(peer, now)
+    _time_leaving(peer, now)
     peer.assigned_reported = peer.assigned
     peer.configuration_head = heartbeat.configuration_head
     peer.report = heartbeat.report
--- a/src/magnoliahold/core/systems/quarantine.py
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import pairwise
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import (
@@ -23,6 +22,7 @@
 from magnoliahold.core.systems.routing import end_attempt
 from magnoliahold.core.systems.suspects import (
     clear_request,
+    make_notice,
     refuse_quarantined,
     tell_entries,
 )
@@ -53,22 +53,24 @@
     """
     produced = dict(zip(died.fingerprints, died.produced, strict=False))
     rerun = set(died.suspects)
-    killers = []
-    for fingerprint in dict.fromkeys(died.fingerprints):
+    suspects = []
+    for rank, (fingerprint, count) in enumerate(produced.items()):
         suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+        if suspicion is not None:
+            suspicion.rank = rank
         if suspicion is not None and fingerprint in rerun:
-            _add_death(suspicion, died, produced.get(fingerprint, 0), now)
-            if _is_killer(world, suspicion):
-                killers.append(suspicion)
-    for killer in killers:
+            _add_death(suspicion, died, count, now)
+            suspects.append(suspicion)
+    killer = find_killer(world, suspects)
+    if killer is not None:
         quarantine_request(world, killer, now)
-    if killers:
-        _drop_explained(world, killers)
+        _drop_explained(world, killer)
         return
-    for fingerprint in dict.fromkeys(died.fingerprints):
+    for rank, (fingerprint, count) in enumerate(produced.items()):
         if fingerprint not in world.suspicions.by_fingerprint:
             suspicion = world.suspicions.find_suspicion(fingerprint)
-            _add_death(suspicion, died, produced.get(fingerprint, 0), now)
+            suspicion.rank = rank
+            _add_death(suspicion, died, count, now)
     world.log_decision(
         "quarantine",
         "Upstream died, its requests are suspect.",
@@ -86,45 +88,60 @@
         suspicion.noted_at = now
 
 
-def _is_killer(world: EntryWorld, suspicion: Suspicion) -> bool:
-    """Tells whether the deaths can only be this request's doing.
+def find_killer(world: EntryWorld, suspects: list[Suspicion]) -> Suspicion | None:
+    """Finds the one suspect that the death of an upstream must be the doing of.
 
-    A killer dies again at the same point, or at once where it was continued. Deaths at
-    unlike points need one more to confirm them.
+    The evidence, strongest first: it died twice at the same point; it died again at
+    once where it was continued; it died too often. Of several with
+    the same evidence it is the one with the most deaths; equal ones are run once more.
     """
     policy = world.policy.quarantine
-    if suspicion.quarantined_until is not None:
-        return False
-    if len(suspicion.deaths) >= policy.deaths_without_pattern:
-        return True
-    if len(suspicion.deaths) < policy.deaths_to_quarantine:
-        return False
-    return all(_is_alike(world, *pair) for pair in pairwise(suspicion.deaths))
-
-
-def _is_alike(world: EntryWorld, first: Death, second: Death) -> bool:
+    open_suspects = [item for item in suspects if item.quarantined_until is None]
+    again = [
+        item
+        for item in open_suspects
+        if len(item.deaths) >= policy.deaths_to_quarantine
+    ]
+    often = [
+        item for item in again if len(item.deaths) >= policy.deaths_without_pattern
+    ]
+    groups = [
+        [item for item in again if _died_alike(world, item)],
+        [item for item in again if _died_at_once(world, item)],
+        often,
+    ]
+    for group in groups:
+        if group:
+            most = max(len(item.deaths) for item in group)
+            likely = [item for item in group if len(item.deaths) == most]
+            return likely[0] if len(likely) == 1 else None
+    return None
+
+
+def _died_alike(world: EntryWorld, suspicion: Suspicion) -> bool:
+    """Tells whether the last two deaths came equally far from the start of a run."""
     policy = world.policy.quarantine
-    if second.produced <= policy.at_once_tokens:
-        return True
+    first, second = suspicion.deaths[-2:]
     tolerance = max(policy.alike_tokens, policy.alike_share * first.produced)
     return abs(first.produced - second.produced) <= tolerance
 
 
-def _drop_explained(world: EntryWorld, killers: list[Suspicion]) -> None:
+def _died_at_once(world: EntryWorld, suspicion: Suspicion) -> bool:
+    return suspicion.deaths[-1].produced <= world.policy.quarantine.at_once_tokens
+
+
+def _drop_explained(world: EntryWorld, killer: Suspicion) -> None:
     """Takes the deaths that a killer explains off all other suspects."""
-    explained = {
-        (death.upstream, death.incarnation)
-        for killer in killers
-        for death in killer.deaths
-    }
-    for suspicion in world.suspicions.list_open():
+    table = world.suspicions
+    explained = {(death.upstream, death.incarnation) for death in killer.deaths}
+    for suspicion in table.list_open():
         suspicion.deaths = [
             death
             for death in suspicion.deaths
             if (death.upstream, death.incarnation) not in explained
         ]
         if not suspicion.deaths:
-            world.suspicions.clear_suspicion(suspicion.fingerprint)
+            table.clear_suspicion(suspicion.fingerprint)
 
 
 def quarantine_request(world: EntryWorld, suspicion: Suspicion, now: float) -> None:
@@ -181,7 +198,7 @@
 def _count_clearing_tokens(world: EntryWorld, suspicion: Suspicion) -> float:
     policy = world.policy.quarantine
     reached = max((death.produced for death in suspicion.deaths), default=0)
-    return policy.cleared_after_tokens + reached * (1 + policy.alike_share)
+    return policy.cleared_after_tokens + reached * (1 + policy.clearing_share)
 
 
 def end_quarantined(world: EntryWorld, now: float) -> None:
@@ -225,13 +242,30 @@
             until = suspicion.noted_at + policy.suspicion_s
         if now >= until:
             del table.by_fingerprint[suspicion.fingerprint]
-    while table.seen:
-        place, noted_at = next(iter(table.seen.items()))
+    for place, noted_at in list(table.seen.items()):
         if now - noted_at < policy.quarantine_s:
             break
         del table.seen[place]
 
 
+def tell_new_entries(world: EntryWorld, now: float) -> None:
+    """Tells an entry that was started, or is heard again, of all quarantines."""
+    told = world.suspicions.told_entries
+    for peer in world.peers.list_by_role("entry"):
+        if peer.lost or not peer.incarnation:
+            told.pop(peer.name, None)
+        elif told.get(peer.name) != peer.incarnation:
+            told[peer.name] = peer.incarnation
+            _tell_quarantines(world, peer.name, now)
+
+
+def _tell_quarantines(world: EntryWorld, entry: str, now: float) -> None:
+    for suspicion in world.suspicions.by_fingerprint.values():
+        if suspicion.quarantined_until is not None:
+            left_s = suspicion.quarantined_until - now
+            world.emit(SendMessage(entry, make_notice(suspicion, left_s)))
+
+
 def read_quarantines(world: EntryWorld, now: float) -> None:
     """Reads the quarantines in the table, at the start and then at intervals."""
     table = world.suspicions
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -6,8 +6,8 @@
 
 from magnoliahold.core.effects import SendMessage
 from magnoliahold.core.generations import GenerationState
-from magnoliahold.core.moves import find_active_move, find_shares
-from magnoliahold.core.systems.suspects import is_suspect, prefer_unsuspected
+from magnoliahold.core.moves import find_active_move, pick_version
+from magnoliahold.core.systems.suspects import is_suspect, spread_suspect
 from magnoliahold.wire.messages import StartStream
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
         return False
     generation.suspect = is_suspect(world, generation.request.fingerprint)
     if generation.suspect:
-        candidates = prefer_unsuspected(world, candidates)
+        candidates = spread_suspect(world, generation.request.fingerprint, candidates)
     peer = choose_upstream(world, candidates)
     start_attempt(world, generation, peer, share.version, now)
     return True
@@ -51,9 +51,7 @@
     if generation.tokens:
         shares = [item for item in rule.versions if item.version == generation.version]
         return shares[0] if shares else None
-    versions = find_shares(world, *generation.key)
-    weights = [item.share for item in versions]
-    return world.random.choices(versions, weights)[0]
+    return pick_version(world, *generation.key)
 
 
 def find_candidates(
--- a/src/magnoliahold/core/systems/suspects.py
+++ b/src/magnoliahold/core/systems/suspects.py
@@ -43,8 +43,42 @@
     return fingerprint in world.suspicions.by_fingerprint
 
 
-def prefer_unsuspected(world: EntryWorld, candidates: list[Peer]) -> list[Peer]:
-    """Keeps the candidates that run no suspects, or the fewest of them."""
+def spread_suspect(
+    world: EntryWorld, fingerprint: str, candidates: list[Peer]
+) -> list[Peer]:
+    """Chooses a candidate without suspects, or with the fewest of them.
+
+    Entries choose apart from one another: the suspects of one death have ranks that
+    all entries know, and each takes the candidate of its rank or the next one after.
+    """
+    suspicion = world.suspicions.by_fingerprint.get(fingerprint)
+    fewest = _find_fewest_suspects(world, candidates)
+    if suspicion is None or not candidates:
+        return fewest
+    died = suspicion.deaths[-1].upstream if suspicion.deaths else ""
+    ordered = sorted(_list_like(world, candidates[0], died), key=lambda peer: peer.name)
+    first = suspicion.rank % len(ordered)
+    turned = [*ordered[first:], *ordered[:first]]
+    return [peer for peer in turned if peer in fewest][:1]
+
+
+def _list_like(world: EntryWorld, example: Peer, died: str) -> list[Peer]:
+    """Lists the usable sidecars of the same kind and role, alike at all entries."""
+    return [
+        peer
+        for peer in world.peers.list_by_role("sidecar")
+        if peer is example or (peer.usable and _is_like(peer, example, died))
+    ]
+
+
+def _is_like(peer: Peer, example: Peer, died: str) -> bool:
+    if peer.report is None or example.report is None or peer.report.name == died:
+        return False
+    same_kind = peer.report.kind == example.report.kind
+    return same_kind and peer.report.role == example.report.role
+
+
+def _find_fewest_suspects(world: EntryWorld, candidates: list[Peer]) -> list[Peer]:
     own = _count_own_suspects(world)
 
     def count(peer: Peer) -> int:
@@ -76,11 +110,16 @@
 
 def tell_entries(world: EntryWorld, suspicion: Suspicion, seconds_left: float) -> None:
     """Tells every other entry what is held against a fingerprint."""
-    notice = SuspicionNotice(
+    notice = make_notice(suspicion, seconds_left)
+    for peer in world.peers.list_by_role("entry"):
+        world.emit(SendMessage(peer.name, notice))
+
+
+def make_notice(suspicion: Suspicion, seconds_left: float) -> SuspicionNotice:
+    """Builds the message that shares a suspicion, a quarantine or a clearance."""
+    return SuspicionNotice(
         fingerprint=suspicion.fingerprint,
         deaths=len(suspicion.deaths),
         quarantined=suspicion.quarantined_until is not None,
         seconds_left=seconds_left,
     )
-    for peer in world.peers.list_by_role("entry"):
-        world.emit(SendMessage(peer.name, notice))
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -36,7 +36,8 @@
     """What every process has: identity, policy, input and output of a tick.
 
     `effects` grows during a tick and is performed and cleared by the node after it.
-    `breaches` names invariants that a system found broken.
+    `breaches` names invariants that a system found broken. `idle_since` is set while
+    a leaving process has nothing in flight, and `stopping` when it was told to stop.
     """
 
     identity: Identity
@@ -47,6 +48,8 @@
     peers: PeerTable = field(factory=PeerTable)
     workspaces: WorkspaceTable = field(factory=WorkspaceTable)
     leaving_since: float | None = None
+    idle_since: float | None = None
+    stopping: bool = False
     next_serial: int = 0
     wall_clock: Callable[[float], float] = float
     breaches: list[str] = field(factory=list)
--- a/src/magnoliahold/measure/plain_quarantine.py
+++ b/src/magnoliahold/measure/plain_quarantine.py
@@ -11,6 +11,7 @@
 
 UNUSED = {
     quarantine.take_notices,
+    quarantine.tell_new_entries,
     quarantine.read_quarantines,
     quarantine.note_deaths,
     quarantine.clear_suspects,
--- a/src/magnoliahold/measure/poison.py
+++ b/src/magnoliahold/measure/poison.py
@@ -137,12 +137,13 @@
         """Runs until every innocent caller is done, or DRAIN_S after the faults."""
         self.fleet.run_for(FAULTS_S[1], STEP_S)
         limit = self.fleet.now() + DRAIN_S
-        innocents = [*self.mix.callers, *self.lookups]
-        while self.fleet.now() < limit:
-            if all(caller.done for caller in innocents):
-                break
+        while self.fleet.now() < limit and not self._is_over():
             self.fleet.run_for(0.2, STEP_S)
 
+    def _is_over(self) -> bool:
+        lookups_done = all(caller.done for caller in self.lookups)
+        return lookups_done and all(caller.done for caller in self.mix.callers)
+
 
 @define(eq=False)
 class PlainFaultInjector(FaultInjector):
