--- a/src/magnoliahold/settings/model.py
+++ b/src/magnoliahold/settings/model.py
@@ -21,8 +21,6 @@
 )
 
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
-DEFAULT_MAX_QUEUED_PER_WORKSPACE = 200
-DEFAULT_REQUEST_TIMEOUT_S = 600.0
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
 DEFAULT_CAPACITY = 8
 
@@ -84,18 +82,11 @@
 
 @frozen
 class LimitSettings:
-    """Bounds on what one entry accepts and holds."""
+    """Bounds on what one entry accepts."""
 
     max_body_bytes: int = field(
         metadata=checks(require_range(1024, 1024**3)), default=DEFAULT_MAX_BODY_BYTES
     )
-    max_queued_per_workspace: int = field(
-        metadata=checks(require_range(1, 1_000_000)),
-        default=DEFAULT_MAX_QUEUED_PER_WORKSPACE,
-    )
-    request_timeout_s: float = field(
-        metadata=checks(require_range(0.1, 86_400)), default=DEFAULT_REQUEST_TIMEOUT_S
-    )
 
 
 @frozen
@@ -137,15 +128,13 @@
 class UpstreamSettings:
     """The upstream beside a sidecar.
 
-    `serves_work` names the work of a plain service. `checks_fencing` says whether the
-    upstream itself refuses an order with an old fencing number. `capacity` is the
-    number of requests that it runs at the same time.
+    `checks_fencing` says whether the upstream itself refuses an order with an old
+    fencing number. `capacity` is the number of requests that it runs at the same time.
     """
 
     kind: Literal["engine", "service"]
     name: str = field(metadata=checks(require_name))
     base_url: str = field(metadata=checks(require_http_url))
-    serves_work: str | None = field(metadata=checks(require_name), default=None)
     checks_fencing: bool = False
     capacity: int = field(
         metadata=checks(require_range(1, 10_000)), default=DEFAULT_CAPACITY
--- a/src/magnoliahold/templates/model.py
+++ b/src/magnoliahold/templates/model.py
@@ -212,12 +212,13 @@
 class Work:
     """One kind of work of a workspace, which callers name as `model`.
 
+    Its requests are generations; plain services are defined as `Service`.
     `deadline_s` bounds a request from its arrival. A higher `priority` goes first
     within its class.
     """
 
-    kind: Literal["generation", "service"]
     versions: tuple[VersionShare, ...] = field(metadata=checks(require_versions))
+    kind: Literal["generation"] = "generation"
     class_: Literal["interactive", "batch"] = "interactive"
     deadline_s: float = field(
         metadata=checks(require_range(0.1, MAX_DURATION_S)), default=DEFAULT_DEADLINE_S
