--- a/src/magnoliahold/settings/credentials.py
+++ b/src/magnoliahold/settings/credentials.py
@@ -11,14 +11,14 @@
 
 from magnoliahold.errors import SettingsError
 from magnoliahold.logs import register_secret
-from magnoliahold.settings.documents import read_text
-from magnoliahold.settings.structuring import (
+from magnoliahold.settings.checks import (
     FieldError,
     Relation,
     checks,
     raise_faults,
     require_names,
 )
+from magnoliahold.settings.documents import read_text
 
 if TYPE_CHECKING:
     from pathlib import Path
--- /dev/null
+++ b/src/magnoliahold/settings/faults.py
@@ -0,0 +1,69 @@
+"""Collects the faults of a document from a tree of validation errors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cattrs.errors import (
+    AttributeValidationNote,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+
+from magnoliahold.errors import SettingsError
+from magnoliahold.settings.checks import MAX_NAME_LENGTH, FieldError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+def group_faults(faults: list[SettingsError]) -> ExceptionGroup[SettingsError]:
+    """Groups the faults of one file."""
+    plural = "" if len(faults) == 1 else "s"
+    return ExceptionGroup(f"{len(faults)} fault{plural}", faults)
+
+
+def collect_faults(error: BaseException, path: str) -> Iterator[SettingsError]:
+    """Walks a tree of validation errors and yields its faults with their paths."""
+    here = path + read_place(error, path)
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from collect_faults(inner, here)
+        return
+    if isinstance(error, ForbiddenExtraKeysError):
+        for key in sorted(map(str, error.extra_fields)):
+            yield SettingsError(
+                join_path(here, key[:MAX_NAME_LENGTH]),
+                "the key is unknown",
+                "remove it or correct its spelling",
+            )
+    elif isinstance(error, FieldError):
+        place = f"{here}{error.path}" or "document"
+        yield SettingsError(place.removeprefix("."), error.problem, error.remedy)
+    elif isinstance(error, KeyError):
+        yield SettingsError(here or "document", "it is missing", "add it")
+    else:
+        problem = " ".join(str(error).split()) or type(error).__name__
+        yield SettingsError(here or "document", problem, "correct it")
+
+
+def read_place(error: BaseException, path: str) -> str:
+    """Reads the last step of the path to a fault from the error's notes."""
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            return join_path(path, name_key(note.name))[len(path) :]
+        if isinstance(note, IterableValidationNote):
+            if isinstance(note.index, int):
+                return f"[{note.index}]"
+            return join_path(path, str(note.index)[:MAX_NAME_LENGTH])[len(path) :]
+    return ""
+
+
+def join_path(path: str, key: str) -> str:
+    """Adds a key to a path."""
+    return f"{path}.{key}" if path else key
+
+
+def name_key(attribute_name: str) -> str:
+    """Names the YAML key of an attribute: `class_` stands for `class`."""
+    return attribute_name.rstrip("_")
--- a/src/magnoliahold/settings/loading.py
+++ b/src/magnoliahold/settings/loading.py
@@ -8,12 +8,9 @@
 from magnoliahold.errors import SettingsError
 from magnoliahold.settings.credentials import Secret, make_secret_hook
 from magnoliahold.settings.documents import parse_document, read_text
+from magnoliahold.settings.faults import group_faults
 from magnoliahold.settings.model import EntrySettings, SidecarSettings
-from magnoliahold.settings.structuring import (
-    group_faults,
-    make_converter,
-    structure_document,
-)
+from magnoliahold.settings.structuring import make_converter, structure_document
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/magnoliahold/settings/model.py
+++ b/src/magnoliahold/settings/model.py
@@ -7,8 +7,7 @@
 from attrs import field, frozen
 
 from magnoliahold.core.policy import Policy
-from magnoliahold.settings.credentials import CredentialSettings  # noqa: TC001
-from magnoliahold.settings.structuring import (
+from magnoliahold.settings.checks import (
     FieldError,
     Relation,
     checks,
@@ -19,6 +18,7 @@
     require_port,
     require_range,
 )
+from magnoliahold.settings.credentials import CredentialSettings  # noqa: TC001
 
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
--- a/src/magnoliahold/settings/structuring.py
+++ b/src/magnoliahold/settings/structuring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import math
 from typing import TYPE_CHECKING, Any, Literal, TypeVar, get_args, get_origin
 
@@ -12,114 +11,21 @@
     homogenous_tuple_structure_factory,
     mapping_structure_factory,
 )
-from cattrs.errors import (
-    AttributeValidationNote,
-    ClassValidationError,
-    ForbiddenExtraKeysError,
-    IterableValidationNote,
-)
+from cattrs.errors import ClassValidationError
 from cattrs.gen import make_dict_structure_fn, override
 
-from magnoliahold.errors import SettingsError
+from magnoliahold.settings.checks import CHECKS, FieldError
+from magnoliahold.settings.faults import collect_faults, group_faults, name_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    Check = Callable[[Any], None]
+    from magnoliahold.settings.checks import Relation
+
     Hook = Callable[[Any, Any], Any]
 
 T = TypeVar("T")
 
-CHECKS = "checks"
-MAX_NAME_LENGTH = 100
-NAME_CHARACTERS = frozenset(
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
-)
-
-
-class FieldError(ValueError):
-    """A fault of one value; `path` leads from the checked value to the faulty one."""
-
-    def __init__(self, problem: str, remedy: str, path: str = "") -> None:
-        super().__init__(problem)
-        self.problem = problem
-        self.remedy = remedy
-        self.path = path
-
-
-@attrs.frozen
-class Relation:
-    """A check over several fields of one class, called with their values by name.
-
-    A class lists its relations in the class attribute `relations`. A relation is
-    checked whenever its own fields are sound, also beside faults in other fields.
-    """
-
-    fields: tuple[str, ...]
-    check: Callable[..., None]
-
-
-def checks(*functions: Check) -> dict[str, tuple[Check, ...]]:
-    """Makes the metadata of an attrs field whose value must pass `functions`."""
-    return {CHECKS: functions}
-
-
-def raise_faults(faults: list[FieldError]) -> None:
-    """Raises several faults of one value together, if there are any."""
-    if faults:
-        raise ExceptionGroup("faults of one value", faults)
-
-
-def require_range(minimum: float, maximum: float) -> Check:
-    """Makes a check that a number lies between two bounds, both included."""
-
-    def check(value: Any) -> None:
-        if value is not None and not minimum <= value <= maximum:
-            raise FieldError(
-                f"{value} is out of range", f"use {minimum:g} to {maximum:g}"
-            )
-
-    return check
-
-
-require_port = require_range(1, 65535)
-
-
-def require_address(value: str) -> None:
-    """Checks that a string is an IP number."""
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        raise FieldError(
-            f"{value!r} is not an IP number", "write one such as 127.0.0.1"
-        ) from None
-
-
-def require_name(value: str | None) -> None:
-    """Checks that a string can serve as a name in keys, paths and logs."""
-    if value is None:
-        return
-    if not 0 < len(value) <= MAX_NAME_LENGTH or not set(value) <= NAME_CHARACTERS:
-        raise FieldError(
-            f"{value!r} is not a name",
-            f"use 1 to {MAX_NAME_LENGTH} letters, digits, '-', '_' or '.'",
-        )
-
-
-def require_names(values: dict[str, Any]) -> None:
-    """Checks that every key of a mapping is a name."""
-    for name in values:
-        require_name(name)
-
-
-def require_http_url(value: str) -> None:
-    """Checks that a string is the base URL of an HTTP service."""
-    scheme, separator, rest = value.partition("://")
-    if scheme not in ("http", "https") or not separator or not rest.strip("/"):
-        raise FieldError(
-            f"{value!r} is not an HTTP URL", "write one such as http://127.0.0.1:8000"
-        )
-
 
 def make_converter() -> Converter:
     """Makes a strict converter: no coercion and no unknown keys."""
@@ -253,11 +159,6 @@
     return default
 
 
-def name_key(attribute_name: str) -> str:
-    """Names the YAML key of an attribute: `class_` stands for `class`."""
-    return attribute_name.rstrip("_")
-
-
 def make_checked_hook(attribute: attrs.Attribute[Any], converter: Converter) -> Hook:
     """Makes the hook of one field: its type's own hook, then the field's checks."""
     functions = attribute.metadata.get(CHECKS, ())
@@ -324,50 +225,3 @@
         return converter.structure(mapping, kind)
     except Exception as error:  # cattrs raises many kinds
         raise group_faults(list(collect_faults(error, ""))) from None
-
-
-def group_faults(faults: list[SettingsError]) -> ExceptionGroup[SettingsError]:
-    """Groups the faults of one file."""
-    plural = "" if len(faults) == 1 else "s"
-    return ExceptionGroup(f"{len(faults)} fault{plural}", faults)
-
-
-def collect_faults(error: BaseException, path: str) -> Iterator[SettingsError]:
-    """Walks a tree of validation errors and yields its faults with their paths."""
-    here = path + read_place(error, path)
-    if isinstance(error, BaseExceptionGroup):
-        for inner in error.exceptions:
-            yield from collect_faults(inner, here)
-        return
-    if isinstance(error, ForbiddenExtraKeysError):
-        for key in sorted(map(str, error.extra_fields)):
-            yield SettingsError(
-                join_path(here, key[:MAX_NAME_LENGTH]),
-                "the key is unknown",
-                "remove it or correct its spelling",
-            )
-    elif isinstance(error, FieldError):
-        place = f"{here}{error.path}" or "document"
-        yield SettingsError(place.removeprefix("."), error.problem, error.remedy)
-    elif isinstance(error, KeyError):
-        yield SettingsError(here or "document", "it is missing", "add it")
-    else:
-        problem = " ".join(str(error).split()) or type(error).__name__
-        yield SettingsError(here or "document", problem, "correct it")
-
-
-def read_place(error: BaseException, path: str) -> str:
-    """Reads the last step of the path to a fault from the error's notes."""
-    for note in getattr(error, "__notes__", ()):
-        if isinstance(note, AttributeValidationNote):
-            return join_path(path, name_key(note.name))[len(path) :]
-        if isinstance(note, IterableValidationNote):
-            if isinstance(note.index, int):
-                return f"[{note.index}]"
-            return join_path(path, str(note.index)[:MAX_NAME_LENGTH])[len(path) :]
-    return ""
-
-
-def join_path(path: str, key: str) -> str:
-    """Adds a key to a path."""
-    return f"{path}.{key}" if path else key
--- a/src/magnoliahold/templates/model.py
+++ b/src/magnoliahold/templates/model.py
@@ -7,7 +7,7 @@
 
 from attrs import field, frozen
 
-from magnoliahold.settings.structuring import (
+from magnoliahold.settings.checks import (
     FieldError,
     Relation,
     checks,
--- a/src/magnoliahold/templates/parameters.py
+++ b/src/magnoliahold/templates/parameters.py
@@ -9,12 +9,8 @@
 from attrs import field, frozen
 
 from magnoliahold.errors import SettingsError
-from magnoliahold.settings.structuring import (
-    FieldError,
-    Relation,
-    join_path,
-    raise_faults,
-)
+from magnoliahold.settings.checks import FieldError, Relation, raise_faults
+from magnoliahold.settings.faults import join_path
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/magnoliahold/templates/parsing.py
+++ b/src/magnoliahold/templates/parsing.py
@@ -8,14 +8,11 @@
 import msgspec
 
 from magnoliahold.errors import SettingsError
+from magnoliahold.settings.checks import MAX_NAME_LENGTH, FieldError, require_name
 from magnoliahold.settings.documents import parse_document
+from magnoliahold.settings.faults import group_faults, join_path
 from magnoliahold.settings.structuring import (
-    MAX_NAME_LENGTH,
-    FieldError,
-    group_faults,
-    join_path,
     make_converter,
-    require_name,
     structure_document,
     structure_string,
 )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,7 @@
 
 from magnoliahold.cli.application import COMMANDS
 from magnoliahold.settings import EntrySettings, SidecarSettings
-from magnoliahold.settings.structuring import name_key
+from magnoliahold.settings.faults import name_key
 from magnoliahold.templates import (
     Move,
     MoveGuards,
