Drain entries and sidecars on SIGTERM or by order

Cause: LeaveRequested was read by nobody, so that every planned stop was a kill.

Change: a leaving process tells its contacts at once; a sidecar refuses new streams, which entries route elsewhere without blaming it, and gives streams that outlast the limit back; an entry refuses new requests as not run once the balancer has looked away; both stop when nothing was in flight for half a second. The last tokens of a stream are sent again when their acknowledgement is missing: one lost message kept a sidecar from stopping for 30 s.

Ruled out: a limit for entries, which would cut buffered answers; they end by their deadline.

--- /dev/null
+++ b/src/magnoliahold/core/systems/drain.py
@@ -0,0 +1,130 @@
+"""Graceful stops of entries and sidecars."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import (
+    CountMetric,
+    RefuseRequest,
+    SendMessage,
+    StopProcess,
+)
+from magnoliahold.core.events import CallArrived, GenerationArrived, LeaveRequested
+from magnoliahold.core.streams import StreamState
+from magnoliahold.core.systems.membership import make_heartbeat
+from magnoliahold.core.systems.streams import fail_stream
+from magnoliahold.core.worlds import EntryWorld, SidecarWorld
+from magnoliahold.wire.messages import Leave
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliahold.core.worlds import World
+
+
+def start_leaving(world: World, now: float) -> None:
+    """Begins to drain when told to, and tells every process that is in contact."""
+    reasons = [event.reason for event in world.inbox.read_events(LeaveRequested)]
+    for received in world.inbox.read_messages(Leave):
+        if received.message.name == world.identity.name:
+            reasons.append(f"ordered by {received.sender.name}")
+    if not reasons or world.leaving_since is not None:
+        return
+    world.leaving_since = now
+    world.log_decision("drain", "Leaving, no new work.", reason=reasons[0])
+    heartbeat = make_heartbeat(world, now, answer=True)
+    for name in list_contacts(world):
+        world.emit(SendMessage(name, heartbeat))
+
+
+@singledispatch
+def list_contacts(world: World) -> Iterable[str]:
+    """Lists the processes to tell; an entry tells all that it has links to."""
+    return list(world.peers.peers)
+
+
+@list_contacts.register(SidecarWorld)
+def _list_owners(world: SidecarWorld) -> Iterable[str]:
+    return list(world.owners.owners)
+
+
+def refuse_arrivals(world: EntryWorld, now: float) -> None:
+    """Refuses new requests once the balancer has had time to look elsewhere."""
+    leaving_since = world.leaving_since
+    if leaving_since is None or now - leaving_since < world.policy.drain.announce_s:
+        return
+    for generation in world.inbox.take_events(GenerationArrived):
+        _refuse_arrival(world, generation.request_id)
+    for call in world.inbox.take_events(CallArrived):
+        _refuse_arrival(world, call.request_id)
+
+
+def _refuse_arrival(world: EntryWorld, request_id: str) -> None:
+    retry_after_s = world.policy.drain.retry_after_s * world.random.uniform(0.5, 1.5)
+    refusal = RefuseRequest(
+        request_id,
+        status=503,
+        code="leaving",
+        message="this entry is stopping; the request did not run, send it again",
+        retry_after_s=retry_after_s,
+    )
+    world.emit(refusal)
+
+
+def hand_back_streams(world: SidecarWorld, now: float) -> None:
+    """Gives streams that outlast the drain limit back to their owners.
+
+    They are resumed elsewhere, with nothing lost.
+    """
+    leaving_since = world.leaving_since
+    limit_s = world.policy.drain.drain_limit_s
+    if leaving_since is None or now - leaving_since < limit_s:
+        return
+    for stream in list(world.streams.by_handle.values()):
+        if stream.state is StreamState.RUNNING:
+            fail_stream(world, stream, "leaving")
+            world.emit(CountMetric("streams_handed_back"))
+
+
+def stop_when_idle(world: World, now: float) -> None:
+    """Stops a leaving process when nothing was in flight for a moment.
+
+    The moment lets the last bytes of answers and the last messages leave. Nothing in
+    flight is cut: generations end by their deadline, and streams that outlast the limit
+    of a sidecar are handed back before.
+    """
+    if world.leaving_since is None or world.stopping:
+        return
+    policy = world.policy.drain
+    left_s = now - world.leaving_since
+    if count_in_flight(world):
+        world.idle_since = None
+    elif world.idle_since is None:
+        world.idle_since = now
+    idle_s = 0.0 if world.idle_since is None else now - world.idle_since
+    if left_s >= policy.announce_s and idle_s >= policy.settle_s:
+        world.stopping = True
+        world.log_decision("drain", "Stopping.", drained_s=round(left_s, 3))
+        world.emit(StopProcess("drained"))
+
+
+@singledispatch
+def count_in_flight(world: World) -> int:
+    """Counts what a stop would cut."""
+    return 0
+
+
+@count_in_flight.register(EntryWorld)
+def _count_at_entry(world: EntryWorld) -> int:
+    claims = world.claims
+    waiting = len(claims.pending) + len(claims.results)
+    writing = (claims.flight is not None) + (claims.results_flight is not None)
+    requests = len(world.generations.by_request) + len(world.calls.by_request)
+    return requests + waiting + writing + len(world.configuration.commits)
+
+
+@count_in_flight.register(SidecarWorld)
+def _count_at_sidecar(world: SidecarWorld) -> int:
+    return len(world.streams.by_lineage) + len(world.runs.open)
--- a/src/magnoliahold/core/systems/ownership.py
+++ b/src/magnoliahold/core/systems/ownership.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.systems.streams import (
     disown_stream,
     drop_stream,
+    resend_end,
     send_pending,
     tell_owner,
 )
@@ -84,6 +85,7 @@
     for stream in list(table.by_lineage.values()):
         if stream.owner:
             _judge_owner(world, stream, now)
+            resend_end(world, stream, now)
         if _is_expired(world, stream, now):
             _expire_stream(world, stream)
 
--- a/src/magnoliahold/core/systems/resumption.py
+++ b/src/magnoliahold/core/systems/resumption.py
@@ -8,6 +8,7 @@
 
 from magnoliahold.core.effects import CountMetric, RefuseRequest, SendMessage
 from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.systems.membership import note_leaving
 from magnoliahold.core.systems.routing import end_attempt
 from magnoliahold.wire.messages import CancelStream, StreamFailed
 
@@ -32,7 +33,7 @@
         if message.reason == "fenced":
             _give_up_ownership(world, generation)
             continue
-        _note_upstream_failure(world, generation, message.reason)
+        _note_upstream_failure(world, generation, message.reason, now)
         resume_generation(world, generation, message.reason, now)
 
 
@@ -50,7 +51,7 @@
 
 
 def _note_upstream_failure(
-    world: EntryWorld, generation: Generation, reason: str
+    world: EntryWorld, generation: Generation, reason: str, now: float
 ) -> None:
     """Sends no work to a failed upstream before its next heartbeat."""
     peer = world.peers.peers.get(generation.sidecar)
@@ -58,6 +59,8 @@
         return
     if reason in UPSTREAM_FAILURES and peer.report is not None:
         peer.report = evolve(peer.report, ready=False)
+    if reason == "leaving":
+        note_leaving(peer, now)
 
 
 def resume_lost(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/streams.py
+++ b/src/magnoliahold/core/systems/streams.py
@@ -177,6 +177,7 @@
     stream.state = StreamState.ENDED
     stream.end = reason
     stream.ended_at = now
+    stream.resent_at = now
 
 
 def send_pending(world: SidecarWorld, stream: Stream, now: float) -> None:
@@ -196,6 +197,15 @@
     _balance_buffer(world, stream, now)
 
 
+def resend_end(world: SidecarWorld, stream: Stream, now: float) -> None:
+    """Sends the end of a stream again whose last acknowledgement is missing."""
+    is_due = now - stream.resent_at >= world.policy.streams.finished_resent_s
+    if stream.state is StreamState.ENDED and is_due:
+        stream.resent_at = now
+        stream.sent = stream.acked
+        send_pending(world, stream, now)
+
+
 def _balance_buffer(world: SidecarWorld, stream: Stream, now: float) -> None:
     """Pauses the engine's stream while the owner's window is used up."""
     unsent = len(stream.tokens) - stream.sent
