Index generations by state, with counts by work

Cause: systems list generations by state several times in each event tick, each a scan over all generations. Change: the table files a generation under its state when the state is set; counts by state and work serve limits without a scan. A generation is listed in the order in which it entered a state.

--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 
 if TYPE_CHECKING:
+    from attrs import Attribute
+
     from magnoliahold.core.events import GenerationArrived
 
 
@@ -24,6 +26,46 @@
     RUNNING = "running"
 
 
+@define
+class StateIndex:
+    """The generations of a table by state, and their number by state and work.
+
+    Generations are kept by identity, because their ids may change.
+    """
+
+    members: dict[GenerationState, dict[int, Generation]] = field(factory=dict)
+    counts: dict[tuple[GenerationState, tuple[str, str]], int] = field(factory=dict)
+
+    def add_member(self, generation: Generation, state: GenerationState) -> None:
+        """Files a generation under a state."""
+        self.members.setdefault(state, {})[id(generation)] = generation
+        self._change_count(state, generation.key, 1)
+
+    def remove_member(self, generation: Generation) -> None:
+        """Takes a generation out of its present state."""
+        if self.members.get(generation.state, {}).pop(id(generation), None) is not None:
+            self._change_count(generation.state, generation.key, -1)
+
+    def _change_count(
+        self, state: GenerationState, key: tuple[str, str], change: int
+    ) -> None:
+        count = self.counts.get((state, key), 0) + change
+        if count:
+            self.counts[state, key] = count
+        else:
+            self.counts.pop((state, key), None)
+
+
+def _index_state(
+    generation: Generation, attribute: Attribute[Any], state: GenerationState
+) -> GenerationState:
+    """Keeps the index of the table in step with the state of a generation."""
+    if generation.index is not None:
+        generation.index.remove_member(generation)
+        generation.index.add_member(generation, state)
+    return state
+
+
 @define
 class Generation:
     """One caller's generation.
@@ -42,7 +84,9 @@
     deadline_at: float
     interactive: bool
     priority: int
-    state: GenerationState = GenerationState.QUEUED
+    state: GenerationState = field(
+        default=GenerationState.QUEUED, on_setattr=_index_state
+    )
     attempt: int = 0
     owner_epoch: int = 1
     sidecar: str = ""
@@ -66,6 +110,7 @@
     attempt_offset: int = 0
     caller_paused: bool = False
     refused_upstreams: int = 0
+    index: StateIndex | None = field(default=None, repr=False, eq=False)
 
     @property
     def key(self) -> tuple[str, str]:
@@ -80,9 +125,12 @@
     by_request: dict[str, Generation] = field(factory=dict)
     by_lineage: dict[str, Generation] = field(factory=dict)
     next_watch_at: float = 0.0
+    index: StateIndex = field(factory=StateIndex)
 
     def add_generation(self, generation: Generation) -> None:
         """Adds a generation under both keys."""
+        generation.index = self.index
+        self.index.add_member(generation, generation.state)
         self.by_request[generation.request.request_id] = generation
         self.by_lineage[generation.lineage] = generation
 
@@ -97,14 +145,22 @@
     ) -> None:
         """Gives a generation to the request of a caller that came back."""
         self.by_request.pop(generation.request.request_id, None)
+        self.index.remove_member(generation)
         generation.request = request
+        self.index.add_member(generation, generation.state)
         self.by_request[request.request_id] = generation
 
     def remove_generation(self, generation: Generation) -> None:
         """Removes a generation that has ended."""
+        self.index.remove_member(generation)
+        generation.index = None
         self.by_request.pop(generation.request.request_id, None)
         self.by_lineage.pop(generation.lineage, None)
 
     def list_in_state(self, state: GenerationState) -> list[Generation]:
-        """Lists the generations in one state in order of arrival."""
-        return [item for item in self.by_request.values() if item.state is state]
+        """Lists the generations in one state in the order in which they entered it."""
+        return list(self.index.members.get(state, {}).values())
+
+    def count_in_state(self, state: GenerationState, key: tuple[str, str]) -> int:
+        """Counts the generations of one work in one state."""
+        return self.index.counts.get((state, key), 0)
