Match repeatable calls by unambiguous paths and name ports in use

Cause: a pattern matched paths that a service may resolve to another one, through an encoded slash or a backslash; a query kept a call from matching an exact path. A link port in use was an internal error. Change: such paths match no pattern, so their calls run at most once; the query is left out; an error of the link's socket is one line with its remedy and exit code 1.

--- a/src/magnoliahold/cli/errors.py
+++ b/src/magnoliahold/cli/errors.py
@@ -7,6 +7,7 @@
 import traceback
 
 from twisted.internet.error import CannotListenError
+from zmq import ZMQError
 
 from magnoliahold.errors import MagnoliaholdError
 
@@ -31,6 +32,12 @@
             "free the port or choose another address or port"
         )
         return EXIT_FAILURE
+    if isinstance(error, ZMQError):
+        print_line(
+            f"cannot listen for links ({error}); free the port or choose another "
+            "address or link_port"
+        )
+        return EXIT_FAILURE
     if isinstance(error, OSError):
         print_line(f"{describe_os_error(error)}; correct that and run it again")
         return EXIT_FAILURE
--- a/src/magnoliahold/templates/patterns.py
+++ b/src/magnoliahold/templates/patterns.py
@@ -8,6 +8,7 @@
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 ANY_REST = "**"
 ANY_PART = "*"
+OTHER_SEPARATORS = ("%2f", "%5c", "\\")
 PATTERN_CACHE_SIZE = 4096
 
 
@@ -28,18 +29,23 @@
 def matches_pattern(pattern: str, method: str, path: str) -> bool:
     """Tells whether a call matches a pattern.
 
-    `*` stands for any characters but '/', and a final `**` for any rest of the path.
-    A path with a '.' or '..' segment matches nothing, since a service may resolve it.
+    `*` stands for any characters but '/', and a final `**` for any rest of the path;
+    the query of the path is left out. An ambiguous path matches nothing, since a
+    service may resolve it to another one.
     """
     wanted_method, _, wanted_path = pattern.partition(" ")
-    if method.upper() != wanted_method or has_dot_segment(path):
+    plain_path = path.partition("?")[0]
+    if method.upper() != wanted_method or is_ambiguous(plain_path):
         return False
-    return compile_path(wanted_path).fullmatch(path) is not None
+    return compile_path(wanted_path).fullmatch(plain_path) is not None
 
 
-def has_dot_segment(path: str) -> bool:
-    """Tells whether a path has a '.' or '..' segment, plain or percent-encoded."""
-    segments = path.lower().replace("%2e", ".").split("/")
+def is_ambiguous(path: str) -> bool:
+    """Tells whether a path has dot segments or separators other than '/'."""
+    plain = path.lower().replace("%2e", ".")
+    if any(separator in plain for separator in OTHER_SEPARATORS):
+        return True
+    segments = plain.split("/")
     return "." in segments or ".." in segments
 
 
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import io
 import os
 import signal
@@ -13,6 +14,9 @@
 from pathlib import Path
 from unittest import mock
 
+from twisted.internet.error import CannotListenError
+from zmq import ZMQError
+
 from magnoliahold.cli.application import COMMANDS, run_command
 from magnoliahold.cli.errors import TRACEBACK_VARIABLE
 
@@ -86,6 +90,19 @@
                 self.assertTrue(errors.startswith("magnoliahold: internal error"))
                 self.assertEqual("Traceback" in errors, shown)
 
+    def test_ports_in_use_are_one_line(self) -> None:
+        cases = (
+            (CannotListenError("127.0.0.1", 80, OSError("in use")), "127.0.0.1:80"),
+            (ZMQError(errno.EADDRINUSE), "cannot listen for links"),
+            (ConnectionResetError(104, "reset"), "reset"),
+        )
+        for error, message in cases:
+            target = "magnoliahold.cli.check.parse_template"
+            with self.subTest(message), mock.patch(target, side_effect=error):
+                code, _, errors = run("check", str(EXAMPLES / "rochebrune.yaml"))
+                self.assertEqual(code, 1)
+                self.assertRegex(errors, rf"\Amagnoliahold: [^\n]*{message}[^\n]*\n\Z")
+
     def test_interrupts_are_silent(self) -> None:
         target = "magnoliahold.cli.check.parse_template"
         with mock.patch(target, side_effect=KeyboardInterrupt):
--- a/tests/templates/test_patterns.py
+++ b/tests/templates/test_patterns.py
@@ -25,6 +25,10 @@
             ("GET /a/**", "GET", "/a/../book", False),
             ("GET /a/**", "GET", "/a/%2E%2e/book", False),
             ("GET /a/*", "GET", "/a/..", False),
+            ("GET /a/*", "GET", "/a/..%2Fbook", False),
+            ("GET /a/*", "GET", "/a/..\\book", False),
+            ("GET /a", "GET", "/a?b=../c", True),
+            ("GET /a/*", "GET", "/a/b?c=d/e", True),
             ("GET /**", "GET", "/a..b", True),
         )
         for pattern, method, path, expected in cases:
