--- a/src/magnoliahold/core/evidence.py
+++ b/src/magnoliahold/core/evidence.py
@@ -36,8 +36,9 @@
 class ResultWindow:
     """A running stream whose result is awaited.
 
-    Counts `tokens` since `began_at`, which are averaged into one gap. A `continued`
-    stream began with a prefix, so that its first token tells no latency.
+    Counts `tokens` since `began_at`, which are averaged into one gap, not before
+    `due_at`, since the gaps of one stream are alike. A `continued` stream began with a
+    prefix, so that its first token tells no latency.
     """
 
     key: EvidenceKey
@@ -45,6 +46,7 @@
     incarnation: str
     continued: bool
     tokens: int = 0
+    due_at: float = 0.0
     latency_noted: bool = False
 
 
@@ -67,3 +69,8 @@
         return 0
     bucket = int(log2(seconds / LOWEST_BUCKET_S) * BUCKETS_PER_DOUBLING)
     return min(bucket, BUCKETS - 1)
+
+
+def find_seconds(bucket: int) -> float:
+    """Finds the lowest duration in a histogram bucket."""
+    return LOWEST_BUCKET_S * float(2 ** (bucket / BUCKETS_PER_DOUBLING))
--- a/src/magnoliahold/core/judgement.py
+++ b/src/magnoliahold/core/judgement.py
@@ -14,12 +14,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from math import exp, log
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
 
-from magnoliahold.core.evidence import BUCKETS, BUCKETS_PER_DOUBLING
+from magnoliahold.core.evidence import (
+    BUCKETS,
+    BUCKETS_PER_DOUBLING,
+    find_bucket,
+    find_seconds,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -31,10 +37,16 @@
 FAILURES = "failures"
 LATENCY = "latency"
 GAPS = "token gaps"
+MEDIAN = 0.5
+TAIL = 0.95
+QUANTILES = {MEDIAN: "median", TAIL: "tail"}
 ALL = "all"
 HARM_LEVELS = (0.08, 0.25, 0.5, 0.9)
 HIGHEST_P0 = 0.7
-SLOW_ALLOWANCE = 0.1
+SLOW_ALLOWANCE = 0.05
+LEAST_SLOWER_S = 0.01
+UNMATCHED_BUCKETS = 2 * BUCKETS_PER_DOUBLING
+ANY = ("any", "any")
 
 
 @frozen
@@ -55,6 +67,11 @@
     gaps: dict[int, float] = field(factory=dict)
     faded_at: float = 0.0
 
+    @property
+    def count(self) -> float:
+        """All answers and failures."""
+        return self.answered + self.failed
+
     def add(self, delta: Delta, now: float, fade_s: float) -> None:
         """Adds results after fading the earlier ones."""
         factor = exp(-max(0.0, now - self.faded_at) / fade_s)
@@ -137,26 +154,43 @@
 Slice = tuple[str, str]
 
 
+@frozen
+class Pending:
+    """Durations of the new version that wait for the old one's of the same time."""
+
+    cell: Cell
+    delta: Delta
+    lately: bool
+
+
 @define
 class Judgement:
     """What one entry holds for and against the new version of one move.
 
-    `scores` are kept by kind of result and by slice: all results, one route, one
-    upstream, or busy upstreams only.
+    `references` hold the old version's results over some time, `windows` those of the
+    last two intervals, the current one first. `scores` are kept by kind of result and
+    by slice: all results, one route, one upstream, or busy upstreams only.
     """
 
     references: dict[Slice, Reference] = field(factory=dict)
+    windows: list[dict[Slice, Reference]] = field(factory=lambda: [{}, {}])
+    pending: list[Pending] = field(factory=list)
+    window_closes_at: float = 0.0
     scores: dict[tuple[str, Slice], Scores] = field(factory=dict)
     seen: dict[tuple[str, str, str, str, bool], EvidenceCount] = field(factory=dict)
     answered: int = 0
     failed: int = 0
+    old_by_route: Counter[str] = field(factory=Counter)
+    new_by_route: Counter[str] = field(factory=Counter)
     verdict: str = ""
 
     def add_old(self, cell: Cell, delta: Delta, now: float, policy: MovePolicy) -> None:
         """Adds results of the old version."""
+        self.old_by_route[cell.route] += delta.answered
         for name in cell.list_references():
-            reference = self.references.setdefault(name, Reference())
-            reference.add(delta, now, policy.reference_fade_s)
+            for table in (self.references, self.windows[0]):
+                reference = table.setdefault(name, Reference())
+                reference.add(delta, now, policy.reference_fade_s)
 
     def add_new(
         self,
@@ -167,39 +201,77 @@
         *,
         lately: bool,
     ) -> None:
-        """Adds results of the new version and judges it by them."""
+        """Adds results of the new version and judges its failures at once."""
         self.answered += delta.answered
+        self.new_by_route[cell.route] += delta.answered
         self.failed += delta.failed
         trials = Trials(delta.answered, delta.failed)
-        reference = self._find_reference(cell, FAILURES, policy)
-        p0 = find_failure_p0(reference, rule, policy)
+        p0 = self._find_failure_p0(cell, rule, policy)
         self._score(FAILURES, cell, trials, p0, lately=lately)
-        for kind in (LATENCY, GAPS):
-            reference = self._find_reference(cell, kind, policy)
-            if reference is None:
-                continue
-            old = reference.latencies if kind == LATENCY else reference.gaps
-            new = delta.latencies if kind == LATENCY else delta.gaps
-            limit = find_limit(old, rule.max_latency_increase)
-            slow = split_trials(old, limit)
-            p0 = slow.bad / (slow.good + slow.bad) + SLOW_ALLOWANCE
-            self._score(
-                kind, cell, split_trials(new, limit), min(p0, HIGHEST_P0), lately=lately
-            )
+        if delta.latencies or delta.gaps:
+            self.pending.append(Pending(cell, delta, lately))
         self._decide(policy)
 
-    def _find_reference(
-        self, cell: Cell, kind: str, policy: MovePolicy
-    ) -> Reference | None:
-        """Finds the closest reference with enough results."""
+    def close_window(self, now: float, rule: MoveRule, policy: MovePolicy) -> None:
+        """Judges durations by those of the old version at the same time.
+
+        An interval without enough results of the old version is made longer.
+        """
+        if now < self.window_closes_at:
+            return
+        late = now >= self.window_closes_at + policy.window_max_s
+        if self.pending and not late and not self._has_current(policy):
+            return
+        self.window_closes_at = now + policy.window_s
+        pending, self.pending = self.pending, []
+        for item in pending:
+            self._judge_durations(LATENCY, item, rule, policy)
+            self._judge_durations(GAPS, item, rule, policy)
+        self.windows = [{}, self.windows[0]]
+        if pending:
+            self._decide(policy)
+
+    def _has_current(self, policy: MovePolicy) -> bool:
+        current = [window.get(ANY) for window in self.windows]
+        return any(
+            reference is not None and reference.count >= policy.window_min
+            for reference in current
+        )
+
+    def _judge_durations(
+        self, kind: str, item: Pending, rule: MoveRule, policy: MovePolicy
+    ) -> None:
+        new = item.delta.latencies if kind == LATENCY else item.delta.gaps
+        if not new:
+            return
+        known = _find_histogram(self.references, item.cell, kind, policy.reference_min)
+        if known is None:
+            return
+        old = [known]
+        for window in self.windows:
+            current = _find_histogram(window, item.cell, kind, policy.window_min)
+            if current is not None:
+                old.append(current)
+        for quantile, name in QUANTILES.items():
+            increase = rule.max_latency_increase if quantile == MEDIAN else 0.0
+            limit = max(find_limit(each, quantile, increase) for each in old)
+            if len(old) == 1:
+                limit = min(BUCKETS - 1, limit + UNMATCHED_BUCKETS)
+            p0 = max(find_slow_share(each, limit) for each in old) + SLOW_ALLOWANCE
+            trials = split_trials(new, limit)
+            p0 = min(p0, HIGHEST_P0)
+            self._score(f"{name} {kind}", item.cell, trials, p0, lately=item.lately)
+
+    def _find_failure_p0(self, cell: Cell, rule: MoveRule, policy: MovePolicy) -> float:
+        """Finds the highest failure probability that the guard allows."""
+        old = 0.0
         for name in cell.list_references():
             reference = self.references.get(name)
-            if (
-                reference is not None
-                and _count(reference, kind) >= policy.reference_min
-            ):
-                return reference
-        return None
+            if reference is not None and reference.count >= policy.reference_min:
+                old = reference.failed / reference.count
+                break
+        allowed = max(rule.max_error_increase, policy.failure_floor)
+        return min(HIGHEST_P0, old + allowed)
 
     def _score(
         self, kind: str, cell: Cell, trials: Trials, p0: float, *, lately: bool
@@ -219,9 +291,18 @@
                 scores.total_evidence >= policy.total_evidence + extra
                 or scores.recent_evidence >= policy.recent_evidence + extra
             ):
-                self.verdict = f"more {kind} than the old version, {' '.join(name)}"
+                self.verdict = f"worse {kind} than the old version, {' '.join(name)}"
                 return
 
+    def covers_routes(self, policy: MovePolicy) -> bool:
+        """Tells whether the new version has answered on every route in use."""
+        used = self.old_by_route.total() * policy.route_share_min
+        return all(
+            self.new_by_route[route] >= policy.answered_per_route
+            for route, count in self.old_by_route.items()
+            if count >= used
+        )
+
     @property
     def suspicion(self) -> float:
         """The strongest evidence against the new version, over all results."""
@@ -246,7 +327,7 @@
     def list_references(self) -> tuple[Slice, ...]:
         """Lists the references to compare with, closest first."""
         load = "busy" if self.busy else "idle"
-        return ((self.upstream, load), ("any", load), ("any", "any"))
+        return ((self.upstream, load), ("any", load), ANY)
 
     def list_slices(self) -> tuple[Slice, ...]:
         """Lists the slices that results of this cell belong to."""
@@ -256,35 +337,38 @@
         return tuple(slices)
 
 
-def _count(reference: Reference, kind: str) -> float:
-    if kind == FAILURES:
-        return reference.answered + reference.failed
-    histogram = reference.latencies if kind == LATENCY else reference.gaps
-    return sum(histogram.values())
+def _find_histogram(
+    references: Mapping[Slice, Reference], cell: Cell, kind: str, least: int
+) -> Mapping[int, float] | None:
+    """Finds the histogram of the closest reference with enough results."""
+    for name in cell.list_references():
+        reference = references.get(name)
+        if reference is None:
+            continue
+        histogram = reference.latencies if kind == LATENCY else reference.gaps
+        if sum(histogram.values()) >= least:
+            return histogram
+    return None
 
 
-def find_failure_p0(
-    reference: Reference | None, rule: MoveRule, policy: MovePolicy
-) -> float:
-    """Finds the highest failure probability that the guard allows."""
-    old = 0.0
-    if reference is not None:
-        old = reference.failed / (reference.answered + reference.failed)
-    allowed = max(rule.max_error_increase, policy.failure_floor)
-    return min(HIGHEST_P0, old + allowed)
+def find_slow_share(histogram: Mapping[int, float], limit: int) -> float:
+    """Finds the share of a histogram at or above a bucket."""
+    trials = split_trials(histogram, limit)
+    return trials.bad / (trials.good + trials.bad)
 
 
-def find_limit(histogram: Mapping[int, float], increase: float) -> int:
-    """Finds the first bucket that counts as slow: above the median and the guard."""
-    half = sum(histogram.values()) / 2
-    median = 0
+def find_limit(histogram: Mapping[int, float], quantile: float, increase: float) -> int:
+    """Finds the first bucket that counts as slow: above a quantile and the guard."""
+    left = sum(histogram.values()) * quantile
+    found = 0
     for bucket in sorted(histogram):
-        half -= histogram[bucket]
-        if half <= 0:
-            median = bucket
+        left -= histogram[bucket]
+        if left <= 0:
+            found = bucket
             break
     steps = log(1 + increase, 2) * BUCKETS_PER_DOUBLING
-    return min(BUCKETS - 1, median + max(1, round(steps)))
+    noticeable = find_bucket(find_seconds(found) + LEAST_SLOWER_S)
+    return min(BUCKETS - 1, max(found + round(steps), noticeable, found + 1))
 
 
 def split_trials(histogram: Mapping[int, float], limit: int) -> Trials:
--- a/src/magnoliahold/core/moves.py
+++ b/src/magnoliahold/core/moves.py
@@ -22,6 +22,7 @@
     from magnoliahold.wire.messages import SuspendVersion, WorkspaceRow
 
 MOVES_KEPT = 4
+GOLDEN_STEP = 0.6180339887498949
 DEFAULT_STAGES = (0.1, 0.25, 0.5, 1.0)
 
 
@@ -56,13 +57,15 @@
 
 @define
 class MoveTable:
-    """Active moves and suspensions by move.
+    """Active moves, suspensions by move, and where the choice of versions stands.
 
+    `positions` holds for each work a number from 0 to 1; see `pick_version`.
     `suspended` is never cleared while this process runs, so that no late row undoes a
     suspension.
     """
 
     active: dict[str, ActiveMove] = field(factory=dict)
+    positions: dict[tuple[str, str], float] = field(factory=dict)
     suspended: dict[str, SuspendVersion] = field(factory=dict)
 
 
@@ -207,6 +210,29 @@
     )
 
 
+def pick_version(world: EntryWorld, workspace: str, work: str) -> VersionShare | None:
+    """Picks a version by share for one new request, or None when none has a share.
+
+    Steps of the golden ratio spread the picks of each version evenly, so that every
+    stretch of requests has close to the versions' shares, unlike random picks.
+    """
+    shares = [item for item in find_shares(world, workspace, work) if item.share > 0]
+    if not shares:
+        return None
+    key = (workspace, work)
+    position = world.moves.positions.get(key)
+    position = world.random.random() if position is None else position
+    position = (position + GOLDEN_STEP) % 1.0
+    world.moves.positions[key] = position
+    total = sum(item.share for item in shares)
+    reached = 0.0
+    for item in sorted(shares, key=lambda item: item.share):
+        reached += item.share / total
+        if position < reached:
+            return item
+    return shares[0]
+
+
 def find_new_share(world: EntryWorld, move: MoveRow) -> float:
     """Finds the share of a move's new version by its row and the suspensions."""
     if move.state == MoveState.DONE:
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -58,13 +58,52 @@
 
 @frozen
 class AdmissionPolicy:
-    """Queues and refusals."""
+    """Queues and refusals.
+
+    Interactive generations that can't begin within their patience are refused. Batch
+    is owed `batch_share` of the cost started while interactive work waits too. A
+    waiting generation is given up early when its predicted wait is `doubt` times what
+    it has left. The first `free_failures` of a generation are retried for nothing;
+    each further one costs a token, of which each new start adds `retry_share`.
+    """
 
     max_queued: int = _count(2000)
-    default_queued_per_workspace: int = _count(200)
-    interactive_patience_s: float = _seconds(10.0)
-    default_deadline_s: float = _seconds(600.0)
+    interactive_patience_s: float = _seconds(2.0)
+    batch_share: float = field(default=0.1, validator=gt(0))
+    token_gap_s: float = _seconds(0.05)
+    review_s: float = _seconds(0.25)
+    doubt: float = field(default=1.5, validator=gt(0))
+    burst_s: float = _seconds(2.0)
+    unserved_grace_s: float = _seconds(1.0)
+    resume_patience_s: float = _seconds(20.0)
+    retry_after_min_s: float = _seconds(0.25)
+    retry_after_max_s: float = _seconds(60.0)
+    retry_after_jitter: float = field(default=0.25, validator=gt(0))
     max_attempts: int = _count(8)
+    free_failures: int = _count(2)
+    retry_share: float = field(default=0.2, validator=gt(0))
+    retry_burst: int = _count(50)
+
+
+@frozen
+class RoutingPolicy:
+    """Choice of upstreams by load and by prompt prefix.
+
+    New batch work leaves `reserved_share` of an upstream's slots to resumed work. Above
+    `crowded_share` an entry takes only its part of the free slots between two reports.
+    An entry may fill its part of the slots even where the others hold more than
+    theirs, up to `overfull_share`. Prompts that share their first `prefix_characters`
+    go to one upstream while its load is at most `affinity_bound` times the mean.
+    """
+
+    reserved_share: float = field(default=0.1, validator=gt(0))
+    crowded_share: float = field(default=0.5, validator=gt(0))
+    overfull_share: float = field(default=1.25, validator=gt(0))
+    near_gain: float = field(default=0.05, validator=ge(0))
+    prefix_characters: int = _count(256)
+    affinity_bound: float = field(default=1.25, validator=gt(0))
+    known_prefixes: int = _count(4096)
+    subset_size: int = _count(32)
 
 
 @frozen
@@ -204,6 +243,7 @@
     membership: MembershipPolicy = field(factory=MembershipPolicy)
     streams: StreamPolicy = field(factory=StreamPolicy)
     admission: AdmissionPolicy = field(factory=AdmissionPolicy)
+    routing: RoutingPolicy = field(factory=RoutingPolicy)
     calls: CallPolicy = field(factory=CallPolicy)
     claims: ClaimPolicy = field(factory=ClaimPolicy)
     quarantine: QuarantinePolicy = field(factory=QuarantinePolicy)
--- a/src/magnoliahold/core/systems/evidence.py
+++ b/src/magnoliahold/core/systems/evidence.py
@@ -52,7 +52,7 @@
         window.began_at = now
         return
     window.tokens += tokens
-    if window.tokens >= world.policy.moves.gap_window_tokens:
+    if window.tokens >= world.policy.moves.gap_window_tokens and now >= window.due_at:
         _close_window(world, window, now)
 
 
@@ -71,11 +71,10 @@
     tally.gaps[bucket] = tally.gaps.get(bucket, 0) + 1
     window.began_at = now
     window.tokens = 0
+    window.due_at = now + world.policy.moves.gap_interval_s
 
 
 def _count_answer(world: SidecarWorld, window: ResultWindow, now: float) -> None:
-    if 2 * window.tokens >= world.policy.moves.gap_window_tokens:
-        _close_window(world, window, now)
     _find_tally(world, window.key, now).answered += 1
 
 
--- a/src/magnoliahold/core/systems/judgement.py
+++ b/src/magnoliahold/core/systems/judgement.py
@@ -22,9 +22,14 @@
     heartbeats = world.inbox.read_messages(Heartbeat)
     for received in heartbeats:
         _take_evidence(world, received, now)
-    for name in list(world.judgements):
-        if name not in world.moves.active:
+    for name, judgement in list(world.judgements.items()):
+        active = world.moves.active.get(name)
+        rule = find_rule(world, active) if active else None
+        if active is None or rule is None:
             del world.judgements[name]
+            continue
+        judgement.close_window(now, rule, world.policy.moves)
+        _suspend_failed(world, active, judgement)
 
 
 def _take_evidence(
@@ -63,7 +68,6 @@
         judgement.add_old(cell, delta, now, policy)
     elif count.version == active.row.to_version:
         judgement.add_new(cell, delta, rule, policy, lately=before is not None)
-        _suspend_failed(world, active, judgement)
 
 
 def _is_older(before: EvidenceCount, after: EvidenceCount) -> bool:
--- a/src/magnoliahold/core/systems/moves.py
+++ b/src/magnoliahold/core/systems/moves.py
@@ -74,23 +74,25 @@
         return _end_probation(world, active, move, now)
     stages = find_stages(move)
     if row.state == MoveState.WAITING:
-        return (
-            _enter_stage(row, stages, 0) if _has_room(world, rule, stages[0]) else None
-        )
+        ready = _has_room(world, rule, stages[0])
+        return _enter_stage(world, row, stages, 0) if ready else None
     stage_s = find_stage_s(row, move, world.policy.moves, wall_now)
     if now - active.since < stage_s or not _is_trusted(world, row):
         return None
     following = row.stage + 1
     if not _has_room(world, rule, stages[following]):
         return None
-    return _enter_stage(row, stages, following)
+    return _enter_stage(world, row, stages, following)
 
 
-def _enter_stage(row: MoveRow, stages: tuple[float, ...], stage: int) -> MoveRow:
+def _enter_stage(
+    world: EntryWorld, row: MoveRow, stages: tuple[float, ...], stage: int
+) -> MoveRow:
     share = stages[stage]
     state = MoveState.CANARY if stage == 0 else MoveState.GROWING
     if share >= 1:
         state = MoveState.PROBATION
+        share = 1.0 - world.policy.moves.control_share
     return evolve(row, state=state, stage=stage, share=share)
 
 
@@ -130,7 +132,8 @@
         return False
     enough = policy.answered_per_stage * (row.stage + 1)
     unsuspected = judgement.suspicion < policy.doubt_evidence
-    return judgement.answered >= enough and unsuspected
+    covered = judgement.covers_routes(policy)
+    return judgement.answered >= enough and unsuspected and covered
 
 
 def _has_room(world: EntryWorld, rule: WorkRule, share: float) -> bool:
--- /dev/null
+++ b/src/magnoliahold/measure/moves.py
@@ -0,0 +1,459 @@
+"""Measures moves to good and bad versions while parts of the system fail."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from datetime import UTC, datetime
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field, frozen
+
+from magnoliahold.core.configuration import WORKSPACES, decode_row
+from magnoliahold.core.events import GenerationArrived
+from magnoliahold.core.moves import ENDED, MoveState, find_latest
+from magnoliahold.core.policy import Policy
+from magnoliahold.measure.badness import (
+    BAD_KINDS,
+    GOOD,
+    LATER,
+    UNDER_LOAD,
+    Badness,
+    install_badness,
+)
+from magnoliahold.measure.fakes.callers import GenerationCaller
+from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
+from magnoliahold.measure.fakes.operators import add_operator_ports, apply_template
+from magnoliahold.measure.options import find_quantiles, find_share
+from magnoliahold.templates import (
+    Move,
+    VersionShare,
+    Work,
+    WorkspaceTemplate,
+    encode_template,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.measure.fakes.fleet import Fleet
+    from magnoliahold.measure.fakes.operators import Apply
+    from magnoliahold.measure.options import MeasureOptions, Quantiles
+    from magnoliahold.wire.messages import MoveRow
+
+EPOCH_S = 1_800_000_000.0
+WORKSPACES_PER_RUN = 2
+ENGINES = 4
+ENGINE_STREAMS = 8
+TOKEN_INTERVAL_S = 0.05
+START_S = 2.0
+WARM_UP_S = 5.0
+MOVE_S = 40.0
+SETTLE_S = 4.0
+STEP_S = 0.02
+REQUESTS_PER_S = 14.0
+RUSH_FACTOR = 2.0
+RUSH_FROM = 0.3
+RUSH_TO = 0.6
+TOKENS = (4, 8)
+CANARY_CAP = 0.08
+GOOD_SHARE = 0.5
+LATER_FROM = 0.35
+LATER_TO = 0.9
+SHARE_WINDOW = 100
+PLAIN_FAILURES = 10
+
+
+@frozen
+class KindReport:
+    """Results of the moves to one kind of version."""
+
+    moves: int
+    right: int
+    trip_s: Quantiles
+
+
+@frozen
+class MovesReport:
+    """Results of all runs.
+
+    `bad_share_max` is the highest share that the rows gave a version that was bad from
+    the start, `bad_share_seen_max` the highest share that any of those had of 100
+    requests in a row. `bad_requests_share` is the part of all requests that a bad
+    version spoilt. `trip_s` is the time from the first bad answer to the last new
+    request on that version, over the versions that showed themselves bad.
+    """
+
+    good: int
+    good_done_in_time: int
+    good_taken_back: int
+    bad: int
+    bad_shown: int
+    bad_taken_back: int
+    unreported: int
+    bad_share_max: float
+    bad_share_seen_max: float
+    bad_share_cap: float
+    bad_requests_share: float
+    trip_s: Quantiles
+    requests: int
+    answered: int
+    by_kind: dict[str, KindReport]
+
+
+@define(eq=False)
+class Trial:
+    """One move of a run: the version's behaviour and what the system made of it."""
+
+    workspace: str
+    badness: Badness
+    apply: Apply | None = None
+    accepted_at: float = 0.0
+    ended_at: float | None = None
+    row: MoveRow | None = None
+    share_max: float = 0.0
+    request_times: list[float] = field(factory=list)
+
+    @property
+    def right(self) -> bool:
+        """Whether the move ended as its version deserves."""
+        wanted = MoveState.DONE if self.badness.is_good else MoveState.TAKEN_BACK
+        return self.row is not None and self.row.state == wanted
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the move ended by its deadline."""
+        if self.row is None or self.ended_at is None:
+            return False
+        return self.ended_at <= self.row.deadline - EPOCH_S
+
+    @property
+    def trip_s(self) -> float | None:
+        """Seconds from the first bad answer to the last new request after it."""
+        first = self.badness.first_bad_at
+        if first is None:
+            return None
+        return max([at - first for at, _ in self.badness.starts if at > first] or [0.0])
+
+
+@define(eq=False)
+class Scenario:
+    """One run: several moves at once under load and faults."""
+
+    fleet: Fleet
+    random: Random
+    options: MeasureOptions
+    trials: list[Trial] = field(factory=list)
+    callers: list[GenerationCaller] = field(factory=list)
+    ends_at: float = START_S + WARM_UP_S + MOVE_S
+
+    def run(self) -> None:
+        """Applies the templates and runs the moves to their deadlines."""
+        self._equip()
+        install_badness(
+            self.fleet, {trial.badness.version: trial.badness for trial in self.trials}
+        )
+        self.fleet.run_for(START_S, STEP_S)
+        for trial in self.trials:
+            self._apply(trial, moving=False)
+            self._plan_arrival(trial)
+        self._advance(WARM_UP_S)
+        for trial in self.trials:
+            trial.apply = self._apply(trial, moving=True)
+        self._plan_faults()
+        self._advance(MOVE_S)
+        self._end_faults()
+        self._advance(SETTLE_S)
+
+    def _equip(self) -> None:
+        """Gives new entries an operator port and the wall clock."""
+        add_operator_ports(self.fleet)
+        for name in self.fleet.list_entries():
+            process = self.fleet.network.processes[name]
+            process.node.world.wall_clock = make_wall_clock(process.clock.offset_s)
+
+    def _advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.fleet.run_for(0.1, STEP_S)
+            self._equip()
+            for trial in self.trials:
+                self._follow(trial)
+
+    def _apply(self, trial: Trial, *, moving: bool) -> Apply:
+        deadline = EPOCH_S + self.ends_at
+        template = make_template(trial, deadline if moving else None)
+        return apply_template(self.fleet, trial.workspace, encode_template(template))
+
+    def _follow(self, trial: Trial) -> None:
+        """Notes the state of a move as the table service has it."""
+        stored = self.fleet.platform.rows.get((WORKSPACES, trial.workspace))
+        if stored is None:
+            return
+        row = find_latest(decode_row(stored).moves, "counter")
+        if row is None:
+            return
+        trial.row = row
+        if row.state not in ENDED:
+            trial.share_max = max(trial.share_max, row.share)
+        elif trial.ended_at is None:
+            trial.ended_at = self.fleet.now()
+
+    def _plan_arrival(self, trial: Trial) -> None:
+        """Plans the next request of a workspace, more of them during the rush."""
+        now = self.fleet.now()
+        if now > self.ends_at:
+            return
+        part = (now - WARM_UP_S - START_S) / MOVE_S
+        rate = REQUESTS_PER_S
+        if RUSH_FROM < part < RUSH_TO:
+            rate *= RUSH_FACTOR
+        delay = self.random.expovariate(rate)
+        self.fleet.clock.callLater(delay, self._arrive, trial)
+
+    def _arrive(self, trial: Trial) -> None:
+        self._plan_arrival(trial)
+        trial.request_times.append(self.fleet.now())
+        text = f"ticket {trial.workspace} {len(trial.request_times)}"
+        request = GenerationArrived(
+            "",
+            trial.workspace,
+            "counter",
+            text,
+            self.random.randint(*TOKENS),
+            True,
+            text,
+        )
+        caller = GenerationCaller(self.fleet.clock, self.fleet, request)
+        self.callers.append(caller)
+        caller.start_request()
+
+    def _plan_faults(self) -> None:
+        kinds = (
+            self._stop_store,
+            self._kill_engine,
+            self._freeze_entry,
+            self._lose_answers,
+            self._restart_entry,
+            self._cut_entry,
+        )
+        count = round(len(kinds) * self.options.faults)
+        for number in range(count):
+            at = self.random.uniform(0, MOVE_S * 0.8)
+            self.fleet.clock.callLater(at, kinds[number % len(kinds)])
+
+    def _stop_store(self) -> None:
+        self._set_outage(True)
+        delay = self.random.uniform(2.0, 6.0)
+        self.fleet.clock.callLater(delay, self._set_outage, False)
+
+    def _set_outage(self, outage: bool) -> None:
+        self.fleet.platform.outage = outage
+
+    def _lose_answers(self) -> None:
+        self.fleet.platform.lost_answer_share = 0.1
+
+    def _kill_engine(self) -> None:
+        engine = self.random.choice(list(self.fleet.engines.values()))
+        if engine.live:
+            engine.kill_engine()
+            delay = self.random.uniform(1.0, 4.0)
+            self.fleet.clock.callLater(delay, self._revive, engine.name)
+
+    def _revive(self, name: str) -> None:
+        """Starts an engine again with the versions that it first had."""
+        engine = self.fleet.engines[name]
+        if not engine.live:
+            engine.revive_engine(list(self.fleet.shape.versions))
+
+    def _freeze_entry(self) -> None:
+        name = self.fleet.choose_entry()
+        if name is not None:
+            self.fleet.freeze_process(name)
+            delay = self.random.uniform(1.0, 8.0)
+            self.fleet.clock.callLater(delay, self.fleet.thaw_process, name)
+
+    def _restart_entry(self) -> None:
+        name = self.fleet.choose_entry()
+        if name is not None and len(self.fleet.list_entries()) > 1:
+            self.fleet.kill_process(name)
+            delay = self.random.uniform(0.5, 3.0)
+            self.fleet.clock.callLater(delay, self._start_entry, name)
+
+    def _start_entry(self, name: str) -> None:
+        if name not in self.fleet.network.processes:
+            self.fleet.add_entry(name)
+            self._equip()
+
+    def _cut_entry(self) -> None:
+        """Cuts one entry off from the other entries."""
+        name = self.fleet.choose_entry()
+        if name is None:
+            return
+        others = [other for other in self.fleet.list_entries() if other != name]
+        for other in others:
+            self.fleet.network.cut_pair(name, other)
+        self.fleet.clock.callLater(self.random.uniform(2.0, 6.0), self._mend_all)
+
+    def _mend_all(self) -> None:
+        self.fleet.network.cut_pairs.clear()
+
+    def _end_faults(self) -> None:
+        self._set_outage(False)
+        self.fleet.platform.lost_answer_share = 0.0
+        self._mend_all()
+        for name in self.fleet.list_entries():
+            if self.fleet.network.processes[name].clock.frozen:
+                self.fleet.thaw_process(name)
+
+
+def make_wall_clock(offset_s: float) -> WallClock:
+    """Makes the wall clock of a process whose own clock has an offset."""
+    return WallClock(offset_s)
+
+
+@frozen
+class WallClock:
+    """Turns a process clock into seconds since the epoch."""
+
+    offset_s: float
+
+    def __call__(self, now: float) -> float:
+        """Reads the wall clock at a time of the process clock."""
+        return now - self.offset_s + EPOCH_S
+
+
+def make_template(trial: Trial, deadline: float | None) -> WorkspaceTemplate:
+    """Makes the template of a run's workspace, with its move if a deadline is set."""
+    old = VersionShare("v1", ("counter",), 1.0)
+    work = Work("generation", (old,), deadline_s=60.0)
+    if deadline is not None:
+        new = VersionShare(trial.badness.version, ("counter",), 0.0)
+        when = datetime.fromtimestamp(deadline, UTC)
+        move = Move(trial.badness.version, when, canary_cap=CANARY_CAP)
+        work = evolve(work, versions=(old, new), move=move)
+    return WorkspaceTemplate(trial.workspace, works={"counter": work})
+
+
+def make_scenario(seed: int, run: int, options: MeasureOptions) -> Scenario:
+    """Makes one run; kinds of badness take turns over the runs."""
+    random = Random(seed)
+    names = [f"club-{number}" for number in range(WORKSPACES_PER_RUN)]
+    shape = FleetShape(
+        entries=options.entries,
+        engines={"counter": ENGINES},
+        versions=("v1", *(f"v2-{name}" for name in names)),
+        capacity=ENGINE_STREAMS,
+    )
+    fleet = make_fleet(seed, shape, policy=make_policy(options))
+    for engine in fleet.engines.values():
+        engine.token_interval_s = TOKEN_INTERVAL_S
+    scenario = Scenario(fleet, random, options)
+    for number, name in enumerate(names):
+        kind = GOOD
+        if random.random() >= GOOD_SHARE:
+            kind = BAD_KINDS[(run * WORKSPACES_PER_RUN + number) % len(BAD_KINDS)]
+        part = random.uniform(LATER_FROM, LATER_TO)
+        badness = Badness(
+            kind=kind,
+            version=f"v2-{name}",
+            route=f"dc-{random.randrange(shape.data_centres)}",
+            begins_at=START_S + WARM_UP_S + part * MOVE_S,
+            fleet=fleet,
+            random=Random(random.getrandbits(32)),
+        )
+        scenario.trials.append(Trial(name, badness))
+    return scenario
+
+
+def make_policy(options: MeasureOptions) -> Policy:
+    """Makes the product's policy, or the plain alternative's."""
+    policy = Policy()
+    if options.baseline:
+        moves = evolve(policy.moves, plain_failures=PLAIN_FAILURES)
+        policy = evolve(policy, moves=moves)
+    return policy
+
+
+def run_moves(options: MeasureOptions) -> MovesReport:
+    """Runs all scenarios and adds their results up."""
+    scenarios = []
+    for run in range(options.runs):
+        scenario = make_scenario(options.seed * 1_000 + run, run, options)
+        scenario.run()
+        scenarios.append(scenario)
+    return make_report(scenarios)
+
+
+def make_report(scenarios: list[Scenario]) -> MovesReport:
+    """Adds the results of scenarios up."""
+    trials = [trial for item in scenarios for trial in item.trials]
+    good = [trial for trial in trials if trial.badness.is_good]
+    bad = [trial for trial in trials if not trial.badness.is_good]
+    shown = [trial for trial in bad if trial.badness.first_bad_at is not None]
+    early = [trial for trial in shown if trial.badness.kind not in (LATER, UNDER_LOAD)]
+    callers = [caller for item in scenarios for caller in item.callers]
+    spoilt = sum(is_bad for trial in bad for _, is_bad in trial.badness.starts)
+    return MovesReport(
+        good=len(good),
+        good_done_in_time=sum(trial.right and trial.in_time for trial in good),
+        good_taken_back=sum(is_taken_back(trial) for trial in good),
+        bad=len(bad),
+        bad_shown=len(shown),
+        bad_taken_back=sum(is_taken_back(trial) for trial in shown),
+        unreported=sum(is_unreported(trial) for trial in trials),
+        bad_share_max=max((trial.share_max for trial in early), default=0.0),
+        bad_share_seen_max=max(
+            (find_seen_share(trial) for trial in early), default=0.0
+        ),
+        bad_share_cap=CANARY_CAP,
+        bad_requests_share=find_share(spoilt, len(callers)),
+        trip_s=find_trips(shown),
+        requests=len(callers),
+        answered=sum(caller.finished_at is not None for caller in callers),
+        by_kind=make_kind_reports(trials),
+    )
+
+
+def is_taken_back(trial: Trial) -> bool:
+    """Tells whether a move was reported as taken back."""
+    return trial.row is not None and trial.row.state == MoveState.TAKEN_BACK
+
+
+def is_unreported(trial: Trial) -> bool:
+    """Tells whether an accepted move has no final state with a reason."""
+    if trial.apply is None or trial.apply.accepted is None:
+        return False
+    row = trial.row
+    return row is None or row.state not in ENDED or not row.reason
+
+
+def find_seen_share(trial: Trial) -> float:
+    """Finds the highest share of the version in any 100 requests of its workspace."""
+    starts = [at for at, _ in trial.badness.starts]
+    times = trial.request_times
+    highest = 0
+    for index in range(len(times) - SHARE_WINDOW):
+        first, last = times[index], times[index + SHARE_WINDOW]
+        within = bisect_left(starts, last) - bisect_left(starts, first)
+        highest = max(highest, within)
+    return highest / SHARE_WINDOW
+
+
+def find_trips(trials: list[Trial]) -> Quantiles:
+    """Finds the quantiles of the times to stop new requests on bad versions."""
+    return find_quantiles(
+        [trial.trip_s for trial in trials if trial.trip_s is not None]
+    )
+
+
+def make_kind_reports(trials: list[Trial]) -> dict[str, KindReport]:
+    """Adds the results up by kind of version."""
+    reports = {}
+    for kind in (GOOD, *BAD_KINDS):
+        chosen = [trial for trial in trials if trial.badness.kind == kind]
+        shown = [
+            trial
+            for trial in chosen
+            if trial.badness.is_good or trial.badness.first_bad_at is not None
+        ]
+        right = sum(trial.right for trial in shown)
+        reports[kind] = KindReport(len(shown), right, find_trips(shown))
+    return reports
