Apply both workspaces' templates in the embedded deployment

Cause: `dev` started without configuration. Change: it applies a template for each of the two workspaces through its first entry and prints the addresses once every entry has both.

--- a/src/magnoliahold/development.py
+++ b/src/magnoliahold/development/deployment.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from importlib.resources import files
 from random import Random
 from secrets import token_hex
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 
+from magnoliahold.core.administration import TemplateApplied
 from magnoliahold.daemon import run_until_stopped, stop_reactor
 from magnoliahold.entry.daemon import make_entry
 from magnoliahold.logs import configure_logging
@@ -26,6 +28,7 @@
 from magnoliahold.standins.platform import make_platform
 from magnoliahold.standins.server import serve_resource
 from magnoliahold.standins.service import ServiceSettings, make_service
+from magnoliahold.templates import encode_template, parse_template
 
 if TYPE_CHECKING:
     from magnoliahold.daemon import Daemon
@@ -79,12 +82,15 @@
             stop_reactor(self.reactor)
 
     def is_ready(self) -> bool:
-        """Whether every entry can use every upstream."""
-        expected = len(self.sidecars)
-        return all(
-            sum(peer.usable for peer in entry.node.world.peers.list_by_role("sidecar"))
-            == expected
-            for entry in self.entries
+        """Whether every entry can use every upstream and has every workspace."""
+        return all(self._is_entry_ready(entry) for entry in self.entries)
+
+    def _is_entry_ready(self, entry: Daemon) -> bool:
+        world = entry.node.world
+        usable = [peer for peer in world.peers.list_by_role("sidecar") if peer.usable]
+        workspaces = world.workspaces.workspaces
+        return len(usable) == len(self.sidecars) and len(workspaces) == len(
+            self.credentials
         )
 
 
@@ -110,6 +116,18 @@
     return deployment
 
 
+def apply_templates(deployment: Deployment) -> None:
+    """Applies the templates of both workspaces through the first entry."""
+    for workspace in deployment.credentials:
+        path = files("magnoliahold.development") / f"{workspace}.yaml"
+        template = parse_template(path.read_text(encoding="utf-8"))
+        apply_id = token_hex(CREDENTIAL_BYTES)
+        event = TemplateApplied(
+            apply_id, workspace, encode_template(template), apply_id
+        )
+        deployment.entries[0].node.post_event(event)
+
+
 def _start_engine(deployment: Deployment, shape: EngineShape) -> None:
     settings = EngineSettings(name=shape.name, version=shape.version, role=shape.role)
     engine = make_engine(deployment.reactor, settings, Random())
@@ -220,6 +238,7 @@
 
     def start() -> list[Daemon]:
         deployment = start_deployment(reactor)
+        apply_templates(deployment)
         _print_when_ready(deployment)
         daemons = [*deployment.entries, *deployment.sidecars]
         if duration_s is not None:
