Load versions by placement rows and orders with fencing numbers

Nothing loaded a new version: moves ran only where it was there already. Each upstream has a row, written by compare-and-set; its version is the fencing number of the orders, which only the sidecar gives. Entries learn the row that a sidecar follows from its heartbeat, so nothing is scanned; a sidecar reads its engine's state back and orders the next difference, whatever the engine made of earlier orders. Few upstreams load at once, and a stage needs enough of them.

--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -206,7 +206,8 @@
     result on (`total_evidence`), or since the score last fell to zero
     (`recent_evidence`); single routes, upstreams and loads need `slice_evidence` more.
     No stage grows above `doubt_evidence`. `probation_part` and `reserve_part` are parts
-    of the time up to the deadline. During probation the old version keeps
+    of the time up to the deadline, and `end_margin` the part before it at which a move
+    ends in any case. During probation the old version keeps
     `control_share`, so that there is something to compare with. The plain alternative
     judges by a count of `plain_failures` instead; 0 turns it off.
     """
@@ -217,7 +218,9 @@
     probation_part: float = field(default=0.25, validator=gt(0))
     reserve_part: float = field(default=0.15, validator=gt(0))
     control_share: float = field(default=0.05, validator=gt(0))
-    answered_per_stage: int = _count(8)
+    answered_in_canary: int = _count(12)
+    answered_per_stage: int = _count(6)
+    end_margin: float = field(default=0.02, validator=gt(0))
     answered_per_route: int = _count(3)
     route_share_min: float = field(default=0.05, validator=gt(0))
     gap_window_tokens: int = _count(4)
@@ -231,10 +234,21 @@
     total_evidence: float = field(default=5.3, validator=gt(0))
     recent_evidence: float = field(default=11.0, validator=gt(0))
     slice_evidence: float = field(default=2.5, validator=gt(0))
-    doubt_evidence: float = field(default=3.0, validator=gt(0))
+    doubt_evidence: float = field(default=1.0, validator=gt(0))
     plain_failures: int = 0
 
 
+@frozen
+class PlacementPolicy:
+    """Loading of versions; a few upstreams of a move at once."""
+
+    interval_s: float = _seconds(0.5)
+    loads_at_once: int = _count(2)
+    read_back_s: float = _seconds(0.5)
+    order_retry_s: float = _seconds(1.0)
+    unload_s: float = _seconds(5.0)
+
+
 @frozen
 class Policy:
     """All limits and intervals of one process."""
@@ -250,3 +264,4 @@
     drain: DrainPolicy = field(factory=DrainPolicy)
     configuration: ConfigurationPolicy = field(factory=ConfigurationPolicy)
     moves: MovePolicy = field(factory=MovePolicy)
+    placement: PlacementPolicy = field(factory=PlacementPolicy)
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -266,6 +266,7 @@
 @make_report.register(SidecarWorld)
 def _make_sidecar_report(world: SidecarWorld) -> UpstreamReport | None:
     upstream = world.upstream
+    placement = world.orders.placement
     return UpstreamReport(
         name=upstream.name,
         kind=upstream.kind,
@@ -279,6 +280,8 @@
         capacity=upstream.capacity,
         checks_fencing=upstream.checks_fencing,
         suspects=_count_suspects(world),
+        placed=placement.versions if placement else (),
+        placement=placement.fencing if placement else 0,
     )
 
 
--- a/src/magnoliahold/core/systems/moves.py
+++ b/src/magnoliahold/core/systems/moves.py
@@ -68,7 +68,8 @@
     if suspended is not None:
         return _take_back(row, suspended.reason)
     wall_now = world.wall_clock(now)
-    if wall_now >= row.deadline:
+    margin_s = world.policy.moves.end_margin * (row.deadline - row.began)
+    if wall_now >= row.deadline - margin_s:
         return _end_at_deadline(world, row)
     if row.state == MoveState.PROBATION:
         return _end_probation(world, active, move, now)
@@ -130,7 +131,7 @@
     judgement = world.judgements.get(row.move)
     if judgement is None:
         return False
-    enough = policy.answered_per_stage * (row.stage + 1)
+    enough = policy.answered_in_canary + policy.answered_per_stage * row.stage
     unsuspected = judgement.suspicion < policy.doubt_evidence
     covered = judgement.covers_routes(policy)
     return judgement.answered >= enough and unsuspected and covered
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -15,6 +15,7 @@
 from magnoliahold.core.generations import GenerationTable
 from magnoliahold.core.moves import MoveTable
 from magnoliahold.core.peers import PeerTable
+from magnoliahold.core.placement import OrderTable, PlacementTable
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.quarantine import SuspicionTable
 from magnoliahold.core.runs import RunTable
@@ -79,6 +80,7 @@
     configuration: ConfigurationTable = field(factory=ConfigurationTable)
     moves: MoveTable = field(factory=MoveTable)
     judgements: dict[str, Judgement] = field(factory=dict)
+    placement: PlacementTable = field(factory=PlacementTable)
 
 
 @define(kw_only=True)
@@ -87,6 +89,7 @@
 
     upstream: Upstream
     evidence: EvidenceTable = field(factory=EvidenceTable)
+    orders: OrderTable = field(factory=OrderTable)
     owners: OwnerTable = field(factory=OwnerTable)
     streams: StreamTable = field(factory=StreamTable)
     runs: RunTable = field(factory=RunTable)
--- a/src/magnoliahold/measure/configuration.py
+++ b/src/magnoliahold/measure/configuration.py
@@ -275,7 +275,7 @@
 def make_template(workspace: str, number: int) -> WorkspaceTemplate:
     """Makes a small template; `number` tells it from others."""
     share = VersionShare("v1", ("draft",), 1.0)
-    work = Work("generation", (share,), deadline_s=600.0)
+    work = Work((share,), deadline_s=600.0)
     return WorkspaceTemplate(
         workspace, works={"listing": work}, parameters={"n": number}
     )
--- a/src/magnoliahold/measure/moves.py
+++ b/src/magnoliahold/measure/moves.py
@@ -10,6 +10,7 @@
 from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.configuration import WORKSPACES, decode_row
+from magnoliahold.core.effects import SendOrder
 from magnoliahold.core.events import GenerationArrived
 from magnoliahold.core.moves import ENDED, MoveState, find_latest
 from magnoliahold.core.policy import Policy
@@ -44,6 +45,7 @@
 ENGINES = 4
 ENGINE_STREAMS = 8
 TOKEN_INTERVAL_S = 0.05
+OBEYING_SHARE = 0.5
 START_S = 2.0
 WARM_UP_S = 5.0
 MOVE_S = 40.0
@@ -233,6 +235,7 @@
             self._lose_answers,
             self._restart_entry,
             self._cut_entry,
+            self._send_stale_order,
         )
         count = round(len(kinds) * self.options.faults)
         for number in range(count):
@@ -282,6 +285,13 @@
             self.fleet.add_entry(name)
             self._equip()
 
+    def _send_stale_order(self) -> None:
+        """Gives an engine an order that was on the way for long."""
+        engine = self.random.choice(list(self.fleet.engines.values()))
+        version = self.random.choice(engine.versions)
+        if engine.live:
+            engine.send_order(SendOrder("stale", "unload_version", version, 0))
+
     def _cut_entry(self) -> None:
         """Cuts one entry off from the other entries."""
         name = self.fleet.choose_entry()
@@ -323,7 +333,7 @@
 def make_template(trial: Trial, deadline: float | None) -> WorkspaceTemplate:
     """Makes the template of a run's workspace, with its move if a deadline is set."""
     old = VersionShare("v1", ("counter",), 1.0)
-    work = Work("generation", (old,), deadline_s=60.0)
+    work = Work((old,), deadline_s=60.0)
     if deadline is not None:
         new = VersionShare(trial.badness.version, ("counter",), 0.0)
         when = datetime.fromtimestamp(deadline, UTC)
@@ -339,12 +349,12 @@
     shape = FleetShape(
         entries=options.entries,
         engines={"counter": ENGINES},
-        versions=("v1", *(f"v2-{name}" for name in names)),
         capacity=ENGINE_STREAMS,
     )
     fleet = make_fleet(seed, shape, policy=make_policy(options))
     for engine in fleet.engines.values():
         engine.token_interval_s = TOKEN_INTERVAL_S
+        engine.obeys_fencing = random.random() < OBEYING_SHARE
     scenario = Scenario(fleet, random, options)
     for number, name in enumerate(names):
         kind = GOOD
