Check rows, shares and suspensions after every tick

Versions and changes of a workspace only rise, a move's new version never gets more than its row's share nor a canary more than its cap, no generation starts on a suspended version, and an ended move has a reason.

--- a/src/magnoliahold/core/invariants.py
+++ b/src/magnoliahold/core/invariants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.generations import GenerationState
+from magnoliahold.core.move_checks import find_rollout_violations
 from magnoliahold.core.runs import RunState
 from magnoliahold.core.worlds import EntryWorld, SidecarWorld
 
@@ -38,6 +39,7 @@
 def _find_entry_violations(world: EntryWorld) -> Iterator[str]:
     yield from world.breaches
     yield from _find_call_violations(world.calls)
+    yield from find_rollout_violations(world)
     for generation in world.generations.by_request.values():
         yield from _find_generation_violations(world.generations, generation)
 
--- a/src/magnoliahold/core/moves.py
+++ b/src/magnoliahold/core/moves.py
@@ -61,12 +61,13 @@
 
     `positions` holds for each work a number from 0 to 1; see `pick_version`.
     `suspended` is never cleared while this process runs, so that no late row undoes a
-    suspension.
+    suspension. `suspended_at` has the times of those whose move has not ended.
     """
 
     active: dict[str, ActiveMove] = field(factory=dict)
     positions: dict[tuple[str, str], float] = field(factory=dict)
     suspended: dict[str, SuspendVersion] = field(factory=dict)
+    suspended_at: dict[str, float] = field(factory=dict)
 
 
 def plan_moves(
@@ -161,6 +162,7 @@
         known = active.get(move.move)
         if move.state in ENDED:
             active.pop(move.move, None)
+            world.moves.suspended_at.pop(move.move, None)
         elif known is None or known.row != move:
             active[move.move] = ActiveMove(row.workspace, move, now)
     names = {move.move for move in row.moves}
--- a/src/magnoliahold/core/systems/judgement.py
+++ b/src/magnoliahold/core/systems/judgement.py
@@ -29,7 +29,7 @@
             del world.judgements[name]
             continue
         judgement.close_window(now, rule, world.policy.moves)
-        _suspend_failed(world, active, judgement)
+        _suspend_failed(world, active, judgement, now)
 
 
 def _take_evidence(
@@ -81,17 +81,19 @@
 
 
 def _suspend_failed(
-    world: EntryWorld, active: ActiveMove, judgement: Judgement
+    world: EntryWorld, active: ActiveMove, judgement: Judgement, now: float
 ) -> None:
     verdict = judgement.verdict
     plain_limit = world.policy.moves.plain_failures
     if plain_limit:
         verdict = "too many failures" if judgement.failed >= plain_limit else ""
     if verdict:
-        suspend_version(world, active, verdict)
+        suspend_version(world, active, verdict, now)
 
 
-def suspend_version(world: EntryWorld, active: ActiveMove, reason: str) -> None:
+def suspend_version(
+    world: EntryWorld, active: ActiveMove, reason: str, now: float
+) -> None:
     """Stops new work on a move's new version at once and tells every entry."""
     row = active.row
     if row.move in world.moves.suspended:
@@ -100,6 +102,7 @@
         active.workspace, row.work, row.to_version, row.move, reason
     )
     world.moves.suspended[row.move] = notice
+    world.moves.suspended_at[row.move] = now
     for peer in world.peers.list_by_role("entry"):
         world.emit(SendMessage(peer.name, notice))
     world.emit(CountMetric("versions_suspended"))
@@ -117,14 +120,17 @@
 def learn_suspensions(world: EntryWorld, now: float) -> None:
     """Takes suspensions that other entries tell at once or on heartbeats."""
     for received in world.inbox.read_messages(SuspendVersion):
-        _learn(world, received.message)
+        _learn(world, received.message, now)
     for heartbeat in world.inbox.read_messages(Heartbeat):
         for notice in heartbeat.message.suspended:
-            _learn(world, notice)
+            _learn(world, notice, now)
 
 
-def _learn(world: EntryWorld, notice: SuspendVersion) -> None:
-    world.moves.suspended.setdefault(notice.move, notice)
+def _learn(world: EntryWorld, notice: SuspendVersion, now: float) -> None:
+    if notice.move not in world.moves.suspended:
+        world.moves.suspended[notice.move] = notice
+        if notice.move in world.moves.active:
+            world.moves.suspended_at[notice.move] = now
 
 
 def list_suspended(world: EntryWorld) -> tuple[SuspendVersion, ...]:
--- a/src/magnoliahold/core/systems/spread.py
+++ b/src/magnoliahold/core/systems/spread.py
@@ -42,6 +42,9 @@
         return False
     if known is None or known.version != row.version:
         table.in_force_since[row.workspace] = now
+    change, version = table.highest.get(row.workspace, (0, 0))
+    table.highest[row.workspace] = (max(change, row.change), max(version, row.version))
+    table.touched.add(row.workspace)
     table.rows[row.workspace] = row
     table.workspaces[row.workspace] = compile_workspace(row)
     index_moves(world, row, now)
@@ -58,6 +61,7 @@
 
 def receive_configurations(world: EntryWorld, now: float) -> None:
     """Takes pushed rows and answers peers that ask for rows."""
+    world.workspaces.touched.clear()
     for pushed in world.inbox.read_messages(ConfigurationPush):
         message = pushed.message
         for row in message.rows:
--- a/src/magnoliahold/core/workspaces.py
+++ b/src/magnoliahold/core/workspaces.py
@@ -82,7 +82,8 @@
 
     `head` is the change-log number up to which every change is known here. `rows`
     holds the accepted rows, kept so that neighbours can be brought up, and `ahead` the
-    changes above the head that are known already.
+    changes above the head that are known already. `highest` keeps the highest change
+    and version of each row for the checks, and `touched` the rows of this tick.
     """
 
     workspaces: dict[str, Workspace] = field(factory=dict)
@@ -90,6 +91,8 @@
     head: int = 0
     rows: dict[str, WorkspaceRow] = field(factory=dict)
     ahead: set[int] = field(factory=set)
+    highest: dict[str, tuple[int, int]] = field(factory=dict)
+    touched: set[str] = field(factory=set)
 
     def find_work(self, workspace: str, work: str) -> WorkRule | None:
         """Finds a work of a workspace, or None when either is unknown."""
