Test each fault of a stream alone, and lose refused peers at once

Found and mended: a second LinkBroke was ignored, so that a refused connection waited for the patience of a broken link.

--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -196,11 +196,17 @@
 
 
 def _note_broken_links(world: World, now: float) -> None:
+    """Asks over a new connection; one that is refused or reset too shows a death."""
     for event in world.inbox.read_events(LinkBroke):
         peer = world.peers.peers.get(event.peer)
-        if peer is not None and not peer.lost and peer.broken_at is None:
+        if peer is None or peer.lost:
+            continue
+        if peer.broken_at is None:
             peer.broken_at = now
             replace_link(world, peer, now)
+        else:
+            peer.broken_at = None
+            _lose_peer(world, peer, "connection refused")
 
 
 def replace_link(world: World, peer: Peer, now: float) -> None:
--- a/src/magnoliahold/measure/fakes/network.py
+++ b/src/magnoliahold/measure/fakes/network.py
@@ -73,6 +73,7 @@
     connections: dict[tuple[str, str], Connection] = field(factory=dict)
     routes: dict[tuple[str, str], Connection] = field(factory=dict)
     cut_pairs: set[frozenset[str]] = field(factory=set)
+    dropping: dict[type, int] = field(factory=dict)
     messages: int = 0
     next_number: int = 0
 
@@ -156,6 +157,8 @@
                 connection.greeting = (header, message)
             return False
         self.messages += 1
+        if self._drops(message):
+            return True
         header = evolve(header, link_number=connection.number)
         at = self._time_arrival(connection, receiver)
         if self.random.random() >= self.shape.lost_share:
@@ -165,6 +168,12 @@
             )
         return True
 
+    def _drops(self, message: Message) -> bool:
+        """Loses as many messages of a class as were asked for in `dropping`."""
+        left = self.dropping.get(type(message), 0)
+        self.dropping[type(message)] = max(0, left - 1)
+        return left > 0
+
     def _time_arrival(self, connection: Connection, receiver: str) -> float:
         shape = self.shape
         delay = shape.delay_s + self.random.uniform(0, shape.jitter_s)
