Queue generations fairly, refuse early and keep slots for resumed work

Cause: every arrival was started at once, however full the upstreams were; a queue grew at the engines, where no fairness, patience or deadline is known. Change: bounded queues by workspace with start-time fair queueing on the expected cost, interactive before batch with a share owed to batch, batch by its latest start, limits of the template divided between live entries, refusals from the measured drain rate, a budget of retries; an entry fills free slots by reports corrected with its own starts and ends; prompt prefixes go to one upstream within a bound on load.

--- /dev/null
+++ b/src/magnoliahold/core/admission.py
@@ -0,0 +1,288 @@
+"""Queues of generations that wait for a slot, fair between workspaces."""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heapify, heappop, heappush
+from math import exp
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+from attrs import define, field
+
+from magnoliahold.core.generations import GenerationState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.core.generations import Generation
+
+WorkKey: TypeAlias = "tuple[str, str]"
+PoolKey: TypeAlias = "tuple[str, ...]"
+
+PROMPT_CHARACTERS_PER_UNIT = 80
+RATE_MEMORY_S = 10.0
+RATE_PRIOR_S = 0.5
+
+
+class Waiting(Protocol):
+    """Order of the waiting generations of one workspace in one class."""
+
+    def add_generation(self, generation: Generation) -> None:
+        """Adds a generation."""
+
+    def list_in_order(self) -> list[Generation]:
+        """Lists the generations that still wait, first the one to start first."""
+
+    def peek_first(self) -> Generation | None:
+        """Finds the first generation that still waits, or None."""
+
+
+def is_waiting(generation: Generation) -> bool:
+    """Tells whether a queued generation still waits; queues drop others lazily."""
+    queued = generation.state is GenerationState.QUEUED
+    return queued and generation.index is not None
+
+
+def find_cost(generation: Generation) -> float:
+    """Computes the expected cost of a generation in output tokens.
+
+    A prompt token costs a small part of an output token, because prompts are computed
+    in parallel.
+    """
+    request = generation.request
+    return request.max_tokens + len(request.prompt) / PROMPT_CHARACTERS_PER_UNIT
+
+
+@define
+class ArrivalOrder:
+    """Waiting interactive generations in order of arrival."""
+
+    items: deque[Generation] = field(factory=deque)
+
+    def add_generation(self, generation: Generation) -> None:
+        """Adds a generation at the end."""
+        self.items.append(generation)
+
+    def list_in_order(self) -> list[Generation]:
+        """Lists the generations that still wait."""
+        self.items = deque(item for item in self.items if is_waiting(item))
+        return list(self.items)
+
+    def peek_first(self) -> Generation | None:
+        """Finds the oldest generation that still waits."""
+        while self.items and not is_waiting(self.items[0]):
+            self.items.popleft()
+        return self.items[0] if self.items else None
+
+
+@define
+class DeadlineOrder:
+    """Waiting batch generations by the latest time at which they can start."""
+
+    items: list[tuple[float, int, Generation]] = field(factory=list)
+    serial: int = 0
+
+    def add_generation(self, generation: Generation) -> None:
+        """Adds a generation in the order of its latest start."""
+        self.serial += 1
+        heappush(self.items, (generation.start_by, self.serial, generation))
+
+    def list_in_order(self) -> list[Generation]:
+        """Lists the generations that still wait."""
+        self.items = [item for item in self.items if is_waiting(item[2])]
+        heapify(self.items)
+        return [item[2] for item in sorted(self.items, key=lambda item: item[:2])]
+
+    def peek_first(self) -> Generation | None:
+        """Finds the generation that must start first of those that still wait."""
+        while self.items and not is_waiting(self.items[0][2]):
+            heappop(self.items)
+        return self.items[0][2] if self.items else None
+
+
+@define
+class Flow:
+    """The waiting generations of one workspace in one class, by work.
+
+    `finish_tag` is the virtual time at which its last start is paid for, `backlog` the
+    cost that waits, as of the last review with later arrivals and starts.
+    """
+
+    works: dict[str, Waiting] = field(factory=dict)
+    finish_tag: float = 0.0
+    backlog: float = 0.0
+
+    def list_heads(self) -> list[Generation]:
+        """Lists the first waiting generation of each work, the most urgent first."""
+        heads = [waiting.peek_first() for waiting in self.works.values()]
+        found = [head for head in heads if head is not None]
+        found.sort(key=lambda item: item.start_by)
+        return found
+
+    def list_waiting(self) -> list[Generation]:
+        """Lists all waiting generations, the most urgent first."""
+        found: list[Generation] = []
+        for waiting in self.works.values():
+            found.extend(waiting.list_in_order())
+        found.sort(key=lambda item: item.start_by)
+        return found
+
+
+@define
+class DrainRate:
+    """Cost that is started per second while others wait, with a fading memory."""
+
+    cost: float = 0.0
+    seconds: float = 0.0
+
+    def add_period(self, cost: float, seconds: float) -> None:
+        """Adds what was started in a period in which others waited all the time."""
+        kept = exp(-seconds / RATE_MEMORY_S)
+        self.cost = self.cost * kept + cost
+        self.seconds = self.seconds * kept + seconds
+
+    def find_rate(self, expected: float) -> float:
+        """Finds the rate; `expected` stands in for what was not measured yet."""
+        cost = self.cost + expected * RATE_PRIOR_S
+        return cost / (self.seconds + RATE_PRIOR_S)
+
+
+@define
+class ClassQueue:
+    """Flows of one class, served by start-time fair queueing on the expected cost.
+
+    An idle workspace earns no credit, and a slot is never left free while any waits.
+    """
+
+    make_waiting: Callable[[], Waiting]
+    flows: dict[str, Flow] = field(factory=dict)
+    virtual_time: float = 0.0
+    rate: DrainRate = field(factory=DrainRate)
+    started_cost: float = 0.0
+    waited_since: float | None = None
+
+    def add_generation(self, generation: Generation) -> None:
+        """Queues a generation in the flow of its workspace."""
+        flow = self.flows.setdefault(generation.request.workspace, Flow())
+        work = generation.request.work
+        if work not in flow.works:
+            flow.works[work] = self.make_waiting()
+        flow.works[work].add_generation(generation)
+        flow.backlog += find_cost(generation)
+
+    def order_flows(self) -> list[Flow]:
+        """Lists the flows that wait by the start tag of their next generation."""
+        ordered = []
+        for name, flow in list(self.flows.items()):
+            if flow.list_heads():
+                start_tag = max(self.virtual_time, flow.finish_tag)
+                ordered.append((start_tag, name, flow))
+            elif flow.finish_tag <= self.virtual_time:
+                del self.flows[name]
+            else:
+                flow.backlog = 0.0
+        ordered.sort(key=lambda item: item[:2])
+        return [flow for _, _, flow in ordered]
+
+    def pay_start(self, generation: Generation) -> None:
+        """Charges a start to the flow of its workspace."""
+        flow = self.flows[generation.request.workspace]
+        start_tag = max(self.virtual_time, flow.finish_tag)
+        cost = find_cost(generation)
+        flow.finish_tag = start_tag + cost
+        flow.backlog = max(0.0, flow.backlog - cost)
+        self.virtual_time = start_tag
+        self.started_cost += cost
+
+    def is_empty(self) -> bool:
+        """Tells whether nothing waits."""
+        return not any(flow.list_heads() for flow in self.flows.values())
+
+    def measure_rate(self, now: float) -> None:
+        """Measures the drain rate over the time in which some waited throughout."""
+        if self.waited_since is not None:
+            self.rate.add_period(self.started_cost, now - self.waited_since)
+        self.started_cost = 0.0
+        self.waited_since = None if self.is_empty() else now
+
+    def find_flow_rate(self, expected: float, workspace: str) -> float:
+        """Finds the cost per second that one workspace's flow gets."""
+        waiting = {name for name, flow in self.flows.items() if flow.list_heads()}
+        waiting.add(workspace)
+        return self.rate.find_rate(expected) / len(waiting)
+
+
+@define
+class PoolQueue:
+    """Waiting generations for one set of upstreams.
+
+    Interactive generations go first, except that batch is owed `batch_share` of the
+    cost started while both wait. `batch_credit` is the cost that it is owed.
+    """
+
+    interactive: ClassQueue = field(factory=lambda: ClassQueue(ArrivalOrder))
+    batch: ClassQueue = field(factory=lambda: ClassQueue(DeadlineOrder))
+    batch_credit: float = 0.0
+    reviewed_at: float = 0.0
+    unserved_since: float | None = None
+
+    def find_class(self, generation: Generation) -> ClassQueue:
+        """Finds the queue of a generation's class."""
+        return self.interactive if generation.interactive else self.batch
+
+    def order_classes(self) -> tuple[ClassQueue, ClassQueue]:
+        """Orders the classes: interactive first unless batch is owed a start."""
+        if self.batch_credit > 0:
+            return (self.batch, self.interactive)
+        return (self.interactive, self.batch)
+
+    def pay_start(self, generation: Generation, batch_share: float) -> None:
+        """Charges a start to its workspace and to the balance of the classes."""
+        cost = find_cost(generation)
+        self.find_class(generation).pay_start(generation)
+        if not generation.interactive:
+            self.batch_credit = max(0.0, self.batch_credit - cost)
+        elif not self.batch.is_empty():
+            self.batch_credit += cost * batch_share / (1 - batch_share)
+
+    def is_empty(self) -> bool:
+        """Tells whether nothing waits."""
+        return self.interactive.is_empty() and self.batch.is_empty()
+
+
+@define
+class TokenBucket:
+    """Allows `rate` per second and short bursts."""
+
+    tokens: float
+    filled_at: float
+
+    def take_token(self, rate: float, burst: float, now: float) -> bool:
+        """Takes one token, or returns false when there is none."""
+        grown = self.tokens + (now - self.filled_at) * rate
+        self.tokens = min(burst, grown)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def find_wait_s(self, rate: float) -> float:
+        """Finds the seconds until the next token is there."""
+        return max(0.0, 1 - self.tokens) / rate
+
+
+@define
+class AdmissionTable:
+    """Queues by pool, rate limits by work, and the budget of retries."""
+
+    pools: dict[PoolKey, PoolQueue] = field(factory=dict)
+    buckets: dict[WorkKey, TokenBucket] = field(factory=dict)
+    retry_tokens: float | None = None
+
+    def find_pool(self, key: PoolKey) -> PoolQueue:
+        """Finds the queue of a pool, and makes it when it is new."""
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = PoolQueue()
+        return pool
--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -74,8 +74,9 @@
     the caller has, and `opening` the first that it was given. `lost_at` is when the
     last token before a loss was accepted and is None unless the generation is being
     resumed. `heard_at` is when anything of the current attempt was last heard or it was
-    started, and `asks` how often it was asked after since. Times are on this process's
-    clock.
+    started, and `asks` how often it was asked after since. A queued generation that has
+    not begun at `start_by` is given up; `paid_failures` are the failures that the
+    budget of retries has allowed. Times are on this process's clock.
     """
 
     request: GenerationArrived
@@ -110,6 +111,8 @@
     attempt_offset: int = 0
     caller_paused: bool = False
     refused_upstreams: int = 0
+    start_by: float = 0.0
+    paid_failures: int = 0
     index: StateIndex | None = field(default=None, repr=False, eq=False)
 
     @property
--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.admission import TokenBucket, find_cost
 from magnoliahold.core.effects import RefuseRequest
 from magnoliahold.core.events import GenerationArrived
 from magnoliahold.core.generations import Generation, GenerationState
+from magnoliahold.core.systems.capacity import count_entries, count_slots
+from magnoliahold.core.systems.limits import has_running_slot
+from magnoliahold.core.systems.refusals import give_up_generation, refuse_arrival
+from magnoliahold.core.systems.routing import route_generation
 from magnoliahold.core.systems.suspects import refuse_quarantined
 
 if TYPE_CHECKING:
+    from magnoliahold.core.admission import Flow, PoolKey, PoolQueue
+    from magnoliahold.core.workspaces import WorkRule
     from magnoliahold.core.worlds import EntryWorld
 
+MIN_SHARE_OF_DEADLINE = 0.5
+
 
 def queue_generations(world: EntryWorld, now: float) -> None:
     """Puts arrived generations in the queue of their workspace."""
@@ -34,18 +44,241 @@
         return
     if refuse_quarantined(world, request.request_id, request.fingerprint, now):
         return
-    generation = Generation(
+    generation = make_generation(world, request, rule, now)
+    refusal_code, retry_s = find_refusal(world, generation, rule, now)
+    if refusal_code:
+        refuse_arrival(world, request, refusal_code, retry_s)
+        return
+    world.generations.add_generation(generation)
+    pool = world.admission.find_pool(find_pool_key(rule))
+    pool.find_class(generation).add_generation(generation)
+
+
+def make_generation(
+    world: EntryWorld, request: GenerationArrived, rule: WorkRule, now: float
+) -> Generation:
+    """Builds a generation with the latest time at which it can begin."""
+    policy = world.policy.admission
+    if rule.interactive:
+        patience_s = min(policy.interactive_patience_s, rule.deadline_s)
+    else:
+        left_s = rule.deadline_s - request.max_tokens * policy.token_gap_s
+        patience_s = max(left_s, rule.deadline_s * MIN_SHARE_OF_DEADLINE)
+    return Generation(
         request=request,
         lineage=world.make_id("lineage"),
         arrived_at=now,
         deadline_at=now + rule.deadline_s,
         interactive=rule.interactive,
         priority=rule.priority,
+        start_by=now + patience_s,
     )
-    world.generations.add_generation(generation)
+
+
+def find_pool_key(rule: WorkRule) -> PoolKey:
+    """Names the pool of a work by the upstreams of all its versions."""
+    names = {name for share in rule.versions for name in share.upstreams}
+    return tuple(sorted(names))
+
+
+def find_refusal(
+    world: EntryWorld, generation: Generation, rule: WorkRule, now: float
+) -> tuple[str, float]:
+    """Finds why a new generation can't be queued and when to come back, or ("", 0)."""
+    policy = world.policy.admission
+    pool = world.admission.find_pool(find_pool_key(rule))
+    unserved_s = now - (now if pool.unserved_since is None else pool.unserved_since)
+    if unserved_s >= policy.unserved_grace_s:
+        return ("no_upstream", policy.unserved_grace_s)
+    wait_s = predict_wait_s(world, pool, generation, rule)
+    if _is_queue_full(world, generation, rule):
+        return ("queue_full", wait_s)
+    if wait_s > generation.start_by - now:
+        return ("overloaded", wait_s)
+    return _find_rate_refusal(world, generation, rule, now)
+
+
+def _is_queue_full(world: EntryWorld, generation: Generation, rule: WorkRule) -> bool:
+    table = world.generations
+    queued = table.count_in_state(GenerationState.QUEUED, generation.key)
+    if queued >= -(-rule.max_queued // count_entries(world)):
+        return True
+    total = len(table.index.members.get(GenerationState.QUEUED, {}))
+    return total >= world.policy.admission.max_queued
+
+
+def _find_rate_refusal(
+    world: EntryWorld, generation: Generation, rule: WorkRule, now: float
+) -> tuple[str, float]:
+    if rule.requests_per_s <= 0:
+        return ("", 0.0)
+    rate = rule.requests_per_s / count_entries(world)
+    burst = max(1.0, rate * world.policy.admission.burst_s)
+    buckets = world.admission.buckets
+    bucket = buckets.setdefault(generation.key, TokenBucket(burst, now))
+    if bucket.take_token(rate, burst, now):
+        return ("", 0.0)
+    return ("rate_limited", bucket.find_wait_s(rate))
+
+
+def predict_wait_s(
+    world: EntryWorld, pool: PoolQueue, generation: Generation, rule: WorkRule
+) -> float:
+    """Predicts the seconds until a new generation begins, from the drain rate."""
+    queue = pool.find_class(generation)
+    flow = queue.flows.get(generation.request.workspace)
+    if flow is None or not flow.list_heads():
+        return 0.0
+    if generation.interactive:
+        ahead = flow.backlog
+    else:
+        waiting = flow.list_waiting()
+        urgent = [item for item in waiting if item.start_by <= generation.start_by]
+        ahead = sum(find_cost(item) for item in urgent)
+    expected = find_expected_rate(world, find_pool_key(rule))
+    rate = queue.find_flow_rate(expected, generation.request.workspace)
+    return ahead / rate if rate > 0 else inf
+
+
+def find_expected_rate(world: EntryWorld, key: PoolKey) -> float:
+    """Computes the cost per second that this entry's part of a pool should drain."""
+    slots = count_slots(world, key) / count_entries(world)
+    return slots / world.policy.admission.token_gap_s
 
 
 def admit_generations(world: EntryWorld, now: float) -> None:
-    """Makes queued generations ready for an upstream."""
-    for generation in world.generations.list_in_state(GenerationState.QUEUED):
-        generation.state = GenerationState.READY
+    """Starts queued generations while there are slots, and gives up late ones."""
+    for key, pool in list(world.admission.pools.items()):
+        if pool.is_empty():
+            if pool.unserved_since is not None:
+                _note_unserved(world, key, pool, now)
+            pool.interactive.measure_rate(now)
+            pool.batch.measure_rate(now)
+            continue
+        _note_unserved(world, key, pool, now)
+        give_up_late(world, pool, now)
+        start_waiting(world, pool, now)
+        review_waiting(world, key, pool, now)
+
+
+def _note_unserved(
+    world: EntryWorld, key: PoolKey, pool: PoolQueue, now: float
+) -> None:
+    """Gives up all that waits for a pool without upstreams, after a grace."""
+    if count_slots(world, key):
+        pool.unserved_since = None
+        return
+    if pool.unserved_since is None:
+        pool.unserved_since = now
+    grace_s = world.policy.admission.unserved_grace_s
+    if now - pool.unserved_since < grace_s:
+        return
+    for queue in (pool.interactive, pool.batch):
+        for flow in queue.flows.values():
+            for generation in flow.list_waiting():
+                give_up_generation(world, generation, "no_upstream", grace_s)
+
+
+def give_up_late(world: EntryWorld, pool: PoolQueue, now: float) -> None:
+    """Gives up generations whose latest start has passed."""
+    for queue in (pool.interactive, pool.batch):
+        for flow in queue.flows.values():
+            late = [head for head in flow.list_heads() if head.start_by <= now]
+            while late:
+                for generation in late:
+                    give_up_generation(world, generation, "overloaded", 0.0)
+                late = [head for head in flow.list_heads() if head.start_by <= now]
+
+
+def start_waiting(world: EntryWorld, pool: PoolQueue, now: float) -> None:
+    """Starts waiting generations in the order of the queues while there is room."""
+    entries = count_entries(world)
+    while _start_next(world, pool, entries, now):
+        continue
+    pool.interactive.measure_rate(now)
+    pool.batch.measure_rate(now)
+
+
+def _start_next(world: EntryWorld, pool: PoolQueue, entries: int, now: float) -> bool:
+    for queue in pool.order_classes():
+        for flow in queue.order_flows():
+            generation = _start_head(world, flow, entries, now)
+            if generation is not None:
+                pool.pay_start(generation, world.policy.admission.batch_share)
+                _earn_retries(world)
+                return True
+    return False
+
+
+def _start_head(
+    world: EntryWorld, flow: Flow, entries: int, now: float
+) -> Generation | None:
+    for head in flow.list_heads():
+        rule = world.workspaces.find_work(*head.key)
+        if rule is None or not has_running_slot(world, head, rule, entries):
+            continue
+        if route_generation(world, head, now):
+            return head
+    return None
+
+
+def review_waiting(
+    world: EntryWorld, key: PoolKey, pool: PoolQueue, now: float
+) -> None:
+    """Gives up early what the drain rate says can't begin in time."""
+    policy = world.policy.admission
+    if now - pool.reviewed_at < policy.review_s:
+        return
+    pool.reviewed_at = now
+    expected = find_expected_rate(world, key)
+    for queue in (pool.interactive, pool.batch):
+        for name, flow in queue.flows.items():
+            rate = queue.find_flow_rate(expected, name)
+            _review_flow(world, flow, rate, now)
+
+
+def _review_flow(world: EntryWorld, flow: Flow, rate: float, now: float) -> None:
+    ahead = 0.0
+    for generation in flow.list_waiting():
+        wait_s = ahead / rate if rate > 0 else 0.0
+        left_s = generation.start_by - now
+        if wait_s > left_s * world.policy.admission.doubt:
+            give_up_generation(world, generation, "overloaded", wait_s)
+        else:
+            ahead += find_cost(generation)
+    flow.backlog = ahead
+
+
+def _earn_retries(world: EntryWorld) -> None:
+    policy = world.policy.admission
+    known = world.admission.retry_tokens
+    tokens = policy.retry_burst if known is None else known
+    world.admission.retry_tokens = min(policy.retry_burst, tokens + policy.retry_share)
+
+
+def end_exhausted(world: EntryWorld, now: float) -> None:
+    """Ends generations that failed too often or found no upstream in time."""
+    policy = world.policy.admission
+    for generation in world.generations.list_in_state(GenerationState.READY):
+        lost_at = generation.lost_at if generation.lost_at is not None else now
+        if generation.failures > generation.paid_failures:
+            if not _pay_retry(world, generation):
+                give_up_generation(world, generation, "attempts_used_up", 1.0)
+        elif now - max(lost_at, generation.started_at) >= policy.resume_patience_s:
+            give_up_generation(world, generation, "resume_failed", 1.0)
+
+
+def _pay_retry(world: EntryWorld, generation: Generation) -> bool:
+    """Pays for a retry; false when the attempts or the budget are used up."""
+    policy = world.policy.admission
+    generation.paid_failures = generation.failures
+    if generation.failures >= policy.max_attempts:
+        return False
+    if generation.failures <= policy.free_failures:
+        return True
+    known = world.admission.retry_tokens
+    tokens = policy.retry_burst if known is None else known
+    if tokens < 1:
+        return False
+    world.admission.retry_tokens = tokens - 1
+    return True
--- /dev/null
+++ b/src/magnoliahold/core/systems/capacity.py
@@ -0,0 +1,78 @@
+"""Measures the load and the free slots of upstreams between their reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from magnoliahold.core.generations import Generation
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import EntryWorld
+
+
+def count_entries(world: EntryWorld) -> int:
+    """Counts the live entries, with this one."""
+    others = world.peers.list_by_role("entry")
+    return 1 + sum(not peer.lost for peer in others)
+
+
+def estimate_running(peer: Peer) -> int:
+    """Estimates the work at an upstream: its last report and our changes since."""
+    if peer.report is None:
+        return peer.assigned
+    return max(peer.report.running + _count_changes(peer), peer.assigned, 0)
+
+
+def _count_changes(peer: Peer) -> int:
+    """Counts the starts less the ends of our own work since the last report."""
+    return peer.assigned - peer.assigned_reported
+
+
+def measure_load(peer: Peer) -> float:
+    """Measures the work per slot of an upstream."""
+    if peer.report is None:
+        return 1.0
+    return estimate_running(peer) / max(peer.report.capacity, 1)
+
+
+def find_limit(world: EntryWorld, peer: Peer, generation: Generation) -> float:
+    """Finds the slots of an upstream that new work of a class may fill."""
+    capacity = peer.report.capacity if peer.report else 1
+    if generation.interactive:
+        return capacity
+    reserved = capacity * world.policy.routing.reserved_share
+    return max(1.0, capacity - reserved)
+
+
+def has_room(
+    world: EntryWorld, peer: Peer, generation: Generation, entries: int
+) -> bool:
+    """Tells whether an upstream has a slot for one more new generation of ours.
+
+    Other entries fill the same slots unseen until the next report, so that each takes
+    only its part of the free ones. A slot that our own work freed is ours to fill.
+    """
+    policy = world.policy.routing
+    report = peer.report
+    if report is None:
+        return False
+    limit = find_limit(world, peer, generation)
+    running = estimate_running(peer)
+    if running + 1 <= report.capacity * policy.crowded_share:
+        return True
+    if peer.assigned + 1 <= limit / entries:
+        return running + 1 <= limit * policy.overfull_share
+    free = max(0.0, limit - report.running)
+    return running + 1 <= limit and _count_changes(peer) < max(free / entries, 0.5)
+
+
+def count_slots(world: EntryWorld, upstreams: tuple[str, ...]) -> int:
+    """Counts the slots of the usable upstreams of a pool."""
+    slots = 0
+    for peer in world.peers.list_by_role("sidecar"):
+        report = peer.report
+        if report is None or not peer.usable or report.kind != "engine":
+            continue
+        if report.name in upstreams or report.role in upstreams:
+            slots += report.capacity
+    return slots
--- /dev/null
+++ b/src/magnoliahold/core/systems/limits.py
@@ -0,0 +1,53 @@
+"""Divides the limits of a template between the live entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from magnoliahold.core.generations import GenerationState
+
+if TYPE_CHECKING:
+    from magnoliahold.core.generations import Generation
+    from magnoliahold.core.workspaces import WorkRule
+    from magnoliahold.core.worlds import EntryWorld
+
+HOLDING_STATES = (
+    GenerationState.RUNNING,
+    GenerationState.READY,
+    GenerationState.TAKING,
+)
+
+
+def count_running(world: EntryWorld, key: tuple[str, str]) -> int:
+    """Counts the generations of a work that this entry has begun."""
+    table = world.generations
+    return sum(table.count_in_state(state, key) for state in HOLDING_STATES)
+
+
+def find_part(world: EntryWorld, key: tuple[str, str], limit: int, entries: int) -> int:
+    """Finds this entry's part of a limit; the parts of all entries add up to it.
+
+    What can't be divided goes to the entries that come first by rendezvous hashing, so
+    that works with small limits are spread over the entries.
+    """
+    part, rest = divmod(limit, entries)
+    if not rest:
+        return part
+    names = [peer.name for peer in world.peers.list_by_role("entry") if not peer.lost]
+    names.append(world.identity.name)
+    names.sort(
+        key=lambda name: xxhash.xxh64_intdigest("\0".join((*key, name)).encode())
+    )
+    return part + (names.index(world.identity.name) < rest)
+
+
+def has_running_slot(
+    world: EntryWorld, generation: Generation, rule: WorkRule, entries: int
+) -> bool:
+    """Tells whether the template lets this entry begin one more of a work."""
+    running = count_running(world, generation.key)
+    if running >= rule.max_running:
+        return False
+    return running < find_part(world, generation.key, rule.max_running, entries)
--- /dev/null
+++ b/src/magnoliahold/core/systems/prefixes.py
@@ -0,0 +1,41 @@
+"""Prefers the upstream that holds a prompt's leading block in its cache."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.prefixes import hash_prefix, rank_upstream
+from magnoliahold.core.systems.capacity import measure_load
+
+if TYPE_CHECKING:
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import EntryWorld
+
+
+def find_near_upstream(
+    world: EntryWorld, prompt: str, version: str, candidates: list[Peer]
+) -> Peer | None:
+    """Finds the upstream that all entries send a prefix to, unless it is busy.
+
+    The candidates are tried in the order of rendezvous hashing; the first whose load
+    with one more is within the bound takes it. A prefix seen for the first time here
+    goes by load.
+    """
+    policy = world.policy.routing
+    prefix = hash_prefix(version, prompt, policy.prefix_characters)
+    if not prefix or not world.prefixes.note_prefix(prefix, policy.known_prefixes):
+        return None
+    loads = {peer.name: measure_load(peer) for peer in candidates}
+    mean = sum(loads.values()) / len(loads)
+    for peer in rank_candidates(prefix, candidates):
+        slot = 1 / max(peer.report.capacity if peer.report else 1, 1)
+        if loads[peer.name] <= mean * policy.affinity_bound + slot:
+            return peer
+    return None
+
+
+def rank_candidates(prefix: str, candidates: list[Peer]) -> list[Peer]:
+    """Orders candidates by rendezvous hashing, the preferred one first."""
+    return sorted(
+        candidates, key=lambda peer: rank_upstream(prefix, peer.name), reverse=True
+    )
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -7,6 +7,8 @@
 from magnoliahold.core.effects import SendMessage
 from magnoliahold.core.generations import GenerationState
 from magnoliahold.core.moves import find_active_move, pick_version
+from magnoliahold.core.systems.capacity import count_entries, has_room, measure_load
+from magnoliahold.core.systems.prefixes import find_near_upstream
 from magnoliahold.core.systems.suspects import is_suspect, spread_suspect
 from magnoliahold.wire.messages import StartStream
 
@@ -20,26 +22,29 @@
 
 
 def route_generations(world: EntryWorld, now: float) -> None:
-    """Starts every ready generation on an upstream, resumed ones first."""
-    ready = world.generations.list_in_state(GenerationState.READY)
-    ready.sort(key=lambda item: item.lost_at is None)
-    for generation in ready:
+    """Continues every generation that lost its attempt; none waits for new work."""
+    for generation in world.generations.list_in_state(GenerationState.READY):
         route_generation(world, generation, now)
 
 
 def route_generation(world: EntryWorld, generation: Generation, now: float) -> bool:
-    """Starts one generation; returns false when no upstream can take it."""
+    """Starts one generation; returns false when no upstream can take it.
+
+    New work needs a free slot; resumed work goes first at the engine, full or not.
+    """
     share = choose_version(world, generation)
     if share is None:
         return False
     candidates = find_candidates(world, generation, share)
-    if not candidates:
-        return False
     generation.suspect = is_suspect(world, generation.request.fingerprint)
     if generation.suspect:
         candidates = spread_suspect(world, generation.request.fingerprint, candidates)
-    peer = choose_upstream(world, candidates)
-    start_attempt(world, generation, peer, share.version, now)
+    if generation.state is GenerationState.QUEUED:
+        candidates = find_with_room(world, generation, candidates)
+    if not candidates:
+        return False
+    peer, reason = choose_upstream(world, generation, share.version, candidates)
+    start_attempt(world, generation, peer, share.version, reason, now)
     return True
 
 
@@ -48,10 +53,12 @@
     rule = world.workspaces.find_work(*generation.key)
     if rule is None:
         return None
-    if generation.tokens:
-        shares = [item for item in rule.versions if item.version == generation.version]
-        return shares[0] if shares else None
-    return pick_version(world, *generation.key)
+    if not generation.tokens:
+        return pick_version(world, *generation.key)
+    shares = [item for item in rule.versions if item.version == generation.version]
+    if shares:
+        return shares[0]
+    return pick_version(world, *generation.key) if rule.cross_version_resume else None
 
 
 def find_candidates(
@@ -70,22 +77,28 @@
     return fresh or candidates
 
 
-def choose_upstream(world: EntryWorld, candidates: list[Peer]) -> Peer:
-    """Chooses the candidate with the lowest load for its capacity."""
+def find_with_room(
+    world: EntryWorld, generation: Generation, candidates: list[Peer]
+) -> list[Peer]:
+    """Finds the candidates that have a slot for new work."""
+    entries = count_entries(world)
+    return [peer for peer in candidates if has_room(world, peer, generation, entries)]
 
-    def rank(peer: Peer) -> tuple[float, float]:
-        return (measure_load(peer), world.random.random())
 
-    return min(candidates, key=rank)
+def choose_upstream(
+    world: EntryWorld, generation: Generation, version: str, candidates: list[Peer]
+) -> tuple[Peer, str]:
+    """Chooses by prompt prefix within a bound on load, or by the lowest load."""
+    near = find_near_upstream(world, generation.request.prompt, version, candidates)
+    if near is not None and not generation.suspect:
+        return near, "prompt prefix"
 
+    def rank(peer: Peer) -> tuple[float, float]:
+        far = peer.data_centre != world.identity.data_centre
+        load = measure_load(peer) + far * world.policy.routing.near_gain
+        return (load, world.random.random())
 
-def measure_load(peer: Peer) -> float:
-    """Measures work per slot: the upstream's report and what we sent since."""
-    report = peer.report
-    if report is None:
-        return 1.0
-    running = report.running + max(0, peer.assigned - peer.assigned_reported)
-    return max(running, peer.assigned) / max(report.capacity, 1)
+    return min(candidates, key=rank), "lowest load"
 
 
 def choose_priority(generation: Generation) -> int:
@@ -96,7 +109,12 @@
 
 
 def start_attempt(
-    world: EntryWorld, generation: Generation, peer: Peer, version: str, now: float
+    world: EntryWorld,
+    generation: Generation,
+    peer: Peer,
+    version: str,
+    reason: str,
+    now: float,
 ) -> None:
     """Sends a new attempt of a generation to a sidecar."""
     if peer.leaving_since is not None:
@@ -145,7 +163,7 @@
         attempt=generation.attempt,
         offset=len(generation.tokens),
         load=round(measure_load(peer), 3),
-        reason="lowest load",
+        reason=reason,
     )
 
 
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from magnoliahold.core.admission import AdmissionTable
 from magnoliahold.core.calls import CallTable
 from magnoliahold.core.claims import ClaimTable
 from magnoliahold.core.configuration import ConfigurationTable
@@ -17,6 +18,7 @@
 from magnoliahold.core.peers import PeerTable
 from magnoliahold.core.placement import OrderTable, PlacementTable
 from magnoliahold.core.policy import Policy
+from magnoliahold.core.prefixes import PrefixTable
 from magnoliahold.core.quarantine import SuspicionTable
 from magnoliahold.core.runs import RunTable
 from magnoliahold.core.streams import OwnerTable, StreamTable
@@ -74,6 +76,8 @@
     """Tables of an entry."""
 
     generations: GenerationTable = field(factory=GenerationTable)
+    admission: AdmissionTable = field(factory=AdmissionTable)
+    prefixes: PrefixTable = field(factory=PrefixTable)
     calls: CallTable = field(factory=CallTable)
     claims: ClaimTable = field(factory=ClaimTable)
     suspicions: SuspicionTable = field(factory=SuspicionTable)
