--- /dev/null
+++ b/src/magnoliahold/measure/capacity/__init__.py
@@ -0,0 +1,7 @@
+"""Measures what one token, decision, change, heartbeat and table row cost."""
+
+from __future__ import annotations
+
+from magnoliahold.measure.capacity.report import CapacityReport, run_capacity
+
+__all__ = ["CapacityReport", "run_capacity"]
--- /dev/null
+++ b/src/magnoliahold/measure/capacity/rows.py
@@ -0,0 +1,100 @@
+"""Costs of workspace configurations: a change, a start, and the rows themselves."""
+
+from __future__ import annotations
+
+from random import Random
+from time import perf_counter
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from magnoliahold.core.configuration import WORKSPACES, decode_row, encode_row
+from magnoliahold.core.systems.spread import install_row
+from magnoliahold.measure.capacity.fits import time_steps
+from magnoliahold.measure.capacity.nodes import make_capacity_node
+from magnoliahold.platform.interfaces import Row
+from magnoliahold.templates import (
+    Service,
+    VersionShare,
+    Work,
+    WorkspaceTemplate,
+    encode_template,
+)
+from magnoliahold.wire.messages import WorkspaceRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliahold.core.worlds import EntryWorld
+
+CHANGES_TIMED = 20
+ORDER_SEED = 1
+
+
+def make_row(number: int, version: int = 1, change: int | None = None) -> WorkspaceRow:
+    """Makes the accepted row of a workspace with two works and one service."""
+    name = f"workspace-{number}"
+    works = {
+        "listing": Work((VersionShare("v1", ("draft",), 1.0),), deadline_s=600.0),
+        "lookup": Work((VersionShare("v1", ("desk",), 1.0),), deadline_s=60.0),
+    }
+    services = {"order-desk": Service(("order-desk",), ("GET /lookup/*",))}
+    template = WorkspaceTemplate(
+        name, works=works, services=services, parameters={"version": version}
+    )
+    number_of_change = number + 1 if change is None else change
+    return WorkspaceRow(name, version, number_of_change, encode_template(template))
+
+
+def make_stored_rows(count: int) -> list[Row]:
+    """Makes the stored rows of workspaces whose last changes are in any order."""
+    changes = list(range(1, count + 1))
+    Random(ORDER_SEED).shuffle(changes)
+    rows = (make_row(number, 1, change) for number, change in enumerate(changes))
+    return [Row(WORKSPACES, row.workspace, 1, encode_row(row)) for row in rows]
+
+
+def fill_workspaces(world: EntryWorld, count: int) -> None:
+    """Puts the rows of workspaces in force in the order of their changes."""
+    for number in range(count):
+        install_row(world, make_row(number), 0.0)
+    world.workspaces.touched.clear()
+
+
+def time_change(workspaces: int) -> float:
+    """Times one accepted change of one workspace, from its stored bytes."""
+    world = make_capacity_node(10).world
+    fill_workspaces(world, workspaces)
+    rows = _make_changes(workspaces)
+
+    def install_next() -> None:
+        install_row(world, decode_row(next(rows)), 1.0)
+
+    return time_steps(install_next, 5, CHANGES_TIMED)
+
+
+def _make_changes(workspaces: int) -> Iterator[Row]:
+    for serial in range(1_000):
+        number = serial % workspaces
+        row = make_row(number, 2 + serial, workspaces + 1 + serial)
+        yield Row(WORKSPACES, row.workspace, 2, encode_row(row))
+
+
+def time_start(workspaces: int) -> float:
+    """Times the load of all workspaces at the start of a process."""
+    stored = make_stored_rows(workspaces)
+    world = make_capacity_node(10).world
+    started = perf_counter()
+    load_rows(world, stored)
+    return perf_counter() - started
+
+
+def load_rows(world: EntryWorld, stored: list[Row]) -> None:
+    """Puts stored rows in force as a starting process does."""
+    for row in stored:
+        install_row(world, decode_row(row), 0.0)
+
+
+def count_row_bytes() -> int:
+    """Counts the bytes of one stored row."""
+    return len(encode_row(evolve(make_row(1), revision=2)))
