--- a/src/magnoliahold/core/admission.py
+++ b/src/magnoliahold/core/admission.py
@@ -22,6 +22,7 @@
 PROMPT_CHARACTERS_PER_UNIT = 80
 RATE_MEMORY_S = 10.0
 RATE_PRIOR_S = 0.5
+MIN_BATCH_PART = 0.1
 
 
 class Waiting(Protocol):
@@ -152,14 +153,19 @@
     """Flows of one class, served by start-time fair queueing on the expected cost.
 
     An idle workspace earns no credit, and a slot is never left free while any waits.
+    `rate` is measured while some wait, `usage` always. `full` is set while no slot was
+    found and nothing has changed since.
     """
 
     make_waiting: Callable[[], Waiting]
     flows: dict[str, Flow] = field(factory=dict)
     virtual_time: float = 0.0
     rate: DrainRate = field(factory=DrainRate)
+    usage: DrainRate = field(factory=DrainRate)
     started_cost: float = 0.0
     waited_since: float | None = None
+    measured_at: float | None = None
+    full: bool = False
 
     def add_generation(self, generation: Generation) -> None:
         """Queues a generation in the flow of its workspace."""
@@ -200,9 +206,12 @@
 
     def measure_rate(self, now: float) -> None:
         """Measures the drain rate over the time in which some waited throughout."""
+        if self.measured_at is not None:
+            self.usage.add_period(self.started_cost, now - self.measured_at)
         if self.waited_since is not None:
             self.rate.add_period(self.started_cost, now - self.waited_since)
         self.started_cost = 0.0
+        self.measured_at = now
         self.waited_since = None if self.is_empty() else now
 
     def find_flow_rate(self, expected: float, workspace: str) -> float:
@@ -224,17 +233,34 @@
     batch: ClassQueue = field(factory=lambda: ClassQueue(DeadlineOrder))
     batch_credit: float = 0.0
     reviewed_at: float = 0.0
+    checked_at: float = 0.0
     unserved_since: float | None = None
 
     def find_class(self, generation: Generation) -> ClassQueue:
         """Finds the queue of a generation's class."""
         return self.interactive if generation.interactive else self.batch
 
-    def order_classes(self) -> tuple[ClassQueue, ClassQueue]:
-        """Orders the classes: interactive first unless batch is owed a start."""
+    def order_classes(self) -> list[ClassQueue]:
+        """Orders the classes that may have room: interactive unless batch is owed."""
+        ordered = [self.interactive, self.batch]
         if self.batch_credit > 0:
-            return (self.batch, self.interactive)
-        return (self.interactive, self.batch)
+            ordered.reverse()
+        return [queue for queue in ordered if not queue.full]
+
+    def clear_full(self) -> None:
+        """Lets both classes look for slots again."""
+        self.interactive.full = False
+        self.batch.full = False
+
+    def find_expected_rate(self, queue: ClassQueue, pool_rate: float) -> float:
+        """Computes the rate that a class should drain at, before it is measured.
+
+        Batch gets what interactive work leaves, and at least the part it is owed.
+        """
+        if queue is self.interactive:
+            return pool_rate
+        left = pool_rate - self.interactive.usage.find_rate(0.0)
+        return max(left, pool_rate * MIN_BATCH_PART)
 
     def pay_start(self, generation: Generation, batch_share: float) -> None:
         """Charges a start to its workspace and to the balance of the classes."""
@@ -274,11 +300,15 @@
 
 @define
 class AdmissionTable:
-    """Queues by pool, rate limits by work, and the budget of retries."""
+    """Queues by pool, rate limits by work, and the budget of retries.
+
+    `slots_freed` tells that work of ours ended since slots were last looked for.
+    """
 
     pools: dict[PoolKey, PoolQueue] = field(factory=dict)
     buckets: dict[WorkKey, TokenBucket] = field(factory=dict)
     retry_tokens: float | None = None
+    slots_freed: bool = False
 
     def find_pool(self, key: PoolKey) -> PoolQueue:
         """Finds the queue of a pool, and makes it when it is new."""
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -60,7 +60,8 @@
 class AdmissionPolicy:
     """Queues and refusals.
 
-    Interactive generations that can't begin within their patience are refused. Batch
+    Interactive generations that can't begin within their patience are refused, and so
+    are arrivals whose predicted wait is over `queued_part` of what they may wait. Batch
     is owed `batch_share` of the cost started while interactive work waits too. A
     waiting generation is given up early when its predicted wait is `doubt` times what
     it has left. The first `free_failures` of a generation are retried for nothing;
@@ -68,7 +69,8 @@
     """
 
     max_queued: int = _count(2000)
-    interactive_patience_s: float = _seconds(2.0)
+    interactive_patience_s: float = _seconds(1.0)
+    queued_part: float = field(default=0.7, validator=gt(0))
     batch_share: float = field(default=0.1, validator=gt(0))
     token_gap_s: float = _seconds(0.05)
     review_s: float = _seconds(0.25)
@@ -204,7 +206,8 @@
 
     Evidence is measured as the natural logarithm of a likelihood ratio: from the first
     result on (`total_evidence`), or since the score last fell to zero
-    (`recent_evidence`); single routes, upstreams and loads need `slice_evidence` more.
+    (`recent_evidence`); single routes, and upstreams need
+    `slice_evidence` more, busy upstreams `busy_evidence`.
     No stage grows above `doubt_evidence`. `probation_part` and `reserve_part` are parts
     of the time up to the deadline, and `end_margin` the part before it at which a move
     ends in any case. During probation the old version keeps
@@ -234,6 +237,7 @@
     total_evidence: float = field(default=5.3, validator=gt(0))
     recent_evidence: float = field(default=11.0, validator=gt(0))
     slice_evidence: float = field(default=2.5, validator=gt(0))
+    busy_evidence: float = field(default=0.7, validator=gt(0))
     doubt_evidence: float = field(default=1.0, validator=gt(0))
     plain_failures: int = 0
 
--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -14,6 +14,7 @@
 from magnoliahold.core.systems.refusals import give_up_generation, refuse_arrival
 from magnoliahold.core.systems.routing import route_generation
 from magnoliahold.core.systems.suspects import refuse_quarantined
+from magnoliahold.wire.messages import Heartbeat
 
 if TYPE_CHECKING:
     from magnoliahold.core.admission import Flow, PoolKey, PoolQueue
@@ -93,7 +94,7 @@
     wait_s = predict_wait_s(world, pool, generation, rule)
     if _is_queue_full(world, generation, rule):
         return ("queue_full", wait_s)
-    if wait_s > generation.start_by - now:
+    if wait_s > (generation.start_by - now) * policy.queued_part:
         return ("overloaded", wait_s)
     return _find_rate_refusal(world, generation, rule, now)
 
@@ -135,12 +136,13 @@
         waiting = flow.list_waiting()
         urgent = [item for item in waiting if item.start_by <= generation.start_by]
         ahead = sum(find_cost(item) for item in urgent)
-    expected = find_expected_rate(world, find_pool_key(rule))
+    pool_rate = find_pool_rate(world, find_pool_key(rule))
+    expected = pool.find_expected_rate(queue, pool_rate)
     rate = queue.find_flow_rate(expected, generation.request.workspace)
     return ahead / rate if rate > 0 else inf
 
 
-def find_expected_rate(world: EntryWorld, key: PoolKey) -> float:
+def find_pool_rate(world: EntryWorld, key: PoolKey) -> float:
     """Computes the cost per second that this entry's part of a pool should drain."""
     slots = count_slots(world, key) / count_entries(world)
     return slots / world.policy.admission.token_gap_s
@@ -148,17 +150,26 @@
 
 def admit_generations(world: EntryWorld, now: float) -> None:
     """Starts queued generations while there are slots, and gives up late ones."""
+    changed = world.admission.slots_freed or bool(world.inbox.read_messages(Heartbeat))
+    world.admission.slots_freed = False
     for key, pool in list(world.admission.pools.items()):
-        if pool.is_empty():
-            if pool.unserved_since is not None:
-                _note_unserved(world, key, pool, now)
-            pool.interactive.measure_rate(now)
-            pool.batch.measure_rate(now)
-            continue
-        _note_unserved(world, key, pool, now)
-        give_up_late(world, pool, now)
+        if changed:
+            pool.clear_full()
+        if now - pool.checked_at >= world.policy.tick_s:
+            pool.checked_at = now
+            pool.clear_full()
+            _check_pool(world, key, pool, now)
         start_waiting(world, pool, now)
+
+
+def _check_pool(world: EntryWorld, key: PoolKey, pool: PoolQueue, now: float) -> None:
+    if not pool.is_empty():
+        give_up_late(world, pool, now)
         review_waiting(world, key, pool, now)
+    if pool.unserved_since is not None or not pool.is_empty():
+        _note_unserved(world, key, pool, now)
+    pool.interactive.measure_rate(now)
+    pool.batch.measure_rate(now)
 
 
 def _note_unserved(
@@ -195,8 +206,6 @@
     entries = count_entries(world)
     while _start_next(world, pool, entries, now):
         continue
-    pool.interactive.measure_rate(now)
-    pool.batch.measure_rate(now)
 
 
 def _start_next(world: EntryWorld, pool: PoolQueue, entries: int, now: float) -> bool:
@@ -207,6 +216,7 @@
                 pool.pay_start(generation, world.policy.admission.batch_share)
                 _earn_retries(world)
                 return True
+            queue.full = True
     return False
 
 
@@ -230,8 +240,9 @@
     if now - pool.reviewed_at < policy.review_s:
         return
     pool.reviewed_at = now
-    expected = find_expected_rate(world, key)
+    pool_rate = find_pool_rate(world, key)
     for queue in (pool.interactive, pool.batch):
+        expected = pool.find_expected_rate(queue, pool_rate)
         for name, flow in queue.flows.items():
             rate = queue.find_flow_rate(expected, name)
             _review_flow(world, flow, rate, now)
--- a/src/magnoliahold/core/systems/capacity.py
+++ b/src/magnoliahold/core/systems/capacity.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     from magnoliahold.core.generations import Generation
     from magnoliahold.core.peers import Peer
@@ -35,13 +37,24 @@
     return estimate_running(peer) / max(peer.report.capacity, 1)
 
 
-def find_limit(world: EntryWorld, peer: Peer, generation: Generation) -> float:
+def find_limit(world: EntryWorld, peer: Peer, generation: Generation) -> int:
     """Finds the slots of an upstream that new work of a class may fill."""
     capacity = peer.report.capacity if peer.report else 1
     if generation.interactive:
         return capacity
-    reserved = capacity * world.policy.routing.reserved_share
-    return max(1.0, capacity - reserved)
+    reserved = count_reserved(peer, world.policy.routing.reserved_share)
+    return max(1, capacity - reserved)
+
+
+def count_reserved(peer: Peer, share: float) -> int:
+    """Counts the slots of an upstream that are kept for resumed work.
+
+    A part of a slot is kept as a whole one at that part of the upstreams, the same ones
+    for all entries.
+    """
+    slots, part = divmod((peer.report.capacity if peer.report else 1) * share, 1)
+    drawn = xxhash.xxh32_intdigest(peer.name.encode()) / (1 << 32)
+    return int(slots) + (drawn < part)
 
 
 def has_room(
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -172,4 +172,5 @@
     peer = world.peers.peers.get(generation.sidecar)
     if peer is not None and peer.assigned > 0:
         peer.assigned -= 1
+    world.admission.slots_freed = True
     generation.sidecar = ""
--- a/src/magnoliahold/measure/fakes/engine.py
+++ b/src/magnoliahold/measure/fakes/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -16,10 +17,10 @@
     UpstreamProbed,
 )
 from magnoliahold.standins.chain import make_first_token, make_next_token
+from magnoliahold.standins.prefix_cache import CacheEventLog, PrefixCache
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from random import Random
 
     from twisted.internet.task import Clock
 
@@ -27,6 +28,9 @@
 
 ANSWER_DELAY_S = 0.002
 CACHED_OUTPUTS = 256
+CACHED_PROMPT_TOKENS = 8_192
+CACHE_EVENT_LAG_S = 0.5
+CACHE_EVENT_LOSS = 0.02
 
 
 @define(eq=False)
@@ -83,8 +87,9 @@
 class FakeEngine:
     """Batches streams, one token each per interval, on the rig's clock.
 
-    Counts `prompt_tokens` and `output_tokens` computed and keeps `runs`; `cached`
-    prompts, and the latest outputs generated here, cost no prefill. Events go to
+    Counts `prompt_tokens` and `output_tokens` computed and keeps `runs`. Leading blocks
+    of prompts that are in the `prompt_cache`, of limited memory, and the latest outputs
+    generated here cost no prefill. The cache is made anew with the engine. Events go to
     `post`, which the rig points at the sidecar's node.
     """
 
@@ -110,12 +115,16 @@
     deaths: int = 0
     streams: dict[str, FakeStream] = field(factory=dict)
     waiting: list[effects.StartEngineStream] = field(factory=list)
-    cached: set[str] = field(factory=set)
+    prompt_cache: PrefixCache = field(init=False)
+    cache_events: CacheEventLog = field(init=False)
     cached_outputs: dict[str, list[str]] = field(factory=dict)
     runs: list[EngineRun] = field(factory=list)
     started_by_version: dict[str, list[float]] = field(factory=dict)
     _ticking: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        self._clear_prompt_cache()
+
     @property
     def incarnation(self) -> str:
         """Name of the engine's current start."""
@@ -178,8 +187,12 @@
         self.clock.callLater(delay, self._apply_order, effect, incarnation)
 
     def read_cache_events(self, after: int) -> None:
-        """Answers that there are no cache events."""
-        self._post_later(CacheEventsRead((), (), after, after))
+        """Answers with the cache events after a number: late, and with gaps."""
+        page = self.cache_events.read(after)
+        stored = tuple(item.prefix for item in page.events if item.kind == "stored")
+        evicted = tuple(item.prefix for item in page.events if item.kind == "evicted")
+        first = page.events[0].sequence if page.events else after
+        self._post_later(CacheEventsRead(stored, evicted, first, page.next))
 
     def kill_engine(self) -> None:
         """Dies: every connection is reset at once."""
@@ -191,7 +204,7 @@
         handles = [*self.streams, *(item.handle for item in self.waiting)]
         self.streams.clear()
         self.waiting.clear()
-        self.cached.clear()
+        self._clear_prompt_cache()
         self.cached_outputs.clear()
         for handle in handles:
             self._post_later(StreamBroke(handle, "engine_died"))
@@ -264,11 +277,10 @@
             self._prefill(effect)
 
     def _prefill(self, effect: effects.StartEngineStream) -> None:
-        words = len(effect.prompt.split())
+        words = effect.prompt.split()
         computed = self._count_uncached(effect)
-        if effect.prompt not in self.cached:
-            computed += words
-        self.cached.add(effect.prompt)
+        computed += len(words) - self.prompt_cache.count_cached_tokens(words)
+        self.prompt_cache.store(words)
         self.prompt_tokens += computed
         slow = self.faults.version_slowdown.get(effect.version, 1.0)
         slowdown = slow if self._is_bad(effect) else 1.0
@@ -284,6 +296,13 @@
                 delay_s = self.faults.poison_delays_s.get(text, self.poison_delay_s)
                 self.clock.callLater(delay_s, self._die_of, effect.handle, text)
 
+    def _clear_prompt_cache(self) -> None:
+        random = Random(f"{self.incarnation} cache events")
+        self.cache_events = CacheEventLog(
+            self.clock, random, CACHE_EVENT_LAG_S, CACHE_EVENT_LOSS
+        )
+        self.prompt_cache = PrefixCache(CACHED_PROMPT_TOKENS, self.cache_events)
+
     def _count_uncached(self, effect: effects.StartEngineStream) -> int:
         """Counts the tokens of a prefix that this engine has not generated itself."""
         if not effect.prefix:
