Load workspaces at a start without copying the known changes

Cause: raise_head rebuilt the set of changes beyond the head for each installed row. Rows of a start come in the order of their keys, so that most are beyond the head and the copies made a start quadratic. Ruled out: decoding, which is linear. Change: the set is rebuilt only when the head jumps, and changes are removed one by one as the head passes them. The new test fails on the old code.

--- a/src/magnoliahold/core/workspaces.py
+++ b/src/magnoliahold/core/workspaces.py
@@ -106,7 +106,9 @@
 
     def raise_head(self, head: int) -> None:
         """Moves the head on to `head`, and over the changes known beyond it."""
-        self.head = max(self.head, head)
+        if head > self.head:
+            self.head = head
+            self.ahead = {change for change in self.ahead if change > head}
         while self.head + 1 in self.ahead:
             self.head += 1
-        self.ahead = {change for change in self.ahead if change > self.head}
+            self.ahead.remove(self.head)
--- a/src/magnoliahold/measure/capacity/fits.py
+++ b/src/magnoliahold/measure/capacity/fits.py
@@ -4,7 +4,7 @@
 
 import gc
 from statistics import correlation, linear_regression
-from time import perf_counter
+from time import process_time
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -71,10 +71,10 @@
     gc.disable()
     try:
         for _ in range(repeats):
-            started = perf_counter()
+            started = process_time()
             for _ in range(steps):
                 step()
-            best = min(best, (perf_counter() - started) / steps)
+            best = min(best, (process_time() - started) / steps)
     finally:
         gc.enable()
     return best
--- a/src/magnoliahold/measure/capacity/rows.py
+++ b/src/magnoliahold/measure/capacity/rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from random import Random
-from time import perf_counter
+from time import process_time
 from typing import TYPE_CHECKING
 
 from attrs import evolve
@@ -84,9 +84,9 @@
     """Times the load of all workspaces at the start of a process."""
     stored = make_stored_rows(workspaces)
     world = make_capacity_node(10).world
-    started = perf_counter()
+    started = process_time()
     load_rows(world, stored)
-    return perf_counter() - started
+    return process_time() - started
 
 
 def load_rows(world: EntryWorld, stored: list[Row]) -> None:
--- /dev/null
+++ b/tests/core/test_workspaces.py
@@ -0,0 +1,32 @@
+"""Tests of the change-log head of the workspace table."""
+
+from __future__ import annotations
+
+import unittest
+
+from magnoliahold.core.workspaces import WorkspaceTable
+
+
+class RaiseHeadTests(unittest.TestCase):
+    """The head follows the changes known beyond it."""
+
+    def test_head_moves_over_known_changes(self) -> None:
+        cases = (
+            ("nothing known", set(), 0, 0, set()),
+            ("a gap stays", {2, 3}, 0, 0, {2, 3}),
+            ("the next ones", {1, 2, 4}, 0, 2, {4}),
+            ("a jump", {3, 5, 6, 9}, 4, 6, {9}),
+            ("a jump over all", {3, 5}, 7, 7, set()),
+        )
+        for name, ahead, to, head, left in cases:
+            with self.subTest(name):
+                table = WorkspaceTable(ahead=set(ahead))
+                table.raise_head(to)
+                self.assertEqual((table.head, table.ahead), (head, left))
+
+    def test_an_unmoved_head_copies_nothing(self) -> None:
+        """A start installs rows in any order; copies made it quadratic."""
+        ahead = {3, 5}
+        table = WorkspaceTable(ahead=ahead)
+        table.raise_head(0)
+        self.assertIs(table.ahead, ahead)
