--- /dev/null
+++ b/src/magnoliahold/measure/load/__init__.py
@@ -0,0 +1,8 @@
+"""Sends open-loop load at a running entry and checks every answer."""
+
+from __future__ import annotations
+
+from magnoliahold.measure.load.report import LoadReport
+from magnoliahold.measure.load.runs import run_load
+
+__all__ = ["LoadReport", "run_load"]
--- /dev/null
+++ b/src/magnoliahold/measure/load/mix.py
@@ -0,0 +1,88 @@
+"""Draws the times and kinds of requests: a show week seen from its order desk."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_REQUESTS = 10_000
+DAWN_START = 1 / 3
+DAWN_END = 2 / 3
+DAWN_FACTOR = 3.0
+GENERATION_PATH = "/v1/completions"
+
+
+@frozen
+class RequestKind:
+    """One kind of request.
+
+    `share` is its part of the arrivals outside dawn. Generations ask for a number of
+    tokens in `tokens` (none for calls) and get them as a stream or in one piece.
+    """
+
+    name: str
+    share: float
+    tokens: tuple[int, int] = (0, 0)
+    stream: bool = False
+    dawn_factor: float = 1.0
+
+
+KINDS = (
+    RequestKind("lookup", 0.30, dawn_factor=DAWN_FACTOR),
+    RequestKind("answer", 0.25, (10, 40), stream=True, dawn_factor=DAWN_FACTOR),
+    RequestKind("booking", 0.15),
+    RequestKind("draft", 0.20, (150, 400), stream=True),
+    RequestKind("report", 0.10, (200, 400)),
+)
+
+
+@frozen
+class PlannedRequest:
+    """One request: `at` is seconds from the start, `serial` its number."""
+
+    serial: int
+    at: float
+    kind: RequestKind
+    prompt: str
+    max_tokens: int
+
+
+def plan_requests(
+    seed: int, seconds: float, requests_per_s: float
+) -> Iterator[PlannedRequest]:
+    """Draws Poisson arrivals of each kind; at dawn lookups come more often.
+
+    Arrivals do not wait for answers, and their number is bounded.
+    """
+    random = Random(seed)
+    peak = requests_per_s * DAWN_FACTOR
+    at = 0.0
+    serial = 0
+    while serial < MAX_REQUESTS:
+        at += random.expovariate(peak)
+        if at >= seconds:
+            return
+        kind = random.choices(KINDS, [kind.share for kind in KINDS])[0]
+        if random.random() * DAWN_FACTOR >= find_factor(kind, at / seconds):
+            continue
+        yield _draw_request(random, serial, at, kind)
+        serial += 1
+
+
+def find_factor(kind: RequestKind, progress: float) -> float:
+    """Finds how many times its usual rate a kind has at a part of the run."""
+    return kind.dawn_factor if DAWN_START <= progress < DAWN_END else 1.0
+
+
+def _draw_request(
+    random: Random, serial: int, at: float, kind: RequestKind
+) -> PlannedRequest:
+    prompt = f"{kind.name} {serial} {random.getrandbits(64):x} " + "entry " * (
+        random.randint(5, 100)
+    )
+    return PlannedRequest(serial, at, kind, prompt, random.randint(*kind.tokens))
