Match repeatable calls by whole patterns and fail closed on defects

Cause: is_repeatable used fnmatch, whose * crosses slashes, so a call that may not be repeated could match a pattern; a port in use left a process hanging in its reactor; an exception in a system left its events to be applied again for ever, on half-changed tables; a process that stopped on a broken invariant exited 0. Ruled out: skipping the events of a broken tick and going on, since the tables can't be trusted then. Change: the template package's patterns decide; start-up failures end the process with one line; any exception in a tick stops it with exit code 70.

--- a/src/magnoliahold/core/systems/calls.py
+++ b/src/magnoliahold/core/systems/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from fnmatch import fnmatchcase
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.calls import Call, CallState
@@ -17,6 +16,7 @@
     send_call,
 )
 from magnoliahold.core.systems.suspects import is_suspect, refuse_quarantined
+from magnoliahold.templates.patterns import matches_pattern
 from magnoliahold.wire.messages import (
     CallAnswered,
     CallFailed,
@@ -57,8 +57,10 @@
 
 def is_repeatable(rule: ServiceRule, method: str, path: str) -> bool:
     """Tells whether the template allows a call to run more than once."""
-    line = f"{method} /{path.lstrip('/')}"
-    return any(fnmatchcase(line, pattern) for pattern in rule.repeatable)
+    full_path = f"/{path.lstrip('/')}"
+    return any(
+        matches_pattern(pattern, method, full_path) for pattern in rule.repeatable
+    )
 
 
 def route_calls(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -12,10 +12,11 @@
 from magnoliahold.core.identity import Identity
 from magnoliahold.core.peers import Peer
 from magnoliahold.core.systems.membership import add_peer
+from magnoliahold.errors import ProcessBrokenError
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import make_part_logger
 from magnoliahold.metrics import make_metrics
-from magnoliahold.node import Ports
+from magnoliahold.node import BROKEN_TABLES, Ports
 from magnoliahold.platform.instances import make_instance_client
 from magnoliahold.platform.tables import make_table_client
 from magnoliahold.wire.links import make_links
@@ -43,7 +44,8 @@
 class Daemon:
     """One process of the system in a reactor.
 
-    `on_stopped` is called with the reason when nothing is in flight any more.
+    `on_stopped` is called with the reason when nothing is in flight any more. `broken`
+    is set when it stopped because its tables can't be trusted.
     """
 
     reactor: Any
@@ -52,6 +54,7 @@
     links: ZmqLinks
     metrics: Metrics
     on_stopped: Callable[[str], None]
+    broken: bool = False
     listeners: list[Any] = field(factory=list)
     link_port: int = 0
 
@@ -89,6 +92,7 @@
     def stop(self, reason: str) -> None:
         """Closes all sockets and reports that the process has stopped."""
         logger.info("Process stops.", reason=reason)
+        self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         for listener in self.listeners:
             listener.stopListening()
@@ -137,8 +141,13 @@
 
 
 def run_until_stopped(reactor: Any, start: Callable[[], list[Daemon]]) -> None:
-    """Runs daemons until SIGTERM or SIGINT has drained them; a second one stops."""
+    """Runs daemons until SIGTERM or SIGINT has drained them; a second one stops.
+
+    Raises what `start` raised, and ProcessBrokenError when a daemon stopped because
+    its tables can't be trusted.
+    """
     daemons: list[Daemon] = []
+    failures: list[Exception] = []
 
     def take_signal(number: int, frame: object) -> None:
         name = signal.Signals(number).name
@@ -149,12 +158,20 @@
             reactor.callFromThread(item.leave, name)
 
     def start_daemons() -> None:
-        daemons.extend(start())
+        try:
+            daemons.extend(start())
+        except Exception as error:
+            failures.append(error)
+            reactor.stop()
 
     signal.signal(signal.SIGTERM, take_signal)
     signal.signal(signal.SIGINT, take_signal)
     reactor.callWhenRunning(start_daemons)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        raise failures[0]
+    if any(item.broken for item in daemons):
+        raise ProcessBrokenError
 
 
 def stop_reactor(reactor: Any) -> None:
--- a/src/magnoliahold/errors.py
+++ b/src/magnoliahold/errors.py
@@ -65,3 +65,15 @@
         )
         self.workspace = workspace
         self.current_version = current_version
+
+
+class ProcessBrokenError(MagnoliaholdError):
+    """A process stopped because its tables broke an invariant."""
+
+    exit_code = 70
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the process stopped because its tables broke an invariant; restart it "
+            "and report the log line that begins with 'invariant:'"
+        )
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -39,6 +39,8 @@
 
 logger = getLogger(__name__)
 
+BROKEN_TABLES = "tables are broken"
+
 DISPOSABLE_WHEN_EXPIRED = (StartStream, StartCall)
 
 
@@ -147,8 +149,8 @@
         started = self.clock.seconds()
         try:
             pending = run_systems(self.world, self.systems, started)
-        except InvariantViolated as violation:
-            self._close_after(violation)
+        except Exception as error:
+            self._close_after(error)
             return
         for effect in pending:
             perform_effect(effect, self)
@@ -172,14 +174,20 @@
         self._periodic_call = self.clock.callLater(interval, self._run_periodic_tick)
         self.run_tick()
 
-    def _close_after(self, violation: InvariantViolated) -> None:
-        """Stops the process: its tables can't be trusted any more."""
-        self.violations += 1
-        logger.critical("invariant: Tables are broken, stopping. %s", violation)
+    def _close_after(self, error: Exception) -> None:
+        """Stops the process: a tick that broke off leaves tables that can't be trusted.
+
+        Work in flight goes on elsewhere, as after any other loss of the process.
+        """
+        if isinstance(error, InvariantViolated):
+            self.violations += 1
+        logger.critical(
+            "invariant: Tables are broken, stopping. %s", error, exc_info=error
+        )
         self.stop_ticks()
         if self.raise_violations:
-            raise violation
-        self.ports.stop("invariant violated")
+            raise error
+        self.ports.stop(BROKEN_TABLES)
 
 
 def make_sender(header: Header) -> Sender:
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -6,7 +6,9 @@
 import errno
 import io
 import os
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +16,7 @@
 from pathlib import Path
 from unittest import mock
 
+import yaml
 from twisted.internet.error import CannotListenError
 from zmq import ZMQError
 
@@ -197,3 +200,44 @@
                 process.send_signal(signal.SIGTERM)
                 self.assertEqual(process.wait(timeout=10), 0)
                 process.stderr.close()
+
+
+class EntryCommandTests(unittest.TestCase):
+    """Runs an entry as a process of its own."""
+
+    def test_a_port_in_use_ends_the_process_in_one_line(self) -> None:
+        for key in ("caller_port", "operator_port", "link_port"):
+            with self.subTest(key), socket.socket() as taken:
+                taken.bind(("127.0.0.1", 0))
+                taken.listen()
+                done = self.run_entry(key, taken.getsockname()[1])
+                lines = done.stderr.splitlines()
+                self.assertEqual(done.returncode, 1)
+                self.assertIn("cannot listen", lines[-1])
+                self.assertNotIn("Traceback", done.stderr)
+
+    def run_entry(self, key: str, port: int) -> subprocess.CompletedProcess[str]:
+        settings = yaml.safe_load((EXAMPLES / "entry.yaml").read_text())
+        ports = ("caller_port", "operator_port", "link_port")
+        settings.update(zip(ports, find_free_ports(len(ports)), strict=True))
+        settings[key] = port
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "entry.yaml"
+            path.write_text(yaml.safe_dump(settings))
+            shutil.copytree(EXAMPLES / "credentials", path.parent / "credentials")
+            return subprocess.run(
+                [sys.executable, "-m", "magnoliahold", "entry", str(path)],
+                capture_output=True,
+                text=True,
+                timeout=20,
+                check=False,
+            )
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Finds TCP ports of loopback that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
