--- a/src/magnoliahold/core/admission.py
+++ b/src/magnoliahold/core/admission.py
@@ -271,6 +271,11 @@
         elif not self.batch.is_empty():
             self.batch_credit += cost * batch_share / (1 - batch_share)
 
+    def list_heads(self) -> list[Generation]:
+        """Lists the first waiting generation of each work of each workspace."""
+        flows = [*self.interactive.flows.values(), *self.batch.flows.values()]
+        return [head for flow in flows for head in flow.list_heads()]
+
     def is_empty(self) -> bool:
         """Tells whether nothing waits."""
         return self.interactive.is_empty() and self.batch.is_empty()
--- a/src/magnoliahold/core/invariants.py
+++ b/src/magnoliahold/core/invariants.py
@@ -39,11 +39,22 @@
 def _find_entry_violations(world: EntryWorld) -> Iterator[str]:
     yield from world.breaches
     yield from _find_call_violations(world.calls)
+    yield from _find_queue_violations(world)
     yield from find_rollout_violations(world)
     for generation in world.generations.by_request.values():
         yield from _find_generation_violations(world.generations, generation)
 
 
+def _find_queue_violations(world: EntryWorld) -> Iterator[str]:
+    queued = len(world.generations.index.members.get(GenerationState.QUEUED, {}))
+    if queued > world.policy.admission.max_queued:
+        yield f"{queued} generations are queued, more than the bound"
+    for pool in world.admission.pools.values():
+        for head in pool.list_heads():
+            if head.start_by < pool.checked_at:
+                yield f"{head.request.request_id}: queued past its patience"
+
+
 def _find_generation_violations(
     table: GenerationTable, generation: Generation
 ) -> Iterator[str]:
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -69,8 +69,8 @@
     """
 
     max_queued: int = _count(2000)
-    interactive_patience_s: float = _seconds(1.0)
-    queued_part: float = field(default=0.7, validator=gt(0))
+    interactive_patience_s: float = _seconds(2.0)
+    queued_part: float = field(default=0.5, validator=gt(0))
     batch_share: float = field(default=0.1, validator=gt(0))
     token_gap_s: float = _seconds(0.05)
     review_s: float = _seconds(0.25)
@@ -95,7 +95,8 @@
     `crowded_share` an entry takes only its part of the free slots between two reports.
     An entry may fill its part of the slots even where the others hold more than
     theirs, up to `overfull_share`. Prompts that share their first `prefix_characters`
-    go to one upstream while its load is at most `affinity_bound` times the mean.
+    go to one upstream while its load is at most `affinity_bound` times the mean. In a
+    fleet of more than `known_upstreams`, each is known to `entries_per_upstream`.
     """
 
     reserved_share: float = field(default=0.1, validator=gt(0))
@@ -104,8 +105,8 @@
     near_gain: float = field(default=0.05, validator=ge(0))
     prefix_characters: int = _count(256)
     affinity_bound: float = field(default=1.25, validator=gt(0))
-    known_prefixes: int = _count(4096)
-    subset_size: int = _count(32)
+    known_upstreams: int = _count(64)
+    entries_per_upstream: int = _count(4)
 
 
 @frozen
--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -10,7 +10,7 @@
 from magnoliahold.core.events import GenerationArrived
 from magnoliahold.core.generations import Generation, GenerationState
 from magnoliahold.core.systems.capacity import count_entries, count_slots
-from magnoliahold.core.systems.limits import has_running_slot
+from magnoliahold.core.systems.limits import count_running, has_running_slot
 from magnoliahold.core.systems.refusals import give_up_generation, refuse_arrival
 from magnoliahold.core.systems.routing import route_generation
 from magnoliahold.core.systems.suspects import refuse_quarantined
@@ -228,6 +228,8 @@
         if rule is None or not has_running_slot(world, head, rule, entries):
             continue
         if route_generation(world, head, now):
+            if count_running(world, head.key) > rule.max_running:
+                world.breaches.append(f"{head.key}: more run than the template allows")
             return head
     return None
 
--- a/src/magnoliahold/core/systems/prefixes.py
+++ b/src/magnoliahold/core/systems/prefixes.py
@@ -23,13 +23,14 @@
     """
     policy = world.policy.routing
     prefix = hash_prefix(version, prompt, policy.prefix_characters)
-    if not prefix or not world.prefixes.note_prefix(prefix, policy.known_prefixes):
+    if not prefix:
         return None
     loads = {peer.name: measure_load(peer) for peer in candidates}
     mean = sum(loads.values()) / len(loads)
+    bound = mean * policy.affinity_bound
     for peer in rank_candidates(prefix, candidates):
         slot = 1 / max(peer.report.capacity if peer.report else 1, 1)
-        if loads[peer.name] <= mean * policy.affinity_bound + slot:
+        if loads[peer.name] <= max(bound + slot, policy.crowded_share):
             return peer
     return None
 
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -18,7 +18,6 @@
 from magnoliahold.core.peers import PeerTable
 from magnoliahold.core.placement import OrderTable, PlacementTable
 from magnoliahold.core.policy import Policy
-from magnoliahold.core.prefixes import PrefixTable
 from magnoliahold.core.quarantine import SuspicionTable
 from magnoliahold.core.runs import RunTable
 from magnoliahold.core.streams import OwnerTable, StreamTable
@@ -77,7 +76,6 @@
 
     generations: GenerationTable = field(factory=GenerationTable)
     admission: AdmissionTable = field(factory=AdmissionTable)
-    prefixes: PrefixTable = field(factory=PrefixTable)
     calls: CallTable = field(factory=CallTable)
     claims: ClaimTable = field(factory=ClaimTable)
     suspicions: SuspicionTable = field(factory=SuspicionTable)
