End a faked caller's session with its final answer

Cause found by reading: a refused caller's session stayed at its old entry, so that the entry's later death made the caller send its request a second time, and both answers reached it. Ruled out: the order of sets (8 hash seeds give one result) and the fences (invariants were silent). With the session kept, the new test fails.

--- a/src/magnoliahold/measure/fakes/callers.py
+++ b/src/magnoliahold/measure/fakes/callers.py
@@ -28,6 +28,8 @@
         GenerationArrived,
     )
 
+FINAL_EFFECTS = (FinishGeneration, RefuseRequest, AnswerCall)
+
 
 class Session(Protocol):
     """One open request of a faked caller."""
@@ -56,7 +58,7 @@
 
 @define(eq=False)
 class FakeCallerPort:
-    """The caller port of one faked entry."""
+    """The caller port of one faked entry; a final answer ends its session."""
 
     clock: Clock
     delay_s: float
@@ -93,8 +95,11 @@
 
     def _receive(self, request_id: str, effect: object) -> None:
         session = self.sessions.get(request_id)
-        if session is not None and self.live:
-            session.receive(effect)
+        if session is None or not self.live:
+            return
+        if isinstance(effect, FINAL_EFFECTS):
+            del self.sessions[request_id]
+        session.receive(effect)
 
 
 @define(eq=False)
--- a/tests/measure/test_fleet.py
+++ b/tests/measure/test_fleet.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.effects import RefuseRequest
 from magnoliahold.core.events import CallArrived, GenerationArrived
 from magnoliahold.core.workspaces import ServiceRule
 from magnoliahold.measure.fakes.callers import GenerationCaller, ServiceCaller
@@ -54,6 +55,20 @@
         self.assertEqual(len(caller.tokens), 100)
         self.assertIsNone(caller.find_break())
 
+    def test_refused_caller_is_not_reset_with_its_old_entry(self) -> None:
+        fleet = make_small_fleet(4)
+        caller = make_generation_caller(fleet)
+        caller.start_request()
+        entry, request_id = caller.entry, caller.request_id
+        refusal = RefuseRequest(request_id, 503, "busy", "later", retry_after_s=0.05)
+        fleet.callers[entry].refuse_request(refusal)
+        fleet.run_for(0.03)
+        fleet.leaving.add(entry)
+        fleet.kill_process(entry)
+        fleet.run_for(5.0)
+        self.assertEqual((caller.reconnects, len(caller.refusals)), (0, 1))
+        self.assertIsNone(caller.find_break())
+
     def test_call_is_answered(self) -> None:
         fleet = make_small_fleet(3)
         request = CallArrived(
