Keep the same slots from both classes, so that batch is not kept out

Cause: slots kept for resumed work were kept from batch only; interactive work filled them, and where both upstreams kept one, batch that was owed a start found no room for ever. Ruled out: the credit of batch, which grew to 151 while nothing was started; with the credit taken out the same test fails too. Change: both classes leave the slots.

--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -91,7 +91,7 @@
 class RoutingPolicy:
     """Choice of upstreams by load and by prompt prefix.
 
-    New batch work leaves `reserved_share` of an upstream's slots to resumed work. Above
+    New work leaves `reserved_share` of an upstream's slots to resumed work. Above
     `crowded_share` an entry takes only its part of the free slots between two reports.
     An entry may fill its part of the slots even where the others hold more than
     theirs, up to `overfull_share`. Prompts that share their first `prefix_characters`
@@ -227,6 +227,7 @@
     end_margin: float = field(default=0.02, validator=gt(0))
     answered_per_route: int = _count(3)
     route_share_min: float = field(default=0.05, validator=gt(0))
+    route_unused_s: float = _seconds(3.0)
     gap_window_tokens: int = _count(4)
     gap_interval_s: float = _seconds(5.0)
     reference_fade_s: float = _seconds(20.0)
--- a/src/magnoliahold/core/systems/capacity.py
+++ b/src/magnoliahold/core/systems/capacity.py
@@ -7,7 +7,6 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from magnoliahold.core.generations import Generation
     from magnoliahold.core.peers import Peer
     from magnoliahold.core.worlds import EntryWorld
 
@@ -37,11 +36,13 @@
     return estimate_running(peer) / max(peer.report.capacity, 1)
 
 
-def find_limit(world: EntryWorld, peer: Peer, generation: Generation) -> int:
-    """Finds the slots of an upstream that new work of a class may fill."""
+def find_limit(world: EntryWorld, peer: Peer) -> int:
+    """Finds the slots of an upstream that new work may fill.
+
+    Both classes leave the same slots free: a slot that interactive work may take and
+    batch may not would keep batch out for ever.
+    """
     capacity = peer.report.capacity if peer.report else 1
-    if generation.interactive:
-        return capacity
     reserved = count_reserved(peer, world.policy.routing.reserved_share)
     return max(1, capacity - reserved)
 
@@ -57,9 +58,7 @@
     return int(slots) + (drawn < part)
 
 
-def has_room(
-    world: EntryWorld, peer: Peer, generation: Generation, entries: int
-) -> bool:
+def has_room(world: EntryWorld, peer: Peer, entries: int) -> bool:
     """Tells whether an upstream has a slot for one more new generation of ours.
 
     Other entries fill the same slots unseen until the next report, so that each takes
@@ -69,7 +68,7 @@
     report = peer.report
     if report is None:
         return False
-    limit = find_limit(world, peer, generation)
+    limit = find_limit(world, peer)
     running = estimate_running(peer)
     if running + 1 <= report.capacity * policy.crowded_share:
         return True
--- /dev/null
+++ b/tests/measure/test_overload.py
@@ -0,0 +1,82 @@
+"""Tests of the overload rig, and of the product against the plain alternative."""
+
+from __future__ import annotations
+
+import unittest
+from functools import cache
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.policy import Policy, RoutingPolicy
+from magnoliahold.measure import overload
+from magnoliahold.measure.options import MeasureOptions
+from magnoliahold.measure.overload import (
+    LoadTally,
+    add_scenario,
+    find_fair_level,
+    make_load_report,
+    make_scenario,
+    run_overload,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.measure.overload import OverloadReport
+
+ANSWER_SLACK_S = 0.2
+
+
+@cache
+def measure(policy: str) -> OverloadReport:
+    """Runs one scenario at each load."""
+    return run_overload(MeasureOptions(seed=2, runs=4, policy=policy))
+
+
+class OverloadTests(unittest.TestCase):
+    def test_every_request_is_answered(self) -> None:
+        for name, report in measure("product").loads.items():
+            with self.subTest(load=name):
+                self.assertEqual(report.unanswered, 0)
+        self.assertEqual(measure("product").invariant_violations, 0)
+
+    def test_first_tokens_come_within_the_patience(self) -> None:
+        patience_s = Policy().admission.interactive_patience_s
+        for name, report in measure("product").loads.items():
+            with self.subTest(load=name):
+                first = report.interactive_first_token_s
+                self.assertLess(first.p95, patience_s + ANSWER_SLACK_S)
+
+    def test_plain_alternative_lets_all_wait(self) -> None:
+        plain = measure("baseline").loads["4"].interactive_first_token_s
+        ours = measure("product").loads["4"].interactive_first_token_s
+        self.assertGreater(plain.p50, 3 * ours.p95)
+
+    def test_same_seed_gives_the_same_report(self) -> None:
+        options = MeasureOptions(seed=5, runs=1)
+        self.assertEqual(run_overload(options), run_overload(options))
+
+
+class FairLevelTests(unittest.TestCase):
+    def test_level_shares_what_was_served(self) -> None:
+        cases = (
+            ([1.0, 1.0], 2.0, 1.0),
+            ([1.0, 9.0], 4.0, 3.0),
+            ([1.0, 2.0, 9.0], 6.0, 3.0),
+            ([4.0, 4.0], 2.0, 1.0),
+        )
+        for offered, served, level in cases:
+            with self.subTest(offered=offered, served=served):
+                self.assertAlmostEqual(find_fair_level(offered, served), level)
+
+
+class PrefixAffinityTests(unittest.TestCase):
+    def test_prefixes_save_prompt_tokens(self) -> None:
+        def measure_saved(characters: int) -> float:
+            policy = Policy(routing=RoutingPolicy(prefix_characters=characters))
+            scenario = make_scenario(MeasureOptions(seed=3), 0, 0.4, policy)
+            scenario.run_scenario()
+            tally = LoadTally()
+            add_scenario(tally, scenario)
+            return make_load_report(tally).prompt_tokens_saved_share
+
+        by_load = measure_saved(overload.NO_PREFIXES)
+        by_prefix = measure_saved(RoutingPolicy().prefix_characters)
+        self.assertGreater(by_prefix, 1.15 * by_load)
