--- a/src/magnoliahold/measure/fakes/fleet.py
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -47,15 +47,22 @@
 
 @define
 class FakeJournal:
-    """Keeps counters and the last decisions; `decisions` counts by part and text."""
+    """Keeps counters and decisions; `decisions` counts by part and text.
+
+    `requests_by_nonce` tells which request each sent call belongs to.
+    """
 
     counters: Counter[str] = field(factory=Counter)
     values: dict[str, list[float]] = field(factory=dict)
     decisions: Counter[str] = field(factory=Counter)
+    requests_by_nonce: dict[str, str] = field(factory=dict)
 
     def log_decision(self, decision: effects.LogDecision) -> None:
         """Counts one decision."""
         self.decisions[f"{decision.part}: {decision.sentence}"] += 1
+        if decision.part == "calls" and "nonce" in decision.fields:
+            nonce = str(decision.fields["nonce"])
+            self.requests_by_nonce[nonce] = str(decision.fields["request"])
 
     def count_metric(self, metric: effects.CountMetric) -> None:
         """Adds to a counter."""
