Stop waiting for results on routes that are not used any more

An entry had come back in another data centre, and the canary waited for answers on the route that had gone with it until no time was left. A route counts while the old version has had an answer there within 3 s.

--- a/tests/core/test_judgement.py
+++ b/tests/core/test_judgement.py
@@ -113,3 +113,5 @@
         cell = Cell("u0", "a", False)
         judgement.add_new(cell, Delta(40, 0, {}, {}), RULE, POLICY, lately=True)
         self.assertFalse(judgement.covers_routes(POLICY))
+        judgement.add_old(cell, Delta(1, 0, {}, {}), 10.0, POLICY)
+        self.assertTrue(judgement.covers_routes(POLICY), "the other route is gone")
