--- a/tests/measure/test_calls.py
+++ b/tests/measure/test_calls.py
@@ -7,13 +7,17 @@
 
 from attrs import define
 
-from magnoliahold.core.events import CallArrived
+from magnoliahold.core.calls import Dispatch
+from magnoliahold.core.events import CallArrived, Received
+from magnoliahold.core.identity import Sender
+from magnoliahold.core.systems.dispatch import is_target_usable
 from magnoliahold.core.workspaces import ServiceRule
 from magnoliahold.measure.calls import count_runs, is_told_untruth, run_calls
 from magnoliahold.measure.fakes.callers import ServiceCaller
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
 from magnoliahold.measure.fakes.workspaces import make_workspace
 from magnoliahold.measure.options import BASELINE, MeasureOptions
+from magnoliahold.wire.messages import CallFailed
 
 if TYPE_CHECKING:
     from magnoliahold.core.events import GenerationArrived
@@ -146,6 +150,38 @@
                 ].assigned = 50
                 self.check_end(fleet, caller, "answered", 1)
 
+    def test_only_the_sidecar_that_was_asked_settles_a_call(self) -> None:
+        for incarnation, end in (("sidecar-desk-0.0", "answered"), ("", "not_run")):
+            with self.subTest(incarnation):
+                fleet = make_desk(14)
+                caller = send_call(fleet)
+                fleet.run_for(0.2)
+                node = fleet.find_node("entry-0")
+                (dispatch,) = next(iter(node.world.calls.by_request.values())).open
+                actual = node.world.peers.peers["sidecar-desk-0"].incarnation
+                sender = Sender("sidecar-desk-0", incarnation or actual)
+                failed = CallFailed(dispatch, not_run=True, reason="crossed")
+                node.post_event(Received(sender, failed))
+                fleet.run_for(2.0)
+                self.assertEqual(name_end(caller), end)
+
+    def test_claimed_call_goes_only_to_the_incarnation_of_its_claim(self) -> None:
+        fleet = make_desk(15)
+        node = fleet.find_node("entry-0")
+        peer = node.world.peers.peers["sidecar-desk-0"]
+        now = node.clock.seconds()
+        later = now + peer.clock_offset + 1.0
+        table = (
+            (peer.incarnation, later, True),
+            ("sidecar-desk-0.0", later, False),
+            (peer.incarnation, later - 2.0, False),
+        )
+        for incarnation, expires_at, usable in table:
+            with self.subTest(incarnation=incarnation, expires_at=expires_at):
+                target = Dispatch("nonce", peer.name, incarnation, expires_at)
+                found = is_target_usable(node.world, target, now)
+                self.assertEqual(found, usable)
+
 
 class KeyTests(unittest.TestCase):
     def test_repeat_of_a_key_gets_the_recorded_result(self) -> None:
