Give an entry the wall clock for operators' deadlines

Cause: only the rigs set it, so a daemon compared deadlines with its process clock: no move of a real process would have been fitted to its deadline or ended at it. Found by reading who sets it. No automated test covers this line yet.

--- a/src/magnoliahold/entry/daemon.py
+++ b/src/magnoliahold/entry/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from time import time
 from typing import TYPE_CHECKING, Any
 
 from twisted.web.resource import Resource
@@ -45,7 +46,9 @@
     def make_node(ports: Ports) -> Node:
         ports.callers = open_requests
         ports.operators = operator_requests
-        return make_entry_node(reactor, identity, ports, Random(), settings.policy)
+        node = make_entry_node(reactor, identity, ports, Random(), settings.policy)
+        node.world.wall_clock = read_wall_clock
+        return node
 
     daemon = make_daemon(reactor, identity, settings, make_node, on_stopped)
     daemon.start_links(settings.address, settings.link_port)
@@ -55,6 +58,11 @@
     return daemon
 
 
+def read_wall_clock(now: float) -> float:
+    """Reads seconds since the epoch; the process clock `now` can't tell them."""
+    return time()
+
+
 def _serve_callers(
     daemon: Daemon, settings: EntrySettings, open_requests: OpenRequests
 ) -> None:
