Avoid slow upstreams on soft evidence, and link entries to subsets of large fleets

Cause: an upstream whose first tokens came late kept its share, as its load looked low; entries linked to every sidecar listed. Change: a fading mean of waits for first tokens per upstream counts a slow one as more loaded, for at most half of the candidates and 10 s; with more than 64 sidecars each is known to 4 entries of its data centre.

--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -22,7 +22,8 @@
     underestimate, so that an expiry computed with it is never late. `broken_at` is when
     its connection was reset, until a heartbeat sent since then is answered.
     `listed_leaving` is what the instance list says, `leaving` what the process itself
-    told; `leaving_since` is when either was first known.
+    told; `leaving_since` is when either was first known. `first_token_s` is the fading
+    mean of the waits for first tokens, last noted at `first_token_at`.
     """
 
     name: str
@@ -45,8 +46,11 @@
     evidence: tuple[EvidenceCount, ...] = ()
     suspended: tuple[SuspendVersion, ...] = ()
     assigned: int = 0
+    busy_since: float | None = None
     assigned_reported: int = 0
     listed: bool = True
+    first_token_s: float | None = None
+    first_token_at: float = 0.0
 
     @property
     def usable(self) -> bool:
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -16,9 +16,15 @@
 
 @frozen
 class MembershipPolicy:
-    """Heartbeats and the judgement of silent links."""
+    """Heartbeats and the judgement of silent links.
+
+    A link is asked every `heartbeat_s`, but only every `resting_heartbeat_s` while it
+    carries no work of ours or is heard anyway. A resting link counts as silent, and
+    its process as lost, `resting_heartbeat_s` later than a busy one.
+    """
 
     heartbeat_s: float = _seconds(0.25)
+    resting_heartbeat_s: float = _seconds(1.0)
     link_silent_s: float = _seconds(0.4)
     peer_lost_s: float = _seconds(0.75)
     peer_forgotten_s: float = _seconds(60.0)
@@ -97,14 +103,23 @@
     theirs, up to `overfull_share`. Prompts that share their first `prefix_characters`
     go to one upstream while its load is at most `affinity_bound` times the mean. In a
     fleet of more than `known_upstreams`, each is known to `entries_per_upstream`.
+
+    An upstream whose first tokens take `slow_times` the median, and at least
+    `slow_min_s`, counts as loaded by `slow_load` more until the evidence is
+    `slow_memory_s` old; at most `avoided_share` of the candidates are avoided so.
     """
 
-    reserved_share: float = field(default=0.1, validator=gt(0))
+    reserved_share: float = field(default=0.05, validator=gt(0))
     crowded_share: float = field(default=0.5, validator=gt(0))
     overfull_share: float = field(default=1.25, validator=gt(0))
     near_gain: float = field(default=0.05, validator=ge(0))
     prefix_characters: int = _count(256)
     affinity_bound: float = field(default=1.25, validator=gt(0))
+    slow_times: float = field(default=3.0, validator=gt(0))
+    slow_min_s: float = _seconds(0.3)
+    slow_memory_s: float = _seconds(10.0)
+    slow_load: float = _seconds(1.0)
+    avoided_share: float = field(default=0.5, validator=gt(0))
     known_upstreams: int = _count(64)
     entries_per_upstream: int = _count(4)
 
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -19,10 +19,13 @@
 from magnoliahold.core.streams import Owner
 from magnoliahold.core.systems.evidence import list_evidence
 from magnoliahold.core.systems.judgement import list_suspended
+from magnoliahold.core.systems.subsets import choose_subset
 from magnoliahold.core.worlds import EntryWorld, SidecarWorld
 from magnoliahold.wire.messages import Heartbeat, UpstreamReport
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliahold.core.events import Received
     from magnoliahold.core.worlds import World
     from magnoliahold.platform.interfaces import Instance
@@ -58,11 +61,24 @@
     for peer in list(world.peers.peers.values()):
         peer.listed = peer.listed and (peer.name in listed or not instances)
         _forget_peer(world, peer, now)
-    for instance in instances:
+    for instance in choose_known(world, instances):
         if instance.name != world.identity.name:
             _learn_instance(world, instance, now)
 
 
+def choose_known(world: World, instances: tuple[Instance, ...]) -> Iterable[Instance]:
+    """Chooses the processes to link to; of many sidecars an entry takes a subset."""
+    sidecars = sum(instance.role == "sidecar" for instance in instances)
+    policy = world.policy.routing
+    if world.identity.role != "entry" or sidecars <= policy.known_upstreams:
+        return instances
+    own = next((item for item in instances if item.name == world.identity.name), None)
+    if own is None:
+        return instances[:0]
+    chosen = choose_subset(own, instances, policy.entries_per_upstream)
+    return [item for item in instances if item.role == "entry" or item.name in chosen]
+
+
 def _learn_instance(world: World, instance: Instance, now: float) -> None:
     address, _, port = instance.address.rpartition(":")
     known = world.peers.peers.get(instance.name)
@@ -150,24 +166,40 @@
 
 
 def send_heartbeats(world: World, now: float) -> None:
-    """Sends a heartbeat on every link at intervals."""
-    interval = world.policy.membership.heartbeat_s
+    """Sends a heartbeat on each link when it is due."""
+    policy = world.policy.membership
     for peer in world.peers.peers.values():
+        interval = policy.resting_heartbeat_s
+        if _is_watched(world, peer, now):
+            interval = policy.heartbeat_s
         if now - peer.asked_at >= interval:
             peer.asked_at = now
             world.emit(SendMessage(peer.name, make_heartbeat(world, now, answer=False)))
 
 
+def _is_watched(world: World, peer: Peer, now: float) -> bool:
+    """Tells whether a link needs frequent heartbeats: unheard while work hangs on it."""
+    if peer.lost or peer.broken_at is not None:
+        return True
+    unheard_s = now - _read_last_sign(peer)
+    return peer.assigned > 0 and unheard_s >= world.policy.membership.heartbeat_s
+
+
 def judge_links(world: World, now: float) -> None:
     """Replaces broken and silent links and marks processes that stay silent as lost."""
     _forgive_own_pause(world, now)
     _note_broken_links(world, now)
     policy = world.policy.membership
     for peer in world.peers.peers.values():
+        _note_busy(peer, now)
         if peer.broken_at is not None and now - peer.broken_at >= policy.broken_link_s:
             peer.broken_at = None
             _lose_peer(world, peer, "link reset")
         silent_s = now - _read_last_sign(peer)
+        if peer.assigned == 0:
+            silent_s -= policy.resting_heartbeat_s
+        elif peer.busy_since is not None:
+            silent_s = min(silent_s, now - peer.busy_since)
         if silent_s < policy.link_silent_s:
             continue
         if now - peer.link_opened_at >= policy.link_silent_s:
@@ -176,6 +208,13 @@
             _lose_peer(world, peer, "silent")
 
 
+def _note_busy(peer: Peer, now: float) -> None:
+    if peer.assigned == 0:
+        peer.busy_since = None
+    elif peer.busy_since is None:
+        peer.busy_since = now
+
+
 def _read_last_sign(peer: Peer) -> float:
     return peer.link_opened_at if peer.heard_at is None else peer.heard_at
 
@@ -189,6 +228,8 @@
         return
     for peer in world.peers.peers.values():
         peer.link_opened_at += pause_s
+        if peer.busy_since is not None:
+            peer.busy_since += pause_s
         if peer.heard_at is not None and peer.heard_at < now:
             peer.heard_at += pause_s
         if peer.broken_at is not None:
--- a/src/magnoliahold/core/systems/routing.py
+++ b/src/magnoliahold/core/systems/routing.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.moves import find_active_move, pick_version
 from magnoliahold.core.systems.capacity import count_entries, has_room, measure_load
 from magnoliahold.core.systems.prefixes import find_near_upstream
+from magnoliahold.core.systems.slowness import find_slow
 from magnoliahold.core.systems.suspects import is_suspect, spread_suspect
 from magnoliahold.wire.messages import StartStream
 
@@ -43,7 +44,7 @@
         candidates = find_with_room(world, candidates)
     if not candidates:
         return False
-    peer, reason = choose_upstream(world, generation, share.version, candidates)
+    peer, reason = choose_upstream(world, generation, share.version, candidates, now)
     start_attempt(world, generation, peer, share.version, reason, now)
     return True
 
@@ -84,16 +85,25 @@
 
 
 def choose_upstream(
-    world: EntryWorld, generation: Generation, version: str, candidates: list[Peer]
+    world: EntryWorld,
+    generation: Generation,
+    version: str,
+    candidates: list[Peer],
+    now: float,
 ) -> tuple[Peer, str]:
     """Chooses by prompt prefix within a bound on load, or by the lowest load."""
-    near = find_near_upstream(world, generation.request.prompt, version, candidates)
+    slow = find_slow(world, candidates, now)
+    fast = [peer for peer in candidates if peer.name not in slow]
+    near = find_near_upstream(world, generation.request.prompt, version, fast)
     if near is not None and not generation.suspect:
         return near, "prompt prefix"
 
+    policy = world.policy.routing
+
     def rank(peer: Peer) -> tuple[float, float]:
         far = peer.data_centre != world.identity.data_centre
-        load = measure_load(peer) + far * world.policy.routing.near_gain
+        load = measure_load(peer) + far * policy.near_gain
+        load += (peer.name in slow) * policy.slow_load
         return (load, world.random.random())
 
     return min(candidates, key=rank), "lowest load"
--- /dev/null
+++ b/src/magnoliahold/core/systems/slowness.py
@@ -0,0 +1,45 @@
+"""Avoids upstreams whose first tokens come late compared with their peers."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from magnoliahold.core.generations import Generation
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import EntryWorld
+
+WEIGHT = 0.3
+MIN_COMPARED = 3
+
+
+def note_first_token(world: EntryWorld, generation: Generation, now: float) -> None:
+    """Notes how long an upstream took to the first token of an attempt."""
+    peer = world.peers.peers.get(generation.sidecar)
+    if peer is None or generation.attempt_offset:
+        return
+    wait_s = now - generation.started_at
+    known_s = wait_s if peer.first_token_s is None else peer.first_token_s
+    peer.first_token_s = known_s + WEIGHT * (wait_s - known_s)
+    peer.first_token_at = now
+
+
+def find_slow(world: EntryWorld, candidates: list[Peer], now: float) -> set[str]:
+    """Finds the names of slow upstreams: at most a part of the candidates.
+
+    The evidence is soft and fades, so that an upstream that is avoided is tried again.
+    """
+    policy = world.policy.routing
+    known = {
+        peer.name: peer.first_token_s
+        for peer in candidates
+        if peer.first_token_s is not None
+        and now - peer.first_token_at < policy.slow_memory_s
+    }
+    if len(known) < MIN_COMPARED:
+        return set()
+    limit_s = max(policy.slow_min_s, policy.slow_times * median(known.values()))
+    slow = [name for name, wait_s in known.items() if wait_s > limit_s]
+    slow.sort(key=lambda name: known[name], reverse=True)
+    return set(slow[: int(len(candidates) * policy.avoided_share)])
--- a/src/magnoliahold/core/systems/subsets.py
+++ b/src/magnoliahold/core/systems/subsets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -11,6 +12,8 @@
 
     from magnoliahold.platform.interfaces import Instance
 
+KEPT_CHOICES = 4_096
+
 
 def choose_subset(
     entry: Instance, instances: Sequence[Instance], entries_per_upstream: int
@@ -22,9 +25,9 @@
     data centre has no entry, those of all centres count.
     """
     entries = [item for item in instances if item.role == "entry"]
-    near = [item.name for item in entries if item.data_centre == entry.data_centre]
-    near = sorted({*near, entry.name})
-    everywhere = sorted({entry.name, *(item.name for item in entries)})
+    beside = [item for item in entries if item.data_centre == entry.data_centre]
+    near = tuple(sorted({entry.name, *(item.name for item in beside)}))
+    everywhere = tuple(sorted({entry.name, *(item.name for item in entries)}))
     served = {entry.data_centre, *(item.data_centre for item in entries)}
     chosen = set()
     for item in instances:
@@ -36,15 +39,16 @@
             candidates = everywhere
         else:
             continue
-        if entry.name in rank_entries(item.name, candidates)[:entries_per_upstream]:
+        if entry.name in pick_entries(item.name, candidates, entries_per_upstream):
             chosen.add(item.name)
     return chosen
 
 
-def rank_entries(sidecar: str, entries: list[str]) -> list[str]:
-    """Orders entries for a sidecar by rendezvous hashing, alike at all processes."""
+@lru_cache(maxsize=KEPT_CHOICES)
+def pick_entries(sidecar: str, entries: tuple[str, ...], count: int) -> frozenset[str]:
+    """Picks the entries that know a sidecar by rendezvous hashing, alike everywhere."""
 
     def rank(name: str) -> int:
         return int(xxhash.xxh64_intdigest(f"{sidecar}\0{name}".encode()))
 
-    return sorted(entries, key=rank)
+    return frozenset(sorted(entries, key=rank)[:count])
