--- a/src/magnoliahold/measure/capacity/heartbeats.py
+++ b/src/magnoliahold/measure/capacity/heartbeats.py
@@ -25,7 +25,7 @@
     node = make_capacity_node(peers)
     node.run_tick()
     answers = _encode_answers(node)
-    interval = node.world.policy.membership.heartbeat_s
+    interval = node.world.policy.membership.resting_heartbeat_s
 
     def run_round() -> None:
         node.clock.advance(interval)  # type: ignore[attr-defined]
