--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -46,7 +47,7 @@
     evidence: tuple[EvidenceCount, ...] = ()
     suspended: tuple[SuspendVersion, ...] = ()
     assigned: int = 0
-    busy_since: float | None = None
+    watched_since: float | None = None
     assigned_reported: int = 0
     listed: bool = True
     first_token_s: float | None = None
@@ -62,11 +63,16 @@
 
 @define
 class PeerTable:
-    """All known processes by name; `judged_at` is when links were last judged."""
+    """All known processes by name.
+
+    `judged_at` is when links were last judged, `alarm_at` when a link with work of ours
+    last fell silent.
+    """
 
     peers: dict[str, Peer] = field(factory=dict)
     judged_at: float | None = None
     next_list_at: float = 0.0
+    alarm_at: float = -math.inf
 
     def list_by_role(self, role: str) -> list[Peer]:
         """Lists the peers of one role: "entry" or "sidecar"."""
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -18,13 +18,15 @@
 class MembershipPolicy:
     """Heartbeats and the judgement of silent links.
 
-    A link is asked every `heartbeat_s`, but only every `resting_heartbeat_s` while it
-    carries no work of ours or is heard anyway. A resting link counts as silent, and
-    its process as lost, `resting_heartbeat_s` later than a busy one.
+    A link is asked every `heartbeat_s` while it is watched and not heard anyway, else
+    every `resting_heartbeat_s`. It is watched while it carries work of ours, and for
+    `alarm_s` after any link with work fell silent. A link that is not watched counts as
+    silent, and its process as lost, `resting_heartbeat_s` later.
     """
 
     heartbeat_s: float = _seconds(0.25)
     resting_heartbeat_s: float = _seconds(1.0)
+    alarm_s: float = _seconds(1.5)
     link_silent_s: float = _seconds(0.4)
     peer_lost_s: float = _seconds(0.75)
     peer_forgotten_s: float = _seconds(60.0)
--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -135,6 +136,7 @@
     heard_at: float
     configuration_head: int = 0
     data_centre: str = ""
+    asked_at: float = -math.inf
 
 
 @define
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -178,11 +178,12 @@
 
 
 def _is_watched(world: World, peer: Peer, now: float) -> bool:
-    """Tells whether a link needs frequent heartbeats: unheard while work hangs on it."""
+    """Tells whether a link is asked often: watched, and not heard anyway."""
     if peer.lost or peer.broken_at is not None:
         return True
     unheard_s = now - _read_last_sign(peer)
-    return peer.assigned > 0 and unheard_s >= world.policy.membership.heartbeat_s
+    watched = peer.watched_since is not None
+    return watched and unheard_s >= world.policy.membership.heartbeat_s
 
 
 def judge_links(world: World, now: float) -> None:
@@ -191,28 +192,44 @@
     _note_broken_links(world, now)
     policy = world.policy.membership
     for peer in world.peers.peers.values():
-        _note_busy(peer, now)
+        _note_watch(world, peer, now)
         if peer.broken_at is not None and now - peer.broken_at >= policy.broken_link_s:
             peer.broken_at = None
             _lose_peer(world, peer, "link reset")
         silent_s = now - _read_last_sign(peer)
-        if peer.assigned == 0:
+        if peer.watched_since is None:
             silent_s -= policy.resting_heartbeat_s
-        elif peer.busy_since is not None:
-            silent_s = min(silent_s, now - peer.busy_since)
+        else:
+            silent_s = min(silent_s, now - peer.watched_since)
         if silent_s < policy.link_silent_s:
             continue
+        if peer.assigned > 0 and not peer.lost:
+            _raise_alarm(world, now)
         if now - peer.link_opened_at >= policy.link_silent_s:
             replace_link(world, peer, now)
         if silent_s >= policy.peer_lost_s:
             _lose_peer(world, peer, "silent")
 
 
-def _note_busy(peer: Peer, now: float) -> None:
-    if peer.assigned == 0:
-        peer.busy_since = None
-    elif peer.busy_since is None:
-        peer.busy_since = now
+def _note_watch(world: World, peer: Peer, now: float) -> None:
+    """Notes since when a link is watched: it carries work, or another fell silent."""
+    alarm_s = now - world.peers.alarm_at
+    watched = peer.assigned > 0 or alarm_s < world.policy.membership.alarm_s
+    if not watched:
+        peer.watched_since = None
+    elif peer.watched_since is None:
+        peer.watched_since = now
+
+
+def _raise_alarm(world: World, now: float) -> None:
+    """Has every link asked soon, since what silenced one may have silenced more."""
+    if now - world.peers.alarm_at >= world.policy.membership.alarm_s:
+        world.peers.alarm_at = now
+
+
+def is_heard_since_alarm(world: World, peer: Peer) -> bool:
+    """Tells whether a process has shown life since another one last fell silent."""
+    return _read_last_sign(peer) >= world.peers.alarm_at
 
 
 def _read_last_sign(peer: Peer) -> float:
@@ -228,8 +245,8 @@
         return
     for peer in world.peers.peers.values():
         peer.link_opened_at += pause_s
-        if peer.busy_since is not None:
-            peer.busy_since += pause_s
+        if peer.watched_since is not None:
+            peer.watched_since += pause_s
         if peer.heard_at is not None and peer.heard_at < now:
             peer.heard_at += pause_s
         if peer.broken_at is not None:
--- a/src/magnoliahold/core/systems/ownership.py
+++ b/src/magnoliahold/core/systems/ownership.py
@@ -6,6 +6,7 @@
 
 from magnoliahold.core.effects import CountMetric, SendMessage
 from magnoliahold.core.streams import StreamState
+from magnoliahold.core.systems.membership import make_heartbeat
 from magnoliahold.core.systems.streams import (
     disown_stream,
     drop_stream,
@@ -84,6 +85,7 @@
     table.expire_fences(now - world.policy.streams.attempts_kept_s)
     for stream in list(table.by_lineage.values()):
         if stream.owner:
+            _ask_owner(world, stream, now)
             _judge_owner(world, stream, now)
             resend_end(world, stream, now)
         if _is_expired(world, stream, now):
@@ -97,6 +99,17 @@
             owner.heard_at = now
 
 
+def _ask_owner(world: SidecarWorld, stream: Stream, now: float) -> None:
+    """Sends a heartbeat to an entry with streams here that has not been heard lately."""
+    owner = world.owners.owners.get(stream.owner)
+    interval = world.policy.membership.heartbeat_s
+    if owner is None or stream.unowned_since is not None:
+        return
+    if now - max(owner.heard_at, owner.asked_at) >= interval:
+        owner.asked_at = now
+        world.emit(SendMessage(owner.name, make_heartbeat(world, now, answer=False)))
+
+
 def _judge_owner(world: SidecarWorld, stream: Stream, now: float) -> None:
     owner = world.owners.owners.get(stream.owner)
     lost_s = world.policy.membership.peer_lost_s
