Bundle tokens on links and encode less for each token

Cause: profiles of an entry's main thread give 54% to writing to callers, 30% to the systems of a tick and about 20% to reading links before this change. Ruled out: the number of known upstreams (6 ns a token each), ZeroMQ's own thread (7 us). Change: tokens for one peer in one turn of the reactor go in one message; frames are received without enumeration members; headers are decoded once; the constant part of an event is encoded once a stream. Links are tested for order and for contents whatever is sent between tokens. Conclusion: kept, because links carry fewer messages and nothing waits longer than the turn; the next saving is the check of all streams in every tick.

--- a/src/magnoliahold/entry/responders.py
+++ b/src/magnoliahold/entry/responders.py
@@ -26,6 +26,8 @@
 
     from magnoliahold.core import effects
 
+TEXT_NAME = b'"text":'
+EMPTY_TEXT = TEXT_NAME + b'""'
 UNPASSED_HEADERS = frozenset(
     {"connection", "content-length", "transfer-encoding", "keep-alive", "server"}
 )
@@ -60,15 +62,16 @@
         self._post = post
         self._created = int(time.time())
         self._started = False
+        self._chunk_start, self._chunk_end = self._split_chunk()
 
     def deliver_tokens(self, effect: effects.DeliverTokens) -> None:
         """Writes tokens as one event."""
         self._start()
         offset = effect.offset + len(effect.tokens)
         event_id = EventId(effect.lineage, effect.sidecar, offset)
-        text = "".join(effect.tokens)
-        chunk = self._make_chunk(text, None)
-        self._write_event(format_event_id(event_id), chunk)
+        text = msgspec.json.encode("".join(effect.tokens))
+        head = f"id: {format_event_id(event_id)}\n".encode()
+        self._request.write(head + self._chunk_start + text + self._chunk_end)
 
     def finish_generation(self, effect: effects.FinishGeneration) -> None:
         """Writes the reason and the closing event."""
@@ -118,9 +121,11 @@
         )
         return msgspec.json.encode(document)
 
-    def _write_event(self, event_id: str, chunk: bytes) -> None:
-        head = f"id: {event_id}\ndata: ".encode()
-        self._request.write(head + chunk + b"\n\n")
+    def _split_chunk(self) -> tuple[bytes, bytes]:
+        """Encodes the chunk once, with a place for the text of each event."""
+        chunk = self._make_chunk("", None)
+        start, _, end = chunk.rpartition(EMPTY_TEXT)
+        return b"data: " + start + TEXT_NAME, end + b"\n\n"
 
 
 class BufferedResponder:
--- a/src/magnoliahold/wire/codec.py
+++ b/src/magnoliahold/wire/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING, get_args
 
 import msgspec
@@ -13,6 +14,7 @@
     from collections.abc import Sequence
 
 NO_EXPIRY = 0.0
+HEADERS_KEPT = 4_096
 
 
 class BrokenMessage(Exception):  # noqa: N818
@@ -68,6 +70,12 @@
     if decoder is None:
         raise BrokenMessage("unknown kind of message")
     try:
-        return Envelope(_header_decoder.decode(header), decoder.decode(body))
+        return Envelope(_decode_header(bytes(header)), decoder.decode(body))
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise BrokenMessage(str(error)) from error
+
+
+@lru_cache(maxsize=HEADERS_KEPT)
+def _decode_header(header: bytes) -> Header:
+    """Decodes a header; those of one link without an expiry are all alike."""
+    return _header_decoder.decode(header)
--- a/src/magnoliahold/wire/links.py
+++ b/src/magnoliahold/wire/links.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 import zmq
-from attrs import define, evolve, frozen
+from attrs import define, evolve, field, frozen
 from zmq.utils.monitor import parse_monitor_message
 
 from magnoliahold.wire.codec import (
@@ -20,7 +20,7 @@
     decode_envelope,
     encode_envelope,
 )
-from magnoliahold.wire.messages import Heartbeat
+from magnoliahold.wire.messages import Heartbeat, StreamTokens, TokenBundle
 from magnoliahold.wire.sockets import SocketReader
 
 if TYPE_CHECKING:
@@ -37,6 +37,7 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2_000
 HANDSHAKE_MS = 2_000
+MAX_BUNDLED_MESSAGES = 64
 MONITORED_EVENTS = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
 
 
@@ -49,6 +50,14 @@
     identity: bytes
 
 
+@define(eq=False)
+class PendingBundle:
+    """Tokens for one peer that wait for the end of this turn of the reactor."""
+
+    header: Header
+    items: list[StreamTokens] = field(factory=list)
+
+
 @define(eq=False)
 class ClientLink:
     """A DEALER socket to one peer.
@@ -92,6 +101,8 @@
         self._router_reader: SocketReader | None = None
         self._clients: dict[str, ClientLink] = {}
         self._routes: dict[str, Route] = {}
+        self._pending: dict[str, PendingBundle] = {}
+        self._pending_call: Any = None
         self._next_number = 0
         self.broken_messages = 0
         self.dropped_messages = 0
@@ -126,7 +137,41 @@
             self._close_client(link)
 
     def send_message(self, peer: str, message: Message, header: Header) -> bool:
-        """Sends a message now, or drops it and returns false."""
+        """Sends a message now, or drops it and returns false.
+
+        Tokens wait for the end of this turn, to go together with those of the other
+        streams of their peer; what is sent after them goes after them.
+        """
+        if isinstance(message, StreamTokens):
+            self._bundle_tokens(peer, message, header)
+            return True
+        if peer in self._pending:
+            self._send_bundle(peer)
+        return self._send_now(peer, message, header)
+
+    def _bundle_tokens(self, peer: str, message: StreamTokens, header: Header) -> None:
+        pending = self._pending.get(peer)
+        if pending is None:
+            pending = self._pending[peer] = PendingBundle(header)
+        pending.items.append(message)
+        if len(pending.items) >= MAX_BUNDLED_MESSAGES:
+            self._send_bundle(peer)
+        elif self._pending_call is None:
+            self._pending_call = self._reactor.callLater(0, self._send_bundles)
+
+    def _send_bundles(self) -> None:
+        self._pending_call = None
+        for peer in list(self._pending):
+            self._send_bundle(peer)
+
+    def _send_bundle(self, peer: str) -> None:
+        pending = self._pending.pop(peer)
+        message: Message = pending.items[0]
+        if len(pending.items) > 1:
+            message = TokenBundle(tuple(pending.items))
+        self._send_now(peer, message, pending.header)
+
+    def _send_now(self, peer: str, message: Message, header: Header) -> bool:
         link = self._clients.get(peer)
         if link is not None:
             return self._send_to_client(link, message, header)
@@ -141,7 +186,10 @@
         return sent
 
     def close_all(self) -> None:
-        """Closes every socket."""
+        """Closes every socket, after the tokens that wait were sent."""
+        if self._pending_call is not None:
+            self._pending_call.cancel()
+            self._send_bundles()
         for peer in list(self._clients):
             self.close_link(peer)
         if self._router_reader is not None:
@@ -229,12 +277,20 @@
         envelope = self._decode(rest)
         if envelope is not None:
             self._note_route(envelope.header, identity)
-            self._on_message(envelope.header, envelope.message)
+            self._pass_on(envelope)
 
     def _take_frames(self, frames: list[bytes]) -> None:
         envelope = self._decode(frames)
         if envelope is not None:
-            self._on_message(envelope.header, envelope.message)
+            self._pass_on(envelope)
+
+    def _pass_on(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if not isinstance(message, TokenBundle):
+            self._on_message(envelope.header, message)
+            return
+        for item in message.items:
+            self._on_message(envelope.header, item)
 
     def _decode(self, frames: list[bytes]) -> Envelope | None:
         try:
--- a/src/magnoliahold/wire/messages.py
+++ b/src/magnoliahold/wire/messages.py
@@ -115,6 +115,16 @@
     end: str = ""
 
 
+@frozen
+class TokenBundle:
+    """Tokens of several streams in one message of a link, in the order of sending.
+
+    Links bundle and unbundle; no other part sees one.
+    """
+
+    items: tuple[StreamTokens, ...]
+
+
 @frozen
 class StreamFailed:
     """An attempt ended before its last token.
@@ -392,6 +402,7 @@
     Heartbeat
     | StartStream
     | StreamTokens
+    | TokenBundle
     | StreamFailed
     | AckTokens
     | CancelStream
--- a/src/magnoliahold/wire/sockets.py
+++ b/src/magnoliahold/wire/sockets.py
@@ -12,6 +12,10 @@
     from collections.abc import Callable
 
 MESSAGES_PER_READ = 200
+RECEIVE_FLAGS = int(zmq.NOBLOCK)
+MORE_FRAMES = int(zmq.RCVMORE)
+
+read_option = zmq.backend.Socket.get
 
 
 @implementer(IReadDescriptor)
@@ -53,7 +57,7 @@
             if self._socket.closed:
                 return
             try:
-                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+                frames = receive_frames(self._socket)
             except zmq.Again:
                 return
             except zmq.ZMQError:
@@ -76,3 +80,15 @@
     def _look(self) -> None:
         self._call = None
         self.doRead()
+
+
+def receive_frames(socket: zmq.Socket[bytes]) -> list[bytes]:
+    """Receives one multipart message, or raises zmq.Again when there is none.
+
+    The library's own method converts each option to an enumeration member, which
+    costs a third of the time for messages as small as one token.
+    """
+    frames = [socket.recv(RECEIVE_FLAGS)]
+    while read_option(socket, MORE_FRAMES):
+        frames.append(socket.recv(RECEIVE_FLAGS))
+    return frames
--- /dev/null
+++ b/tests/pass_through.py
@@ -0,0 +1,73 @@
+"""A plain HTTP pass-through to the stand-in engines, to compare the entry with."""
+
+from __future__ import annotations
+
+import sys
+from itertools import cycle
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import Protocol
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from magnoliahold.httpconnections import DirectConnector, build_agent, start_request
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class CopiedBody(Protocol):
+    """Writes the bytes of a body to a request as they come."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+        self._gone = False
+        request.notifyFinish().addErrback(self._stop)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self._gone:
+            self._request.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        if not self._gone:
+            self._request.finish()
+
+    def _stop(self, failure: object) -> None:
+        self._gone = True
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
+class PassThrough(Resource):
+    """Sends each request to the next engine and copies the answer."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, reactor: Any, urls: Iterator[str]) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._reactor = reactor
+        self._urls = urls
+
+    def render_POST(self, request: Any) -> int:  # noqa: N802
+        """Copies one generation."""
+        agent = build_agent(self._reactor, DirectConnector(self._reactor))
+        url = f"{next(self._urls)}/generate"
+        answer = start_request(agent, "POST", url, request.content.read(), ())
+        answer.addCallback(lambda got: got.deliverBody(CopiedBody(request)))
+        return NOT_DONE_YET
+
+
+def main() -> None:
+    """Serves on a port of loopback until killed."""
+    from twisted.internet import reactor
+
+    port, *urls = sys.argv[1:]
+    site: Any = Site(PassThrough(reactor, cycle(urls)))
+    running: Any = reactor
+    running.listenTCP(int(port), site, interface="127.0.0.1")
+    running.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -12,7 +12,7 @@
 from magnoliahold.core.identity import Identity
 from magnoliahold.wire.codec import NO_EXPIRY, Header
 from magnoliahold.wire.links import make_links
-from magnoliahold.wire.messages import CancelStream
+from magnoliahold.wire.messages import CancelStream, StreamTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -85,6 +85,31 @@
         self.assertTrue(self.server.send("client", CancelStream("to-client", 1)))
         self.assertTrue(self.run_until(lambda: bool(self.client.received)))
 
+    def test_tokens_arrive_one_by_one_and_in_order(self) -> None:
+        """Bundling is seen by nobody, whatever is sent between the tokens."""
+        self.connect()
+        self.client.send("server", CancelStream("first", 1))
+        self.run_until(lambda: bool(self.server.received))
+        tokens = [StreamTokens(f"l-{n % 7}", 1, n, ("t",)) for n in range(150)]
+        cases: tuple[tuple[str, list[Message]], ...] = (
+            ("one", [*tokens[:1]]),
+            ("more than a bundle", [*tokens]),
+            ("others between", [*tokens[:3], CancelStream("x", 1), *tokens[3:5]]),
+            ("another last", [*tokens[:2], CancelStream("y", 1)]),
+        )
+        for sender, receiver in (
+            (self.client, self.server),
+            (self.server, self.client),
+        ):
+            for name, messages in cases:
+                with self.subTest(name, sender=sender.identity.name):
+                    receiver.received.clear()
+                    for message in messages:
+                        sender.send(receiver.identity.name, message)
+                    self.run_until(lambda: len(receiver.received) >= len(messages))  # noqa: B023
+                    got = [message for _, message in receiver.received]
+                    self.assertEqual(got, messages)
+
     def test_nothing_is_queued_for_an_unconnected_peer(self) -> None:
         self.client.links.open_link("server", LOOPBACK, 1)
         self.assertFalse(self.client.send("server", CancelStream("lost", 1)))
