--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the entry package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/entry/test_responders.py
@@ -0,0 +1,58 @@
+"""Tests of the bytes that a streaming caller receives."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest.mock import Mock
+
+import msgspec
+
+from magnoliahold.core.effects import DeliverTokens, FinishGeneration
+from magnoliahold.entry.responders import StreamResponder
+
+REQUEST_ID = "request-1"
+
+
+def stream(work: str, *tokens: str) -> list[bytes]:
+    """Writes a stream and returns its events."""
+    request = Mock()
+    responder = StreamResponder(request, REQUEST_ID, work, Mock())
+    for offset, token in enumerate(tokens):
+        effect = DeliverTokens(REQUEST_ID, offset, (token,), "lineage-1", "sidecar-1")
+        responder.deliver_tokens(effect)
+    responder.finish_generation(FinishGeneration(REQUEST_ID, "length", len(tokens)))
+    body = b"".join(call.args[0] for call in request.write.call_args_list)
+    return body.split(b"\n\n")
+
+
+def read_data(event: bytes) -> Any:
+    """Reads the JSON of an event."""
+    return msgspec.json.decode(event.split(b"data: ", 1)[1])
+
+
+class StreamResponderTests(unittest.TestCase):
+    """Events carry the text, whatever the caller put into its request."""
+
+    def test_texts_and_works_are_passed_unchanged(self) -> None:
+        works = ("drafts", '"text":""', '{"text":""}', "\\", "\x1a", "näyttely")
+        texts = ("a", "", '"', "\\n\n\n", '"text":""', "ä\u2028")
+        for work in works:
+            for text in texts:
+                with self.subTest(work=work, text=text):
+                    first, last, done, rest = stream(work, text)
+                    chunk = read_data(first)
+                    self.assertEqual(chunk["choices"][0]["text"], text)
+                    self.assertEqual((chunk["model"], chunk["id"]), (work, REQUEST_ID))
+                    self.assertIsNone(chunk["choices"][0]["finish_reason"])
+                    ended = read_data(last)["choices"][0]
+                    self.assertEqual(
+                        (ended["text"], ended["finish_reason"]), ("", "length")
+                    )
+                    self.assertEqual((done, rest), (b"data: [DONE]", b""))
+
+    def test_each_event_names_the_tokens_up_to_it(self) -> None:
+        events = stream("drafts", "a", "b")
+        ids = [event.split(b"\n")[0] for event in events[:2]]
+        expected = [b"id: lineage-1~sidecar-1~1", b"id: lineage-1~sidecar-1~2"]
+        self.assertEqual(ids, expected)
