--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -21,12 +21,14 @@
     A link is asked every `heartbeat_s` while it is watched and not heard anyway, else
     every `resting_heartbeat_s`. It is watched while it carries work of ours, and for
     `alarm_s` after any link with work fell silent. A link that is not watched counts as
-    silent, and its process as lost, `resting_heartbeat_s` later.
+    silent, and its process as lost, `resting_heartbeat_s` later. A sidecar reports its
+    load early when that has changed by `report_step` of the capacity.
     """
 
     heartbeat_s: float = _seconds(0.25)
     resting_heartbeat_s: float = _seconds(1.0)
     alarm_s: float = _seconds(1.5)
+    report_step: float = field(default=0.125, validator=gt(0))
     link_silent_s: float = _seconds(0.4)
     peer_lost_s: float = _seconds(0.75)
     peer_forgotten_s: float = _seconds(60.0)
--- a/src/magnoliahold/core/sidecar.py
+++ b/src/magnoliahold/core/sidecar.py
@@ -47,6 +47,7 @@
     runs.start_runs,
     runs.fence_runs,
     runs.expire_runs,
+    membership.push_reports,
     drain.hand_back_streams,
     drain.stop_when_idle,
 )
--- a/src/magnoliahold/core/streams.py
+++ b/src/magnoliahold/core/streams.py
@@ -129,7 +129,10 @@
 
 @define
 class Owner:
-    """An entry that this sidecar has heard from."""
+    """An entry that this sidecar has heard from.
+
+    `told_running` is the running work of the last report to it, sent at `told_at`.
+    """
 
     name: str
     incarnation: str
@@ -137,6 +140,8 @@
     configuration_head: int = 0
     data_centre: str = ""
     asked_at: float = -math.inf
+    told_at: float = -math.inf
+    told_running: int = 0
 
 
 @define
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -368,4 +368,21 @@
         heard_at=now,
         configuration_head=received.message.configuration_head,
         data_centre=received.message.data_centre,
+        told_at=now,
+        told_running=len(world.streams.by_handle),
     )
+
+
+def push_reports(world: SidecarWorld, now: float) -> None:
+    """Reports a changed load to entries before their next heartbeat."""
+    policy = world.policy.membership
+    running = len(world.streams.by_handle)
+    step = max(1, int(world.upstream.capacity * policy.report_step))
+    for owner in world.owners.owners.values():
+        is_live = now - owner.heard_at < policy.peer_lost_s + policy.resting_heartbeat_s
+        is_due = now - owner.told_at >= policy.heartbeat_s
+        if is_live and is_due and abs(running - owner.told_running) >= step:
+            owner.told_at = now
+            owner.told_running = running
+            report = make_heartbeat(world, now, answer=True)
+            world.emit(SendMessage(owner.name, report))
--- a/src/magnoliahold/core/systems/ownership.py
+++ b/src/magnoliahold/core/systems/ownership.py
@@ -100,7 +100,7 @@
 
 
 def _ask_owner(world: SidecarWorld, stream: Stream, now: float) -> None:
-    """Sends a heartbeat to an entry with streams here that has not been heard lately."""
+    """Sends a heartbeat to an entry with streams here that is silent."""
     owner = world.owners.owners.get(stream.owner)
     interval = world.policy.membership.heartbeat_s
     if owner is None or stream.unowned_since is not None:
