--- a/src/magnoliahold/measure/load/runs.py
+++ b/src/magnoliahold/measure/load/runs.py
@@ -38,7 +38,7 @@
 class LoadRun:
     """One load on a reactor; `on_done` is called when every request has ended.
 
-    Arrivals beyond `MAX_OPEN` open requests are counted as not sent.
+    Arrivals beyond `MAX_OPEN` open requests end at once as errors.
     """
 
     reactor: Any
