Let no returning caller or engine break an entry, and wire prefixes over HTTP

Cause: a caller that came back with a smaller max_tokens than its stream had tokens, or an engine that produced more than asked, broke an invariant, which stops the process: anyone with a credential could stop every entry. The prefix that a caller may send back never reached the decisions, and event ids left out the version.

--- a/src/magnoliahold/core/systems/relay.py
+++ b/src/magnoliahold/core/systems/relay.py
@@ -77,7 +77,8 @@
     if message.offset > expected:
         _ask_again(world, generation, now)
         return
-    fresh = message.tokens[expected - message.offset :]
+    room = generation.request.max_tokens - expected
+    fresh = message.tokens[expected - message.offset :][:room]
     if fresh:
         _note_first_token(world, generation, now)
         _note_resumption(world, generation, now)
--- a/src/magnoliahold/core/systems/streams.py
+++ b/src/magnoliahold/core/systems/streams.py
@@ -147,7 +147,8 @@
 def _collect(
     world: SidecarWorld, stream: Stream, event: StreamProduced, now: float
 ) -> None:
-    if event.offset != len(stream.tokens):
+    count = event.offset + len(event.tokens)
+    if event.offset != len(stream.tokens) or count > stream.start.max_tokens:
         world.emit(CancelEngineStream(stream.handle))
         fail_stream(world, stream, "broken")
         return
--- a/src/magnoliahold/core/systems/takeover.py
+++ b/src/magnoliahold/core/systems/takeover.py
@@ -41,6 +41,8 @@
         return False
     if generation.request.workspace != request.workspace:
         return False
+    if generation.request.max_tokens != request.max_tokens:
+        return False
     if generation.state is GenerationState.TAKING:
         world.generations.change_request(generation, request)
         generation.delivered = place.offset
@@ -122,6 +124,8 @@
     """Tells whether a stream holds all that the caller has already received."""
     if not message.found or len(message.tokens) < generation.delivered:
         return False
+    if len(message.tokens) > generation.request.max_tokens:
+        return False
     prefix = generation.request.prefix
     return not prefix or message.tokens[: len(prefix)] == prefix
 
--- a/src/magnoliahold/entry/answers.py
+++ b/src/magnoliahold/entry/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -16,6 +17,8 @@
     from magnoliahold.core.effects import RefuseRequest
 
 EVENT_ID_SEPARATOR = "~"
+EVENT_ID_PARTS = 4
+OFFSET_PATTERN = re.compile(r"[0-9]{1,9}")
 JSON_TYPE = b"application/json"
 EVENT_STREAM_TYPE = b"text/event-stream"
 REMEDIES = {
@@ -88,18 +91,24 @@
 
 def format_event_id(event_id: EventId) -> str:
     """Formats the id of a server-sent event."""
-    parts = (event_id.lineage, event_id.sidecar, str(event_id.offset))
+    return f"{format_place(event_id)}{event_id.offset}"
+
+
+def format_place(event_id: EventId) -> str:
+    """Formats the part of an event id that comes before its offset."""
+    parts = (event_id.lineage, event_id.sidecar, event_id.version, "")
     return EVENT_ID_SEPARATOR.join(parts)
 
 
 def parse_event_id(text: str) -> EventId:
     """Parses Last-Event-ID; raises RequestRejected when it is malformed."""
     parts = text.split(EVENT_ID_SEPARATOR)
-    if len(parts) != 3 or not all(parts) or not parts[2].isdecimal():
+    if len(parts) != EVENT_ID_PARTS or not OFFSET_PATTERN.fullmatch(parts[-1]):
         raise RequestRejected(
             400, "malformed_event_id", "Last-Event-ID is not an id of this API"
         )
-    return EventId(parts[0], parts[1], int(parts[2]))
+    lineage, sidecar, version, offset = parts
+    return EventId(lineage, sidecar, int(offset), version)
 
 
 def make_completion(
--- a/src/magnoliahold/entry/requests.py
+++ b/src/magnoliahold/entry/requests.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
 
+    from magnoliahold.core.events import EventId
+
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 131_072
 BEARER = "Bearer "
@@ -54,12 +56,18 @@
 
 @frozen
 class CompletionBody:
-    """The fields of `POST /v1/completions` that are read; others are ignored."""
+    """The fields of `POST /v1/completions` that are read; others are ignored.
+
+    `prefix` holds the texts of all events received so far, in order. A caller that
+    sends them back with Last-Event-ID can be continued also when entry and upstream
+    were lost together.
+    """
 
     model: str
     prompt: str | list[str]
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
+    prefix: tuple[str, ...] = ()
 
 
 _completion_decoder = msgspec.json.Decoder(CompletionBody)
@@ -81,6 +89,17 @@
     return body
 
 
+def check_place(body: CompletionBody, place: EventId | None) -> None:
+    """Checks that prefix, Last-Event-ID and max_tokens fit together."""
+    offset = place.offset if place else 0
+    if offset > body.max_tokens:
+        message = "Last-Event-ID lies beyond max_tokens"
+        raise RequestRejected(400, "malformed_event_id", message)
+    if body.prefix and len(body.prefix) != offset:
+        message = "prefix must hold one text for each event up to Last-Event-ID"
+        raise RequestRejected(400, "malformed_request", message)
+
+
 def read_prompt(body: CompletionBody) -> str:
     """Reads the one prompt of a request."""
     return body.prompt if isinstance(body.prompt, str) else body.prompt[0]
--- a/src/magnoliahold/entry/resources.py
+++ b/src/magnoliahold/entry/resources.py
@@ -15,6 +15,7 @@
     reject_request,
 )
 from magnoliahold.entry.requests import (
+    check_place,
     make_fingerprint,
     read_body,
     read_completion,
@@ -106,6 +107,8 @@
         body = read_completion(request)
         prompt = read_prompt(body)
         last_event = read_header(request, "last-event-id")
+        place = parse_event_id(last_event) if last_event else None
+        check_place(body, place)
         request_id = self._site.make_request_id()
         event = GenerationArrived(
             request_id=request_id,
@@ -115,7 +118,8 @@
             max_tokens=body.max_tokens,
             stream=body.stream,
             fingerprint=make_fingerprint(workspace, body.model, prompt),
-            resume_from=parse_event_id(last_event) if last_event else None,
+            resume_from=place,
+            prefix=body.prefix,
         )
         responder: Responder
         if body.stream:
--- a/src/magnoliahold/entry/responders.py
+++ b/src/magnoliahold/entry/responders.py
@@ -15,7 +15,7 @@
     EVENT_STREAM_TYPE,
     JSON_TYPE,
     encode_error,
-    format_event_id,
+    format_place,
     make_completion,
     make_error,
     write_error,
@@ -65,13 +65,16 @@
         self._chunk_start, self._chunk_end = self._split_chunk()
 
     def deliver_tokens(self, effect: effects.DeliverTokens) -> None:
-        """Writes tokens as one event."""
+        """Writes each token as an event, all of them at once."""
         self._start()
-        offset = effect.offset + len(effect.tokens)
-        event_id = EventId(effect.lineage, effect.sidecar, offset)
-        text = msgspec.json.encode("".join(effect.tokens))
-        head = f"id: {format_event_id(event_id)}\n".encode()
-        self._request.write(head + self._chunk_start + text + self._chunk_end)
+        event_id = EventId(effect.lineage, effect.sidecar, 0, effect.version)
+        place = format_place(event_id)
+        events = []
+        for offset, token in enumerate(effect.tokens, effect.offset + 1):
+            text = msgspec.json.encode(token)
+            head = f"id: {place}{offset}\n".encode()
+            events.append(head + self._chunk_start + text + self._chunk_end)
+        self._request.write(b"".join(events))
 
     def finish_generation(self, effect: effects.FinishGeneration) -> None:
         """Writes the reason and the closing event."""
