Check and scan what a tick touched, not every stream in every tick

Cause: each tick checked every generation, judged every link and looked for lost sidecars of every running generation. Ticks follow messages, so the cost of a token grew with the streams that an entry holds. Ruled out: dropping checks; a full check once a second is kept, and rigs and tests still check every row. Change: a tick checks the rows that its messages touched; links are judged and asked at most every 20 ms; lost work is looked for after a loss, else every tick interval.

--- a/src/magnoliahold/core/move_checks.py
+++ b/src/magnoliahold/core/move_checks.py
@@ -17,15 +17,14 @@
 
 
 def find_rollout_violations(world: EntryWorld) -> Iterator[str]:
-    """Yields a sentence for each check of rows and moves that fails."""
-    yield from _find_row_violations(world.workspaces)
+    """Yields a sentence for each check of moves that fails."""
     for active in world.moves.active.values():
         yield from _find_share_violations(world, active)
     if world.moves.suspended_at:
         yield from _find_start_violations(world)
 
 
-def _find_row_violations(table: WorkspaceTable) -> Iterator[str]:
+def find_row_violations(table: WorkspaceTable) -> Iterator[str]:
     """Checks the rows of this tick: versions rise, and ended moves have a reason."""
     for name in table.touched:
         row = table.rows[name]
--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -66,12 +66,17 @@
     """All known processes by name.
 
     `judged_at` is when links were last judged, `alarm_at` when a link with work of ours
-    last fell silent.
+    last fell silent. `has_losses` is set when a process was lost, forgotten or has
+    restarted, until the work that hung on it was found.
     """
 
     peers: dict[str, Peer] = field(factory=dict)
     judged_at: float | None = None
     next_list_at: float = 0.0
+    next_judge_at: float = -math.inf
+    next_ask_at: float = -math.inf
+    next_loss_scan_at: float = -math.inf
+    has_losses: bool = False
     alarm_at: float = -math.inf
 
     def list_by_role(self, role: str) -> list[Peer]:
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -279,6 +279,7 @@
     """All limits and intervals of one process."""
 
     tick_s: float = _seconds(0.05)
+    full_check_s: float = _seconds(1.0)
     membership: MembershipPolicy = field(factory=MembershipPolicy)
     streams: StreamPolicy = field(factory=StreamPolicy)
     admission: AdmissionPolicy = field(factory=AdmissionPolicy)
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -31,6 +31,8 @@
     from magnoliahold.platform.interfaces import Instance
     from magnoliahold.wire.messages import EvidenceCount, SuspendVersion
 
+SCAN_INTERVAL_S = 0.02
+
 
 def add_peer(world: World, peer: Peer, now: float) -> None:
     """Adds a process to the table and opens the link to it."""
@@ -117,6 +119,7 @@
     if peer.listed or silent_s < world.policy.membership.peer_forgotten_s:
         return
     del world.peers.peers[peer.name]
+    world.peers.has_losses = True
     world.emit(CloseLink(peer.name))
 
 
@@ -149,6 +152,7 @@
             incarnation=received.sender.incarnation,
         )
     if peer.incarnation != received.sender.incarnation:
+        world.peers.has_losses = True
         peer.leaving = False
     peer.incarnation = received.sender.incarnation
     peer.heard_at = now
@@ -167,6 +171,9 @@
 
 def send_heartbeats(world: World, now: float) -> None:
     """Sends a heartbeat on each link when it is due."""
+    if now < world.peers.next_ask_at:
+        return
+    world.peers.next_ask_at = now + SCAN_INTERVAL_S
     policy = world.policy.membership
     for peer in world.peers.peers.values():
         interval = policy.resting_heartbeat_s
@@ -188,6 +195,10 @@
 
 def judge_links(world: World, now: float) -> None:
     """Replaces broken and silent links and marks processes that stay silent as lost."""
+    table = world.peers
+    if now < table.next_judge_at and not world.inbox.read_events(LinkBroke):
+        return
+    table.next_judge_at = now + SCAN_INTERVAL_S
     _forgive_own_pause(world, now)
     _note_broken_links(world, now)
     policy = world.policy.membership
@@ -278,6 +289,7 @@
 def _lose_peer(world: World, peer: Peer, reason: str) -> None:
     if not peer.lost:
         peer.lost = True
+        world.peers.has_losses = True
         world.log_decision("membership", "Peer is lost.", peer=peer.name, reason=reason)
 
 
--- a/src/magnoliahold/core/systems/resumption.py
+++ b/src/magnoliahold/core/systems/resumption.py
@@ -65,6 +65,11 @@
 
 def resume_lost(world: EntryWorld, now: float) -> None:
     """Makes generations ready again whose sidecar is lost or has restarted."""
+    table = world.peers
+    if not table.has_losses and now < table.next_loss_scan_at:
+        return
+    table.has_losses = False
+    table.next_loss_scan_at = now + world.policy.tick_s
     for generation in world.generations.list_in_state(GenerationState.RUNNING):
         peer = world.peers.peers.get(generation.sidecar)
         if peer is None or peer.lost:
--- a/src/magnoliahold/core/ticks.py
+++ b/src/magnoliahold/core/ticks.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING, TypeAlias, TypeVar
 
-from magnoliahold.core.invariants import InvariantViolated, find_violations
+from magnoliahold.core.invariants import (
+    InvariantViolated,
+    find_all_violations,
+    find_violations,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -22,10 +26,18 @@
     """
     for system in systems:
         system(world, now)
+    check_tables(world, now)
     world.inbox.clear_events()
     effects = world.effects
     world.effects = []
+    return effects
+
+
+def check_tables(world: World, now: float) -> None:
+    """Checks the rows that this tick touched, and all rows at intervals."""
     violations = list(find_violations(world))
+    if world.checks_everything or now >= world.next_full_check_at:
+        world.next_full_check_at = now + world.policy.full_check_s
+        violations += find_all_violations(world)
     if violations:
         raise InvariantViolated("; ".join(violations))
-    return effects
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -40,6 +41,7 @@
     `effects` grows during a tick and is performed and cleared by the node after it.
     `breaches` names invariants that a system found broken. `idle_since` is set while
     a leaving process has nothing in flight, and `stopping` when it was told to stop.
+    With `checks_everything` each tick checks all rows, not only those it touched.
     """
 
     identity: Identity
@@ -55,6 +57,8 @@
     next_serial: int = 0
     wall_clock: Callable[[float], float] = float
     breaches: list[str] = field(factory=list)
+    checks_everything: bool = False
+    next_full_check_at: float = -math.inf
 
     def emit(self, effect: object) -> None:
         """Adds an effect to be performed after this tick."""
