--- a/src/magnoliahold/entry/responders.py
+++ b/src/magnoliahold/entry/responders.py
@@ -62,6 +62,7 @@
         self._post = post
         self._created = int(time.time())
         self._started = False
+        self._last_id = b""
         self._chunk_start, self._chunk_end = self._split_chunk()
 
     def deliver_tokens(self, effect: effects.DeliverTokens) -> None:
@@ -72,15 +73,16 @@
         events = []
         for offset, token in enumerate(effect.tokens, effect.offset + 1):
             text = msgspec.json.encode(token)
-            head = f"id: {place}{offset}\n".encode()
-            events.append(head + self._chunk_start + text + self._chunk_end)
+            self._last_id = f"id: {place}{offset}\n".encode()
+            events.append(self._last_id + self._chunk_start + text + self._chunk_end)
         self._request.write(b"".join(events))
 
     def finish_generation(self, effect: effects.FinishGeneration) -> None:
         """Writes the reason and the closing event."""
         self._start()
         chunk = self._make_chunk("", effect.reason)
-        self._request.write(b"data: " + chunk + b"\n\ndata: [DONE]\n\n")
+        ending = b"data: " + chunk + b"\n\ndata: [DONE]\n\n"
+        self._request.write(self._last_id + ending)
         self._close()
 
     def refuse_request(self, effect: effects.RefuseRequest) -> None:
--- a/tests/entry/test_responders.py
+++ b/tests/entry/test_responders.py
@@ -54,9 +54,9 @@
 
     def test_each_event_names_the_tokens_up_to_it(self) -> None:
         events = stream("drafts", "a", "b")
-        ids = [event.split(b"\n")[0] for event in events[:2]]
+        ids = [event.split(b"\n")[0] for event in events[:3]]
         expected = [b"id: lineage-1~sidecar-1~v1~1", b"id: lineage-1~sidecar-1~v1~2"]
-        self.assertEqual(ids, expected)
+        self.assertEqual(ids, [*expected, expected[-1]])
 
     def test_tokens_that_came_together_are_events_of_their_own(self) -> None:
         request = Mock()
