--- /dev/null
+++ b/src/magnoliahold/measure/move_reports.py
@@ -0,0 +1,178 @@
+"""Results of moves to good and bad versions, and their sums."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from magnoliahold.core.moves import ENDED, MoveState
+from magnoliahold.measure.badness import (
+    BAD_KINDS,
+    GOOD,
+    LATER,
+    UNDER_LOAD,
+)
+from magnoliahold.measure.options import find_quantiles, find_share
+
+if TYPE_CHECKING:
+    from magnoliahold.measure.badness import (
+        Badness,
+    )
+    from magnoliahold.measure.fakes.callers import GenerationCaller
+    from magnoliahold.measure.fakes.operators import Apply
+    from magnoliahold.measure.options import Quantiles
+    from magnoliahold.wire.messages import MoveRow
+
+CANARY_CAP = 0.08
+EPOCH_S = 1_800_000_000.0
+SHARE_WINDOW = 100
+
+
+@frozen
+class KindReport:
+    """Results of the moves to one kind of version."""
+
+    moves: int
+    right: int
+    trip_s: Quantiles
+
+
+@frozen
+class MovesReport:
+    """Results of all runs.
+
+    `bad_share_max` is the highest share that the rows gave a version that was bad from
+    the start, `bad_share_seen_max` the highest share that any of those had of 100
+    requests in a row. Requests arrive until 5 s after the end of a move;
+    `bad_requests_share` is the part of them that a bad version spoilt. `trip_s` is the
+    time from the first bad answer to the last new request on that version, over the
+    versions that showed themselves bad.
+    """
+
+    good: int
+    good_done_in_time: int
+    good_taken_back: int
+    bad: int
+    bad_shown: int
+    bad_taken_back: int
+    unreported: int
+    bad_share_max: float
+    bad_share_seen_max: float
+    bad_share_cap: float
+    bad_requests_share: float
+    trip_s: Quantiles
+    requests: int
+    answered: int
+    by_kind: dict[str, KindReport]
+
+
+@define(eq=False)
+class Trial:
+    """One move of a run: the version's behaviour and what the system made of it."""
+
+    workspace: str
+    badness: Badness
+    apply: Apply | None = None
+    accepted_at: float = 0.0
+    ended_at: float | None = None
+    row: MoveRow | None = None
+    share_max: float = 0.0
+    request_times: list[float] = field(factory=list)
+
+    @property
+    def right(self) -> bool:
+        """Whether the move ended as its version deserves."""
+        wanted = MoveState.DONE if self.badness.is_good else MoveState.TAKEN_BACK
+        return self.row is not None and self.row.state == wanted
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the move ended by its deadline."""
+        if self.row is None or self.ended_at is None:
+            return False
+        return self.ended_at <= self.row.deadline - EPOCH_S
+
+    @property
+    def trip_s(self) -> float | None:
+        """Seconds from the first bad answer to the last new request after it."""
+        first = self.badness.first_bad_at
+        if first is None:
+            return None
+        return max([at - first for at, _ in self.badness.starts if at > first] or [0.0])
+
+
+def make_report(trials: list[Trial], callers: list[GenerationCaller]) -> MovesReport:
+    """Adds the results of moves and of their callers up."""
+    good = [trial for trial in trials if trial.badness.is_good]
+    bad = [trial for trial in trials if not trial.badness.is_good]
+    shown = [trial for trial in bad if trial.badness.first_bad_at is not None]
+    early = [trial for trial in shown if trial.badness.kind not in (LATER, UNDER_LOAD)]
+    spoilt = sum(is_bad for trial in bad for _, is_bad in trial.badness.starts)
+    return MovesReport(
+        good=len(good),
+        good_done_in_time=sum(trial.right and trial.in_time for trial in good),
+        good_taken_back=sum(is_taken_back(trial) for trial in good),
+        bad=len(bad),
+        bad_shown=len(shown),
+        bad_taken_back=sum(is_taken_back(trial) for trial in shown),
+        unreported=sum(is_unreported(trial) for trial in trials),
+        bad_share_max=max((trial.share_max for trial in early), default=0.0),
+        bad_share_seen_max=max(
+            (find_seen_share(trial) for trial in early), default=0.0
+        ),
+        bad_share_cap=CANARY_CAP,
+        bad_requests_share=find_share(spoilt, len(callers)),
+        trip_s=find_trips(shown),
+        requests=len(callers),
+        answered=sum(caller.finished_at is not None for caller in callers),
+        by_kind=make_kind_reports(trials),
+    )
+
+
+def is_taken_back(trial: Trial) -> bool:
+    """Tells whether a move was reported as taken back."""
+    return trial.row is not None and trial.row.state == MoveState.TAKEN_BACK
+
+
+def is_unreported(trial: Trial) -> bool:
+    """Tells whether an accepted move has no final state with a reason."""
+    if trial.apply is None or trial.apply.accepted is None:
+        return False
+    row = trial.row
+    return row is None or row.state not in ENDED or not row.reason
+
+
+def find_seen_share(trial: Trial) -> float:
+    """Finds the highest share of the version in any 100 requests of its workspace."""
+    starts = [at for at, _ in trial.badness.starts]
+    times = trial.request_times
+    highest = 0
+    for index in range(len(times) - SHARE_WINDOW):
+        first, last = times[index], times[index + SHARE_WINDOW]
+        within = bisect_left(starts, last) - bisect_left(starts, first)
+        highest = max(highest, within)
+    return highest / SHARE_WINDOW
+
+
+def find_trips(trials: list[Trial]) -> Quantiles:
+    """Finds the quantiles of the times to stop new requests on bad versions."""
+    return find_quantiles(
+        [trial.trip_s for trial in trials if trial.trip_s is not None]
+    )
+
+
+def make_kind_reports(trials: list[Trial]) -> dict[str, KindReport]:
+    """Adds the results up by kind of version."""
+    reports = {}
+    for kind in (GOOD, *BAD_KINDS):
+        chosen = [trial for trial in trials if trial.badness.kind == kind]
+        shown = [
+            trial
+            for trial in chosen
+            if trial.badness.is_good or trial.badness.first_bad_at is not None
+        ]
+        right = sum(trial.right for trial in shown)
+        reports[kind] = KindReport(len(shown), right, find_trips(shown))
+    return reports
--- a/src/magnoliahold/measure/moves.py
+++ b/src/magnoliahold/measure/moves.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from datetime import UTC, datetime
 from random import Random
 from typing import TYPE_CHECKING
@@ -12,20 +11,23 @@
 from magnoliahold.core.configuration import WORKSPACES, decode_row
 from magnoliahold.core.effects import SendOrder
 from magnoliahold.core.events import GenerationArrived
-from magnoliahold.core.moves import ENDED, MoveState, find_latest
+from magnoliahold.core.moves import ENDED, find_latest
 from magnoliahold.core.policy import Policy
 from magnoliahold.measure.badness import (
     BAD_KINDS,
     GOOD,
-    LATER,
-    UNDER_LOAD,
     Badness,
     install_badness,
 )
 from magnoliahold.measure.fakes.callers import GenerationCaller
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
 from magnoliahold.measure.fakes.operators import add_operator_ports, apply_template
-from magnoliahold.measure.options import find_quantiles, find_share
+from magnoliahold.measure.move_reports import (
+    CANARY_CAP,
+    EPOCH_S,
+    Trial,
+    make_report,
+)
 from magnoliahold.templates import (
     Move,
     VersionShare,
@@ -37,10 +39,11 @@
 if TYPE_CHECKING:
     from magnoliahold.measure.fakes.fleet import Fleet
     from magnoliahold.measure.fakes.operators import Apply
-    from magnoliahold.measure.options import MeasureOptions, Quantiles
-    from magnoliahold.wire.messages import MoveRow
+    from magnoliahold.measure.move_reports import (
+        MovesReport,
+    )
+    from magnoliahold.measure.options import MeasureOptions
 
-EPOCH_S = 1_800_000_000.0
 WORKSPACES_PER_RUN = 2
 ENGINES = 4
 ENGINE_STREAMS = 8
@@ -57,87 +60,12 @@
 RUSH_FROM = 0.3
 RUSH_TO = 0.6
 TOKENS = (4, 8)
-CANARY_CAP = 0.08
 GOOD_SHARE = 0.5
 LATER_FROM = 0.35
 LATER_TO = 0.7
-SHARE_WINDOW = 100
 PLAIN_FAILURES = 10
 
 
-@frozen
-class KindReport:
-    """Results of the moves to one kind of version."""
-
-    moves: int
-    right: int
-    trip_s: Quantiles
-
-
-@frozen
-class MovesReport:
-    """Results of all runs.
-
-    `bad_share_max` is the highest share that the rows gave a version that was bad from
-    the start, `bad_share_seen_max` the highest share that any of those had of 100
-    requests in a row. Requests arrive until 5 s after the end of a move;
-    `bad_requests_share` is the part of them that a bad version spoilt. `trip_s` is the
-    time from the first bad answer to the last new request on that version, over the
-    versions that showed themselves bad.
-    """
-
-    good: int
-    good_done_in_time: int
-    good_taken_back: int
-    bad: int
-    bad_shown: int
-    bad_taken_back: int
-    unreported: int
-    bad_share_max: float
-    bad_share_seen_max: float
-    bad_share_cap: float
-    bad_requests_share: float
-    trip_s: Quantiles
-    requests: int
-    answered: int
-    by_kind: dict[str, KindReport]
-
-
-@define(eq=False)
-class Trial:
-    """One move of a run: the version's behaviour and what the system made of it."""
-
-    workspace: str
-    badness: Badness
-    apply: Apply | None = None
-    accepted_at: float = 0.0
-    ended_at: float | None = None
-    row: MoveRow | None = None
-    share_max: float = 0.0
-    request_times: list[float] = field(factory=list)
-
-    @property
-    def right(self) -> bool:
-        """Whether the move ended as its version deserves."""
-        wanted = MoveState.DONE if self.badness.is_good else MoveState.TAKEN_BACK
-        return self.row is not None and self.row.state == wanted
-
-    @property
-    def in_time(self) -> bool:
-        """Whether the move ended by its deadline."""
-        if self.row is None or self.ended_at is None:
-            return False
-        return self.ended_at <= self.row.deadline - EPOCH_S
-
-    @property
-    def trip_s(self) -> float | None:
-        """Seconds from the first bad answer to the last new request after it."""
-        first = self.badness.first_bad_at
-        if first is None:
-            return None
-        return max([at - first for at, _ in self.badness.starts if at > first] or [0.0])
-
-
 @define(eq=False)
 class Scenario:
     """One run: several moves at once under load and faults."""
@@ -400,81 +328,6 @@
         scenario = make_scenario(options.seed * 1_000 + run, run, options)
         scenario.run()
         scenarios.append(scenario)
-    return make_report(scenarios)
-
-
-def make_report(scenarios: list[Scenario]) -> MovesReport:
-    """Adds the results of scenarios up."""
     trials = [trial for item in scenarios for trial in item.trials]
-    good = [trial for trial in trials if trial.badness.is_good]
-    bad = [trial for trial in trials if not trial.badness.is_good]
-    shown = [trial for trial in bad if trial.badness.first_bad_at is not None]
-    early = [trial for trial in shown if trial.badness.kind not in (LATER, UNDER_LOAD)]
     callers = [caller for item in scenarios for caller in item.callers]
-    spoilt = sum(is_bad for trial in bad for _, is_bad in trial.badness.starts)
-    return MovesReport(
-        good=len(good),
-        good_done_in_time=sum(trial.right and trial.in_time for trial in good),
-        good_taken_back=sum(is_taken_back(trial) for trial in good),
-        bad=len(bad),
-        bad_shown=len(shown),
-        bad_taken_back=sum(is_taken_back(trial) for trial in shown),
-        unreported=sum(is_unreported(trial) for trial in trials),
-        bad_share_max=max((trial.share_max for trial in early), default=0.0),
-        bad_share_seen_max=max(
-            (find_seen_share(trial) for trial in early), default=0.0
-        ),
-        bad_share_cap=CANARY_CAP,
-        bad_requests_share=find_share(spoilt, len(callers)),
-        trip_s=find_trips(shown),
-        requests=len(callers),
-        answered=sum(caller.finished_at is not None for caller in callers),
-        by_kind=make_kind_reports(trials),
-    )
-
-
-def is_taken_back(trial: Trial) -> bool:
-    """Tells whether a move was reported as taken back."""
-    return trial.row is not None and trial.row.state == MoveState.TAKEN_BACK
-
-
-def is_unreported(trial: Trial) -> bool:
-    """Tells whether an accepted move has no final state with a reason."""
-    if trial.apply is None or trial.apply.accepted is None:
-        return False
-    row = trial.row
-    return row is None or row.state not in ENDED or not row.reason
-
-
-def find_seen_share(trial: Trial) -> float:
-    """Finds the highest share of the version in any 100 requests of its workspace."""
-    starts = [at for at, _ in trial.badness.starts]
-    times = trial.request_times
-    highest = 0
-    for index in range(len(times) - SHARE_WINDOW):
-        first, last = times[index], times[index + SHARE_WINDOW]
-        within = bisect_left(starts, last) - bisect_left(starts, first)
-        highest = max(highest, within)
-    return highest / SHARE_WINDOW
-
-
-def find_trips(trials: list[Trial]) -> Quantiles:
-    """Finds the quantiles of the times to stop new requests on bad versions."""
-    return find_quantiles(
-        [trial.trip_s for trial in trials if trial.trip_s is not None]
-    )
-
-
-def make_kind_reports(trials: list[Trial]) -> dict[str, KindReport]:
-    """Adds the results up by kind of version."""
-    reports = {}
-    for kind in (GOOD, *BAD_KINDS):
-        chosen = [trial for trial in trials if trial.badness.kind == kind]
-        shown = [
-            trial
-            for trial in chosen
-            if trial.badness.is_good or trial.badness.first_bad_at is not None
-        ]
-        right = sum(trial.right for trial in shown)
-        reports[kind] = KindReport(len(shown), right, find_trips(shown))
-    return reports
+    return make_report(trials, callers)
--- a/tests/core/systems/test_placement.py
+++ b/tests/core/systems/test_placement.py
@@ -12,7 +12,8 @@
 from magnoliahold.core.placement import PLACEMENTS, decode_placement
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
 from magnoliahold.measure.fakes.operators import add_operator_ports, apply_template
-from magnoliahold.measure.moves import EPOCH_S, WallClock
+from magnoliahold.measure.move_reports import EPOCH_S
+from magnoliahold.measure.moves import WallClock
 from magnoliahold.templates import (
     Move,
     VersionShare,
--- a/tests/measure/test_moves.py
+++ b/tests/measure/test_moves.py
@@ -8,12 +8,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from magnoliahold.measure.moves import (
+from magnoliahold.measure.move_reports import (
     CANARY_CAP,
     find_seen_share,
     is_unreported,
-    make_scenario,
 )
+from magnoliahold.measure.moves import make_scenario
 from magnoliahold.measure.options import MeasureOptions
 
 EXAMPLES = int(os.environ.get("MAGNOLIAHOLD_EXAMPLES", "2"))
