Take no stream that is handed over for a start on a suspended version

Cause: a caller that came back to a stream of a version suspended meanwhile broke the check of starts, which stops the entry; event ids name the version since they carry it over HTTP, so real callers could do so. Ruled out: a real start; the stream began before.

--- a/src/magnoliahold/core/move_checks.py
+++ b/src/magnoliahold/core/move_checks.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.generations import GenerationState
 from magnoliahold.core.moves import ENDED, MoveState, find_move, find_new_share
 
 if TYPE_CHECKING:
@@ -51,9 +52,13 @@
 
 
 def _find_start_violations(world: EntryWorld) -> Iterator[str]:
-    """Checks that no new work was started on a version after its suspension."""
+    """Checks that no new work was started on a version after its suspension.
+
+    A stream that is being taken over was started earlier and is no new work.
+    """
     for generation in world.generations.by_request.values():
-        if generation.tokens or not generation.sidecar:
+        running = generation.state is GenerationState.RUNNING
+        if generation.tokens or not running:
             continue
         move = find_move(world, *generation.key)
         if move is None or move.state in ENDED:
