Report refused connections, so that a killed process shows itself at once

Cause: the core takes a second broken link for a refused connection and gives the process up, but links reported resets only, so a killed sidecar cost the whole 0.3 s of patience. Ruled out: a shorter patience, which would give up a process that is only slow to answer. Change: links report refused connects too.

--- a/src/magnoliahold/wire/links.py
+++ b/src/magnoliahold/wire/links.py
@@ -38,7 +38,9 @@
 RECONNECT_MAX_MS = 2_000
 HANDSHAKE_MS = 2_000
 MAX_BUNDLED_MESSAGES = 64
-MONITORED_EVENTS = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+MONITORED_EVENTS = (
+    zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED | zmq.EVENT_CONNECT_RETRIED
+)
 
 
 @frozen
@@ -81,7 +83,7 @@
     """All links of one process.
 
     `on_message` takes each message with its header, `on_link_broken` the name of a peer
-    whose connection was reset. `broken_messages` counts malformed messages, which are
+    whose connection was reset or refused. `broken_messages` counts malformed messages, which are
     dropped.
     """
 
@@ -233,7 +235,7 @@
             if greeting is not None:
                 self._send(link.socket, greeting)
                 link.reader.look_again()
-        elif link.connected:
+        elif event == zmq.EVENT_CONNECT_RETRIED or link.connected:
             link.connected = False
             self._on_link_broken(link.peer)
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -134,6 +134,11 @@
         self.server.links.close_all()
         self.assertTrue(self.run_until(lambda: self.client.broken == ["server"]))
 
+    def test_refused_connection_is_reported(self) -> None:
+        self.server.links.close_all()
+        self.client.links.open_link("server", LOOPBACK, self.port)
+        self.assertTrue(self.run_until(lambda: "server" in self.client.broken))
+
     def test_replaced_link_carries_answers(self) -> None:
         self.connect()
         self.client.links.replace_link("server")
