Split membership into the instance list, heartbeats and links

Cause: one module of 400 lines learned processes, made heartbeats and judged links. Change: three modules; the last sign of a peer is a property of it. No behaviour changes. Result: types and linter clean, tests of survival, heartbeats, drain, returns and the fleet green.

--- a/src/magnoliahold/core/entry.py
+++ b/src/magnoliahold/core/entry.py
@@ -11,7 +11,9 @@
     configuration,
     drain,
     followers,
+    heartbeats,
     judgement,
+    links,
     membership,
     moves,
     operators,
@@ -30,9 +32,9 @@
     from magnoliahold.core.worlds import EntryWorld
 
 ENTRY_SYSTEMS: tuple[System[EntryWorld], ...] = (
-    membership.receive_heartbeats,
+    heartbeats.receive_heartbeats,
     membership.list_instances,
-    membership.judge_links,
+    links.judge_links,
     spread.receive_configurations,
     configuration.settle_commits,
     configuration.queue_applies,
@@ -75,5 +77,5 @@
     results.write_results,
     quarantine.expire_suspicions,
     drain.stop_when_idle,
-    membership.send_heartbeats,
+    heartbeats.send_heartbeats,
 )
--- a/src/magnoliahold/core/peers.py
+++ b/src/magnoliahold/core/peers.py
@@ -53,6 +53,11 @@
     first_token_s: float | None = None
     first_token_at: float = 0.0
 
+    @property
+    def last_sign_at(self) -> float:
+        """When this process was last heard, or else when its link was opened."""
+        return self.link_opened_at if self.heard_at is None else self.heard_at
+
     @property
     def usable(self) -> bool:
         """Whether new work may be sent to this process."""
--- a/src/magnoliahold/core/sidecar.py
+++ b/src/magnoliahold/core/sidecar.py
@@ -8,7 +8,7 @@
     deaths,
     drain,
     evidence,
-    membership,
+    heartbeats,
     orders,
     ownership,
     runs,
@@ -23,7 +23,7 @@
     from magnoliahold.core.worlds import SidecarWorld
 
 SIDECAR_SYSTEMS: tuple[System[SidecarWorld], ...] = (
-    membership.receive_heartbeats,
+    heartbeats.receive_heartbeats,
     drain.start_leaving,
     spread.note_heads,
     deaths.note_broken_streams,
@@ -47,7 +47,7 @@
     runs.start_runs,
     runs.fence_runs,
     runs.expire_runs,
-    membership.push_reports,
+    heartbeats.push_reports,
     drain.hand_back_streams,
     drain.stop_when_idle,
 )
--- a/src/magnoliahold/core/systems/drain.py
+++ b/src/magnoliahold/core/systems/drain.py
@@ -13,7 +13,7 @@
 )
 from magnoliahold.core.events import CallArrived, GenerationArrived, LeaveRequested
 from magnoliahold.core.streams import StreamState
-from magnoliahold.core.systems.membership import make_heartbeat
+from magnoliahold.core.systems.heartbeats import make_heartbeat
 from magnoliahold.core.systems.streams import fail_stream
 from magnoliahold.core.worlds import EntryWorld, SidecarWorld
 from magnoliahold.wire.messages import Leave
--- /dev/null
+++ b/src/magnoliahold/core/systems/heartbeats.py
@@ -0,0 +1,204 @@
+"""Heartbeats between processes and the reports that they carry."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from magnoliahold.core.effects import (
+    SendMessage,
+)
+from magnoliahold.core.streams import Owner
+from magnoliahold.core.systems.evidence import list_evidence
+from magnoliahold.core.systems.judgement import list_suspended
+from magnoliahold.core.worlds import EntryWorld, SidecarWorld
+from magnoliahold.wire.messages import Heartbeat, UpstreamReport
+
+if TYPE_CHECKING:
+    from magnoliahold.core.events import Received
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import World
+    from magnoliahold.wire.messages import EvidenceCount, SuspendVersion
+
+from magnoliahold.core.systems.membership import time_leaving
+
+ASK_INTERVAL_S = 0.02
+
+
+def receive_heartbeats(world: World, now: float) -> None:
+    """Notes what peers tell of themselves and answers their heartbeats."""
+    for sender in world.inbox.senders.values():
+        known = world.peers.peers.get(sender.name)
+        if known is not None and known.incarnation in ("", sender.incarnation):
+            known.heard_at = now
+    for received in world.inbox.read_messages(Heartbeat):
+        note_heartbeat(world, received, now)
+        peer = world.peers.peers.get(received.sender.name)
+        if peer is not None:
+            _update_peer(world, peer, received, now)
+        if not received.message.answer:
+            echo = received.message.clock
+            answer = evolve(make_heartbeat(world, now, answer=True), echo=echo)
+            world.emit(SendMessage(received.sender.name, answer))
+
+
+def _update_peer(
+    world: World, peer: Peer, received: Received[Heartbeat], now: float
+) -> None:
+    heartbeat = received.message
+    if peer.lost:
+        world.log_decision(
+            "membership",
+            "Peer is live.",
+            peer=peer.name,
+            incarnation=received.sender.incarnation,
+        )
+    if peer.incarnation != received.sender.incarnation:
+        world.peers.has_losses = True
+        peer.leaving = False
+    peer.incarnation = received.sender.incarnation
+    peer.heard_at = now
+    peer.lost = False
+    if peer.broken_at is not None and heartbeat.echo >= peer.broken_at:
+        peer.broken_at = None
+    peer.clock_offset = heartbeat.clock - now
+    peer.leaving = peer.leaving or heartbeat.leaving
+    time_leaving(peer, now)
+    peer.assigned_reported = peer.assigned
+    peer.configuration_head = heartbeat.configuration_head
+    peer.report = heartbeat.report
+    peer.evidence = heartbeat.evidence
+    peer.suspended = heartbeat.suspended
+
+
+def send_heartbeats(world: World, now: float) -> None:
+    """Sends a heartbeat on each link when it is due."""
+    if now < world.peers.next_ask_at:
+        return
+    world.peers.next_ask_at = now + ASK_INTERVAL_S
+    policy = world.policy.membership
+    for peer in world.peers.peers.values():
+        interval = policy.resting_heartbeat_s
+        if _is_watched(world, peer, now):
+            interval = policy.heartbeat_s
+        if now - peer.asked_at >= interval:
+            peer.asked_at = now
+            world.emit(SendMessage(peer.name, make_heartbeat(world, now, answer=False)))
+
+
+def _is_watched(world: World, peer: Peer, now: float) -> bool:
+    """Tells whether a link is asked often: watched, and not heard anyway."""
+    if peer.lost or peer.broken_at is not None:
+        return True
+    unheard_s = now - peer.last_sign_at
+    watched = peer.watched_since is not None
+    return watched and unheard_s >= world.policy.membership.heartbeat_s
+
+
+def make_heartbeat(world: World, now: float, *, answer: bool) -> Heartbeat:
+    """Builds a heartbeat of this process."""
+    identity = world.identity
+    return Heartbeat(
+        clock=now,
+        answer=answer,
+        role=identity.role,
+        data_centre=identity.data_centre,
+        leaving=world.leaving_since is not None,
+        configuration_head=world.workspaces.head,
+        report=make_report(world),
+        evidence=make_evidence(world, now),
+        suspended=make_suspended(world),
+    )
+
+
+@singledispatch
+def make_evidence(world: World, now: float) -> tuple[EvidenceCount, ...]:
+    """Lists the counts of results that a sidecar tells; entries have none."""
+    return ()
+
+
+@make_evidence.register(SidecarWorld)
+def _make_sidecar_evidence(
+    world: SidecarWorld, now: float
+) -> tuple[EvidenceCount, ...]:
+    return list_evidence(world, now)
+
+
+@singledispatch
+def make_suspended(world: World) -> tuple[SuspendVersion, ...]:
+    """Lists the versions that an entry has suspended; sidecars have none."""
+    return ()
+
+
+@make_suspended.register(EntryWorld)
+def _make_entry_suspended(world: EntryWorld) -> tuple[SuspendVersion, ...]:
+    return list_suspended(world)
+
+
+@singledispatch
+def make_report(world: World) -> UpstreamReport | None:
+    """Builds the report on the upstream; entries have none."""
+    return None
+
+
+@make_report.register(SidecarWorld)
+def _make_sidecar_report(world: SidecarWorld) -> UpstreamReport | None:
+    upstream = world.upstream
+    placement = world.orders.placement
+    return UpstreamReport(
+        name=upstream.name,
+        kind=upstream.kind,
+        ready=upstream.ready,
+        role=upstream.role,
+        versions=upstream.versions,
+        adapters=upstream.adapters,
+        engine_incarnation=upstream.incarnation,
+        running=len(world.streams.by_handle),
+        reported_running=upstream.reported_running,
+        capacity=upstream.capacity,
+        checks_fencing=upstream.checks_fencing,
+        suspects=_count_suspects(world),
+        placed=placement.versions if placement else (),
+        placement=placement.fencing if placement else 0,
+    )
+
+
+def _count_suspects(world: SidecarWorld) -> int:
+    streams = sum(item.start.suspect for item in world.streams.by_handle.values())
+    return streams + sum(run.suspect for run in world.runs.open.values())
+
+
+@singledispatch
+def note_heartbeat(world: World, received: Received[Heartbeat], now: float) -> None:
+    """Notes an entry as an owner of streams; entries need no such note."""
+
+
+@note_heartbeat.register(SidecarWorld)
+def _note_owner(world: SidecarWorld, received: Received[Heartbeat], now: float) -> None:
+    sender = received.sender
+    world.owners.owners[sender.name] = Owner(
+        name=sender.name,
+        incarnation=sender.incarnation,
+        heard_at=now,
+        configuration_head=received.message.configuration_head,
+        data_centre=received.message.data_centre,
+        told_at=now,
+        told_running=len(world.streams.by_handle),
+    )
+
+
+def push_reports(world: SidecarWorld, now: float) -> None:
+    """Reports a changed load to entries before their next heartbeat."""
+    policy = world.policy.membership
+    running = len(world.streams.by_handle)
+    step = max(1, int(world.upstream.capacity * policy.report_step))
+    for owner in world.owners.owners.values():
+        is_live = now - owner.heard_at < policy.peer_lost_s + policy.resting_heartbeat_s
+        is_due = now - owner.told_at >= policy.heartbeat_s
+        if is_live and is_due and abs(running - owner.told_running) >= step:
+            owner.told_at = now
+            owner.told_running = running
+            report = make_heartbeat(world, now, answer=True)
+            world.emit(SendMessage(owner.name, report))
--- /dev/null
+++ b/src/magnoliahold/core/systems/links.py
@@ -0,0 +1,115 @@
+"""Judges links: replaces silent ones and gives up processes that stay silent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import (
+    ReplaceLink,
+    SendMessage,
+)
+from magnoliahold.core.events import LinkBroke
+
+if TYPE_CHECKING:
+    from magnoliahold.core.peers import Peer
+    from magnoliahold.core.worlds import World
+
+from magnoliahold.core.systems.heartbeats import make_heartbeat
+
+JUDGE_INTERVAL_S = 0.02
+
+
+def judge_links(world: World, now: float) -> None:
+    """Replaces broken and silent links and marks processes that stay silent as lost."""
+    table = world.peers
+    if now < table.next_judge_at and not world.inbox.read_events(LinkBroke):
+        return
+    table.next_judge_at = now + JUDGE_INTERVAL_S
+    _forgive_own_pause(world, now)
+    _note_broken_links(world, now)
+    policy = world.policy.membership
+    for peer in world.peers.peers.values():
+        _note_watch(world, peer, now)
+        if peer.broken_at is not None and now - peer.broken_at >= policy.broken_link_s:
+            peer.broken_at = None
+            _lose_peer(world, peer, "link reset")
+        silent_s = now - peer.last_sign_at
+        if peer.watched_since is None:
+            silent_s -= policy.resting_heartbeat_s
+        else:
+            silent_s = min(silent_s, now - peer.watched_since)
+        if silent_s < policy.link_silent_s:
+            continue
+        if peer.assigned > 0 and not peer.lost:
+            _raise_alarm(world, now)
+        if now - peer.link_opened_at >= policy.link_silent_s:
+            replace_link(world, peer, now)
+        if silent_s >= policy.peer_lost_s:
+            _lose_peer(world, peer, "silent")
+
+
+def _note_watch(world: World, peer: Peer, now: float) -> None:
+    """Notes since when a link is watched: it carries work, or another fell silent."""
+    alarm_s = now - world.peers.alarm_at
+    watched = peer.assigned > 0 or alarm_s < world.policy.membership.alarm_s
+    if not watched:
+        peer.watched_since = None
+    elif peer.watched_since is None:
+        peer.watched_since = now
+
+
+def _raise_alarm(world: World, now: float) -> None:
+    """Has every link asked soon, since what silenced one may have silenced more."""
+    if now - world.peers.alarm_at >= world.policy.membership.alarm_s:
+        world.peers.alarm_at = now
+
+
+def is_heard_since_alarm(world: World, peer: Peer) -> bool:
+    """Tells whether a process has shown life since another one last fell silent."""
+    return peer.last_sign_at >= world.peers.alarm_at
+
+
+def _forgive_own_pause(world: World, now: float) -> None:
+    """Takes the time that this process itself stood still off the peers' silence."""
+    judged_at = world.peers.judged_at
+    world.peers.judged_at = now
+    pause_s = 0.0 if judged_at is None else now - judged_at
+    if pause_s < world.policy.membership.heartbeat_s:
+        return
+    for peer in world.peers.peers.values():
+        peer.link_opened_at += pause_s
+        if peer.watched_since is not None:
+            peer.watched_since += pause_s
+        if peer.heard_at is not None and peer.heard_at < now:
+            peer.heard_at += pause_s
+        if peer.broken_at is not None:
+            peer.broken_at += pause_s
+
+
+def _note_broken_links(world: World, now: float) -> None:
+    """Asks over a new connection; one that is refused or reset too shows a death."""
+    for event in world.inbox.read_events(LinkBroke):
+        peer = world.peers.peers.get(event.peer)
+        if peer is None or peer.lost:
+            continue
+        if peer.broken_at is None:
+            peer.broken_at = now
+            replace_link(world, peer, now)
+        else:
+            peer.broken_at = None
+            _lose_peer(world, peer, "connection refused")
+
+
+def replace_link(world: World, peer: Peer, now: float) -> None:
+    """Opens a new connection to a process and asks at once whether it answers."""
+    peer.link_opened_at = now
+    peer.asked_at = now
+    world.emit(ReplaceLink(peer.name))
+    world.emit(SendMessage(peer.name, make_heartbeat(world, now, answer=False)))
+
+
+def _lose_peer(world: World, peer: Peer, reason: str) -> None:
+    if not peer.lost:
+        peer.lost = True
+        world.peers.has_losses = True
+        world.log_decision("membership", "Peer is lost.", peer=peer.name, reason=reason)
--- a/src/magnoliahold/core/systems/ownership.py
+++ b/src/magnoliahold/core/systems/ownership.py
@@ -6,7 +6,7 @@
 
 from magnoliahold.core.effects import CountMetric, SendMessage
 from magnoliahold.core.streams import StreamState
-from magnoliahold.core.systems.membership import make_heartbeat
+from magnoliahold.core.systems.heartbeats import make_heartbeat
 from magnoliahold.core.systems.streams import (
     disown_stream,
     drop_stream,
--- a/src/magnoliahold/measure/capacity/heartbeats.py
+++ b/src/magnoliahold/measure/capacity/heartbeats.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.systems.membership import make_heartbeat as make_entry_heartbeat
+from magnoliahold.core.systems.heartbeats import make_heartbeat as make_entry_heartbeat
 from magnoliahold.measure.capacity.fits import time_steps
 from magnoliahold.measure.capacity.nodes import (
     make_capacity_node,
