--- a/src/magnoliahold/measure/calls.py
+++ b/src/magnoliahold/measure/calls.py
@@ -16,7 +16,7 @@
 from magnoliahold.measure.fakes.network import NetworkShape
 from magnoliahold.measure.fakes.service_faults import ServiceFaultInjector
 from magnoliahold.measure.fakes.workspaces import make_workspace
-from magnoliahold.measure.options import find_quantiles, find_share
+from magnoliahold.measure.options import find_quantiles, find_share, run_scenarios
 from magnoliahold.measure.plain_calls import use_plain_calls
 
 if TYPE_CHECKING:
@@ -128,9 +128,7 @@
 def run_calls(options: MeasureOptions) -> CallsReport:
     """Runs seeded scenarios at the sizes of the two deployments in turn."""
     tally = CallTally()
-    for number in range(options.runs):
-        scenario = make_scenario(options, number)
-        scenario.run_scenario()
+    for scenario in run_scenarios(options, make_scenario):
         add_scenario(tally, scenario)
     return make_report(tally)
 
--- a/src/magnoliahold/measure/generations.py
+++ b/src/magnoliahold/measure/generations.py
@@ -19,7 +19,7 @@
 from magnoliahold.measure.fakes.faults import FaultInjector
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
 from magnoliahold.measure.fakes.network import NetworkShape
-from magnoliahold.measure.options import find_quantiles, find_share
+from magnoliahold.measure.options import find_quantiles, find_share, run_scenarios
 from magnoliahold.measure.scenarios import DEPLOYMENTS, CallerMix, make_workspaces
 
 if TYPE_CHECKING:
@@ -130,9 +130,7 @@
 def run_generations(options: MeasureOptions) -> GenerationsReport:
     """Runs seeded scenarios at the sizes of the two deployments in turn."""
     tally = Tally()
-    for number in range(options.runs):
-        scenario = make_scenario(options, number)
-        scenario.run_scenario()
+    for scenario in run_scenarios(options, make_scenario):
         add_scenario(tally, scenario)
     return make_report(tally)
 
--- a/src/magnoliahold/measure/options.py
+++ b/src/magnoliahold/measure/options.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 from attrs import frozen
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
 BASELINE = "baseline"
 
 
+class Runnable(Protocol):
+    """A scenario that runs once on its own clock."""
+
+    def run_scenario(self) -> None:
+        """Runs to its end."""
+
+
+S = TypeVar("S", bound=Runnable)
+
+
 @frozen
 class MeasureOptions:
     """What a rig is asked for.
@@ -45,6 +55,16 @@
     max: float
 
 
+def run_scenarios(
+    options: MeasureOptions, make: Callable[[MeasureOptions, int], S]
+) -> Iterator[S]:
+    """Makes and runs the asked number of scenarios, one after the other."""
+    for number in range(options.runs):
+        scenario = make(options, number)
+        scenario.run_scenario()
+        yield scenario
+
+
 def find_quantiles(values: Sequence[float]) -> Quantiles:
     """Finds the quantiles of values in any order."""
     ordered = sorted(values)
--- a/src/magnoliahold/measure/poison.py
+++ b/src/magnoliahold/measure/poison.py
@@ -15,7 +15,7 @@
 from magnoliahold.measure.fakes.engine import EngineFaults
 from magnoliahold.measure.fakes.faults import RESTART_S, FaultInjector, inject_fault
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
-from magnoliahold.measure.options import find_share
+from magnoliahold.measure.options import find_share, run_scenarios
 from magnoliahold.measure.plain_quarantine import use_no_quarantine
 from magnoliahold.measure.scenarios import DEPLOYMENTS, CallerMix, make_workspaces
 
@@ -171,9 +171,7 @@
 def run_poison(options: MeasureOptions) -> PoisonReport:
     """Runs seeded scenarios at the sizes of the two deployments in turn."""
     tally = PoisonTally()
-    for number in range(options.runs):
-        scenario = make_scenario(options, number)
-        scenario.run_scenario()
+    for scenario in run_scenarios(options, make_scenario):
         add_scenario(tally, scenario)
     return make_report(tally)
 
