End a generation at its own bound when its stream was asked for more

Cause: a caller that came back at another entry with a smaller max_tokens than its stream, but more than it had so far, got its tokens cut and then no end. Found by test_returns with a bound of 150 of 200, which failed before. Change: output beyond the bound ends the generation with reason length and cancels the stream.

--- a/src/magnoliahold/core/systems/relay.py
+++ b/src/magnoliahold/core/systems/relay.py
@@ -25,6 +25,7 @@
 
 RESEND_INTERVAL_S = 0.1
 MAX_ASKS_DOUBLED = 8
+LENGTH_REACHED = "length"
 
 
 def relay_tokens(world: EntryWorld, now: float) -> None:
@@ -77,8 +78,8 @@
     if message.offset > expected:
         _ask_again(world, generation, now)
         return
-    room = generation.request.max_tokens - expected
-    fresh = message.tokens[expected - message.offset :][:room]
+    offered = message.tokens[expected - message.offset :]
+    fresh = offered[: generation.request.max_tokens - expected]
     if fresh:
         _note_first_token(world, generation, now)
         _note_resumption(world, generation, now)
@@ -87,10 +88,24 @@
         deliver_pending(world, generation)
         _acknowledge(world, generation)
     ends_here = message.offset + len(message.tokens) == len(generation.tokens)
-    if message.end and ends_here:
+    if len(fresh) < len(offered):
+        _end_at_bound(world, generation)
+    elif message.end and ends_here:
         finish_generation(world, generation, message.end)
 
 
+def _end_at_bound(world: EntryWorld, generation: Generation) -> None:
+    """Ends a generation whose stream was asked for more tokens than it is.
+
+    A caller may come back to a stream with a smaller bound than it began with.
+    """
+    cancel = CancelStream(
+        generation.lineage, generation.attempt, generation.owner_epoch
+    )
+    world.emit(SendMessage(generation.sidecar, cancel))
+    finish_generation(world, generation, LENGTH_REACHED)
+
+
 def _note_first_token(world: EntryWorld, generation: Generation, now: float) -> None:
     if generation.first_token_at is not None:
         return
--- a/tests/core/systems/test_returns.py
+++ b/tests/core/systems/test_returns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from itertools import product
 from typing import TYPE_CHECKING
 
 from attrs import evolve
@@ -52,8 +53,8 @@
 
 class ReturnTests(unittest.TestCase):
     def test_smaller_bound_than_the_stream_breaks_no_entry(self) -> None:
-        for same_entry in (True, False):
-            with self.subTest(same_entry=same_entry):
+        for same_entry, bound in product((True, False), (5, 150)):
+            with self.subTest(same_entry=same_entry, bound=bound):
                 fleet = make_small_fleet()
                 first = start_caller(fleet)
                 fleet.run_for(2.0)
@@ -62,9 +63,10 @@
                 first.gave_up = True
                 others = [name for name in fleet.list_entries() if name != first.entry]
                 fleet.leaving.update(others if same_entry else [first.entry])
-                second = start_caller(fleet, evolve(place, offset=3), max_tokens=5)
+                second = start_caller(fleet, evolve(place, offset=3), max_tokens=bound)
                 fleet.run_for(ANSWER_LIMIT_S)
                 self.assertTrue(second.done)
+                self.assertLessEqual(len(second.tokens), bound)
                 self.assertEqual(len(fleet.list_entries()), 2)
 
     def test_loss_of_entry_and_upstream_is_survived_with_a_prefix(self) -> None:
