Run daemons on the monotonic clock; show ticks and links in the metrics

Cause: Twisted's reactor measures time by the wall clock, so a step of it would hold every timer back or make all peers silent at once, against the rule that durations are measured by one monotonic clock. Malformed link messages were counted but could not be read. Found by reading how the longest tick is measured. Change: daemons set the reactor's clock before anything is scheduled; gauges for the longest tick and for broken and dropped link messages.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -19,6 +19,7 @@
 from magnoliahold.node import BROKEN_TABLES, Ports
 from magnoliahold.platform.instances import make_instance_client
 from magnoliahold.platform.tables import make_table_client
+from magnoliahold.runtime import use_monotonic_clock
 from magnoliahold.wire.links import make_links
 
 if TYPE_CHECKING:
@@ -84,6 +85,13 @@
             )
             add_peer(self.node.world, peer, self.reactor.seconds())
 
+    def render_metrics(self) -> bytes:
+        """Renders the metrics with the present state of ticks and links."""
+        self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
+        self.metrics.set_gauge("link_messages_broken", self.links.broken_messages)
+        self.metrics.set_gauge("link_messages_dropped", self.links.dropped_messages)
+        return self.metrics.render()
+
     def leave(self, reason: str) -> None:
         """Drains; `on_stopped` follows when nothing is in flight."""
         logger.info("Process leaves.", reason=reason)
@@ -164,6 +172,7 @@
             failures.append(error)
             reactor.stop()
 
+    use_monotonic_clock(reactor)
     signal.signal(signal.SIGTERM, take_signal)
     signal.signal(signal.SIGINT, take_signal)
     reactor.callWhenRunning(start_daemons)
--- a/src/magnoliahold/entry/daemon.py
+++ b/src/magnoliahold/entry/daemon.py
@@ -91,7 +91,7 @@
         make_request_id=lambda: world.make_id("operation"),
     )
     add_operator_resources(root, operator_site)
-    add_health_resources(root, daemon.metrics, lambda: find_obstacle(world))
+    add_health_resources(root, daemon.render_metrics, lambda: find_obstacle(world))
     site = BoundedSite(root, settings.limits.max_body_bytes, daemon.reactor)
     daemon.add_listener(site, settings.address, settings.operator_port)
 
--- a/src/magnoliahold/health.py
+++ b/src/magnoliahold/health.py
@@ -9,8 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliahold.metrics import Metrics
-
 
 class TextResource(Resource):
     """Answers GET with a status and a short text."""
@@ -30,7 +28,9 @@
 
 
 def add_health_resources(
-    root: Resource, metrics: Metrics, find_obstacle: Callable[[], str]
+    root: Resource,
+    render_metrics: Callable[[], bytes],
+    find_obstacle: Callable[[], str],
 ) -> None:
     """Adds the three resources; `find_obstacle` names why new work is unwelcome."""
 
@@ -41,7 +41,7 @@
     readers = {
         b"healthz": lambda: (200, b"live\n"),
         b"readyz": read_readiness,
-        b"metrics": lambda: (200, metrics.render()),
+        b"metrics": lambda: (200, render_metrics()),
     }
     for name, reader in readers.items():
         root.putChild(name, TextResource(reader))  # type: ignore[arg-type]
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -6,7 +6,7 @@
 from logging import getLogger
 from typing import TYPE_CHECKING, Any, Protocol
 
-from attrs import define, field
+from attrs import define
 
 from magnoliahold.core import effects
 from magnoliahold.core.events import (
@@ -109,7 +109,6 @@
     running: bool = False
     _tick_call: Any = None
     _periodic_call: Any = None
-    _pending_performs: list[object] = field(factory=list)
 
     def start_ticks(self) -> None:
         """Starts periodic ticks."""
--- a/src/magnoliahold/runtime.py
+++ b/src/magnoliahold/runtime.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
@@ -39,3 +40,12 @@
         bindAddress: Any = None,  # noqa: N803
     ) -> Any:
         """Connects to a TCP port."""
+
+
+def use_monotonic_clock(reactor: Any) -> None:
+    """Has a reactor measure time by the monotonic clock instead of the wall clock.
+
+    Without this a step of the wall clock holds timers back or fires them all at once,
+    and every link seems silent. To be called before anything is scheduled.
+    """
+    reactor.seconds = time.monotonic
--- a/src/magnoliahold/sidecar/daemon.py
+++ b/src/magnoliahold/sidecar/daemon.py
@@ -76,7 +76,9 @@
 
 def _make_resource(daemon: Daemon) -> Resource:
     root = Resource()
-    add_health_resources(root, daemon.metrics, lambda: find_obstacle(daemon.node.world))
+    add_health_resources(
+        root, daemon.render_metrics, lambda: find_obstacle(daemon.node.world)
+    )
     return root
 
 
