Perform each effect of a tick on its own

Cause: an effect that raised, such as a write to a caller, dropped all effects after it in the tick: messages and answers of other requests. Found by reading. Change: a failed effect is logged and counted, the others are performed; tests and rigs still raise. Result: test_failed_effect_costs_no_other_its_own green (before, the exception left run_tick with the second refusal unperformed).

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -88,6 +88,7 @@
     def render_metrics(self) -> bytes:
         """Renders the metrics with the present state of ticks and links."""
         self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
+        self.metrics.set_gauge("effects_failed", self.node.failed_effects)
         self.metrics.set_gauge("link_messages_broken", self.links.broken_messages)
         self.metrics.set_gauge("link_messages_dropped", self.links.dropped_messages)
         return self.metrics.render()
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -95,8 +95,8 @@
 class Node:
     """One process's world with its clock and ports.
 
-    Events are applied on the next turn of the clock, all together. `make_header`
-    builds the header of an outgoing message.
+    Events are applied on the next turn of the clock, all together. With
+    `raise_violations`, as in tests, broken tables and failed effects are raised.
     """
 
     clock: Clock
@@ -105,6 +105,7 @@
     ports: Ports
     longest_tick_s: float = 0.0
     violations: int = 0
+    failed_effects: int = 0
     raise_violations: bool = False
     running: bool = False
     _tick_call: Any = None
@@ -152,9 +153,20 @@
             self._close_after(error)
             return
         for effect in pending:
-            perform_effect(effect, self)
+            self._perform_alone(effect)
         self.longest_tick_s = max(self.longest_tick_s, self.clock.seconds() - started)
 
+    def _perform_alone(self, effect: object) -> None:
+        """Performs an effect; its failure must not cost others theirs."""
+        try:
+            perform_effect(effect, self)
+        except Exception as error:
+            if self.raise_violations:
+                raise
+            self.failed_effects += 1
+            name = type(effect).__name__
+            logger.error("node: Effect failed. %s", name, exc_info=error)
+
     def _is_outdated(self, header: Header) -> bool:
         incarnation = self.world.identity.incarnation
         if header.receiver_incarnation not in ("", incarnation):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,14 +8,19 @@
 
 from twisted.internet.task import Clock
 
+from magnoliahold.core.effects import RefuseRequest
 from magnoliahold.core.identity import Identity
 from magnoliahold.core.worlds import EntryWorld
+from magnoliahold.entry import performers
 from magnoliahold.node import BROKEN_TABLES, Node, Ports
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
+assert performers, "registers the effects of entries"
+
+
 def raise_key_error(world: Any, now: float) -> None:
     """A system with a defect."""
     raise KeyError("missing row")
@@ -26,6 +31,25 @@
     world.breaches.append("a row went back")
 
 
+def emit_two_refusals(world: Any, now: float) -> None:
+    """A system that refuses two requests."""
+    for name in ("request-1", "request-2"):
+        world.emit(RefuseRequest(name, 503, "overloaded", "come back later"))
+
+
+class FailingCallers:
+    """A caller port that fails for one request."""
+
+    def __init__(self) -> None:
+        self.refused: list[str] = []
+
+    def refuse_request(self, effect: RefuseRequest) -> None:
+        """Fails for the first request."""
+        if effect.request_id == "request-1":
+            raise OSError("connection lost")
+        self.refused.append(effect.request_id)
+
+
 class NodeTests(unittest.TestCase):
     def test_broken_tables_stop_the_process(self) -> None:
         systems: dict[str, Callable[[Any, float], None]] = {
@@ -43,3 +67,14 @@
                     node.start_ticks()
                 self.assertEqual(stops, [BROKEN_TABLES])
                 self.assertFalse(node.running)
+
+    def test_failed_effect_costs_no_other_its_own(self) -> None:
+        callers = FailingCallers()
+        ports: Any = Ports(None, None, None, None, print, callers=callers)  # type: ignore[arg-type]
+        world = EntryWorld(Identity("entry-1", "entry-1.a", "entry", "dc-1"), Random(1))
+        node = Node(Clock(), world, (emit_two_refusals,), ports)
+        with self.assertLogs("magnoliahold.node", "ERROR"):
+            node.start_ticks()
+        self.assertEqual(callers.refused, ["request-2"])
+        self.assertEqual(node.failed_effects, 1)
+        self.assertTrue(node.running)
