Remove code and settings that nothing reads

Cause: reading the whole change for dead parts. Change: an uncalled format of event ids, an uncalled function that was to drop old evidence, an unread field of generations, and two policy settings of claims that did nothing when set (their use is designed only); the settings test names another count of the same class instead. No behaviour changes: sidecars still keep the evidence of ended moves.

--- a/src/magnoliahold/core/generations.py
+++ b/src/magnoliahold/core/generations.py
@@ -110,7 +110,6 @@
     runs_as_suspect: bool = False
     attempt_offset: int = 0
     caller_paused: bool = False
-    refused_upstreams: int = 0
     start_by: float = 0.0
     paid_failures: int = 0
     index: StateIndex | None = field(default=None, repr=False, eq=False)
--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -161,8 +161,6 @@
     max_per_transaction: int = _count(64)
     max_result_bytes: int = _count(32_768)
     max_unwritten_results: int = _count(4_096)
-    kept_epochs: int = _count(24)
-    epoch_s: float = _seconds(3600.0)
 
 
 @frozen
--- a/src/magnoliahold/core/systems/evidence.py
+++ b/src/magnoliahold/core/systems/evidence.py
@@ -21,7 +21,6 @@
 FAILURES = ("broken", *DEATHS)
 RESENT_S = 1.0
 ROTATED_COUNTS = 4
-FORGOTTEN_S = 600.0
 
 
 def count_results(world: SidecarWorld, now: float) -> None:
@@ -159,10 +158,3 @@
         latencies=tuple(sorted(tally.latencies.items())),
         gaps=tuple(sorted(tally.gaps.items())),
     )
-
-
-def forget_evidence(world: SidecarWorld, now: float) -> None:
-    """Drops the counts of moves that have had no result for a long time."""
-    for key, tally in list(world.evidence.tallies.items()):
-        if now - tally.changed_at > FORGOTTEN_S:
-            del world.evidence.tallies[key]
--- a/src/magnoliahold/entry/answers.py
+++ b/src/magnoliahold/entry/answers.py
@@ -89,11 +89,6 @@
     write_error(request, rejection.status, error)
 
 
-def format_event_id(event_id: EventId) -> str:
-    """Formats the id of a server-sent event."""
-    return f"{format_place(event_id)}{event_id.offset}"
-
-
 def format_place(event_id: EventId) -> str:
     """Formats the part of an event id that comes before its offset."""
     parts = (event_id.lineage, event_id.sidecar, event_id.version, "")
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -100,7 +100,15 @@
             ("policy", ["tick_s"], "policy"),
             ("policy.tick_s", 0, "policy.tick_s"),
             ("policy.membership", {"beat": 1}, "policy.membership.beat"),
-            ("policy.claims", {"kept_epochs": -1}, "policy.claims.kept_epochs"),
+            (
+                "policy.claims",
+                {"max_per_transaction": -1},
+            (
+                "policy.claims",
+                {"max_per_transaction": -1},
+                "policy.claims.max_per_transaction",
+            ),
+            ),
             ("peers", [PEER, PEER], "peers[1].name"),
             ("peers", [{**PEER, "name": "entry-1"}], "peers[0].name"),
             ("peers", [{**PEER, "role": "platform"}], "peers[0].role"),
