--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -100,15 +100,11 @@
             ("policy", ["tick_s"], "policy"),
             ("policy.tick_s", 0, "policy.tick_s"),
             ("policy.membership", {"beat": 1}, "policy.membership.beat"),
-            (
-                "policy.claims",
-                {"max_per_transaction": -1},
             (
                 "policy.claims",
                 {"max_per_transaction": -1},
                 "policy.claims.max_per_transaction",
             ),
-            ),
             ("peers", [PEER, PEER], "peers[1].name"),
             ("peers", [{**PEER, "name": "entry-1"}], "peers[0].name"),
             ("peers", [{**PEER, "role": "platform"}], "peers[0].role"),
