--- a/src/magnoliahold/core/configuration.py
+++ b/src/magnoliahold/core/configuration.py
@@ -14,13 +14,13 @@
     WorkRule,
     Workspace,
 )
-from magnoliahold.platform.interfaces import Condition, Write
+from magnoliahold.storage.interfaces import Condition, Write
 from magnoliahold.templates import decode_template
 from magnoliahold.wire.messages import WorkspaceRow
 
 if TYPE_CHECKING:
     from magnoliahold.core.administration import StatusQuery, TemplateApplied
-    from magnoliahold.platform.interfaces import Row
+    from magnoliahold.storage.interfaces import Row
     from magnoliahold.templates import Move, Service, Work, WorkspaceTemplate
     from magnoliahold.wire.messages import MoveRow
 
--- a/src/magnoliahold/core/effects.py
+++ b/src/magnoliahold/core/effects.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from magnoliahold.platform.interfaces import Condition, Write
+    from magnoliahold.storage.interfaces import Condition, Write
     from magnoliahold.wire.messages import Message
 
 FieldValue: TypeAlias = "str | int | float | bool | None"
--- a/src/magnoliahold/core/events.py
+++ b/src/magnoliahold/core/events.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.identity import Sender
-    from magnoliahold.platform.interfaces import Instance, Row, TransactionOutcome
+    from magnoliahold.storage.interfaces import Instance, Row, TransactionOutcome
 
 E = TypeVar("E")
 M = TypeVar("M")
--- a/src/magnoliahold/core/placement.py
+++ b/src/magnoliahold/core/placement.py
@@ -16,7 +16,7 @@
     from magnoliahold.core.peers import Peer
     from magnoliahold.core.workspaces import MoveRule, WorkRule, Workspace
     from magnoliahold.core.worlds import EntryWorld
-    from magnoliahold.platform.interfaces import Row
+    from magnoliahold.storage.interfaces import Row
     from magnoliahold.wire.messages import MoveRow
 
 PLACEMENTS = "placements"
--- /dev/null
+++ b/src/magnoliahold/core/serving/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of an entry that calls its upstreams itself."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/core/serving/effects.py
@@ -0,0 +1,151 @@
+"""Output of a serving entry's world."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.configuration import CallerLimits
+    from magnoliahold.core.serving.feeds import Feed
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
+
+
+@frozen
+class CopySource:
+    """A copy to go on from: its holder's address and the id of the run it is of."""
+
+    address: str
+    port: int
+    run_id: str
+
+
+@frozen
+class SendAttempt:
+    """Sends a caller's request to an upstream.
+
+    The upstream has `deadline_s` for it. `fresh_connection` keeps it off connections
+    that were used before. `copy_to` is where the upstream copies its memory of the
+    request to, `resume_after` the number of the last piece that is not wanted again.
+    """
+
+    attempt: int
+    handle: int
+    upstream: UpstreamRecord
+    workspace: str
+    deadline_s: float
+    connect_timeout_s: float
+    priority: int
+    fresh_connection: bool = False
+    resume_after: int | None = None
+    copy_to: tuple[str, int] | None = None
+    copy_source: CopySource | None = None
+
+
+@frozen
+class DropAttempt:
+    """Closes the connection of an attempt; what comes of it is ignored."""
+
+    attempt: int
+
+
+@frozen
+class OpenAnswer:
+    """Starts the caller's answer with the head that an attempt's answer has."""
+
+    handle: int
+    attempt: int
+
+
+@frozen
+class DeliverPieces:
+    """Gives the caller the pieces of an attempt numbered above `after`."""
+
+    handle: int
+    attempt: int
+    after: int | None
+
+
+@frozen
+class FinishAnswer:
+    """Ends a caller's stream as complete."""
+
+    handle: int
+    closing: bool = False
+
+
+@frozen
+class DeliverAnswer:
+    """Gives the caller the whole answer of an attempt, unchanged."""
+
+    handle: int
+    attempt: int
+    closing: bool = False
+
+
+@frozen
+class RefuseCaller:
+    """Gives the caller an answer of our own.
+
+    `not_run` promises that no upstream has run the request or will.
+    """
+
+    handle: int
+    status: int
+    reason: str
+    not_run: bool
+    retry_after_s: float | None = None
+    closing: bool = False
+
+
+@frozen
+class CutAnswer:
+    """Breaks a caller's answer off, so that it doesn't look complete."""
+
+    handle: int
+
+
+@frozen
+class ProbeServing:
+    """Asks an upstream for a sign of life on a new connection."""
+
+    upstream: UpstreamRecord
+    timeout_s: float
+
+
+@frozen
+class ReadFeed:
+    """Reads a followed table whole."""
+
+    feed: Feed
+    call: int
+    timeout_s: float
+
+
+@frozen
+class FollowFeed:
+    """Waits up to `wait_s` for changes after a version of the store."""
+
+    feed: Feed
+    call: int
+    after: int
+    wait_s: float
+    timeout_s: float
+
+
+@frozen
+class LimitCallers:
+    """Has new requests kept within limits."""
+
+    limits: CallerLimits
+
+
+@frozen
+class CloseListener:
+    """Accepts no further connections and closes idle ones."""
+
+
+@frozen
+class CloseIdleCallers:
+    """Closes connections of callers that carry no request."""
--- /dev/null
+++ b/src/magnoliahold/core/serving/entry.py
@@ -0,0 +1,43 @@
+"""The systems of a serving entry in the order in which a tick runs them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.systems import (
+    arrivals,
+    deadlines,
+    feeds,
+    leaving,
+    outcomes,
+    pauses,
+    routing,
+    silence,
+    trust,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.world import ServingWorld
+    from magnoliahold.core.ticks import System
+
+SERVING_SYSTEMS: tuple[System[ServingWorld], ...] = (
+    pauses.note_pause,
+    feeds.take_feed_results,
+    feeds.drop_lapsed,
+    leaving.start_leaving,
+    arrivals.admit_requests,
+    arrivals.forget_callers,
+    outcomes.take_sends,
+    outcomes.open_streams,
+    outcomes.deliver_pieces,
+    outcomes.end_streams,
+    outcomes.take_answers,
+    outcomes.take_breaks,
+    trust.take_probe_results,
+    silence.watch_attempts,
+    deadlines.end_overdue,
+    routing.route_waiting,
+    trust.probe_lost,
+    leaving.finish_leaving,
+    feeds.start_feed_calls,
+)
--- /dev/null
+++ b/src/magnoliahold/core/serving/events.py
@@ -0,0 +1,160 @@
+"""Input of a serving entry's world."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.feeds import Feed, FeedRow
+    from magnoliahold.core.serving.requests import CallerRequest
+
+
+@frozen
+class RequestArrived:
+    """A caller's request was read whole."""
+
+    caller: CallerRequest
+
+
+@frozen
+class CallerLeft:
+    """A caller closed its connection before its answer was complete."""
+
+    handle: int
+
+
+@frozen
+class AttemptSent:
+    """The request was handed to a connection: from now on it may run."""
+
+    attempt: int
+
+
+@frozen
+class AttemptUnsent:
+    """No byte of the request left this process; `refused` by a closed port."""
+
+    attempt: int
+    reason: str
+    refused: bool = False
+
+
+@frozen
+class AnswerHead:
+    """What the head of an upstream's answer says.
+
+    `request_id` is that of the request it answers, empty when it names none. `not_run`
+    says that the upstream has not run the request, `signed` that an upstream made the
+    answer, `leaving` that it closes the connection after it.
+    """
+
+    status: int
+    request_id: str = ""
+    signed: bool = False
+    not_run: bool = False
+    leaving: bool = False
+
+
+@frozen
+class AnswerReceived:
+    """An answer came whole."""
+
+    attempt: int
+    head: AnswerHead
+
+
+@frozen
+class StreamOpened:
+    """A successful answer began that consists of numbered pieces."""
+
+    attempt: int
+    head: AnswerHead
+
+
+@frozen
+class PiecesReceived:
+    """Whole pieces of a stream came; `last` is the highest number."""
+
+    attempt: int
+    last: int
+    count: int
+
+
+@frozen
+class StreamEnded:
+    """A stream came to its proper end."""
+
+    attempt: int
+
+
+@frozen
+class AttemptBroke:
+    """A connection ended, or carried something else than an answer.
+
+    `reset` tells that the upstream or its host cut it.
+    """
+
+    attempt: int
+    reason: str
+    reset: bool = False
+
+
+@frozen
+class UpstreamAnsweredProbe:
+    """An upstream answered on a connection of its own."""
+
+    upstream_id: str
+    born_ms: int
+
+
+@frozen
+class UpstreamFailedProbe:
+    """An upstream did not answer a probe in time, or refused the connection."""
+
+    upstream_id: str
+    born_ms: int
+    reason: str
+
+
+@frozen
+class FeedRead:
+    """All rows of a followed table as of `version` of the store.
+
+    `sent_at` is when the read was sent, on the boot clock.
+    """
+
+    feed: Feed
+    call: int
+    rows: tuple[FeedRow, ...]
+    version: int
+    sent_at: float
+
+
+@frozen
+class FeedChanged:
+    """The rows that changed since the version that was asked for; maybe none."""
+
+    feed: Feed
+    call: int
+    rows: tuple[FeedRow, ...]
+    version: int
+    sent_at: float
+
+
+@frozen
+class FeedHistoryGone:
+    """The store has dropped the history that a feed was to go on from."""
+
+    feed: Feed
+    call: int
+
+
+@frozen
+class FeedFailed:
+    """A read of the store failed or was refused."""
+
+    feed: Feed
+    call: int
+    reason: str
--- /dev/null
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -0,0 +1,51 @@
+"""Tables of the platform's store that an entry follows."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
+
+
+class Feed(Enum):
+    """What is followed."""
+
+    CONFIGURATION = "configuration"
+    UPSTREAMS = "upstreams"
+
+
+@frozen
+class FeedRow:
+    """A row as of one version of the store; `value` is None when it was removed.
+
+    A row that can't be read is left out by the adapter, which logs it.
+    """
+
+    key: str
+    version: int
+    value: Configuration | UpstreamRecord | None
+
+
+@define
+class FeedState:
+    """How far a feed was read.
+
+    `version` is the store's version up to which all changes are known, None before the
+    first whole read. `proved_at` is when the read that last succeeded was sent, on the
+    boot clock, which also counts the time of a suspended instance. `call` numbers the
+    call under way, 0 when there is none.
+    """
+
+    feed: Feed
+    version: int | None = None
+    proved_at: float | None = None
+    call: int = 0
+    called_at: float = 0.0
+    next_at: float = 0.0
+    failures: int = 0
+    lost_since: float | None = None
--- /dev/null
+++ b/src/magnoliahold/core/serving/policy.py
@@ -0,0 +1,108 @@
+"""Limits and intervals of a serving entry, in seconds unless named."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+from attrs.validators import ge, gt
+
+
+def _seconds(default: float) -> float:
+    return field(default=default, validator=gt(0))
+
+
+def _count(default: int) -> int:
+    return field(default=default, validator=gt(0))
+
+
+def _part(default: float) -> float:
+    return field(default=default, validator=ge(0))
+
+
+@frozen
+class FeedPolicy:
+    """Reads of the platform's store.
+
+    Credentials are trusted while the configuration was proved the newest by a read
+    that was sent at most `proof_max_age_s` ago; callers are asked to go elsewhere
+    `ready_age_s` after the last proof. Upstreams whose registration is missing after an
+    outage longer than `lapse_after_s` have `lapse_grace_s` to register again.
+    """
+
+    configuration_wait_s: float = _seconds(1.4)
+    upstreams_wait_s: float = _seconds(3.0)
+    answer_slack_s: float = _seconds(0.8)
+    read_timeout_s: float = _seconds(1.2)
+    retry_min_s: float = _seconds(0.1)
+    retry_max_s: float = _seconds(0.6)
+    proof_max_age_s: float = _seconds(4.4)
+    ready_age_s: float = _seconds(3.6)
+    lapse_after_s: float = _seconds(2.0)
+    lapse_grace_s: float = _seconds(2.2)
+
+
+@frozen
+class WatchPolicy:
+    """Detection of upstreams that died, fell silent or are slow.
+
+    A stream whose memory has a copy moves after `gap_s` without a piece, another one
+    after `gap_without_copy_s` or when its upstream fails a probe. Upstreams that were
+    not heard for `probe_after_s` while a stream waits for its first piece are probed.
+    A gap of more than `pause_s` between two ticks is a pause of this process, which
+    says nothing about others. Outcomes count half after `outcome_half_life_s`.
+    """
+
+    scan_s: float = _seconds(0.02)
+    gap_s: float = _seconds(0.25)
+    gap_without_copy_s: float = _seconds(1.5)
+    probe_after_s: float = _seconds(0.35)
+    probe_timeout_s: float = _seconds(0.2)
+    probe_interval_s: float = _seconds(0.35)
+    down_probe_s: float = _seconds(0.5)
+    down_probe_max_s: float = _seconds(2.0)
+    neighbour_quiet_s: float = _seconds(0.06)
+    pause_s: float = _seconds(0.15)
+    outcome_half_life_s: float = _seconds(4.0)
+    failing_share: float = _part(0.25)
+    avoided_share: float = _part(0.5)
+    slow_times: float = _seconds(2.5)
+
+
+@frozen
+class AttemptPolicy:
+    """Attempts of requests and their repeats.
+
+    An idempotent call without an answer is repeated elsewhere after `repeat_after_s`,
+    a stream without a first piece after `opening_share` of its goal. Requests without
+    a usable upstream are refused after `hold_share` of their goal, streams that are
+    under way are cut after `hold_stream_s`.
+    """
+
+    connect_timeout_s: float = _seconds(0.25)
+    repeat_after_s: float = _seconds(0.35)
+    opening_share: float = _part(0.75)
+    hold_share: float = _part(0.125)
+    hold_stream_s: float = _seconds(1.5)
+    full_s: float = _seconds(0.1)
+    retry_after_s: float = _seconds(0.25)
+    budget_window_s: float = _seconds(10.0)
+    budget_ratio: float = _part(0.5)
+    budget_allowance: int = _count(10)
+
+
+@frozen
+class LeavePolicy:
+    """Graceful stops: new work is taken for `accept_s`, and all ends by `limit_s`."""
+
+    accept_s: float = _seconds(2.3)
+    settle_s: float = _seconds(0.3)
+    limit_s: float = _seconds(7.2)
+
+
+@frozen
+class ServingPolicy:
+    """All limits and intervals of a serving entry."""
+
+    feeds: FeedPolicy = field(factory=FeedPolicy)
+    watch: WatchPolicy = field(factory=WatchPolicy)
+    attempts: AttemptPolicy = field(factory=AttemptPolicy)
+    leave: LeavePolicy = field(factory=LeavePolicy)
--- /dev/null
+++ b/src/magnoliahold/core/serving/requests.py
@@ -0,0 +1,187 @@
+"""Requests that an entry holds for its callers, and their attempts at upstreams."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.configuration import Route
+    from magnoliahold.core.serving.upstreams import Upstream
+
+
+@frozen
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+@frozen
+class CallerRequest:
+    """What a caller asks for, as far as decisions need it.
+
+    `handle` names the caller's open exchange in this process and `request_id` the
+    request everywhere. `patience_s` is how long the caller waits. `resume_after` is the
+    number of the last piece that it already has.
+    """
+
+    handle: int
+    request_id: str
+    method: str
+    host: str
+    path: str
+    credential: str | None
+    patience_s: float | None = None
+    body_bytes: int = 0
+    resume_after: int | None = None
+    prompt: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Number of tokens of the whole prompt."""
+        return sum(part.tokens for part in self.prompt)
+
+
+class RequestState(Enum):
+    """WAITING for an upstream, RUNNING at one, or ENDED with a final answer."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class AttemptState(Enum):
+    """How far an attempt has come; until SENT it has certainly not run."""
+
+    CONNECTING = "connecting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+@frozen
+class MemoryCopy:
+    """Where a copy of a stream's memory lies, and the upstream that made it."""
+
+    holder: Upstream
+    origin_id: str
+
+
+@define(eq=False)
+class Attempt:
+    """One try to have a request run at one upstream.
+
+    `copy_holder` gets a copy of the memory while it runs. `continued` is the copy that
+    this attempt goes on from. Times are on the process clock.
+    """
+
+    number: int
+    request: ServedRequest
+    upstream: Upstream
+    started_at: float
+    copy_holder: Upstream | None = None
+    continued: MemoryCopy | None = None
+    state: AttemptState = AttemptState.CONNECTING
+    sent_at: float | None = None
+    heard_at: float = 0.0
+    first_piece_at: float | None = None
+    last_piece_at: float | None = None
+    pieces: int = 0
+    doubted: bool = False
+
+
+@define(eq=False)
+class ServedRequest:
+    """A request from its arrival to its final answer.
+
+    `may_have_run` is set once an attempt ended without certainty that it did not run.
+    `handed` counts the upstreams that were handed the request. `opened` tells that the
+    head of the answer went to the caller, and `last_piece` is the number of the last
+    piece that did. `opened_late` is set once an upstream was left because its first
+    piece took too long. `retry_at` is when the last attempt was lost, 0 if none was.
+    """
+
+    caller: CallerRequest
+    route: Route
+    service: str
+    workspace: str
+    priority: int
+    arrived_at: float
+    deadline_at: float
+    state: RequestState = RequestState.WAITING
+    attempt: Attempt | None = None
+    handed: int = 0
+    tried: set[str] = field(factory=set)
+    may_have_run: bool = False
+    opened: bool = False
+    last_piece: int | None = None
+    copy: MemoryCopy | None = None
+    retry_at: float = 0.0
+    trouble: str = ""
+    opened_late: bool = False
+
+    @property
+    def handle(self) -> int:
+        """The caller's open exchange."""
+        return self.caller.handle
+
+    @property
+    def id(self) -> str:
+        """The id of the request."""
+        return self.caller.request_id
+
+    @property
+    def is_repeat(self) -> bool:
+        """Whether an upstream was handed this request before."""
+        return self.handed > 0
+
+
+@define
+class RequestTable:
+    """Open requests by handle and running attempts by number."""
+
+    by_handle: dict[int, ServedRequest] = field(factory=dict)
+    waiting: dict[int, ServedRequest] = field(factory=dict)
+    attempts: dict[int, Attempt] = field(factory=dict)
+    next_attempt: int = 1
+
+    def add(self, request: ServedRequest) -> None:
+        """Adds a request that waits for its first upstream."""
+        self.by_handle[request.handle] = request
+        self.waiting[request.handle] = request
+
+    def start_attempt(self, attempt: Attempt) -> None:
+        """Files a new attempt of a waiting request."""
+        request = attempt.request
+        request.attempt = attempt
+        request.state = RequestState.RUNNING
+        self.waiting.pop(request.handle, None)
+        self.attempts[attempt.number] = attempt
+        attempt.upstream.attempts[attempt.number] = attempt
+        if attempt.copy_holder is not None:
+            attempt.copy_holder.copies += 1
+
+    def end_attempt(self, attempt: Attempt) -> None:
+        """Takes an attempt off its upstream."""
+        attempt.state = AttemptState.ENDED
+        attempt.request.attempt = None
+        self.attempts.pop(attempt.number, None)
+        attempt.upstream.attempts.pop(attempt.number, None)
+        if attempt.copy_holder is not None:
+            attempt.copy_holder.copies -= 1
+
+    def wait_again(self, request: ServedRequest) -> None:
+        """Has a request wait for another upstream."""
+        request.state = RequestState.WAITING
+        self.waiting[request.handle] = request
+
+    def end(self, request: ServedRequest) -> None:
+        """Forgets a request that has its final answer."""
+        request.state = RequestState.ENDED
+        self.by_handle.pop(request.handle, None)
+        self.waiting.pop(request.handle, None)
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -0,0 +1,141 @@
+"""Lets requests in, or refuses them before any upstream has seen them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.effects import RefuseCaller
+from magnoliahold.core.serving.events import CallerLeft, RequestArrived
+from magnoliahold.core.serving.requests import ServedRequest
+from magnoliahold.core.serving.systems.endings import choose_retry_after, forget_caller
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.configuration import (
+        Configuration,
+        Route,
+        Workspace,
+    )
+    from magnoliahold.core.serving.requests import CallerRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+def admit_requests(world: ServingWorld, now: float) -> None:
+    """Files the requests that the configuration allows, and refuses the others."""
+    for arrived in world.inbox.read_events(RequestArrived):
+        _admit(world, arrived.caller, now)
+
+
+def _admit(world: ServingWorld, caller: CallerRequest, now: float) -> None:
+    configuration = world.configuration
+    if configuration is None:
+        _refuse(world, caller, UNAVAILABLE, "no configuration is known yet")
+        return
+    route = configuration.find_route(caller.host, caller.path)
+    if route is None:
+        _refuse(world, caller, NOT_FOUND, "no route matches")
+        return
+    workspace = None
+    if configuration.workspaces and not route.public:
+        if not _is_proof_fresh(world):
+            _refuse(world, caller, UNAVAILABLE, "credentials can't be checked")
+            return
+        workspace = configuration.workspaces_by_credential.get(caller.credential or "")
+        if workspace is None:
+            _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
+            return
+    request = _make_request(world, caller, route, workspace, now)
+    world.requests.add(request)
+    world.find_budget(request.service).add_request(now)
+    _log_admission(world, request, configuration)
+
+
+def _is_proof_fresh(world: ServingWorld) -> bool:
+    age_s = world.measure_proof_age()
+    return age_s is not None and age_s <= world.serving.feeds.proof_max_age_s
+
+
+def _make_request(
+    world: ServingWorld,
+    caller: CallerRequest,
+    route: Route,
+    workspace: Workspace | None,
+    now: float,
+) -> ServedRequest:
+    patience_s = caller.patience_s
+    if patience_s is None or patience_s > route.timeout_s:
+        patience_s = route.timeout_s
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    return ServedRequest(
+        caller=caller,
+        route=route,
+        service=_choose_service(world, route),
+        workspace=workspace.name if workspace else "",
+        priority=priority,
+        arrived_at=now,
+        deadline_at=now + patience_s,
+        last_piece=caller.resume_after if route.resumable else None,
+    )
+
+
+def _choose_service(world: ServingWorld, route: Route) -> str:
+    services = [share.service for share in route.shares]
+    weights = [share.weight for share in route.shares]
+    if len(services) == 1 or sum(weights) <= 0:
+        return services[0]
+    return world.random.choices(services, weights)[0]
+
+
+def _log_admission(
+    world: ServingWorld, request: ServedRequest, configuration: Configuration
+) -> None:
+    world.log_decision(
+        "admission",
+        "Request admitted.",
+        request=request.id,
+        route=request.route.name,
+        service=request.service,
+        workspace=request.workspace,
+        configuration=configuration.version,
+        proof_age_s=_round_age(world),
+        resume_after=request.last_piece,
+    )
+
+
+def _round_age(world: ServingWorld) -> float | None:
+    age_s = world.measure_proof_age()
+    return None if age_s is None else round(age_s, 3)
+
+
+def _refuse(
+    world: ServingWorld, caller: CallerRequest, status: int, reason: str
+) -> None:
+    retry_after_s = choose_retry_after(world) if status == UNAVAILABLE else None
+    closing = world.leaving_since is not None
+    world.emit(
+        RefuseCaller(caller.handle, status, reason, True, retry_after_s, closing)
+    )
+    world.emit(CountMetric("requests_refused", 1, {"reason": reason}))
+    world.log_decision(
+        "admission",
+        "Request refused.",
+        request=caller.request_id,
+        status=status,
+        reason=reason,
+        configuration=world.configuration.version if world.configuration else None,
+        proof_age_s=_round_age(world),
+    )
+
+
+def forget_callers(world: ServingWorld, now: float) -> None:
+    """Stops the work for callers that have left."""
+    for left in world.inbox.read_events(CallerLeft):
+        request = world.requests.by_handle.get(left.handle)
+        if request is not None:
+            forget_caller(world, request, now)
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -0,0 +1,32 @@
+"""Gives requests their final answer when their time is over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.systems.endings import refuse
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def end_overdue(world: ServingWorld, now: float) -> None:
+    """Ends requests past their deadline, and those that no upstream can take."""
+    if not world.scans:
+        return
+    for request in list(world.requests.by_handle.values()):
+        if now >= request.deadline_at:
+            refuse(world, request, "the deadline has passed", now)
+    for request in list(world.requests.waiting.values()):
+        if now - (request.retry_at or request.arrived_at) >= _find_hold(world, request):
+            reason = request.trouble or "no upstream is usable"
+            refuse(world, request, reason, now)
+
+
+def _find_hold(world: ServingWorld, request: ServedRequest) -> float:
+    """Finds how long a request may wait for an upstream, in seconds."""
+    policy = world.serving.attempts
+    if request.opened:
+        return policy.hold_stream_s
+    return request.route.goal_s * policy.hold_share
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/endings.py
@@ -0,0 +1,115 @@
+"""Gives callers their final answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric, RecordMetric
+from magnoliahold.core.serving.effects import (
+    CutAnswer,
+    DeliverAnswer,
+    DropAttempt,
+    FinishAnswer,
+    RefuseCaller,
+)
+from magnoliahold.core.serving.requests import AttemptState
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+def deliver_answer(
+    world: ServingWorld, request: ServedRequest, attempt: int, status: int, now: float
+) -> None:
+    """Gives a caller an upstream's whole answer."""
+    closing = world.leaving_since is not None
+    world.emit(DeliverAnswer(request.handle, attempt, closing))
+    _end(world, request, "answered", now, status=status)
+
+
+def finish_stream(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Ends a caller's stream after its last piece."""
+    world.emit(FinishAnswer(request.handle, world.leaving_since is not None))
+    _end(world, request, "completed", now, status=200)
+
+
+def refuse(
+    world: ServingWorld, request: ServedRequest, reason: str, now: float
+) -> None:
+    """Gives a request up at once: as not run only where that is certain."""
+    if request.attempt is not None:
+        drop_attempt(world, request.attempt)
+    if request.opened:
+        world.emit(CutAnswer(request.handle))
+        _end(world, request, "cut", now, reason=reason)
+        return
+    if request.may_have_run:
+        late = now >= request.deadline_at
+        status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
+        retry_after_s = None
+    else:
+        status = UNAVAILABLE
+        retry_after_s = choose_retry_after(world)
+    effect = RefuseCaller(
+        request.handle,
+        status,
+        reason,
+        not request.may_have_run,
+        retry_after_s,
+        world.leaving_since is not None,
+    )
+    world.emit(effect)
+    _end(world, request, "refused", now, status=status, reason=reason)
+
+
+def choose_retry_after(world: ServingWorld) -> float:
+    """Chooses when a caller is to come back, spread around a mean."""
+    mean = world.serving.attempts.retry_after_s
+    return round(mean * world.random.uniform(0.6, 1.4), 3)
+
+
+def drop_attempt(world: ServingWorld, attempt: Attempt) -> None:
+    """Closes an attempt's connection; once sent, the request may have run."""
+    if attempt.state is not AttemptState.CONNECTING:
+        attempt.request.may_have_run = True
+    world.requests.end_attempt(attempt)
+    world.emit(DropAttempt(attempt.number))
+
+
+def forget_caller(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Stops the work for a caller that has left."""
+    if request.attempt is not None:
+        drop_attempt(world, request.attempt)
+    _end(world, request, "caller left", now)
+
+
+def _end(
+    world: ServingWorld,
+    request: ServedRequest,
+    outcome: str,
+    now: float,
+    status: int | None = None,
+    reason: str = "",
+) -> None:
+    world.requests.end(request)
+    duration_s = now - request.arrived_at
+    world.log_decision(
+        "request",
+        "Request ended.",
+        request=request.id,
+        outcome=outcome,
+        status=status,
+        reason=reason,
+        handed=request.handed,
+        may_have_run=request.may_have_run,
+        last_piece=request.last_piece,
+        seconds=round(duration_s, 3),
+    )
+    labels = {"kind": request.route.kind.value, "outcome": outcome}
+    world.emit(CountMetric("requests_ended", 1, labels))
+    world.emit(RecordMetric("request_seconds", duration_s, labels))
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -0,0 +1,219 @@
+"""Follows the configuration and the registered upstreams in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.configuration import Configuration
+from magnoliahold.core.serving.effects import FollowFeed, LimitCallers, ReadFeed
+from magnoliahold.core.serving.events import (
+    FeedChanged,
+    FeedFailed,
+    FeedHistoryGone,
+    FeedRead,
+)
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliahold.core.serving.feeds import FeedRow, FeedState
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def take_feed_results(world: ServingWorld, now: float) -> None:
+    """Applies what reads of the store brought."""
+    for read in world.inbox.read_events(FeedRead):
+        state = _end_call(world, read.feed, read.call)
+        if state is not None:
+            _take_whole(world, state, read, now)
+    for changed in world.inbox.read_events(FeedChanged):
+        state = _end_call(world, changed.feed, changed.call)
+        if state is not None:
+            _take_changes(world, state, changed, now)
+    for gone in world.inbox.read_events(FeedHistoryGone):
+        state = _end_call(world, gone.feed, gone.call)
+        if state is not None:
+            state.version = None
+            world.log_decision("store", "History is gone.", feed=gone.feed.value)
+    for failed in world.inbox.read_events(FeedFailed):
+        state = _end_call(world, failed.feed, failed.call)
+        if state is not None:
+            _note_failure(world, state, failed.reason, now)
+
+
+def _end_call(world: ServingWorld, feed: Feed, call: int) -> FeedState | None:
+    """Finds the feed that a result is for; None when the call was given up."""
+    state = world.feeds[feed]
+    if state.call != call:
+        return None
+    state.call = 0
+    return state
+
+
+def _take_whole(
+    world: ServingWorld, state: FeedState, read: FeedRead, now: float
+) -> None:
+    if state.version is not None and read.version < state.version:
+        _note_failure(world, state, "the store's version went back", now)
+        return
+    outage_s = _note_success(world, state, read.version, read.sent_at, now)
+    _apply_rows(world, read.rows, now)
+    if state.feed is Feed.UPSTREAMS:
+        world.upstreams.known = True
+        _drop_unlisted(world, {row.key for row in read.rows}, outage_s, now)
+
+
+def _take_changes(
+    world: ServingWorld, state: FeedState, changed: FeedChanged, now: float
+) -> None:
+    if state.version is not None and changed.version < state.version:
+        state.version = None
+        _note_failure(world, state, "the store's version went back", now)
+        return
+    outage_s = _note_success(world, state, changed.version, changed.sent_at, now)
+    _apply_rows(world, changed.rows, now, outage_s)
+
+
+def _note_success(
+    world: ServingWorld, state: FeedState, version: int, sent_at: float, now: float
+) -> float:
+    """Notes a read that succeeded; returns how long the store was away before."""
+    outage_s = 0.0
+    if state.lost_since is not None:
+        outage_s = now - state.lost_since
+        world.log_decision(
+            "store",
+            "Contact regained.",
+            feed=state.feed.value,
+            outage_s=round(outage_s, 3),
+            version=version,
+        )
+    state.lost_since = None
+    state.failures = 0
+    state.version = version
+    state.proved_at = max(sent_at, state.proved_at or sent_at)
+    state.next_at = now
+    return outage_s
+
+
+def _note_failure(
+    world: ServingWorld, state: FeedState, reason: str, now: float
+) -> None:
+    policy = world.serving.feeds
+    if state.lost_since is None:
+        state.lost_since = state.called_at
+        world.log_decision(
+            "store",
+            "Contact lost.",
+            feed=state.feed.value,
+            reason=reason,
+            version=state.version,
+        )
+    delay = min(policy.retry_max_s, policy.retry_min_s * 2**state.failures)
+    state.failures = min(state.failures + 1, 16)
+    state.next_at = now + delay * world.random.uniform(0.75, 1.25)
+    world.emit(CountMetric("store_calls_failed", 1, {"feed": state.feed.value}))
+
+
+def _apply_rows(
+    world: ServingWorld, rows: Iterable[FeedRow], now: float, outage_s: float = 0.0
+) -> None:
+    for row in rows:
+        if isinstance(row.value, Configuration):
+            _apply_configuration(world, row.value)
+        elif isinstance(row.value, UpstreamRecord):
+            _apply_record(world, row.value, now)
+        elif row.key in world.upstreams.by_id:
+            _drop_upstream(world, row.key, outage_s, now)
+
+
+def _apply_configuration(world: ServingWorld, configuration: Configuration) -> None:
+    current = world.configuration
+    if current is not None and configuration.version <= current.version:
+        return
+    world.configuration = configuration
+    world.emit(LimitCallers(configuration.limits))
+    world.log_decision(
+        "configuration",
+        "Configuration in force.",
+        version=configuration.version,
+        before=current.version if current else None,
+        routes=len(configuration.routes),
+        workspaces=len(configuration.workspaces),
+    )
+
+
+def _apply_record(world: ServingWorld, record: UpstreamRecord, now: float) -> None:
+    known = world.upstreams.by_id.get(record.id)
+    if known is not None and known.record == record:
+        known.missing_since = None
+        return
+    world.upstreams.put_record(record, now)
+    world.log_decision(
+        "upstreams",
+        "Upstream registered." if known is None else "Upstream changed.",
+        upstream=record.id,
+        service=record.service,
+        data_centre=record.data_centre,
+        leaving=record.leaving,
+    )
+
+
+def _drop_unlisted(
+    world: ServingWorld, listed: set[str], outage_s: float, now: float
+) -> None:
+    for upstream_id in list(world.upstreams.by_id):
+        if upstream_id not in listed:
+            _drop_upstream(world, upstream_id, outage_s, now)
+
+
+def _drop_upstream(
+    world: ServingWorld, upstream_id: str, outage_s: float, now: float
+) -> None:
+    """Removes an upstream; after an outage its registration may only have lapsed."""
+    upstream = world.upstreams.by_id[upstream_id]
+    if outage_s > world.serving.feeds.lapse_after_s:
+        upstream.missing_since = upstream.missing_since or now
+        return
+    world.upstreams.remove(upstream_id)
+    world.log_decision("upstreams", "Upstream removed.", upstream=upstream_id)
+
+
+def drop_lapsed(world: ServingWorld, now: float) -> None:
+    """Removes upstreams that did not register again in time after an outage."""
+    if not world.scans:
+        return
+    grace_s = world.serving.feeds.lapse_grace_s
+    for upstream in list(world.upstreams.by_id.values()):
+        missing_since = upstream.missing_since
+        if missing_since is not None and now - missing_since >= grace_s:
+            _drop_upstream(world, upstream.id, 0.0, now)
+
+
+def start_feed_calls(world: ServingWorld, now: float) -> None:
+    """Starts the next read of each feed that has none under way."""
+    policy = world.serving.feeds
+    waits = {
+        Feed.CONFIGURATION: policy.configuration_wait_s,
+        Feed.UPSTREAMS: policy.upstreams_wait_s,
+    }
+    for state in world.feeds.values():
+        if state.call or now < state.next_at:
+            continue
+        state.call = world.next_call
+        state.called_at = now
+        world.next_call += 1
+        world.emit(_make_call(state, waits[state.feed], world))
+
+
+def _make_call(
+    state: FeedState, wait_s: float, world: ServingWorld
+) -> ReadFeed | FollowFeed:
+    policy = world.serving.feeds
+    if state.version is None:
+        return ReadFeed(state.feed, state.call, policy.read_timeout_s)
+    timeout_s = wait_s + policy.answer_slack_s
+    return FollowFeed(state.feed, state.call, state.version, wait_s, timeout_s)
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -0,0 +1,61 @@
+"""Stops an entry without cutting the requests that it has taken."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import StopProcess
+from magnoliahold.core.events import LeaveRequested
+from magnoliahold.core.serving.effects import CloseIdleCallers, CloseListener
+from magnoliahold.core.serving.systems.endings import refuse
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def start_leaving(world: ServingWorld, now: float) -> None:
+    """Notes the order to stop; callers are served on while others are told."""
+    for requested in world.inbox.read_events(LeaveRequested):
+        if world.leaving_since is None:
+            world.leaving_since = now
+            world.log_decision(
+                "leaving",
+                "Entry leaves.",
+                reason=requested.reason,
+                open_requests=len(world.requests.by_handle),
+            )
+
+
+def finish_leaving(world: ServingWorld, now: float) -> None:
+    """Closes the door after a while, and stops when nothing is left to do."""
+    since = world.leaving_since
+    if since is None or world.stopping or not world.scans:
+        return
+    policy = world.serving.leave
+    if now - since < policy.accept_s:
+        return
+    if not world.listener_closed:
+        world.listener_closed = True
+        world.emit(CloseListener())
+        world.emit(CloseIdleCallers())
+    if now - since >= policy.limit_s:
+        for request in list(world.requests.by_handle.values()):
+            refuse(world, request, "the entry stops", now)
+    settled = now - since >= policy.accept_s + policy.settle_s
+    if settled and not world.requests.by_handle:
+        world.stopping = True
+        world.emit(StopProcess("nothing is in flight"))
+
+
+def find_obstacle(world: ServingWorld) -> str:
+    """Finds why callers should go elsewhere, or an empty string."""
+    if world.leaving_since is not None:
+        return "leaving"
+    if world.configuration is None:
+        return "no configuration is known yet"
+    if not world.upstreams.known:
+        return "the upstreams are not known yet"
+    age_s = world.measure_proof_age()
+    if age_s is None or age_s > world.serving.feeds.ready_age_s:
+        return "the configuration may be out of date"
+    return ""
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/pauses.py
@@ -0,0 +1,26 @@
+"""Finds pauses of this process, which say nothing about its upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def note_pause(world: ServingWorld, now: float) -> None:
+    """Starts all silences anew after this process stood still; plans the scans."""
+    before = world.ticked_at
+    world.ticked_at = now
+    world.scans = now >= world.next_scan_at
+    if world.scans:
+        world.next_scan_at = now + world.serving.watch.scan_s
+    if before is None:
+        return
+    pause_s = now - before - world.policy.tick_s
+    if pause_s <= world.serving.watch.pause_s:
+        return
+    for attempt in world.requests.attempts.values():
+        attempt.heard_at = now
+        attempt.upstream.heard_at = now
+    world.log_decision("pause", "Process stood still.", seconds=round(pause_s, 3))
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -0,0 +1,247 @@
+"""Chooses the upstream of each waiting request."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import CopySource, SendAttempt
+from magnoliahold.core.serving.requests import Attempt, AttemptState
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import MemoryCopy, ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+READING_LOAD = 2.0
+WRITING_LOAD = 1.0
+COPY_LOAD = 0.3
+FIRST_PRIORITY = 3
+LAST_PRIORITY = 9
+RESUMED_PRIORITY = 1
+RECENT_OUTCOMES = 2.0
+LEAST_COMPARED = 3
+
+
+def route_waiting(world: ServingWorld, now: float) -> None:
+    """Sends every waiting request for which there is a usable upstream."""
+    for request in list(world.requests.waiting.values()):
+        _route(world, request, now)
+
+
+def _route(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    copy = _find_usable_copy(world, request)
+    if copy is not None:
+        _start_attempt(world, request, copy.holder, copy, now)
+        return
+    candidates = find_candidates(world, request, now)
+    if candidates:
+        upstream = choose_upstream(world, request, candidates, now)
+        _start_attempt(world, request, upstream, None, now)
+
+
+def _find_usable_copy(world: ServingWorld, request: ServedRequest) -> MemoryCopy | None:
+    copy = request.copy
+    if copy is None or copy.holder.trust is not Trust.TRUSTED:
+        return None
+    if copy.holder.id not in world.upstreams.by_id or copy.holder.record.leaving:
+        return None
+    return copy
+
+
+def find_candidates(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Finds the upstreams that may take a request, best class of them only."""
+    usable = [
+        upstream
+        for upstream in world.upstreams.list_service(request.service)
+        if upstream.trust is not Trust.DOWN
+        and not upstream.record.leaving
+        and upstream.missing_since is None
+    ]
+    trusted = [item for item in usable if item.trust is Trust.TRUSTED] or usable
+    fresh = [item for item in trusted if item.id not in request.tried]
+    if not fresh:
+        fresh = [] if request.route.kind is RouteKind.STREAM else trusted
+    sound = _leave_out(fresh, find_failing(world, fresh, now), world)
+    fast = _leave_out(sound, find_slow(world, sound), world)
+    return [item for item in fast if item.full_until <= now] or fast
+
+
+def _leave_out(
+    candidates: list[Upstream], avoided: set[str], world: ServingWorld
+) -> list[Upstream]:
+    """Leaves out upstreams on soft evidence, but never most of them."""
+    if len(avoided) > len(candidates) * world.serving.watch.avoided_share:
+        return candidates
+    return [item for item in candidates if item.id not in avoided]
+
+
+def find_failing(
+    world: ServingWorld, candidates: list[Upstream], now: float
+) -> set[str]:
+    """Finds upstreams that lately failed a large part of their requests."""
+    policy = world.serving.watch
+    failing = set()
+    for upstream in candidates:
+        upstream.fade_outcomes(now, policy.outcome_half_life_s)
+        total = upstream.failures + upstream.answers + RECENT_OUTCOMES
+        if upstream.failures / total >= policy.failing_share:
+            failing.add(upstream.id)
+    return failing
+
+
+def find_slow(world: ServingWorld, candidates: list[Upstream]) -> set[str]:
+    """Finds upstreams whose pieces or answers come far more slowly than others'."""
+    times = world.serving.watch.slow_times
+    slow: set[str] = set()
+    for means in (
+        {item.id: item.gap_s for item in candidates},
+        {item.id: item.opening_s for item in candidates},
+    ):
+        known = {key: mean for key, mean in means.items() if mean is not None}
+        if len(known) < LEAST_COMPARED:
+            continue
+        limit = median(known.values()) * times
+        slow |= {key for key, mean in known.items() if mean > limit}
+    return slow
+
+
+def choose_upstream(
+    world: ServingWorld,
+    request: ServedRequest,
+    candidates: list[Upstream],
+    now: float,
+) -> Upstream:
+    """Chooses the least loaded upstream, and among equals the prompt's own."""
+
+    def rank(upstream: Upstream) -> tuple[float, int]:
+        return (measure_load(upstream), -_hash_place(request, upstream))
+
+    return min(candidates, key=rank)
+
+
+def measure_load(upstream: Upstream) -> float:
+    """Measures this entry's work at an upstream; a prompt being read counts double."""
+    load = upstream.copies * COPY_LOAD
+    for attempt in upstream.attempts.values():
+        load += WRITING_LOAD if attempt.pieces else READING_LOAD
+    return load
+
+
+def _hash_place(request: ServedRequest, upstream: Upstream) -> int:
+    """Hashes a prompt's last part with an upstream, alike at all entries."""
+    prompt = request.caller.prompt
+    part = prompt[-1].id if prompt else request.id
+    return xxhash.xxh3_64_intdigest(f"{part} {upstream.id}".encode())
+
+
+def _choose_copy_holder(
+    world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
+) -> Upstream | None:
+    """Chooses who keeps a copy: the least loaded one of another data centre."""
+    if request.route.kind is not RouteKind.STREAM or not request.route.resumable:
+        return None
+    configuration = world.configuration
+    service = configuration and configuration.services_by_name.get(request.service)
+    if not service or service.engine is None or not service.engine.keeps_copies:
+        return None
+    candidates = [
+        item
+        for item in find_candidates(world, request, now)
+        if item is not upstream and item.trust is Trust.TRUSTED
+    ]
+    place = upstream.record.data_centre
+    far = [item for item in candidates if item.record.data_centre != place]
+    candidates = far or candidates
+    return choose_upstream(world, request, candidates, now) if candidates else None
+
+
+def _start_attempt(
+    world: ServingWorld,
+    request: ServedRequest,
+    upstream: Upstream,
+    copy: MemoryCopy | None,
+    now: float,
+) -> None:
+    if request.handed and not world.find_budget(request.service).take_repeat(now):
+        return
+    table = world.requests
+    attempt = Attempt(
+        number=table.next_attempt,
+        request=request,
+        upstream=upstream,
+        started_at=now,
+        heard_at=now,
+        copy_holder=_choose_copy_holder(world, request, upstream, now),
+        continued=copy,
+    )
+    table.next_attempt += 1
+    request.handed += 1
+    request.copy = None
+    table.start_attempt(attempt)
+    world.emit(_make_send(world, attempt, now))
+    world.emit(CountMetric("attempts_started"))
+    _log_choice(world, attempt)
+
+
+def _make_send(world: ServingWorld, attempt: Attempt, now: float) -> SendAttempt:
+    request = attempt.request
+    holder = attempt.copy_holder
+    copy_to = (holder.record.address, holder.record.port) if holder else None
+    source = None
+    if attempt.continued is not None:
+        record = attempt.continued.holder.record
+        run_id = attempt.continued.origin_id
+        source = CopySource(record.address, record.port, run_id)
+    return SendAttempt(
+        attempt=attempt.number,
+        handle=request.handle,
+        upstream=attempt.upstream.record,
+        workspace=request.workspace,
+        deadline_s=request.deadline_at - now,
+        connect_timeout_s=world.serving.attempts.connect_timeout_s,
+        priority=_choose_priority(request),
+        fresh_connection=not request.route.repeatable,
+        resume_after=request.last_piece,
+        copy_to=copy_to,
+        copy_source=source,
+    )
+
+
+def _choose_priority(request: ServedRequest) -> int:
+    """Lets streams that are under way go first."""
+    if request.opened:
+        return RESUMED_PRIORITY
+    return min(LAST_PRIORITY, FIRST_PRIORITY + request.priority)
+
+
+def _log_choice(world: ServingWorld, attempt: Attempt) -> None:
+    request = attempt.request
+    holder = attempt.copy_holder
+    world.log_decision(
+        "routing",
+        "Upstream chosen.",
+        request=request.id,
+        attempt=attempt.number,
+        upstream=attempt.upstream.id,
+        data_centre=attempt.upstream.record.data_centre,
+        load=round(measure_load(attempt.upstream), 2),
+        resume_after=request.last_piece,
+        from_copy=attempt.continued is not None,
+        copy_holder=holder.id if holder else None,
+    )
+
+
+def count_running(world: ServingWorld) -> int:
+    """Counts the attempts that an upstream may be working on."""
+    return sum(
+        attempt.state is not AttemptState.CONNECTING
+        for attempt in world.requests.attempts.values()
+    )
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -0,0 +1,68 @@
+"""Finds attempts whose upstream has gone silent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.systems.outcomes import is_lost, move_request
+from magnoliahold.core.serving.systems.trust import doubt, probe
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def watch_attempts(world: ServingWorld, now: float) -> None:
+    """Moves attempts off silent upstreams, and probes those that may be."""
+    if not world.scans:
+        return
+    for attempt in list(world.requests.attempts.values()):
+        if attempt.state is AttemptState.CONNECTING:
+            continue
+        if not attempt.request.route.repeatable:
+            continue
+        if is_lost(attempt):
+            move_request(world, attempt, "the upstream is down", now)
+        elif attempt.pieces:
+            _watch_gap(world, attempt, now)
+        elif attempt.request.route.kind is RouteKind.STREAM:
+            _watch_opening(world, attempt, now)
+        else:
+            _watch_call(world, attempt, now)
+
+
+def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    policy = world.serving.watch
+    silent_s = now - attempt.heard_at
+    if silent_s < policy.gap_s:
+        return
+    holder = attempt.copy_holder
+    has_copy = holder is not None and holder.trust is Trust.TRUSTED
+    if has_copy or silent_s >= policy.gap_without_copy_s:
+        doubt(world, attempt.upstream, "a stream is silent", now)
+        move_request(world, attempt, f"no piece for {silent_s:.2f} s", now)
+    elif not attempt.doubted:
+        attempt.doubted = True
+        doubt(world, attempt.upstream, "a stream is silent", now)
+
+
+def _watch_opening(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Watches a stream whose prompt is being read, which takes its time."""
+    policy = world.serving.watch
+    request = attempt.request
+    waited_s = now - (attempt.sent_at or attempt.started_at)
+    if now - max(attempt.upstream.heard_at, attempt.heard_at) >= policy.probe_after_s:
+        probe(world, attempt.upstream, "a stream has not begun", now)
+    patience_s = request.route.goal_s * world.serving.attempts.opening_share
+    if waited_s >= patience_s and not request.opened_late:
+        request.opened_late = True
+        move_request(world, attempt, f"no first piece for {waited_s:.2f} s", now)
+
+
+def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    waited_s = now - (attempt.sent_at or attempt.started_at)
+    if waited_s >= world.serving.attempts.repeat_after_s:
+        move_request(world, attempt, f"no answer for {waited_s:.2f} s", now)
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/trust.py
@@ -0,0 +1,118 @@
+"""What an entry believes of the processes of its upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.effects import ProbeServing
+from magnoliahold.core.serving.events import (
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def probe(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
+    """Asks an upstream for a sign of life, unless that is under way."""
+    if upstream.probe_sent_at is not None or now < upstream.next_probe_at:
+        return
+    policy = world.serving.watch
+    upstream.probe_sent_at = now
+    upstream.next_probe_at = now + policy.probe_interval_s
+    world.emit(ProbeServing(upstream.record, policy.probe_timeout_s))
+    world.log_decision(
+        "trust",
+        "Upstream probed.",
+        upstream=upstream.id,
+        reason=reason,
+        unheard_s=round(now - upstream.heard_at, 3),
+    )
+
+
+def doubt(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
+    """Gives an upstream no new work before it answers a probe."""
+    if upstream.trust is Trust.TRUSTED:
+        upstream.trust = Trust.DOUBTED
+        upstream.doubted_at = now
+        world.log_decision(
+            "trust", "Upstream doubted.", upstream=upstream.id, reason=reason
+        )
+        _probe_neighbours(world, upstream, now)
+    probe(world, upstream, reason, now)
+
+
+def distrust(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
+    """Takes an upstream's process for lost until it answers a probe."""
+    policy = world.serving.watch
+    if upstream.trust is not Trust.DOWN:
+        world.log_decision(
+            "trust", "Upstream down.", upstream=upstream.id, reason=reason
+        )
+        upstream.failed_probes = 0
+        _probe_neighbours(world, upstream, now)
+    upstream.trust = Trust.DOWN
+    delay_s = policy.down_probe_s * 2**upstream.failed_probes
+    upstream.failed_probes = min(upstream.failed_probes + 1, 8)
+    upstream.next_probe_at = now + min(delay_s, policy.down_probe_max_s)
+
+
+def _probe_neighbours(world: ServingWorld, upstream: Upstream, now: float) -> None:
+    """Probes the upstreams of the same data centre that may have gone with it."""
+    record = upstream.record
+    for other in world.upstreams.list_service(record.service):
+        if other is upstream or not other.attempts:
+            continue
+        near = other.record.data_centre == record.data_centre
+        quiet_s = now - other.heard_at
+        if near and quiet_s > world.serving.watch.neighbour_quiet_s:
+            probe(world, other, "a neighbour is in trouble", now)
+
+
+def take_probe_results(world: ServingWorld, now: float) -> None:
+    """Trusts upstreams that answered a probe, and takes others for lost."""
+    for answered in world.inbox.read_events(UpstreamAnsweredProbe):
+        upstream = _find_probed(world, answered.upstream_id, answered.born_ms)
+        if upstream is not None:
+            upstream.probe_sent_at = None
+            note_alive(world, upstream, now)
+    for failed in world.inbox.read_events(UpstreamFailedProbe):
+        upstream = _find_probed(world, failed.upstream_id, failed.born_ms)
+        if upstream is not None:
+            upstream.probe_sent_at = None
+            distrust(world, upstream, failed.reason, now)
+
+
+def _find_probed(
+    world: ServingWorld, upstream_id: str, born_ms: int
+) -> Upstream | None:
+    upstream = world.upstreams.by_id.get(upstream_id)
+    if upstream is not None and upstream.record.born_ms == born_ms:
+        return upstream
+    for attempt in world.requests.attempts.values():
+        record = attempt.upstream.record
+        if (record.id, record.born_ms) == (upstream_id, born_ms):
+            return attempt.upstream
+    return None
+
+
+def note_alive(world: ServingWorld, upstream: Upstream, now: float) -> None:
+    """Notes a sign of life of an upstream's process."""
+    upstream.heard_at = now
+    if upstream.trust is Trust.TRUSTED:
+        return
+    upstream.trust = Trust.TRUSTED
+    upstream.failed_probes = 0
+    world.log_decision("trust", "Upstream trusted again.", upstream=upstream.id)
+
+
+def probe_lost(world: ServingWorld, now: float) -> None:
+    """Probes upstreams that are not trusted, so that they come back into use."""
+    if not world.scans:
+        return
+    for upstream in world.upstreams.by_id.values():
+        if upstream.trust is not Trust.TRUSTED and not upstream.record.leaving:
+            probe(world, upstream, "not trusted", now)
--- /dev/null
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -0,0 +1,124 @@
+"""Upstreams that a serving entry may call, and what it believes of them."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt
+
+
+@frozen
+class UpstreamRecord:
+    """An upstream as it has registered itself.
+
+    `born_ms` tells two starts under one id apart, in Unix milliseconds; 0 if unknown.
+    """
+
+    id: str
+    service: str
+    address: str
+    port: int
+    data_centre: str
+    version: str = ""
+    slots: int = 1
+    leaving: bool = False
+    born_ms: int = 0
+
+
+class Trust(Enum):
+    """What an entry believes of an upstream's process.
+
+    DOUBTED gave a sign of trouble and is being probed; DOWN failed a probe.
+    """
+
+    TRUSTED = "trusted"
+    DOUBTED = "doubted"
+    DOWN = "down"
+
+
+@define(eq=False)
+class Upstream:
+    """One upstream with the work that this entry has there.
+
+    Times are on the process clock. `heard_at` is when any byte of it came. `failures`
+    and `answers` fade with time; `gap_s` and `opening_s` are moving means of the pause
+    between pieces and of the time to the first piece. `missing_since` is set while its
+    registration was gone after an outage of the store, and `copies` counts the streams
+    whose memory it keeps a copy of.
+    """
+
+    record: UpstreamRecord
+    trust: Trust = Trust.TRUSTED
+    heard_at: float = 0.0
+    doubted_at: float = 0.0
+    probe_sent_at: float | None = None
+    next_probe_at: float = 0.0
+    failed_probes: int = 0
+    missing_since: float | None = None
+    attempts: dict[int, Attempt] = field(factory=dict)
+    copies: int = 0
+    answers: float = 0.0
+    failures: float = 0.0
+    faded_at: float = 0.0
+    gap_s: float | None = None
+    opening_s: float | None = None
+    full_until: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """Id of the registration."""
+        return self.record.id
+
+    def fade_outcomes(self, now: float, half_life_s: float) -> None:
+        """Lets older outcomes count less."""
+        factor = 0.5 ** (max(0.0, now - self.faded_at) / half_life_s)
+        self.answers *= factor
+        self.failures *= factor
+        self.faded_at = now
+
+
+@define
+class UpstreamTable:
+    """Upstreams by id and by service; `known` once a whole list was read."""
+
+    by_id: dict[str, Upstream] = field(factory=dict)
+    by_service: dict[str, dict[str, Upstream]] = field(factory=dict)
+    known: bool = False
+
+    def put_record(self, record: UpstreamRecord, now: float) -> Upstream:
+        """Adds or changes an upstream; another start of it is a new upstream."""
+        upstream = self.by_id.get(record.id)
+        if upstream is not None and _is_same_start(upstream.record, record):
+            upstream.record = record
+            upstream.missing_since = None
+            return upstream
+        if upstream is not None:
+            self.remove(record.id)
+        upstream = Upstream(record, heard_at=now, faded_at=now)
+        self.by_id[record.id] = upstream
+        self.by_service.setdefault(record.service, {})[record.id] = upstream
+        return upstream
+
+    def remove(self, upstream_id: str) -> Upstream | None:
+        """Removes an upstream from the choice; its running attempts go on."""
+        upstream = self.by_id.pop(upstream_id, None)
+        if upstream is not None:
+            self.by_service.get(upstream.record.service, {}).pop(upstream_id, None)
+        return upstream
+
+    def list_service(self, service: str) -> list[Upstream]:
+        """Lists the upstreams of one service."""
+        return list(self.by_service.get(service, {}).values())
+
+
+def _is_same_start(old: UpstreamRecord, new: UpstreamRecord) -> bool:
+    same_place = (old.address, old.port, old.service) == (
+        new.address,
+        new.port,
+        new.service,
+    )
+    return same_place and old.born_ms == new.born_ms
--- /dev/null
+++ b/src/magnoliahold/core/serving/world.py
@@ -0,0 +1,61 @@
+"""The tables of a serving entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from magnoliahold.core.serving.budget import RetryBudget
+from magnoliahold.core.serving.feeds import Feed, FeedState
+from magnoliahold.core.serving.policy import ServingPolicy
+from magnoliahold.core.serving.requests import RequestTable
+from magnoliahold.core.serving.upstreams import UpstreamTable
+from magnoliahold.core.worlds import World
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.core.serving.configuration import Configuration
+
+
+def _make_feeds() -> dict[Feed, FeedState]:
+    return {feed: FeedState(feed) for feed in Feed}
+
+
+@define(kw_only=True)
+class ServingWorld(World):
+    """Tables of an entry that calls its upstreams itself.
+
+    `boot_clock` reads seconds that go on while the instance is suspended, which those
+    of ticks don't. `configuration` is the newest one ever read; it never goes back.
+    """
+
+    boot_clock: Callable[[], float]
+    serving: ServingPolicy = field(factory=ServingPolicy)
+    configuration: Configuration | None = None
+    feeds: dict[Feed, FeedState] = field(factory=_make_feeds)
+    upstreams: UpstreamTable = field(factory=UpstreamTable)
+    requests: RequestTable = field(factory=RequestTable)
+    budgets: dict[str, RetryBudget] = field(factory=dict)
+    next_call: int = 1
+    ticked_at: float | None = None
+    next_scan_at: float = 0.0
+    scans: bool = False
+    listener_closed: bool = False
+
+    def find_budget(self, service: str) -> RetryBudget:
+        """Finds the budget of a service, or starts it."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            policy = self.serving.attempts
+            budget = RetryBudget(
+                policy.budget_window_s, policy.budget_ratio, policy.budget_allowance
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def measure_proof_age(self) -> float | None:
+        """Measures how long ago the configuration was proved the newest, in seconds."""
+        proved_at = self.feeds[Feed.CONFIGURATION].proved_at
+        return None if proved_at is None else self.boot_clock() - proved_at
--- a/src/magnoliahold/core/systems/claims.py
+++ b/src/magnoliahold/core/systems/claims.py
@@ -25,13 +25,13 @@
     refuse_unchecked,
 )
 from magnoliahold.core.systems.dispatch import aim_call
-from magnoliahold.platform.interfaces import Condition, Write
+from magnoliahold.storage.interfaces import Condition, Write
 
 if TYPE_CHECKING:
     from magnoliahold.core.calls import Call, Dispatch
     from magnoliahold.core.claims import Claim
     from magnoliahold.core.worlds import EntryWorld
-    from magnoliahold.platform.interfaces import Row, TransactionOutcome
+    from magnoliahold.storage.interfaces import Row, TransactionOutcome
 
 
 def open_claim(world: EntryWorld, call: Call, now: float) -> None:
--- a/src/magnoliahold/core/systems/configuration.py
+++ b/src/magnoliahold/core/systems/configuration.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from magnoliahold.core.configuration import MoveStep
     from magnoliahold.core.worlds import EntryWorld
-    from magnoliahold.platform.interfaces import Row
+    from magnoliahold.storage.interfaces import Row
 
 
 def queue_applies(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterable
 
     from magnoliahold.core.worlds import World
-    from magnoliahold.platform.interfaces import Instance
+    from magnoliahold.storage.interfaces import Instance
 
 
 def add_peer(world: World, peer: Peer, now: float) -> None:
--- a/src/magnoliahold/core/systems/placement.py
+++ b/src/magnoliahold/core/systems/placement.py
@@ -13,7 +13,7 @@
     read_needs,
 )
 from magnoliahold.core.systems.moves import find_turn_s
-from magnoliahold.platform.interfaces import Condition, Write
+from magnoliahold.storage.interfaces import Condition, Write
 from magnoliahold.wire.messages import PlacementPush
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/core/systems/quarantine.py
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -26,7 +26,7 @@
     refuse_quarantined,
     tell_entries,
 )
-from magnoliahold.platform.interfaces import Write
+from magnoliahold.storage.interfaces import Write
 from magnoliahold.wire.messages import CancelStream, EngineDied, SuspicionNotice
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/core/systems/results.py
+++ b/src/magnoliahold/core/systems/results.py
@@ -8,12 +8,12 @@
 from magnoliahold.core.claims import CLAIMS_TABLE, ResultBatch, encode_claim
 from magnoliahold.core.effects import CountMetric, Transact
 from magnoliahold.core.events import TransactionFinished
-from magnoliahold.platform.interfaces import Condition, Write
+from magnoliahold.storage.interfaces import Condition, Write
 
 if TYPE_CHECKING:
     from magnoliahold.core.claims import ResultWrite
     from magnoliahold.core.worlds import EntryWorld
-    from magnoliahold.platform.interfaces import TransactionOutcome
+    from magnoliahold.storage.interfaces import TransactionOutcome
 
 
 def write_results(world: EntryWorld, now: float) -> None:
--- a/src/magnoliahold/core/systems/subsets.py
+++ b/src/magnoliahold/core/systems/subsets.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from magnoliahold.platform.interfaces import Instance
+    from magnoliahold.storage.interfaces import Instance
 
 KEPT_CHOICES = 4_096
 
--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -17,9 +17,9 @@
 from magnoliahold.logs import make_part_logger
 from magnoliahold.metrics import make_metrics
 from magnoliahold.node import BROKEN_TABLES, Ports
-from magnoliahold.platform.instances import make_instance_client
-from magnoliahold.platform.tables import make_table_client
 from magnoliahold.runtime import use_monotonic_clock
+from magnoliahold.storage.instances import make_instance_client
+from magnoliahold.storage.tables import make_table_client
 from magnoliahold.wire.links import make_links
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/development/deployment.py
+++ b/src/magnoliahold/development/deployment.py
@@ -13,7 +13,6 @@
 from magnoliahold.daemon import run_until_stopped, stop_reactor
 from magnoliahold.entry.daemon import make_entry
 from magnoliahold.logs import configure_logging
-from magnoliahold.platform.interfaces import Instance
 from magnoliahold.settings.credentials import CredentialSettings, make_secret
 from magnoliahold.settings.model import (
     EntrySettings,
@@ -28,6 +27,7 @@
 from magnoliahold.standins.platform import make_platform
 from magnoliahold.standins.server import serve_resource
 from magnoliahold.standins.service import ServiceSettings, make_service
+from magnoliahold.storage.interfaces import Instance
 from magnoliahold.templates import encode_template, parse_template
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/httpconnections.py
+++ b/src/magnoliahold/httpconnections.py
@@ -123,7 +123,7 @@
     fields = Headers()
     for name, value in headers:
         fields.addRawHeader(name, value)
-    producer = _BytesProducer(body) if body else None
+    producer = BytesProducer(body) if body else None
     return maybeDeferred(
         lambda: cast("Any", agent).request(
             method.encode("ascii"), url.encode("ascii"), fields, producer
@@ -132,7 +132,7 @@
 
 
 @implementer(IBodyProducer)
-class _BytesProducer:
+class BytesProducer:
     """Writes a body of known length at once."""
 
     def __init__(self, body: bytes) -> None:
--- a/src/magnoliahold/measure/balance.py
+++ b/src/magnoliahold/measure/balance.py
@@ -9,7 +9,7 @@
 
 from magnoliahold.core.systems.subsets import choose_subset
 from magnoliahold.measure.options import find_quantiles, find_share
-from magnoliahold.platform.interfaces import Instance
+from magnoliahold.storage.interfaces import Instance
 
 if TYPE_CHECKING:
     from magnoliahold.measure.options import MeasureOptions, Quantiles
--- a/src/magnoliahold/measure/capacity/rows.py
+++ b/src/magnoliahold/measure/capacity/rows.py
@@ -12,7 +12,7 @@
 from magnoliahold.core.systems.spread import install_row
 from magnoliahold.measure.capacity.fits import time_steps
 from magnoliahold.measure.capacity.nodes import make_capacity_node
-from magnoliahold.platform.interfaces import Row
+from magnoliahold.storage.interfaces import Row
 from magnoliahold.templates import (
     Service,
     VersionShare,
--- a/src/magnoliahold/measure/fakes/fleet.py
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -27,8 +27,8 @@
 from magnoliahold.measure.fakes.platform import FakePlatform
 from magnoliahold.measure.fakes.service import FakeService
 from magnoliahold.node import Ports
-from magnoliahold.platform.interfaces import Instance
 from magnoliahold.sidecar.nodes import make_sidecar_node
+from magnoliahold.storage.interfaces import Instance
 
 if TYPE_CHECKING:
     from twisted.internet.task import Clock
--- a/src/magnoliahold/measure/fakes/platform.py
+++ b/src/magnoliahold/measure/fakes/platform.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from twisted.internet.defer import Deferred
 
-from magnoliahold.platform.interfaces import (
+from magnoliahold.storage.interfaces import (
     InstanceList,
     PlatformUnavailable,
     Row,
@@ -20,7 +20,7 @@
 
     from twisted.internet.task import Clock
 
-    from magnoliahold.platform.interfaces import (
+    from magnoliahold.storage.interfaces import (
         Condition,
         Instance,
         Write,
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -27,14 +27,14 @@
     from collections.abc import Callable, Sequence
 
     from magnoliahold.core.worlds import World
-    from magnoliahold.platform.interfaces import (
+    from magnoliahold.runtime import Clock
+    from magnoliahold.storage.interfaces import (
         InstanceList,
         InstanceService,
         Row,
         TableService,
         TransactionOutcome,
     )
-    from magnoliahold.runtime import Clock
     from magnoliahold.wire.messages import Message
 
 logger = getLogger(__name__)
@@ -102,7 +102,7 @@
     clock: Clock
     world: Any
     systems: Sequence[Callable[[Any, float], None]]
-    ports: Ports
+    ports: Any
     longest_tick_s: float = 0.0
     violations: int = 0
     failed_effects: int = 0
--- a/src/magnoliahold/platform/__init__.py
+++ b/src/magnoliahold/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Interfaces of the platform's services and clients for them."""
+"""Translates between the users' platform and the types of this product."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/magnoliahold/platform/callers.py
@@ -0,0 +1,93 @@
+"""Reads callers' requests and builds the answers of our own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.requests import CallerRequest, PromptPart
+
+if TYPE_CHECKING:
+    from twisted.web.http_headers import Headers
+
+READY_PATH = "/-/readyz"
+CREDENTIAL_SCHEME = "token "
+MS_PER_S = 1000.0
+
+
+class BadRequest(Exception):  # noqa: N818
+    """A caller's request lacks something; the message says what to send."""
+
+
+def read_caller_request(
+    handle: int, method: str, target: str, headers: Headers, body_bytes: int
+) -> CallerRequest:
+    """Reads what decisions need of a request; raises BadRequest."""
+    request_id = _read(headers, "Request-Id")
+    if not request_id:
+        raise BadRequest("send a Request-Id")
+    host = _read(headers, "Host") or ""
+    return CallerRequest(
+        handle=handle,
+        request_id=request_id,
+        method=method,
+        host=host.partition(":")[0].lower(),
+        path=target.partition("?")[0],
+        credential=_read_credential(headers),
+        patience_s=_read_patience(headers),
+        body_bytes=body_bytes,
+        resume_after=_read_number(headers, "Last-Event-Id"),
+        prompt=_read_prompt(headers),
+        output_tokens=_read_output_tokens(headers),
+    )
+
+
+def _read(headers: Headers, name: str) -> str | None:
+    values = headers.getRawHeaders(name)
+    return values[0].strip() if values else None
+
+
+def _read_number(headers: Headers, name: str) -> int | None:
+    text = _read(headers, name)
+    if text is None or not text.isdecimal():
+        return None
+    return int(text)
+
+
+def _read_patience(headers: Headers) -> float | None:
+    milliseconds = _read_number(headers, "Deadline-Ms")
+    return None if milliseconds is None else milliseconds / MS_PER_S
+
+
+def _read_credential(headers: Headers) -> str | None:
+    text = _read(headers, "Authorization")
+    if text is None or not text.lower().startswith(CREDENTIAL_SCHEME):
+        return None
+    return text[len(CREDENTIAL_SCHEME) :].strip()
+
+
+def _read_prompt(headers: Headers) -> tuple[PromptPart, ...]:
+    """Reads the parts of the prompt; one that can't be read ends the list."""
+    parts = []
+    for entry in (_read(headers, "Prompt-Prefix") or "").split(","):
+        part_id, separator, tokens = entry.strip().partition(":")
+        if not separator or not tokens.isdecimal():
+            break
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _read_output_tokens(headers: Headers) -> int:
+    text = (_read(headers, "Token-Usage") or "").rpartition(",")[2].strip()
+    return int(text) if text.isdecimal() else 0
+
+
+def make_refusal_headers(
+    request_id: str | None, retry_after_s: float | None
+) -> list[tuple[str, str]]:
+    """Builds the headers of an answer of our own."""
+    headers = [("Content-Type", "text/plain; charset=utf-8")]
+    if request_id:
+        headers.append(("Request-Id", request_id))
+    if retry_after_s is not None:
+        headers.append(("Retry-After", f"{retry_after_s:.3f}"))
+    return headers
--- /dev/null
+++ b/src/magnoliahold/platform/documents.py
@@ -0,0 +1,178 @@
+"""Reads the documents that operators and upstreams keep in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from magnoliahold.core.serving.configuration import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.endpoints import read_endpoint
+
+MS_PER_S = 1000.0
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NOT_REPEATABLE,
+    "streaming": RouteKind.STREAM,
+}
+LEAVING_STATES = {"ready": False, "draining": True}
+
+
+class DocumentError(Exception):
+    """A document can't be used; the message says why. The others stay in use."""
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float = 0.0
+    gap_goal_ms: float = 0.0
+    priority: int = 0
+    traffic_split: list[_Share] | None = None
+    service: str | None = None
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    # Tokens, though the name speaks of a cache.
+    kv_capacity: int = 0
+    backups: bool = False
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    version: str = ""
+    slots: int = 1
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration, strict=False)
+_server_decoder = msgspec.json.Decoder(_Server)
+
+
+def read_configuration(document: bytes) -> Configuration:
+    """Reads a configuration; raises DocumentError when it can't be used."""
+    try:
+        raw = _configuration_decoder.decode(document)
+        return Configuration(
+            version=raw.version,
+            routes=tuple(_make_route(route) for route in raw.routes),
+            services=tuple(_make_service(service) for service in raw.services),
+            workspaces=tuple(
+                Workspace(item.name, tuple(item.api_keys), item.priority)
+                for item in raw.tenants
+            ),
+            limits=_make_limits(raw.limits),
+        )
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise DocumentError(str(error)) from error
+
+
+def _make_route(raw: _Route) -> Route:
+    shares = raw.traffic_split or []
+    if not shares and raw.service is not None:
+        shares = [_Share(raw.service, 1.0)]
+    if not shares:
+        raise DocumentError(f"route {raw.name} names no service")
+    return Route(
+        name=raw.name,
+        host=raw.hostname.lower(),
+        prefix=raw.prefix,
+        kind=KINDS[raw.kind],
+        shares=tuple(ServiceShare(item.service, item.weight) for item in shares),
+        timeout_s=raw.timeout_ms / MS_PER_S,
+        goal_s=(raw.goal_ms or raw.timeout_ms) / MS_PER_S,
+        gap_goal_s=raw.gap_goal_ms / MS_PER_S,
+        priority=raw.priority,
+        max_attempts=max(1, raw.max_attempts),
+        public=raw.public,
+        resumable=raw.resumable,
+    )
+
+
+def _make_service(raw: _Service) -> Service:
+    engine = None
+    if raw.engine is not None:
+        traits = raw.engine
+        engine = EngineTraits(traits.slots, traits.kv_capacity, traits.backups)
+    return Service(raw.name, raw.max_conns, raw.health_path, engine)
+
+
+def _make_limits(raw: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=raw.max_header_bytes,
+        body_bytes=raw.max_body_bytes,
+        header_timeout_s=raw.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=raw.idle_timeout_ms / MS_PER_S,
+    )
+
+
+def read_upstream(upstream_id: str, document: bytes) -> UpstreamRecord:
+    """Reads an upstream's registration; raises DocumentError if it can't be used."""
+    try:
+        raw = _server_decoder.decode(document)
+        endpoint = read_endpoint(raw.address)
+        leaving = LEAVING_STATES[raw.state]
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise DocumentError(str(error)) from error
+    return UpstreamRecord(
+        id=upstream_id,
+        service=raw.service,
+        address=endpoint.host,
+        port=endpoint.port,
+        data_centre=raw.zone,
+        version=raw.version,
+        slots=raw.slots,
+        leaving=leaving,
+        born_ms=raw.born,
+    )
--- /dev/null
+++ b/src/magnoliahold/platform/store.py
@@ -0,0 +1,208 @@
+"""The client of the platform's store."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from binascii import Error as Base64Error
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlencode
+
+import msgspec
+from attrs import define, field
+
+from magnoliahold.core.serving.events import (
+    FeedChanged,
+    FeedFailed,
+    FeedHistoryGone,
+    FeedRead,
+)
+from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.httpclient import HttpClient, HttpExchangeError
+from magnoliahold.logs import make_part_logger
+from magnoliahold.platform.documents import (
+    DocumentError,
+    read_configuration,
+    read_upstream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
+    from magnoliahold.httpclient import HttpAnswer
+    from magnoliahold.runtime import Reactor
+
+TABLES = {Feed.CONFIGURATION: "op", Feed.UPSTREAMS: "servers"}
+CONFIGURATION_KEY = "config"
+PAGE_ROWS = 500
+OK = 200
+GONE = 410
+MS_PER_S = 1000.0
+
+logger = make_part_logger("store")
+
+
+class _Row(msgspec.Struct):
+    key: str
+    ver: int
+    value: str | None = None
+    removed: bool = False
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row]
+    ver: int
+    has_more: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_Rows)
+
+
+@define(eq=False)
+class StoreClient:
+    """Reads the tables that an entry follows; one connection for each of them."""
+
+    reactor: Reactor
+    base_url: str
+    post: Callable[[object], None]
+    boot_clock: Callable[[], float]
+    _clients: dict[Feed, HttpClient] = field(factory=dict)
+
+    def move_to(self, base_url: str) -> None:
+        """Sends later calls to another address of the store."""
+        if base_url != self.base_url:
+            self.base_url = base_url
+            self._clients.clear()
+
+    def read_feed(self, feed: Feed, call: int, timeout_s: float) -> None:
+        """Reads a table whole and posts FeedRead, or FeedFailed."""
+        self._read_page(_Reading(feed, call, timeout_s, self.boot_clock()), None)
+
+    def follow_feed(
+        self, feed: Feed, call: int, after: int, wait_s: float, timeout_s: float
+    ) -> None:
+        """Waits for changes; posts FeedChanged, FeedHistoryGone or FeedFailed."""
+        sent_at = self.boot_clock()
+        query = {"after": after, "wait_ms": round(wait_s * MS_PER_S)}
+        path = _make_path("rows-feed", feed, query)
+
+        def take(answer: HttpAnswer) -> None:
+            if answer.status == GONE:
+                self.post(FeedHistoryGone(feed, call))
+                return
+            page = _decode_page(answer)
+            rows = _read_rows(feed, page.rows)
+            self.post(FeedChanged(feed, call, rows, page.ver, sent_at))
+
+        self._send(feed, call, path, timeout_s, take)
+
+    def _read_page(self, reading: _Reading, start: str | None) -> None:
+        query: dict[str, Any] = {"part": "", "limit": PAGE_ROWS}
+        if start is not None:
+            query["from"] = start
+        path = _make_path("rows-get", reading.feed, query)
+
+        def take(answer: HttpAnswer) -> None:
+            page = _decode_page(answer)
+            reading.add_page(page)
+            if page.has_more and page.rows:
+                # The smallest key above the last one read.
+                self._read_page(reading, page.rows[-1].key + "\0")
+                return
+            rows = _read_rows(reading.feed, reading.rows)
+            version = reading.version or 0
+            event = FeedRead(reading.feed, reading.call, rows, version, reading.sent_at)
+            self.post(event)
+
+        self._send(reading.feed, reading.call, path, reading.timeout_s, take)
+
+    def _send(
+        self,
+        feed: Feed,
+        call: int,
+        path: str,
+        timeout_s: float,
+        take: Callable[[HttpAnswer], None],
+    ) -> None:
+        client = self._clients.get(feed)
+        if client is None:
+            client = HttpClient(self.reactor, self.base_url, persistent=True)
+            self._clients[feed] = client
+
+        def fail(failure: Any) -> None:
+            error = failure.value
+            expected = (HttpExchangeError, StoreAnswerError)
+            reason = str(error) if isinstance(error, expected) else repr(error)
+            self.post(FeedFailed(feed, call, reason))
+
+        sending = client.send("GET", path, timeout_s=timeout_s)
+        sending.addCallback(take).addErrback(fail)
+
+
+class StoreAnswerError(Exception):
+    """The store answered with something else than rows."""
+
+
+@define(eq=False)
+class _Reading:
+    """A table that is read page by page; the oldest page's version is kept."""
+
+    feed: Feed
+    call: int
+    timeout_s: float
+    sent_at: float
+    rows: list[_Row] = field(factory=list)
+    version: int | None = None
+
+    def add_page(self, page: _Rows) -> None:
+        """Adds the rows of a page."""
+        self.rows.extend(page.rows)
+        if self.version is None or page.ver < self.version:
+            self.version = page.ver
+
+
+def _make_path(call: str, feed: Feed, query: dict[str, Any]) -> str:
+    return f"/-/{call}?{urlencode({'table': TABLES[feed], **query})}"
+
+
+def _decode_page(answer: HttpAnswer) -> _Rows:
+    if answer.status != OK:
+        raise StoreAnswerError(f"the store answered {answer.status}")
+    try:
+        return _rows_decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise StoreAnswerError(f"the store's answer can't be read: {error}") from error
+
+
+def _read_rows(feed: Feed, rows: list[_Row]) -> tuple[FeedRow, ...]:
+    """Reads rows; unreadable ones are logged, and what was known of them holds."""
+    found = []
+    for row in rows:
+        try:
+            found.append(FeedRow(row.key, row.ver, _read_value(feed, row)))
+        except DocumentError as error:
+            logger.warning(
+                "Row can't be read, left out.",
+                feed=feed.value,
+                key=row.key,
+                version=row.ver,
+                reason=str(error),
+            )
+            if feed is Feed.UPSTREAMS:
+                found.append(FeedRow(row.key, row.ver, None))
+    return tuple(found)
+
+
+def _read_value(feed: Feed, row: _Row) -> Configuration | UpstreamRecord | None:
+    if row.removed or row.value is None:
+        return None
+    try:
+        document = b64decode(row.value, validate=True)
+    except (Base64Error, ValueError) as error:
+        raise DocumentError(str(error)) from error
+    if feed is Feed.UPSTREAMS:
+        return read_upstream(row.key, document)
+    if row.key == CONFIGURATION_KEY:
+        return read_configuration(document)
+    return None
--- /dev/null
+++ b/src/magnoliahold/platform/upstreams.py
@@ -0,0 +1,116 @@
+"""Builds requests to upstreams and reads the heads of their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.web.http_headers import Headers
+
+from magnoliahold.core.serving.events import AnswerHead
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.effects import SendAttempt
+
+REPORT_PATH = b"/-/report"
+MISDIRECTED = 421
+LEAST_DEADLINE_MS = 1
+MS_PER_S = 1000.0
+
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# What only this system may tell upstreams, whatever a caller sends.
+OWN_HEADERS = frozenset(
+    (
+        "authorization",
+        "deadline-ms",
+        "expect-instance",
+        "expect-version",
+        "hold",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+        "pin-ms",
+        "request-priority",
+        "tenant",
+        "wait-ms",
+    )
+)
+
+
+def make_upstream_headers(received: Headers, send: SendAttempt) -> Headers:
+    """Builds the headers of a request from those that the caller sent."""
+    headers = Headers()
+    left_out = CONNECTION_HEADERS | OWN_HEADERS | _read_named(received)
+    if send.resume_after is not None:
+        left_out |= {"last-event-id"}
+    for name, values in received.getAllRawHeaders():
+        if name.decode("ascii").lower() not in left_out:
+            headers.setRawHeaders(name, values)
+    milliseconds = max(LEAST_DEADLINE_MS, round(send.deadline_s * MS_PER_S))
+    headers.setRawHeaders("Deadline-Ms", [str(milliseconds)])
+    headers.setRawHeaders("Expect-Instance", [send.upstream.id])
+    headers.setRawHeaders("Request-Priority", [str(send.priority)])
+    if send.workspace:
+        headers.setRawHeaders("Tenant", [send.workspace])
+    if send.resume_after is not None:
+        headers.setRawHeaders("Last-Event-Id", [str(send.resume_after)])
+    if send.copy_to is not None:
+        address, port = send.copy_to
+        headers.setRawHeaders("Kv-Backup", [f"{address}:{port}"])
+    source = send.copy_source
+    if source is not None:
+        place = f"{source.address}:{source.port}/{source.run_id}"
+        headers.setRawHeaders("Kv-From", [place])
+    return headers
+
+
+def _read_named(headers: Headers) -> set[str]:
+    """Reads the names of further headers that concern only one connection."""
+    values = headers.getRawHeaders("Connection", [])
+    return {name.strip().lower() for value in values for name in value.split(",")}
+
+
+def read_answer_head(status: int, headers: Headers) -> AnswerHead:
+    """Reads what the head of an upstream's answer says."""
+    return AnswerHead(
+        status=status,
+        request_id=_read(headers, "Request-Id"),
+        signed=bool(_read(headers, "Response-Signature")),
+        not_run=status == MISDIRECTED or headers.hasHeader("Not-Executed"),
+    )
+
+
+def _read(headers: Headers, name: str) -> str:
+    values = headers.getRawHeaders(name)
+    return values[0].strip() if values else ""
+
+
+def is_event_stream(status: int, headers: Headers) -> bool:
+    """Tells whether an answer is a stream of numbered pieces."""
+    kind = _read(headers, "Content-Type").partition(";")[0].strip().lower()
+    return status == 200 and kind == "text/event-stream"
+
+
+def list_answer_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Lists the headers of an upstream's answer that go on to the caller."""
+    left_out = CONNECTION_HEADERS | _read_named(headers)
+    return [
+        (name, value)
+        for name, values in headers.getAllRawHeaders()
+        for value in values
+        if name.decode("ascii").lower() not in left_out
+    ]
--- /dev/null
+++ b/src/magnoliahold/serving/callers.py
@@ -0,0 +1,331 @@
+"""HTTP towards callers: reads requests within limits and writes answers."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from twisted.internet.protocol import ServerFactory
+from twisted.web.http import HTTPChannel, Request
+
+from magnoliahold.core.serving.configuration import CallerLimits
+from magnoliahold.core.serving.events import CallerLeft, RequestArrived
+from magnoliahold.platform.callers import (
+    BadRequest,
+    make_refusal_headers,
+    read_caller_request,
+)
+from magnoliahold.serving.exchanges import RequestContent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.runtime import Clock
+    from magnoliahold.serving.exchanges import Exchange
+
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+CONTENT_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+LINE_MARGIN_BYTES = 1024
+
+
+class CallerExchange(Request):
+    """One request of a caller and the answer to it."""
+
+    handle = 0
+    body_bytes = 0
+    settled = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Keeps bodies in memory: they are bounded, and there is no disk."""
+        self.content = BytesIO()
+
+    def parseCookies(self) -> None:  # noqa: N802
+        """Leaves cookies to the upstream."""
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Adds to the body, unless it becomes too large."""
+        self.body_bytes += len(data)
+        if self.body_bytes <= self._callers.limits.body_bytes:
+            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Hands a request on that was read whole."""
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self._callers.take_request(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Reports a caller that left before its answer was complete."""
+        callers = self._callers
+        settled = self.settled
+        self.settled = True
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+        if not settled:
+            callers.lose_request(self)
+
+    @property
+    def _callers(self) -> Callers:
+        channel: Any = self.channel
+        callers: Callers = channel.factory.callers
+        return callers
+
+    def close_after(self) -> None:
+        """Has the connection close after this answer."""
+        channel: Any = self.channel
+        channel.persistent = False
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+
+    def start_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Sets the head of the answer; it goes out with the first bytes."""
+        self.setResponseCode(status)
+        for name, value in headers:
+            self.responseHeaders.addRawHeader(name, value)
+
+    def finish_answer(self) -> None:
+        """Ends the answer as complete."""
+        self.settled = True
+        self.finish()  # type: ignore[no-untyped-call]
+
+    def answer_whole(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Writes a whole answer."""
+        self.start_answer(status, headers)
+        length = str(len(body)).encode()
+        self.responseHeaders.setRawHeaders(b"Content-Length", [length])
+        self.write(body)  # type: ignore[no-untyped-call]
+        self.finish_answer()
+
+    def cut_answer(self) -> None:
+        """Breaks the answer off, so that it doesn't look complete."""
+        self.settled = True
+        channel: Any = self.channel
+        if channel is not None:
+            channel.transport.abortConnection()
+
+
+class CallerChannel(HTTPChannel):
+    """A caller's connection within the limits in force."""
+
+    requestFactory = CallerExchange  # noqa: N815
+
+    def __init__(self, callers: Callers) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._callers = callers
+        self._header_timer: Any = None
+        limits = callers.limits
+        self.timeOut = limits.idle_timeout_s  # type: ignore[assignment]
+        self.totalHeadersSize = limits.header_bytes
+        self.MAX_LENGTH = limits.header_bytes + LINE_MARGIN_BYTES
+        self.callLater = callers.clock.callLater  # type: ignore[method-assign,assignment]
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return not self.requests and self._header_timer is None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Files the connection."""
+        super().connectionMade()  # type: ignore[no-untyped-call]
+        self._callers.channels.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Limits the time that the head of a request takes."""
+        if self.is_idle:
+            self._header_timer = self._callers.clock.callLater(
+                self._callers.limits.header_timeout_s, self._reject_slow
+            )
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Takes a line of the head, unless the head becomes too large."""
+        if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
+            self.reject(HEADERS_TOO_LARGE)
+            return
+        super().lineReceived(line)  # type: ignore[no-untyped-call]
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuses a line that is longer than a whole head may be."""
+        self.reject(HEADERS_TOO_LARGE)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Stops the time of the head."""
+        self._stop_header_timer()
+        super().allHeadersReceived()  # type: ignore[no-untyped-call]
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Forgets the connection."""
+        self._stop_header_timer()
+        self._callers.channels.discard(self)
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
+    def reject(self, status: int) -> None:
+        """Answers a request that can't be read, and closes."""
+        self._stop_header_timer()
+        transport: Any = self.transport
+        head = f"HTTP/1.1 {status} Rejected\r\nConnection: close\r\n"
+        transport.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+        self.loseConnection()  # type: ignore[no-untyped-call]
+
+    def _reject_slow(self) -> None:
+        self._header_timer = None
+        self.reject(REQUEST_TIMEOUT)
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None and self._header_timer.active():
+            self._header_timer.cancel()
+        self._header_timer = None
+
+
+class CallerFactory(ServerFactory):
+    """Makes the channels of callers' connections."""
+
+    noisy = False
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+
+    def buildProtocol(self, address: Any) -> CallerChannel:  # noqa: N802
+        """Makes the channel of a new connection."""
+        channel = CallerChannel(self.callers)
+        channel.factory = self
+        return channel
+
+
+@define(eq=False)
+class Callers:
+    """Open requests of callers by handle, and the callers' connections."""
+
+    clock: Clock
+    post: Callable[[object], None]
+    limits: CallerLimits = field(factory=CallerLimits)
+    channels: set[CallerChannel] = field(factory=set)
+    _open: dict[int, CallerExchange] = field(factory=dict)
+    _contents: dict[int, RequestContent] = field(factory=dict)
+    _next_handle: int = 1
+
+    def take_request(self, exchange: CallerExchange) -> None:
+        """Posts a request that was read whole, or rejects it."""
+        exchange.handle = self._next_handle
+        self._next_handle += 1
+        if exchange.body_bytes > self.limits.body_bytes:
+            self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
+            return
+        content: Any = exchange.content
+        body = content.getvalue()
+        try:
+            caller = read_caller_request(
+                exchange.handle,
+                exchange.method.decode("ascii", "replace"),
+                exchange.uri.decode("ascii", "replace"),
+                exchange.requestHeaders,
+                len(body),
+            )
+        except BadRequest as error:
+            self._reject(exchange, BAD_REQUEST, str(error))
+            return
+        self._open[exchange.handle] = exchange
+        self._contents[exchange.handle] = RequestContent(
+            exchange.method, exchange.uri, exchange.requestHeaders, body
+        )
+        self.post(RequestArrived(caller))
+
+    def _reject(self, exchange: CallerExchange, status: int, reason: str) -> None:
+        exchange.close_after()
+        request_id = exchange.getHeader("Request-Id")
+        self._answer_own(exchange, status, reason, request_id, None)
+
+    def lose_request(self, exchange: CallerExchange) -> None:
+        """Posts that a caller has left."""
+        if self._take(exchange.handle) is not None:
+            self.post(CallerLeft(exchange.handle))
+
+    def find_content(self, handle: int) -> RequestContent | None:
+        """Finds what a caller sent; None when it has left."""
+        return self._contents.get(handle)
+
+    def open_answer(self, handle: int, upstream: Exchange) -> None:
+        """Starts a caller's answer with the head of an upstream's."""
+        exchange = self._open.get(handle)
+        if exchange is not None:
+            exchange.start_answer(upstream.status, upstream.headers)
+            exchange.write(b"")  # type: ignore[no-untyped-call]
+
+    def write_pieces(self, handle: int, content: bytes) -> None:
+        """Writes pieces of a stream."""
+        exchange = self._open.get(handle)
+        if exchange is not None and content:
+            exchange.write(content)  # type: ignore[no-untyped-call]
+
+    def finish_stream(self, handle: int, closing: bool) -> None:
+        """Ends a stream as complete."""
+        exchange = self._take(handle)
+        if exchange is None:
+            return
+        if closing:
+            channel: Any = exchange.channel
+            channel.persistent = False
+        exchange.finish_answer()
+
+    def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
+        """Gives a caller an upstream's whole answer."""
+        exchange = self._take(handle)
+        if exchange is None:
+            return
+        if closing:
+            exchange.close_after()
+        body = b"".join(upstream.body)
+        exchange.answer_whole(upstream.status, upstream.headers, body)
+
+    def refuse(
+        self,
+        handle: int,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+        closing: bool,
+    ) -> None:
+        """Gives a caller an answer of our own."""
+        exchange = self._take(handle)
+        if exchange is None:
+            return
+        if closing:
+            exchange.close_after()
+        request_id = exchange.getHeader("Request-Id")
+        self._answer_own(exchange, status, reason, request_id, retry_after_s)
+
+    def _answer_own(
+        self,
+        exchange: CallerExchange,
+        status: int,
+        reason: str,
+        request_id: str | None,
+        retry_after_s: float | None,
+    ) -> None:
+        headers = [
+            (name.encode(), value.encode())
+            for name, value in make_refusal_headers(request_id, retry_after_s)
+        ]
+        exchange.answer_whole(status, headers, f"{reason}\n".encode())
+
+    def cut(self, handle: int) -> None:
+        """Breaks a caller's answer off."""
+        exchange = self._take(handle)
+        if exchange is not None:
+            exchange.cut_answer()
+
+    def close_idle(self) -> None:
+        """Closes the connections that carry no request."""
+        for channel in list(self.channels):
+            if channel.is_idle:
+                channel.loseConnection()  # type: ignore[no-untyped-call]
+
+    def _take(self, handle: int) -> CallerExchange | None:
+        self._contents.pop(handle, None)
+        return self._open.pop(handle, None)
--- /dev/null
+++ b/src/magnoliahold/serving/connections.py
@@ -0,0 +1,167 @@
+"""Connections to upstreams: one request at a time, kept for later ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory
+from twisted.web._newclient import HTTP11ClientProtocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
+    from magnoliahold.runtime import Reactor
+
+LONGEST_IDLE_S = 8.0
+KEEP_ALIVE_MARGIN_S = 0.5
+MAX_IDLE_PER_UPSTREAM = 8
+
+Place = tuple[str, str, int]
+
+
+class UpstreamConnection(HTTP11ClientProtocol):
+    """A connection to one upstream.
+
+    `lost_reason` tells how it ended. It is `dirty` once it carried bytes that belong to
+    no answer.
+    """
+
+    def __init__(self, pool: ConnectionPool, place: Place) -> None:
+        super().__init__(self._become_idle)  # type: ignore[no-untyped-call]
+        self.place = place
+        self.lost_reason: Failure | None = None
+        self.dirty = False
+        self.idle_since = 0.0
+        self.idle_limit_s = LONGEST_IDLE_S
+        self._pool = pool
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another request may be sent."""
+        return self.state == "QUIESCENT" and self.lost_reason is None
+
+    @property
+    def closed_cleanly(self) -> bool:
+        """Whether the other end closed the connection, rather than resetting it."""
+        reason = self.lost_reason
+        return reason is not None and reason.check(ConnectionDone) is not None
+
+    def note_keep_alive(self) -> None:
+        """Learns from the head of an answer how long the connection may be idle."""
+        parser: Any = self._parser
+        values = parser.connHeaders.getRawHeaders(b"Keep-Alive", ()) if parser else ()
+        for parameter in b",".join(values).split(b","):
+            name, _, value = parameter.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.strip().isdigit():
+                limit_s = int(value) - KEEP_ALIVE_MARGIN_S
+                self.idle_limit_s = min(LONGEST_IDLE_S, limit_s)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes bytes; those that come between two answers belong to none."""
+        if self.state == "QUIESCENT":
+            self.dirty = True
+            self.abort_now()
+            return
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Notes how the connection ended."""
+        self.lost_reason = reason
+        self._pool.forget(self)
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
+    def abort_now(self) -> None:
+        """Resets the connection, so that the upstream learns of it at once."""
+        self._pool.forget(self)
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
+
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        """Notes bytes beyond the end of an answer before the connection is kept."""
+        self.dirty = self.dirty or bool(rest)
+        super()._finishResponse(rest)
+
+    def _become_idle(self, _: Any) -> None:
+        if self.dirty:
+            transport: Any = self.transport
+            transport.loseConnection()
+        else:
+            self._pool.keep(self)
+
+
+@define(eq=False)
+class ConnectionPool:
+    """Idle connections by upstream, the last used one first."""
+
+    reactor: Reactor
+    _idle: dict[Place, list[UpstreamConnection]] = field(factory=dict)
+
+    def take(self, place: Place, max_idle_s: float) -> UpstreamConnection | None:
+        """Takes a connection that was idle for at most `max_idle_s`."""
+        idle = self._idle.get(place)
+        now = self.reactor.seconds()
+        while idle:
+            connection = idle.pop()
+            limit_s = min(max_idle_s, connection.idle_limit_s)
+            if connection.is_open and now - connection.idle_since <= limit_s:
+                return connection
+            connection.abort_now()
+        return None
+
+    def keep(self, connection: UpstreamConnection) -> None:
+        """Keeps a connection for a later request."""
+        idle = self._idle.setdefault(connection.place, [])
+        connection.idle_since = self.reactor.seconds()
+        idle.append(connection)
+        if len(idle) > MAX_IDLE_PER_UPSTREAM:
+            idle.pop(0).abort_now()
+
+    def forget(self, connection: UpstreamConnection) -> None:
+        """Removes a connection that has ended."""
+        idle = self._idle.get(connection.place)
+        if idle and connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(connection.place, None)
+
+    def drop_idle(self, place: Place) -> None:
+        """Closes the idle connections to an upstream that has gone silent."""
+        for connection in list(self._idle.get(place, ())):
+            connection.abort_now()
+
+
+class ConnectionFactory(ClientFactory):
+    """Makes one connection and reports it, or why there is none."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        connection: UpstreamConnection,
+        on_failed: Callable[[Failure], None],
+        on_connected: Callable[[UpstreamConnection], None],
+    ) -> None:
+        self._connection = connection
+        self._on_failed = on_failed
+        self._on_connected = on_connected
+
+    def buildProtocol(self, address: Any) -> Any:  # noqa: N802
+        """Hands the connection out; it is usable a moment later."""
+        connection = self._connection
+        original = connection.connectionMade
+
+        def connect() -> None:
+            original()
+            self._on_connected(connection)
+
+        connection.connectionMade = connect  # type: ignore[method-assign]
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Reports that no connection came about."""
+        self._on_failed(reason)
--- /dev/null
+++ b/src/magnoliahold/serving/daemon.py
@@ -0,0 +1,210 @@
+"""The daemon of an entry that calls its upstreams itself."""
+
+from __future__ import annotations
+
+import signal
+import time
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from magnoliahold.core.events import LeaveRequested
+from magnoliahold.core.policy import Policy
+from magnoliahold.core.serving.entry import SERVING_SYSTEMS
+from magnoliahold.core.serving.systems.leaving import find_obstacle
+from magnoliahold.core.serving.world import ServingWorld
+from magnoliahold.daemon import make_identity, stop_reactor
+from magnoliahold.endpoints import read_endpoint
+from magnoliahold.errors import ProcessBrokenError
+from magnoliahold.health import TextResource
+from magnoliahold.journal import MetricsJournal
+from magnoliahold.logs import configure_logging, make_part_logger
+from magnoliahold.metrics import make_metrics
+from magnoliahold.node import BROKEN_TABLES, Node
+from magnoliahold.platform.callers import READY_PATH
+from magnoliahold.platform.store import StoreClient
+from magnoliahold.runtime import use_monotonic_clock
+from magnoliahold.serving.callers import CallerFactory, Callers
+from magnoliahold.serving.connections import ConnectionPool
+from magnoliahold.serving.exchanges import UpstreamExchanges
+from magnoliahold.serving.performers import ServingPorts
+from magnoliahold.settings.serving import make_serving_policy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from magnoliahold.metrics import Metrics
+    from magnoliahold.settings.serving import ServingSettings
+
+TICK_S = 0.02
+BACKLOG = 512
+
+logger = make_part_logger("daemon")
+
+
+@define(eq=False)
+class ServingDaemon:
+    """A serving entry in a reactor."""
+
+    reactor: Any
+    settings: ServingSettings
+    node: Node
+    metrics: Metrics
+    on_stopped: Callable[[str], None]
+    broken: bool = False
+    listeners: list[Any] = field(factory=list)
+
+    def listen(self, callers: Callers) -> None:
+        """Serves callers, the balancer's question and the metrics, and starts ticks."""
+        self.node.start_ticks()
+        settings = self.settings
+        self.listeners.append(self._listen_on(settings.callers, CallerFactory(callers)))
+        for address, path, read in (
+            (settings.readiness, READY_PATH, self._read_readiness),
+            (settings.metrics, "/metrics", self._read_metrics),
+        ):
+            if address is not None:
+                site = Site(make_resource(path, read))
+                site.noisy = False
+                self._listen_on(address, site)
+        logger.info("Process started.", name=settings.name, callers=settings.callers)
+
+    def _listen_on(self, address: str, factory: Any) -> Any:
+        endpoint = read_endpoint(address)
+        return self.reactor.listenTCP(endpoint.port, factory, BACKLOG, endpoint.host)
+
+    def close_listener(self) -> None:
+        """Accepts no further connections of callers."""
+        for listener in self.listeners:
+            listener.stopListening()
+        self.listeners.clear()
+
+    def leave(self, reason: str) -> None:
+        """Drains; `on_stopped` follows when nothing is in flight."""
+        self.node.post_event(LeaveRequested(reason))
+
+    def stop(self, reason: str) -> None:
+        """Reports that the process has stopped."""
+        logger.info("Process stops.", reason=reason)
+        self.broken = reason == BROKEN_TABLES
+        self.node.stop_ticks()
+        self.close_listener()
+        self.on_stopped(reason)
+
+    def _read_readiness(self) -> tuple[int, bytes]:
+        obstacle = find_obstacle(self.node.world)
+        return (503, f"{obstacle}\n".encode()) if obstacle else (200, b"ready\n")
+
+    def _read_metrics(self) -> tuple[int, bytes]:
+        self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
+        age_s = self.node.world.measure_proof_age()
+        if age_s is not None:
+            self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
+        return 200, self.metrics.render()
+
+
+def make_resource(path: str, read: Callable[[], tuple[int, bytes]]) -> Resource:
+    """Builds a tree with one resource at a path."""
+    root = Resource()
+    parent = root
+    *folders, name = [part.encode() for part in path.strip("/").split("/")]
+    for folder in folders:
+        child = Resource()
+        parent.putChild(folder, child)  # type: ignore[arg-type]
+        parent = child
+    parent.putChild(name, TextResource(read))  # type: ignore[arg-type]
+    return root
+
+
+def read_boot_clock() -> float:
+    """Reads seconds since the start of the instance, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def make_serving_entry(
+    reactor: Any, settings: ServingSettings, on_stopped: Callable[[str], None]
+) -> ServingDaemon:
+    """Builds a serving entry that listens on the addresses of its settings."""
+    identity = make_identity(settings.name, "entry", settings.data_centre)
+    metrics = make_metrics(settings.name)
+    world = ServingWorld(
+        identity=identity,
+        random=Random(),
+        policy=Policy(tick_s=TICK_S),
+        serving=make_serving_policy(settings),
+        boot_clock=read_boot_clock,
+    )
+    ports: Any = None
+    node = Node(reactor, world, SERVING_SYSTEMS, ports)
+    callers = Callers(reactor, node.post_event)
+    exchanges = UpstreamExchanges(reactor, node.post_event, ConnectionPool(reactor))
+    store_url = f"http://{settings.store}"
+    store = StoreClient(reactor, store_url, node.post_event, read_boot_clock)
+    daemon = ServingDaemon(reactor, settings, node, metrics, on_stopped)
+    node.ports = ServingPorts(
+        journal=MetricsJournal(metrics),
+        stop=lambda reason: reactor.callLater(0, daemon.stop, reason),
+        callers=callers,
+        upstreams=exchanges,
+        store=store,
+        close_listener=daemon.close_listener,
+    )
+    daemon.listen(callers)
+    return daemon
+
+
+def run_serving_entry(path: Path, load: Callable[[Path], ServingSettings]) -> None:
+    """Runs a serving entry until SIGTERM or SIGINT has drained it.
+
+    SIGHUP reads the settings again. Raises ProcessBrokenError when the entry stopped
+    because its tables can't be trusted.
+    """
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    settings = load(path)
+    configure_logging(settings.name, settings.log.level)
+    use_monotonic_clock(reactor)
+    daemons: list[ServingDaemon] = []
+
+    def start() -> None:
+        daemons.append(
+            make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
+        )
+
+    def take_stop(number: int, _: object) -> None:
+        for daemon in daemons:
+            reactor.callFromThread(daemon.leave, signal.Signals(number).name)
+
+    def take_reload(_: int, __: object) -> None:
+        reactor.callFromThread(reload_settings, path, load, daemons)
+
+    signal.signal(signal.SIGTERM, take_stop)
+    signal.signal(signal.SIGINT, take_stop)
+    signal.signal(signal.SIGHUP, take_reload)
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    if any(daemon.broken for daemon in daemons):
+        raise ProcessBrokenError
+
+
+def reload_settings(
+    path: Path, load: Callable[[Path], ServingSettings], daemons: list[ServingDaemon]
+) -> None:
+    """Takes the settings that may change while running; a broken file changes none."""
+    try:
+        settings = load(path)
+    except Exception as error:
+        logger.exception(
+            "Settings kept, the new ones can't be read.", reason=str(error)
+        )
+        return
+    for daemon in daemons:
+        daemon.settings = settings
+        daemon.node.world.serving = make_serving_policy(settings)
+        daemon.node.ports.store.move_to(f"http://{settings.store}")
+    logger.info("Settings reloaded.", name=settings.name)
--- /dev/null
+++ b/src/magnoliahold/serving/exchanges.py
@@ -0,0 +1,326 @@
+"""Sends attempts to upstreams and reports what comes of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.protocol import Protocol
+from twisted.web._newclient import Request
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+from twisted.web.http_headers import Headers
+
+from magnoliahold.core.serving.events import (
+    AnswerReceived,
+    AttemptBroke,
+    AttemptSent,
+    AttemptUnsent,
+    PiecesReceived,
+    StreamEnded,
+    StreamOpened,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from magnoliahold.httpconnections import BytesProducer, describe_failure
+from magnoliahold.platform.upstreams import (
+    REPORT_PATH,
+    is_event_stream,
+    list_answer_headers,
+    make_upstream_headers,
+    read_answer_head,
+)
+from magnoliahold.serving.connections import (
+    LONGEST_IDLE_S,
+    ConnectionFactory,
+    UpstreamConnection,
+)
+from magnoliahold.serving.pieces import PieceSplitter, PieceTooLongError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
+    from magnoliahold.core.serving.effects import SendAttempt
+    from magnoliahold.core.serving.events import AnswerHead
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
+    from magnoliahold.runtime import Reactor
+    from magnoliahold.serving.connections import ConnectionPool, Place
+    from magnoliahold.serving.pieces import Piece
+
+CAREFUL_IDLE_S = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+@frozen
+class RequestContent:
+    """What a caller sent, as it goes on to an upstream."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@define(eq=False)
+class Exchange:
+    """One attempt on its connection, with what came of it so far.
+
+    `pieces` are whole pieces that were not taken yet, where it `streams`; `body` is any
+    other answer.
+    """
+
+    attempt: int
+    place: Place
+    connection: UpstreamConnection | None = None
+    connector: Any = None
+    dropped: bool = False
+    finished: bool = False
+    streams: bool = False
+    status: int = 0
+    head: AnswerHead | None = None
+    headers: list[tuple[bytes, bytes]] = field(factory=list)
+    body: list[bytes] = field(factory=list)
+    pieces: list[Piece] = field(factory=list)
+
+
+@define(eq=False)
+class UpstreamExchanges:
+    """The exchanges of an entry with its upstreams, by attempt."""
+
+    reactor: Reactor
+    post: Callable[[object], None]
+    pool: ConnectionPool
+    _exchanges: dict[int, Exchange] = field(factory=dict)
+
+    def send(self, effect: SendAttempt, content: RequestContent) -> None:
+        """Sends a request on a kept connection, or on a new one."""
+        record = effect.upstream
+        place = (record.id, record.address, record.port)
+        exchange = Exchange(effect.attempt, place)
+        self._exchanges[effect.attempt] = exchange
+        longest_s = CAREFUL_IDLE_S if effect.fresh_connection else LONGEST_IDLE_S
+        kept = self.pool.take(place, longest_s)
+        if kept is not None:
+            self._send_on(exchange, kept, effect, content)
+            return
+        factory = ConnectionFactory(
+            UpstreamConnection(self.pool, place),
+            lambda reason: self._report_unsent(exchange, reason),
+            lambda made: self._send_on(exchange, made, effect, content),
+        )
+        exchange.connector = self.reactor.connectTCP(
+            record.address, record.port, factory, timeout=effect.connect_timeout_s
+        )
+
+    def _report_unsent(self, exchange: Exchange, reason: Failure) -> None:
+        if exchange.dropped:
+            return
+        refused = reason.check(ConnectionRefusedError) is not None
+        sentence = f"no connection: {describe_failure(reason)}"
+        self.post(AttemptUnsent(exchange.attempt, sentence, refused))
+
+    def _send_on(
+        self,
+        exchange: Exchange,
+        connection: UpstreamConnection,
+        effect: SendAttempt,
+        content: RequestContent,
+    ) -> None:
+        if exchange.dropped:
+            connection.abort_now()
+            return
+        exchange.connection = connection
+        headers = make_upstream_headers(content.headers, effect)
+        body = BytesProducer(content.body) if content.body else None
+        request = Request._construct(
+            content.method, content.target, headers, body, persistent=True
+        )
+        self.post(AttemptSent(exchange.attempt))
+        answer: Any = connection.request(request)
+        answer.addCallbacks(
+            lambda response: self._take_head(exchange, response),
+            lambda failure: self._report_broken(exchange, failure),
+        )
+
+    def _take_head(self, exchange: Exchange, response: Any) -> None:
+        if exchange.dropped:
+            return
+        connection = exchange.connection
+        if connection is not None:
+            connection.note_keep_alive()
+        exchange.status = response.code
+        exchange.head = read_answer_head(response.code, response.headers)
+        exchange.headers = list_answer_headers(response.headers)
+        exchange.streams = is_event_stream(response.code, response.headers)
+        if exchange.streams:
+            self.post(StreamOpened(exchange.attempt, exchange.head))
+            response.deliverBody(_PieceReader(self, exchange))
+        else:
+            response.deliverBody(_BodyReader(self, exchange))
+
+    def take_bytes(self, exchange: Exchange, data: bytes) -> None:
+        """Adds to the body of an answer."""
+        exchange.body.append(data)
+        if sum(map(len, exchange.body)) > MAX_ANSWER_BYTES:
+            self._break(exchange, "the answer is too long", False)
+
+    def take_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
+        """Adds whole pieces of a stream and reports them."""
+        if exchange.dropped or not pieces:
+            return
+        exchange.pieces.extend(pieces)
+        last = max(piece.number for piece in pieces)
+        self.post(PiecesReceived(exchange.attempt, last, len(pieces)))
+
+    def end_body(self, exchange: Exchange, reason: Failure, between: bool) -> None:
+        """Reports the end of an answer: whole, or broken off."""
+        if exchange.dropped:
+            return
+        if not between:
+            self._break(exchange, "the stream ended within a piece", True)
+        elif not self._is_whole(exchange, reason):
+            self._report_broken(exchange, reason)
+        else:
+            exchange.finished = True
+            if exchange.streams:
+                self.post(StreamEnded(exchange.attempt))
+            elif exchange.head is not None:
+                self.post(AnswerReceived(exchange.attempt, exchange.head))
+
+    def _is_whole(self, exchange: Exchange, reason: Failure) -> bool:
+        """Tells whether a body is whole; one without a length ends with a close."""
+        if reason.check(ResponseDone):
+            return True
+        connection = exchange.connection
+        ended = connection is not None and connection.closed_cleanly
+        return reason.check(PotentialDataLoss) is not None and ended
+
+    def _report_broken(self, exchange: Exchange, failure: Failure) -> None:
+        if exchange.dropped:
+            return
+        connection = exchange.connection
+        lost = connection.lost_reason if connection is not None else None
+        reset = lost is not None and lost.check(ConnectionDone) is None
+        self._break(exchange, describe_failure(failure), reset or lost is not None)
+
+    def _break(self, exchange: Exchange, reason: str, reset: bool) -> None:
+        if exchange.dropped or exchange.finished:
+            return
+        self.post(AttemptBroke(exchange.attempt, reason, reset))
+
+    def drop(self, attempt: int) -> None:
+        """Closes the connection of an attempt, unless its answer has come whole."""
+        exchange = self._exchanges.pop(attempt, None)
+        if exchange is None or exchange.dropped:
+            return
+        exchange.dropped = True
+        if exchange.finished:
+            return
+        if exchange.connection is not None:
+            exchange.connection.abort_now()
+            self.pool.drop_idle(exchange.place)
+        elif exchange.connector is not None:
+            exchange.connector.disconnect()
+
+    def find(self, attempt: int) -> Exchange | None:
+        """Finds the exchange of an attempt that was not dropped."""
+        return self._exchanges.get(attempt)
+
+    def forget(self, attempt: int) -> Exchange | None:
+        """Takes out an exchange whose answer has been used."""
+        return self._exchanges.pop(attempt, None)
+
+    def probe(self, record: UpstreamRecord, timeout_s: float) -> None:
+        """Asks for a sign of life; any answer on a new connection is one."""
+        place = (record.id, record.address, record.port)
+        _Probe(self, record, UpstreamConnection(self.pool, place), timeout_s).start()
+
+
+class _BodyReader(Protocol):
+    """Collects the body of an answer."""
+
+    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
+        self._exchanges = exchanges
+        self._exchange = exchange
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._exchanges.take_bytes(self._exchange, data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._exchanges.end_body(self._exchange, reason, True)
+
+
+class _PieceReader(Protocol):
+    """Splits the body of a stream into pieces."""
+
+    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
+        self._exchanges = exchanges
+        self._exchange = exchange
+        self._splitter = PieceSplitter()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        try:
+            pieces = self._splitter.add_bytes(data)
+        except PieceTooLongError as error:
+            self._exchanges._break(self._exchange, str(error), False)
+            return
+        self._exchanges.take_pieces(self._exchange, pieces)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        between = self._splitter.is_between_pieces
+        self._exchanges.end_body(self._exchange, reason, between)
+
+
+@define(eq=False)
+class _Probe:
+    """One question for a sign of life."""
+
+    exchanges: UpstreamExchanges
+    record: UpstreamRecord
+    connection: UpstreamConnection
+    timeout_s: float
+    done: bool = False
+    connector: Any = None
+
+    def start(self) -> None:
+        """Connects and asks; the upstream has `timeout_s` for both."""
+        reactor = self.exchanges.reactor
+        factory = ConnectionFactory(
+            self.connection,
+            lambda reason: self._fail(describe_failure(reason)),
+            self._ask,
+        )
+        self.connector = reactor.connectTCP(
+            self.record.address, self.record.port, factory, timeout=self.timeout_s
+        )
+        reactor.callLater(self.timeout_s, self._fail, "no answer to a probe")
+
+    def _ask(self, connection: UpstreamConnection) -> None:
+        headers = _make_probe_headers(self.record)
+        request = Request._construct(b"GET", REPORT_PATH, headers, None, True)
+        answer: Any = connection.request(request)
+        answer.addCallbacks(
+            self._succeed, lambda failure: self._fail(describe_failure(failure))
+        )
+
+    def _succeed(self, response: Any) -> None:
+        response.deliverBody(Protocol())
+        if not self.done:
+            self.done = True
+            record = self.record
+            self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+
+    def _fail(self, reason: str) -> None:
+        if self.done:
+            return
+        self.done = True
+        self.connector.disconnect()
+        record = self.record
+        self.exchanges.post(UpstreamFailedProbe(record.id, record.born_ms, reason))
+
+
+def _make_probe_headers(record: UpstreamRecord) -> Headers:
+    return Headers({"Host": [f"{record.address}:{record.port}"]})
--- /dev/null
+++ b/src/magnoliahold/serving/performers.py
@@ -0,0 +1,123 @@
+"""Performs the effects of a serving entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import define
+
+from magnoliahold.core.serving import effects
+from magnoliahold.node import perform_effect
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliahold.node import Journal, Node
+    from magnoliahold.platform.store import StoreClient
+    from magnoliahold.serving.callers import Callers
+    from magnoliahold.serving.exchanges import UpstreamExchanges
+
+
+@define
+class ServingPorts:
+    """What a serving entry acts on."""
+
+    journal: Journal
+    stop: Callable[[str], None]
+    callers: Callers
+    upstreams: UpstreamExchanges
+    store: StoreClient
+    close_listener: Callable[[], None]
+
+
+@perform_effect.register(effects.SendAttempt)
+def _send_attempt(effect: effects.SendAttempt, node: Node) -> None:
+    ports: Any = node.ports
+    content = ports.callers.find_content(effect.handle)
+    if content is not None:
+        ports.upstreams.send(effect, content)
+
+
+@perform_effect.register(effects.DropAttempt)
+def _drop_attempt(effect: effects.DropAttempt, node: Node) -> None:
+    node.ports.upstreams.drop(effect.attempt)
+
+
+@perform_effect.register(effects.OpenAnswer)
+def _open_answer(effect: effects.OpenAnswer, node: Node) -> None:
+    exchange = node.ports.upstreams.find(effect.attempt)
+    if exchange is not None:
+        node.ports.callers.open_answer(effect.handle, exchange)
+
+
+@perform_effect.register(effects.DeliverPieces)
+def _deliver_pieces(effect: effects.DeliverPieces, node: Node) -> None:
+    exchange = node.ports.upstreams.find(effect.attempt)
+    if exchange is None:
+        return
+    pieces = exchange.pieces
+    exchange.pieces = []
+    after = effect.after
+    wanted = [item for item in pieces if after is None or item.number > after]
+    content = b"".join(item.content for item in wanted)
+    node.ports.callers.write_pieces(effect.handle, content)
+
+
+@perform_effect.register(effects.FinishAnswer)
+def _finish_answer(effect: effects.FinishAnswer, node: Node) -> None:
+    node.ports.callers.finish_stream(effect.handle, effect.closing)
+
+
+@perform_effect.register(effects.DeliverAnswer)
+def _deliver_answer(effect: effects.DeliverAnswer, node: Node) -> None:
+    exchange = node.ports.upstreams.forget(effect.attempt)
+    if exchange is not None:
+        node.ports.callers.answer(effect.handle, exchange, effect.closing)
+
+
+@perform_effect.register(effects.RefuseCaller)
+def _refuse_caller(effect: effects.RefuseCaller, node: Node) -> None:
+    node.ports.callers.refuse(
+        effect.handle,
+        effect.status,
+        effect.reason,
+        effect.retry_after_s,
+        effect.closing,
+    )
+
+
+@perform_effect.register(effects.CutAnswer)
+def _cut_answer(effect: effects.CutAnswer, node: Node) -> None:
+    node.ports.callers.cut(effect.handle)
+
+
+@perform_effect.register(effects.ProbeServing)
+def _probe_serving(effect: effects.ProbeServing, node: Node) -> None:
+    node.ports.upstreams.probe(effect.upstream, effect.timeout_s)
+
+
+@perform_effect.register(effects.ReadFeed)
+def _read_feed(effect: effects.ReadFeed, node: Node) -> None:
+    node.ports.store.read_feed(effect.feed, effect.call, effect.timeout_s)
+
+
+@perform_effect.register(effects.FollowFeed)
+def _follow_feed(effect: effects.FollowFeed, node: Node) -> None:
+    node.ports.store.follow_feed(
+        effect.feed, effect.call, effect.after, effect.wait_s, effect.timeout_s
+    )
+
+
+@perform_effect.register(effects.LimitCallers)
+def _limit_callers(effect: effects.LimitCallers, node: Node) -> None:
+    node.ports.callers.limits = effect.limits
+
+
+@perform_effect.register(effects.CloseListener)
+def _close_listener(_: effects.CloseListener, node: Node) -> None:
+    node.ports.close_listener()
+
+
+@perform_effect.register(effects.CloseIdleCallers)
+def _close_idle_callers(_: effects.CloseIdleCallers, node: Node) -> None:
+    node.ports.callers.close_idle()
--- a/src/magnoliahold/settings/loading.py
+++ b/src/magnoliahold/settings/loading.py
@@ -10,6 +10,7 @@
 from magnoliahold.settings.documents import parse_document, read_text
 from magnoliahold.settings.faults import group_faults
 from magnoliahold.settings.model import EntrySettings, SidecarSettings
+from magnoliahold.settings.serving import ServingSettings
 from magnoliahold.settings.structuring import make_converter, structure_document
 
 if TYPE_CHECKING:
@@ -34,6 +35,14 @@
     return load_settings(Path(path), SidecarSettings)
 
 
+def load_serving_settings(path: str | Path) -> ServingSettings:
+    """Loads the settings of an entry that calls its upstreams itself.
+
+    Raises an exception group of `SettingsError` with every fault of the file.
+    """
+    return load_settings(Path(path), ServingSettings)
+
+
 def parse_entry_settings(
     mapping: Mapping[str, Any], base_directory: Path | None = None
 ) -> EntrySettings:
--- /dev/null
+++ b/src/magnoliahold/settings/serving.py
@@ -0,0 +1,81 @@
+"""The settings of an entry that calls its upstreams itself."""
+
+from __future__ import annotations
+
+from attrs import evolve, field, frozen
+
+from magnoliahold.core.serving.policy import ServingPolicy
+from magnoliahold.endpoints import read_endpoint
+from magnoliahold.settings.checks import (
+    FieldError,
+    checks,
+    require_name,
+    require_range,
+)
+from magnoliahold.settings.model import LogSettings
+
+MS_PER_S = 1000.0
+PROOF_MARGIN_S = 0.6
+READY_SHARE = 0.72
+ACCEPT_MARGIN_S = 4.5
+LIMIT_MARGIN_S = 0.8
+LEAST_S = 0.1
+
+
+def require_endpoint(value: str | None) -> None:
+    """Checks that a text is IP:PORT."""
+    if value is None:
+        return
+    try:
+        read_endpoint(value)
+    except ValueError as error:
+        raise FieldError(str(error), "write IP:PORT") from None
+
+
+@frozen
+class DeploymentBounds:
+    """What the deployment asks of every entry.
+
+    A credential that was taken back is refused `revocation_ms` later at the latest, and
+    a process has `stop_grace_s` from the order to stop to its end.
+    """
+
+    revocation_ms: float = field(
+        metadata=checks(require_range(1000, 600_000)), default=5000.0
+    )
+    stop_grace_s: float = field(metadata=checks(require_range(1, 3600)), default=8.0)
+
+
+@frozen
+class ServingSettings:
+    """The settings of one serving entry; `policy` overrides limits by name.
+
+    `callers`, `readiness` and `metrics` are where it listens, `store` is where the
+    platform's store answers.
+    """
+
+    name: str = field(metadata=checks(require_name))
+    data_centre: str = field(metadata=checks(require_name))
+    callers: str = field(metadata=checks(require_endpoint))
+    store: str = field(metadata=checks(require_endpoint))
+    readiness: str | None = field(metadata=checks(require_endpoint), default=None)
+    metrics: str | None = field(metadata=checks(require_endpoint), default=None)
+    bounds: DeploymentBounds = field(factory=DeploymentBounds)
+    log: LogSettings = field(factory=LogSettings)
+    policy: ServingPolicy = field(factory=ServingPolicy)
+
+
+def make_serving_policy(settings: ServingSettings) -> ServingPolicy:
+    """Fits the limits of an entry to the bounds of its deployment."""
+    policy = settings.policy
+    bounds = settings.bounds
+    revocation_s = bounds.revocation_ms / MS_PER_S
+    feeds = evolve(
+        policy.feeds,
+        proof_max_age_s=max(LEAST_S, revocation_s - PROOF_MARGIN_S),
+        ready_age_s=revocation_s * READY_SHARE,
+    )
+    limit_s = max(LEAST_S, bounds.stop_grace_s - LIMIT_MARGIN_S)
+    accept_s = min(policy.leave.accept_s, max(LEAST_S, limit_s - ACCEPT_MARGIN_S))
+    leave = evolve(policy.leave, accept_s=accept_s, limit_s=limit_s)
+    return evolve(policy, feeds=feeds, leave=leave)
--- a/src/magnoliahold/standins/instances.py
+++ b/src/magnoliahold/standins/instances.py
@@ -5,14 +5,14 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from magnoliahold.platform.interfaces import InstanceList
+from magnoliahold.storage.interfaces import InstanceList
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
-    from magnoliahold.platform.interfaces import Instance
     from magnoliahold.runtime import Clock
     from magnoliahold.standins.platform_faults import FaultySchedule
+    from magnoliahold.storage.interfaces import Instance
 
 LIST_LAG_S = 1.0
 
--- a/src/magnoliahold/standins/platform_faults.py
+++ b/src/magnoliahold/standins/platform_faults.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 from twisted.internet.defer import Deferred
 
-from magnoliahold.platform.interfaces import PlatformUnavailable
+from magnoliahold.storage.interfaces import PlatformUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/magnoliahold/standins/platform_resource.py
+++ b/src/magnoliahold/standins/platform_resource.py
@@ -7,14 +7,14 @@
 from attrs import frozen
 from twisted.web.server import NOT_DONE_YET
 
-from magnoliahold.platform.interfaces import (
+from magnoliahold.standins.platform_faults import KINDS, PlatformFault
+from magnoliahold.standins.replies import is_open, parse_body, reply, reply_error
+from magnoliahold.standins.server import FaultyResource, TreeResource
+from magnoliahold.storage.interfaces import (
     Condition,  # noqa: TC001
     Instance,
     Write,  # noqa: TC001
 )
-from magnoliahold.standins.platform_faults import KINDS, PlatformFault
-from magnoliahold.standins.replies import is_open, parse_body, reply, reply_error
-from magnoliahold.standins.server import FaultyResource, TreeResource
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/magnoliahold/standins/tables.py
+++ b/src/magnoliahold/standins/tables.py
@@ -5,17 +5,17 @@
 from bisect import bisect_right, insort
 from typing import TYPE_CHECKING
 
-from magnoliahold.platform.interfaces import Row, TransactionOutcome
 from magnoliahold.standins.rate_limit import RateLimit
+from magnoliahold.storage.interfaces import Row, TransactionOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
     from twisted.internet.defer import Deferred
 
-    from magnoliahold.platform.interfaces import Condition, Write
     from magnoliahold.runtime import Clock
     from magnoliahold.standins.platform_faults import FaultySchedule
+    from magnoliahold.storage.interfaces import Condition, Write
 
 READS_PER_SECOND = 2000.0
 WRITES_PER_SECOND = 500.0
--- a/src/magnoliahold/platform/exchange.py
+++ b/src/magnoliahold/storage/exchange.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from magnoliahold.httpclient import HttpClient
-from magnoliahold.platform.interfaces import PlatformUnavailable
+from magnoliahold.storage.interfaces import PlatformUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/magnoliahold/platform/instances.py
+++ b/src/magnoliahold/storage/instances.py
@@ -7,18 +7,18 @@
 
 import msgspec
 
-from magnoliahold.platform.exchange import (
+from magnoliahold.storage.exchange import (
     DEFAULT_TIMEOUT_S,
     PlatformExchange,
     decode_answer,
 )
-from magnoliahold.platform.interfaces import InstanceList
+from magnoliahold.storage.interfaces import InstanceList
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
-    from magnoliahold.platform.interfaces import Instance
     from magnoliahold.runtime import Reactor
+    from magnoliahold.storage.interfaces import Instance
 
 
 class InstanceClient:
--- a/src/magnoliahold/platform/objects.py
+++ b/src/magnoliahold/storage/objects.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
-from magnoliahold.platform.exchange import DEFAULT_TIMEOUT_S, PlatformExchange
+from magnoliahold.storage.exchange import DEFAULT_TIMEOUT_S, PlatformExchange
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
--- a/src/magnoliahold/platform/tables.py
+++ b/src/magnoliahold/storage/tables.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from magnoliahold.platform.exchange import (
+from magnoliahold.storage.exchange import (
     DEFAULT_TIMEOUT_S,
     PlatformExchange,
     decode_answer,
 )
-from magnoliahold.platform.interfaces import Row, TransactionOutcome
+from magnoliahold.storage.interfaces import Row, TransactionOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,8 +20,8 @@
     from twisted.internet.defer import Deferred
 
     from magnoliahold.httpclient import HttpAnswer
-    from magnoliahold.platform.interfaces import Condition, Write
     from magnoliahold.runtime import Reactor
+    from magnoliahold.storage.interfaces import Condition, Write
 
 
 class TableClient:
--- a/src/magnoliahold/platform/weights.py
+++ b/src/magnoliahold/storage/weights.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from magnoliahold.platform.exchange import (
+from magnoliahold.storage.exchange import (
     DEFAULT_TIMEOUT_S,
     PlatformExchange,
     decode_answer,
--- a/tests/core/systems/test_routing.py
+++ b/tests/core/systems/test_routing.py
@@ -10,7 +10,7 @@
 from magnoliahold.core.systems.subsets import choose_subset
 from magnoliahold.measure.fakes.fleet import FleetShape, make_fleet
 from magnoliahold.measure.fakes.workspaces import make_work, make_workspace
-from magnoliahold.platform.interfaces import Instance
+from magnoliahold.storage.interfaces import Instance
 from magnoliahold.wire.messages import UpstreamReport
 from tests.core.systems.test_admission import start_caller
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -7,13 +7,6 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
-from magnoliahold.platform.interfaces import (
-    Condition,
-    Instance,
-    PlatformUnavailable,
-    Row,
-    Write,
-)
 from magnoliahold.standins.platform import make_platform
 from magnoliahold.standins.platform_faults import NORMAL_LATENCY_S, PlatformFault
 from magnoliahold.standins.tables import (
@@ -22,6 +15,13 @@
     WRITES_PER_SECOND,
     TableStore,
 )
+from magnoliahold.storage.interfaces import (
+    Condition,
+    Instance,
+    PlatformUnavailable,
+    Row,
+    Write,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/platform/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -5,19 +5,19 @@
 from twisted.internet.defer import gatherResults
 
 from magnoliahold.httpclient import HttpClient
-from magnoliahold.platform.instances import make_instance_client
-from magnoliahold.platform.interfaces import (
+from magnoliahold.standins.platform import make_platform
+from magnoliahold.standins.platform_faults import PlatformFault
+from magnoliahold.storage.instances import make_instance_client
+from magnoliahold.storage.interfaces import (
     Condition,
     Instance,
     PlatformUnavailable,
     Row,
     Write,
 )
-from magnoliahold.platform.objects import make_object_client
-from magnoliahold.platform.tables import make_table_client
-from magnoliahold.platform.weights import make_weight_client
-from magnoliahold.standins.platform import make_platform
-from magnoliahold.standins.platform_faults import PlatformFault
+from magnoliahold.storage.objects import make_object_client
+from magnoliahold.storage.tables import make_table_client
+from magnoliahold.storage.weights import make_weight_client
 from tests.loopback import LoopbackTestCase, on_loopback
 
 TIMEOUT_S = 0.3
