--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -14,6 +14,7 @@
     FeedRead,
 )
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.systems.trust import distrust
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 if TYPE_CHECKING:
@@ -151,6 +152,7 @@
     if known is not None and known.record == record:
         known.missing_since = None
         return
+    _drop_replaced(world, record, now)
     world.upstreams.put_record(record, now)
     world.log_decision(
         "upstreams",
@@ -162,6 +164,16 @@
     )
 
 
+def _drop_replaced(world: ServingWorld, record: UpstreamRecord, now: float) -> None:
+    """Takes another upstream that had this address before for gone."""
+    for upstream in list(world.upstreams.by_id.values()):
+        old = upstream.record
+        same_place = (old.address, old.port) == (record.address, record.port)
+        if same_place and (old.id, old.born_ms) != (record.id, record.born_ms):
+            distrust(world, upstream, "another upstream has its address", now)
+            _drop_upstream(world, upstream.id, 0.0, now)
+
+
 def _drop_unlisted(
     world: ServingWorld, listed: set[str], outage_s: float, now: float
 ) -> None:
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.effects import SendAttempt
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 REPORT_PATH = b"/-/report"
 MISDIRECTED = 421
@@ -78,6 +79,16 @@
     return headers
 
 
+def make_probe_headers(record: UpstreamRecord) -> Headers:
+    """Builds the headers of a question that only this upstream answers well."""
+    return Headers(
+        {
+            "Host": [f"{record.address}:{record.port}"],
+            "Expect-Instance": [record.id],
+        }
+    )
+
+
 def _read_named(headers: Headers) -> set[str]:
     """Reads the names of further headers that concern only one connection."""
     values = headers.getRawHeaders("Connection", [])
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -197,6 +197,9 @@
         channel.factory = self
         return channel
 
+    def log(self, request: Any) -> None:
+        """Writes no access log; each request's end is a logged decision."""
+
 
 @define(eq=False)
 class Callers:
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -10,7 +10,6 @@
 from twisted.web._newclient import Request
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
-from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.events import (
     AnswerReceived,
@@ -28,6 +27,7 @@
     REPORT_PATH,
     is_event_stream,
     list_answer_headers,
+    make_probe_headers,
     make_upstream_headers,
     read_answer_head,
 )
@@ -42,6 +42,7 @@
     from collections.abc import Callable
 
     from twisted.python.failure import Failure
+    from twisted.web.http_headers import Headers
 
     from magnoliahold.core.serving.effects import SendAttempt
     from magnoliahold.core.serving.events import AnswerHead
@@ -299,7 +300,7 @@
         reactor.callLater(self.timeout_s, self._fail, "no answer to a probe")
 
     def _ask(self, connection: UpstreamConnection) -> None:
-        headers = _make_probe_headers(self.record)
+        headers = make_probe_headers(self.record)
         request = Request._construct(b"GET", REPORT_PATH, headers, None, True)
         answer: Any = connection.request(request)
         answer.addCallbacks(
@@ -308,7 +309,9 @@
 
     def _succeed(self, response: Any) -> None:
         response.deliverBody(Protocol())
-        if not self.done:
+        if read_answer_head(response.code, response.headers).not_run:
+            self._fail("another upstream has its address")
+        elif not self.done:
             self.done = True
             record = self.record
             self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
@@ -320,7 +323,3 @@
         self.connector.disconnect()
         record = self.record
         self.exchanges.post(UpstreamFailedProbe(record.id, record.born_ms, reason))
-
-
-def _make_probe_headers(record: UpstreamRecord) -> Headers:
-    return Headers({"Host": [f"{record.address}:{record.port}"]})
