--- /dev/null
+++ b/src/magnoliahold/core/serving/checks.py
@@ -0,0 +1,38 @@
+"""Checks of what must always hold in the tables of a serving entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.invariants import find_all_violations
+from magnoliahold.core.serving.requests import RequestState
+from magnoliahold.core.serving.world import ServingWorld
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliahold.core.serving.requests import ServedRequest
+
+
+@find_all_violations.register(ServingWorld)
+def _find_serving_violations(world: ServingWorld) -> Iterator[str]:
+    for request in world.requests.by_handle.values():
+        yield from _find_request_violations(world, request)
+    for attempt in world.requests.attempts.values():
+        if attempt.request.attempt is not attempt:
+            yield f"{attempt.request.id}: two upstreams work on it"
+
+
+def _find_request_violations(
+    world: ServingWorld, request: ServedRequest
+) -> Iterator[str]:
+    attempt = request.attempt
+    if (request.state is RequestState.RUNNING) != (attempt is not None):
+        yield f"{request.id}: is {request.state.value} with attempt {attempt}"
+    if (request.state is RequestState.WAITING) != (
+        request.handle in world.requests.waiting
+    ):
+        yield f"{request.id}: is {request.state.value} beside the waiting ones"
+    handed_again = request.may_have_run and attempt is not None
+    if handed_again and not request.route.repeatable:
+        yield f"{request.id}: handed again though it may have run"
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.serving import checks
 from magnoliahold.core.serving.systems import (
     arrivals,
     deadlines,
@@ -20,6 +21,8 @@
     from magnoliahold.core.serving.world import ServingWorld
     from magnoliahold.core.ticks import System
 
+__all__ = ["SERVING_SYSTEMS", "checks"]
+
 SERVING_SYSTEMS: tuple[System[ServingWorld], ...] = (
     pauses.note_pause,
     feeds.take_feed_results,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -46,15 +46,15 @@
     """What the head of an upstream's answer says.
 
     `request_id` is that of the request it answers, empty when it names none. `not_run`
-    says that the upstream has not run the request, `signed` that an upstream made the
-    answer, `leaving` that it closes the connection after it.
+    says that the upstream has not run the request, `misdirected` that another upstream
+    has the address, and `signed` that an upstream made the answer.
     """
 
     status: int
     request_id: str = ""
     signed: bool = False
     not_run: bool = False
-    leaving: bool = False
+    misdirected: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -99,9 +99,10 @@
     upstream = attempt.upstream
     if attempt.continued is None:
         upstream.full_until = now + world.serving.attempts.full_s
-    if head.status == 421:
+    if head.misdirected:
         distrust(world, upstream, "another upstream has its address", now)
     attempt.state = AttemptState.CONNECTING
+    attempt.sent_at = None
     try_again(world, attempt, f"rejected, status {head.status}", now)
 
 
@@ -251,7 +252,7 @@
 
 def may_try_again(world: ServingWorld, request: ServedRequest, now: float) -> bool:
     """Tells whether another upstream may be handed this request."""
-    if request.may_have_run and not request.route.repeatable:
+    if not request.route.repeatable and _may_have_run(request):
         return False
     if request.handed >= request.route.max_attempts:
         return False
@@ -262,6 +263,12 @@
     return world.find_budget(request.service).count_left(now) >= 1
 
 
+def _may_have_run(request: ServedRequest) -> bool:
+    attempt = request.attempt
+    runs = attempt is not None and attempt.state is not AttemptState.CONNECTING
+    return request.may_have_run or runs
+
+
 def is_lost(attempt: Attempt) -> bool:
     """Tells whether the upstream of an attempt is taken for lost."""
     return attempt.upstream.trust is Trust.DOWN
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -58,22 +58,31 @@
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
     """Finds the upstreams that may take a request, best class of them only."""
-    usable = [
+    staying = [
         upstream
         for upstream in world.upstreams.list_service(request.service)
-        if upstream.trust is not Trust.DOWN
-        and not upstream.record.leaving
-        and upstream.missing_since is None
+        if not upstream.record.leaving
     ]
-    trusted = [item for item in usable if item.trust is Trust.TRUSTED] or usable
-    fresh = [item for item in trusted if item.id not in request.tried]
-    if not fresh:
-        fresh = [] if request.route.kind is RouteKind.STREAM else trusted
+    trusted = _find_most_trusted(staying)
+    fresh = [item for item in trusted if item.id not in request.tried] or trusted
     sound = _leave_out(fresh, find_failing(world, fresh, now), world)
     fast = _leave_out(sound, find_slow(world, sound), world)
     return [item for item in fast if item.full_until <= now] or fast
 
 
+def _find_most_trusted(upstreams: list[Upstream]) -> list[Upstream]:
+    """Finds the upstreams of the best trust there is, so that a service never empties.
+
+    One whose registration is missing may have lapsed, and counts as doubted.
+    """
+    known = [
+        item
+        for item in upstreams
+        if item.trust is Trust.TRUSTED and item.missing_since is None
+    ]
+    return known or [i for i in upstreams if i.trust is not Trust.DOWN] or upstreams
+
+
 def _leave_out(
     candidates: list[Upstream], avoided: set[str], world: ServingWorld
 ) -> list[Upstream]:
--- a/src/magnoliahold/core/serving/systems/silence.py
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -6,7 +6,11 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
-from magnoliahold.core.serving.systems.outcomes import is_lost, move_request
+from magnoliahold.core.serving.systems.outcomes import (
+    is_lost,
+    may_try_again,
+    move_request,
+)
 from magnoliahold.core.serving.systems.trust import doubt, probe
 from magnoliahold.core.serving.upstreams import Trust
 
@@ -22,7 +26,7 @@
     for attempt in list(world.requests.attempts.values()):
         if attempt.state is AttemptState.CONNECTING:
             continue
-        if not attempt.request.route.repeatable:
+        if not may_try_again(world, attempt.request, now):
             continue
         if is_lost(attempt):
             move_request(world, attempt, "the upstream is down", now)
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -102,6 +102,7 @@
         request_id=_read(headers, "Request-Id"),
         signed=bool(_read(headers, "Response-Signature")),
         not_run=status == MISDIRECTED or headers.hasHeader("Not-Executed"),
+        misdirected=status == MISDIRECTED,
     )
 
 
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -309,7 +309,7 @@
 
     def _succeed(self, response: Any) -> None:
         response.deliverBody(Protocol())
-        if read_answer_head(response.code, response.headers).not_run:
+        if read_answer_head(response.code, response.headers).misdirected:
             self._fail("another upstream has its address")
         elif not self.done:
             self.done = True
--- /dev/null
+++ b/tests/core/serving/rig.py
@@ -0,0 +1,224 @@
+"""Drives the systems of a serving entry on a paused clock and keeps their effects."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any, TypeVar
+
+from attrs import define, evolve, field
+
+from magnoliahold.core.effects import CountMetric, LogDecision, RecordMetric
+from magnoliahold.core.identity import Identity
+from magnoliahold.core.policy import Policy
+from magnoliahold.core.serving.configuration import (
+    Configuration,
+    EngineTraits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from magnoliahold.core.serving.effects import FollowFeed, ReadFeed, SendAttempt
+from magnoliahold.core.serving.entry import SERVING_SYSTEMS
+from magnoliahold.core.serving.events import (
+    AnswerHead,
+    AnswerReceived,
+    AttemptBroke,
+    AttemptSent,
+    FeedChanged,
+    FeedRead,
+    PiecesReceived,
+    RequestArrived,
+    StreamEnded,
+    StreamOpened,
+)
+from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.requests import CallerRequest, PromptPart
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.core.serving.world import ServingWorld
+from magnoliahold.core.ticks import run_systems
+
+E = TypeVar("E")
+
+ENGINES = "engines"
+CALLS = "calls"
+CREDENTIAL = "credential-1"
+NOISE = (CountMetric, RecordMetric, LogDecision)
+
+
+def make_route(kind: RouteKind, service: str, **changes: Any) -> Route:
+    """Makes a route of one kind under a path of the same name."""
+    route = Route(
+        name=kind.value,
+        host="host.example",
+        prefix=f"/{kind.value}/",
+        kind=kind,
+        shares=(ServiceShare(service, 1.0),),
+        timeout_s=25.0 if kind is RouteKind.STREAM else 1.5,
+        goal_s=4.5 if kind is RouteKind.STREAM else 0.2,
+        gap_goal_s=0.7,
+        max_attempts=5 if kind is RouteKind.STREAM else 2,
+        resumable=kind is RouteKind.STREAM,
+    )
+    return evolve(route, **changes)
+
+
+def make_configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Makes a configuration with a route of each kind and one workspace."""
+    configuration = Configuration(
+        version=version,
+        routes=(
+            make_route(RouteKind.STREAM, ENGINES),
+            make_route(RouteKind.IDEMPOTENT, CALLS),
+            make_route(RouteKind.NOT_REPEATABLE, CALLS),
+        ),
+        services=(
+            Service(ENGINES, 100, engine=EngineTraits(8, 88_000, keeps_copies=True)),
+            Service(CALLS, 100),
+        ),
+        workspaces=(Workspace("workspace-1", (CREDENTIAL,)),),
+    )
+    return evolve(configuration, **changes)
+
+
+def make_upstream(number: int, service: str, **changes: Any) -> UpstreamRecord:
+    """Makes a registration; odd and even numbers are in different data centres."""
+    record = UpstreamRecord(
+        id=f"{service}-{number}",
+        service=service,
+        address=f"10.0.{1 if service == ENGINES else 2}.{number}",
+        port=8000,
+        data_centre=f"data-centre-{number % 2}",
+        born_ms=1000 + number,
+    )
+    return evolve(record, **changes)
+
+
+@define
+class ServingRig:
+    """A world with what it emitted since the last look, without logs and metrics."""
+
+    now: float = 100.0
+    suspended_s: float = 0.0
+    emitted: list[object] = field(factory=list)
+    logged: list[LogDecision] = field(factory=list)
+    world: ServingWorld = field(init=False)
+    next_handle: int = 1
+
+    def __attrs_post_init__(self) -> None:
+        self.world = ServingWorld(
+            identity=Identity("entry-1", "entry-1.a", "entry", "data-centre-0"),
+            random=Random(7),
+            policy=Policy(tick_s=0.02),
+            boot_clock=lambda: self.now + self.suspended_s,
+        )
+        self.world.checks_everything = True
+
+    def post(self, *events: object) -> None:
+        """Posts events and runs a tick."""
+        for event in events:
+            self.world.inbox.add_event(event)
+        for effect in run_systems(self.world, SERVING_SYSTEMS, self.now):
+            if isinstance(effect, LogDecision):
+                self.logged.append(effect)
+            if not isinstance(effect, NOISE):
+                self.emitted.append(effect)
+
+    def advance(self, seconds: float, step_s: float = 0.02) -> None:
+        """Lets time pass, tick by tick."""
+        for _ in range(round(seconds / step_s)):
+            self.now += step_s
+            self.post()
+
+    def take(self, kind: type[E]) -> list[E]:
+        """Takes the effects of one kind emitted since the last time."""
+        found = [item for item in self.emitted if isinstance(item, kind)]
+        self.emitted = [item for item in self.emitted if not isinstance(item, kind)]
+        return found
+
+    def take_one(self, kind: type[E]) -> E:
+        """Takes the only effect of a kind."""
+        (found,) = self.take(kind)
+        return found
+
+    def find_call(self, feed: Feed) -> int:
+        """Finds the number of the call of a feed that is under way."""
+        return self.world.feeds[feed].call
+
+    def start(
+        self,
+        configuration: Configuration | None = None,
+        upstreams: tuple[UpstreamRecord, ...] | None = None,
+    ) -> None:
+        """Has the entry read its configuration and the upstreams."""
+        if upstreams is None:
+            numbers = range(1, 5)
+            upstreams = tuple(make_upstream(n, ENGINES) for n in numbers)
+            upstreams += tuple(make_upstream(n, CALLS) for n in numbers)
+        self.post()
+        self.read(Feed.CONFIGURATION, {"config": configuration or make_configuration()})
+        self.read(Feed.UPSTREAMS, {record.id: record for record in upstreams})
+
+    def read(self, feed: Feed, values: dict[str, Any], version: int = 10) -> None:
+        """Answers a whole read of a feed."""
+        rows = tuple(FeedRow(key, version, value) for key, value in values.items())
+        call = self.find_call(feed)
+        self.post(FeedRead(feed, call, rows, version, self.now + self.suspended_s))
+        self.take(ReadFeed)
+
+    def change(self, feed: Feed, values: dict[str, Any], version: int = 11) -> None:
+        """Answers a long poll of a feed with changed rows."""
+        rows = tuple(FeedRow(key, version, value) for key, value in values.items())
+        call = self.find_call(feed)
+        self.post(FeedChanged(feed, call, rows, version, self.now + self.suspended_s))
+        self.take(FollowFeed)
+
+    def request(self, kind: RouteKind, **changes: Any) -> CallerRequest:
+        """Has a caller ask for something."""
+        handle = self.next_handle
+        self.next_handle += 1
+        caller = CallerRequest(
+            handle=handle,
+            request_id=f"request-{handle}",
+            method="POST",
+            host="host.example",
+            path=f"/{kind.value}/x",
+            credential=CREDENTIAL,
+            patience_s=25.0 if kind is RouteKind.STREAM else 1.5,
+            prompt=(PromptPart("shared", 200), PromptPart(f"own-{handle}", 8000)),
+        )
+        caller = evolve(caller, **changes)
+        self.post(RequestArrived(caller))
+        return caller
+
+    def send(self) -> SendAttempt:
+        """Takes the only attempt that was started, and has it sent."""
+        attempt = self.take_one(SendAttempt)
+        self.post(AttemptSent(attempt.attempt))
+        return attempt
+
+    def open(self, attempt: SendAttempt, request: CallerRequest) -> None:
+        """Has an upstream begin a stream."""
+        head = AnswerHead(200, request.request_id, signed=True)
+        self.post(StreamOpened(attempt.attempt, head))
+
+    def answer(
+        self, attempt: SendAttempt, request: CallerRequest, status: int, **head: Any
+    ) -> None:
+        """Has an upstream answer."""
+        values = {"request_id": request.request_id, "signed": True, **head}
+        event = AnswerReceived(attempt.attempt, AnswerHead(status, **values))
+        self.post(event)
+
+    def produce(self, attempt: SendAttempt, last: int, count: int = 1) -> None:
+        """Has an upstream produce pieces of a stream."""
+        self.post(PiecesReceived(attempt.attempt, last, count))
+
+    def finish(self, attempt: SendAttempt) -> None:
+        """Has a stream come to its end."""
+        self.post(StreamEnded(attempt.attempt))
+
+    def break_off(self, attempt: SendAttempt, reset: bool = True) -> None:
+        """Has the connection of an attempt end early."""
+        self.post(AttemptBroke(attempt.attempt, "connection lost", reset))
--- /dev/null
+++ b/tests/core/serving/test_calls.py
@@ -0,0 +1,178 @@
+"""Tests of calls: what may be repeated, and what callers are told."""
+
+from __future__ import annotations
+
+import unittest
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    DeliverAnswer,
+    DropAttempt,
+    RefuseCaller,
+    SendAttempt,
+)
+from magnoliahold.core.serving.events import AttemptUnsent, CallerLeft
+from magnoliahold.core.serving.upstreams import Trust
+from tests.core.serving.rig import CALLS, ServingRig, make_upstream
+
+IDEMPOTENT = RouteKind.IDEMPOTENT
+ONCE = RouteKind.NOT_REPEATABLE
+
+DELIVERED = "delivered"
+AGAIN = "again"
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+
+# What the upstream's answer says, and what follows for each kind of request.
+ANSWERS = (
+    ("success", {"status": 200}, DELIVERED, DELIVERED),
+    ("failure", {"status": 500}, AGAIN, DELIVERED),
+    ("caller's fault", {"status": 404}, DELIVERED, DELIVERED),
+    ("unsigned success", {"status": 200, "signed": False}, AGAIN, BAD_GATEWAY),
+    ("answer of another", {"status": 200, "request_id": "x"}, AGAIN, BAD_GATEWAY),
+    ("success without an id", {"status": 200, "request_id": ""}, AGAIN, BAD_GATEWAY),
+    ("503 that may have run", {"status": 503}, AGAIN, BAD_GATEWAY),
+    ("429 that may have run", {"status": 429}, AGAIN, BAD_GATEWAY),
+    (
+        "rejected",
+        {"status": 503, "not_run": True, "request_id": "", "signed": False},
+        AGAIN,
+        AGAIN,
+    ),
+    (
+        "another upstream",
+        {"status": 421, "not_run": True, "misdirected": True, "request_id": ""},
+        AGAIN,
+        AGAIN,
+    ),
+)
+
+
+def find_outcome(rig: ServingRig) -> object:
+    """Finds what became of the only request."""
+    if rig.take(DeliverAnswer):
+        return DELIVERED
+    refusals = rig.take(RefuseCaller)
+    if refusals:
+        return refusals[0].status
+    return AGAIN if rig.take(SendAttempt) else None
+
+
+class CallTests(unittest.TestCase):
+    def test_answers(self) -> None:
+        for name, head, repeatable, once in ANSWERS:
+            for kind, expected in ((IDEMPOTENT, repeatable), (ONCE, once)):
+                with self.subTest(name, kind=kind.value):
+                    rig = ServingRig()
+                    rig.start()
+                    caller = rig.request(kind)
+                    rig.answer(rig.send(), caller, **head)  # type: ignore[arg-type]
+                    self.assertEqual(find_outcome(rig), expected)
+
+    def test_broken_connections(self) -> None:
+        for kind, expected in ((IDEMPOTENT, AGAIN), (ONCE, BAD_GATEWAY)):
+            with self.subTest(kind=kind.value):
+                rig = ServingRig()
+                rig.start()
+                rig.request(kind)
+                rig.break_off(rig.send())
+                self.assertEqual(find_outcome(rig), expected)
+
+    def test_call_that_was_not_sent_goes_elsewhere(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        rig.request(ONCE)
+        attempt = rig.take_one(SendAttempt)
+        rig.post(AttemptUnsent(attempt.attempt, "refused", refused=True))
+        second = rig.take_one(SendAttempt)
+        self.assertNotEqual(second.upstream.id, attempt.upstream.id)
+
+    def test_refusal_as_not_run_is_true(self) -> None:
+        """A rejected call is refused with a time to come back; a broken one is not."""
+        rig = ServingRig()
+        rig.start()
+        caller = rig.request(ONCE)
+        rig.answer(rig.send(), caller, 503, not_run=True, request_id="")
+        rig.answer(rig.send(), caller, 503, not_run=True, request_id="")
+        refusal = rig.take_one(RefuseCaller)
+        self.assertEqual(refusal.status, UNAVAILABLE)
+        self.assertTrue(refusal.not_run)
+        self.assertGreater(refusal.retry_after_s or 0, 0)
+
+    def test_silent_call_is_repeated_only_if_that_is_allowed(self) -> None:
+        for kind, repeats in ((IDEMPOTENT, 1), (ONCE, 0)):
+            with self.subTest(kind=kind.value):
+                rig = ServingRig()
+                rig.start()
+                rig.request(kind)
+                rig.send()
+                rig.advance(0.6)
+                self.assertEqual(len(rig.take(SendAttempt)), repeats)
+
+    def test_last_attempt_is_waited_for(self) -> None:
+        """A call whose attempts are used up keeps its last one until the deadline."""
+        rig = ServingRig()
+        rig.start()
+        caller = rig.request(IDEMPOTENT)
+        rig.send()
+        rig.advance(0.5)
+        last = rig.send()
+        rig.advance(0.6)
+        self.assertFalse(rig.take(RefuseCaller))
+        rig.answer(last, caller, 200)
+        self.assertEqual(find_outcome(rig), DELIVERED)
+
+    def test_deadline_ends_a_call_at_once(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        rig.request(ONCE)
+        attempt = rig.send()
+        rig.advance(1.6)
+        refusal = rig.take_one(RefuseCaller)
+        self.assertEqual(refusal.status, 504)
+        self.assertFalse(refusal.not_run)
+        self.assertIn(DropAttempt(attempt.attempt), rig.take(DropAttempt))
+
+    def test_upstream_gets_what_is_left_of_the_time(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        rig.request(IDEMPOTENT)
+        rig.send()
+        rig.advance(0.5)
+        self.assertLess(rig.take_one(SendAttempt).deadline_s, 1.2)
+
+    def test_caller_that_left_stops_the_work(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        caller = rig.request(IDEMPOTENT)
+        attempt = rig.send()
+        rig.post(CallerLeft(caller.handle))
+        self.assertEqual(rig.take_one(DropAttempt).attempt, attempt.attempt)
+        self.assertFalse(rig.take(SendAttempt))
+        self.assertFalse(rig.world.requests.attempts)
+
+    def test_service_whose_upstreams_all_are_distrusted_is_still_tried(self) -> None:
+        rig = ServingRig()
+        rig.start(upstreams=(make_upstream(1, CALLS), make_upstream(2, CALLS)))
+        for upstream in rig.world.upstreams.by_id.values():
+            upstream.trust = Trust.DOWN
+            upstream.next_probe_at = rig.now + 100
+        rig.request(ONCE)
+        rig.take_one(SendAttempt)
+
+    def test_retries_stop_with_the_budget(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        allowance = rig.world.serving.attempts.budget_allowance
+        sent = 0
+        for _ in range(allowance * 4):
+            rig.request(IDEMPOTENT)
+            rig.break_off(rig.send())
+            sent += len(rig.take(SendAttempt))
+        share = rig.world.serving.attempts.budget_ratio * allowance * 4
+        self.assertLessEqual(sent, allowance + share)
+        self.assertGreaterEqual(sent, allowance)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/serving/test_leaving.py
@@ -0,0 +1,70 @@
+"""Tests of planned stops."""
+
+from __future__ import annotations
+
+import unittest
+
+from magnoliahold.core.effects import StopProcess
+from magnoliahold.core.events import LeaveRequested
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    CloseIdleCallers,
+    CloseListener,
+    CutAnswer,
+    DeliverAnswer,
+    FinishAnswer,
+    RefuseCaller,
+)
+from magnoliahold.core.serving.systems.leaving import find_obstacle
+from tests.core.serving.rig import ServingRig
+
+
+class LeavingTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = ServingRig()
+        self.rig.start()
+
+    def test_callers_are_sent_elsewhere_first_and_served_on(self) -> None:
+        self.assertEqual(find_obstacle(self.rig.world), "")
+        self.rig.post(LeaveRequested("SIGTERM"))
+        self.assertEqual(find_obstacle(self.rig.world), "leaving")
+        self.rig.advance(2.0)
+        self.assertFalse(self.rig.take(CloseListener))
+        caller = self.rig.request(RouteKind.IDEMPOTENT)
+        self.rig.answer(self.rig.send(), caller, 200)
+        self.assertTrue(self.rig.take_one(DeliverAnswer).closing)
+        self.rig.advance(0.5)
+        self.rig.take_one(CloseListener)
+        self.rig.take_one(CloseIdleCallers)
+        self.rig.advance(0.5)
+        self.rig.take_one(StopProcess)
+
+    def test_stream_in_flight_is_finished(self) -> None:
+        caller = self.rig.request(RouteKind.STREAM)
+        attempt = self.rig.send()
+        self.rig.open(attempt, caller)
+        self.rig.post(LeaveRequested("SIGTERM"))
+        for piece in range(1, 40):
+            self.rig.produce(attempt, piece)
+            self.rig.advance(0.1)
+        self.assertFalse(self.rig.take(StopProcess))
+        self.rig.finish(attempt)
+        self.assertTrue(self.rig.take_one(FinishAnswer).closing)
+        self.rig.advance(0.1)
+        self.rig.take_one(StopProcess)
+
+    def test_nothing_outlasts_the_limit(self) -> None:
+        caller = self.rig.request(RouteKind.STREAM)
+        attempt = self.rig.send()
+        self.rig.open(attempt, caller)
+        self.rig.post(LeaveRequested("SIGTERM"))
+        for piece in range(1, 75):
+            self.rig.produce(attempt, piece)
+            self.rig.advance(0.1)
+        self.rig.take_one(CutAnswer)
+        self.rig.take_one(StopProcess)
+        self.assertFalse(self.rig.take(RefuseCaller))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/serving/test_streams.py
@@ -0,0 +1,190 @@
+"""Tests of streams that go on after their upstream failed."""
+
+from __future__ import annotations
+
+import unittest
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    CutAnswer,
+    DeliverPieces,
+    DropAttempt,
+    FinishAnswer,
+    OpenAnswer,
+    ProbeServing,
+    RefuseCaller,
+    SendAttempt,
+)
+from magnoliahold.core.serving.events import (
+    AnswerHead,
+    AttemptUnsent,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from tests.core.serving.rig import ServingRig
+
+
+class StreamTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = ServingRig()
+        self.rig.start()
+        self.caller = self.rig.request(RouteKind.STREAM)
+        self.first = self.rig.send()
+
+    def test_copies_go_to_another_data_centre(self) -> None:
+        assert self.first.copy_to is not None
+        holders = {
+            (item.record.address, item.record.port): item.record
+            for item in self.rig.world.upstreams.by_id.values()
+        }
+        holder = holders[self.first.copy_to]
+        self.assertNotEqual(holder.data_centre, self.first.upstream.data_centre)
+        self.assertEqual(holder.service, self.first.upstream.service)
+
+    def test_whole_stream_is_passed_on(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.assertEqual(self.rig.take_one(OpenAnswer).attempt, self.first.attempt)
+        self.rig.produce(self.first, 3, count=3)
+        self.assertIsNone(self.rig.take_one(DeliverPieces).after)
+        self.rig.produce(self.first, 4)
+        self.assertEqual(self.rig.take_one(DeliverPieces).after, 3)
+        self.rig.finish(self.first)
+        self.rig.take_one(FinishAnswer)
+        self.assertFalse(self.rig.world.requests.by_handle)
+
+    def test_reset_stream_goes_on_from_its_copy(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.break_off(self.first)
+        second = self.rig.take_one(SendAttempt)
+        assert second.copy_source is not None
+        source = (second.copy_source.address, second.copy_source.port)
+        self.assertEqual(source, self.first.copy_to)
+        self.assertEqual(second.copy_source.run_id, self.caller.request_id)
+        self.assertEqual(second.resume_after, 7)
+        self.assertEqual(second.upstream.address, source[0])
+        self.rig.open(second, self.caller)
+        self.assertEqual(len(self.rig.take(OpenAnswer)), 1, "the head goes out once")
+
+    def test_first_upstream_is_dropped_before_the_second_starts(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.break_off(self.first)
+        kinds = [type(item) for item in self.rig.emitted]
+        self.assertLess(kinds.index(DropAttempt), kinds.index(SendAttempt))
+
+    def test_pieces_that_were_delivered_are_not_delivered_again(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.take(DeliverPieces)
+        self.rig.break_off(self.first)
+        second = self.rig.send()
+        self.rig.open(second, self.caller)
+        self.rig.produce(second, 6)
+        self.assertFalse(self.rig.take(DeliverPieces))
+        self.rig.produce(second, 9, count=2)
+        self.assertEqual(self.rig.take_one(DeliverPieces).after, 7)
+
+    def test_late_pieces_of_an_attempt_that_was_left_are_ignored(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.break_off(self.first)
+        self.rig.take(DeliverPieces)
+        self.rig.produce(self.first, 8)
+        self.rig.finish(self.first)
+        self.assertFalse(self.rig.take(DeliverPieces))
+        self.assertFalse(self.rig.take(FinishAnswer))
+
+    def test_silent_stream_with_a_copy_moves_soon(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.advance(0.2)
+        self.assertFalse(self.rig.take(SendAttempt))
+        self.rig.advance(0.1)
+        self.assertIsNotNone(self.rig.take_one(SendAttempt).copy_source)
+
+    def test_pause_of_this_process_is_no_silence(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.now += 3.0
+        self.rig.post()
+        self.rig.advance(0.2)
+        self.assertFalse(self.rig.take(SendAttempt))
+
+    def test_copy_that_is_missing_falls_back_to_another_upstream(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        self.rig.break_off(self.first)
+        second = self.rig.send()
+        self.rig.answer(second, self.caller, 503, not_run=True, request_id="")
+        third = self.rig.take_one(SendAttempt)
+        self.assertIsNone(third.copy_source)
+        self.assertEqual(third.resume_after, 7)
+        tried = {self.first.upstream.id, second.upstream.id}
+        self.assertNotIn(third.upstream.id, tried)
+
+    def test_rejected_first_attempt_leaves_no_copy(self) -> None:
+        self.rig.answer(self.first, self.caller, 503, not_run=True, request_id="")
+        self.assertIsNone(self.rig.take_one(SendAttempt).copy_source)
+
+    def test_stream_of_another_request_is_never_passed_on(self) -> None:
+        head = AnswerHead(200, "request-other", signed=True)
+        from magnoliahold.core.serving.events import StreamOpened
+
+        self.rig.post(StreamOpened(self.first.attempt, head))
+        self.rig.produce(self.first, 1)
+        self.assertFalse(self.rig.take(OpenAnswer))
+        self.assertFalse(self.rig.take(DeliverPieces))
+        self.assertNotEqual(
+            self.rig.take_one(SendAttempt).upstream.id, self.first.upstream.id
+        )
+
+    def test_stream_that_can_not_go_on_is_cut_not_ended(self) -> None:
+        self.rig.open(self.first, self.caller)
+        self.rig.produce(self.first, 7)
+        attempt = self.first
+        for _ in range(4):
+            self.rig.break_off(attempt)
+            attempt = self.rig.send()
+        self.rig.break_off(attempt)
+        self.rig.take_one(CutAnswer)
+        self.assertFalse(self.rig.take(FinishAnswer))
+        self.assertFalse(self.rig.take(RefuseCaller))
+
+    def test_upstream_that_fails_a_probe_loses_its_waiting_streams(self) -> None:
+        self.rig.advance(0.5)
+        probe = self.rig.take_one(ProbeServing).upstream
+        self.assertEqual(probe.id, self.first.upstream.id)
+        self.assertFalse(self.rig.take(SendAttempt), "it may just be reading")
+        self.rig.post(UpstreamFailedProbe(probe.id, probe.born_ms, "no answer"))
+        self.rig.advance(0.04)
+        self.assertNotEqual(self.rig.take_one(SendAttempt).upstream.id, probe.id)
+
+    def test_answered_probe_keeps_a_waiting_stream_where_it_is(self) -> None:
+        for _ in range(5):
+            self.rig.advance(0.4)
+            for probe in self.rig.take(ProbeServing):
+                record = probe.upstream
+                self.rig.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+        self.assertFalse(self.rig.take(SendAttempt))
+
+    def test_unsent_attempt_does_not_count(self) -> None:
+        rig = ServingRig()
+        rig.start()
+        rig.request(RouteKind.STREAM)
+        for _ in range(3):
+            attempt = rig.take_one(SendAttempt)
+            rig.post(AttemptUnsent(attempt.attempt, "refused", refused=True))
+        (request,) = rig.world.requests.by_handle.values()
+        self.assertEqual(request.handed, 1)
+        self.assertFalse(request.may_have_run)
+
+    def test_returning_caller_goes_on_after_its_last_piece(self) -> None:
+        self.rig.request(RouteKind.STREAM, resume_after=12)
+        attempt = self.rig.take_one(SendAttempt)
+        self.assertEqual(attempt.resume_after, 12)
+        self.assertIsNone(attempt.copy_source)
+
+
+if __name__ == "__main__":
+    unittest.main()
