--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import CallerLimits
     from magnoliahold.core.serving.feeds import Feed
+    from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
@@ -149,3 +150,30 @@
 @frozen
 class CloseIdleCallers:
     """Closes connections of callers that carry no request."""
+
+
+@frozen
+class RegisterEntry:
+    """Writes this entry's registration to the store; EntryRegistered answers."""
+
+    timeout_s: float
+
+
+@frozen
+class RemoveEntry:
+    """Removes a registration, if the row still has the version.
+
+    Without a version it is removed in any case.
+    """
+
+    name: str
+    row_version: int | None
+    timeout_s: float
+
+
+@frozen
+class TellPeers:
+    """Sends a notice to other entries; it may be lost."""
+
+    peers: tuple[PeerRecord, ...]
+    notice: LoadNotice
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -13,6 +13,7 @@
     outcomes,
     pauses,
     routing,
+    sharing,
     silence,
     trust,
 )
@@ -37,10 +38,14 @@
     outcomes.take_answers,
     outcomes.take_breaks,
     trust.take_probe_results,
+    sharing.take_notices,
     silence.watch_attempts,
     deadlines.end_overdue,
     routing.route_waiting,
     trust.probe_lost,
+    sharing.register_entry,
+    sharing.tell_peers,
+    sharing.remove_lost_peers,
     leaving.finish_leaving,
     feeds.start_feed_calls,
 )
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.feeds import Feed, FeedRow
+    from magnoliahold.core.serving.peers import LoadNotice
     from magnoliahold.core.serving.requests import CallerRequest
 
 
@@ -158,3 +159,18 @@
     feed: Feed
     call: int
     reason: str
+
+
+@frozen
+class NoticeReceived:
+    """Another entry told its load."""
+
+    notice: LoadNotice
+
+
+@frozen
+class EntryRegistered:
+    """The store has taken this entry's registration, or has not."""
+
+    done: bool
+    reason: str = ""
--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
@@ -17,6 +18,7 @@
 
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
+    PEERS = "peers"
 
 
 @frozen
@@ -28,7 +30,7 @@
 
     key: str
     version: int
-    value: Configuration | UpstreamRecord | None
+    value: Configuration | UpstreamRecord | PeerRecord | None
 
 
 @define
--- /dev/null
+++ b/src/magnoliahold/core/serving/peers.py
@@ -0,0 +1,73 @@
+"""The other entries of a deployment, and what they last told."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+
+@frozen
+class PeerRecord:
+    """An entry as it has registered itself in the store; it listens over UDP."""
+
+    name: str
+    incarnation: str
+    address: str
+    port: int
+
+
+@frozen
+class UpstreamLoad:
+    """One entry's work at an upstream.
+
+    `reading` counts streams whose prompt is being read, `writing` those with pieces and
+    `copies` the copies that the upstream keeps for this entry.
+    """
+
+    upstream_id: str
+    reading: int = 0
+    writing: int = 0
+    copies: int = 0
+
+
+@frozen
+class LoadNotice:
+    """What an entry tells the others; each notice replaces the one before.
+
+    `serial` rises within an incarnation. `down` names the upstreams that the sender
+    takes for lost.
+    """
+
+    sender: str
+    incarnation: str
+    serial: int
+    loads: tuple[UpstreamLoad, ...] = ()
+    down: tuple[str, ...] = ()
+
+
+@define(eq=False)
+class Peer:
+    """Another entry; `heard_at` is when its last notice came, on the process clock."""
+
+    record: PeerRecord
+    row_version: int
+    known_since: float
+    heard_at: float | None = None
+    notice: LoadNotice | None = None
+
+
+@define
+class PeerTable:
+    """The other entries by name, and what this one last told them.
+
+    `loads` sums up what the others' notices say, by upstream.
+    """
+
+    by_name: dict[str, Peer] = field(factory=dict)
+    loads: dict[str, UpstreamLoad] = field(factory=dict)
+    told: LoadNotice | None = None
+    told_at: float = 0.0
+    serial: int = 0
+    registering: bool = False
+    registered: bool = False
+    next_registration_at: float = 0.0
+    next_removal_at: float = 0.0
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -30,6 +30,7 @@
 
     configuration_wait_s: float = _seconds(1.4)
     upstreams_wait_s: float = _seconds(3.0)
+    peers_wait_s: float = _seconds(20.0)
     answer_slack_s: float = _seconds(0.8)
     read_timeout_s: float = _seconds(1.2)
     retry_min_s: float = _seconds(0.1)
@@ -89,6 +90,23 @@
     budget_allowance: int = _count(10)
 
 
+@frozen
+class PeerPolicy:
+    """What entries tell each other.
+
+    A changed load is told at most every `least_interval_s`, an unchanged one every
+    `interval_s`; what a peer told counts for `notice_kept_s`. Registrations of entries
+    that were not heard for `removed_after_s` are removed.
+    """
+
+    least_interval_s: float = _seconds(0.04)
+    interval_s: float = _seconds(1.0)
+    notice_kept_s: float = _seconds(2.5)
+    registration_timeout_s: float = _seconds(2.0)
+    registration_retry_s: float = _seconds(1.0)
+    removed_after_s: float = _seconds(40.0)
+
+
 @frozen
 class LeavePolicy:
     """Graceful stops: new work is taken for `accept_s`, and all ends by `limit_s`."""
@@ -105,4 +123,5 @@
     feeds: FeedPolicy = field(factory=FeedPolicy)
     watch: WatchPolicy = field(factory=WatchPolicy)
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
+    peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -14,6 +14,12 @@
     FeedRead,
 )
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.systems.sharing import (
+    drop_peer,
+    drop_unlisted_peers,
+    put_peer,
+)
 from magnoliahold.core.serving.systems.trust import distrust
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 
@@ -61,10 +67,13 @@
         _note_failure(world, state, "the store's version went back", now)
         return
     outage_s = _note_success(world, state, read.version, read.sent_at, now)
-    _apply_rows(world, read.rows, now)
+    _apply_rows(world, read.feed, read.rows, now)
+    listed = {row.key for row in read.rows}
     if state.feed is Feed.UPSTREAMS:
         world.upstreams.known = True
-        _drop_unlisted(world, {row.key for row in read.rows}, outage_s, now)
+        _drop_unlisted(world, listed, outage_s, now)
+    if state.feed is Feed.PEERS:
+        drop_unlisted_peers(world, listed)
 
 
 def _take_changes(
@@ -75,7 +84,7 @@
         _note_failure(world, state, "the store's version went back", now)
         return
     outage_s = _note_success(world, state, changed.version, changed.sent_at, now)
-    _apply_rows(world, changed.rows, now, outage_s)
+    _apply_rows(world, changed.feed, changed.rows, now, outage_s)
 
 
 def _note_success(
@@ -120,13 +129,21 @@
 
 
 def _apply_rows(
-    world: ServingWorld, rows: Iterable[FeedRow], now: float, outage_s: float = 0.0
+    world: ServingWorld,
+    feed: Feed,
+    rows: Iterable[FeedRow],
+    now: float,
+    outage_s: float = 0.0,
 ) -> None:
     for row in rows:
         if isinstance(row.value, Configuration):
             _apply_configuration(world, row.value)
         elif isinstance(row.value, UpstreamRecord):
             _apply_record(world, row.value, now)
+        elif isinstance(row.value, PeerRecord):
+            put_peer(world, row.value, row.version, now)
+        elif feed is Feed.PEERS:
+            drop_peer(world, row.key)
         elif row.key in world.upstreams.by_id:
             _drop_upstream(world, row.key, outage_s, now)
 
@@ -211,6 +228,7 @@
     waits = {
         Feed.CONFIGURATION: policy.configuration_wait_s,
         Feed.UPSTREAMS: policy.upstreams_wait_s,
+        Feed.PEERS: policy.peers_wait_s,
     }
     for state in world.feeds.values():
         if state.call or now < state.next_at:
--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -8,6 +8,7 @@
 from magnoliahold.core.events import LeaveRequested
 from magnoliahold.core.serving.effects import CloseIdleCallers, CloseListener
 from magnoliahold.core.serving.systems.endings import refuse
+from magnoliahold.core.serving.systems.sharing import remove_own_entry
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.world import ServingWorld
@@ -44,6 +45,7 @@
     settled = now - since >= policy.accept_s + policy.settle_s
     if settled and not world.requests.by_handle:
         world.stopping = True
+        remove_own_entry(world)
         world.emit(StopProcess("nothing is in flight"))
 
 
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -11,9 +11,11 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import CopySource, SendAttempt
 from magnoliahold.core.serving.requests import Attempt, AttemptState
+from magnoliahold.core.serving.systems.sharing import count_own_load
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
+    from magnoliahold.core.serving.peers import UpstreamLoad
     from magnoliahold.core.serving.requests import MemoryCopy, ServedRequest
     from magnoliahold.core.serving.upstreams import Upstream
     from magnoliahold.core.serving.world import ServingWorld
@@ -131,17 +133,29 @@
     """Chooses the least loaded upstream, and among equals the prompt's own."""
 
     def rank(upstream: Upstream) -> tuple[float, int]:
-        return (measure_load(upstream), -_hash_place(request, upstream))
+        return (measure_load(world, upstream), -_hash_place(request, upstream))
 
     return min(candidates, key=rank)
 
 
-def measure_load(upstream: Upstream) -> float:
-    """Measures this entry's work at an upstream; a prompt being read counts double."""
-    load = upstream.copies * COPY_LOAD
-    for attempt in upstream.attempts.values():
-        load += WRITING_LOAD if attempt.pieces else READING_LOAD
-    return load
+def measure_load(world: ServingWorld, upstream: Upstream) -> float:
+    """Measures the work of all entries at an upstream.
+
+    A stream whose prompt is being read counts double, since it slows all others down.
+    """
+    load = count_own_load(upstream)
+    others = world.entries.loads.get(upstream.id)
+    if others is None:
+        return _weigh(load)
+    return _weigh(load) + _weigh(others)
+
+
+def _weigh(load: UpstreamLoad) -> float:
+    return (
+        READING_LOAD * load.reading
+        + WRITING_LOAD * load.writing
+        + COPY_LOAD * load.copies
+    )
 
 
 def _hash_place(request: ServedRequest, upstream: Upstream) -> int:
@@ -241,7 +255,7 @@
         attempt=attempt.number,
         upstream=attempt.upstream.id,
         data_centre=attempt.upstream.record.data_centre,
-        load=round(measure_load(attempt.upstream), 2),
+        load=round(measure_load(world, attempt.upstream), 2),
         resume_after=request.last_piece,
         from_copy=attempt.continued is not None,
         copy_holder=holder.id if holder else None,
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -0,0 +1,177 @@
+"""Shares loads and suspicions between the entries of a deployment.
+
+Notices are hints: a lost or late one makes a choice worse, never wrong.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.effects import RegisterEntry, RemoveEntry, TellPeers
+from magnoliahold.core.serving.events import EntryRegistered, NoticeReceived
+from magnoliahold.core.serving.peers import LoadNotice, Peer, UpstreamLoad
+from magnoliahold.core.serving.systems.trust import doubt
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.peers import PeerRecord
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def put_peer(
+    world: ServingWorld, record: PeerRecord, row_version: int, now: float
+) -> None:
+    """Files another entry, or a new start of it."""
+    if record.name == world.identity.name:
+        return
+    peer = world.entries.by_name.get(record.name)
+    if peer is not None and peer.record == record:
+        return
+    world.entries.by_name[record.name] = Peer(record, row_version, now)
+    world.entries.told = None
+    world.log_decision("peers", "Entry registered.", peer=record.name)
+
+
+def drop_peer(world: ServingWorld, name: str) -> None:
+    """Forgets an entry whose registration is gone; registers this one again."""
+    if name == world.identity.name:
+        world.entries.registered = False
+    elif world.entries.by_name.pop(name, None) is not None:
+        world.log_decision("peers", "Entry removed.", peer=name)
+
+
+def drop_unlisted_peers(world: ServingWorld, listed: set[str]) -> None:
+    """Forgets the entries that a whole list of registrations doesn't name."""
+    for name in {*world.entries.by_name, world.identity.name} - listed:
+        drop_peer(world, name)
+
+
+def register_entry(world: ServingWorld, now: float) -> None:
+    """Registers this entry, once and whenever its registration is gone."""
+    table = world.entries
+    policy = world.serving.peers
+    for result in world.inbox.read_events(EntryRegistered):
+        table.registering = False
+        table.registered = result.done
+        table.next_registration_at = now + policy.registration_retry_s
+        if not result.done:
+            world.log_decision(
+                "peers", "Registration failed, trying again.", reason=result.reason
+            )
+    waits = table.registered or table.registering or now < table.next_registration_at
+    if not waits and world.leaving_since is None:
+        table.registering = True
+        world.emit(RegisterEntry(policy.registration_timeout_s))
+
+
+def remove_own_entry(world: ServingWorld) -> None:
+    """Removes the registration of this entry as it stops."""
+    timeout_s = world.serving.peers.registration_timeout_s
+    world.emit(RemoveEntry(world.identity.name, None, timeout_s))
+
+
+def remove_lost_peers(world: ServingWorld, now: float) -> None:
+    """Removes registrations of entries that were not heard for long."""
+    table = world.entries
+    policy = world.serving.peers
+    if not world.scans or now < table.next_removal_at:
+        return
+    table.next_removal_at = now + policy.registration_retry_s
+    for peer in table.by_name.values():
+        heard_at = peer.known_since if peer.heard_at is None else peer.heard_at
+        if now - heard_at >= policy.removed_after_s:
+            peer.heard_at = now
+            name = peer.record.name
+            timeout_s = policy.registration_timeout_s
+            world.emit(RemoveEntry(name, peer.row_version, timeout_s))
+            world.log_decision("peers", "Silent entry is removed.", peer=name)
+
+
+def take_notices(world: ServingWorld, now: float) -> None:
+    """Takes what other entries told, and sums it up by upstream."""
+    changed = False
+    for received in world.inbox.read_events(NoticeReceived):
+        changed |= _take_notice(world, received.notice, now)
+    kept_s = world.serving.peers.notice_kept_s
+    if world.scans:
+        for peer in world.entries.by_name.values():
+            if peer.notice and now - (peer.heard_at or 0.0) > kept_s:
+                peer.notice = None
+                changed = True
+    if changed:
+        world.entries.loads = _sum_loads(world)
+
+
+def _take_notice(world: ServingWorld, notice: LoadNotice, now: float) -> bool:
+    peer = world.entries.by_name.get(notice.sender)
+    if peer is None or peer.record.incarnation != notice.incarnation:
+        return False
+    if peer.notice is not None and notice.serial <= peer.notice.serial:
+        return False
+    before = set(peer.notice.down) if peer.notice else set()
+    peer.notice = notice
+    peer.heard_at = now
+    for upstream_id in set(notice.down) - before:
+        upstream = world.upstreams.by_id.get(upstream_id)
+        if upstream is not None and upstream.trust is Trust.TRUSTED:
+            doubt(world, upstream, f"{notice.sender} takes it for lost", now)
+    return True
+
+
+def _sum_loads(world: ServingWorld) -> dict[str, UpstreamLoad]:
+    sums: dict[str, UpstreamLoad] = {}
+    for peer in world.entries.by_name.values():
+        for load in peer.notice.loads if peer.notice else ():
+            known = sums.get(load.upstream_id, UpstreamLoad(load.upstream_id))
+            sums[load.upstream_id] = UpstreamLoad(
+                load.upstream_id,
+                known.reading + load.reading,
+                known.writing + load.writing,
+                known.copies + load.copies,
+            )
+    return sums
+
+
+def count_own_load(upstream: Upstream) -> UpstreamLoad:
+    """Counts this entry's work at an upstream."""
+    writing = sum(attempt.pieces > 0 for attempt in upstream.attempts.values())
+    reading = len(upstream.attempts) - writing
+    return UpstreamLoad(upstream.id, reading, writing, upstream.copies)
+
+
+def tell_peers(world: ServingWorld, now: float) -> None:
+    """Tells the other entries this one's load when it changed, and now and then."""
+    table = world.entries
+    if not table.by_name:
+        return
+    policy = world.serving.peers
+    quiet_s = now - table.told_at
+    if quiet_s < policy.least_interval_s:
+        return
+    loads, down = _describe_load(world)
+    told = table.told
+    same = told is not None and (told.loads, told.down) == (loads, down)
+    if same and quiet_s < policy.interval_s:
+        return
+    table.serial += 1
+    table.told_at = now
+    identity = world.identity
+    table.told = LoadNotice(
+        identity.name, identity.incarnation, table.serial, loads, down
+    )
+    peers = tuple(peer.record for peer in table.by_name.values())
+    world.emit(TellPeers(peers, table.told))
+
+
+def _describe_load(
+    world: ServingWorld,
+) -> tuple[tuple[UpstreamLoad, ...], tuple[str, ...]]:
+    upstreams = world.upstreams.by_id.values()
+    loads = tuple(
+        count_own_load(upstream)
+        for upstream in upstreams
+        if upstream.attempts or upstream.copies
+    )
+    down = tuple(item.id for item in upstreams if item.trust is Trust.DOWN)
+    return loads, down
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -8,6 +8,7 @@
 
 from magnoliahold.core.serving.budget import RetryBudget
 from magnoliahold.core.serving.feeds import Feed, FeedState
+from magnoliahold.core.serving.peers import PeerTable
 from magnoliahold.core.serving.policy import ServingPolicy
 from magnoliahold.core.serving.requests import RequestTable
 from magnoliahold.core.serving.upstreams import UpstreamTable
@@ -37,6 +38,7 @@
     feeds: dict[Feed, FeedState] = field(factory=_make_feeds)
     upstreams: UpstreamTable = field(factory=UpstreamTable)
     requests: RequestTable = field(factory=RequestTable)
+    entries: PeerTable = field(factory=PeerTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     next_call: int = 1
     ticked_at: float | None = None
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -14,6 +14,7 @@
     ServiceShare,
     Workspace,
 )
+from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.endpoints import read_endpoint
 
@@ -98,6 +99,7 @@
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration, strict=False)
 _server_decoder = msgspec.json.Decoder(_Server)
+_peer_decoder = msgspec.json.Decoder(PeerRecord)
 
 
 def read_configuration(document: bytes) -> Configuration:
@@ -176,3 +178,16 @@
         leaving=leaving,
         born_ms=raw.born,
     )
+
+
+def read_peer(document: bytes) -> PeerRecord:
+    """Reads an entry's registration; raises DocumentError if it can't be used."""
+    try:
+        return _peer_decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise DocumentError(str(error)) from error
+
+
+def write_peer(record: PeerRecord) -> bytes:
+    """Writes an entry's registration."""
+    return msgspec.json.encode(record)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
+from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -11,6 +11,7 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.events import (
+    EntryRegistered,
     FeedChanged,
     FeedFailed,
     FeedHistoryGone,
@@ -22,18 +23,27 @@
 from magnoliahold.platform.documents import (
     DocumentError,
     read_configuration,
+    read_peer,
     read_upstream,
+    write_peer,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.httpclient import HttpAnswer
     from magnoliahold.runtime import Reactor
 
-TABLES = {Feed.CONFIGURATION: "op", Feed.UPSTREAMS: "servers"}
+TABLES = {
+    Feed.CONFIGURATION: "op",
+    Feed.UPSTREAMS: "servers",
+    Feed.PEERS: "magnoliahold-entries",
+}
 CONFIGURATION_KEY = "config"
 PAGE_ROWS = 500
 OK = 200
@@ -61,7 +71,7 @@
 
 @define(eq=False)
 class StoreClient:
-    """Reads the tables that an entry follows; one connection for each of them."""
+    """Reads the tables that an entry follows, one connection each; registers it."""
 
     reactor: Reactor
     base_url: str
@@ -97,6 +107,45 @@
 
         self._send(feed, call, path, timeout_s, take)
 
+    def register_entry(self, record: PeerRecord, timeout_s: float) -> None:
+        """Writes an entry's registration and posts EntryRegistered."""
+        value = b64encode(write_peer(record)).decode("ascii")
+        row = {**_name_row(Feed.PEERS, record.name), "value": value}
+        sending = self._transact({"puts": [row]}, timeout_s)
+        sending.addCallbacks(
+            lambda answer: self.post(
+                EntryRegistered(answer.status == OK, f"answered {answer.status}")
+            ),
+            lambda failure: self.post(EntryRegistered(False, str(failure.value))),
+        )
+
+    def remove_entry(
+        self, name: str, row_version: int | None, timeout_s: float
+    ) -> None:
+        """Removes a registration, if the row still has the version given."""
+        row = _name_row(Feed.PEERS, name)
+        expected = [] if row_version is None else [{**row, "ver": row_version}]
+        changes = {"expect_rev": expected, "remove": [row]}
+
+        def log_failure(failure: Any) -> None:
+            logger.warning(
+                "Registration not removed.", entry=name, reason=str(failure.value)
+            )
+
+        self._transact(changes, timeout_s).addErrback(log_failure)
+
+    def _transact(
+        self, changes: dict[str, Any], timeout_s: float
+    ) -> Deferred[HttpAnswer]:
+        whole = {"expect_rev": [], "puts": [], "remove": [], **changes}
+        return HttpClient(self.reactor, self.base_url).send(
+            "POST",
+            "/-/rows-tx",
+            msgspec.json.encode(whole),
+            (("Content-Type", "application/json"),),
+            timeout_s,
+        )
+
     def _read_page(self, reading: _Reading, start: str | None) -> None:
         query: dict[str, Any] = {"part": "", "limit": PAGE_ROWS}
         if start is not None:
@@ -162,6 +211,10 @@
             self.version = page.ver
 
 
+def _name_row(feed: Feed, key: str) -> dict[str, Any]:
+    return {"table": TABLES[feed], "part": "", "key": key}
+
+
 def _make_path(call: str, feed: Feed, query: dict[str, Any]) -> str:
     return f"/-/{call}?{urlencode({'table': TABLES[feed], **query})}"
 
@@ -194,7 +247,9 @@
     return tuple(found)
 
 
-def _read_value(feed: Feed, row: _Row) -> Configuration | UpstreamRecord | None:
+def _read_value(
+    feed: Feed, row: _Row
+) -> Configuration | UpstreamRecord | PeerRecord | None:
     if row.removed or row.value is None:
         return None
     try:
@@ -203,6 +258,8 @@
         raise DocumentError(str(error)) from error
     if feed is Feed.UPSTREAMS:
         return read_upstream(row.key, document)
+    if feed is Feed.PEERS:
+        return read_peer(document)
     if row.key == CONFIGURATION_KEY:
         return read_configuration(document)
     return None
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -14,6 +14,7 @@
 from magnoliahold.core.events import LeaveRequested
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
+from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.systems.leaving import find_obstacle
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, stop_reactor
@@ -30,6 +31,7 @@
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.exchanges import UpstreamExchanges
+from magnoliahold.serving.notices import NoticePort, NoticeProtocol
 from magnoliahold.serving.performers import ServingPorts
 from magnoliahold.settings.serving import make_serving_policy
 
@@ -37,6 +39,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from magnoliahold.core.identity import Identity
     from magnoliahold.metrics import Metrics
     from magnoliahold.settings.serving import ServingSettings
 
@@ -58,7 +61,7 @@
     broken: bool = False
     listeners: list[Any] = field(factory=list)
 
-    def listen(self, callers: Callers) -> None:
+    def listen(self, callers: Callers, notices: NoticePort) -> None:
         """Serves callers, the balancer's question and the metrics, and starts ticks."""
         self.node.start_ticks()
         settings = self.settings
@@ -71,6 +74,9 @@
                 site = Site(make_resource(path, read))
                 site.noisy = False
                 self._listen_on(address, site)
+        if settings.peers is not None:
+            own = read_endpoint(settings.peers)
+            self.reactor.listenUDP(own.port, NoticeProtocol(notices), own.host)
         logger.info("Process started.", name=settings.name, callers=settings.callers)
 
     def _listen_on(self, address: str, factory: Any) -> Any:
@@ -145,18 +151,29 @@
     store_url = f"http://{settings.store}"
     store = StoreClient(reactor, store_url, node.post_event, read_boot_clock)
     daemon = ServingDaemon(reactor, settings, node, metrics, on_stopped)
+    notices = NoticePort(node.post_event)
     node.ports = ServingPorts(
         journal=MetricsJournal(metrics),
         stop=lambda reason: reactor.callLater(0, daemon.stop, reason),
         callers=callers,
         upstreams=exchanges,
         store=store,
+        notices=notices,
+        own_record=make_own_record(identity, settings),
         close_listener=daemon.close_listener,
     )
-    daemon.listen(callers)
+    daemon.listen(callers, notices)
     return daemon
 
 
+def make_own_record(identity: Identity, settings: ServingSettings) -> PeerRecord | None:
+    """Makes this entry's registration; None when it doesn't listen for others."""
+    if settings.peers is None:
+        return None
+    endpoint = read_endpoint(settings.peers)
+    return PeerRecord(identity.name, identity.incarnation, endpoint.host, endpoint.port)
+
+
 def run_serving_entry(path: Path, load: Callable[[Path], ServingSettings]) -> None:
     """Runs a serving entry until SIGTERM or SIGINT has drained it.
 
--- /dev/null
+++ b/src/magnoliahold/serving/notices.py
@@ -0,0 +1,86 @@
+"""Sends and receives the notices of entries as datagrams.
+
+Each notice replaces the one before and may be lost, so that nothing is queued for a
+peer that doesn't read.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from attrs import define
+from twisted.internet.protocol import DatagramProtocol
+
+from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.peers import LoadNotice
+from magnoliahold.logs import make_part_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliahold.core.serving.peers import PeerRecord
+
+MAX_LOADS = 40
+
+logger = make_part_logger("peers")
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(LoadNotice)
+
+
+def encode_notice(notice: LoadNotice) -> bytes:
+    """Encodes a notice; one about very many upstreams is cut to fit a datagram."""
+    return _encoder.encode(
+        LoadNotice(
+            notice.sender,
+            notice.incarnation,
+            notice.serial,
+            notice.loads[:MAX_LOADS],
+            notice.down[:MAX_LOADS],
+        )
+    )
+
+
+@define(eq=False)
+class NoticePort:
+    """The datagram socket of an entry."""
+
+    post: Callable[[object], None]
+    transport: Any = None
+
+    def tell(self, peers: Iterable[PeerRecord], notice: LoadNotice) -> None:
+        """Sends a notice to other entries."""
+        if self.transport is None:
+            return
+        content = encode_notice(notice)
+        for peer in peers:
+            try:
+                self.transport.write(content, (peer.address, peer.port))
+            except OSError as error:
+                logger.warning("Notice not sent.", peer=peer.name, reason=str(error))
+
+    def take(self, content: bytes) -> None:
+        """Posts a notice; what can't be read is logged and dropped."""
+        try:
+            notice = _decoder.decode(content)
+        except msgspec.MsgspecError as error:
+            logger.warning("Notice can't be read.", reason=str(error))
+            return
+        self.post(NoticeReceived(notice))
+
+
+class NoticeProtocol(DatagramProtocol):
+    """Hands datagrams to a port."""
+
+    noisy = False
+
+    def __init__(self, port: NoticePort) -> None:
+        self._port = port
+
+    def startProtocol(self) -> None:  # noqa: N802
+        """Opens the port for sending."""
+        self._port.transport = self.transport
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Takes a datagram."""
+        self._port.take(datagram)
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -7,26 +7,31 @@
 from attrs import define
 
 from magnoliahold.core.serving import effects
+from magnoliahold.core.serving.events import EntryRegistered
 from magnoliahold.node import perform_effect
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.node import Journal, Node
     from magnoliahold.platform.store import StoreClient
     from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.exchanges import UpstreamExchanges
+    from magnoliahold.serving.notices import NoticePort
 
 
 @define
 class ServingPorts:
-    """What a serving entry acts on."""
+    """What a serving entry acts on; without `own_record` it shares nothing."""
 
     journal: Journal
     stop: Callable[[str], None]
     callers: Callers
     upstreams: UpstreamExchanges
     store: StoreClient
+    notices: NoticePort
+    own_record: PeerRecord | None
     close_listener: Callable[[], None]
 
 
@@ -121,3 +126,23 @@
 @perform_effect.register(effects.CloseIdleCallers)
 def _close_idle_callers(_: effects.CloseIdleCallers, node: Node) -> None:
     node.ports.callers.close_idle()
+
+
+@perform_effect.register(effects.RegisterEntry)
+def _register_entry(effect: effects.RegisterEntry, node: Node) -> None:
+    record = node.ports.own_record
+    if record is None:
+        node.post_event(EntryRegistered(True))
+    else:
+        node.ports.store.register_entry(record, effect.timeout_s)
+
+
+@perform_effect.register(effects.RemoveEntry)
+def _remove_entry(effect: effects.RemoveEntry, node: Node) -> None:
+    if node.ports.own_record is not None:
+        node.ports.store.remove_entry(effect.name, effect.row_version, effect.timeout_s)
+
+
+@perform_effect.register(effects.TellPeers)
+def _tell_peers(effect: effects.TellPeers, node: Node) -> None:
+    node.ports.notices.tell(effect.peers, effect.notice)
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -50,8 +50,8 @@
 class ServingSettings:
     """The settings of one serving entry; `policy` overrides limits by name.
 
-    `callers`, `readiness` and `metrics` are where it listens, `store` is where the
-    platform's store answers.
+    `callers`, `readiness`, `peers` (over UDP) and `metrics` are where it listens,
+    `store` is where the platform's store answers.
     """
 
     name: str = field(metadata=checks(require_name))
@@ -59,6 +59,7 @@
     callers: str = field(metadata=checks(require_endpoint))
     store: str = field(metadata=checks(require_endpoint))
     readiness: str | None = field(metadata=checks(require_endpoint), default=None)
+    peers: str | None = field(metadata=checks(require_endpoint), default=None)
     metrics: str | None = field(metadata=checks(require_endpoint), default=None)
     bounds: DeploymentBounds = field(factory=DeploymentBounds)
     log: LogSettings = field(factory=LogSettings)
