--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -29,12 +29,20 @@
     copies: int = 0
 
 
+@frozen
+class PromptPlace:
+    """The upstream that has read a prompt, by the id of the prompt's last part."""
+
+    part: str
+    upstream_id: str
+
+
 @frozen
 class LoadNotice:
     """What an entry tells the others; each notice replaces the one before.
 
     `serial` rises within an incarnation. `down` names the upstreams that the sender
-    takes for lost.
+    takes for lost, `places` where the prompts of its open streams were read.
     """
 
     sender: str
@@ -42,6 +50,7 @@
     serial: int
     loads: tuple[UpstreamLoad, ...] = ()
     down: tuple[str, ...] = ()
+    places: tuple[PromptPlace, ...] = ()
 
 
 @define(eq=False)
@@ -59,11 +68,13 @@
 class PeerTable:
     """The other entries by name, and what this one last told them.
 
-    `loads` sums up what the others' notices say, by upstream.
+    `loads` sums up what the others' notices say, by upstream. `places` holds where
+    prompts were read, by the id of their last part, with the time of the last notice.
     """
 
     by_name: dict[str, Peer] = field(factory=dict)
     loads: dict[str, UpstreamLoad] = field(factory=dict)
+    places: dict[str, tuple[str, float]] = field(factory=dict)
     told: LoadNotice | None = None
     told_at: float = 0.0
     serial: int = 0
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -75,7 +75,9 @@
     An idempotent call without an answer is repeated elsewhere after `repeat_after_s`,
     a stream without a first piece after `opening_share` of its goal. Requests without
     a usable upstream are refused after `hold_share` of their goal, streams that are
-    under way are cut after `hold_stream_s`.
+    under way are cut after `hold_stream_s`. A stream goes to the upstream that has read
+    its prompt before unless the load there is `place_extra_load` above the lowest.
+    A stream with less patience than `opening_part` of what openings take is refused.
     """
 
     connect_timeout_s: float = _seconds(0.25)
@@ -84,6 +86,8 @@
     hold_share: float = _part(0.125)
     hold_stream_s: float = _seconds(1.5)
     full_s: float = _seconds(0.1)
+    place_extra_load: float = _part(4.0)
+    opening_part: float = _part(0.6)
     retry_after_s: float = _seconds(0.25)
     budget_window_s: float = _seconds(10.0)
     budget_ratio: float = _part(0.5)
@@ -95,13 +99,15 @@
     """What entries tell each other.
 
     A changed load is told at most every `least_interval_s`, an unchanged one every
-    `interval_s`; what a peer told counts for `notice_kept_s`. Registrations of entries
-    that were not heard for `removed_after_s` are removed.
+    `interval_s`; what a peer told counts for `notice_kept_s`, and where a prompt was
+    read for `place_kept_s`. Registrations of entries that were not heard for
+    `removed_after_s` are removed.
     """
 
     least_interval_s: float = _seconds(0.04)
     interval_s: float = _seconds(1.0)
     notice_kept_s: float = _seconds(2.5)
+    place_kept_s: float = _seconds(6.0)
     registration_timeout_s: float = _seconds(2.0)
     registration_retry_s: float = _seconds(1.0)
     removed_after_s: float = _seconds(40.0)
@@ -109,11 +115,15 @@
 
 @frozen
 class LeavePolicy:
-    """Graceful stops: new work is taken for `accept_s`, and all ends by `limit_s`."""
+    """Graceful stops: new work is taken for `accept_s`, and all ends by `limit_s`.
+
+    A stream is only taken if `stream_margin` times their mean duration is left.
+    """
 
     accept_s: float = _seconds(2.3)
     settle_s: float = _seconds(0.3)
-    limit_s: float = _seconds(7.2)
+    limit_s: float = _seconds(7.7)
+    stream_margin: float = _seconds(1.15)
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller
 from magnoliahold.core.serving.events import CallerLeft, RequestArrived
 from magnoliahold.core.serving.requests import ServedRequest
@@ -49,6 +50,10 @@
             _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
             return
     request = _make_request(world, caller, route, workspace, now)
+    obstacle = _find_stream_obstacle(world, request, now)
+    if obstacle:
+        _refuse(world, caller, UNAVAILABLE, obstacle)
+        return
     world.requests.add(request)
     world.find_budget(request.service).add_request(now)
     _log_admission(world, request, configuration)
@@ -84,6 +89,25 @@
     )
 
 
+def _find_stream_obstacle(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> str:
+    """Finds why a stream can't be served here in time, or an empty string."""
+    if request.route.kind is not RouteKind.STREAM:
+        return ""
+    policy = world.serving
+    opening_s = world.openings.get(request.service, 0.0)
+    if request.deadline_at - now < opening_s * policy.attempts.opening_part:
+        return "the time left is too short for a first piece"
+    if world.leaving_since is None:
+        return ""
+    left_s = world.leaving_since + policy.leave.limit_s - now
+    duration_s = world.durations.get(request.service, 0.0)
+    if left_s < duration_s * policy.leave.stream_margin:
+        return "the entry stops before the stream could end"
+    return ""
+
+
 def _choose_service(world: ServingWorld, route: Route) -> str:
     services = [share.service for share in route.shares]
     weights = [share.weight for share in route.shares]
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -168,6 +168,9 @@
         if attempt.sent_at is not None:
             opening_s = now - attempt.sent_at
             upstream.opening_s = mix_mean(upstream.opening_s, opening_s)
+            openings = world.openings
+            service = attempt.request.service
+            openings[service] = mix_mean(openings.get(service), opening_s)
             world.emit(RecordMetric("first_piece_seconds", opening_s))
     elif attempt.last_piece_at is not None:
         gap_s = (now - attempt.last_piece_at) / count
@@ -184,9 +187,16 @@
         if attempt is not None:
             _count_outcome(world, attempt, False, now)
             world.requests.end_attempt(attempt)
+            _note_stream(world, attempt.request, now)
             finish_stream(world, attempt.request, now)
 
 
+def _note_stream(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    service = request.service
+    duration_s = now - request.arrived_at
+    world.durations[service] = mix_mean(world.durations.get(service), duration_s)
+
+
 def take_breaks(world: ServingWorld, now: float) -> None:
     """Goes on elsewhere with attempts whose connection ended early."""
     for broke in world.inbox.read_events(AttemptBroke):
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -11,7 +11,7 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import CopySource, SendAttempt
 from magnoliahold.core.serving.requests import Attempt, AttemptState
-from magnoliahold.core.serving.systems.sharing import count_own_load
+from magnoliahold.core.serving.systems.sharing import count_own_load, note_place
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -130,7 +130,13 @@
     candidates: list[Upstream],
     now: float,
 ) -> Upstream:
-    """Chooses the least loaded upstream, and among equals the prompt's own."""
+    """Chooses the upstream that has read the prompt, or the least loaded one.
+
+    Among equally loaded ones the prompt's hash decides, alike at all entries.
+    """
+    known = _find_place(world, request, candidates)
+    if known is not None:
+        return known
 
     def rank(upstream: Upstream) -> tuple[float, int]:
         return (measure_load(world, upstream), -_hash_place(request, upstream))
@@ -138,6 +144,24 @@
     return min(candidates, key=rank)
 
 
+def _find_place(
+    world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
+) -> Upstream | None:
+    """Finds the upstream that has read the prompt, unless it has far more load."""
+    prompt = request.caller.prompt
+    place = world.entries.places.get(prompt[-1].id) if prompt else None
+    if place is None:
+        return None
+    known = [item for item in candidates if item.id == place[0]]
+    if not known:
+        return None
+    lowest = min(measure_load(world, item) for item in candidates)
+    extra = measure_load(world, known[0]) - lowest
+    if extra > world.serving.attempts.place_extra_load:
+        return None
+    return known[0]
+
+
 def measure_load(world: ServingWorld, upstream: Upstream) -> float:
     """Measures the work of all entries at an upstream.
 
@@ -183,7 +207,9 @@
     place = upstream.record.data_centre
     far = [item for item in candidates if item.record.data_centre != place]
     candidates = far or candidates
-    return choose_upstream(world, request, candidates, now) if candidates else None
+    if not candidates:
+        return None
+    return min(candidates, key=lambda item: measure_load(world, item))
 
 
 def _start_attempt(
@@ -208,6 +234,8 @@
     table.next_attempt += 1
     request.handed += 1
     request.copy = None
+    if request.caller.prompt:
+        note_place(world, request.caller.prompt[-1].id, upstream.id, now)
     table.start_attempt(attempt)
     world.emit(_make_send(world, attempt, now))
     world.emit(CountMetric("attempts_started"))
--- a/src/magnoliahold/core/serving/systems/sharing.py
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -7,9 +7,16 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.serving.effects import RegisterEntry, RemoveEntry, TellPeers
 from magnoliahold.core.serving.events import EntryRegistered, NoticeReceived
-from magnoliahold.core.serving.peers import LoadNotice, Peer, UpstreamLoad
+from magnoliahold.core.serving.peers import (
+    LoadNotice,
+    Peer,
+    PromptPlace,
+    UpstreamLoad,
+)
 from magnoliahold.core.serving.systems.trust import doubt
 from magnoliahold.core.serving.upstreams import Trust
 
@@ -101,6 +108,8 @@
                 changed = True
     if changed:
         world.entries.loads = _sum_loads(world)
+    if world.scans:
+        _forget_places(world, now)
 
 
 def _take_notice(world: ServingWorld, notice: LoadNotice, now: float) -> bool:
@@ -112,6 +121,8 @@
     before = set(peer.notice.down) if peer.notice else set()
     peer.notice = notice
     peer.heard_at = now
+    for place in notice.places:
+        note_place(world, place.part, place.upstream_id, now)
     for upstream_id in set(notice.down) - before:
         upstream = world.upstreams.by_id.get(upstream_id)
         if upstream is not None and upstream.trust is Trust.TRUSTED:
@@ -119,6 +130,23 @@
     return True
 
 
+def note_place(world: ServingWorld, part: str, upstream_id: str, now: float) -> None:
+    """Remembers which upstream reads a prompt, the newest last."""
+    world.entries.places.pop(part, None)
+    world.entries.places[part] = (upstream_id, now)
+
+
+def _forget_places(world: ServingWorld, now: float) -> None:
+    """Forgets the prompts that no entry has told of for a while."""
+    places = world.entries.places
+    kept_s = world.serving.peers.place_kept_s
+    while places:
+        part = next(iter(places))
+        if now - places[part][1] <= kept_s:
+            return
+        del places[part]
+
+
 def _sum_loads(world: ServingWorld) -> dict[str, UpstreamLoad]:
     sums: dict[str, UpstreamLoad] = {}
     for peer in world.entries.by_name.values():
@@ -149,29 +177,34 @@
     quiet_s = now - table.told_at
     if quiet_s < policy.least_interval_s:
         return
-    loads, down = _describe_load(world)
+    notice = _make_notice(world, table.serial + 1)
     told = table.told
-    same = told is not None and (told.loads, told.down) == (loads, down)
+    same = told is not None and evolve(told, serial=notice.serial) == notice
     if same and quiet_s < policy.interval_s:
         return
     table.serial += 1
     table.told_at = now
-    identity = world.identity
-    table.told = LoadNotice(
-        identity.name, identity.incarnation, table.serial, loads, down
-    )
+    table.told = notice
     peers = tuple(peer.record for peer in table.by_name.values())
-    world.emit(TellPeers(peers, table.told))
+    world.emit(TellPeers(peers, notice))
 
 
-def _describe_load(
-    world: ServingWorld,
-) -> tuple[tuple[UpstreamLoad, ...], tuple[str, ...]]:
+def _make_notice(world: ServingWorld, serial: int) -> LoadNotice:
     upstreams = world.upstreams.by_id.values()
-    loads = tuple(
-        count_own_load(upstream)
-        for upstream in upstreams
-        if upstream.attempts or upstream.copies
+    identity = world.identity
+    return LoadNotice(
+        identity.name,
+        identity.incarnation,
+        serial,
+        loads=tuple(
+            count_own_load(upstream)
+            for upstream in upstreams
+            if upstream.attempts or upstream.copies
+        ),
+        down=tuple(item.id for item in upstreams if item.trust is Trust.DOWN),
+        places=tuple(
+            PromptPlace(attempt.request.caller.prompt[-1].id, attempt.upstream.id)
+            for attempt in world.requests.attempts.values()
+            if attempt.request.caller.prompt
+        ),
     )
-    down = tuple(item.id for item in upstreams if item.trust is Trust.DOWN)
-    return loads, down
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -30,6 +30,8 @@
 
     `boot_clock` reads seconds that go on while the instance is suspended, which those
     of ticks don't. `configuration` is the newest one ever read; it never goes back.
+    `openings` and `durations` are moving means, by service, of the seconds to the first
+    piece and to the end of streams.
     """
 
     boot_clock: Callable[[], float]
@@ -40,6 +42,8 @@
     requests: RequestTable = field(factory=RequestTable)
     entries: PeerTable = field(factory=PeerTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
+    openings: dict[str, float] = field(factory=dict)
+    durations: dict[str, float] = field(factory=dict)
     next_call: int = 1
     ticked_at: float | None = None
     next_scan_at: float = 0.0
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -17,8 +17,8 @@
 MS_PER_S = 1000.0
 PROOF_MARGIN_S = 0.6
 READY_SHARE = 0.72
-ACCEPT_MARGIN_S = 4.5
-LIMIT_MARGIN_S = 0.8
+ACCEPT_MARGIN_S = 5.0
+LIMIT_MARGIN_S = 0.3
 LEAST_S = 0.1
 
 
--- a/tests/core/serving/test_leaving.py
+++ b/tests/core/serving/test_leaving.py
@@ -16,7 +16,7 @@
     RefuseCaller,
 )
 from magnoliahold.core.serving.systems.leaving import find_obstacle
-from tests.core.serving.rig import ServingRig
+from tests.core.serving.rig import ENGINES, ServingRig
 
 
 class LeavingTests(unittest.TestCase):
@@ -53,12 +53,27 @@
         self.rig.advance(0.1)
         self.rig.take_one(StopProcess)
 
+    def test_stream_that_could_not_end_in_time_is_sent_elsewhere(self) -> None:
+        self.rig.world.durations[ENGINES] = 6.0
+        self.rig.post(LeaveRequested("SIGTERM"))
+        self.rig.request(RouteKind.STREAM)
+        self.rig.send()
+        self.rig.advance(1.5)
+        self.rig.request(RouteKind.STREAM)
+        refusal = self.rig.take_one(RefuseCaller)
+        self.assertEqual(refusal.status, 503)
+        self.assertTrue(refusal.not_run)
+        self.assertTrue(refusal.closing)
+        self.rig.request(RouteKind.IDEMPOTENT)
+        self.rig.send()
+
     def test_nothing_outlasts_the_limit(self) -> None:
         caller = self.rig.request(RouteKind.STREAM)
         attempt = self.rig.send()
         self.rig.open(attempt, caller)
         self.rig.post(LeaveRequested("SIGTERM"))
-        for piece in range(1, 75):
+        limit_s = self.rig.world.serving.leave.limit_s
+        for piece in range(1, round(limit_s * 10) + 2):
             self.rig.produce(attempt, piece)
             self.rig.advance(0.1)
         self.rig.take_one(CutAnswer)
--- /dev/null
+++ b/tests/core/serving/test_sharing.py
@@ -0,0 +1,146 @@
+"""Tests of what entries tell each other: loads, suspicions and places of prompts."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    ProbeServing,
+    RefuseCaller,
+    RegisterEntry,
+    RemoveEntry,
+    SendAttempt,
+    TellPeers,
+)
+from magnoliahold.core.serving.events import (
+    EntryRegistered,
+    NoticeReceived,
+    UpstreamAnsweredProbe,
+)
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.peers import (
+    LoadNotice,
+    PeerRecord,
+    PromptPlace,
+    UpstreamLoad,
+)
+from magnoliahold.core.serving.requests import PromptPart
+from magnoliahold.core.serving.upstreams import Trust
+from tests.core.serving.rig import ENGINES, ServingRig
+
+STREAM = RouteKind.STREAM
+PEER = PeerRecord("entry-2", "entry-2.a", "10.0.9.2", 7340)
+OTHERS = tuple(UpstreamLoad(f"{ENGINES}-{number}", 2, 1) for number in (1, 2, 4))
+
+
+class SharingTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = ServingRig()
+        self.rig.start()
+        self.rig.read(Feed.PEERS, {PEER.name: PEER})
+        self.serial = 0
+
+    def tell(self, **content: Any) -> None:
+        """Has the other entry tell something."""
+        self.serial += 1
+        notice = LoadNotice(PEER.name, PEER.incarnation, self.serial, **content)
+        self.rig.post(NoticeReceived(notice))
+
+    def choose(self, prompt: str = "") -> str:
+        """Finds which upstream gets the next stream."""
+        self.rig.take(SendAttempt)
+        parts = (PromptPart("shared", 200), PromptPart(prompt or "new", 8000))
+        self.rig.request(STREAM, prompt=parts)
+        return self.rig.take_one(SendAttempt).upstream.id
+
+    def test_others_work_counts(self) -> None:
+        self.tell(loads=OTHERS)
+        self.assertEqual(self.choose(), f"{ENGINES}-3")
+
+    def test_work_of_an_entry_that_fell_silent_is_forgotten(self) -> None:
+        self.tell(loads=OTHERS)
+        self.rig.advance(self.rig.world.serving.peers.notice_kept_s + 0.1)
+        self.assertFalse(self.rig.world.entries.loads)
+
+    def test_old_notices_and_those_of_an_earlier_start_are_ignored(self) -> None:
+        self.tell(loads=OTHERS)
+        for notice in (
+            LoadNotice(PEER.name, PEER.incarnation, 1),
+            LoadNotice(PEER.name, "entry-2.0", 9),
+            LoadNotice("stranger", "stranger.a", 9),
+        ):
+            self.rig.post(NoticeReceived(notice))
+            self.assertEqual(len(self.rig.world.entries.loads), len(OTHERS))
+
+    def test_suspicion_of_another_entry_is_checked_not_believed(self) -> None:
+        upstream = self.rig.world.upstreams.by_id[f"{ENGINES}-1"]
+        self.tell(down=(upstream.id,))
+        self.assertIs(upstream.trust, Trust.DOUBTED)
+        record = self.rig.take_one(ProbeServing).upstream
+        self.rig.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+        self.assertIs(upstream.trust, Trust.TRUSTED)
+        self.tell(down=(upstream.id,))
+        self.assertIs(upstream.trust, Trust.TRUSTED, "it says nothing new")
+
+    def test_returning_caller_goes_where_its_prompt_was_read(self) -> None:
+        for number in range(1, 5):
+            with self.subTest(number=number):
+                place = f"{ENGINES}-{number}"
+                self.tell(places=(PromptPlace(f"prompt-{number}", place),))
+                self.assertEqual(self.choose(f"prompt-{number}"), place)
+
+    def test_place_of_a_prompt_does_not_outweigh_every_load(self) -> None:
+        place = f"{ENGINES}-1"
+        self.tell(
+            places=(PromptPlace("prompt-1", place),),
+            loads=(UpstreamLoad(place, 9, 9),),
+        )
+        self.assertNotEqual(self.choose("prompt-1"), place)
+
+    def test_places_are_forgotten(self) -> None:
+        self.tell(places=(PromptPlace("prompt-1", f"{ENGINES}-1"),))
+        self.rig.advance(self.rig.world.serving.peers.place_kept_s + 0.1)
+        self.assertFalse(self.rig.world.entries.places)
+
+    def test_own_work_is_told_when_it_changes_and_now_and_then(self) -> None:
+        self.rig.advance(0.1)
+        self.rig.take(TellPeers)
+        self.choose("prompt-1")
+        self.rig.advance(0.1)
+        told = self.rig.take_one(TellPeers)
+        self.assertEqual(told.peers, (PEER,))
+        self.assertEqual(sum(load.reading for load in told.notice.loads), 1)
+        self.assertEqual(told.notice.places[0].part, "prompt-1")
+        self.rig.advance(0.5)
+        self.assertFalse(self.rig.take(TellPeers))
+        self.rig.advance(0.6)
+        self.rig.take_one(TellPeers)
+
+    def test_entry_registers_until_that_is_done_and_again_when_removed(self) -> None:
+        self.rig.take_one(RegisterEntry)
+        self.rig.post(EntryRegistered(False, "timeout"))
+        self.rig.advance(1.1)
+        self.rig.take_one(RegisterEntry)
+        self.rig.post(EntryRegistered(True))
+        self.rig.advance(5.0)
+        self.assertFalse(self.rig.take(RegisterEntry))
+        self.rig.change(Feed.PEERS, {"entry-1": None})
+        self.rig.advance(1.1)
+        self.rig.take_one(RegisterEntry)
+
+    def test_registration_of_a_silent_entry_is_removed_if_unchanged(self) -> None:
+        self.rig.advance(self.rig.world.serving.peers.removed_after_s + 2.0, 0.5)
+        removal = self.rig.take(RemoveEntry)[0]
+        self.assertEqual((removal.name, removal.row_version), (PEER.name, 10))
+
+    def test_stream_without_time_for_a_first_piece_is_refused_at_once(self) -> None:
+        self.rig.world.openings[ENGINES] = 1.1
+        self.rig.request(STREAM, patience_s=0.4)
+        refusal = self.rig.take_one(RefuseCaller)
+        self.assertEqual((refusal.status, refusal.not_run), (503, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
