--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -54,7 +54,7 @@
 def _end_call(world: ServingWorld, feed: Feed, call: int) -> FeedState | None:
     """Finds the feed that a result is for; None when the call was given up."""
     state = world.feeds[feed]
-    if state.call != call:
+    if not state.call or state.call != call:
         return None
     state.call = 0
     return state
@@ -106,6 +106,8 @@
     state.version = version
     state.proved_at = max(sent_at, state.proved_at or sent_at)
     state.next_at = now
+    if state.feed is not Feed.CONFIGURATION:
+        state.next_at += world.serving.feeds.gather_s
     return outage_s
 
 
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -143,7 +143,9 @@
         return found
 
     def find_call(self, feed: Feed) -> int:
-        """Finds the number of the call of a feed that is under way."""
+        """Finds the number of the next call of a feed that is under way."""
+        while not self.world.feeds[feed].call:
+            self.advance(0.02)
         return self.world.feeds[feed].call
 
     def start(
