--- a/src/magnoliahold/cli/application.py
+++ b/src/magnoliahold/cli/application.py
@@ -12,8 +12,10 @@
 from magnoliahold.cli.drain import drain
 from magnoliahold.cli.entry import entry
 from magnoliahold.cli.errors import report_error
+from magnoliahold.cli.explain import explain
 from magnoliahold.cli.measure import measure
 from magnoliahold.cli.moves import moves
+from magnoliahold.cli.serve import serve
 from magnoliahold.cli.sidecar import sidecar
 from magnoliahold.cli.standin import engine, platform, service
 from magnoliahold.cli.status import status
@@ -24,6 +26,8 @@
 COMMANDS = {
     "entry": entry,
     "sidecar": sidecar,
+    "serve": serve,
+    "explain": explain,
     "standin": {"engine": engine, "service": service, "platform": platform},
     "dev": dev,
     "check": check,
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -126,6 +126,7 @@
     accept_s: float = _seconds(2.3)
     settle_s: float = _seconds(0.3)
     limit_s: float = _seconds(7.7)
+    farewell_s: float = _seconds(0.15)
     stream_margin: float = _seconds(1.15)
 
 
--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -129,6 +129,7 @@
         configuration=configuration.version,
         proof_age_s=_round_age(world),
         resume_after=request.last_piece,
+        plain=request.last_piece is None,
     )
 
 
--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -42,10 +42,24 @@
     if now - since >= policy.limit_s:
         for request in list(world.requests.by_handle.values()):
             refuse(world, request, "the entry stops", now)
-    settled = now - since >= policy.accept_s + policy.settle_s
-    if settled and not world.requests.by_handle:
-        world.stopping = True
+    _stop_when_idle(world, now - since, now)
+
+
+def _stop_when_idle(world: ServingWorld, leaving_s: float, now: float) -> None:
+    """Removes the registration, and stops once that had time to reach the store.
+
+    Until then the other entries learn where this one's prompts were read.
+    """
+    policy = world.serving.leave
+    settled = leaving_s >= policy.accept_s + policy.settle_s
+    idle = settled and not world.requests.by_handle
+    last_call = leaving_s >= policy.limit_s - policy.farewell_s
+    if (idle or last_call) and world.farewell_at is None:
+        world.farewell_at = now
         remove_own_entry(world)
+    farewell_at = world.farewell_at
+    if idle and farewell_at is not None and now - farewell_at >= policy.farewell_s:
+        world.stopping = True
         world.emit(StopProcess("nothing is in flight"))
 
 
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -148,11 +148,8 @@
     world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
 ) -> Upstream | None:
     """Finds the upstream that has read the prompt, unless it has far more load."""
-    prompt = request.caller.prompt
-    place = world.entries.places.get(prompt[-1].id) if prompt else None
-    if place is None:
-        return None
-    known = [item for item in candidates if item.id == place[0]]
+    place = _read_place(world, request)
+    known = [item for item in candidates if item.id == place]
     if not known:
         return None
     lowest = min(measure_load(world, item) for item in candidates)
@@ -162,6 +159,12 @@
     return known[0]
 
 
+def _read_place(world: ServingWorld, request: ServedRequest) -> str | None:
+    prompt = request.caller.prompt
+    place = world.entries.places.get(prompt[-1].id) if prompt else None
+    return place[0] if place is not None else None
+
+
 def measure_load(world: ServingWorld, upstream: Upstream) -> float:
     """Measures the work of all entries at an upstream.
 
@@ -234,12 +237,12 @@
     table.next_attempt += 1
     request.handed += 1
     request.copy = None
-    if request.caller.prompt:
-        note_place(world, request.caller.prompt[-1].id, upstream.id, now)
     table.start_attempt(attempt)
     world.emit(_make_send(world, attempt, now))
     world.emit(CountMetric("attempts_started"))
     _log_choice(world, attempt)
+    if request.caller.prompt:
+        note_place(world, request.caller.prompt[-1].id, upstream.id, now)
 
 
 def _make_send(world: ServingWorld, attempt: Attempt, now: float) -> SendAttempt:
@@ -286,7 +289,9 @@
         load=round(measure_load(world, attempt.upstream), 2),
         resume_after=request.last_piece,
         from_copy=attempt.continued is not None,
+        prompt_place=_read_place(world, request),
         copy_holder=holder.id if holder else None,
+        plain=request.handed == 1 and request.last_piece is None,
     )
 
 
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -49,6 +49,7 @@
     next_scan_at: float = 0.0
     scans: bool = False
     listener_closed: bool = False
+    farewell_at: float | None = None
 
     def find_budget(self, service: str) -> RetryBudget:
         """Finds the budget of a service, or starts it."""
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import sys
 import time
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -23,6 +24,7 @@
 from magnoliahold.health import TextResource
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import configure_logging, make_part_logger
+from magnoliahold.logwriting import NonBlockingStream, RateFilter
 from magnoliahold.metrics import make_metrics
 from magnoliahold.node import BROKEN_TABLES, Node
 from magnoliahold.platform.callers import READY_PATH
@@ -184,7 +186,7 @@
 
     reactor: Any = installed
     settings = load(path)
-    configure_logging(settings.name, settings.log.level)
+    configure_serving_logs(settings)
     use_monotonic_clock(reactor)
     daemons: list[ServingDaemon] = []
 
@@ -209,6 +211,13 @@
         raise ProcessBrokenError
 
 
+def configure_serving_logs(settings: ServingSettings) -> None:
+    """Sends all logs to standard output, bounded and without ever blocking."""
+    stream: Any = NonBlockingStream(sys.stdout.fileno())
+    handler = configure_logging(settings.name, settings.log.level, stream)
+    handler.addFilter(RateFilter())
+
+
 def reload_settings(
     path: Path, load: Callable[[Path], ServingSettings], daemons: list[ServingDaemon]
 ) -> None:
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from attrs import define
+from attrs import define, evolve
 from twisted.internet.protocol import DatagramProtocol
 
 from magnoliahold.core.serving.events import NoticeReceived
@@ -21,7 +21,7 @@
 
     from magnoliahold.core.serving.peers import PeerRecord
 
-MAX_LOADS = 40
+MAX_ITEMS = 40
 
 logger = make_part_logger("peers")
 _encoder = msgspec.msgpack.Encoder()
@@ -30,15 +30,13 @@
 
 def encode_notice(notice: LoadNotice) -> bytes:
     """Encodes a notice; one about very many upstreams is cut to fit a datagram."""
-    return _encoder.encode(
-        LoadNotice(
-            notice.sender,
-            notice.incarnation,
-            notice.serial,
-            notice.loads[:MAX_LOADS],
-            notice.down[:MAX_LOADS],
-        )
+    short = evolve(
+        notice,
+        loads=notice.loads[:MAX_ITEMS],
+        down=notice.down[:MAX_ITEMS],
+        places=notice.places[:MAX_ITEMS],
     )
+    return _encoder.encode(short)
 
 
 @define(eq=False)
--- a/tests/core/serving/test_leaving.py
+++ b/tests/core/serving/test_leaving.py
@@ -14,6 +14,7 @@
     DeliverAnswer,
     FinishAnswer,
     RefuseCaller,
+    RemoveEntry,
 )
 from magnoliahold.core.serving.systems.leaving import find_obstacle
 from tests.core.serving.rig import ENGINES, ServingRig
@@ -51,6 +52,8 @@
         self.rig.finish(attempt)
         self.assertTrue(self.rig.take_one(FinishAnswer).closing)
         self.rig.advance(0.1)
+        self.assertEqual(self.rig.take_one(RemoveEntry).name, "entry-1")
+        self.rig.advance(0.2)
         self.rig.take_one(StopProcess)
 
     def test_stream_that_could_not_end_in_time_is_sent_elsewhere(self) -> None:
--- /dev/null
+++ b/tests/serving/test_notices.py
@@ -0,0 +1,71 @@
+"""Tests of the datagrams between entries."""
+
+from __future__ import annotations
+
+import unittest
+
+from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.peers import (
+    LoadNotice,
+    PeerRecord,
+    PromptPlace,
+    UpstreamLoad,
+)
+from magnoliahold.serving.notices import MAX_ITEMS, NoticePort, encode_notice
+
+NOTICE = LoadNotice(
+    sender="entry-1",
+    incarnation="entry-1.a",
+    serial=7,
+    loads=(UpstreamLoad("upstream-1", 1, 2, 3),),
+    down=("upstream-2",),
+    places=(PromptPlace("part-1", "upstream-1"),),
+)
+
+
+class FakeTransport:
+    """Keeps what is sent; one address can't be reached."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+
+    def write(self, content: bytes, address: tuple[str, int]) -> None:
+        """Takes a datagram."""
+        if address[1] == 1:
+            raise OSError("network is unreachable")
+        self.sent.append((content, address))
+
+
+class NoticeTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.posted: list[object] = []
+        self.port = NoticePort(self.posted.append, FakeTransport())
+
+    def test_notice_arrives_whole(self) -> None:
+        self.port.take(encode_notice(NOTICE))
+        self.assertEqual(self.posted, [NoticeReceived(NOTICE)])
+
+    def test_long_notice_fits_a_datagram(self) -> None:
+        many = tuple(UpstreamLoad(f"upstream-{n}", 1) for n in range(1000))
+        self.port.take(encode_notice(LoadNotice("e", "e.a", 1, many)))
+        (received,) = self.posted
+        assert isinstance(received, NoticeReceived)
+        self.assertEqual(len(received.notice.loads), MAX_ITEMS)
+
+    def test_what_can_not_be_read_is_dropped(self) -> None:
+        for content in (b"", b"\xff\xff", b"{}"):
+            with self.subTest(content), self.assertLogs("magnoliahold.peers"):
+                self.port.take(content)
+        self.assertEqual(self.posted, [])
+
+    def test_peer_that_can_not_be_reached_costs_the_others_nothing(self) -> None:
+        peers = (PeerRecord("a", "a.a", "h", 1), PeerRecord("b", "b.a", "h", 2))
+        with self.assertLogs("magnoliahold.peers"):
+            self.port.tell(peers, NOTICE)
+        self.assertEqual(
+            [address for _, address in self.port.transport.sent], [("h", 2)]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
