--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -25,15 +25,17 @@
     Credentials are trusted while the configuration was proved the newest by a read
     that was sent at most `proof_max_age_s` ago; callers are asked to go elsewhere
     `ready_age_s` after the last proof. Changes of upstreams and entries are gathered
-    for `gather_s` before the next read, since each wakes all entries. Upstreams whose
-    registration is missing after an outage longer than `lapse_after_s` have
-    `lapse_grace_s` to register again.
+    for `gather_per_upstream_s` times the number of upstreams, at most `gather_max_s`,
+    before the next read, since each wakes all entries. Upstreams whose registration is
+    missing after an outage longer than `lapse_after_s` have `lapse_grace_s` to register
+    again.
     """
 
     configuration_wait_s: float = _seconds(1.4)
     upstreams_wait_s: float = _seconds(3.0)
     peers_wait_s: float = _seconds(20.0)
-    gather_s: float = _seconds(0.4)
+    gather_per_upstream_s: float = _seconds(0.008)
+    gather_max_s: float = _seconds(0.5)
     answer_slack_s: float = _seconds(0.8)
     read_timeout_s: float = _seconds(1.2)
     retry_min_s: float = _seconds(0.1)
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -107,10 +107,17 @@
     state.proved_at = max(sent_at, state.proved_at or sent_at)
     state.next_at = now
     if state.feed is not Feed.CONFIGURATION:
-        state.next_at += world.serving.feeds.gather_s
+        state.next_at += _find_pause(world)
     return outage_s
 
 
+def _find_pause(world: ServingWorld) -> float:
+    """Finds how long changes are gathered: the longer, the more there are of them."""
+    policy = world.serving.feeds
+    count = len(world.upstreams.by_id)
+    return min(policy.gather_max_s, policy.gather_per_upstream_s * count)
+
+
 def _note_failure(
     world: ServingWorld, state: FeedState, reason: str, now: float
 ) -> None:
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,74 @@
+"""Tests that the platform's names stay in the folder that translates them."""
+
+from __future__ import annotations
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+PACKAGE = Path(__file__).resolve().parents[2] / "src" / "magnoliahold"
+WIRE_WORDS = (
+    "Kv-Backup",
+    "Kv-From",
+    "Response-Signature",
+    "Not-Executed",
+    "Expect-Instance",
+    "Deadline-Ms",
+    "Prompt-Prefix",
+    "Token-Usage",
+    "Request-Priority",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "hostname",
+    "traffic_split",
+    "gap_goal_ms",
+    "api_keys",
+    "MAGNOLIAHOLD_BOOT",
+    "/-/re",
+    "/-/kv",
+    "/-/rows",
+)
+CORE = "magnoliahold.core"
+
+
+def list_imports(path: Path) -> set[str]:
+    """Lists the modules that a file imports."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    found = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+        elif isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+    return found
+
+
+class BoundaryTests(unittest.TestCase):
+    def test_words_of_the_wire_stay_in_the_folder(self) -> None:
+        pattern = re.compile("|".join(map(re.escape, WIRE_WORDS)))
+        for path in sorted(PACKAGE.rglob("*.py")):
+            name = path.relative_to(PACKAGE).as_posix()
+            if name.startswith("platform/"):
+                continue
+            with self.subTest(name):
+                self.assertEqual(pattern.findall(path.read_text(encoding="utf-8")), [])
+
+    def test_decisions_import_neither_the_platform_nor_sockets(self) -> None:
+        for path in sorted((PACKAGE / "core").rglob("*.py")):
+            with self.subTest(path.name):
+                for module in list_imports(path):
+                    self.assertNotRegex(module, r"magnoliahold\.(platform|serving)\b")
+                    self.assertNotRegex(module, r"^twisted\b")
+
+    def test_folder_stays_small(self) -> None:
+        lines = sum(
+            len(path.read_text(encoding="utf-8").splitlines())
+            for path in (PACKAGE / "platform").glob("*.py")
+        )
+        self.assertLess(lines, 1200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,148 @@
+"""Tests of the documents read from the platform's store."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.platform.documents import (
+    DocumentError,
+    read_configuration,
+    read_peer,
+    read_upstream,
+    write_peer,
+)
+
+ROUTE = {
+    "name": "r-1",
+    "hostname": "Host.example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 25000,
+    "goal_ms": 4500,
+    "gap_goal_ms": 700,
+    "service": "s-1",
+    "max_attempts": 5,
+    "resumable": True,
+}
+SERVER = {
+    "service": "s-1",
+    "address": "10.0.0.1:8080",
+    "zone": "z-1",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+# Changes to a sound registration that make it name no upstream to use.
+UNUSABLE_SERVERS: tuple[tuple[str, Any], ...] = (
+    ("service", None),
+    ("service", 7),
+    ("address", "10.0.0.1"),
+    ("address", "10.0.0.1:0"),
+    ("address", "10.0.0.1:x"),
+    ("state", "dancing"),
+    ("zone", []),
+    ("slots", "many"),
+    ("born", 1.5),
+)
+
+# Changes to a sound route that make the whole configuration unusable.
+UNUSABLE_ROUTES: tuple[tuple[str, Any], ...] = (
+    ("kind", "sometimes"),
+    ("service", None),
+    ("prefix", 5),
+    ("timeout_ms", "soon"),
+)
+
+
+def encode(value: object) -> bytes:
+    """Encodes a document."""
+    return json.dumps(value).encode()
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_route_is_read_with_its_units(self) -> None:
+        configuration = read_configuration(encode({"version": 7, "routes": [ROUTE]}))
+        route = configuration.find_route("host.example", "/a/x")
+        assert route is not None
+        self.assertIs(route.kind, RouteKind.STREAM)
+        self.assertEqual(
+            (route.timeout_s, route.goal_s, route.gap_goal_s), (25, 4.5, 0.7)
+        )
+        self.assertEqual([item.service for item in route.shares], ["s-1"])
+
+    def test_weights_workspaces_and_limits_are_read(self) -> None:
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        document = {
+            "version": 1,
+            "routes": [{**ROUTE, "traffic_split": split}],
+            "services": [
+                {
+                    "name": "a",
+                    "max_conns": 500,
+                    "engine": {"slots": 96, "kv_capacity": 88000, "backups": True},
+                }
+            ],
+            "limits": {"max_header_bytes": 100, "header_timeout_ms": 1500},
+            "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+            "unknown": {"ignored": True},
+        }
+        configuration = read_configuration(encode(document))
+        shares = configuration.routes[0].shares
+        self.assertEqual(
+            [(s.service, s.weight) for s in shares], [("a", 90), ("b", 10)]
+        )
+        engine = configuration.services_by_name["a"].engine
+        assert engine is not None
+        self.assertEqual((engine.memory_tokens, engine.keeps_copies), (88000, True))
+        self.assertEqual(configuration.workspaces_by_credential["k2"].name, "t")
+        self.assertEqual(configuration.limits.header_timeout_s, 1.5)
+
+    def test_unusable_configurations(self) -> None:
+        for name, value in UNUSABLE_ROUTES:
+            with self.subTest(name, value=value), self.assertRaises(DocumentError):
+                document = {"version": 7, "routes": [{**ROUTE, name: value}]}
+                read_configuration(encode(document))
+        for document in (b"", b"[]", b"{}", b"\xff", encode({"version": "x"})):
+            with self.subTest(document), self.assertRaises(DocumentError):
+                read_configuration(document)
+
+
+class UpstreamTests(unittest.TestCase):
+    def test_registration_is_read(self) -> None:
+        record = read_upstream("i-1", encode(SERVER))
+        self.assertEqual((record.address, record.port), ("10.0.0.1", 8080))
+        self.assertEqual((record.data_centre, record.leaving), ("z-1", False))
+        self.assertEqual(record.born_ms, 1700000000000)
+
+    def test_draining_upstream_is_leaving(self) -> None:
+        self.assertTrue(
+            read_upstream("i", encode({**SERVER, "state": "draining"})).leaving
+        )
+
+    def test_unusable_registrations(self) -> None:
+        for name, value in UNUSABLE_SERVERS:
+            with self.subTest(name, value=value), self.assertRaises(DocumentError):
+                read_upstream("i-1", encode({**SERVER, name: value}))
+        for missing in ("service", "address", "zone", "state"):
+            changed = {key: value for key, value in SERVER.items() if key != missing}
+            with self.subTest(missing=missing), self.assertRaises(DocumentError):
+                read_upstream("i-1", encode(changed))
+
+
+class PeerTests(unittest.TestCase):
+    def test_registration_of_an_entry_is_read_as_it_was_written(self) -> None:
+        record = PeerRecord("entry-1", "entry-1.a", "10.0.0.9", 7340)
+        self.assertEqual(read_peer(write_peer(record)), record)
+        with self.assertRaises(DocumentError):
+            read_peer(b"{}")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,170 @@
+"""Tests of the headers towards callers and upstreams."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from twisted.web.http_headers import Headers
+
+from magnoliahold.core.serving.effects import CopySource, SendAttempt
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.platform.callers import BadRequest, read_caller_request
+from magnoliahold.platform.upstreams import (
+    is_event_stream,
+    list_answer_headers,
+    make_upstream_headers,
+    read_answer_head,
+)
+
+RECORD = UpstreamRecord("i-1", "s-1", "10.0.0.1", 8080, "z-1")
+RECEIVED = {
+    "Host": "host.example",
+    "Request-Id": "abc",
+    "Authorization": "Token secret",
+    "Deadline-Ms": "25000",
+    "Model": "m",
+    "Token-Usage": "8200,780",
+    "Prompt-Prefix": "5c1e:200,91bd:8000",
+}
+FORGED = (
+    "Tenant",
+    "Expect-Instance",
+    "Request-Priority",
+    "Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "Hold",
+    "Pin-Ms",
+    "Expect-Version",
+)
+HOP_BY_HOP = ("Connection", "Keep-Alive", "TE", "Upgrade", "Transfer-Encoding")
+
+
+def make_send(**changes: Any) -> SendAttempt:
+    """Makes an attempt with 1.5 s left."""
+    values: dict[str, Any] = {
+        "attempt": 1,
+        "handle": 1,
+        "upstream": RECORD,
+        "workspace": "w-1",
+        "deadline_s": 1.5,
+        "connect_timeout_s": 0.25,
+        "priority": 4,
+        **changes,
+    }
+    return SendAttempt(**values)
+
+
+def make_headers(**values: str) -> Headers:
+    """Makes headers of single values."""
+    return Headers({name: [value] for name, value in values.items()})
+
+
+class UpstreamHeaderTests(unittest.TestCase):
+    def build(self, send: SendAttempt, **extra: str) -> Headers:
+        """Builds the headers of a request."""
+        return make_upstream_headers(make_headers(**{**RECEIVED, **extra}), send)
+
+    def test_callers_headers_go_on_and_the_credential_does_not(self) -> None:
+        headers = self.build(make_send(), **{"X-Other": "1"})
+        for name in ("Request-Id", "Model", "Token-Usage", "Prompt-Prefix"):
+            self.assertEqual(headers.getRawHeaders(name), [RECEIVED[name]])
+        self.assertEqual(headers.getRawHeaders("X-Other"), ["1"])
+        self.assertIsNone(headers.getRawHeaders("Authorization"))
+
+    def test_forged_headers_are_replaced_or_left_out(self) -> None:
+        own = {"Tenant": "w-1", "Expect-Instance": "i-1", "Request-Priority": "4"}
+        for name in FORGED:
+            with self.subTest(name):
+                headers = self.build(make_send(), **{name: "forged"})
+                expected = [own[name]] if name in own else None
+                self.assertEqual(headers.getRawHeaders(name), expected)
+
+    def test_headers_of_one_connection_stay_behind(self) -> None:
+        for name in HOP_BY_HOP:
+            with self.subTest(name):
+                headers = self.build(make_send(), **{name: "x"})
+                self.assertIsNone(headers.getRawHeaders(name))
+        headers = self.build(make_send(), Connection="X-Hop", **{"X-Hop": "1"})
+        self.assertIsNone(headers.getRawHeaders("X-Hop"))
+
+    def test_upstream_learns_what_time_is_left(self) -> None:
+        headers = self.build(make_send(deadline_s=0.4204))
+        self.assertEqual(headers.getRawHeaders("Deadline-Ms"), ["420"])
+
+    def test_continued_stream(self) -> None:
+        source = CopySource("10.0.0.2", 8081, "abc")
+        send = make_send(
+            resume_after=12, copy_to=("10.0.0.3", 8082), copy_source=source
+        )
+        headers = self.build(send, **{"Last-Event-Id": "3"})
+        self.assertEqual(headers.getRawHeaders("Last-Event-Id"), ["12"])
+        self.assertEqual(headers.getRawHeaders("Kv-Backup"), ["10.0.0.3:8082"])
+        self.assertEqual(headers.getRawHeaders("Kv-From"), ["10.0.0.2:8081/abc"])
+
+    def test_heads_of_answers(self) -> None:
+        signed = {"Request-Id": "abc", "Response-Signature": "s"}
+        rejected = {"Not-Executed": "1"}
+        table = (
+            (200, signed, (True, False, False)),
+            (200, {}, (False, False, False)),
+            (503, rejected, (False, True, False)),
+            (503, signed, (True, False, False)),
+            (400, rejected, (False, True, False)),
+            (421, {}, (False, True, True)),
+        )
+        for status, headers, expected in table:
+            with self.subTest(status=status, headers=headers):
+                head = read_answer_head(status, make_headers(**headers))
+                found = (head.signed, head.not_run, head.misdirected)
+                self.assertEqual(found, expected)
+
+    def test_answer_headers_go_on_but_those_of_the_connection(self) -> None:
+        headers = make_headers(**{"Response-Signature": "s", "Keep-Alive": "timeout=5"})
+        names = [name for name, _ in list_answer_headers(headers)]
+        self.assertEqual(names, [b"Response-Signature"])
+
+    def test_only_successful_event_streams_are_streams(self) -> None:
+        kind = {"Content-Type": "text/event-stream; charset=utf-8"}
+        self.assertTrue(is_event_stream(200, make_headers(**kind)))
+        self.assertFalse(is_event_stream(500, make_headers(**kind)))
+        self.assertFalse(is_event_stream(200, make_headers()))
+
+
+class CallerHeaderTests(unittest.TestCase):
+    def read(self, **changes: str) -> Any:
+        """Reads a request with changed headers."""
+        headers = make_headers(**{**RECEIVED, **changes})
+        return read_caller_request(1, "POST", "/a/b?x=1", headers, 0)
+
+    def test_request_is_read(self) -> None:
+        caller = self.read(Host="Host.Example:8080")
+        self.assertEqual((caller.host, caller.path), ("host.example", "/a/b"))
+        self.assertEqual((caller.credential, caller.patience_s), ("secret", 25.0))
+        self.assertEqual(caller.prompt_tokens, 8200)
+        self.assertEqual(caller.output_tokens, 780)
+
+    def test_odd_values_are_taken_for_absent(self) -> None:
+        table = (
+            ("Authorization", "Bearer x", "credential", None),
+            ("Authorization", "token x", "credential", "x"),
+            ("Deadline-Ms", "soon", "patience_s", None),
+            ("Deadline-Ms", "-5", "patience_s", None),
+            ("Last-Event-Id", "12", "resume_after", 12),
+            ("Last-Event-Id", "x12", "resume_after", None),
+            ("Prompt-Prefix", "a:1,b,c:2", "prompt_tokens", 1),
+            ("Token-Usage", "", "output_tokens", 0),
+        )
+        for name, value, attribute, expected in table:
+            with self.subTest(name, value=value):
+                caller = self.read(**{name: value})
+                self.assertEqual(getattr(caller, attribute), expected)
+
+    def test_request_without_an_id_is_rejected(self) -> None:
+        with self.assertRaises(BadRequest):
+            self.read(**{"Request-Id": ""})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,164 @@
+"""Tests of the client of the platform's store, against a small stand-in."""
+
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from typing import Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from magnoliahold.core.serving.configuration import Configuration
+from magnoliahold.core.serving.events import (
+    EntryRegistered,
+    FeedChanged,
+    FeedFailed,
+    FeedHistoryGone,
+    FeedRead,
+)
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.platform.store import StoreClient
+from tests.loopback import LoopbackTestCase, on_loopback
+from tests.platform.test_documents import SERVER
+
+
+def make_row(key: str, ver: int, value: object) -> dict[str, Any]:
+    """Makes a row as the store sends it."""
+    content = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return {"key": key, "ver": ver, "value": b64encode(content).decode()}
+
+
+class Store(Resource):
+    """Answers each call with the next answer; None is never answered."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: list[tuple[int, Any] | None] = []
+        self.calls: list[tuple[str, dict[str, Any]]] = []
+        self.bodies: list[Any] = []
+
+    def render(self, request: Any) -> Any:
+        """Answers a call."""
+        arguments = {k.decode(): v[0].decode() for k, v in request.args.items()}
+        self.calls.append((request.path.decode(), arguments))
+        self.bodies.append(request.content.read())
+        answer = self.answers.pop(0)
+        if answer is None:
+            return NOT_DONE_YET
+        request.setResponseCode(answer[0])
+        body = answer[1]
+        return body if isinstance(body, bytes) else json.dumps(body).encode()
+
+
+class StoreTests(LoopbackTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = Store()
+        listener = self.serve(self.store)
+        self.events: list[Any] = []
+        self.client = StoreClient(
+            self.reactor, listener.address, self.events.append, lambda: 50.0
+        )
+
+    async def read(self, *answers: Any, feed: Feed = Feed.UPSTREAMS) -> Any:
+        """Reads a table whole and returns the event."""
+        self.store.answers = list(answers)
+        self.client.read_feed(feed, 1, 0.3)
+        await self.wait_until(lambda: bool(self.events))
+        return self.events.pop()
+
+    async def follow(self, answer: Any, feed: Feed = Feed.UPSTREAMS) -> Any:
+        """Follows a table and returns the event."""
+        self.store.answers = [answer]
+        self.client.follow_feed(feed, 1, 7, 0.1, 0.3)
+        await self.wait_until(lambda: bool(self.events))
+        return self.events.pop()
+
+    @on_loopback
+    async def test_table_is_read_page_by_page(self) -> None:
+        first = {"rows": [make_row("a", 3, SERVER)], "ver": 9, "has_more": True}
+        second = {"rows": [make_row("b", 4, SERVER)], "ver": 11, "has_more": False}
+        event = await self.read((200, first), (200, second))
+        assert isinstance(event, FeedRead)
+        self.assertEqual([row.key for row in event.rows], ["a", "b"])
+        self.assertEqual((event.version, event.sent_at), (9, 50.0))
+        self.assertEqual(self.store.calls[1][1]["from"], "a\0")
+
+    @on_loopback
+    async def test_changes(self) -> None:
+        removed = {"key": "b", "ver": 9, "removed": True}
+        rows = [make_row("a", 8, SERVER), removed]
+        event = await self.follow((200, {"rows": rows, "ver": 9}))
+        assert isinstance(event, FeedChanged)
+        self.assertEqual([row.value is None for row in event.rows], [False, True])
+        path, arguments = self.store.calls[0]
+        self.assertEqual(path, "/-/rows-feed")
+        self.assertEqual((arguments["after"], arguments["wait_ms"]), ("7", "100"))
+
+    @on_loopback
+    async def test_failures(self) -> None:
+        for name, answer, kind in (
+            ("history is gone", (410, {}), FeedHistoryGone),
+            ("unavailable", (503, {}), FeedFailed),
+            ("too many calls", (429, {}), FeedFailed),
+            ("no JSON", (200, b"<html>"), FeedFailed),
+            ("other JSON", (200, {"rows": 5}), FeedFailed),
+            ("silence", None, FeedFailed),
+        ):
+            with self.subTest(name):
+                self.assertIsInstance(await self.follow(answer), kind)
+
+    @on_loopback
+    async def test_row_that_can_not_be_read_leaves_the_others(self) -> None:
+        rows = [
+            make_row("a", 3, b"\xff"),
+            {"key": "b", "ver": 4, "value": "not base64!"},
+            make_row("c", 5, SERVER),
+        ]
+        with self.assertLogs("magnoliahold.store", "WARNING") as logged:
+            event = await self.read((200, {"rows": rows, "ver": 9}))
+        values = {row.key: row.value for row in event.rows}
+        self.assertEqual((values["a"], values["b"]), (None, None))
+        self.assertIsNotNone(values["c"])
+        self.assertEqual(len(logged.output), 2)
+
+    @on_loopback
+    async def test_only_the_configuration_is_read_of_its_table(self) -> None:
+        rows = [make_row("config", 3, {"version": 2}), make_row("rollout/s", 4, {})]
+        event = await self.read(
+            (200, {"rows": rows, "ver": 9}), feed=Feed.CONFIGURATION
+        )
+        kinds = {row.key: type(row.value) for row in event.rows}
+        self.assertIs(kinds["config"], Configuration)
+        self.assertIs(kinds["rollout/s"], type(None))
+
+    @on_loopback
+    async def test_unreadable_configuration_keeps_the_one_before(self) -> None:
+        rows = [make_row("config", 3, b"{}")]
+        with self.assertLogs("magnoliahold.store", "WARNING"):
+            event = await self.read(
+                (200, {"rows": rows, "ver": 9}), feed=Feed.CONFIGURATION
+            )
+        self.assertEqual(event.rows, ())
+
+    @on_loopback
+    async def test_registration(self) -> None:
+        record = PeerRecord("entry-1", "entry-1.a", "h", 7)
+        for answer, done in (
+            ((200, {"ver": 3}), True),
+            ((503, {}), False),
+            (None, False),
+        ):
+            with self.subTest(answer=answer):
+                self.store.answers = [answer]
+                self.client.register_entry(record, 0.2)
+                await self.wait_until(lambda: bool(self.events))
+                event = self.events.pop()
+                assert isinstance(event, EntryRegistered)
+                self.assertEqual(event.done, done)
+        (row,) = json.loads(self.store.bodies[0])["puts"]
+        self.assertEqual((row["key"], row["part"]), ("entry-1", ""))
--- /dev/null
+++ b/tests/serving/scripted.py
@@ -0,0 +1,71 @@
+"""A TCP server that answers each request with given bytes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define, field
+from twisted.internet.protocol import Protocol, ServerFactory
+
+CLOSE = object()
+RESET = object()
+HEAD_END = b"\r\n\r\n"
+RESET_DELAY_S = 0.02
+
+
+@define(eq=False)
+class ScriptedServer:
+    """Answers the n-th request with the n-th script, the last one again and again.
+
+    A script is a list of bytes to send, `CLOSE` or `RESET`. `requests` holds the heads
+    that came, `connections` how many connections were made and `ended` how many ended.
+    """
+
+    scripts: list[list[Any]]
+    requests: list[bytes] = field(factory=list)
+    connections: int = 0
+    ended: int = 0
+    port: int = 0
+    reactor: Any = None
+
+    def listen(self, reactor: Any) -> Any:
+        """Listens on a free port and returns the listener."""
+        self.reactor = reactor
+        factory = ServerFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda _: _Connection(self)  # type: ignore
+        listener = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.port = listener.getHost().port
+        return listener
+
+
+class _Connection(Protocol):
+    def __init__(self, server: ScriptedServer) -> None:
+        self.server = server
+        self.received = b""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.server.connections += 1
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.server.ended += 1
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.received += data
+        while HEAD_END in self.received:
+            head, _, self.received = self.received.partition(HEAD_END)
+            self.server.requests.append(head)
+            number = min(len(self.server.requests), len(self.server.scripts))
+            self.play(self.server.scripts[number - 1])
+
+    def play(self, script: list[Any]) -> None:
+        """Sends what a script says."""
+        transport: Any = self.transport
+        for step in script:
+            if step is CLOSE:
+                transport.loseConnection()
+            elif step is RESET:
+                # A reset overtakes bytes that were not read yet.
+                self.server.reactor.callLater(RESET_DELAY_S, transport.abortConnection)
+            else:
+                transport.write(step)
--- /dev/null
+++ b/tests/serving/test_callers.py
@@ -0,0 +1,170 @@
+"""Tests of HTTP towards callers: limits, framing, and answers that are cut."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from magnoliahold.core.serving.configuration import CallerLimits
+from magnoliahold.core.serving.events import CallerLeft, RequestArrived
+from magnoliahold.serving.callers import CallerFactory, Callers
+from magnoliahold.serving.exchanges import Exchange
+from tests.loopback import LoopbackTestCase, on_loopback
+
+LIMITS = CallerLimits(
+    header_bytes=600, body_bytes=100, header_timeout_s=0.3, idle_timeout_s=0.6
+)
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: abc\r\n"
+REQUEST = HEAD + b"Content-Length: 2\r\n\r\nhi"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+GET = HEAD.replace(b"POST", b"GET") + b"\r\n"
+
+# What a caller sends that never becomes a request, and the status that it gets.
+REJECTED = (
+    ("no request id", b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+    ("two lengths", HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", 400),
+    (
+        "length and chunks",
+        HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    ("a length that is no number", HEAD + b"Content-Length: +2\r\n\r\nhi", 400),
+    ("a header without a colon", HEAD + b"nonsense\r\n\r\n", 400),
+    ("a bad chunk", HEAD + b"Transfer-Encoding: chunked\r\n\r\nxx\r\n", 400),
+    ("large headers", HEAD + b"X: " + b"x" * 700 + b"\r\n\r\n", 431),
+    ("an endless line", b"GET /" + b"x" * 5000, 431),
+    ("a large body", HEAD + b"Content-Length: 200\r\n\r\n" + b"x" * 200, 413),
+    ("a slow head", b"POST /a HTTP/1.1\r\nHost:", 408),
+)
+
+
+class Client(Protocol):
+    """Collects what the server sends."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.closed = False
+        self.connected_at = Deferred[None]()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.connected_at.callback(None)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.received += data
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.closed = True
+
+
+class CallerTests(LoopbackTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.events: list[Any] = []
+        self.callers = Callers(self.reactor, self.events.append, LIMITS)
+        factory = CallerFactory(self.callers)
+        listener = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
+        listener.close = listener.stopListening
+        self.listeners.append(listener)
+        self.port = listener.getHost().port
+
+    async def connect(self, content: bytes) -> Client:
+        """Connects and sends bytes."""
+        client = Client()
+        factory = ClientFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda _: client  # type: ignore
+        self.reactor.connectTCP("127.0.0.1", self.port, factory)
+        await client.connected_at
+        assert client.transport is not None
+        client.transport.write(content)
+        return client
+
+    async def arrive(self, content: bytes) -> tuple[Client, int]:
+        """Sends a request and returns the client and the request's handle."""
+        count = len(self.events)
+        client = await self.connect(content)
+        await self.wait_until(lambda: len(self.events) > count)
+        event = self.events[-1]
+        assert isinstance(event, RequestArrived)
+        return client, event.caller.handle
+
+    @on_loopback
+    async def test_rejected(self) -> None:
+        for name, content, status in REJECTED:
+            with self.subTest(name):
+                client = await self.connect(content)
+                await self.wait_until(lambda client=client: client.closed)
+                self.assertEqual(client.received.split()[1], b"%d" % status)
+                self.assertEqual(self.events, [])
+
+    @on_loopback
+    async def test_bodies_arrive_whole(self) -> None:
+        for content, body in ((REQUEST, b"hi"), (CHUNKED, b"hi"), (GET, b"")):
+            _, handle = await self.arrive(content)
+            found = self.callers.find_content(handle)
+            assert found is not None
+            self.assertEqual((found.target, found.body), (b"/a", body))
+
+    @on_loopback
+    async def test_connection_serves_one_answer_after_the_other(self) -> None:
+        client, handle = await self.arrive(REQUEST + REQUEST)
+        answer = Exchange(1, ("i", "h", 1), status=200, body=[b"first"])
+        self.callers.answer(handle, answer, closing=False)
+        await self.wait_until(lambda: len(self.events) == 2)
+        second = self.events[1].caller.handle
+        self.callers.refuse(second, 503, "come back", 0.25, closing=True)
+        await self.wait_until(lambda: client.closed)
+        first, _, rest = client.received.partition(b"first")
+        self.assertIn(b"Content-Length: 5", first)
+        self.assertIn(b"503", rest.split(b"\r\n")[0])
+        self.assertIn(b"Retry-After: 0.250", rest)
+        self.assertIn(b"Request-Id: abc", rest)
+        self.assertIn(b"Connection: close", rest)
+
+    @on_loopback
+    async def test_stream_ends_properly_or_not_at_all(self) -> None:
+        for finish in (True, False):
+            with self.subTest(finish=finish):
+                client, handle = await self.arrive(REQUEST)
+                upstream = Exchange(1, ("i", "h", 1), status=200)
+                self.callers.open_answer(handle, upstream)
+                self.callers.write_pieces(handle, b"id: 1\n\n")
+                if finish:
+                    self.callers.finish_stream(handle, closing=True)
+                else:
+                    await self.wait_until(
+                        lambda client=client: b"id" in client.received
+                    )
+                    self.callers.cut(handle)
+                await self.wait_until(lambda client=client: client.closed)
+                ended = client.received.endswith(b"0\r\n\r\n")
+                self.assertEqual(ended, finish)
+
+    @on_loopback
+    async def test_caller_that_leaves_is_reported_once(self) -> None:
+        client, handle = await self.arrive(REQUEST)
+        assert client.transport is not None
+        client.transport.loseConnection()
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.assertEqual(self.events[1], CallerLeft(handle))
+        upstream = Exchange(1, ("i", "h", 1), status=200, body=[b"late"])
+        self.callers.answer(handle, upstream, closing=False)
+        self.callers.cut(handle)
+
+    @on_loopback
+    async def test_idle_connections_close_after_their_time_or_on_request(self) -> None:
+        client = await self.connect(b"")
+        await self.sleep(0.3)
+        self.assertFalse(client.closed)
+        await self.wait_until(lambda: client.closed)
+        idle = await self.connect(b"")
+        busy, handle = await self.arrive(REQUEST)
+        self.callers.close_idle()
+        await self.wait_until(lambda: idle.closed)
+        self.assertFalse(busy.closed)
+        answer = Exchange(1, ("i", "h", 1), status=200, body=[b"x"])
+        self.callers.answer(handle, answer, closing=True)
+        await self.wait_until(lambda: busy.closed)
+        self.assertIn(b"200", busy.received)
--- /dev/null
+++ b/tests/serving/test_exchanges.py
@@ -0,0 +1,201 @@
+"""Tests of exchanges with upstreams that answer well, badly or not at all."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.web.http_headers import Headers
+
+from magnoliahold.core.serving.effects import SendAttempt
+from magnoliahold.core.serving.events import (
+    AnswerReceived,
+    AttemptBroke,
+    AttemptSent,
+    AttemptUnsent,
+    PiecesReceived,
+    StreamEnded,
+    StreamOpened,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.serving.connections import ConnectionPool
+from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
+from tests.loopback import LoopbackTestCase, on_loopback
+from tests.serving.scripted import CLOSE, RESET, ScriptedServer
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIECE = b"id: 1\ndata: a\n\n"
+
+
+def make_chunk(content: bytes) -> bytes:
+    """Frames bytes as a chunk."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+LAST_CHUNK = make_chunk(b"")
+
+# What an upstream sends, and the events that follow the sending of the request.
+ANSWERS: tuple[tuple[str, list[Any], list[type]], ...] = (
+    ("whole", [WHOLE], [AnswerReceived]),
+    ("no length, closed", [HEAD + b"\r\nok", CLOSE], [AnswerReceived]),
+    ("no length, reset", [HEAD + b"\r\nok", RESET], [AttemptBroke]),
+    ("too short", [HEAD + b"Content-Length: 9\r\n\r\nok", CLOSE], [AttemptBroke]),
+    ("closed without an answer", [CLOSE], [AttemptBroke]),
+    ("reset without an answer", [RESET], [AttemptBroke]),
+    ("no HTTP", [b"\x00\x01garbage\r\n\r\n", CLOSE], [AttemptBroke]),
+    ("whole with more behind it", [WHOLE + b"more"], [AnswerReceived]),
+    (
+        "stream",
+        [STREAM, make_chunk(PIECE), LAST_CHUNK],
+        [StreamOpened, PiecesReceived, StreamEnded],
+    ),
+    (
+        "stream broken within a piece",
+        [STREAM, make_chunk(PIECE + b"id: 2\nda"), RESET],
+        [StreamOpened, PiecesReceived, AttemptBroke],
+    ),
+    (
+        "stream closed before its end",
+        [STREAM, make_chunk(PIECE), CLOSE],
+        [StreamOpened, PiecesReceived, AttemptBroke],
+    ),
+    (
+        "stream that ends within a piece",
+        [STREAM, make_chunk(PIECE + b"id: 2\nda"), LAST_CHUNK],
+        [StreamOpened, PiecesReceived, AttemptBroke],
+    ),
+)
+
+
+class ExchangeTests(LoopbackTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.events: list[Any] = []
+        self.pool = ConnectionPool(self.reactor)
+        self.exchanges = UpstreamExchanges(self.reactor, self.events.append, self.pool)
+        self.attempt = 0
+
+    def listen(self, *scripts: list[Any]) -> ScriptedServer:
+        """Starts a server with scripts."""
+        server = ScriptedServer(list(scripts))
+        listener = server.listen(self.reactor)
+        listener.close = listener.stopListening
+        self.listeners.append(listener)
+        return server
+
+    def make_record(self, port: int) -> UpstreamRecord:
+        """Makes the registration of a server on a port."""
+        return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
+
+    def send(self, port: int, *, fresh: bool = False, body: bytes = b"") -> int:
+        """Sends an attempt."""
+        self.attempt += 1
+        effect = SendAttempt(
+            attempt=self.attempt,
+            handle=1,
+            upstream=self.make_record(port),
+            workspace="w",
+            deadline_s=1.0,
+            connect_timeout_s=0.5,
+            priority=5,
+            fresh_connection=fresh,
+        )
+        headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
+        self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
+        return self.attempt
+
+    async def wait_for(self, count: int) -> list[type]:
+        """Waits for a number of events, and a little longer, and lists their types."""
+        await self.wait_until(lambda: len(self.events) >= count)
+        await self.sleep(0.02)
+        return [type(event) for event in self.events]
+
+    @on_loopback
+    async def test_answers(self) -> None:
+        for name, script, expected in ANSWERS:
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(script)
+                self.send(server.port)
+                found = await self.wait_for(len(expected) + 1)
+                self.assertEqual(found, [AttemptSent, *expected])
+
+    @on_loopback
+    async def test_refused_connection_is_certainly_unsent(self) -> None:
+        server = ScriptedServer([])
+        server.listen(self.reactor).stopListening()
+        self.send(server.port)
+        self.assertEqual(await self.wait_for(1), [AttemptUnsent])
+        self.assertTrue(self.events[0].refused)
+
+    @on_loopback
+    async def test_connection_is_kept_unless_bytes_follow_the_answer(self) -> None:
+        for name, script, connections in (
+            ("clean", [WHOLE], 1),
+            ("more behind it", [WHOLE + b"HTTP/1.1 200 OK\r\n"], 2),
+            ("closing", [WHOLE.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)], 2),
+        ):
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(script)
+                self.send(server.port)
+                await self.wait_for(2)
+                self.send(server.port)
+                await self.wait_for(4)
+                self.assertEqual(server.connections, connections)
+
+    @on_loopback
+    async def test_late_answer_on_an_idle_connection_is_no_answer(self) -> None:
+        server = self.listen([WHOLE])
+        self.send(server.port)
+        await self.wait_for(2)
+        (connections,) = self.pool._idle.values()
+        connections[0].dataReceived(WHOLE)
+        self.send(server.port)
+        await self.wait_for(4)
+        self.assertEqual(server.connections, 2)
+
+    @on_loopback
+    async def test_unrepeatable_request_avoids_long_idle_connections(self) -> None:
+        server = self.listen([WHOLE])
+        self.send(server.port)
+        await self.wait_for(2)
+        (connections,) = self.pool._idle.values()
+        connections[0].idle_since -= 3.0
+        self.send(server.port, fresh=True)
+        await self.wait_for(4)
+        self.assertEqual(server.connections, 2)
+
+    @on_loopback
+    async def test_dropped_attempt_closes_its_connection_and_says_nothing(self) -> None:
+        server = self.listen([STREAM + make_chunk(PIECE)])
+        attempt = self.send(server.port)
+        await self.wait_for(3)
+        self.events.clear()
+        self.exchanges.drop(attempt)
+        await self.wait_until(lambda: server.ended == 1)
+        await self.sleep(0.02)
+        self.assertEqual(self.events, [])
+
+    @on_loopback
+    async def test_probes(self) -> None:
+        alive = b"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        other = b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
+        for name, script, expected in (
+            ("any answer", [alive], UpstreamAnsweredProbe),
+            ("another upstream", [other], UpstreamFailedProbe),
+            ("no answer", [], UpstreamFailedProbe),
+            ("reset", [RESET], UpstreamFailedProbe),
+        ):
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(script)
+                self.exchanges.probe(self.make_record(server.port), 0.1)
+                await self.wait_until(lambda: bool(self.events))
+                self.assertIsInstance(self.events[0], expected)
+                await self.sleep(0.15)
+                self.assertEqual(len(self.events), 1)
+                self.assertIn(b"i-1", server.requests[0])
