--- a/src/magnoliahold/cli/check.py
+++ b/src/magnoliahold/cli/check.py
@@ -11,6 +11,7 @@
 from magnoliahold.settings.documents import parse_document, read_text
 from magnoliahold.settings.loading import (
     parse_entry_settings,
+    parse_serving_settings,
     parse_sidecar_settings,
 )
 from magnoliahold.templates import parse_template
@@ -21,6 +22,7 @@
 TEMPLATE_KEYS = frozenset(("workspace", "works", "services", "parameters"))
 SIDECAR_KEYS = frozenset(("upstream",))
 ENTRY_KEYS = frozenset(("credentials", "caller_port", "limits"))
+SERVING_KEYS = frozenset(("callers", "store"))
 
 
 def check(*files: Path, parameter: list[str] = []) -> int:  # noqa: B006
@@ -58,6 +60,8 @@
         parse_template(text, parameters)
     elif kind == "sidecar settings":
         parse_sidecar_settings(document, path.parent)
+    elif kind == "serving settings":
+        parse_serving_settings(document, path.parent)
     else:
         parse_entry_settings(document, path.parent)
     return kind
@@ -68,6 +72,8 @@
     keys = frozenset(document)
     if keys & SIDECAR_KEYS:
         return "sidecar settings"
+    if keys & SERVING_KEYS:
+        return "serving settings"
     if keys & ENTRY_KEYS:
         return "entry settings"
     if keys & TEMPLATE_KEYS:
@@ -75,7 +81,8 @@
     raise SettingsError(
         "document",
         "it is neither settings nor a template",
-        "add `upstream` (sidecar), `credentials` (entry) or `workspace` (template)",
+        "add `upstream` (sidecar), `credentials` (entry), `store` (serving entry) or "
+        "`workspace` (template)",
     )
 
 
--- a/src/magnoliahold/settings/loading.py
+++ b/src/magnoliahold/settings/loading.py
@@ -57,6 +57,13 @@
     return parse_settings(mapping, SidecarSettings, base_directory or Path())
 
 
+def parse_serving_settings(
+    mapping: Mapping[str, Any], base_directory: Path | None = None
+) -> ServingSettings:
+    """Checks the settings of a serving entry given as a mapping."""
+    return parse_settings(mapping, ServingSettings, base_directory or Path())
+
+
 def load_settings(path: Path, kind: type[T]) -> T:
     """Loads a settings file; credential files are looked for beside it."""
     try:
--- a/src/magnoliahold/wire/links.py
+++ b/src/magnoliahold/wire/links.py
@@ -114,7 +114,11 @@
         router = self._context.socket(zmq.ROUTER)
         self._set_limits(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        router.bind(f"tcp://{address}:{port if port else '*'}")
+        try:
+            router.bind(f"tcp://{address}:{port if port else '*'}")
+        except zmq.ZMQError:
+            router.close(linger=0)
+            raise
         self._router = router
         self._router_reader = SocketReader(self._reactor, router, self._take_routed)
         endpoint = router.getsockopt(zmq.LAST_ENDPOINT)
--- /dev/null
+++ b/tests/settings/test_serving.py
@@ -0,0 +1,81 @@
+"""Tests of the settings of serving entries, and of the template that makes them."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+from typing import Any
+
+from magnoliahold.settings.documents import parse_document
+from magnoliahold.settings.loading import parse_serving_settings
+from magnoliahold.settings.serving import make_serving_policy
+
+ROOT = Path(__file__).resolve().parents[2]
+TEMPLATE = ROOT / "deploy" / "entry.yaml.template"
+FIELDS = {
+    "node": "edge-1",
+    "zone": "data-centre-1",
+    "ip": "10.1.0.40",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "port_range.0": "7340",
+    "provider.address": "10.200.1.7:8223",
+    "bounds.revoke_ms": "5000",
+    "bounds.grace_s": "8",
+}
+SOUND = {
+    "name": "entry-1",
+    "data_centre": "data-centre-1",
+    "callers": "10.0.0.1:80",
+    "store": "10.0.0.2:81",
+}
+FAULTS: tuple[tuple[str, Any, str], ...] = (
+    ("callers", "10.0.0.1", "IP:PORT"),
+    ("callers", "10.0.0.1:0", "not a port"),
+    ("store", None, "store"),
+    ("peers", 5, "peers"),
+    ("bounds", {"revocation_ms": 10}, "revocation_ms"),
+    ("policy", {"watch": {"gap_s": 0}}, "gap_s"),
+    ("colour", "red", "colour"),
+)
+
+
+def list_faults(group: BaseException) -> list[str]:
+    """Lists the messages of a group of faults."""
+    if isinstance(group, BaseExceptionGroup):
+        return [text for each in group.exceptions for text in list_faults(each)]
+    return [str(group)]
+
+
+class ServingSettingsTests(unittest.TestCase):
+    def test_template_makes_sound_settings(self) -> None:
+        text = TEMPLATE.read_text(encoding="utf-8")
+        filled = re.sub(r"{{([a-z_.0-9]+)}}", lambda name: FIELDS[name[1]], text)
+        settings = parse_serving_settings(parse_document(filled))
+        self.assertEqual(settings.callers, FIELDS["listen.front"])
+        self.assertEqual(settings.peers, "10.1.0.40:7340")
+        self.assertEqual(settings.bounds.stop_grace_s, 8)
+
+    def test_faults_name_the_setting(self) -> None:
+        for name, value, expected in FAULTS:
+            with self.subTest(name, value=value):
+                with self.assertRaises(ExceptionGroup) as caught:
+                    parse_serving_settings({**SOUND, name: value})
+                self.assertIn(expected, " ".join(list_faults(caught.exception)))
+
+    def test_limits_follow_the_bounds_of_the_deployment(self) -> None:
+        for revocation_ms, grace_s in ((5000, 8), (2000, 3), (60_000, 60)):
+            with self.subTest(revocation_ms=revocation_ms, grace_s=grace_s):
+                bounds = {"revocation_ms": revocation_ms, "stop_grace_s": grace_s}
+                settings = parse_serving_settings({**SOUND, "bounds": bounds})
+                policy = make_serving_policy(settings)
+                proof_s = policy.feeds.proof_max_age_s
+                self.assertLess(proof_s, revocation_ms / 1000)
+                self.assertLess(policy.feeds.ready_age_s, revocation_ms / 1000)
+                self.assertLess(policy.leave.limit_s, grace_s)
+                self.assertLess(policy.leave.accept_s, policy.leave.limit_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from magnoliahold.cli.application import COMMANDS
 from magnoliahold.settings import EntrySettings, SidecarSettings
 from magnoliahold.settings.faults import name_key
+from magnoliahold.settings.serving import ServingSettings
 from magnoliahold.templates import (
     Move,
     MoveGuards,
@@ -67,6 +68,7 @@
 
     def test_every_settings_key_is_described(self) -> None:
         self.check_page("settings.md", {*list_keys(EntrySettings)} - {"credentials"})
+        self.check_page("settings.md", {*list_keys(ServingSettings)})
         keys = {key for key in list_keys(SidecarSettings) if key.startswith("upstream")}
         self.check_page("settings.md", keys)
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -151,3 +151,19 @@
         self.assertTrue(self.run_until(lambda: bool(self.server.received)))
         self.server.send("client", CancelStream("answer", 1))
         self.assertTrue(self.run_until(lambda: bool(self.client.received)))
+
+    def test_listening_that_fails_leaves_no_socket_open(self) -> None:
+        """An open socket would hold the process back when it ends.
+
+        The error is kept, as by a daemon that raises it again at its end.
+        """
+        end = LinkEnd(self.reactor, "second")
+        self.addCleanup(end.links.close_all)
+        failures = []
+        try:
+            end.links.listen(LOOPBACK, self.port)
+        except zmq.ZMQError as error:
+            failures.append(error)
+        self.assertEqual(len(failures), 1)
+        sockets = end.links._context._sockets
+        self.assertTrue(all(item.closed for item in sockets))
