--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -22,6 +22,7 @@
     finish_stream,
     refuse,
 )
+from magnoliahold.core.serving.systems.sharing import note_place
 from magnoliahold.core.serving.systems.trust import distrust, doubt, note_alive
 from magnoliahold.core.serving.upstreams import Trust
 
@@ -165,6 +166,9 @@
     note_alive(world, upstream, now)
     if attempt.first_piece_at is None:
         attempt.first_piece_at = now
+        if attempt.request.caller.prompt:
+            part = attempt.request.caller.prompt[-1].id
+            note_place(world, part, upstream.id, now)
         if attempt.sent_at is not None:
             opening_s = now - attempt.sent_at
             upstream.opening_s = mix_mean(upstream.opening_s, opening_s)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -5,13 +5,11 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import CopySource, SendAttempt
 from magnoliahold.core.serving.requests import Attempt, AttemptState
-from magnoliahold.core.serving.systems.sharing import count_own_load, note_place
+from magnoliahold.core.serving.systems.sharing import count_own_load
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -43,7 +41,7 @@
         return
     candidates = find_candidates(world, request, now)
     if candidates:
-        upstream = choose_upstream(world, request, candidates, now)
+        upstream = choose_upstream(world, request, candidates)
         _start_attempt(world, request, upstream, None, now)
 
 
@@ -128,18 +126,18 @@
     world: ServingWorld,
     request: ServedRequest,
     candidates: list[Upstream],
-    now: float,
 ) -> Upstream:
     """Chooses the upstream that has read the prompt, or the least loaded one.
 
-    Among equally loaded ones the prompt's hash decides, alike at all entries.
+    Chance decides among equals: requests about the same thing come at the same time at
+    several entries, and would all wait for one upstream to read their prompt.
     """
     known = _find_place(world, request, candidates)
     if known is not None:
         return known
 
-    def rank(upstream: Upstream) -> tuple[float, int]:
-        return (measure_load(world, upstream), -_hash_place(request, upstream))
+    def rank(upstream: Upstream) -> tuple[float, float]:
+        return (measure_load(world, upstream), world.random.random())
 
     return min(candidates, key=rank)
 
@@ -185,13 +183,6 @@
     )
 
 
-def _hash_place(request: ServedRequest, upstream: Upstream) -> int:
-    """Hashes a prompt's last part with an upstream, alike at all entries."""
-    prompt = request.caller.prompt
-    part = prompt[-1].id if prompt else request.id
-    return xxhash.xxh3_64_intdigest(f"{part} {upstream.id}".encode())
-
-
 def _choose_copy_holder(
     world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
 ) -> Upstream | None:
@@ -241,8 +232,6 @@
     world.emit(_make_send(world, attempt, now))
     world.emit(CountMetric("attempts_started"))
     _log_choice(world, attempt)
-    if request.caller.prompt:
-        note_place(world, request.caller.prompt[-1].id, upstream.id, now)
 
 
 def _make_send(world: ServingWorld, attempt: Attempt, now: float) -> SendAttempt:
--- a/src/magnoliahold/core/serving/systems/sharing.py
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -9,6 +9,7 @@
 
 from attrs import evolve
 
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RegisterEntry, RemoveEntry, TellPeers
 from magnoliahold.core.serving.events import EntryRegistered, NoticeReceived
 from magnoliahold.core.serving.peers import (
@@ -131,7 +132,7 @@
 
 
 def note_place(world: ServingWorld, part: str, upstream_id: str, now: float) -> None:
-    """Remembers which upstream reads a prompt, the newest last."""
+    """Remembers which upstream has read a prompt, the newest last."""
     world.entries.places.pop(part, None)
     world.entries.places[part] = (upstream_id, now)
 
@@ -197,14 +198,19 @@
         identity.incarnation,
         serial,
         loads=tuple(
-            count_own_load(upstream)
-            for upstream in upstreams
-            if upstream.attempts or upstream.copies
+            count_own_load(upstream) for upstream in upstreams if _is_told(upstream)
         ),
         down=tuple(item.id for item in upstreams if item.trust is Trust.DOWN),
         places=tuple(
             PromptPlace(attempt.request.caller.prompt[-1].id, attempt.upstream.id)
             for attempt in world.requests.attempts.values()
-            if attempt.request.caller.prompt
+            if attempt.request.caller.prompt and attempt.pieces
         ),
     )
+
+
+def _is_told(upstream: Upstream) -> bool:
+    """Tells whether others need to know; calls are over before they would."""
+    attempts = upstream.attempts.values()
+    streams = (item.request.route.kind is RouteKind.STREAM for item in attempts)
+    return upstream.copies > 0 or any(streams)
--- a/tests/core/serving/test_sharing.py
+++ b/tests/core/serving/test_sharing.py
@@ -15,6 +15,7 @@
     TellPeers,
 )
 from magnoliahold.core.serving.events import (
+    CallerLeft,
     EntryRegistered,
     NoticeReceived,
     UpstreamAnsweredProbe,
@@ -104,15 +105,43 @@
         self.rig.advance(self.rig.world.serving.peers.place_kept_s + 0.1)
         self.assertFalse(self.rig.world.entries.places)
 
+    def test_calls_are_over_before_others_would_know(self) -> None:
+        self.rig.advance(0.1)
+        self.rig.take(TellPeers)
+        self.rig.request(RouteKind.IDEMPOTENT)
+        self.rig.advance(0.1)
+        self.assertFalse(self.rig.take(TellPeers))
+
+    def test_requests_about_the_same_thing_are_spread(self) -> None:
+        """Entries that choose at the same time must not all choose the same."""
+        chosen = set()
+        for seed in range(20):
+            self.rig.world.random.seed(seed)
+            chosen.add(self.choose("prompt-1"))
+            (request,) = self.rig.world.requests.by_handle.values()
+            self.rig.post(CallerLeft(request.handle))
+        self.assertEqual(len(chosen), 4)
+
     def test_own_work_is_told_when_it_changes_and_now_and_then(self) -> None:
         self.rig.advance(0.1)
         self.rig.take(TellPeers)
-        self.choose("prompt-1")
+        part = PromptPart("prompt-1", 8000)
+        caller = self.rig.request(STREAM, prompt=(part,))
+        attempt = self.rig.send()
         self.rig.advance(0.1)
         told = self.rig.take_one(TellPeers)
         self.assertEqual(told.peers, (PEER,))
         self.assertEqual(sum(load.reading for load in told.notice.loads), 1)
-        self.assertEqual(told.notice.places[0].part, "prompt-1")
+        self.assertEqual(told.notice.places, (), "it is still being read")
+        self.rig.open(attempt, caller)
+        self.rig.produce(attempt, 1)
+        self.rig.advance(0.1)
+        told = self.rig.take_one(TellPeers)
+        place = PromptPlace("prompt-1", attempt.upstream.id)
+        self.assertEqual(told.notice.places, (place,))
+        self.rig.finish(attempt)
+        self.rig.advance(0.1)
+        self.rig.take_one(TellPeers)
         self.rig.advance(0.5)
         self.assertFalse(self.rig.take(TellPeers))
         self.rig.advance(0.6)
