--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -78,7 +78,8 @@
     """Attempts of requests and their repeats.
 
     An idempotent call without an answer is repeated elsewhere after `repeat_after_s`,
-    a stream without a first piece after `opening_share` of its goal. Requests without
+    a stream without a first piece after `opening_share` of its goal if another upstream
+    has at most `idle_share` of the work. Requests without
     a usable upstream are refused after `hold_share` of their goal, streams that are
     under way are cut after `hold_stream_s`. A stream goes to the upstream that has read
     its prompt before unless the load there is `place_extra_load` above the lowest.
@@ -88,6 +89,7 @@
     connect_timeout_s: float = _seconds(0.25)
     repeat_after_s: float = _seconds(0.35)
     opening_share: float = _part(0.75)
+    idle_share: float = _part(0.5)
     hold_share: float = _part(0.125)
     hold_stream_s: float = _seconds(1.5)
     full_s: float = _seconds(0.1)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -142,6 +142,23 @@
     return min(candidates, key=rank)
 
 
+def is_elsewhere_faster(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether another upstream has far less work than that of an attempt.
+
+    Where all are busy, a prompt that is read anew only makes them busier.
+    """
+    others = [
+        item
+        for item in find_candidates(world, attempt.request, now)
+        if item is not attempt.upstream
+    ]
+    if not others:
+        return False
+    lowest = min(measure_load(world, item) for item in others)
+    share = world.serving.attempts.idle_share
+    return lowest <= share * measure_load(world, attempt.upstream)
+
+
 def _find_place(
     world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
 ) -> Upstream | None:
--- a/src/magnoliahold/core/serving/systems/silence.py
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -11,6 +11,7 @@
     may_try_again,
     move_request,
 )
+from magnoliahold.core.serving.systems.routing import is_elsewhere_faster
 from magnoliahold.core.serving.systems.trust import doubt, probe
 from magnoliahold.core.serving.upstreams import Trust
 
@@ -61,7 +62,9 @@
     if now - max(attempt.upstream.heard_at, attempt.heard_at) >= policy.probe_after_s:
         probe(world, attempt.upstream, "a stream has not begun", now)
     patience_s = request.route.goal_s * world.serving.attempts.opening_share
-    if waited_s >= patience_s and not request.opened_late:
+    if waited_s < patience_s or request.opened_late:
+        return
+    if is_elsewhere_faster(world, attempt, now):
         request.opened_late = True
         move_request(world, attempt, f"no first piece for {waited_s:.2f} s", now)
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -18,9 +18,11 @@
 from magnoliahold.core.serving.events import (
     AnswerHead,
     AttemptUnsent,
+    StreamOpened,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
+from magnoliahold.core.serving.peers import UpstreamLoad
 from tests.core.serving.rig import ServingRig
 
 
@@ -129,8 +131,6 @@
 
     def test_stream_of_another_request_is_never_passed_on(self) -> None:
         head = AnswerHead(200, "request-other", signed=True)
-        from magnoliahold.core.serving.events import StreamOpened
-
         self.rig.post(StreamOpened(self.first.attempt, head))
         self.rig.produce(self.first, 1)
         self.assertFalse(self.rig.take(OpenAnswer))
@@ -168,6 +168,29 @@
                 self.rig.post(UpstreamAnsweredProbe(record.id, record.born_ms))
         self.assertFalse(self.rig.take(SendAttempt))
 
+    def test_stream_that_does_not_begin_moves_only_where_less_is_done(
+        self,
+    ) -> None:
+        for others, moved in ((0, 1), (3, 0)):
+            with self.subTest(others=others):
+                rig = ServingRig()
+                rig.start()
+                rig.request(RouteKind.STREAM)
+                first = rig.send().upstream.id
+                loads = tuple(
+                    UpstreamLoad(upstream.id, reading=others)
+                    for upstream in rig.world.upstreams.by_id.values()
+                    if upstream.id != first
+                )
+                rig.world.entries.loads = {load.upstream_id: load for load in loads}
+                for _ in range(20):
+                    rig.advance(0.2)
+                    for probe in rig.take(ProbeServing):
+                        record = probe.upstream
+                        answered = UpstreamAnsweredProbe(record.id, record.born_ms)
+                        rig.post(answered)
+                self.assertEqual(len(rig.take(SendAttempt)), moved)
+
     def test_unsent_attempt_does_not_count(self) -> None:
         rig = ServingRig()
         rig.start()
