--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -55,26 +55,15 @@
 
 
 @frozen
-class EngineTraits:
-    """What the model engines of a service can do.
+class Service:
+    """A group of upstreams that are alike.
 
-    An engine runs `slots` requests at once within a memory of `memory_tokens`. With
-    `keeps_copies` it takes copies of the memory of requests that run elsewhere.
+    With `keeps_copies` they are engines that take copies of the memory of streams that
+    run elsewhere.
     """
 
-    slots: int
-    memory_tokens: int
-    keeps_copies: bool = False
-
-
-@frozen
-class Service:
-    """A group of upstreams that are alike; `engine` is None for plain services."""
-
     name: str
-    max_connections: int
-    health_path: str = "/"
-    engine: EngineTraits | None = None
+    keeps_copies: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -35,11 +35,10 @@
 
 @frozen
 class AttemptUnsent:
-    """No byte of the request left this process; `refused` by a closed port."""
+    """No byte of the request left this process."""
 
     attempt: int
     reason: str
-    refused: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -50,8 +50,10 @@
 class WatchPolicy:
     """Detection of upstreams that died, fell silent or are slow.
 
-    A stream whose memory has a copy moves after `gap_s` without a piece, another one
-    after `gap_without_copy_s` or when its upstream fails a probe. Upstreams that were
+    A stream is silent after `gap_share` of its route's longest pause, `gap_s` where the
+    route names none, but not before `gap_times` the mean pause at its upstream. Then it
+    moves if its memory has a copy, else after `gap_without_copy_s` or when its upstream
+    fails a probe. Upstreams that were
     not heard for `probe_after_s` while a stream waits for its first piece are probed.
     A gap of more than `pause_s` between two ticks is a pause of this process, which
     says nothing about others. Outcomes count half after `outcome_half_life_s`.
@@ -59,6 +61,8 @@
 
     scan_s: float = _seconds(0.02)
     gap_s: float = _seconds(0.25)
+    gap_share: float = _part(0.36)
+    gap_times: float = _part(4.0)
     gap_without_copy_s: float = _seconds(1.5)
     probe_after_s: float = _seconds(0.35)
     probe_timeout_s: float = _seconds(0.2)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -36,15 +36,8 @@
     path: str
     credential: str | None
     patience_s: float | None = None
-    body_bytes: int = 0
     resume_after: int | None = None
     prompt: tuple[PromptPart, ...] = ()
-    output_tokens: int = 0
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Number of tokens of the whole prompt."""
-        return sum(part.tokens for part in self.prompt)
 
 
 class RequestState(Enum):
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/choice.py
@@ -0,0 +1,168 @@
+"""Finds the upstreams that may take a request, and the best of them."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.systems.sharing import count_own_load
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.peers import UpstreamLoad
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+READING_LOAD = 2.0
+WRITING_LOAD = 1.0
+COPY_LOAD = 0.3
+RECENT_OUTCOMES = 2.0
+LEAST_COMPARED = 3
+
+
+def find_candidates(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Finds the upstreams that may take a request, best class of them only."""
+    staying = [
+        upstream
+        for upstream in world.upstreams.list_service(request.service)
+        if not upstream.record.leaving
+    ]
+    trusted = _find_most_trusted(staying)
+    fresh = [item for item in trusted if item.id not in request.tried] or trusted
+    sound = _leave_out(fresh, find_failing(world, fresh, now), world)
+    fast = _leave_out(sound, find_slow(world, sound), world)
+    return [item for item in fast if item.full_until <= now] or fast
+
+
+def _find_most_trusted(upstreams: list[Upstream]) -> list[Upstream]:
+    """Finds the upstreams of the best trust there is, so that a service never empties.
+
+    One whose registration is missing may have lapsed, and counts as doubted.
+    """
+    known = [
+        item
+        for item in upstreams
+        if item.trust is Trust.TRUSTED and item.missing_since is None
+    ]
+    return known or [i for i in upstreams if i.trust is not Trust.DOWN] or upstreams
+
+
+def _leave_out(
+    candidates: list[Upstream], avoided: set[str], world: ServingWorld
+) -> list[Upstream]:
+    """Leaves out upstreams on soft evidence, but never most of them."""
+    if len(avoided) > len(candidates) * world.serving.watch.avoided_share:
+        return candidates
+    return [item for item in candidates if item.id not in avoided]
+
+
+def find_failing(
+    world: ServingWorld, candidates: list[Upstream], now: float
+) -> set[str]:
+    """Finds upstreams that lately failed a large part of their requests."""
+    policy = world.serving.watch
+    failing = set()
+    for upstream in candidates:
+        upstream.fade_outcomes(now, policy.outcome_half_life_s)
+        total = upstream.failures + upstream.answers + RECENT_OUTCOMES
+        if upstream.failures / total >= policy.failing_share:
+            failing.add(upstream.id)
+    return failing
+
+
+def find_slow(world: ServingWorld, candidates: list[Upstream]) -> set[str]:
+    """Finds upstreams whose pieces or answers come far more slowly than others'."""
+    times = world.serving.watch.slow_times
+    slow: set[str] = set()
+    for means in (
+        {item.id: item.gap_s for item in candidates},
+        {item.id: item.opening_s for item in candidates},
+    ):
+        known = {key: mean for key, mean in means.items() if mean is not None}
+        if len(known) < LEAST_COMPARED:
+            continue
+        limit = median(known.values()) * times
+        slow |= {key for key, mean in known.items() if mean > limit}
+    return slow
+
+
+def choose_upstream(
+    world: ServingWorld,
+    request: ServedRequest,
+    candidates: list[Upstream],
+) -> Upstream:
+    """Chooses the upstream that has read the prompt, or the least loaded one.
+
+    Chance decides among equals: requests about the same thing come at the same time at
+    several entries, and would all wait for one upstream to read their prompt.
+    """
+    known = _find_place(world, request, candidates)
+    if known is not None:
+        return known
+
+    def rank(upstream: Upstream) -> tuple[float, float]:
+        return (measure_load(world, upstream), world.random.random())
+
+    return min(candidates, key=rank)
+
+
+def is_elsewhere_faster(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether another upstream has far less work than that of an attempt.
+
+    Where all are busy, a prompt that is read anew only makes them busier.
+    """
+    others = [
+        item
+        for item in find_candidates(world, attempt.request, now)
+        if item is not attempt.upstream
+    ]
+    if not others:
+        return False
+    lowest = min(measure_load(world, item) for item in others)
+    share = world.serving.attempts.idle_share
+    return lowest <= share * measure_load(world, attempt.upstream)
+
+
+def _find_place(
+    world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
+) -> Upstream | None:
+    """Finds the upstream that has read the prompt, unless it has far more load."""
+    place = read_place(world, request)
+    known = [item for item in candidates if item.id == place]
+    if not known:
+        return None
+    lowest = min(measure_load(world, item) for item in candidates)
+    extra = measure_load(world, known[0]) - lowest
+    if extra > world.serving.attempts.place_extra_load:
+        return None
+    return known[0]
+
+
+def read_place(world: ServingWorld, request: ServedRequest) -> str | None:
+    """Finds the id of the upstream that has read a request's prompt."""
+    prompt = request.caller.prompt
+    place = world.entries.places.get(prompt[-1].id) if prompt else None
+    return place[0] if place is not None else None
+
+
+def measure_load(world: ServingWorld, upstream: Upstream) -> float:
+    """Measures the work of all entries at an upstream.
+
+    A stream whose prompt is being read counts double, since it slows all others down.
+    """
+    load = count_own_load(upstream)
+    others = world.entries.loads.get(upstream.id)
+    if others is None:
+        return _weigh(load)
+    return _weigh(load) + _weigh(others)
+
+
+def _weigh(load: UpstreamLoad) -> float:
+    return (
+        READING_LOAD * load.reading
+        + WRITING_LOAD * load.writing
+        + COPY_LOAD * load.copies
+    )
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -0,0 +1,96 @@
+"""Passes the pieces of streams on, each number once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import RecordMetric
+from magnoliahold.core.serving.effects import DeliverPieces, OpenAnswer
+from magnoliahold.core.serving.events import (
+    PiecesReceived,
+    StreamEnded,
+    StreamOpened,
+)
+from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.systems.endings import finish_stream
+from magnoliahold.core.serving.systems.outcomes import is_of_another
+from magnoliahold.core.serving.systems.retries import break_off, count_outcome
+from magnoliahold.core.serving.systems.sharing import note_place
+from magnoliahold.core.serving.systems.trust import note_alive
+from magnoliahold.core.serving.upstreams import mix_mean
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def open_streams(world: ServingWorld, now: float) -> None:
+    """Starts the caller's answer when the first upstream starts its own."""
+    for opened in world.inbox.read_events(StreamOpened):
+        attempt = world.requests.attempts.get(opened.attempt)
+        if attempt is None:
+            continue
+        if is_of_another(opened.head, attempt) or not opened.head.signed:
+            break_off(world, attempt, "the stream is of another request", now)
+            continue
+        note_alive(world, attempt.upstream, now)
+        attempt.heard_at = now
+        attempt.state = AttemptState.STREAMING
+        request = attempt.request
+        if not request.opened:
+            request.opened = True
+            world.emit(OpenAnswer(request.handle, attempt.number))
+
+
+def deliver_pieces(world: ServingWorld, now: float) -> None:
+    """Passes on the pieces of running streams, each number once."""
+    for received in world.inbox.read_events(PiecesReceived):
+        attempt = world.requests.attempts.get(received.attempt)
+        if attempt is None or attempt.state is not AttemptState.STREAMING:
+            continue
+        _note_pieces(world, attempt, received.count, now)
+        request = attempt.request
+        if request.last_piece is not None and received.last <= request.last_piece:
+            continue
+        world.emit(DeliverPieces(request.handle, attempt.number, request.last_piece))
+        request.last_piece = received.last
+
+
+def _note_pieces(world: ServingWorld, attempt: Attempt, count: int, now: float) -> None:
+    upstream = attempt.upstream
+    note_alive(world, upstream, now)
+    if attempt.first_piece_at is None:
+        attempt.first_piece_at = now
+        if attempt.request.caller.prompt:
+            part = attempt.request.caller.prompt[-1].id
+            note_place(world, part, upstream.id, now)
+        if attempt.sent_at is not None:
+            opening_s = now - attempt.sent_at
+            upstream.opening_s = mix_mean(upstream.opening_s, opening_s)
+            openings = world.openings
+            service = attempt.request.service
+            openings[service] = mix_mean(openings.get(service), opening_s)
+            world.emit(RecordMetric("first_piece_seconds", opening_s))
+    elif attempt.last_piece_at is not None:
+        gap_s = (now - attempt.last_piece_at) / count
+        upstream.gap_s = mix_mean(upstream.gap_s, gap_s)
+    attempt.last_piece_at = now
+    attempt.heard_at = now
+    attempt.pieces += count
+
+
+def end_streams(world: ServingWorld, now: float) -> None:
+    """Ends the answers of streams that came to their proper end."""
+    for ended in world.inbox.read_events(StreamEnded):
+        attempt = world.requests.attempts.get(ended.attempt)
+        if attempt is not None:
+            count_outcome(world, attempt, False, now)
+            world.requests.end_attempt(attempt)
+            _note_stream(world, attempt.request, now)
+            finish_stream(world, attempt.request, now)
+
+
+def _note_stream(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    service = request.service
+    duration_s = now - request.arrived_at
+    world.durations[service] = mix_mean(world.durations.get(service), duration_s)
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -0,0 +1,95 @@
+"""Lets requests go on after an attempt was lost, where that is allowed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.requests import AttemptState, MemoryCopy
+from magnoliahold.core.serving.systems.endings import drop_attempt, refuse
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def move_request(
+    world: ServingWorld, attempt: Attempt, reason: str, now: float
+) -> None:
+    """Takes a request off an upstream that doesn't serve it, and goes on elsewhere."""
+    count_outcome(world, attempt, True, now)
+    try_again(world, attempt, reason, now)
+
+
+def try_again(world: ServingWorld, attempt: Attempt, reason: str, now: float) -> None:
+    """Closes an attempt and lets its request go on, or gives the request up."""
+    request = attempt.request
+    _remember_copy(attempt)
+    request.tried.add(attempt.upstream.id)
+    drop_attempt(world, attempt)
+    world.emit(CountMetric("attempts_lost"))
+    allowed = may_try_again(world, request, now)
+    world.log_decision(
+        "attempt",
+        "Attempt lost.",
+        request=request.id,
+        attempt=attempt.number,
+        upstream=attempt.upstream.id,
+        reason=reason,
+        may_have_run=request.may_have_run,
+        last_piece=request.last_piece,
+        again=allowed,
+    )
+    if allowed:
+        request.trouble = reason
+        request.retry_at = now
+        world.requests.wait_again(request)
+    else:
+        refuse(world, request, reason, now)
+
+
+def _remember_copy(attempt: Attempt) -> None:
+    """Keeps where a copy of the attempt's memory lies, if there is one."""
+    request = attempt.request
+    holder = attempt.copy_holder
+    request.copy = None
+    if holder is not None and attempt.sent_at is not None:
+        request.copy = MemoryCopy(holder, request.id)
+
+
+def may_try_again(world: ServingWorld, request: ServedRequest, now: float) -> bool:
+    """Tells whether another upstream may be handed this request."""
+    if not request.route.repeatable and _may_have_run(request):
+        return False
+    if request.handed >= request.route.max_attempts:
+        return False
+    if now >= request.deadline_at:
+        return False
+    if request.handed == 0:
+        return True
+    return world.find_budget(request.service).count_left(now) >= 1
+
+
+def _may_have_run(request: ServedRequest) -> bool:
+    attempt = request.attempt
+    runs = attempt is not None and attempt.state is not AttemptState.CONNECTING
+    return request.may_have_run or runs
+
+
+def count_outcome(
+    world: ServingWorld, attempt: Attempt, failed: bool, now: float
+) -> None:
+    """Counts an answer or a failure of an attempt's upstream."""
+    upstream = attempt.upstream
+    upstream.fade_outcomes(now, world.serving.watch.outcome_half_life_s)
+    if failed:
+        upstream.failures += 1
+    else:
+        upstream.answers += 1
+
+
+def break_off(world: ServingWorld, attempt: Attempt, reason: str, now: float) -> None:
+    """Ends an attempt that was sent, and goes on where that is allowed."""
+    if attempt.state is AttemptState.CONNECTING:
+        attempt.state = AttemptState.SENT
+    try_again(world, attempt, reason, now)
--- a/src/magnoliahold/core/serving/systems/silence.py
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -6,12 +6,8 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
-from magnoliahold.core.serving.systems.outcomes import (
-    is_lost,
-    may_try_again,
-    move_request,
-)
-from magnoliahold.core.serving.systems.routing import is_elsewhere_faster
+from magnoliahold.core.serving.systems.choice import is_elsewhere_faster
+from magnoliahold.core.serving.systems.retries import may_try_again, move_request
 from magnoliahold.core.serving.systems.trust import doubt, probe
 from magnoliahold.core.serving.upstreams import Trust
 
@@ -29,7 +25,7 @@
             continue
         if not may_try_again(world, attempt.request, now):
             continue
-        if is_lost(attempt):
+        if attempt.upstream.trust is Trust.DOWN:
             move_request(world, attempt, "the upstream is down", now)
         elif attempt.pieces:
             _watch_gap(world, attempt, now)
@@ -42,7 +38,7 @@
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     policy = world.serving.watch
     silent_s = now - attempt.heard_at
-    if silent_s < policy.gap_s:
+    if silent_s < _find_longest_gap(world, attempt):
         return
     holder = attempt.copy_holder
     has_copy = holder is not None and holder.trust is Trust.TRUSTED
@@ -54,6 +50,17 @@
         doubt(world, attempt.upstream, "a stream is silent", now)
 
 
+def _find_longest_gap(world: ServingWorld, attempt: Attempt) -> float:
+    """Finds the longest pause that is no silence, in seconds.
+
+    It follows the route's goal, and the pauses that are usual at the upstream.
+    """
+    policy = world.serving.watch
+    wanted_s = attempt.request.route.gap_goal_s * policy.gap_share or policy.gap_s
+    usual_s = (attempt.upstream.gap_s or 0.0) * policy.gap_times
+    return max(wanted_s, usual_s)
+
+
 def _watch_opening(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Watches a stream whose prompt is being read, which takes its time."""
     policy = world.serving.watch
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -23,12 +23,13 @@
     address: str
     port: int
     data_centre: str
-    version: str = ""
-    slots: int = 1
     leaving: bool = False
     born_ms: int = 0
 
 
+MEAN_WEIGHT = 0.2
+
+
 class Trust(Enum):
     """What an entry believes of an upstream's process.
 
@@ -122,3 +123,8 @@
         new.service,
     )
     return same_place and old.born_ms == new.born_ms
+
+
+def mix_mean(mean: float | None, value: float) -> float:
+    """Moves a mean a step towards a new value."""
+    return value if mean is None else mean + MEAN_WEIGHT * (value - mean)
--- a/src/magnoliahold/platform/callers.py
+++ b/src/magnoliahold/platform/callers.py
@@ -19,7 +19,7 @@
 
 
 def read_caller_request(
-    handle: int, method: str, target: str, headers: Headers, body_bytes: int
+    handle: int, method: str, target: str, headers: Headers
 ) -> CallerRequest:
     """Reads what decisions need of a request; raises BadRequest."""
     request_id = _read(headers, "Request-Id")
@@ -34,10 +34,8 @@
         path=target.partition("?")[0],
         credential=_read_credential(headers),
         patience_s=_read_patience(headers),
-        body_bytes=body_bytes,
         resume_after=_read_number(headers, "Last-Event-Id"),
         prompt=_read_prompt(headers),
-        output_tokens=_read_output_tokens(headers),
     )
 
 
@@ -76,11 +74,6 @@
     return tuple(parts)
 
 
-def _read_output_tokens(headers: Headers) -> int:
-    text = (_read(headers, "Token-Usage") or "").rpartition(",")[2].strip()
-    return int(text) if text.isdecimal() else 0
-
-
 def make_refusal_headers(
     request_id: str | None, retry_after_s: float | None
 ) -> list[tuple[str, str]]:
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -7,7 +7,6 @@
 from magnoliahold.core.serving.configuration import (
     CallerLimits,
     Configuration,
-    EngineTraits,
     Route,
     RouteKind,
     Service,
@@ -42,6 +41,7 @@
     prefix: str
     kind: str
     timeout_ms: float
+    # To the whole answer, or to the first event of a stream.
     goal_ms: float = 0.0
     gap_goal_ms: float = 0.0
     priority: int = 0
@@ -53,16 +53,12 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    # Tokens, though the name speaks of a cache.
-    kv_capacity: int = 0
+    # Whether engines take copies of each other's memory.
     backups: bool = False
 
 
 class _Service(msgspec.Struct):
     name: str
-    health_path: str = "/"
-    max_conns: int = 0
     engine: _Engine | None = None
 
 
@@ -89,11 +85,11 @@
 
 class _Server(msgspec.Struct):
     service: str
+    # IP:PORT.
     address: str
     zone: str
     state: str
-    version: str = ""
-    slots: int = 1
+    # Unix milliseconds of the start, not a number of starts.
     born: int = 0
 
 
@@ -143,11 +139,7 @@
 
 
 def _make_service(raw: _Service) -> Service:
-    engine = None
-    if raw.engine is not None:
-        traits = raw.engine
-        engine = EngineTraits(traits.slots, traits.kv_capacity, traits.backups)
-    return Service(raw.name, raw.max_conns, raw.health_path, engine)
+    return Service(raw.name, raw.engine is not None and raw.engine.backups)
 
 
 def _make_limits(raw: _Limits) -> CallerLimits:
@@ -173,8 +165,6 @@
         address=endpoint.host,
         port=endpoint.port,
         data_centre=raw.zone,
-        version=raw.version,
-        slots=raw.slots,
         leaving=leaving,
         born_ms=raw.born,
     )
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -228,7 +228,6 @@
                 exchange.method.decode("ascii", "replace"),
                 exchange.uri.decode("ascii", "replace"),
                 exchange.requestHeaders,
-                len(body),
             )
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field, frozen
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import Request
 from twisted.web.client import ResponseDone
@@ -119,9 +119,8 @@
     def _report_unsent(self, exchange: Exchange, reason: Failure) -> None:
         if exchange.dropped:
             return
-        refused = reason.check(ConnectionRefusedError) is not None
         sentence = f"no connection: {describe_failure(reason)}"
-        self.post(AttemptUnsent(exchange.attempt, sentence, refused))
+        self.post(AttemptUnsent(exchange.attempt, sentence))
 
     def _send_on(
         self,
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -12,7 +12,6 @@
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.configuration import (
     Configuration,
-    EngineTraits,
     Route,
     RouteKind,
     Service,
@@ -74,8 +73,8 @@
             make_route(RouteKind.NOT_REPEATABLE, CALLS),
         ),
         services=(
-            Service(ENGINES, 100, engine=EngineTraits(8, 88_000, keeps_copies=True)),
-            Service(CALLS, 100),
+            Service(ENGINES, keeps_copies=True),
+            Service(CALLS),
         ),
         workspaces=(Workspace("workspace-1", (CREDENTIAL,)),),
     )
--- a/tests/core/serving/test_calls.py
+++ b/tests/core/serving/test_calls.py
@@ -83,7 +83,7 @@
         rig.start()
         rig.request(ONCE)
         attempt = rig.take_one(SendAttempt)
-        rig.post(AttemptUnsent(attempt.attempt, "refused", refused=True))
+        rig.post(AttemptUnsent(attempt.attempt, "refused"))
         second = rig.take_one(SendAttempt)
         self.assertNotEqual(second.upstream.id, attempt.upstream.id)
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -23,7 +23,12 @@
     UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.peers import UpstreamLoad
-from tests.core.serving.rig import ServingRig
+from tests.core.serving.rig import (
+    ENGINES,
+    ServingRig,
+    make_configuration,
+    make_route,
+)
 
 
 class StreamTests(unittest.TestCase):
@@ -105,6 +110,28 @@
         self.rig.advance(0.1)
         self.assertIsNotNone(self.rig.take_one(SendAttempt).copy_source)
 
+    def test_silence_follows_the_goal_and_what_is_usual(self) -> None:
+        for goal_s, usual_s, longest_s in (
+            (0.7, 0.03, 0.252),
+            (2.0, 0.03, 0.72),
+            (0.7, 0.2, 0.8),
+            (0.0, 0.03, 0.25),
+        ):
+            with self.subTest(goal_s=goal_s, usual_s=usual_s):
+                rig = ServingRig()
+                route = make_route(RouteKind.STREAM, ENGINES, gap_goal_s=goal_s)
+                rig.start(make_configuration(routes=(route,)))
+                caller = rig.request(RouteKind.STREAM)
+                attempt = rig.send()
+                rig.open(attempt, caller)
+                rig.produce(attempt, 1)
+                upstream = rig.world.upstreams.by_id[attempt.upstream.id]
+                upstream.gap_s = usual_s
+                rig.advance(longest_s - 0.04)
+                self.assertFalse(rig.take(SendAttempt))
+                rig.advance(0.08)
+                rig.take_one(SendAttempt)
+
     def test_pause_of_this_process_is_no_silence(self) -> None:
         self.rig.open(self.first, self.caller)
         self.rig.produce(self.first, 7)
@@ -197,7 +224,7 @@
         rig.request(RouteKind.STREAM)
         for _ in range(3):
             attempt = rig.take_one(SendAttempt)
-            rig.post(AttemptUnsent(attempt.attempt, "refused", refused=True))
+            rig.post(AttemptUnsent(attempt.attempt, "refused"))
         (request,) = rig.world.requests.by_handle.values()
         self.assertEqual(request.handed, 1)
         self.assertFalse(request.may_have_run)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -48,7 +48,6 @@
     ("address", "10.0.0.1:x"),
     ("state", "dancing"),
     ("zone", []),
-    ("slots", "many"),
     ("born", 1.5),
 )
 
@@ -98,9 +97,7 @@
         self.assertEqual(
             [(s.service, s.weight) for s in shares], [("a", 90), ("b", 10)]
         )
-        engine = configuration.services_by_name["a"].engine
-        assert engine is not None
-        self.assertEqual((engine.memory_tokens, engine.keeps_copies), (88000, True))
+        self.assertTrue(configuration.services_by_name["a"].keeps_copies)
         self.assertEqual(configuration.workspaces_by_credential["k2"].name, "t")
         self.assertEqual(configuration.limits.header_timeout_s, 1.5)
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -8,6 +8,7 @@
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.effects import CopySource, SendAttempt
+from magnoliahold.core.serving.requests import PromptPart
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.platform.callers import BadRequest, read_caller_request
 from magnoliahold.platform.upstreams import (
@@ -136,14 +137,14 @@
     def read(self, **changes: str) -> Any:
         """Reads a request with changed headers."""
         headers = make_headers(**{**RECEIVED, **changes})
-        return read_caller_request(1, "POST", "/a/b?x=1", headers, 0)
+        return read_caller_request(1, "POST", "/a/b?x=1", headers)
 
     def test_request_is_read(self) -> None:
         caller = self.read(Host="Host.Example:8080")
         self.assertEqual((caller.host, caller.path), ("host.example", "/a/b"))
         self.assertEqual((caller.credential, caller.patience_s), ("secret", 25.0))
-        self.assertEqual(caller.prompt_tokens, 8200)
-        self.assertEqual(caller.output_tokens, 780)
+        parts = [(part.id, part.tokens) for part in caller.prompt]
+        self.assertEqual(parts, [("5c1e", 200), ("91bd", 8000)])
 
     def test_odd_values_are_taken_for_absent(self) -> None:
         table = (
@@ -153,8 +154,7 @@
             ("Deadline-Ms", "-5", "patience_s", None),
             ("Last-Event-Id", "12", "resume_after", 12),
             ("Last-Event-Id", "x12", "resume_after", None),
-            ("Prompt-Prefix", "a:1,b,c:2", "prompt_tokens", 1),
-            ("Token-Usage", "", "output_tokens", 0),
+            ("Prompt-Prefix", "a:1,b,c:2", "prompt", (PromptPart("a", 1),)),
         )
         for name, value, attribute, expected in table:
             with self.subTest(name, value=value):
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -129,7 +129,7 @@
         server.listen(self.reactor).stopListening()
         self.send(server.port)
         self.assertEqual(await self.wait_for(1), [AttemptUnsent])
-        self.assertTrue(self.events[0].refused)
+        self.assertIn("refused", self.events[0].reason)
 
     @on_loopback
     async def test_connection_is_kept_unless_bytes_follow_the_answer(self) -> None:
