--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -62,6 +62,7 @@
     on_stopped: Callable[[str], None]
     broken: bool = False
     listeners: list[Any] = field(factory=list)
+    side_listeners: list[Any] = field(factory=list)
 
     def listen(self, callers: Callers, notices: NoticePort) -> None:
         """Serves callers, the balancer's question and the metrics, and starts ticks."""
@@ -75,10 +76,12 @@
             if address is not None:
                 site = Site(make_resource(path, read))
                 site.noisy = False
-                self._listen_on(address, site)
+                self.side_listeners.append(self._listen_on(address, site))
         if settings.peers is not None:
             own = read_endpoint(settings.peers)
-            self.reactor.listenUDP(own.port, NoticeProtocol(notices), own.host)
+            protocol = NoticeProtocol(notices)
+            listening = self.reactor.listenUDP(own.port, protocol, own.host)
+            self.side_listeners.append(listening)
         logger.info("Process started.", name=settings.name, callers=settings.callers)
 
     def _listen_on(self, address: str, factory: Any) -> Any:
@@ -101,6 +104,10 @@
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         self.close_listener()
+        for listener in self.side_listeners:
+            listener.stopListening()
+        self.side_listeners.clear()
+        self.metrics.shut_down()
         self.on_stopped(reason)
 
     def _read_readiness(self) -> tuple[int, bytes]:
@@ -179,8 +186,8 @@
 def run_serving_entry(path: Path, load: Callable[[Path], ServingSettings]) -> None:
     """Runs a serving entry until SIGTERM or SIGINT has drained it.
 
-    SIGHUP reads the settings again. Raises ProcessBrokenError when the entry stopped
-    because its tables can't be trusted.
+    SIGHUP reads the settings again. Raises what kept the entry from starting, and
+    ProcessBrokenError when it stopped because its tables can't be trusted.
     """
     from twisted.internet import reactor as installed
 
@@ -189,11 +196,16 @@
     configure_serving_logs(settings)
     use_monotonic_clock(reactor)
     daemons: list[ServingDaemon] = []
+    failures: list[Exception] = []
 
     def start() -> None:
-        daemons.append(
-            make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
-        )
+        try:
+            daemons.append(
+                make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
+            )
+        except Exception as error:
+            failures.append(error)
+            reactor.stop()
 
     def take_stop(number: int, _: object) -> None:
         for daemon in daemons:
@@ -207,6 +219,8 @@
     signal.signal(signal.SIGHUP, take_reload)
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        raise failures[0]
     if any(daemon.broken for daemon in daemons):
         raise ProcessBrokenError
 
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -216,6 +216,48 @@
                 self.assertIn("cannot listen", lines[-1])
                 self.assertNotIn("Traceback", done.stderr)
 
+    def test_serving_entry_stops_in_one_line_or_when_told(self) -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            process = self.start_serving(port)
+            _, errors = process.communicate(timeout=20)
+            self.assertEqual(process.returncode, 1)
+            self.assertIn("cannot listen", errors.splitlines()[-1])
+        process = self.start_serving(port)
+        assert process.stdout is not None
+        self.assertIn("daemon: Process started.", process.stdout.readline())
+        process.send_signal(signal.SIGHUP)
+        while "Settings reloaded" not in process.stdout.readline():
+            pass
+        process.send_signal(signal.SIGTERM)
+        output, errors = process.communicate(timeout=20)
+        self.assertEqual((process.returncode, errors), (0, ""))
+        self.assertIn("leaving: Entry leaves.", output)
+
+    def start_serving(self, port: int) -> subprocess.Popen[str]:
+        """Starts a serving entry whose store is away."""
+        (store,) = find_free_ports(1)
+        settings = {
+            "name": "entry-1",
+            "data_centre": "data-centre-1",
+            "callers": f"127.0.0.1:{port}",
+            "store": f"127.0.0.1:{store}",
+        }
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = Path(directory.name) / "serving.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "magnoliahold", "serve", str(path)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.kill)
+        return process
+
     def run_entry(self, key: str, port: int) -> subprocess.CompletedProcess[str]:
         settings = yaml.safe_load((EXAMPLES / "entry.yaml").read_text())
         ports = ("caller_port", "operator_port", "link_port")
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -27,6 +27,11 @@
     ended: int = 0
     port: int = 0
     reactor: Any = None
+    transports: list[Any] = field(factory=list)
+
+    def finish(self, content: bytes) -> None:
+        """Sends the rest of an answer on the newest connection."""
+        self.transports[-1].write(content)
 
     def listen(self, reactor: Any) -> Any:
         """Listens on a free port and returns the listener."""
@@ -46,6 +51,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self.server.connections += 1
+        self.server.transports.append(self.transport)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         self.server.ended += 1
--- /dev/null
+++ b/tests/serving/test_daemon.py
@@ -0,0 +1,226 @@
+"""Tests of a whole serving entry: store, upstreams and callers over loopback."""
+
+from __future__ import annotations
+
+import json
+import socket
+from base64 import b64encode
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from magnoliahold.httpclient import HttpClient
+from magnoliahold.serving.daemon import make_serving_entry
+from magnoliahold.settings.loading import parse_serving_settings
+from tests.loopback import LoopbackTestCase, on_loopback
+from tests.serving.scripted import RESET, ScriptedServer
+from tests.serving.test_exchanges import HEAD, LAST_CHUNK, STREAM, WHOLE, make_chunk
+
+if TYPE_CHECKING:
+    from magnoliahold.serving.daemon import ServingDaemon
+
+CREDENTIAL = (("Authorization", "Token key-1"), ("Request-Id", "abc"))
+ROUTES = (
+    ("calls", "idempotent", False, 2),
+    ("bookings", "non_idempotent", False, 1),
+    ("streams", "streaming", True, 3),
+)
+
+
+class StoreStandIn(Resource):
+    """Rows by table; long polls are answered at the next change or never."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.version = 1
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.polls: list[tuple[str, Any]] = []
+        self.registered: list[str] = []
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Writes a row and answers the polls of its table."""
+        self.version += 1
+        content = b64encode(json.dumps(value).encode()).decode()
+        row = {"key": key, "ver": self.version, "value": content}
+        self.rows.setdefault(table, {})[key] = row
+        waiting, self.polls = self.polls, []
+        for polled, request in waiting:
+            if polled == table:
+                request.write(self.describe([row]))
+                request.finish()
+            else:
+                self.polls.append((polled, request))
+
+    def describe(self, rows: list[Any]) -> bytes:
+        """Encodes an answer."""
+        return json.dumps({"rows": rows, "ver": self.version}).encode()
+
+    def render_GET(self, request: Any) -> Any:  # noqa: N802
+        """Answers reads and polls."""
+        table = request.args[b"table"][0].decode()
+        if request.path == b"/-/rows-feed":
+            request.notifyFinish().addErrback(lambda _: None)
+            self.polls.append((table, request))
+            return NOT_DONE_YET
+        return self.describe(list(self.rows.get(table, {}).values()))
+
+    def render_POST(self, request: Any) -> bytes:  # noqa: N802
+        """Takes writes."""
+        changes = json.loads(request.content.read())
+        self.registered += [row["key"] for row in changes["puts"]]
+        return self.describe([])
+
+
+def make_document(version: int, keys: tuple[str, ...] = ("key-1",)) -> dict[str, Any]:
+    """Makes a configuration with a route of each kind."""
+    routes = [
+        {
+            "name": name,
+            "hostname": "127.0.0.1",
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 2000,
+            "goal_ms": 1000,
+            "service": "s-1",
+            "max_attempts": attempts,
+            "resumable": resumable,
+        }
+        for name, kind, resumable, attempts in ROUTES
+    ]
+    tenants = [{"name": "w-1", "api_keys": list(keys)}]
+    return {"version": version, "routes": routes, "tenants": tenants}
+
+
+def find_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Finds a free port of loopback."""
+    with socket.socket(socket.AF_INET, kind) as found:
+        found.bind(("127.0.0.1", 0))
+        return int(found.getsockname()[1])
+
+
+class DaemonTests(LoopbackTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = StoreStandIn()
+        listener = self.serve(self.store)
+        self.stopped: list[str] = []
+        ports = {name: find_port() for name in ("callers", "readiness", "metrics")}
+        self.settings = {
+            "name": "entry-1",
+            "data_centre": "z-1",
+            "store": listener.address.removeprefix("http://"),
+            "peers": f"127.0.0.1:{find_port(socket.SOCK_DGRAM)}",
+            **{name: f"127.0.0.1:{port}" for name, port in ports.items()},
+        }
+
+    async def start(self, *scripts: list[Any]) -> ServingDaemon:
+        """Starts an entry with one upstream for each script and waits for it."""
+        self.servers = []
+        for number, script in enumerate(scripts):
+            server = ScriptedServer([script])
+            listening = server.listen(self.reactor)
+            listening.close = listening.stopListening
+            self.listeners.append(listening)
+            self.servers.append(server)
+            record = {
+                "service": "s-1",
+                "address": f"127.0.0.1:{server.port}",
+                "zone": f"z-{number}",
+                "state": "ready",
+            }
+            self.store.put("servers", f"i-{number}", record)
+        self.store.put("op", "config", make_document(1))
+        settings = parse_serving_settings(self.settings)
+        daemon = make_serving_entry(self.reactor, settings, self.stopped.append)
+        self.listeners.append(Closer(daemon))
+        while await self.read("readiness", "/-/readyz") != 200:
+            await self.sleep(0.02)
+        return daemon
+
+    async def read(self, name: str, path: str) -> int:
+        """Asks one of the entry's own addresses and returns the status."""
+        client = HttpClient(self.reactor, f"http://{self.settings[name]}")
+        return (await client.send("GET", path, timeout_s=2.0)).status
+
+    async def ask(self, name: str, headers: Any = CREDENTIAL) -> Any:
+        """Sends a caller's request."""
+        client = HttpClient(self.reactor, f"http://{self.settings['callers']}")
+        return await client.send("POST", f"/{name}/x", b"body", headers, 3.0)
+
+    @on_loopback
+    async def test_call_is_served_and_the_upstream_learns_the_workspace(self) -> None:
+        await self.start([WHOLE])
+        answer = await self.ask("calls")
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertIn(("Response-Signature", "s"), answer.headers)
+        (head,) = self.servers[0].requests
+        self.assertIn(b"Tenant: w-1", head)
+        self.assertNotIn(b"key-1", head)
+        self.assertEqual(await self.read("metrics", "/metrics"), 200)
+        self.assertEqual(self.store.registered, ["entry-1"])
+
+    @on_loopback
+    async def test_failures_are_repeated_only_where_that_is_allowed(self) -> None:
+        failure = WHOLE.replace(b"200 OK", b"500 Broken")
+        await self.start([failure], [failure])
+        self.assertEqual((await self.ask("calls")).status, 500)
+        self.assertEqual(sum(len(item.requests) for item in self.servers), 2)
+        self.assertEqual((await self.ask("bookings")).status, 500)
+        self.assertEqual(sum(len(item.requests) for item in self.servers), 3)
+
+    @on_loopback
+    async def test_broken_booking_is_not_said_not_to_have_run(self) -> None:
+        await self.start([RESET], [RESET])
+        answer = await self.ask("bookings")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(sum(len(item.requests) for item in self.servers), 1)
+
+    @on_loopback
+    async def test_stream_goes_on_after_its_upstream_broke(self) -> None:
+        pieces = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
+        broken = [STREAM, *map(make_chunk, pieces[:3]), RESET]
+        rest = [STREAM, *map(make_chunk, pieces), LAST_CHUNK]
+        await self.start(broken, rest)
+        for _ in range(4):
+            answer = await self.ask("streams")
+            self.assertEqual(answer.body, b"".join(pieces))
+        asked = [head for server in self.servers for head in server.requests]
+        self.assertTrue(any(b"Last-Event-Id: 3" in head for head in asked))
+
+    @on_loopback
+    async def test_credential_that_is_taken_back_is_refused_at_once(self) -> None:
+        await self.start([WHOLE])
+        self.assertEqual((await self.ask("calls")).status, 200)
+        self.store.put("op", "config", make_document(2, keys=("key-2",)))
+        while (await self.ask("calls")).status == 200:
+            await self.sleep(0.02)
+        self.assertEqual((await self.ask("calls")).status, 401)
+
+    @on_loopback
+    async def test_planned_stop_finishes_what_is_open(self) -> None:
+        slow = [HEAD + b"Content-Length: 2\r\n\r\n"]
+        daemon = await self.start(slow)
+        running = Deferred.fromCoroutine(self.ask("bookings"))
+        await self.wait_until(lambda: bool(self.servers[0].requests))
+        daemon.leave("SIGTERM")
+        await self.sleep(0.05)
+        self.assertEqual(await self.read("readiness", "/-/readyz"), 503)
+        self.servers[0].finish(b"ok")
+        answer = await running
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        await self.wait_until(lambda: bool(self.stopped))
+
+
+class Closer:
+    """Stops an entry at the end of a test."""
+
+    def __init__(self, daemon: ServingDaemon) -> None:
+        self._daemon = daemon
+
+    def close(self) -> None:
+        """Stops the entry, unless it has stopped by itself."""
+        self._daemon.stop("the test ends")
