--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -4,7 +4,7 @@
 
 import signal
 from secrets import token_hex
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from attrs import define, field
 
@@ -23,7 +23,7 @@
 from magnoliahold.wire.links import make_links
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from magnoliahold.metrics import Metrics
     from magnoliahold.node import Node
@@ -149,13 +149,26 @@
     return daemon
 
 
-def run_until_stopped(reactor: Any, start: Callable[[], list[Daemon]]) -> None:
+class Drainable(Protocol):
+    """A daemon that drains when it is told to leave.
+
+    `broken` is set when it stopped because its tables can't be trusted.
+    """
+
+    node: Node
+    broken: bool
+
+    def leave(self, reason: str) -> None:
+        """Drains, and stops when nothing is in flight."""
+
+
+def run_until_stopped(reactor: Any, start: Callable[[], Sequence[Drainable]]) -> None:
     """Runs daemons until SIGTERM or SIGINT has drained them; a second one stops.
 
     Raises what `start` raised, and ProcessBrokenError when a daemon stopped because
     its tables can't be trusted.
     """
-    daemons: list[Daemon] = []
+    daemons: list[Drainable] = []
     failures: list[Exception] = []
 
     def take_signal(number: int, frame: object) -> None:
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -18,9 +18,8 @@
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.systems.leaving import find_obstacle
 from magnoliahold.core.serving.world import ServingWorld
-from magnoliahold.daemon import make_identity, stop_reactor
+from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import read_endpoint
-from magnoliahold.errors import ProcessBrokenError
 from magnoliahold.health import TextResource
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import configure_logging, make_part_logger
@@ -29,7 +28,6 @@
 from magnoliahold.node import BROKEN_TABLES, Node
 from magnoliahold.platform.callers import READY_PATH
 from magnoliahold.platform.store import StoreClient
-from magnoliahold.runtime import use_monotonic_clock
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.exchanges import UpstreamExchanges
@@ -186,43 +184,25 @@
 def run_serving_entry(path: Path, load: Callable[[Path], ServingSettings]) -> None:
     """Runs a serving entry until SIGTERM or SIGINT has drained it.
 
-    SIGHUP reads the settings again. Raises what kept the entry from starting, and
-    ProcessBrokenError when it stopped because its tables can't be trusted.
+    SIGHUP reads the settings again.
     """
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
     settings = load(path)
     configure_serving_logs(settings)
-    use_monotonic_clock(reactor)
-    daemons: list[ServingDaemon] = []
-    failures: list[Exception] = []
-
-    def start() -> None:
-        try:
-            daemons.append(
-                make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
-            )
-        except Exception as error:
-            failures.append(error)
-            reactor.stop()
-
-    def take_stop(number: int, _: object) -> None:
-        for daemon in daemons:
-            reactor.callFromThread(daemon.leave, signal.Signals(number).name)
-
-    def take_reload(_: int, __: object) -> None:
-        reactor.callFromThread(reload_settings, path, load, daemons)
-
-    signal.signal(signal.SIGTERM, take_stop)
-    signal.signal(signal.SIGINT, take_stop)
-    signal.signal(signal.SIGHUP, take_reload)
-    reactor.callWhenRunning(start)
-    reactor.run(installSignalHandlers=False)
-    if failures:
-        raise failures[0]
-    if any(daemon.broken for daemon in daemons):
-        raise ProcessBrokenError
+
+    def start() -> list[ServingDaemon]:
+        daemon = make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
+
+        def take_reload(_: int, __: object) -> None:
+            reactor.callFromThread(reload_settings, path, load, daemon)
+
+        signal.signal(signal.SIGHUP, take_reload)
+        return [daemon]
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    run_until_stopped(reactor, start)
 
 
 def configure_serving_logs(settings: ServingSettings) -> None:
@@ -233,7 +213,7 @@
 
 
 def reload_settings(
-    path: Path, load: Callable[[Path], ServingSettings], daemons: list[ServingDaemon]
+    path: Path, load: Callable[[Path], ServingSettings], daemon: ServingDaemon
 ) -> None:
     """Takes the settings that may change while running; a broken file changes none."""
     try:
@@ -243,8 +223,7 @@
             "Settings kept, the new ones can't be read.", reason=str(error)
         )
         return
-    for daemon in daemons:
-        daemon.settings = settings
-        daemon.node.world.serving = make_serving_policy(settings)
-        daemon.node.ports.store.move_to(f"http://{settings.store}")
+    daemon.settings = settings
+    daemon.node.world.serving = make_serving_policy(settings)
+    daemon.node.ports.store.move_to(f"http://{settings.store}")
     logger.info("Settings reloaded.", name=settings.name)
