--- /dev/null
+++ b/tests/core/serving/test_random.py
@@ -0,0 +1,277 @@
+"""Drawn faults against the decisions of a serving entry, seen from outside.
+
+The promises are checked on what callers and upstreams would see; the checks of the
+tables run in every tick beside them. Other seeds come from `MAGNOLIAHOLD_SEED` and
+`MAGNOLIAHOLD_EXAMPLES`.
+"""
+
+from __future__ import annotations
+
+import os
+import unittest
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    CutAnswer,
+    DeliverAnswer,
+    DeliverPieces,
+    DropAttempt,
+    FinishAnswer,
+    FollowFeed,
+    ProbeServing,
+    ReadFeed,
+    RefuseCaller,
+    RegisterEntry,
+    SendAttempt,
+    TellPeers,
+)
+from magnoliahold.core.serving.events import (
+    AnswerHead,
+    AnswerReceived,
+    AttemptBroke,
+    AttemptSent,
+    AttemptUnsent,
+    CallerLeft,
+    FeedChanged,
+    FeedFailed,
+    PiecesReceived,
+    StreamEnded,
+    StreamOpened,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from magnoliahold.core.serving.feeds import Feed, FeedRow
+from tests.core.serving.rig import CALLS, ENGINES, ServingRig, make_upstream
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import CallerRequest
+
+FIRST_SEED = int(os.environ.get("MAGNOLIAHOLD_SEED", "1"))
+EXAMPLES = int(os.environ.get("MAGNOLIAHOLD_EXAMPLES", "25"))
+STEP_S = 0.02
+STEPS = 500
+SETTLE_S = 26.0
+STREAM_PIECES = 8
+FINAL = (DeliverAnswer, FinishAnswer, RefuseCaller, CutAnswer)
+
+
+@define
+class Run:
+    """An attempt as its upstream sees it."""
+
+    send: SendAttempt
+    request: CallerRequest
+    sent: bool = False
+    next_piece: int = 1
+    opened: bool = False
+    silent: bool = False
+
+
+@define
+class Outside:
+    """What callers and upstreams see, and what must hold of it."""
+
+    case: unittest.TestCase
+    random: Random
+    rig: ServingRig = field(factory=ServingRig)
+    requests: dict[int, CallerRequest] = field(factory=dict)
+    kinds: dict[int, RouteKind] = field(factory=dict)
+    runs: dict[int, Run] = field(factory=dict)
+    may_have_run: dict[int, int] = field(factory=dict)
+    delivered: dict[int, int] = field(factory=dict)
+    final: dict[int, object] = field(factory=dict)
+    left: set[int] = field(factory=set)
+
+    def start(self) -> None:
+        """Starts the entry with six engines and three plain services."""
+        engines = tuple(make_upstream(number, ENGINES) for number in range(1, 7))
+        calls = tuple(make_upstream(number, CALLS) for number in range(1, 4))
+        self.rig.start(upstreams=engines + calls)
+
+    def step(self) -> None:
+        """Lets time pass and perhaps something happen, then looks at the effects."""
+        self.rig.now += STEP_S
+        events = list(self.draw_events())
+        self.rig.post(*events)
+        self.look()
+
+    def ask(self) -> None:
+        """Has a caller ask for something."""
+        kind = self.random.choice(list(RouteKind))
+        caller = self.rig.request(kind)
+        self.requests[caller.handle] = caller
+        self.kinds[caller.handle] = kind
+        self.look()
+
+    def draw_events(self) -> Any:
+        """Draws what happens to each attempt and to the entry."""
+        for run in list(self.runs.values()):
+            yield from self.draw_run(run)
+        if self.random.random() < 0.01 and self.requests:
+            handle = self.random.choice(list(self.requests))
+            if handle not in self.final:
+                self.left.add(handle)
+                yield CallerLeft(handle)
+        for feed in Feed:
+            yield from self.draw_feed(feed)
+
+    def draw_run(self, run: Run) -> Any:
+        """Draws what an upstream does with one attempt."""
+        number = run.send.attempt
+        chance = self.random.random()
+        if not run.sent:
+            if chance < 0.1:
+                del self.runs[number]
+                yield AttemptUnsent(number, "refused")
+                return
+            run.sent = True
+            yield AttemptSent(number)
+            return
+        run.silent = run.silent or chance < 0.01
+        if run.silent:
+            return
+        if chance < 0.03:
+            del self.runs[number]
+            self.count_run(run)
+            yield AttemptBroke(number, "connection lost", True)
+        elif chance < 0.06 and not run.opened:
+            del self.runs[number]
+            yield AnswerReceived(number, AnswerHead(503, "", not_run=True))
+        elif self.kinds[run.request.handle] is RouteKind.STREAM:
+            yield from self.draw_stream(run)
+        elif chance > 0.7:
+            del self.runs[number]
+            self.count_run(run)
+            status = self.random.choice((200, 200, 200, 500, 503, 404))
+            request_id = self.random.choice((run.request.request_id,) * 9 + ("other",))
+            yield AnswerReceived(number, AnswerHead(status, request_id, signed=True))
+
+    def draw_stream(self, run: Run) -> Any:
+        """Draws the pieces of a stream; sometimes one that is known comes again."""
+        number = run.send.attempt
+        if not run.opened:
+            run.opened = True
+            run.next_piece = (run.send.resume_after or 0) + 1
+            head = AnswerHead(200, run.request.request_id, signed=True)
+            yield StreamOpened(number, head)
+        elif run.next_piece > STREAM_PIECES:
+            del self.runs[number]
+            self.count_run(run)
+            yield StreamEnded(number)
+        else:
+            last = run.next_piece
+            run.next_piece += 1
+            yield PiecesReceived(number, last, 1)
+
+    def draw_feed(self, feed: Feed) -> Any:
+        """Draws the answers of the store."""
+        call = self.rig.world.feeds[feed].call
+        chance = self.random.random()
+        if not call or chance > 0.03:
+            return
+        if chance < 0.005:
+            yield FeedFailed(feed, call, "timeout")
+            return
+        rows: tuple[FeedRow, ...] = ()
+        if feed is Feed.UPSTREAMS:
+            record = make_upstream(self.random.randint(1, 6), ENGINES)
+            gone = self.random.random() < 0.3
+            rows = (FeedRow(record.id, 20, None if gone else record),)
+        version = (self.rig.world.feeds[feed].version or 10) + 1
+        yield FeedChanged(feed, call, rows, version, self.rig.now)
+
+    def count_run(self, run: Run) -> None:
+        """Counts that a request may have run."""
+        handle = run.request.handle
+        self.may_have_run[handle] = self.may_have_run.get(handle, 0) + 1
+
+    def look(self) -> None:
+        """Takes effects in their order and checks what must hold of each."""
+        emitted, self.rig.emitted = self.rig.emitted, []
+        for effect in emitted:
+            if isinstance(effect, SendAttempt):
+                self.take_send(effect)
+            elif isinstance(effect, DropAttempt):
+                run = self.runs.pop(effect.attempt, None)
+                if run is not None and run.sent:
+                    self.count_run(run)
+            elif isinstance(effect, DeliverPieces):
+                self.take_pieces(effect)
+            elif isinstance(effect, FINAL):
+                self.take_final(effect)
+            elif isinstance(effect, ProbeServing):
+                self.answer_probe(effect)
+            else:
+                expected = (ReadFeed, FollowFeed, RegisterEntry, TellPeers)
+                if isinstance(effect, expected):
+                    continue
+
+    def take_send(self, effect: SendAttempt) -> None:
+        """An attempt starts: no other may be under way, nor may it run twice."""
+        handle = effect.handle
+        others = [run for run in self.runs.values() if run.request.handle == handle]
+        self.case.assertEqual(others, [], "two upstreams work on one request")
+        self.case.assertNotIn(handle, self.final)
+        self.case.assertNotIn(handle, self.left)
+        if self.kinds[handle] is RouteKind.NOT_REPEATABLE:
+            self.case.assertEqual(self.may_have_run.get(handle, 0), 0, "it runs twice")
+        self.case.assertGreater(effect.deadline_s, 0)
+        self.case.assertEqual(effect.resume_after, self.delivered.get(handle))
+        self.runs[effect.attempt] = Run(effect, self.requests[handle])
+
+    def take_pieces(self, effect: DeliverPieces) -> None:
+        """Pieces go to a caller: each number once, none left out."""
+        known = self.delivered.get(effect.handle)
+        self.case.assertEqual(effect.after, known)
+        run = self.runs[effect.attempt]
+        self.case.assertEqual(run.next_piece - 1, (known or 0) + 1)
+        self.delivered[effect.handle] = run.next_piece - 1
+
+    def take_final(self, effect: Any) -> None:
+        """A request ends: once, truly, and whole if it looks whole."""
+        handle = effect.handle
+        self.case.assertNotIn(handle, self.final, "two final answers")
+        self.final[handle] = effect
+        if isinstance(effect, FinishAnswer):
+            self.case.assertEqual(self.delivered.get(handle), STREAM_PIECES)
+        if isinstance(effect, RefuseCaller):
+            ran = self.may_have_run.get(handle, 0)
+            if effect.not_run:
+                self.case.assertEqual(ran, 0, "it was said not to have run")
+            if effect.status == 503:
+                self.case.assertTrue(effect.not_run)
+                self.case.assertIsNotNone(effect.retry_after_s)
+
+    def answer_probe(self, effect: ProbeServing) -> None:
+        """An upstream answers a probe, or does not."""
+        record = effect.upstream
+        kinds: list[Any] = [
+            UpstreamAnsweredProbe(record.id, record.born_ms),
+            UpstreamFailedProbe(record.id, record.born_ms, "no answer"),
+        ]
+        self.rig.world.inbox.add_event(self.random.choices(kinds, (4, 1))[0])
+
+
+class RandomTests(unittest.TestCase):
+    def test_promises_hold_under_drawn_faults(self) -> None:
+        for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
+            with self.subTest(seed=seed):
+                outside = Outside(self, Random(seed))
+                outside.rig.world.random.seed(seed)
+                outside.start()
+                for _ in range(STEPS):
+                    if outside.random.random() < 0.1:
+                        outside.ask()
+                    outside.step()
+                for _ in range(round(SETTLE_S / STEP_S)):
+                    outside.step()
+                missing = set(outside.requests) - set(outside.final) - outside.left
+                self.assertEqual(missing, set(), "requests without a final answer")
+
+
+if __name__ == "__main__":
+    unittest.main()
