--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -98,7 +98,6 @@
     if head.misdirected:
         distrust(world, upstream, "another upstream has its address", now)
     attempt.state = AttemptState.CONNECTING
-    attempt.sent_at = None
     try_again(world, attempt, f"rejected, status {head.status}", now)
 
 
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -49,11 +49,14 @@
 
 
 def _remember_copy(attempt: Attempt) -> None:
-    """Keeps where a copy of the attempt's memory lies, if there is one."""
+    """Keeps where a copy of the attempt's memory lies.
+
+    There is none before the first piece: engines copy what runs.
+    """
     request = attempt.request
     holder = attempt.copy_holder
     request.copy = None
-    if holder is not None and attempt.sent_at is not None:
+    if holder is not None and attempt.pieces:
         request.copy = MemoryCopy(holder, request.id)
 
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -152,6 +152,12 @@
         tried = {self.first.upstream.id, second.upstream.id}
         self.assertNotIn(third.upstream.id, tried)
 
+    def test_attempt_without_a_piece_leaves_no_copy(self) -> None:
+        """Asking for one would cost one of the few attempts."""
+        self.rig.open(self.first, self.caller)
+        self.rig.break_off(self.first)
+        self.assertIsNone(self.rig.take_one(SendAttempt).copy_source)
+
     def test_rejected_first_attempt_leaves_no_copy(self) -> None:
         self.rig.answer(self.first, self.caller, 503, not_run=True, request_id="")
         self.assertIsNone(self.rig.take_one(SendAttempt).copy_source)
