--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -128,11 +128,6 @@
         """The id of the request."""
         return self.caller.request_id
 
-    @property
-    def is_repeat(self) -> bool:
-        """Whether an upstream was handed this request before."""
-        return self.handed > 0
-
 
 @define
 class RequestTable:
--- a/src/magnoliahold/core/serving/systems/trust.py
+++ b/src/magnoliahold/core/serving/systems/trust.py
@@ -37,7 +37,6 @@
     """Gives an upstream no new work before it answers a probe."""
     if upstream.trust is Trust.TRUSTED:
         upstream.trust = Trust.DOUBTED
-        upstream.doubted_at = now
         world.log_decision(
             "trust", "Upstream doubted.", upstream=upstream.id, reason=reason
         )
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -55,7 +55,6 @@
     record: UpstreamRecord
     trust: Trust = Trust.TRUSTED
     heard_at: float = 0.0
-    doubted_at: float = 0.0
     probe_sent_at: float | None = None
     next_probe_at: float = 0.0
     failed_probes: int = 0
--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -184,10 +184,12 @@
         pieces = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
         broken = [STREAM, *map(make_chunk, pieces[:3]), RESET]
         rest = [STREAM, *map(make_chunk, pieces), LAST_CHUNK]
-        await self.start(broken, rest)
+        daemon = await self.start(broken, rest)
         for _ in range(4):
             answer = await self.ask("streams")
             self.assertEqual(answer.body, b"".join(pieces))
+        exchanges = daemon.node.ports.upstreams
+        self.assertEqual(exchanges._exchanges, {}, "ended exchanges are forgotten")
         asked = [head for server in self.servers for head in server.requests]
         self.assertTrue(any(b"Last-Event-Id: 3" in head for head in asked))
 
