Ask upstreams where a returning stream's prompt was read

Cause: after all entries lost power, callers notice after 18 s and come back with a few seconds left. The engines still keep most of these prompts.

Change: a stream that comes back with the number of its last piece, and whose prompt's place isn't known, waits up to 0.25 s while the trusted upstreams tell which prompts they keep. Streams that come together share one round.

--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -58,12 +58,13 @@
 class Service:
     """A group of upstreams that are alike.
 
-    With `keeps_copies` they are engines that take copies of the memory of streams that
-    run elsewhere.
+    With `keeps_prompts` they are engines that keep prompts which they have read, and
+    with `keeps_copies` also copies of the memory of streams that run elsewhere.
     """
 
     name: str
     keeps_copies: bool = False
+    keeps_prompts: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -115,6 +115,14 @@
     timeout_s: float
 
 
+@frozen
+class ListPrompts:
+    """Asks an upstream which prompts it keeps; PromptsListed answers."""
+
+    upstream: UpstreamRecord
+    timeout_s: float
+
+
 @frozen
 class ReadFeed:
     """Reads a followed table whole."""
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -118,6 +118,22 @@
     reason: str
 
 
+@frozen
+class PromptsListed:
+    """An upstream told which parts of prompts it keeps, by their ids."""
+
+    upstream_id: str
+    parts: tuple[str, ...]
+
+
+@frozen
+class PromptListFailed:
+    """An upstream did not tell which prompts it keeps."""
+
+    upstream_id: str
+    reason: str
+
+
 @frozen
 class FeedRead:
     """All rows of a followed table as of `version` of the store.
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -88,6 +88,8 @@
     under way are cut after `hold_stream_s`. A stream goes to the upstream that has read
     its prompt before unless the load there is `place_extra_load` above the lowest.
     A stream with less patience than `opening_part` of what openings take is refused.
+    Upstreams have `lookup_s` to tell which prompts they keep; what they told is not
+    asked again for `lookup_kept_s`.
     """
 
     connect_timeout_s: float = _seconds(0.25)
@@ -99,6 +101,8 @@
     full_s: float = _seconds(0.1)
     place_extra_load: float = _part(4.0)
     opening_part: float = _part(0.6)
+    lookup_s: float = _seconds(0.25)
+    lookup_kept_s: float = _seconds(1.0)
     retry_after_s: float = _seconds(0.25)
     budget_window_s: float = _seconds(10.0)
     budget_ratio: float = _part(0.5)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -97,6 +97,7 @@
     head of the answer went to the caller, and `last_piece` is the number of the last
     piece that did. `opened_late` is set once an upstream was left because its first
     piece took too long. `retry_at` is when the last attempt was lost, 0 if none was.
+    While `looked_up`, the request waits to learn which upstream has read its prompt.
     """
 
     caller: CallerRequest
@@ -117,6 +118,7 @@
     retry_at: float = 0.0
     trouble: str = ""
     opened_late: bool = False
+    looked_up: bool = False
 
     @property
     def handle(self) -> int:
--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -9,7 +9,12 @@
 from magnoliahold.core.serving.effects import RefuseCaller
 from magnoliahold.core.serving.events import CallerLeft, RequestArrived
 from magnoliahold.core.serving.requests import ServedRequest
-from magnoliahold.core.serving.systems.endings import choose_retry_after, forget_caller
+from magnoliahold.core.serving.systems.endings import (
+    choose_retry_after,
+    find_time_obstacle,
+    forget_caller,
+)
+from magnoliahold.core.serving.systems.lookups import look_up, wants_lookup
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -50,11 +55,16 @@
             _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
             return
     request = _make_request(world, caller, route, workspace, now)
-    obstacle = _find_stream_obstacle(world, request, now)
+    lookup = wants_lookup(world, request)
+    obstacle = _find_stop_obstacle(world, request, now)
+    if not lookup:
+        obstacle = obstacle or find_time_obstacle(world, request, now)
     if obstacle:
         _refuse(world, caller, UNAVAILABLE, obstacle)
         return
     world.requests.add(request)
+    if lookup:
+        look_up(world, request, now)
     world.find_budget(request.service).add_request(now)
     _log_admission(world, request, configuration)
 
@@ -89,21 +99,14 @@
     )
 
 
-def _find_stream_obstacle(
-    world: ServingWorld, request: ServedRequest, now: float
-) -> str:
-    """Finds why a stream can't be served here in time, or an empty string."""
-    if request.route.kind is not RouteKind.STREAM:
+def _find_stop_obstacle(world: ServingWorld, request: ServedRequest, now: float) -> str:
+    """Finds why a stream can't end before this entry does, or an empty string."""
+    if request.route.kind is not RouteKind.STREAM or world.leaving_since is None:
         return ""
-    policy = world.serving
-    opening_s = world.openings.get(request.service, 0.0)
-    if request.deadline_at - now < opening_s * policy.attempts.opening_part:
-        return "the time left is too short for a first piece"
-    if world.leaving_since is None:
-        return ""
-    left_s = world.leaving_since + policy.leave.limit_s - now
+    policy = world.serving.leave
+    left_s = world.leaving_since + policy.limit_s - now
     duration_s = world.durations.get(request.service, 0.0)
-    if left_s < duration_s * policy.leave.stream_margin:
+    if left_s < duration_s * policy.stream_margin:
         return "the entry stops before the stream could end"
     return ""
 
--- a/src/magnoliahold/core/serving/systems/endings.py
+++ b/src/magnoliahold/core/serving/systems/endings.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric, RecordMetric
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
     CutAnswer,
     DeliverAnswer,
@@ -68,6 +69,19 @@
     _end(world, request, "refused", now, status=status, reason=reason)
 
 
+def find_time_obstacle(world: ServingWorld, request: ServedRequest, now: float) -> str:
+    """Finds why a stream can't begin in the time that is left, or an empty string.
+
+    Where its prompt was read before, it begins almost at once.
+    """
+    if request.route.kind is not RouteKind.STREAM:
+        return ""
+    opening_s = world.openings.get(request.service, 0.0)
+    if request.deadline_at - now < opening_s * world.serving.attempts.opening_part:
+        return "the time left is too short for a first piece"
+    return ""
+
+
 def choose_retry_after(world: ServingWorld) -> float:
     """Chooses when a caller is to come back, spread around a mean."""
     mean = world.serving.attempts.retry_after_s
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/lookups.py
@@ -0,0 +1,99 @@
+"""Finds the upstreams that have read the prompts of streams that come back.
+
+An entry learns where prompts were read from its own streams and from the notices of the
+others. After a restart, or when all entries were lost, it asks the upstreams: a stream
+that goes on where its prompt is kept needs no second reading.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.effects import ListPrompts
+from magnoliahold.core.serving.events import PromptListFailed, PromptsListed
+from magnoliahold.core.serving.lookups import PromptLookup
+from magnoliahold.core.serving.systems.choice import read_place
+from magnoliahold.core.serving.systems.endings import find_time_obstacle, refuse
+from magnoliahold.core.serving.systems.sharing import note_place
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def wants_lookup(world: ServingWorld, request: ServedRequest) -> bool:
+    """Tells whether a stream comes back whose prompt was read at an unknown place."""
+    configuration = world.configuration
+    service = configuration and configuration.services_by_name.get(request.service)
+    if not service or not service.keeps_prompts:
+        return False
+    if request.last_piece is None or not request.caller.prompt:
+        return False
+    return read_place(world, request) not in world.upstreams.by_id
+
+
+def look_up(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Has a request wait for what the upstreams say of its prompt."""
+    service = request.service
+    lookup = world.lookups.get(service)
+    if lookup is None or now - lookup.started_at > world.serving.attempts.lookup_kept_s:
+        lookup = _ask_upstreams(world, service, now)
+    request.looked_up = bool(lookup.pending)
+
+
+def _ask_upstreams(world: ServingWorld, service: str, now: float) -> PromptLookup:
+    lookup = PromptLookup(now)
+    world.lookups[service] = lookup
+    for upstream in world.upstreams.list_service(service):
+        if upstream.trust is Trust.TRUSTED and not upstream.record.leaving:
+            lookup.pending.add(upstream.id)
+            timeout_s = world.serving.attempts.lookup_s
+            world.emit(ListPrompts(upstream.record, timeout_s))
+    world.log_decision(
+        "prompts", "Upstreams asked.", service=service, asked=len(lookup.pending)
+    )
+    return lookup
+
+
+def take_prompt_lists(world: ServingWorld, now: float) -> None:
+    """Notes where prompts were read, and lets the streams go on that wait for it."""
+    for listed in world.inbox.read_events(PromptsListed):
+        _take_answer(world, listed.upstream_id)
+        for part in listed.parts:
+            note_place(world, part, listed.upstream_id, now)
+    for failed in world.inbox.read_events(PromptListFailed):
+        _take_answer(world, failed.upstream_id)
+        world.log_decision(
+            "prompts",
+            "Upstream told nothing.",
+            upstream=failed.upstream_id,
+            reason=failed.reason,
+        )
+    for request in list(world.requests.waiting.values()):
+        if request.looked_up:
+            _end_lookup(world, request, now)
+
+
+def _take_answer(world: ServingWorld, upstream_id: str) -> None:
+    for lookup in world.lookups.values():
+        lookup.pending.discard(upstream_id)
+
+
+def _end_lookup(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Lets a stream go on once its prompt is found, or all have answered."""
+    lookup = world.lookups[request.service]
+    place = read_place(world, request)
+    if place is None and lookup.pending:
+        return
+    request.looked_up = False
+    world.log_decision(
+        "prompts",
+        "Prompt looked up.",
+        request=request.id,
+        place=place,
+        seconds=round(now - lookup.started_at, 3),
+    )
+    obstacle = "" if place else find_time_obstacle(world, request, now)
+    if obstacle:
+        refuse(world, request, obstacle, now)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -29,7 +29,8 @@
 def route_waiting(world: ServingWorld, now: float) -> None:
     """Sends every waiting request for which there is a usable upstream."""
     for request in list(world.requests.waiting.values()):
-        _route(world, request, now)
+        if not request.looked_up:
+            _route(world, request, now)
 
 
 def _route(world: ServingWorld, request: ServedRequest, now: float) -> None:
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.lookups import PromptLookup
 
 
 def _make_feeds() -> dict[Feed, FeedState]:
@@ -30,6 +31,7 @@
 
     `boot_clock` reads seconds that go on while the instance is suspended, which those
     of ticks don't. `configuration` is the newest one ever read; it never goes back.
+    `lookups` holds the last questions about prompts by service.
     `openings` and `durations` are moving means, by service, of the seconds to the first
     piece and to the end of streams.
     """
@@ -42,6 +44,7 @@
     requests: RequestTable = field(factory=RequestTable)
     entries: PeerTable = field(factory=PeerTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
+    lookups: dict[str, PromptLookup] = field(factory=dict)
     openings: dict[str, float] = field(factory=dict)
     durations: dict[str, float] = field(factory=dict)
     next_call: int = 1
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -139,7 +139,8 @@
 
 
 def _make_service(raw: _Service) -> Service:
-    return Service(raw.name, raw.engine is not None and raw.engine.backups)
+    engine = raw.engine
+    return Service(raw.name, engine is not None and engine.backups, engine is not None)
 
 
 def _make_limits(raw: _Limits) -> CallerLimits:
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.events import AnswerHead
@@ -13,6 +14,7 @@
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 REPORT_PATH = b"/-/report"
+PROMPTS_PATH = "/-/kv-list"
 MISDIRECTED = 421
 LEAST_DEADLINE_MS = 1
 MS_PER_S = 1000.0
@@ -95,6 +97,22 @@
     return {name.strip().lower() for value in values for name in value.split(",")}
 
 
+class _PromptList(msgspec.Struct):
+    # Each entry is an empty text, the id of the part, its tokens and the model.
+    held: list[tuple[str, str, int, str]]
+
+
+_prompts_decoder = msgspec.json.Decoder(_PromptList)
+
+
+def read_prompt_list(body: bytes) -> tuple[str, ...]:
+    """Reads the ids of the parts of prompts that an upstream keeps.
+
+    Raises msgspec.MsgspecError when the answer can't be read.
+    """
+    return tuple(part for _, part, _, _ in _prompts_decoder.decode(body).held)
+
+
 def read_answer_head(status: int, headers: Headers) -> AnswerHead:
     """Reads what the head of an upstream's answer says."""
     return AnswerHead(
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -33,6 +33,7 @@
 from magnoliahold.serving.exchanges import UpstreamExchanges
 from magnoliahold.serving.notices import NoticePort, NoticeProtocol
 from magnoliahold.serving.performers import ServingPorts
+from magnoliahold.serving.prompts import PromptLists
 from magnoliahold.settings.serving import make_serving_policy
 
 if TYPE_CHECKING:
@@ -164,6 +165,7 @@
         stop=lambda reason: reactor.callLater(0, daemon.stop, reason),
         callers=callers,
         upstreams=exchanges,
+        prompts=PromptLists(reactor, node.post_event),
         store=store,
         notices=notices,
         own_record=make_own_record(identity, settings),
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -19,6 +19,7 @@
     from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.exchanges import UpstreamExchanges
     from magnoliahold.serving.notices import NoticePort
+    from magnoliahold.serving.prompts import PromptLists
 
 
 @define
@@ -29,6 +30,7 @@
     stop: Callable[[str], None]
     callers: Callers
     upstreams: UpstreamExchanges
+    prompts: PromptLists
     store: StoreClient
     notices: NoticePort
     own_record: PeerRecord | None
@@ -101,6 +103,11 @@
     node.ports.upstreams.probe(effect.upstream, effect.timeout_s)
 
 
+@perform_effect.register(effects.ListPrompts)
+def _list_prompts(effect: effects.ListPrompts, node: Node) -> None:
+    node.ports.prompts.ask(effect.upstream, effect.timeout_s)
+
+
 @perform_effect.register(effects.ReadFeed)
 def _read_feed(effect: effects.ReadFeed, node: Node) -> None:
     node.ports.store.read_feed(effect.feed, effect.call, effect.timeout_s)
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -73,7 +73,7 @@
             make_route(RouteKind.NOT_REPEATABLE, CALLS),
         ),
         services=(
-            Service(ENGINES, keeps_copies=True),
+            Service(ENGINES, keeps_copies=True, keeps_prompts=True),
             Service(CALLS),
         ),
         workspaces=(Workspace("workspace-1", (CREDENTIAL,)),),
--- /dev/null
+++ b/tests/serving/test_prompts.py
@@ -0,0 +1,46 @@
+"""Tests of questions about the prompts that an upstream keeps."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from magnoliahold.core.serving.events import PromptListFailed, PromptsListed
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.serving.prompts import PromptLists
+from tests.loopback import LoopbackTestCase, on_loopback
+from tests.serving.scripted import CLOSE, ScriptedServer
+
+LIST = b'{"epoch":1,"next":9,"held":[["","ab12",8000,"m"],["","cd34",200,"m"]]}'
+
+
+def make_answer(status: bytes, body: bytes) -> bytes:
+    """Makes a whole answer."""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+ANSWERS: tuple[tuple[str, list[Any], type], ...] = (
+    ("a list", [make_answer(b"200 OK", LIST)], PromptsListed),
+    ("not JSON", [make_answer(b"200 OK", b"?")], PromptListFailed),
+    ("other fields", [make_answer(b"200 OK", b'{"held":[[1]]}')], PromptListFailed),
+    ("full", [make_answer(b"429 Too Many", b"")], PromptListFailed),
+    ("closed", [CLOSE], PromptListFailed),
+    ("silent", [], PromptListFailed),
+)
+
+
+class PromptListTests(LoopbackTestCase):
+    @on_loopback
+    async def test_answers(self) -> None:
+        for name, script, expected in ANSWERS:
+            with self.subTest(name):
+                events: list[Any] = []
+                server = ScriptedServer([script])
+                listener = server.listen(self.reactor)
+                record = UpstreamRecord("i-1", "s", "127.0.0.1", server.port, "z")
+                PromptLists(self.reactor, events.append).ask(record, 0.3)
+                await self.wait_until(lambda events=events: bool(events))
+                self.assertIsInstance(events[0], expected)
+                if expected is PromptsListed:
+                    self.assertEqual(events[0].parts, ("ab12", "cd34"))
+                    self.assertIn(b"GET /-/kv-list", server.requests[0])
+                await listener.stopListening()
