Give neighbours of a lost upstream neither work nor copies until they are heard

Cause: a whole data centre's engines die together, but an entry only suspected those that it had work at.

Change: a sign of trouble, also one that another entry tells of, puts all upstreams of the service in that data centre behind those that were heard since, for 4 s. A stream that lacks the time for a first piece asks for its prompt before it is refused.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -57,6 +57,8 @@
     not heard for `probe_after_s` while a stream waits for its first piece are probed.
     A gap of more than `pause_s` between two ticks is a pause of this process, which
     says nothing about others. Outcomes count half after `outcome_half_life_s`.
+    Upstreams that were not heard since a neighbour was in trouble are avoided for
+    `shaken_s`.
     """
 
     scan_s: float = _seconds(0.02)
@@ -75,6 +77,7 @@
     failing_share: float = _part(0.25)
     avoided_share: float = _part(0.5)
     slow_times: float = _seconds(2.5)
+    shaken_s: float = _seconds(4.0)
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -55,7 +55,7 @@
             _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
             return
     request = _make_request(world, caller, route, workspace, now)
-    lookup = wants_lookup(world, request)
+    lookup = wants_lookup(world, request, now)
     obstacle = _find_stop_obstacle(world, request, now)
     if not lookup:
         obstacle = obstacle or find_time_obstacle(world, request, now)
--- a/src/magnoliahold/core/serving/systems/choice.py
+++ b/src/magnoliahold/core/serving/systems/choice.py
@@ -32,7 +32,8 @@
     ]
     trusted = _find_most_trusted(staying)
     fresh = [item for item in trusted if item.id not in request.tried] or trusted
-    sound = _leave_out(fresh, find_failing(world, fresh, now), world)
+    calm = _leave_out(fresh, find_shaken(world, fresh, now), world)
+    sound = _leave_out(calm, find_failing(world, calm, now), world)
     fast = _leave_out(sound, find_slow(world, sound), world)
     return [item for item in fast if item.full_until <= now] or fast
 
@@ -59,6 +60,15 @@
     return [item for item in candidates if item.id not in avoided]
 
 
+def find_shaken(
+    world: ServingWorld, candidates: list[Upstream], now: float
+) -> set[str]:
+    """Finds upstreams that may have gone together with a neighbour."""
+    kept_s = world.serving.watch.shaken_s
+    table = world.upstreams
+    return {item.id for item in candidates if table.is_shaken(item, now, kept_s)}
+
+
 def find_failing(
     world: ServingWorld, candidates: list[Upstream], now: float
 ) -> set[str]:
--- a/src/magnoliahold/core/serving/systems/lookups.py
+++ b/src/magnoliahold/core/serving/systems/lookups.py
@@ -22,13 +22,16 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
-def wants_lookup(world: ServingWorld, request: ServedRequest) -> bool:
-    """Tells whether a stream comes back whose prompt was read at an unknown place."""
+def wants_lookup(world: ServingWorld, request: ServedRequest, now: float) -> bool:
+    """Tells whether a stream comes back whose prompt was read at an unknown place.
+
+    One with too little time for a first piece has been elsewhere before.
+    """
     configuration = world.configuration
     service = configuration and configuration.services_by_name.get(request.service)
-    if not service or not service.keeps_prompts:
+    if not service or not service.keeps_prompts or not request.caller.prompt:
         return False
-    if request.last_piece is None or not request.caller.prompt:
+    if request.last_piece is None and not find_time_obstacle(world, request, now):
         return False
     return read_place(world, request) not in world.upstreams.by_id
 
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -11,6 +11,7 @@
 from magnoliahold.core.serving.systems.choice import (
     choose_upstream,
     find_candidates,
+    find_shaken,
     measure_load,
     read_place,
 )
@@ -73,7 +74,10 @@
     candidates = far or candidates
     if not candidates:
         return None
-    return min(candidates, key=lambda item: measure_load(world, item))
+    shaken = find_shaken(world, candidates, now)
+    return min(
+        candidates, key=lambda item: (item.id in shaken, measure_load(world, item))
+    )
 
 
 def _start_attempt(
--- a/src/magnoliahold/core/serving/systems/trust.py
+++ b/src/magnoliahold/core/serving/systems/trust.py
@@ -37,6 +37,7 @@
     """Gives an upstream no new work before it answers a probe."""
     if upstream.trust is Trust.TRUSTED:
         upstream.trust = Trust.DOUBTED
+        world.upstreams.note_trouble(upstream.record, now)
         world.log_decision(
             "trust", "Upstream doubted.", upstream=upstream.id, reason=reason
         )
@@ -52,6 +53,7 @@
             "trust", "Upstream down.", upstream=upstream.id, reason=reason
         )
         upstream.failed_probes = 0
+        world.upstreams.note_trouble(upstream.record, now)
         _probe_neighbours(world, upstream, now)
     upstream.trust = Trust.DOWN
     delay_s = policy.down_probe_s * 2**upstream.failed_probes
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -83,11 +83,16 @@
 
 @define
 class UpstreamTable:
-    """Upstreams by id and by service; `known` once a whole list was read."""
+    """Upstreams by id and by service; `known` once a whole list was read.
+
+    `troubles` holds when an upstream of a service last gave a sign of trouble in a data
+    centre, by service and data centre.
+    """
 
     by_id: dict[str, Upstream] = field(factory=dict)
     by_service: dict[str, dict[str, Upstream]] = field(factory=dict)
     known: bool = False
+    troubles: dict[tuple[str, str], float] = field(factory=dict)
 
     def put_record(self, record: UpstreamRecord, now: float) -> Upstream:
         """Adds or changes an upstream; another start of it is a new upstream."""
@@ -110,6 +115,16 @@
             self.by_service.get(upstream.record.service, {}).pop(upstream_id, None)
         return upstream
 
+    def note_trouble(self, record: UpstreamRecord, now: float) -> None:
+        """Notes a sign of trouble of an upstream."""
+        self.troubles[record.service, record.data_centre] = now
+
+    def is_shaken(self, upstream: Upstream, now: float, kept_s: float) -> bool:
+        """Tells whether a neighbour was in trouble and this one wasn't heard since."""
+        record = upstream.record
+        at = self.troubles.get((record.service, record.data_centre))
+        return at is not None and now - at < kept_s and upstream.heard_at < at
+
     def list_service(self, service: str) -> list[Upstream]:
         """Lists the upstreams of one service."""
         return list(self.by_service.get(service, {}).values())
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -18,7 +18,12 @@
     ServiceShare,
     Workspace,
 )
-from magnoliahold.core.serving.effects import FollowFeed, ReadFeed, SendAttempt
+from magnoliahold.core.serving.effects import (
+    FollowFeed,
+    ListPrompts,
+    ReadFeed,
+    SendAttempt,
+)
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.events import (
     AnswerHead,
@@ -28,6 +33,7 @@
     FeedChanged,
     FeedRead,
     PiecesReceived,
+    PromptsListed,
     RequestArrived,
     StreamEnded,
     StreamOpened,
@@ -216,6 +222,11 @@
         """Has an upstream produce pieces of a stream."""
         self.post(PiecesReceived(attempt.attempt, last, count))
 
+    def deny_prompts(self) -> None:
+        """Has all upstreams that are asked say that they keep no prompt."""
+        asked = self.take(ListPrompts)
+        self.post(*(PromptsListed(item.upstream.id, ()) for item in asked))
+
     def finish(self, attempt: SendAttempt) -> None:
         """Has a stream come to its end."""
         self.post(StreamEnded(attempt.attempt))
--- a/tests/core/serving/test_lookups.py
+++ b/tests/core/serving/test_lookups.py
@@ -65,6 +65,16 @@
         self.rig.request(RouteKind.IDEMPOTENT)
         self.assertEqual(self.rig.take(ListPrompts), [])
 
+    def test_first_piece_that_lacks_time_is_looked_up(self) -> None:
+        self.rig.world.openings["engines"] = 1.0
+        self.rig.request(RouteKind.STREAM, patience_s=0.5)
+        asked = self.rig.take(ListPrompts)
+        self.assertEqual(len(asked), 4)
+        self.rig.post(PromptsListed(asked[0].upstream.id, (OWN_PART,)))
+        self.assertEqual(
+            self.rig.take_one(SendAttempt).upstream.id, asked[0].upstream.id
+        )
+
     def test_known_place_is_not_asked_for(self) -> None:
         self.come_back()
         self.rig.post(PromptsListed("engines-2", (OWN_PART,)))
--- a/tests/core/serving/test_random.py
+++ b/tests/core/serving/test_random.py
@@ -22,6 +22,7 @@
     DropAttempt,
     FinishAnswer,
     FollowFeed,
+    ListPrompts,
     ProbeServing,
     ReadFeed,
     RefuseCaller,
@@ -39,6 +40,8 @@
     FeedChanged,
     FeedFailed,
     PiecesReceived,
+    PromptListFailed,
+    PromptsListed,
     StreamEnded,
     StreamOpened,
     UpstreamAnsweredProbe,
@@ -205,6 +208,8 @@
                 self.take_final(effect)
             elif isinstance(effect, ProbeServing):
                 self.answer_probe(effect)
+            elif isinstance(effect, ListPrompts):
+                self.answer_list(effect)
             else:
                 expected = (ReadFeed, FollowFeed, RegisterEntry, TellPeers)
                 if isinstance(effect, expected):
@@ -255,6 +260,16 @@
         ]
         self.rig.world.inbox.add_event(self.random.choices(kinds, (4, 1))[0])
 
+    def answer_list(self, effect: ListPrompts) -> None:
+        """An upstream tells which prompts it keeps, or nothing."""
+        upstream_id = effect.upstream.id
+        part = f"own-{self.random.randint(1, 40)}"
+        kinds: list[Any] = [
+            PromptsListed(upstream_id, (part,)),
+            PromptListFailed(upstream_id, "no answer"),
+        ]
+        self.rig.world.inbox.add_event(self.random.choices(kinds, (4, 1))[0])
+
 
 class RandomTests(unittest.TestCase):
     def test_promises_hold_under_drawn_faults(self) -> None:
--- a/tests/core/serving/test_sharing.py
+++ b/tests/core/serving/test_sharing.py
@@ -167,6 +167,7 @@
     def test_stream_without_time_for_a_first_piece_is_refused_at_once(self) -> None:
         self.rig.world.openings[ENGINES] = 1.1
         self.rig.request(STREAM, patience_s=0.4)
+        self.rig.deny_prompts()
         refusal = self.rig.take_one(RefuseCaller)
         self.assertEqual((refusal.status, refusal.not_run), (503, True))
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -237,6 +237,7 @@
 
     def test_returning_caller_goes_on_after_its_last_piece(self) -> None:
         self.rig.request(RouteKind.STREAM, resume_after=12)
+        self.rig.deny_prompts()
         attempt = self.rig.take_one(SendAttempt)
         self.assertEqual(attempt.resume_after, 12)
         self.assertIsNone(attempt.copy_source)
