Tell choices of streams at once; leave a slow opening only while another can be in time

Cause: streams come in bunches.

Change: an entry tells the others at once when it sends a stream. A stream without a first piece is moved only while the mean opening still fits into its goal.

Weighed and left: loads counted in tokens of the prompts, and engines set aside for reading prompts.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -70,6 +70,7 @@
 
     `loads` sums up what the others' notices say, by upstream. `places` holds where
     prompts were read, by the id of their last part, with the time of the last notice.
+    `urgent` is set when the others should learn at once what this entry has chosen.
     """
 
     by_name: dict[str, Peer] = field(factory=dict)
@@ -77,6 +78,7 @@
     places: dict[str, tuple[str, float]] = field(factory=dict)
     told: LoadNotice | None = None
     told_at: float = 0.0
+    urgent: bool = False
     serial: int = 0
     registering: bool = False
     registered: bool = False
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -84,11 +84,12 @@
 class AttemptPolicy:
     """Attempts of requests and their repeats.
 
-    An idempotent call without an answer is repeated elsewhere after `repeat_after_s`,
-    a stream without a first piece after `opening_share` of its goal if another upstream
-    has at most `idle_share` of the work. Requests without
-    a usable upstream are refused after `hold_share` of their goal, streams that are
-    under way are cut after `hold_stream_s`. A stream goes to the upstream that has read
+    An idempotent call without an answer is repeated elsewhere after `repeat_after_s`.
+    An upstream that has not begun a stream is left when `opening_margin` times the mean
+    opening is left of its goal, for one that has at most `idle_share` of the work, but
+    not once less than the mean opening is left. Requests without a usable upstream are
+    refused after `hold_share` of their goal, streams that are under way are cut after
+    `hold_stream_s`. A stream goes to the upstream that has read
     its prompt before unless the load there is `place_extra_load` above the lowest.
     A stream with less patience than `opening_part` of what openings take is refused.
     Upstreams have `lookup_s` to tell which prompts they keep; what they told is not
@@ -97,7 +98,7 @@
 
     connect_timeout_s: float = _seconds(0.25)
     repeat_after_s: float = _seconds(0.35)
-    opening_share: float = _part(0.75)
+    opening_margin: float = _part(1.25)
     idle_share: float = _part(0.5)
     hold_share: float = _part(0.125)
     hold_stream_s: float = _seconds(1.5)
@@ -116,10 +117,12 @@
 class PeerPolicy:
     """What entries tell each other.
 
-    A changed load is told at most every `least_interval_s`, an unchanged one every
-    `interval_s`; what a peer told counts for `notice_kept_s`, and where a prompt was
-    read for `place_kept_s`. Registrations of entries that were not heard for
-    `removed_after_s` are removed.
+    A stream that was sent to an upstream is told at once, or requests that come at the
+    same time at several entries would all be sent to the idlest upstream. Other changes
+    are told at most every `least_interval_s`, an unchanged load every `interval_s`.
+    What a peer told counts for `notice_kept_s`, and where a prompt was read for
+    `place_kept_s`. Registrations of entries that were not heard for `removed_after_s`
+    are removed.
     """
 
     least_interval_s: float = _seconds(0.04)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -103,6 +103,8 @@
     request.handed += 1
     request.copy = None
     table.start_attempt(attempt)
+    if request.route.kind is RouteKind.STREAM:
+        world.entries.urgent = True
     world.emit(_make_send(world, attempt, now))
     world.emit(CountMetric("attempts_started"))
     _log_choice(world, attempt)
--- a/src/magnoliahold/core/serving/systems/sharing.py
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -176,8 +176,9 @@
         return
     policy = world.serving.peers
     quiet_s = now - table.told_at
-    if quiet_s < policy.least_interval_s:
+    if quiet_s < policy.least_interval_s and not table.urgent:
         return
+    table.urgent = False
     notice = _make_notice(world, table.serial + 1)
     told = table.told
     same = told is not None and evolve(told, serial=notice.serial) == notice
--- a/src/magnoliahold/core/serving/systems/silence.py
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -12,10 +12,14 @@
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
     from magnoliahold.core.serving.world import ServingWorld
 
 
+# Of the goal, while no stream of the service has begun here yet.
+UNKNOWN_OPENING_SHARE = 0.25
+
+
 def watch_attempts(world: ServingWorld, now: float) -> None:
     """Moves attempts off silent upstreams, and probes those that may be."""
     if not world.scans:
@@ -68,14 +72,24 @@
     waited_s = now - (attempt.sent_at or attempt.started_at)
     if now - max(attempt.upstream.heard_at, attempt.heard_at) >= policy.probe_after_s:
         probe(world, attempt.upstream, "a stream has not begun", now)
-    patience_s = request.route.goal_s * world.serving.attempts.opening_share
-    if waited_s < patience_s or request.opened_late:
+    if request.opened_late or not _is_time_to_leave(world, request, waited_s):
         return
     if is_elsewhere_faster(world, attempt, now):
         request.opened_late = True
         move_request(world, attempt, f"no first piece for {waited_s:.2f} s", now)
 
 
+def _is_time_to_leave(
+    world: ServingWorld, request: ServedRequest, waited_s: float
+) -> bool:
+    """Tells whether another upstream can still, but only just, begin in time."""
+    goal_s = request.route.goal_s
+    left_s = goal_s - waited_s
+    opening_s = world.openings.get(request.service, goal_s * UNKNOWN_OPENING_SHARE)
+    margin = world.serving.attempts.opening_margin
+    return opening_s <= left_s <= opening_s * margin
+
+
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
     waited_s = now - (attempt.sent_at or attempt.started_at)
     if waited_s >= world.serving.attempts.repeat_after_s:
--- a/tests/core/serving/test_sharing.py
+++ b/tests/core/serving/test_sharing.py
@@ -147,6 +147,14 @@
         self.rig.advance(0.6)
         self.rig.take_one(TellPeers)
 
+    def test_choice_for_a_stream_is_told_at_once(self) -> None:
+        self.rig.advance(1.0)
+        for _ in range(3):
+            self.rig.take(TellPeers)
+            self.rig.request(STREAM)
+            told = self.rig.take_one(TellPeers)
+        self.assertEqual(sum(load.reading for load in told.notice.loads), 3)
+
     def test_entry_registers_until_that_is_done_and_again_when_removed(self) -> None:
         self.rig.take_one(RegisterEntry)
         self.rig.post(EntryRegistered(False, "timeout"))
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -224,6 +224,33 @@
                         rig.post(answered)
                 self.assertEqual(len(rig.take(SendAttempt)), moved)
 
+    def test_stream_that_does_not_begin_moves_while_another_can_begin_in_time(
+        self,
+    ) -> None:
+        """The goal is 4.5 s: with openings of 2 s, that is from 2.0 to 2.5 s on."""
+        for opening_s, moved_at in (
+            (2.0, 2.0),
+            (1.0, 3.25),
+            (6.0, None),
+        ):
+            with self.subTest(opening_s=opening_s):
+                rig = ServingRig()
+                rig.start()
+                rig.world.openings[ENGINES] = opening_s
+                rig.request(RouteKind.STREAM)
+                rig.send()
+                waited_s = 0.0
+                while waited_s < 4.4 and not rig.take(SendAttempt):
+                    rig.advance(0.02)
+                    waited_s += 0.02
+                    for probe in rig.take(ProbeServing):
+                        record = probe.upstream
+                        rig.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+                if moved_at is None:
+                    self.assertGreaterEqual(waited_s, 4.4)
+                else:
+                    self.assertAlmostEqual(waited_s, moved_at, delta=0.07)
+
     def test_unsent_attempt_does_not_count(self) -> None:
         rig = ServingRig()
         rig.start()
