Order copies of streams that lost their copy's holder; probe holders that were not heard

Others named a holder that was already dead, which shows in no other way than by asking it.

Change: a holder that was not heard for a second is probed when it is chosen. A stream whose holder is lost, leaves or is gone has its memory copied by order to another upstream; the order is renewed each 2 s and carries only what is new. The copy is freed when the stream ends, or when its caller leaves.

--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -10,18 +10,10 @@
     from magnoliahold.core.serving.configuration import CallerLimits
     from magnoliahold.core.serving.feeds import Feed
     from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
+    from magnoliahold.core.serving.requests import CopyName
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
-@frozen
-class CopySource:
-    """A copy to go on from: its holder's address and the id of the run it is of."""
-
-    address: str
-    port: int
-    run_id: str
-
-
 @frozen
 class SendAttempt:
     """Sends a caller's request to an upstream.
@@ -41,7 +33,7 @@
     fresh_connection: bool = False
     resume_after: int | None = None
     copy_to: tuple[str, int] | None = None
-    copy_source: CopySource | None = None
+    copy_source: CopyName | None = None
 
 
 @frozen
@@ -51,6 +43,28 @@
     attempt: int
 
 
+@frozen
+class CopyMemory:
+    """Has an upstream copy its memory of a run to another; MemoryCopied answers.
+
+    A later order for the same run copies only what is new.
+    """
+
+    attempt: int
+    run_id: str
+    upstream: UpstreamRecord
+    holder: UpstreamRecord
+    timeout_s: float
+
+
+@frozen
+class FreeCopy:
+    """Has an upstream free a copy that was ordered and isn't needed any more."""
+
+    copy: CopyName
+    timeout_s: float
+
+
 @frozen
 class OpenAnswer:
     """Starts the caller's answer with the head that an attempt's answer has."""
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.serving import checks
 from magnoliahold.core.serving.systems import (
     arrivals,
+    copies,
     deadlines,
     feeds,
     leaving,
@@ -42,8 +43,10 @@
     trust.take_probe_results,
     sharing.take_notices,
     lookups.take_prompt_lists,
+    copies.take_copies,
     silence.watch_attempts,
     deadlines.end_overdue,
+    copies.keep_copies,
     routing.route_waiting,
     trust.probe_lost,
     sharing.register_entry,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from magnoliahold.core.serving.feeds import Feed, FeedRow
     from magnoliahold.core.serving.peers import LoadNotice
-    from magnoliahold.core.serving.requests import CallerRequest
+    from magnoliahold.core.serving.requests import CallerRequest, CopyName
 
 
 @frozen
@@ -118,6 +118,24 @@
     reason: str
 
 
+@frozen
+class MemoryCopied:
+    """A copy that was ordered is made; `copy` is its name."""
+
+    attempt: int
+    holder_id: str
+    copy: CopyName
+
+
+@frozen
+class CopyFailed:
+    """A copy that was ordered could not be made."""
+
+    attempt: int
+    holder_id: str
+    reason: str
+
+
 @frozen
 class PromptsListed:
     """An upstream told which parts of prompts it keeps, by their ids."""
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -113,6 +113,22 @@
     budget_allowance: int = _count(10)
 
 
+@frozen
+class CopyPolicy:
+    """Copies of the memory of streams.
+
+    A holder that was not heard for `unheard_s` is probed when it is chosen. Copies are
+    ordered after a stream lost its copy's holder. They are renewed each `renew_s`,
+    since upstreams keep them for few seconds, and ordered again after `retry_s` where
+    that failed. An upstream has `order_timeout_s`.
+    """
+
+    unheard_s: float = _seconds(1.0)
+    renew_s: float = _seconds(2.0)
+    retry_s: float = _seconds(0.5)
+    order_timeout_s: float = _seconds(1.5)
+
+
 @frozen
 class PeerPolicy:
     """What entries tell each other.
@@ -155,5 +171,6 @@
     feeds: FeedPolicy = field(factory=FeedPolicy)
     watch: WatchPolicy = field(factory=WatchPolicy)
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
+    copies: CopyPolicy = field(factory=CopyPolicy)
     peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -57,20 +57,44 @@
     ENDED = "ended"
 
 
+@frozen
+class CopyName:
+    """How upstreams call a copy: an upstream's address, and a key there."""
+
+    address: str
+    port: int
+    key: str
+
+
 @frozen
 class MemoryCopy:
-    """Where a copy of a stream's memory lies, and the upstream that made it."""
+    """A copy of a stream's memory and the upstream that holds it."""
 
     holder: Upstream
-    origin_id: str
+    name: CopyName
+
+
+@define
+class CopyOrder:
+    """Copies that are ordered one by one, after a stream lost its copy's holder.
+
+    `name` is that of the copy that was made last, None before the first. Times are on
+    the process clock; `copied_at` is when the last one was ordered that was made.
+    """
+
+    ordered_at: float
+    under_way: bool = True
+    name: CopyName | None = None
+    copied_at: float = 0.0
 
 
 @define(eq=False)
 class Attempt:
     """One try to have a request run at one upstream.
 
-    `copy_holder` gets a copy of the memory while it runs. `continued` is the copy that
-    this attempt goes on from. Times are on the process clock.
+    `copy_holder` gets a copy of the memory while it runs: by itself from the start, or
+    by order once the first holder was lost. `continued` is the copy that this attempt
+    goes on from. Times are on the process clock.
     """
 
     number: int
@@ -78,6 +102,7 @@
     upstream: Upstream
     started_at: float
     copy_holder: Upstream | None = None
+    copy_order: CopyOrder | None = None
     continued: MemoryCopy | None = None
     state: AttemptState = AttemptState.CONNECTING
     sent_at: float | None = None
@@ -156,14 +181,21 @@
         if attempt.copy_holder is not None:
             attempt.copy_holder.copies += 1
 
+    def move_copy(self, attempt: Attempt, holder: Upstream | None) -> None:
+        """Has another upstream hold the copy of an attempt's memory, or none."""
+        if attempt.copy_holder is not None:
+            attempt.copy_holder.copies -= 1
+        if holder is not None:
+            holder.copies += 1
+        attempt.copy_holder = holder
+
     def end_attempt(self, attempt: Attempt) -> None:
         """Takes an attempt off its upstream."""
         attempt.state = AttemptState.ENDED
         attempt.request.attempt = None
         self.attempts.pop(attempt.number, None)
         attempt.upstream.attempts.pop(attempt.number, None)
-        if attempt.copy_holder is not None:
-            attempt.copy_holder.copies -= 1
+        self.move_copy(attempt, None)
 
     def wait_again(self, request: ServedRequest) -> None:
         """Has a request wait for another upstream."""
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -0,0 +1,157 @@
+"""Keeps a copy of each running stream's memory at a second upstream.
+
+An upstream copies by itself to the holder that is named when a stream is sent. When
+that holder is lost, copies are ordered one by one at another: each carries only what is
+new, and is kept for a few seconds.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import CopyMemory, FreeCopy
+from magnoliahold.core.serving.events import CopyFailed, MemoryCopied
+from magnoliahold.core.serving.requests import CopyOrder
+from magnoliahold.core.serving.systems.choice import (
+    find_candidates,
+    find_shaken,
+    measure_load,
+)
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def choose_copy_holder(
+    world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
+) -> Upstream | None:
+    """Chooses who keeps a copy: the least loaded one of another data centre."""
+    if request.route.kind is not RouteKind.STREAM or not request.route.resumable:
+        return None
+    configuration = world.configuration
+    service = configuration and configuration.services_by_name.get(request.service)
+    if not service or not service.keeps_copies:
+        return None
+    candidates = [
+        item
+        for item in find_candidates(world, request, now)
+        if item is not upstream and item.trust is Trust.TRUSTED
+    ]
+    place = upstream.record.data_centre
+    far = [item for item in candidates if item.record.data_centre != place]
+    candidates = far or candidates
+    if not candidates:
+        return None
+    shaken = find_shaken(world, candidates, now)
+    return min(
+        candidates, key=lambda item: (item.id in shaken, measure_load(world, item))
+    )
+
+
+def take_copies(world: ServingWorld, now: float) -> None:
+    """Notes which of the copies that were ordered are made."""
+    for copied in world.inbox.read_events(MemoryCopied):
+        attempt = world.requests.attempts.get(copied.attempt)
+        order = attempt.copy_order if attempt else None
+        holder = attempt.copy_holder if attempt else None
+        if order is None or holder is None or holder.id != copied.holder_id:
+            world.emit(FreeCopy(copied.copy, world.serving.copies.order_timeout_s))
+            continue
+        order.under_way = False
+        order.name = copied.copy
+        order.copied_at = order.ordered_at
+    for failed in world.inbox.read_events(CopyFailed):
+        attempt = world.requests.attempts.get(failed.attempt)
+        if attempt is None or attempt.copy_order is None:
+            continue
+        attempt.copy_order.under_way = False
+        world.log_decision(
+            "copies",
+            "Copy failed.",
+            request=attempt.request.id,
+            attempt=attempt.number,
+            holder=failed.holder_id,
+            reason=failed.reason,
+        )
+
+
+def keep_copies(world: ServingWorld, now: float) -> None:
+    """Orders copies for the streams that lost the holder of theirs."""
+    if not world.scans:
+        return
+    for attempt in world.requests.attempts.values():
+        if not attempt.pieces:
+            continue
+        if _is_lost(world, attempt.copy_holder):
+            _replace_holder(world, attempt, now)
+        elif attempt.copy_order is not None:
+            _renew_copy(world, attempt, attempt.copy_order, now)
+
+
+def _is_lost(world: ServingWorld, holder: Upstream | None) -> bool:
+    if holder is None or holder.trust is Trust.DOWN or holder.record.leaving:
+        return True
+    return world.upstreams.by_id.get(holder.id) is not holder
+
+
+def _replace_holder(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    order = attempt.copy_order
+    if order is not None and now - order.ordered_at < world.serving.copies.retry_s:
+        return
+    request = attempt.request
+    lost = attempt.copy_holder
+    holder = choose_copy_holder(world, request, attempt.upstream, now)
+    world.requests.move_copy(attempt, holder)
+    attempt.copy_order = CopyOrder(now, under_way=holder is not None)
+    if holder is None:
+        return
+    _order_copy(world, attempt, holder)
+    world.emit(CountMetric("copies_replaced"))
+    world.log_decision(
+        "copies",
+        "Holder replaced.",
+        request=request.id,
+        attempt=attempt.number,
+        lost=lost.id if lost else None,
+        holder=holder.id,
+        data_centre=holder.record.data_centre,
+        last_piece=request.last_piece,
+    )
+
+
+def _renew_copy(
+    world: ServingWorld, attempt: Attempt, order: CopyOrder, now: float
+) -> None:
+    """Orders the next copy before the last one is dropped."""
+    policy = world.serving.copies
+    holder = attempt.copy_holder
+    pause_s = policy.retry_s if order.name is None else policy.renew_s
+    if holder is None or order.under_way or now - order.ordered_at < pause_s:
+        return
+    order.ordered_at = now
+    order.under_way = True
+    _order_copy(world, attempt, holder)
+
+
+def _order_copy(world: ServingWorld, attempt: Attempt, holder: Upstream) -> None:
+    world.emit(
+        CopyMemory(
+            attempt.number,
+            attempt.request.id,
+            attempt.upstream.record,
+            holder.record,
+            world.serving.copies.order_timeout_s,
+        )
+    )
+
+
+def free_copy(world: ServingWorld, attempt: Attempt) -> None:
+    """Has the copy of a stream freed that has ended."""
+    order = attempt.copy_order
+    if order is not None and order.name is not None:
+        world.emit(FreeCopy(order.name, world.serving.copies.order_timeout_s))
--- a/src/magnoliahold/core/serving/systems/endings.py
+++ b/src/magnoliahold/core/serving/systems/endings.py
@@ -14,6 +14,7 @@
     RefuseCaller,
 )
 from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.systems.copies import free_copy
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
@@ -45,6 +46,7 @@
 ) -> None:
     """Gives a request up at once: as not run only where that is certain."""
     if request.attempt is not None:
+        free_copy(world, request.attempt)
         drop_attempt(world, request.attempt)
     if request.opened:
         world.emit(CutAnswer(request.handle))
@@ -99,6 +101,7 @@
 def forget_caller(world: ServingWorld, request: ServedRequest, now: float) -> None:
     """Stops the work for a caller that has left."""
     if request.attempt is not None:
+        free_copy(world, request.attempt)
         drop_attempt(world, request.attempt)
     _end(world, request, "caller left", now)
 
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -12,6 +12,7 @@
     StreamOpened,
 )
 from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.systems.copies import free_copy
 from magnoliahold.core.serving.systems.endings import finish_stream
 from magnoliahold.core.serving.systems.outcomes import is_of_another
 from magnoliahold.core.serving.systems.retries import break_off, count_outcome
@@ -87,6 +88,7 @@
             count_outcome(world, attempt, False, now)
             world.requests.end_attempt(attempt)
             world.emit(DropAttempt(attempt.number))
+            free_copy(world, attempt)
             _note_stream(world, attempt.request, now)
             finish_stream(world, attempt.request, now)
 
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
-from magnoliahold.core.serving.requests import AttemptState, MemoryCopy
+from magnoliahold.core.serving.requests import AttemptState, CopyName, MemoryCopy
 from magnoliahold.core.serving.systems.endings import drop_attempt, refuse
 
 if TYPE_CHECKING:
@@ -55,9 +55,16 @@
     """
     request = attempt.request
     holder = attempt.copy_holder
+    order = attempt.copy_order
     request.copy = None
-    if holder is not None and attempt.pieces:
-        request.copy = MemoryCopy(holder, request.id)
+    if holder is None or not attempt.pieces:
+        return
+    if order is None:
+        record = holder.record
+        name = CopyName(record.address, record.port, request.id)
+        request.copy = MemoryCopy(holder, name)
+    elif order.name is not None:
+        request.copy = MemoryCopy(holder, order.name)
 
 
 def may_try_again(world: ServingWorld, request: ServedRequest, now: float) -> bool:
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -6,15 +6,16 @@
 
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.configuration import RouteKind
-from magnoliahold.core.serving.effects import CopySource, SendAttempt
+from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.requests import Attempt
 from magnoliahold.core.serving.systems.choice import (
     choose_upstream,
     find_candidates,
-    find_shaken,
     measure_load,
     read_place,
 )
+from magnoliahold.core.serving.systems.copies import choose_copy_holder
+from magnoliahold.core.serving.systems.trust import probe
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -54,32 +55,6 @@
     return copy
 
 
-def _choose_copy_holder(
-    world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
-) -> Upstream | None:
-    """Chooses who keeps a copy: the least loaded one of another data centre."""
-    if request.route.kind is not RouteKind.STREAM or not request.route.resumable:
-        return None
-    configuration = world.configuration
-    service = configuration and configuration.services_by_name.get(request.service)
-    if not service or not service.keeps_copies:
-        return None
-    candidates = [
-        item
-        for item in find_candidates(world, request, now)
-        if item is not upstream and item.trust is Trust.TRUSTED
-    ]
-    place = upstream.record.data_centre
-    far = [item for item in candidates if item.record.data_centre != place]
-    candidates = far or candidates
-    if not candidates:
-        return None
-    shaken = find_shaken(world, candidates, now)
-    return min(
-        candidates, key=lambda item: (item.id in shaken, measure_load(world, item))
-    )
-
-
 def _start_attempt(
     world: ServingWorld,
     request: ServedRequest,
@@ -96,7 +71,7 @@
         upstream=upstream,
         started_at=now,
         heard_at=now,
-        copy_holder=_choose_copy_holder(world, request, upstream, now),
+        copy_holder=choose_copy_holder(world, request, upstream, now),
         continued=copy,
     )
     table.next_attempt += 1
@@ -106,19 +81,23 @@
     if request.route.kind is RouteKind.STREAM:
         world.entries.urgent = True
     world.emit(_make_send(world, attempt, now))
+    _check_holder(world, attempt, now)
     world.emit(CountMetric("attempts_started"))
     _log_choice(world, attempt)
 
 
+def _check_holder(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Probes the holder of a copy, whose loss would show in no other way."""
+    holder = attempt.copy_holder
+    unheard_s = world.serving.copies.unheard_s
+    if holder is not None and now - holder.heard_at > unheard_s:
+        probe(world, holder, "it is to hold a copy", now)
+
+
 def _make_send(world: ServingWorld, attempt: Attempt, now: float) -> SendAttempt:
     request = attempt.request
     holder = attempt.copy_holder
     copy_to = (holder.record.address, holder.record.port) if holder else None
-    source = None
-    if attempt.continued is not None:
-        record = attempt.continued.holder.record
-        run_id = attempt.continued.origin_id
-        source = CopySource(record.address, record.port, run_id)
     return SendAttempt(
         attempt=attempt.number,
         handle=request.handle,
@@ -130,7 +109,7 @@
         fresh_connection=not request.route.repeatable,
         resume_after=request.last_piece,
         copy_to=copy_to,
-        copy_source=source,
+        copy_source=attempt.continued.name if attempt.continued else None,
     )
 
 
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import msgspec
 from twisted.web.http_headers import Headers
@@ -15,6 +16,7 @@
 
 REPORT_PATH = b"/-/report"
 PROMPTS_PATH = "/-/kv-list"
+COPY_PATH = "/-/kv-move"
 MISDIRECTED = 421
 LEAST_DEADLINE_MS = 1
 MS_PER_S = 1000.0
@@ -76,7 +78,7 @@
         headers.setRawHeaders("Kv-Backup", [f"{address}:{port}"])
     source = send.copy_source
     if source is not None:
-        place = f"{source.address}:{source.port}/{source.run_id}"
+        place = f"{source.address}:{source.port}/{source.key}"
         headers.setRawHeaders("Kv-From", [place])
     return headers
 
@@ -113,6 +115,33 @@
     return tuple(part for _, part, _, _ in _prompts_decoder.decode(body).held)
 
 
+def make_copy_order(run_id: str, holder: UpstreamRecord) -> bytes:
+    """Writes the order to copy a run's memory, while the run goes on."""
+    return msgspec.json.encode(
+        {"id": run_id, "to": f"{holder.address}:{holder.port}", "final": False}
+    )
+
+
+class _CopyAnswer(msgspec.Struct):
+    handle: str
+
+
+_copy_decoder = msgspec.json.Decoder(_CopyAnswer)
+
+
+def read_copy_key(body: bytes) -> str:
+    """Reads the key of a copy that was made.
+
+    Raises msgspec.MsgspecError when the answer can't be read.
+    """
+    return _copy_decoder.decode(body).handle
+
+
+def make_free_path(key: str) -> str:
+    """Builds the path at which a copy is freed."""
+    return f"/-/kv-handle/{quote(key, safe='')}"
+
+
 def read_answer_head(status: int, headers: Headers) -> AnswerHead:
     """Reads what the head of an upstream's answer says."""
     return AnswerHead(
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -17,6 +17,7 @@
     from magnoliahold.node import Journal, Node
     from magnoliahold.platform.store import StoreClient
     from magnoliahold.serving.callers import Callers
+    from magnoliahold.serving.copies import MemoryCopies
     from magnoliahold.serving.exchanges import UpstreamExchanges
     from magnoliahold.serving.notices import NoticePort
     from magnoliahold.serving.prompts import PromptLists
@@ -31,6 +32,7 @@
     callers: Callers
     upstreams: UpstreamExchanges
     prompts: PromptLists
+    copies: MemoryCopies
     store: StoreClient
     notices: NoticePort
     own_record: PeerRecord | None
@@ -108,6 +110,16 @@
     node.ports.prompts.ask(effect.upstream, effect.timeout_s)
 
 
+@perform_effect.register(effects.CopyMemory)
+def _copy_memory(effect: effects.CopyMemory, node: Node) -> None:
+    node.ports.copies.order(effect)
+
+
+@perform_effect.register(effects.FreeCopy)
+def _free_copy(effect: effects.FreeCopy, node: Node) -> None:
+    node.ports.copies.free(effect)
+
+
 @perform_effect.register(effects.ReadFeed)
 def _read_feed(effect: effects.ReadFeed, node: Node) -> None:
     node.ports.store.read_feed(effect.feed, effect.call, effect.timeout_s)
--- a/tests/core/serving/test_random.py
+++ b/tests/core/serving/test_random.py
@@ -16,6 +16,7 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
+    CopyMemory,
     CutAnswer,
     DeliverAnswer,
     DeliverPieces,
@@ -37,8 +38,10 @@
     AttemptSent,
     AttemptUnsent,
     CallerLeft,
+    CopyFailed,
     FeedChanged,
     FeedFailed,
+    MemoryCopied,
     PiecesReceived,
     PromptListFailed,
     PromptsListed,
@@ -48,6 +51,7 @@
     UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.requests import CopyName
 from tests.core.serving.rig import CALLS, ENGINES, ServingRig, make_upstream
 
 if TYPE_CHECKING:
@@ -210,6 +214,8 @@
                 self.answer_probe(effect)
             elif isinstance(effect, ListPrompts):
                 self.answer_list(effect)
+            elif isinstance(effect, CopyMemory):
+                self.answer_order(effect)
             else:
                 expected = (ReadFeed, FollowFeed, RegisterEntry, TellPeers)
                 if isinstance(effect, expected):
@@ -260,6 +266,20 @@
         ]
         self.rig.world.inbox.add_event(self.random.choices(kinds, (4, 1))[0])
 
+    def answer_order(self, effect: CopyMemory) -> None:
+        """An upstream makes a copy that was ordered, fails, or never answers."""
+        holder_id = effect.holder.id
+        name = CopyName(effect.upstream.address, effect.upstream.port, "copy-1")
+        answer = self.random.choice(
+            (
+                MemoryCopied(effect.attempt, holder_id, name),
+                CopyFailed(effect.attempt, holder_id, "no room"),
+                None,
+            )
+        )
+        if answer is not None:
+            self.rig.world.inbox.add_event(answer)
+
     def answer_list(self, effect: ListPrompts) -> None:
         """An upstream tells which prompts it keeps, or nothing."""
         upstream_id = effect.upstream.id
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -67,7 +67,7 @@
         assert second.copy_source is not None
         source = (second.copy_source.address, second.copy_source.port)
         self.assertEqual(source, self.first.copy_to)
-        self.assertEqual(second.copy_source.run_id, self.caller.request_id)
+        self.assertEqual(second.copy_source.key, self.caller.request_id)
         self.assertEqual(second.resume_after, 7)
         self.assertEqual(second.upstream.address, source[0])
         self.rig.open(second, self.caller)
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -13,6 +13,11 @@
 RESET_DELAY_S = 0.02
 
 
+def make_answer(status: bytes, body: bytes) -> bytes:
+    """Makes a whole answer."""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
 @define(eq=False)
 class ScriptedServer:
     """Answers the n-th request with the n-th script, the last one again and again.
--- a/tests/serving/test_prompts.py
+++ b/tests/serving/test_prompts.py
@@ -8,16 +8,11 @@
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.prompts import PromptLists
 from tests.loopback import LoopbackTestCase, on_loopback
-from tests.serving.scripted import CLOSE, ScriptedServer
+from tests.serving.scripted import CLOSE, ScriptedServer, make_answer
 
 LIST = b'{"epoch":1,"next":9,"held":[["","ab12",8000,"m"],["","cd34",200,"m"]]}'
 
 
-def make_answer(status: bytes, body: bytes) -> bytes:
-    """Makes a whole answer."""
-    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
-
-
 ANSWERS: tuple[tuple[str, list[Any], type], ...] = (
     ("a list", [make_answer(b"200 OK", LIST)], PromptsListed),
     ("not JSON", [make_answer(b"200 OK", b"?")], PromptListFailed),
