--- a/src/magnoliahold/core/judgement.py
+++ b/src/magnoliahold/core/judgement.py
@@ -328,6 +328,33 @@
         )
 
 
+def take_count(
+    judgement: Judgement,
+    sender: tuple[str, str],
+    cell: Cell,
+    count: EvidenceCount,
+    is_new: bool,
+    rule: MoveRule,
+    policy: MovePolicy,
+    now: float,
+) -> None:
+    """Takes in cumulative results of a sender, named with its incarnation."""
+    source = (*sender, count.version, count.route, count.busy)
+    before = judgement.seen.get(source)
+    if before is not None and _is_older(before, count):
+        return
+    judgement.seen[source] = count
+    delta = find_delta(before, count)
+    if is_new:
+        judgement.add_new(cell, delta, rule, policy, lately=before is not None)
+    else:
+        judgement.add_old(cell, delta, now, policy)
+
+
+def _is_older(before: EvidenceCount, after: EvidenceCount) -> bool:
+    return after.answered + after.failed < before.answered + before.failed
+
+
 @frozen
 class Cell:
     """Where results come from."""
--- a/src/magnoliahold/core/moves.py
+++ b/src/magnoliahold/core/moves.py
@@ -6,10 +6,13 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, evolve, field
+from xxhash import xxh64_intdigest
 
 from magnoliahold.wire.messages import MoveRow
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliahold.core.peers import Peer
     from magnoliahold.core.policy import MovePolicy
     from magnoliahold.core.workspaces import (
@@ -276,6 +279,16 @@
     ]
 
 
+def count_before(key: str, own: str, others: Iterable[str]) -> int:
+    """Counts the entries that are before this one in the order of a hash."""
+    own_rank = _rank(key, own)
+    return sum(_rank(key, name) < own_rank for name in others)
+
+
+def _rank(key: str, name: str) -> int:
+    return xxh64_intdigest(f"{key} {name}".encode())
+
+
 def find_stages(rule: MoveRule) -> tuple[float, ...]:
     """Finds the shares of the stages; the first is within the canary cap."""
     if rule.stages:
--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import CallerLimits
     from magnoliahold.core.serving.feeds import Feed
+    from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
     from magnoliahold.core.serving.requests import CopyName
     from magnoliahold.core.serving.upstreams import UpstreamRecord
@@ -193,6 +194,18 @@
     timeout_s: float
 
 
+@frozen
+class WriteMove:
+    """Writes a step of a move if its row still has `expected_version`, 0 for none.
+
+    MoveWritten answers.
+    """
+
+    record: MoveRecord
+    expected_version: int
+    timeout_s: float
+
+
 @frozen
 class TellPeers:
     """Sends a notice to other entries; it may be lost."""
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -12,6 +12,7 @@
     feeds,
     leaving,
     lookups,
+    moves,
     outcomes,
     pauses,
     pieces,
@@ -19,6 +20,7 @@
     sharing,
     silence,
     trust,
+    verdicts,
 )
 
 if TYPE_CHECKING:
@@ -44,6 +46,8 @@
     sharing.take_notices,
     lookups.take_prompt_lists,
     copies.take_copies,
+    verdicts.judge_versions,
+    moves.advance_moves,
     silence.watch_attempts,
     deadlines.end_overdue,
     copies.keep_copies,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.feeds import Feed, FeedRow
+    from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import LoadNotice
     from magnoliahold.core.serving.requests import CallerRequest, CopyName
 
@@ -156,7 +157,8 @@
 class FeedRead:
     """All rows of a followed table as of `version` of the store.
 
-    `sent_at` is when the read was sent, on the boot clock.
+    `sent_at` is when the read was sent, on the boot clock, and `store_time` the store's
+    own clock as it answered, in seconds.
     """
 
     feed: Feed
@@ -164,6 +166,7 @@
     rows: tuple[FeedRow, ...]
     version: int
     sent_at: float
+    store_time: float | None = None
 
 
 @frozen
@@ -175,6 +178,7 @@
     rows: tuple[FeedRow, ...]
     version: int
     sent_at: float
+    store_time: float | None = None
 
 
 @frozen
@@ -194,6 +198,15 @@
     reason: str
 
 
+@frozen
+class MoveWritten:
+    """The store has taken a step of a move, or `row_version` is 0."""
+
+    record: MoveRecord
+    row_version: int
+    reason: str = ""
+
+
 @frozen
 class NoticeReceived:
     """Another entry told its load."""
--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from attrs import define, frozen
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
     from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
+FeedValue: TypeAlias = (
+    "Configuration | UpstreamRecord | PeerRecord | MoveOrder | MoveRecord"
+)
+
+
 class Feed(Enum):
     """What is followed."""
 
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
     PEERS = "peers"
+    MOVES = "moves"
 
 
 @frozen
@@ -30,7 +37,7 @@
 
     key: str
     version: int
-    value: Configuration | UpstreamRecord | PeerRecord | None
+    value: FeedValue | None
 
 
 @define
--- /dev/null
+++ b/src/magnoliahold/core/serving/moves.py
@@ -0,0 +1,139 @@
+"""Moves of a service's traffic to upstreams of another version."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from magnoliahold.core.judgement import Judgement
+from magnoliahold.core.moves import ENDED, MoveState
+
+if TYPE_CHECKING:
+    from magnoliahold.core.evidence import EvidenceKey, Tally
+
+
+@frozen
+class MoveOrder:
+    """An operator's order to move a service to a version.
+
+    `over_s` is the time from the order to its deadline. `row_version`, the store's
+    version of the order's row, tells two orders for one service apart.
+    """
+
+    service: str
+    to_version: str
+    over_s: float
+    row_version: int
+
+    @property
+    def id(self) -> str:
+        """Names the order."""
+        return f"{self.service}@{self.row_version}"
+
+
+@frozen
+class MoveRecord:
+    """How far a move has come: what all entries have agreed on in the store.
+
+    `began_at` is on the store's clock, in seconds.
+    """
+
+    service: str
+    order: str
+    to_version: str
+    state: MoveState
+    began_at: float
+    reason: str = ""
+
+
+@frozen
+class Exposure:
+    """How many requests an entry sent to either version since an order."""
+
+    order: str
+    sent_old: int = 0
+    sent_new: int = 0
+
+
+@frozen
+class Suspension:
+    """An entry's word that the new version of a move is bad."""
+
+    order: str
+    reason: str
+
+
+@define(eq=False)
+class VersionMove:
+    """One order with what this entry knows of it.
+
+    `record` is that of this order, None before it began; `record_version` is the
+    version of the service's row, whichever order it is of. `others` holds what other
+    entries have sent, by their incarnation. `deaths` are the upstreams whose loss was
+    counted, since it breaks many streams at once. `position` is where the choice of
+    versions stands, from 0 to 1. `due_since` is when the next step became due.
+    """
+
+    order: MoveOrder
+    record: MoveRecord | None = None
+    record_version: int = 0
+    suspended: str = ""
+    own: Exposure = field(init=False)
+    others: dict[str, Exposure] = field(factory=dict)
+    judgement: Judgement = field(factory=Judgement)
+    tallies: dict[EvidenceKey, Tally] = field(factory=dict)
+    deaths: set[tuple[str, int]] = field(factory=set)
+    position: float | None = None
+    due_since: float | None = None
+    writing: bool = False
+    next_write_at: float = 0.0
+
+    @own.default
+    def _start_exposure(self) -> Exposure:
+        return Exposure(self.order.id)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the move is done or taken back."""
+        return self.record is not None and self.record.state in ENDED
+
+    @property
+    def condemned(self) -> bool:
+        """Whether the new version gets no more requests."""
+        taken_back = self.record and self.record.state is MoveState.TAKEN_BACK
+        return bool(self.suspended) or bool(taken_back)
+
+    def sum_exposures(self) -> Exposure:
+        """Sums up what all entries have sent."""
+        known = [self.own, *self.others.values()]
+        return Exposure(
+            self.order.id,
+            sum(item.sent_old for item in known),
+            sum(item.sent_new for item in known),
+        )
+
+
+@define
+class MoveTable:
+    """The newest order for each service, and the records in the store.
+
+    `keys` holds the services by the keys of their orders' rows. `records` are kept by
+    service with the version of their row.
+    """
+
+    by_service: dict[str, VersionMove] = field(factory=dict)
+    keys: dict[str, str] = field(factory=dict)
+    records: dict[str, tuple[MoveRecord, int]] = field(factory=dict)
+
+    def find_order(self, order_id: str) -> VersionMove | None:
+        """Finds the move of an order, unless a newer order has replaced it."""
+        for move in self.by_service.values():
+            if move.order.id == order_id:
+                return move
+        return None
+
+    @property
+    def under_way(self) -> bool:
+        """Whether a move has not ended."""
+        return any(not move.ended for move in self.by_service.values())
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -4,6 +4,10 @@
 
 from attrs import define, field, frozen
 
+# The codec resolves the types of notices while the process runs.
+from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
+from magnoliahold.wire.messages import EvidenceCount  # noqa: TC001
+
 
 @frozen
 class PeerRecord:
@@ -43,6 +47,7 @@
 
     `serial` rises within an incarnation. `down` names the upstreams that the sender
     takes for lost, `places` where the prompts of its open streams were read.
+    `evidence`, `exposures` and `suspensions` are about moves between versions.
     """
 
     sender: str
@@ -51,6 +56,9 @@
     loads: tuple[UpstreamLoad, ...] = ()
     down: tuple[str, ...] = ()
     places: tuple[PromptPlace, ...] = ()
+    evidence: tuple[EvidenceCount, ...] = ()
+    exposures: tuple[Exposure, ...] = ()
+    suspensions: tuple[Suspension, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -34,6 +34,7 @@
     configuration_wait_s: float = _seconds(1.4)
     upstreams_wait_s: float = _seconds(3.0)
     peers_wait_s: float = _seconds(20.0)
+    moves_wait_s: float = _seconds(5.0)
     gather_per_upstream_s: float = _seconds(0.008)
     gather_max_s: float = _seconds(0.5)
     answer_slack_s: float = _seconds(0.8)
@@ -129,6 +130,38 @@
     order_timeout_s: float = _seconds(1.5)
 
 
+@frozen
+class VersionPolicy:
+    """Moves of services to other versions.
+
+    Of all requests since an order a bad version may get `exposure_share` and
+    `exposure_extra` more; `allowed_part` of that is used. It starts with
+    `canary_share` of the requests and gets `grown_share` after `answers_to_grow`
+    answers, or after `late_part` of the time. A move ends `decide_before_s` its
+    deadline, as done only after `answers_to_end` answers and with less than
+    `end_evidence` against it, a natural logarithm of a likelihood ratio. A version that
+    has just appeared gets no requests for `hold_s`, in which an order about it may
+    come. Entries leave a step to those before them for `turn_s` each, `turn_max_s` in
+    all.
+    """
+
+    exposure_share: float = _part(0.1)
+    exposure_extra: float = _part(50.0)
+    allowed_part: float = _part(0.7)
+    canary_share: float = _part(0.1)
+    grown_share: float = _part(0.25)
+    answers_to_grow: int = _count(6)
+    late_part: float = _part(0.35)
+    answers_to_end: int = _count(3)
+    end_evidence: float = _part(3.0)
+    decide_before_s: float = _seconds(1.5)
+    hold_s: float = _seconds(2.0)
+    turn_s: float = _seconds(0.3)
+    turn_max_s: float = _seconds(0.9)
+    write_timeout_s: float = _seconds(1.0)
+    write_retry_s: float = _seconds(0.2)
+
+
 @frozen
 class PeerPolicy:
     """What entries tell each other.
@@ -172,5 +205,6 @@
     watch: WatchPolicy = field(factory=WatchPolicy)
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
     copies: CopyPolicy = field(factory=CopyPolicy)
+    moves: VersionPolicy = field(factory=VersionPolicy)
     peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -122,7 +122,9 @@
     head of the answer went to the caller, and `last_piece` is the number of the last
     piece that did. `opened_late` is set once an upstream was left because its first
     piece took too long. `retry_at` is when the last attempt was lost, 0 if none was.
-    While `looked_up`, the request waits to learn which upstream has read its prompt.
+    `prefers_new` tells whether it goes to the version that its service moves to; None
+    while no version was picked. While `looked_up`, the request waits to learn which
+    upstream has read its prompt.
     """
 
     caller: CallerRequest
@@ -144,6 +146,7 @@
     trouble: str = ""
     opened_late: bool = False
     looked_up: bool = False
+    prefers_new: bool | None = None
 
     @property
     def handle(self) -> int:
--- a/src/magnoliahold/core/serving/systems/choice.py
+++ b/src/magnoliahold/core/serving/systems/choice.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.serving.systems.sharing import count_own_load
+from magnoliahold.core.serving.systems.versions import keep_version
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -25,11 +26,23 @@
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
     """Finds the upstreams that may take a request, best class of them only."""
-    staying = [
+    staying = list_staying(world, request.service)
+    return find_best(world, request, keep_version(world, request, staying, now), now)
+
+
+def list_staying(world: ServingWorld, service: str) -> list[Upstream]:
+    """Lists the upstreams of a service that don't leave."""
+    return [
         upstream
-        for upstream in world.upstreams.list_service(request.service)
+        for upstream in world.upstreams.list_service(service)
         if not upstream.record.leaving
     ]
+
+
+def find_best(
+    world: ServingWorld, request: ServedRequest, staying: list[Upstream], now: float
+) -> list[Upstream]:
+    """Finds the best class of upstreams by all that is known of them."""
     trusted = _find_most_trusted(staying)
     fresh = [item for item in trusted if item.id not in request.tried] or trusted
     calm = _leave_out(fresh, find_shaken(world, fresh, now), world)
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -15,10 +15,12 @@
 from magnoliahold.core.serving.events import CopyFailed, MemoryCopied
 from magnoliahold.core.serving.requests import CopyOrder
 from magnoliahold.core.serving.systems.choice import (
-    find_candidates,
+    find_best,
     find_shaken,
+    list_staying,
     measure_load,
 )
+from magnoliahold.core.serving.systems.versions import suits_version
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -37,9 +39,10 @@
     service = configuration and configuration.services_by_name.get(request.service)
     if not service or not service.keeps_copies:
         return None
+    staying = list_staying(world, request.service)
     candidates = [
         item
-        for item in find_candidates(world, request, now)
+        for item in find_best(world, request, staying, now)
         if item is not upstream and item.trust is Trust.TRUSTED
     ]
     place = upstream.record.data_centre
@@ -48,9 +51,12 @@
     if not candidates:
         return None
     shaken = find_shaken(world, candidates, now)
-    return min(
-        candidates, key=lambda item: (item.id in shaken, measure_load(world, item))
-    )
+
+    def rank(item: Upstream) -> tuple[bool, bool, float]:
+        unsuited = not suits_version(world, request, item)
+        return (item.id in shaken, unsuited, measure_load(world, item))
+
+    return min(candidates, key=rank)
 
 
 def take_copies(world: ServingWorld, now: float) -> None:
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -14,7 +14,14 @@
     FeedRead,
 )
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.systems.moves import (
+    apply_order,
+    apply_record,
+    drop_order,
+    drop_unlisted_orders,
+)
 from magnoliahold.core.serving.systems.sharing import (
     drop_peer,
     drop_unlisted_peers,
@@ -30,15 +37,21 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+# Their rows change often, each time at all entries.
+GATHERED = frozenset((Feed.UPSTREAMS, Feed.PEERS))
+
+
 def take_feed_results(world: ServingWorld, now: float) -> None:
     """Applies what reads of the store brought."""
     for read in world.inbox.read_events(FeedRead):
         state = _end_call(world, read.feed, read.call)
         if state is not None:
+            _set_store_time(world, read.store_time)
             _take_whole(world, state, read, now)
     for changed in world.inbox.read_events(FeedChanged):
         state = _end_call(world, changed.feed, changed.call)
         if state is not None:
+            _set_store_time(world, changed.store_time)
             _take_changes(world, state, changed, now)
     for gone in world.inbox.read_events(FeedHistoryGone):
         state = _end_call(world, gone.feed, gone.call)
@@ -51,6 +64,11 @@
             _note_failure(world, state, failed.reason, now)
 
 
+def _set_store_time(world: ServingWorld, store_time: float | None) -> None:
+    if store_time is not None:
+        world.store_offset_s = store_time - world.boot_clock()
+
+
 def _end_call(world: ServingWorld, feed: Feed, call: int) -> FeedState | None:
     """Finds the feed that a result is for; None when the call was given up."""
     state = world.feeds[feed]
@@ -74,6 +92,8 @@
         _drop_unlisted(world, listed, outage_s, now)
     if state.feed is Feed.PEERS:
         drop_unlisted_peers(world, listed)
+    if state.feed is Feed.CONFIGURATION:
+        drop_unlisted_orders(world, listed)
 
 
 def _take_changes(
@@ -106,7 +126,7 @@
     state.version = version
     state.proved_at = max(sent_at, state.proved_at or sent_at)
     state.next_at = now
-    if state.feed is not Feed.CONFIGURATION:
+    if state.feed in GATHERED:
         state.next_at += _find_pause(world)
     return outage_s
 
@@ -151,8 +171,14 @@
             _apply_record(world, row.value, now)
         elif isinstance(row.value, PeerRecord):
             put_peer(world, row.value, row.version, now)
+        elif isinstance(row.value, MoveOrder):
+            apply_order(world, row.key, row.value)
+        elif isinstance(row.value, MoveRecord):
+            apply_record(world, row.value, row.version)
         elif feed is Feed.PEERS:
             drop_peer(world, row.key)
+        elif feed is Feed.CONFIGURATION:
+            drop_order(world, row.key)
         elif row.key in world.upstreams.by_id:
             _drop_upstream(world, row.key, outage_s, now)
 
@@ -238,10 +264,13 @@
         Feed.CONFIGURATION: policy.configuration_wait_s,
         Feed.UPSTREAMS: policy.upstreams_wait_s,
         Feed.PEERS: policy.peers_wait_s,
+        Feed.MOVES: policy.moves_wait_s,
     }
     for state in world.feeds.values():
         if state.call or now < state.next_at:
             continue
+        if state.feed is Feed.MOVES and not world.moves.under_way:
+            continue
         state.call = world.next_call
         state.called_at = now
         world.next_call += 1
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -19,6 +19,7 @@
     try_again,
 )
 from magnoliahold.core.serving.systems.trust import distrust, doubt, note_alive
+from magnoliahold.core.serving.systems.verdicts import count_latency
 from magnoliahold.core.serving.upstreams import mix_mean
 
 if TYPE_CHECKING:
@@ -76,7 +77,7 @@
         break_off(world, attempt, f"the upstream failed, {head.status}", now)
         return
     if not failed:
-        _note_duration(attempt, now)
+        _note_duration(world, attempt, now)
     world.requests.end_attempt(attempt)
     deliver_answer(world, request, attempt.number, head.status, now)
 
@@ -101,9 +102,10 @@
     try_again(world, attempt, f"rejected, status {head.status}", now)
 
 
-def _note_duration(attempt: Attempt, now: float) -> None:
+def _note_duration(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.sent_at is not None:
         upstream = attempt.upstream
+        count_latency(world, attempt, now - attempt.sent_at)
         upstream.opening_s = mix_mean(upstream.opening_s, now - attempt.sent_at)
 
 
@@ -113,7 +115,7 @@
         attempt = world.requests.attempts.get(broke.attempt)
         if attempt is None:
             continue
-        count_outcome(world, attempt, True, now)
+        count_outcome(world, attempt, True, now, died=broke.reset)
         if broke.reset:
             doubt(world, attempt.upstream, broke.reason, now)
         break_off(world, attempt, broke.reason, now)
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -18,6 +18,7 @@
 from magnoliahold.core.serving.systems.retries import break_off, count_outcome
 from magnoliahold.core.serving.systems.sharing import note_place
 from magnoliahold.core.serving.systems.trust import note_alive
+from magnoliahold.core.serving.systems.verdicts import count_latency
 from magnoliahold.core.serving.upstreams import mix_mean
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         if attempt.sent_at is not None:
             opening_s = now - attempt.sent_at
             upstream.opening_s = mix_mean(upstream.opening_s, opening_s)
+            count_latency(world, attempt, opening_s)
             openings = world.openings
             service = attempt.request.service
             openings[service] = mix_mean(openings.get(service), opening_s)
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.requests import AttemptState, CopyName, MemoryCopy
 from magnoliahold.core.serving.systems.endings import drop_attempt, refuse
+from magnoliahold.core.serving.systems.verdicts import count_result
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
@@ -87,10 +88,15 @@
 
 
 def count_outcome(
-    world: ServingWorld, attempt: Attempt, failed: bool, now: float
+    world: ServingWorld,
+    attempt: Attempt,
+    failed: bool,
+    now: float,
+    died: bool = False,
 ) -> None:
-    """Counts an answer or a failure of an attempt's upstream."""
+    """Counts an answer or a failure of an attempt's upstream, or that it was lost."""
     upstream = attempt.upstream
+    count_result(world, attempt, failed, died)
     upstream.fade_outcomes(now, world.serving.watch.outcome_half_life_s)
     if failed:
         upstream.failures += 1
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -16,6 +16,11 @@
 )
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.trust import probe
+from magnoliahold.core.serving.systems.versions import (
+    choose_version,
+    count_send,
+    is_condemned,
+)
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -36,6 +41,7 @@
 
 
 def _route(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    choose_version(world, request)
     copy = _find_usable_copy(world, request)
     if copy is not None:
         _start_attempt(world, request, copy.holder, copy, now)
@@ -52,7 +58,7 @@
         return None
     if copy.holder.id not in world.upstreams.by_id or copy.holder.record.leaving:
         return None
-    return copy
+    return None if is_condemned(world, copy.holder) else copy
 
 
 def _start_attempt(
@@ -78,6 +84,7 @@
     request.handed += 1
     request.copy = None
     table.start_attempt(attempt)
+    count_send(world, attempt)
     if request.route.kind is RouteKind.STREAM:
         world.entries.urgent = True
     world.emit(_make_send(world, attempt, now))
@@ -130,6 +137,7 @@
         attempt=attempt.number,
         upstream=attempt.upstream.id,
         data_centre=attempt.upstream.record.data_centre,
+        version=attempt.upstream.record.version,
         load=round(measure_load(world, attempt.upstream), 2),
         resume_after=request.last_piece,
         from_copy=attempt.continued is not None,
--- a/src/magnoliahold/core/serving/systems/sharing.py
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -19,6 +19,7 @@
     UpstreamLoad,
 )
 from magnoliahold.core.serving.systems.trust import doubt
+from magnoliahold.core.serving.systems.verdicts import list_evidence, list_suspensions
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -207,6 +208,11 @@
             for attempt in world.requests.attempts.values()
             if attempt.request.caller.prompt and attempt.pieces
         ),
+        evidence=list_evidence(world),
+        exposures=tuple(
+            move.own for move in world.moves.by_service.values() if not move.ended
+        ),
+        suspensions=list_suspensions(world),
     )
 
 
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/verdicts.py
@@ -0,0 +1,169 @@
+"""Judges new versions by the results that all entries see, and suspends bad ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.evidence import EvidenceKey, Tally, find_bucket
+from magnoliahold.core.judgement import Cell, take_count
+from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.moves import Suspension
+from magnoliahold.core.systems.evidence import make_count
+from magnoliahold.core.workspaces import MoveRule
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.moves import VersionMove
+    from magnoliahold.core.serving.peers import LoadNotice
+    from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.world import ServingWorld
+    from magnoliahold.wire.messages import EvidenceCount
+
+# Fewer pieces tell too little about the pauses between them.
+LEAST_PIECES = 4
+
+
+def count_result(
+    world: ServingWorld, attempt: Attempt, failed: bool, died: bool = False
+) -> None:
+    """Counts an answer or a failure for the move of the request's service.
+
+    With `died` the upstream was lost, which counts once however much it breaks.
+    """
+    move = world.moves.by_service.get(attempt.request.service)
+    if move is None or move.ended:
+        return
+    record = attempt.upstream.record
+    start = (record.id, record.born_ms)
+    if died and start in move.deaths:
+        return
+    if died:
+        move.deaths.add(start)
+    tally = _find_tally(move, attempt)
+    if failed:
+        tally.failed += 1
+    else:
+        tally.answered += 1
+        _count_pauses(tally, attempt)
+
+
+def _count_pauses(tally: Tally, attempt: Attempt) -> None:
+    first, last = attempt.first_piece_at, attempt.last_piece_at
+    if first is None or last is None or attempt.pieces < LEAST_PIECES:
+        return
+    bucket = find_bucket((last - first) / (attempt.pieces - 1))
+    tally.gaps[bucket] = tally.gaps.get(bucket, 0) + 1
+
+
+def count_latency(world: ServingWorld, attempt: Attempt, seconds: float) -> None:
+    """Counts the time to an answer, or to the first piece of a stream."""
+    move = world.moves.by_service.get(attempt.request.service)
+    if move is None or move.ended or attempt.continued is not None:
+        return
+    tally = _find_tally(move, attempt)
+    bucket = find_bucket(seconds)
+    tally.latencies[bucket] = tally.latencies.get(bucket, 0) + 1
+
+
+def _find_tally(move: VersionMove, attempt: Attempt) -> Tally:
+    version = attempt.upstream.record.version
+    key = EvidenceKey(move.order.id, version, attempt.request.route.name, False)
+    return move.tallies.setdefault(key, Tally())
+
+
+def judge_versions(world: ServingWorld, now: float) -> None:
+    """Takes in the results of all entries and suspends versions that are worse."""
+    for received in world.inbox.read_events(NoticeReceived):
+        _take_notice(world, received.notice, now)
+    if not world.scans:
+        return
+    for move in world.moves.by_service.values():
+        if move.ended:
+            continue
+        own = tuple(make_count(key, tally) for key, tally in move.tallies.items())
+        identity = world.identity
+        _take_counts(world, move, identity.name, identity.incarnation, own, now)
+        move.judgement.close_window(now, _make_rule(move), world.policy.moves)
+        if move.judgement.verdict:
+            suspend(world, move, move.judgement.verdict)
+
+
+def _take_notice(world: ServingWorld, notice: LoadNotice, now: float) -> None:
+    for exposure in notice.exposures:
+        move = world.moves.find_order(exposure.order)
+        if move is not None:
+            move.others[notice.incarnation] = exposure
+    for suspension in notice.suspensions:
+        move = world.moves.find_order(suspension.order)
+        if move is not None:
+            suspend(world, move, suspension.reason)
+    for move in world.moves.by_service.values():
+        counts = tuple(
+            count for count in notice.evidence if count.move == move.order.id
+        )
+        if counts and not move.ended:
+            _take_counts(world, move, notice.sender, notice.incarnation, counts, now)
+
+
+def _take_counts(
+    world: ServingWorld,
+    move: VersionMove,
+    name: str,
+    incarnation: str,
+    counts: tuple[EvidenceCount, ...],
+    now: float,
+) -> None:
+    """Takes in counts, those of the old version first: they are the measure."""
+    new_version = move.order.to_version
+    for count in sorted(counts, key=lambda item: item.version == new_version):
+        take_count(
+            move.judgement,
+            (name, incarnation),
+            Cell(name, count.route, count.busy),
+            count,
+            count.version == new_version,
+            _make_rule(move),
+            world.policy.moves,
+            now,
+        )
+
+
+def _make_rule(move: VersionMove) -> MoveRule:
+    return MoveRule(move.order.to_version, canary_cap=0.0, deadline=0.0)
+
+
+def suspend(world: ServingWorld, move: VersionMove, reason: str) -> None:
+    """Stops sending to a move's new version, and has the others told at once."""
+    if move.suspended or move.ended:
+        return
+    move.suspended = reason
+    world.entries.urgent = True
+    world.emit(CountMetric("versions_suspended"))
+    world.log_decision(
+        "moves",
+        "Version suspended.",
+        move=move.order.id,
+        version=move.order.to_version,
+        reason=reason,
+        answered=move.judgement.answered,
+        failed=move.judgement.failed,
+    )
+
+
+def list_evidence(world: ServingWorld) -> tuple[EvidenceCount, ...]:
+    """Lists this entry's counts of the moves under way, for its notices."""
+    return tuple(
+        make_count(key, tally)
+        for move in world.moves.by_service.values()
+        if not move.ended
+        for key, tally in move.tallies.items()
+    )
+
+
+def list_suspensions(world: ServingWorld) -> tuple[Suspension, ...]:
+    """Lists the versions that this entry takes for bad, for its notices."""
+    return tuple(
+        Suspension(move.order.id, move.suspended)
+        for move in world.moves.by_service.values()
+        if move.suspended and not move.ended
+    )
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/versions.py
@@ -0,0 +1,150 @@
+"""Chooses the version of a service that a request goes to while a move is under way."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from magnoliahold.core.moves import GOLDEN_STEP, MoveState
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.moves import VersionMove
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def choose_version(world: ServingWorld, request: ServedRequest) -> None:
+    """Decides whether a request goes to the new version of its service.
+
+    A repeat goes to the new version only once the move is done.
+    """
+    move = world.moves.by_service.get(request.service)
+    if move is None:
+        request.prefers_new = None
+        return
+    share = find_new_share(world, move)
+    if share in (0.0, 1.0) or request.handed:
+        request.prefers_new = share == 1.0
+    elif request.prefers_new is None:
+        request.prefers_new = _pick(world, move, share)
+
+
+def _pick(world: ServingWorld, move: VersionMove, share: float) -> bool:
+    """Picks by steps of the golden ratio, which spread the new version's requests."""
+    position = world.random.random() if move.position is None else move.position
+    move.position = (position + GOLDEN_STEP) % 1.0
+    return move.position < share
+
+
+def find_new_share(world: ServingWorld, move: VersionMove) -> float:
+    """Finds the new version's share of first sends.
+
+    It stays within what a bad version may get of all requests, which the entries tell
+    each other; within that, it grows once some requests were answered without doubt.
+    """
+    record = move.record
+    if record is None or move.condemned:
+        return 0.0
+    if record.state is MoveState.DONE:
+        return 1.0
+    policy = world.serving.moves
+    sent = move.sum_exposures()
+    total = sent.sent_old + sent.sent_new
+    allowed = policy.exposure_share * total + policy.exposure_extra
+    if sent.sent_new >= allowed * policy.allowed_part:
+        return 0.0
+    judgement = move.judgement
+    if judgement.suspicion >= world.policy.moves.doubt_evidence:
+        return policy.canary_share
+    answered = judgement.answered >= policy.answers_to_grow
+    return (
+        policy.grown_share if answered or _is_late(world, move) else policy.canary_share
+    )
+
+
+def _is_late(world: ServingWorld, move: VersionMove) -> bool:
+    """Tells whether so much time is over that few requests would come to judge by."""
+    store_time = world.read_store_time()
+    if store_time is None or move.record is None:
+        return False
+    passed_s = store_time - move.record.began_at
+    return passed_s >= world.serving.moves.late_part * move.order.over_s
+
+
+def keep_version(
+    world: ServingWorld, request: ServedRequest, upstreams: list[Upstream], now: float
+) -> list[Upstream]:
+    """Keeps the upstreams of the version that a request is to go to.
+
+    Where none of them is usable, the other version serves, but a condemned one only if
+    there is no upstream of the old version at all.
+    """
+    move = world.moves.by_service.get(request.service)
+    if move is None:
+        return _keep_settled(world, upstreams, now)
+    new = [item for item in upstreams if is_new(move, item)]
+    old = [item for item in upstreams if not is_new(move, item)]
+    if request.prefers_new:
+        return new if _is_usable(new) else old or new
+    if _is_usable(old) or (move.condemned and old):
+        return old
+    return new or old
+
+
+def is_new(move: VersionMove, upstream: Upstream) -> bool:
+    """Tells whether an upstream is of the version that a move goes to."""
+    return upstream.record.version == move.order.to_version
+
+
+def _is_usable(upstreams: list[Upstream]) -> bool:
+    return any(item.trust is Trust.TRUSTED for item in upstreams)
+
+
+def _keep_settled(
+    world: ServingWorld, upstreams: list[Upstream], now: float
+) -> list[Upstream]:
+    """Leaves out a version that has just appeared: an order about it may be on its way.
+
+    Upstreams and orders are read apart, and either may be read first.
+    """
+    hold_s = world.serving.moves.hold_s
+    seen = world.upstreams.versions
+    settled = [
+        item
+        for item in upstreams
+        if now - seen.get((item.record.service, item.record.version), 0.0) >= hold_s
+    ]
+    return settled if _is_usable(settled) else upstreams
+
+
+def suits_version(world: ServingWorld, request: ServedRequest, item: Upstream) -> bool:
+    """Tells whether an upstream is of the version that a stream should go on at.
+
+    That is the new one while it is in no doubt, since the old upstreams stop when the
+    move is done.
+    """
+    move = world.moves.by_service.get(request.service)
+    if move is None or move.record is None:
+        return True
+    return is_new(move, item) is not move.condemned
+
+
+def is_condemned(world: ServingWorld, upstream: Upstream) -> bool:
+    """Tells whether an upstream is of a version that gets no more requests."""
+    move = world.moves.by_service.get(upstream.record.service)
+    return move is not None and move.condemned and is_new(move, upstream)
+
+
+def count_send(world: ServingWorld, attempt: Attempt) -> None:
+    """Counts an attempt for the exposure of the new version."""
+    move = world.moves.by_service.get(attempt.request.service)
+    if move is None or move.ended:
+        return
+    own = move.own
+    if is_new(move, attempt.upstream):
+        move.own = evolve(own, sent_new=own.sent_new + 1)
+    else:
+        move.own = evolve(own, sent_old=own.sent_old + 1)
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
     """An upstream as it has registered itself.
 
     `born_ms` tells two starts under one id apart, in Unix milliseconds; 0 if unknown.
+    `version` is that of its software.
     """
 
     id: str
@@ -25,6 +27,7 @@
     data_centre: str
     leaving: bool = False
     born_ms: int = 0
+    version: str = ""
 
 
 MEAN_WEIGHT = 0.2
@@ -86,16 +89,19 @@
     """Upstreams by id and by service; `known` once a whole list was read.
 
     `troubles` holds when an upstream of a service last gave a sign of trouble in a data
-    centre, by service and data centre.
+    centre, by service and data centre. `versions` holds when a version was first seen,
+    by service and version.
     """
 
     by_id: dict[str, Upstream] = field(factory=dict)
     by_service: dict[str, dict[str, Upstream]] = field(factory=dict)
     known: bool = False
     troubles: dict[tuple[str, str], float] = field(factory=dict)
+    versions: dict[tuple[str, str], float] = field(factory=dict)
 
     def put_record(self, record: UpstreamRecord, now: float) -> Upstream:
         """Adds or changes an upstream; another start of it is a new upstream."""
+        self._note_version(record, now)
         upstream = self.by_id.get(record.id)
         if upstream is not None and _is_same_start(upstream.record, record):
             upstream.record = record
@@ -115,6 +121,11 @@
             self.by_service.get(upstream.record.service, {}).pop(upstream_id, None)
         return upstream
 
+    def _note_version(self, record: UpstreamRecord, now: float) -> None:
+        """Notes when a version was first seen; those of the first list are not new."""
+        first = now if self.known else -math.inf
+        self.versions.setdefault((record.service, record.version), first)
+
     def note_trouble(self, record: UpstreamRecord, now: float) -> None:
         """Notes a sign of trouble of an upstream."""
         self.troubles[record.service, record.data_centre] = now
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -8,6 +8,7 @@
 
 from magnoliahold.core.serving.budget import RetryBudget
 from magnoliahold.core.serving.feeds import Feed, FeedState
+from magnoliahold.core.serving.moves import MoveTable
 from magnoliahold.core.serving.peers import PeerTable
 from magnoliahold.core.serving.policy import ServingPolicy
 from magnoliahold.core.serving.requests import RequestTable
@@ -30,8 +31,9 @@
     """Tables of an entry that calls its upstreams itself.
 
     `boot_clock` reads seconds that go on while the instance is suspended, which those
-    of ticks don't. `configuration` is the newest one ever read; it never goes back.
-    `lookups` holds the last questions about prompts by service.
+    of ticks don't; the store's clock is `store_offset_s` ahead of it. `configuration`
+    is the newest one ever read; it never goes back. `lookups` holds the last questions
+    about prompts by service.
     `openings` and `durations` are moving means, by service, of the seconds to the first
     piece and to the end of streams.
     """
@@ -43,10 +45,12 @@
     upstreams: UpstreamTable = field(factory=UpstreamTable)
     requests: RequestTable = field(factory=RequestTable)
     entries: PeerTable = field(factory=PeerTable)
+    moves: MoveTable = field(factory=MoveTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     lookups: dict[str, PromptLookup] = field(factory=dict)
     openings: dict[str, float] = field(factory=dict)
     durations: dict[str, float] = field(factory=dict)
+    store_offset_s: float | None = None
     next_call: int = 1
     ticked_at: float | None = None
     next_scan_at: float = 0.0
@@ -65,6 +69,12 @@
             self.budgets[service] = budget
         return budget
 
+    def read_store_time(self) -> float | None:
+        """Reads the store's clock, in seconds; None before the first answer."""
+        if self.store_offset_s is None:
+            return None
+        return self.boot_clock() + self.store_offset_s
+
     def measure_proof_age(self) -> float | None:
         """Measures how long ago the configuration was proved the newest, in seconds."""
         proved_at = self.feeds[Feed.CONFIGURATION].proved_at
--- a/src/magnoliahold/core/systems/evidence.py
+++ b/src/magnoliahold/core/systems/evidence.py
@@ -144,10 +144,11 @@
         table.next_full = (table.next_full + 1) % len(known)
         if known[table.next_full] not in keys:
             keys.append(known[table.next_full])
-    return tuple(_make_count(key, table.tallies[key]) for key in keys)
+    return tuple(make_count(key, table.tallies[key]) for key in keys)
 
 
-def _make_count(key: EvidenceKey, tally: Tally) -> EvidenceCount:
+def make_count(key: EvidenceKey, tally: Tally) -> EvidenceCount:
+    """Makes the message about a tally."""
     return EvidenceCount(
         move=key.move,
         version=key.version,
--- a/src/magnoliahold/core/systems/judgement.py
+++ b/src/magnoliahold/core/systems/judgement.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric, SendMessage
-from magnoliahold.core.judgement import Cell, Judgement, find_delta
+from magnoliahold.core.judgement import Cell, Judgement, take_count
 from magnoliahold.wire.messages import Heartbeat, SuspendVersion
 
 if TYPE_CHECKING:
@@ -56,22 +56,19 @@
     if rule is None:
         return
     judgement = world.judgements.setdefault(count.move, Judgement())
-    source = (sender.name, sender.incarnation, count.version, count.route, count.busy)
-    before = judgement.seen.get(source)
-    if before is not None and _is_older(before, count):
+    row = active.row
+    if count.version not in (row.from_version, row.to_version):
         return
-    judgement.seen[source] = count
-    delta = find_delta(before, count)
-    cell = Cell(sender.name, count.route, count.busy)
-    policy = world.policy.moves
-    if count.version == active.row.from_version:
-        judgement.add_old(cell, delta, now, policy)
-    elif count.version == active.row.to_version:
-        judgement.add_new(cell, delta, rule, policy, lately=before is not None)
-
-
-def _is_older(before: EvidenceCount, after: EvidenceCount) -> bool:
-    return after.answered + after.failed < before.answered + before.failed
+    take_count(
+        judgement,
+        (sender.name, sender.incarnation),
+        Cell(sender.name, count.route, count.busy),
+        count,
+        count.version == row.to_version,
+        rule,
+        world.policy.moves,
+        now,
+    )
 
 
 def find_rule(world: EntryWorld, active: ActiveMove) -> MoveRule | None:
--- a/src/magnoliahold/core/systems/moves.py
+++ b/src/magnoliahold/core/systems/moves.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from attrs import evolve
-from xxhash import xxh64_intdigest
 
 from magnoliahold.core.configuration import MoveStep
 from magnoliahold.core.moves import (
     MoveState,
+    count_before,
     count_loaded,
     find_probation_s,
     find_stage_s,
@@ -49,16 +49,11 @@
         for peer in world.peers.list_by_role("entry")
         if not peer.lost and not peer.leaving
     ]
-    own = _rank(key, world.identity.name)
-    before = sum(_rank(key, name) < own for name in names)
     policy = world.policy.moves
+    before = count_before(key, world.identity.name, names)
     return min(before * policy.step_in_s, policy.step_in_max_s)
 
 
-def _rank(key: str, name: str) -> int:
-    return xxh64_intdigest(f"{key} {name}".encode())
-
-
 def find_step(
     world: EntryWorld, active: ActiveMove, rule: WorkRule, move: MoveRule, now: float
 ) -> MoveRow | None:
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import (
     CallerLimits,
     Configuration,
@@ -13,6 +14,7 @@
     ServiceShare,
     Workspace,
 )
+from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.endpoints import read_endpoint
@@ -23,6 +25,11 @@
     "non_idempotent": RouteKind.NOT_REPEATABLE,
     "streaming": RouteKind.STREAM,
 }
+STATES = {
+    MoveState.CANARY: "running",
+    MoveState.DONE: "completed",
+    MoveState.TAKEN_BACK: "rolled_back",
+}
 LEAVING_STATES = {"ready": False, "draining": True}
 
 
@@ -83,6 +90,14 @@
     tenants: list[_Tenant] = []
 
 
+class _Order(msgspec.Struct):
+    service: str
+    # The version that the service moves to.
+    to: str
+    # Seconds from the order to its deadline.
+    over_s: float
+
+
 class _Server(msgspec.Struct):
     service: str
     # IP:PORT.
@@ -91,11 +106,14 @@
     state: str
     # Unix milliseconds of the start, not a number of starts.
     born: int = 0
+    version: str = ""
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration, strict=False)
 _server_decoder = msgspec.json.Decoder(_Server)
 _peer_decoder = msgspec.json.Decoder(PeerRecord)
+_order_decoder = msgspec.json.Decoder(_Order)
+_record_decoder = msgspec.json.Decoder(MoveRecord)
 
 
 def read_configuration(document: bytes) -> Configuration:
@@ -168,6 +186,7 @@
         data_centre=raw.zone,
         leaving=leaving,
         born_ms=raw.born,
+        version=raw.version,
     )
 
 
@@ -182,3 +201,36 @@
 def write_peer(record: PeerRecord) -> bytes:
     """Writes an entry's registration."""
     return msgspec.json.encode(record)
+
+
+def read_order(row_version: int, document: bytes) -> MoveOrder:
+    """Reads an operator's order to move a service; raises DocumentError."""
+    try:
+        raw = _order_decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise DocumentError(str(error)) from error
+    return MoveOrder(raw.service, raw.to, raw.over_s, row_version)
+
+
+def read_record(document: bytes) -> MoveRecord:
+    """Reads how far a move has come; raises DocumentError if it can't be used."""
+    try:
+        return _record_decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise DocumentError(str(error)) from error
+
+
+def write_record(record: MoveRecord) -> bytes:
+    """Writes how far a move has come, for the other entries."""
+    return msgspec.json.encode(record)
+
+
+def write_status(record: MoveRecord) -> bytes:
+    """Writes how far a move has come, for operators."""
+    return msgspec.json.encode(
+        {
+            "service": record.service,
+            "to": record.to_version,
+            "state": STATES[record.state],
+        }
+    )
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -16,6 +16,7 @@
     FeedFailed,
     FeedHistoryGone,
     FeedRead,
+    MoveWritten,
 )
 from magnoliahold.core.serving.feeds import Feed, FeedRow
 from magnoliahold.httpclient import HttpClient, HttpExchangeError
@@ -23,9 +24,13 @@
 from magnoliahold.platform.documents import (
     DocumentError,
     read_configuration,
+    read_order,
     read_peer,
+    read_record,
     read_upstream,
     write_peer,
+    write_record,
+    write_status,
 )
 
 if TYPE_CHECKING:
@@ -33,9 +38,9 @@
 
     from twisted.internet.defer import Deferred
 
-    from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.feeds import FeedValue
+    from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import PeerRecord
-    from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.httpclient import HttpAnswer
     from magnoliahold.runtime import Reactor
 
@@ -43,8 +48,11 @@
     Feed.CONFIGURATION: "op",
     Feed.UPSTREAMS: "servers",
     Feed.PEERS: "magnoliahold-entries",
+    Feed.MOVES: "magnoliahold-moves",
 }
 CONFIGURATION_KEY = "config"
+ORDER_PREFIX = "rollout/"
+STATUS_TABLE = "status"
 PAGE_ROWS = 500
 OK = 200
 GONE = 410
@@ -63,10 +71,22 @@
 class _Rows(msgspec.Struct):
     rows: list[_Row]
     ver: int
+    # The store's steady clock.
+    now_ms: float | None = None
     has_more: bool = False
 
+    @property
+    def time_s(self) -> float | None:
+        """The store's clock in seconds."""
+        return None if self.now_ms is None else self.now_ms / MS_PER_S
+
+
+class _Written(msgspec.Struct):
+    ver: int
+
 
 _rows_decoder = msgspec.json.Decoder(_Rows)
+_written_decoder = msgspec.json.Decoder(_Written)
 
 
 @define(eq=False)
@@ -103,13 +123,13 @@
                 return
             page = _decode_page(answer)
             rows = _read_rows(feed, page.rows)
-            self.post(FeedChanged(feed, call, rows, page.ver, sent_at))
+            self.post(FeedChanged(feed, call, rows, page.ver, sent_at, page.time_s))
 
         self._send(feed, call, path, timeout_s, take)
 
     def register_entry(self, record: PeerRecord, timeout_s: float) -> None:
         """Writes an entry's registration and posts EntryRegistered."""
-        value = b64encode(write_peer(record)).decode("ascii")
+        value = _encode_value(write_peer(record))
         row = {**_name_row(Feed.PEERS, record.name), "value": value}
         sending = self._transact({"puts": [row]}, timeout_s)
         sending.addCallbacks(
@@ -134,6 +154,36 @@
 
         self._transact(changes, timeout_s).addErrback(log_failure)
 
+    def write_move(
+        self, record: MoveRecord, expected_version: int, timeout_s: float
+    ) -> None:
+        """Writes a step of a move and its status, together; posts MoveWritten."""
+        own = _name_row(Feed.MOVES, record.service)
+        status = {
+            "table": STATUS_TABLE,
+            "part": "",
+            "key": ORDER_PREFIX + record.service,
+        }
+        changes = {
+            "expect_rev": [{**own, "ver": expected_version}],
+            "puts": [
+                {**own, "value": _encode_value(write_record(record))},
+                {**status, "value": _encode_value(write_status(record))},
+            ],
+        }
+
+        def take(answer: HttpAnswer) -> None:
+            if answer.status != OK:
+                self.post(MoveWritten(record, 0, f"answered {answer.status}"))
+                return
+            version = _written_decoder.decode(answer.body).ver
+            self.post(MoveWritten(record, version))
+
+        def fail(failure: Any) -> None:
+            self.post(MoveWritten(record, 0, str(failure.value)))
+
+        self._transact(changes, timeout_s).addCallback(take).addErrback(fail)
+
     def _transact(
         self, changes: dict[str, Any], timeout_s: float
     ) -> Deferred[HttpAnswer]:
@@ -161,7 +211,10 @@
                 return
             rows = _read_rows(reading.feed, reading.rows)
             version = reading.version or 0
-            event = FeedRead(reading.feed, reading.call, rows, version, reading.sent_at)
+            sent_at = reading.sent_at
+            event = FeedRead(
+                reading.feed, reading.call, rows, version, sent_at, page.time_s
+            )
             self.post(event)
 
         self._send(reading.feed, reading.call, path, reading.timeout_s, take)
@@ -211,6 +264,10 @@
             self.version = page.ver
 
 
+def _encode_value(document: bytes) -> str:
+    return b64encode(document).decode("ascii")
+
+
 def _name_row(feed: Feed, key: str) -> dict[str, Any]:
     return {"table": TABLES[feed], "part": "", "key": key}
 
@@ -247,9 +304,7 @@
     return tuple(found)
 
 
-def _read_value(
-    feed: Feed, row: _Row
-) -> Configuration | UpstreamRecord | PeerRecord | None:
+def _read_value(feed: Feed, row: _Row) -> FeedValue | None:
     if row.removed or row.value is None:
         return None
     try:
@@ -260,6 +315,10 @@
         return read_upstream(row.key, document)
     if feed is Feed.PEERS:
         return read_peer(document)
+    if feed is Feed.MOVES:
+        return read_record(document)
     if row.key == CONFIGURATION_KEY:
         return read_configuration(document)
+    if row.key.startswith(ORDER_PREFIX):
+        return read_order(row.ver, document)
     return None
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -162,6 +162,13 @@
         node.ports.store.remove_entry(effect.name, effect.row_version, effect.timeout_s)
 
 
+@perform_effect.register(effects.WriteMove)
+def _write_move(effect: effects.WriteMove, node: Node) -> None:
+    node.ports.store.write_move(
+        effect.record, effect.expected_version, effect.timeout_s
+    )
+
+
 @perform_effect.register(effects.TellPeers)
 def _tell_peers(effect: effects.TellPeers, node: Node) -> None:
     node.ports.notices.tell(effect.peers, effect.notice)
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -37,13 +37,16 @@
     """What the deployment asks of every entry.
 
     A credential that was taken back is refused `revocation_ms` later at the latest, and
-    a process has `stop_grace_s` from the order to stop to its end.
+    a process has `stop_grace_s` from the order to stop to its end. A bad version may
+    get `exposure_share` of a service's requests and `exposure_extra` more.
     """
 
     revocation_ms: float = field(
         metadata=checks(require_range(1000, 600_000)), default=5000.0
     )
     stop_grace_s: float = field(metadata=checks(require_range(1, 3600)), default=8.0)
+    exposure_share: float = field(metadata=checks(require_range(0, 1)), default=0.1)
+    exposure_extra: float = field(metadata=checks(require_range(0, 1e6)), default=50.0)
 
 
 @frozen
@@ -79,4 +82,9 @@
     limit_s = max(LEAST_S, bounds.stop_grace_s - LIMIT_MARGIN_S)
     accept_s = min(policy.leave.accept_s, max(LEAST_S, limit_s - ACCEPT_MARGIN_S))
     leave = evolve(policy.leave, accept_s=accept_s, limit_s=limit_s)
-    return evolve(policy, feeds=feeds, leave=leave)
+    moves = evolve(
+        policy.moves,
+        exposure_share=bounds.exposure_share,
+        exposure_extra=bounds.exposure_extra,
+    )
+    return evolve(policy, feeds=feeds, leave=leave, moves=moves)
--- /dev/null
+++ b/tests/core/serving/fleet.py
@@ -0,0 +1,333 @@
+"""Several serving entries with one store and the upstreams of one plain service.
+
+They run on one paused clock. Upstreams answer by the behaviour of their version; the
+store may be away, and entries may be cut off from each other or stop for good.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, evolve, field, frozen
+
+from magnoliahold.core.moves import ENDED
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    DropAttempt,
+    FollowFeed,
+    ReadFeed,
+    RegisterEntry,
+    SendAttempt,
+    TellPeers,
+    WriteMove,
+)
+from magnoliahold.core.serving.events import (
+    AnswerHead,
+    AnswerReceived,
+    AttemptSent,
+    EntryRegistered,
+    FeedChanged,
+    FeedFailed,
+    FeedRead,
+    MoveWritten,
+    NoticeReceived,
+    RequestArrived,
+)
+from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.moves import MoveOrder
+from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.requests import CallerRequest
+from tests.core.serving.rig import (
+    CALLS,
+    CREDENTIAL,
+    ServingRig,
+    make_configuration,
+    make_upstream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliahold.core.moves import MoveState
+
+STEP_S = 0.02
+STORE_DELAY_S = 0.01
+STORE_AHEAD_S = 1000.0
+REGISTERED_AFTER_S = 0.3
+OLD, NEW = "v1", "v2"
+
+
+@frozen
+class Behaviour:
+    """How a version answers from `bad_from_s` after the order on.
+
+    Before that it answers as the old version does.
+    """
+
+    failures: float = 0.0
+    slower: float = 1.0
+    bad_from_s: float = 0.0
+
+
+OLD_BEHAVIOUR = Behaviour(failures=0.02)
+
+
+@frozen
+class Outage:
+    """A time, from the order on, in which something is away."""
+
+    start_s: float = 0.0
+    end_s: float = 0.0
+
+    def covers(self, seconds: float) -> bool:
+        """Tells whether it is away then."""
+        return self.start_s <= seconds < self.end_s
+
+
+@frozen
+class Sent:
+    """A send to an upstream, by seconds since the order."""
+
+    at_s: float
+    version: str
+
+
+@define
+class FakeStore:
+    """Rows of the order and of the move's record, with one counter of versions."""
+
+    order: MoveOrder | None = None
+    record: Any = None
+    record_version: int = 0
+    version: int = 10
+    history: list[Any] = field(factory=list)
+    upstreams: list[tuple[str, int, Any]] = field(factory=list)
+
+    def write(self, effect: WriteMove) -> MoveWritten:
+        """Writes a record if its row has the version that is expected."""
+        if effect.expected_version != self.record_version:
+            return MoveWritten(effect.record, 0, "answered 412")
+        self.version += 1
+        self.record = effect.record
+        self.record_version = self.version
+        self.history.append(effect.record)
+        return MoveWritten(effect.record, self.version)
+
+    def list_rows(self, feed: Feed) -> list[tuple[str, int, Any]]:
+        """Lists the rows of a table that change here."""
+        if feed is Feed.UPSTREAMS:
+            return self.upstreams
+        if feed is Feed.MOVES and self.record is not None:
+            return [(CALLS, self.record_version, self.record)]
+        if feed is Feed.CONFIGURATION and self.order is not None:
+            return [("order", self.order.row_version, self.order)]
+        return []
+
+
+@define
+class Fleet:
+    """The entries and what became of their requests."""
+
+    seed: int
+    new: Behaviour
+    entries: int = 3
+    rate_per_s: float = 30.0
+    over_s: float = 12.0
+    store_outage: Outage = field(factory=Outage)
+    stopped: dict[str, float] = field(factory=dict)
+    random: Random = field(init=False)
+    store: FakeStore = field(factory=FakeStore)
+    rigs: list[ServingRig] = field(factory=list)
+    now: float = 100.0
+    ordered_at: float = 0.0
+    sent: list[Sent] = field(factory=list)
+    bad: list[float] = field(factory=list)
+    done_at: float | None = None
+    next_request: int = 1
+    _later: list[tuple[float, ServingRig, object]] = field(factory=list)
+    _polls: list[tuple[float, ServingRig, FollowFeed]] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.random = Random(self.seed)
+        for number in range(1, self.entries + 1):
+            rig = ServingRig(name=f"entry-{number}", seed=self.seed * 100 + number)
+            self.rigs.append(rig)
+        old = tuple(make_upstream(n, CALLS, version=OLD) for n in range(1, 5))
+        for rig in self.rigs:
+            rig.start(make_configuration(), old)
+            peers = {
+                other.name: PeerRecord(other.name, f"{other.name}.a", "10.9.0.1", 7)
+                for other in self.rigs
+            }
+            rig.read(Feed.PEERS, peers)
+
+    @property
+    def since_order_s(self) -> float:
+        """Seconds since the order."""
+        return self.now - self.ordered_at if self.ordered_at else -1.0
+
+    def order_move(self) -> None:
+        """Has an operator order the move, and start upstreams of the new version."""
+        self.ordered_at = self.now
+        self.store.version += 1
+        self.store.order = MoveOrder(CALLS, NEW, self.over_s, self.store.version)
+
+    def _register_new(self) -> None:
+        """Registers the upstreams of the new version a moment after the order."""
+        store = self.store
+        if store.upstreams or self.since_order_s < REGISTERED_AFTER_S:
+            return
+        store.version += 1
+        for number in range(11, 15):
+            record = make_upstream(number, CALLS, version=NEW)
+            store.upstreams.append((record.id, store.version, record))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self._arrive()
+            self._register_new()
+            self._answer_polls()
+            due = [item for item in self._later if item[0] <= self.now]
+            self._later = [item for item in self._later if item[0] > self.now]
+            for rig in self.rigs:
+                if self._is_stopped(rig):
+                    continue
+                rig.now = self.now
+                rig.post(*(event for _, to, event in due if to is rig))
+                self._take_effects(rig)
+
+    def _is_stopped(self, rig: ServingRig) -> bool:
+        at_s = self.stopped.get(rig.name)
+        return at_s is not None and self.since_order_s >= at_s
+
+    def _arrive(self) -> None:
+        if self.random.random() >= self.rate_per_s * STEP_S:
+            return
+        rig = self.random.choice(self.rigs)
+        kind = self.random.choice((RouteKind.IDEMPOTENT, RouteKind.NOT_REPEATABLE))
+        number = self.next_request
+        self.next_request += 1
+        caller = CallerRequest(
+            handle=number,
+            request_id=f"request-{number}",
+            method="POST",
+            host="host.example",
+            path=f"/{kind.value}/x",
+            credential=CREDENTIAL,
+            patience_s=1.5,
+        )
+        self._later.append((self.now, rig, RequestArrived(caller)))
+
+    def _take_effects(self, rig: ServingRig) -> None:
+        emitted, rig.emitted = rig.emitted, []
+        for effect in emitted:
+            if isinstance(effect, SendAttempt):
+                self._serve(rig, effect)
+            elif isinstance(effect, WriteMove):
+                self._write(rig, effect)
+            elif isinstance(effect, ReadFeed):
+                self._read(rig, effect)
+            elif isinstance(effect, FollowFeed):
+                self._polls.append((self.now + effect.wait_s, rig, effect))
+            elif isinstance(effect, TellPeers):
+                self._tell(rig, effect)
+            elif isinstance(effect, RegisterEntry):
+                self._later.append((self.now, rig, EntryRegistered(True)))
+            elif isinstance(effect, DropAttempt):
+                self._later = [
+                    item
+                    for item in self._later
+                    if getattr(item[2], "attempt", None) != effect.attempt
+                    or item[1] is not rig
+                ]
+
+    def _serve(self, rig: ServingRig, effect: SendAttempt) -> None:
+        version = effect.upstream.version
+        self.sent.append(Sent(self.since_order_s, version))
+        behaviour = OLD_BEHAVIOUR
+        if version == NEW and self.since_order_s >= self.new.bad_from_s:
+            behaviour = evolve(
+                self.new, failures=max(self.new.failures, OLD_BEHAVIOUR.failures)
+            )
+        failed = self.random.random() < behaviour.failures
+        if version == NEW and (failed or behaviour.slower > 2):
+            self.bad.append(self.since_order_s)
+        latency_s = 0.03 * self.random.lognormvariate(0, 0.4) * behaviour.slower
+        self._later.append((self.now, rig, AttemptSent(effect.attempt)))
+        request_id = f"request-{effect.handle}"
+        head = AnswerHead(500 if failed else 200, request_id, signed=True)
+        answer = AnswerReceived(effect.attempt, head)
+        self._later.append((self.now + STEP_S + latency_s, rig, answer))
+
+    def _write(self, rig: ServingRig, effect: WriteMove) -> None:
+        if self.store_outage.covers(self.since_order_s):
+            event: object = MoveWritten(effect.record, 0, "no answer")
+            self._later.append((self.now + effect.timeout_s, rig, event))
+            return
+        written = self.store.write(effect)
+        if written.row_version and written.record.state in ENDED:
+            self.done_at = self.since_order_s
+        self._later.append((self.now + STORE_DELAY_S, rig, written))
+
+    def _read(self, rig: ServingRig, effect: ReadFeed) -> None:
+        event: object = FeedFailed(effect.feed, effect.call, "no answer")
+        if not self.store_outage.covers(self.since_order_s):
+            event = FeedRead(
+                effect.feed,
+                effect.call,
+                tuple(FeedRow(*row) for row in self.store.list_rows(effect.feed)),
+                self.store.version,
+                self.now,
+                self.now + STORE_AHEAD_S,
+            )
+        self._later.append((self.now + STORE_DELAY_S, rig, event))
+
+    def _answer_polls(self) -> None:
+        polls, self._polls = self._polls, []
+        away = self.store_outage.covers(self.since_order_s)
+        for until, rig, effect in polls:
+            rows = [
+                row
+                for row in self.store.list_rows(effect.feed)
+                if row[1] > effect.after
+            ]
+            if away or (not rows and self.now < until):
+                if self.now < until + effect.timeout_s - effect.wait_s:
+                    self._polls.append((until, rig, effect))
+                    continue
+                event: object = FeedFailed(effect.feed, effect.call, "no answer")
+            else:
+                event = FeedChanged(
+                    effect.feed,
+                    effect.call,
+                    tuple(FeedRow(*row) for row in rows),
+                    self.store.version,
+                    self.now,
+                    self.now + STORE_AHEAD_S,
+                )
+            self._later.append((self.now + STORE_DELAY_S, rig, event))
+
+    def _tell(self, rig: ServingRig, effect: TellPeers) -> None:
+        names = {peer.name for peer in effect.peers}
+        for other in self.rigs:
+            lost = self.random.random() < 0.02
+            if other.name in names and not self._is_stopped(other) and not lost:
+                event = NoticeReceived(effect.notice)
+                self._later.append((self.now + STEP_S, other, event))
+
+    def count_sent(self, version: str, spans: Iterable[tuple[float, float]]) -> int:
+        """Counts sends to a version within spans of time since the order."""
+        return sum(
+            item.version == version
+            for item in self.sent
+            for start, end in spans
+            if start <= item.at_s < end
+        )
+
+    @property
+    def state(self) -> MoveState | None:
+        """What the store says of the move."""
+        return self.store.record.state if self.store.record else None
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -104,6 +104,8 @@
 class ServingRig:
     """A world with what it emitted since the last look, without logs and metrics."""
 
+    name: str = "entry-1"
+    seed: int = 7
     now: float = 100.0
     suspended_s: float = 0.0
     emitted: list[object] = field(factory=list)
@@ -113,8 +115,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.world = ServingWorld(
-            identity=Identity("entry-1", "entry-1.a", "entry", "data-centre-0"),
-            random=Random(7),
+            identity=Identity(self.name, f"{self.name}.a", "entry", "data-centre-0"),
+            random=Random(self.seed),
             policy=Policy(tick_s=0.02),
             boot_clock=lambda: self.now + self.suspended_s,
         )
--- /dev/null
+++ b/tests/core/serving/test_moves.py
@@ -0,0 +1,189 @@
+"""Tests of moves to other versions, led by several entries under faults."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from collections import Counter
+from typing import Any
+
+from magnoliahold.core.moves import MoveState
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import SendAttempt, WriteMove
+from magnoliahold.core.serving.events import MoveWritten
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
+from tests.core.serving.fleet import NEW, OLD, Behaviour, Fleet, Outage
+from tests.core.serving.rig import CALLS, ServingRig, make_upstream
+
+FIRST_SEED = int(os.environ.get("MAGNOLIAHOLD_SEED", "1"))
+SEEDS = int(os.environ.get("MAGNOLIAHOLD_EXAMPLES", "3"))
+
+GOOD = Behaviour()
+ALL_FAIL = Behaviour(failures=1.0)
+SOME_FAIL = Behaviour(failures=0.4)
+SLOW = Behaviour(slower=5.0)
+LATE = Behaviour(failures=0.6, bad_from_s=5.0)
+DONE, TAKEN_BACK = MoveState.DONE, MoveState.TAKEN_BACK
+
+CASES: tuple[tuple[str, Behaviour, dict[str, Any], MoveState], ...] = (
+    ("good", GOOD, {}, DONE),
+    ("all fail", ALL_FAIL, {}, TAKEN_BACK),
+    ("some fail", SOME_FAIL, {}, TAKEN_BACK),
+    ("slow", SLOW, {}, TAKEN_BACK),
+    ("turns bad", LATE, {}, TAKEN_BACK),
+    ("good, store away", GOOD, {"store_outage": Outage(2, 6)}, DONE),
+    ("bad, store away", ALL_FAIL, {"store_outage": Outage(0.3, 7)}, TAKEN_BACK),
+    ("good, an entry stops", GOOD, {"stopped": {"entry-1": 3.0}}, DONE),
+    ("bad, an entry stops", ALL_FAIL, {"stopped": {"entry-2": 1.0}}, TAKEN_BACK),
+    ("good, few requests", GOOD, {"rate_per_s": 5.0}, DONE),
+    ("bad, few requests", ALL_FAIL, {"rate_per_s": 5.0}, TAKEN_BACK),
+    ("good, two stop", GOOD, {"stopped": {"entry-1": 9.0, "entry-3": 10.4}}, DONE),
+)
+DEADLINE_S = 12.0
+ROLL_BACK_S = 5.0
+EXPOSURE_SHARE = 0.1
+EXPOSURE_EXTRA = 50
+COUNTED_BAD = 50
+
+
+class FleetMoveTests(unittest.TestCase):
+    def run_move(self, seed: int, behaviour: Behaviour, **faults: Any) -> Fleet:
+        fleet = Fleet(seed, behaviour, **faults)
+        fleet.run(3.0)
+        fleet.order_move()
+        fleet.run(DEADLINE_S + 3.0)
+        return fleet
+
+    def test_moves_end_truly_and_in_time(self) -> None:
+        for name, behaviour, faults, expected in CASES:
+            for seed in range(FIRST_SEED, FIRST_SEED + SEEDS):
+                with self.subTest(name, seed=seed):
+                    fleet = self.run_move(seed, behaviour, **faults)
+                    self.assertEqual(fleet.state, expected, fleet.store.record)
+                    assert fleet.done_at is not None
+                    self.assertLess(fleet.done_at, DEADLINE_S)
+                    self.assert_written_once(fleet)
+                    if expected is TAKEN_BACK:
+                        self.assert_little_exposed(fleet)
+
+    def assert_written_once(self, fleet: Fleet) -> None:
+        """Each state is written once, and none after an end."""
+        states = [record.state for record in fleet.store.history]
+        self.assertEqual(Counter(states).most_common(1)[0][1], 1, states)
+        self.assertEqual(states[0], MoveState.CANARY)
+        self.assertEqual(len(states), 2)
+
+    def assert_little_exposed(self, fleet: Fleet) -> None:
+        """A bad version stays within its share, and ends soon after it shows itself."""
+        spans = [(0.0, DEADLINE_S)]
+        new = fleet.count_sent(NEW, spans)
+        total = new + fleet.count_sent(OLD, spans)
+        self.assertLessEqual(new, EXPOSURE_SHARE * total + EXPOSURE_EXTRA)
+        if len(fleet.bad) >= COUNTED_BAD:
+            late = fleet.bad[COUNTED_BAD - 1] + ROLL_BACK_S
+            self.assertEqual(fleet.count_sent(NEW, [(late, 99.0)]), 0)
+
+    def test_a_bad_version_is_left_by_all_entries_at_once(self) -> None:
+        fleet = self.run_move(1, ALL_FAIL, store_outage=Outage(0.6, 9.0))
+        self.assertEqual(fleet.count_sent(NEW, [(4.0, 99.0)]), 0)
+        self.assertLessEqual(len(fleet.bad), 12)
+
+    def test_all_requests_go_to_the_new_version_once_the_move_is_done(self) -> None:
+        fleet = self.run_move(1, GOOD)
+        assert fleet.done_at is not None
+        self.assertEqual(fleet.count_sent(OLD, [(fleet.done_at + 0.2, 99.0)]), 0)
+        self.assertGreater(fleet.count_sent(NEW, [(fleet.done_at + 0.2, 99.0)]), 0)
+
+
+class SingleMoveTests(unittest.TestCase):
+    """What one entry does with orders and records."""
+
+    def setUp(self) -> None:
+        self.rig = ServingRig()
+        old = tuple(make_upstream(n, CALLS, version=OLD) for n in (1, 2))
+        new = tuple(make_upstream(n, CALLS, version=NEW) for n in (3, 4))
+        self.rig.start(upstreams=old + new)
+
+    def order(self, row_version: int = 20) -> MoveOrder:
+        order = MoveOrder(CALLS, NEW, 12.0, row_version)
+        self.rig.change(Feed.CONFIGURATION, {"order": order}, row_version)
+        self.rig.world.store_offset_s = 0.0
+        return order
+
+    def record(self, order: MoveOrder, state: MoveState, row_version: int = 21) -> None:
+        record = MoveRecord(CALLS, order.id, NEW, state, self.rig.now)
+        self.rig.read(Feed.MOVES, {CALLS: record}, row_version)
+
+    def list_versions(self, count: int = 20) -> Counter[str]:
+        """Sends calls and counts them by the version that they went to."""
+        versions: Counter[str] = Counter()
+        for _ in range(count):
+            self.rig.request(RouteKind.NOT_REPEATABLE)
+            sent = self.rig.take_one(SendAttempt)
+            versions[sent.upstream.version] += 1
+        return versions
+
+    def test_shares_follow_the_record(self) -> None:
+        for state, expected in (
+            (None, {OLD}),
+            (MoveState.CANARY, {OLD, NEW}),
+            (MoveState.DONE, {NEW}),
+            (MoveState.TAKEN_BACK, {OLD}),
+        ):
+            with self.subTest(state=state):
+                self.setUp()
+                order = self.order()
+                if state is not None:
+                    self.record(order, state)
+                self.assertEqual(set(self.list_versions()), expected)
+
+    def test_canary_is_a_small_share(self) -> None:
+        self.record(self.order(), MoveState.CANARY)
+        self.assertIn(self.list_versions(50)[NEW], (4, 5, 6))
+
+    def test_record_of_an_earlier_order_says_nothing(self) -> None:
+        order = self.order()
+        self.record(order, MoveState.DONE)
+        self.order(30)
+        self.assertEqual(set(self.list_versions()), {OLD})
+
+    def test_condemned_version_serves_only_when_nothing_else_is_left(self) -> None:
+        self.record(self.order(), MoveState.TAKEN_BACK)
+        gone = {f"{CALLS}-{n}": None for n in (1, 2)}
+        self.rig.change(Feed.UPSTREAMS, gone, 30)
+        self.assertEqual(set(self.list_versions()), {NEW})
+
+    def test_old_version_serves_while_the_new_one_is_gone(self) -> None:
+        self.record(self.order(), MoveState.DONE)
+        gone = {f"{CALLS}-{n}": None for n in (3, 4)}
+        self.rig.change(Feed.UPSTREAMS, gone, 30)
+        self.assertEqual(set(self.list_versions()), {OLD})
+
+    def test_version_that_has_just_appeared_waits_for_an_order(self) -> None:
+        newest = make_upstream(5, CALLS, version="v3")
+        self.rig.change(Feed.UPSTREAMS, {newest.id: newest}, 30)
+        self.assertNotIn("v3", self.list_versions())
+        self.rig.advance(2.1)
+        self.assertIn("v3", self.list_versions())
+
+    def test_step_that_was_not_written_is_tried_again(self) -> None:
+        self.order()
+        self.rig.read(Feed.MOVES, {}, 20)
+        self.rig.advance(0.1)
+        first = self.rig.take_one(WriteMove)
+        self.assertEqual(first.expected_version, 0)
+        self.rig.post(MoveWritten(first.record, 0, "answered 412"))
+        self.rig.advance(0.1)
+        self.assertEqual(self.rig.take(WriteMove), [])
+        self.rig.advance(0.2)
+        self.assertEqual(self.rig.take_one(WriteMove).record.state, MoveState.CANARY)
+
+    def test_removed_order_ends_the_move_here(self) -> None:
+        self.record(self.order(), MoveState.CANARY)
+        self.rig.change(Feed.CONFIGURATION, {"order": None}, 40)
+        self.assertFalse(self.rig.world.moves.by_service)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from typing import Any
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import Configuration
 from magnoliahold.core.serving.events import (
     EntryRegistered,
@@ -16,8 +17,10 @@
     FeedFailed,
     FeedHistoryGone,
     FeedRead,
+    MoveWritten,
 )
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.platform.store import StoreClient
 from tests.loopback import LoopbackTestCase, on_loopback
@@ -127,14 +130,57 @@
         self.assertEqual(len(logged.output), 2)
 
     @on_loopback
-    async def test_only_the_configuration_is_read_of_its_table(self) -> None:
-        rows = [make_row("config", 3, {"version": 2}), make_row("rollout/s", 4, {})]
+    async def test_configuration_and_orders_are_read_of_one_table(self) -> None:
+        order = {"service": "s", "to": "v2", "over_s": 12}
+        rows = [
+            make_row("config", 3, {"version": 2}),
+            make_row("rollout/s", 4, order),
+            make_row("other", 5, {}),
+        ]
         event = await self.read(
-            (200, {"rows": rows, "ver": 9}), feed=Feed.CONFIGURATION
+            (200, {"rows": rows, "ver": 9, "now_ms": 51230}), feed=Feed.CONFIGURATION
+        )
+        values = {row.key: row.value for row in event.rows}
+        self.assertIsInstance(values["config"], Configuration)
+        self.assertEqual(values["rollout/s"], MoveOrder("s", "v2", 12.0, 4))
+        self.assertIsNone(values["other"])
+        self.assertEqual(event.store_time, 51.23)
+
+    @on_loopback
+    async def test_order_that_can_not_be_read_is_left_out(self) -> None:
+        with self.assertLogs("magnoliahold.store", "WARNING"):
+            event = await self.read(
+                (200, {"rows": [make_row("rollout/s", 4, {})], "ver": 9}),
+                feed=Feed.CONFIGURATION,
+            )
+        self.assertEqual(event.rows, ())
+
+    @on_loopback
+    async def test_step_of_a_move_is_written_with_its_status(self) -> None:
+        record = MoveRecord("s", "s@4", "v2", MoveState.TAKEN_BACK, 51.5, "bad")
+        for name, answer, row_version in (
+            ("written", (200, {"ver": 12, "now_ms": 5}), 12),
+            ("changed meanwhile", (412, {"rows": []}), 0),
+            ("unavailable", (503, {}), 0),
+            ("not JSON", (200, b"?"), 0),
+            ("silence", None, 0),
+        ):
+            with self.subTest(name):
+                self.store.answers = [answer]
+                self.client.write_move(record, 7, 0.3)
+                await self.wait_until(lambda: bool(self.events))
+                event = self.events.pop()
+                self.assertIsInstance(event, MoveWritten)
+                self.assertEqual(event.row_version, row_version)
+        body = json.loads(self.store.bodies[0])
+        self.assertEqual(body["expect_rev"][0]["ver"], 7)
+        own, status = body["puts"]
+        self.assertEqual(own["key"], "s")
+        self.assertEqual((status["table"], status["key"]), ("status", "rollout/s"))
+        self.assertEqual(
+            json.loads(b64decode(status["value"])),
+            {"service": "s", "to": "v2", "state": "rolled_back"},
         )
-        kinds = {row.key: type(row.value) for row in event.rows}
-        self.assertIs(kinds["config"], Configuration)
-        self.assertIs(kinds["rollout/s"], type(None))
 
     @on_loopback
     async def test_unreadable_configuration_keeps_the_one_before(self) -> None:
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -23,6 +23,8 @@
     "provider.address": "10.200.1.7:8223",
     "bounds.revoke_ms": "5000",
     "bounds.grace_s": "8",
+    "bounds.exposure_share": "0.1",
+    "bounds.exposure_extra": "50",
 }
 SOUND = {
     "name": "entry-1",
