Stop requests that crash the upstreams that run them

Cause: nothing told a request that crashes each engine from one that met a crash. It would have gone to as many engines as its route allows, with each repeat of its caller.

Change: a reset connection whose upstream is still lost half a second later, with no other of its service, counts against what the request is a repeat of (path, caller and body). Entries tell each other the crashes that they saw; three of them quarantine it for ten minutes: refused as not run, with when to come back. A quarantine is kept in the store and read once, when an entry starts.

--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -12,6 +12,7 @@
     from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
     from magnoliahold.core.serving.requests import CopyName
+    from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
@@ -206,6 +207,14 @@
     timeout_s: float
 
 
+@frozen
+class WriteQuarantine:
+    """Keeps a quarantine in the store, for entries that start later."""
+
+    record: QuarantineRecord
+    timeout_s: float
+
+
 @frozen
 class TellPeers:
     """Sends a notice to other entries; it may be lost."""
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -19,6 +19,7 @@
     routing,
     sharing,
     silence,
+    suspects,
     trust,
     verdicts,
 )
@@ -46,6 +47,7 @@
     sharing.take_notices,
     lookups.take_prompt_lists,
     copies.take_copies,
+    suspects.settle_breaks,
     verdicts.judge_versions,
     moves.advance_moves,
     silence.watch_attempts,
--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -11,11 +11,13 @@
     from magnoliahold.core.serving.configuration import Configuration
     from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
     from magnoliahold.core.serving.peers import PeerRecord
+    from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 
 FeedValue: TypeAlias = (
-    "Configuration | UpstreamRecord | PeerRecord | MoveOrder | MoveRecord"
+    "Configuration | UpstreamRecord | PeerRecord"
+    " | MoveOrder | MoveRecord | QuarantineRecord"
 )
 
 
@@ -26,6 +28,7 @@
     UPSTREAMS = "upstreams"
     PEERS = "peers"
     MOVES = "moves"
+    QUARANTINE = "quarantine"
 
 
 @frozen
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -6,6 +6,7 @@
 
 # The codec resolves the types of notices while the process runs.
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
+from magnoliahold.core.serving.suspicions import Crash  # noqa: TC001
 from magnoliahold.wire.messages import EvidenceCount  # noqa: TC001
 
 
@@ -47,7 +48,8 @@
 
     `serial` rises within an incarnation. `down` names the upstreams that the sender
     takes for lost, `places` where the prompts of its open streams were read.
-    `evidence`, `exposures` and `suspensions` are about moves between versions.
+    `evidence`, `exposures` and `suspensions` are about moves between versions,
+    `crashes`, `quarantined` and `acquitted` about requests that crash upstreams.
     """
 
     sender: str
@@ -59,6 +61,9 @@
     evidence: tuple[EvidenceCount, ...] = ()
     exposures: tuple[Exposure, ...] = ()
     suspensions: tuple[Suspension, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    quarantined: tuple[str, ...] = ()
+    acquitted: tuple[str, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -162,6 +162,26 @@
     write_retry_s: float = _seconds(0.2)
 
 
+@frozen
+class SuspicionPolicy:
+    """Requests that crash the upstreams that run them.
+
+    A reset connection counts as a crash if the upstream is still lost `settle_s` later,
+    and no other upstream of the service was lost within that time of it; it is settled
+    after `settle_max_s` in any case. `crashes_to_convict` within `crash_kept_s`
+    quarantine a request for `quarantine_s`; its callers may come back after
+    `retry_after_s`.
+    """
+
+    settle_s: float = _seconds(0.5)
+    settle_max_s: float = _seconds(3.0)
+    crashes_to_convict: int = _count(3)
+    crash_kept_s: float = _seconds(120.0)
+    quarantine_s: float = _seconds(600.0)
+    retry_after_s: float = _seconds(10.0)
+    write_timeout_s: float = _seconds(1.0)
+
+
 @frozen
 class PeerPolicy:
     """What entries tell each other.
@@ -206,5 +226,6 @@
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
     copies: CopyPolicy = field(factory=CopyPolicy)
     moves: VersionPolicy = field(factory=VersionPolicy)
+    suspicion: SuspicionPolicy = field(factory=SuspicionPolicy)
     peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -26,7 +26,8 @@
 
     `handle` names the caller's open exchange in this process and `request_id` the
     request everywhere. `patience_s` is how long the caller waits. `resume_after` is the
-    number of the last piece that it already has.
+    number of the last piece that it already has. `fingerprint` is a hash of what the
+    caller sent and of its credential: a repeat has the same.
     """
 
     handle: int
@@ -38,6 +39,7 @@
     patience_s: float | None = None
     resume_after: int | None = None
     prompt: tuple[PromptPart, ...] = ()
+    fingerprint: str = ""
 
 
 class RequestState(Enum):
--- /dev/null
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -0,0 +1,86 @@
+"""Suspicions that a request crashes the upstreams that run it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.upstreams import Upstream
+
+
+@frozen
+class Crash:
+    """The loss of an upstream while it ran a request.
+
+    `fingerprint` is the same for all requests with one path, caller and body.
+    """
+
+    fingerprint: str
+    upstream_id: str
+    born_ms: int
+
+
+@frozen
+class QuarantineRecord:
+    """A request that is not sent to upstreams any more, as the store keeps it.
+
+    `convicted_at` is on the store's clock, in seconds.
+    """
+
+    fingerprint: str
+    convicted_at: float
+
+
+@frozen
+class Break:
+    """A connection that was reset while a request ran; maybe its upstream crashed."""
+
+    fingerprint: str
+    upstream: Upstream
+    at: float
+
+
+@define
+class Suspicion:
+    """The crashes held against one fingerprint, with when each became known.
+
+    `quarantined_until` is None unless the fingerprint is quarantined. Times are on the
+    process clock.
+    """
+
+    crashes: dict[Crash, float] = field(factory=dict)
+    quarantined_until: float | None = None
+
+
+@define
+class SuspicionTable:
+    """Suspicions by fingerprint, and the breaks that are not settled yet.
+
+    `own` are the crashes that this entry saw itself, `acquitted` the fingerprints that
+    an upstream has survived. `losses` holds the upstreams that were lost lately, with
+    service and time, to tell a crash from a common cause.
+    """
+
+    by_fingerprint: dict[str, Suspicion] = field(factory=dict)
+    breaks: list[Break] = field(factory=list)
+    own: dict[Crash, float] = field(factory=dict)
+    acquitted: dict[str, float] = field(factory=dict)
+    losses: deque[tuple[float, str, str]] = field(factory=deque)
+
+    def find(self, fingerprint: str) -> Suspicion:
+        """Finds the suspicion of a fingerprint, or starts one."""
+        return self.by_fingerprint.setdefault(fingerprint, Suspicion())
+
+    def count_crashes(self, fingerprint: str) -> int:
+        """Counts the crashes held against a fingerprint."""
+        suspicion = self.by_fingerprint.get(fingerprint)
+        return len(suspicion.crashes) if suspicion else 0
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Tells whether requests with a fingerprint are refused."""
+        suspicion = self.by_fingerprint.get(fingerprint)
+        until = suspicion.quarantined_until if suspicion else None
+        return until is not None and now < until
--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -54,6 +54,11 @@
         if workspace is None:
             _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
             return
+    if world.suspicions.is_quarantined(caller.fingerprint, now):
+        retry_after_s = world.serving.suspicion.retry_after_s
+        reason = "such requests crash upstreams"
+        _refuse(world, caller, UNAVAILABLE, reason, retry_after_s)
+        return
     request = _make_request(world, caller, route, workspace, now)
     lookup = wants_lookup(world, request, now)
     obstacle = _find_stop_obstacle(world, request, now)
@@ -142,9 +147,14 @@
 
 
 def _refuse(
-    world: ServingWorld, caller: CallerRequest, status: int, reason: str
+    world: ServingWorld,
+    caller: CallerRequest,
+    status: int,
+    reason: str,
+    retry_after_s: float | None = None,
 ) -> None:
-    retry_after_s = choose_retry_after(world) if status == UNAVAILABLE else None
+    if status == UNAVAILABLE and retry_after_s is None:
+        retry_after_s = choose_retry_after(world)
     closing = world.leaving_since is not None
     world.emit(
         RefuseCaller(caller.handle, status, reason, True, retry_after_s, closing)
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -16,6 +16,7 @@
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.suspicions import QuarantineRecord
 from magnoliahold.core.serving.systems.moves import (
     apply_order,
     apply_record,
@@ -27,6 +28,7 @@
     drop_unlisted_peers,
     put_peer,
 )
+from magnoliahold.core.serving.systems.suspects import apply_quarantine
 from magnoliahold.core.serving.systems.trust import distrust
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 
@@ -175,11 +177,13 @@
             apply_order(world, row.key, row.value)
         elif isinstance(row.value, MoveRecord):
             apply_record(world, row.value, row.version)
+        elif isinstance(row.value, QuarantineRecord):
+            apply_quarantine(world, row.value, now)
         elif feed is Feed.PEERS:
             drop_peer(world, row.key)
         elif feed is Feed.CONFIGURATION:
             drop_order(world, row.key)
-        elif row.key in world.upstreams.by_id:
+        elif feed is Feed.UPSTREAMS and row.key in world.upstreams.by_id:
             _drop_upstream(world, row.key, outage_s, now)
 
 
@@ -265,11 +269,10 @@
         Feed.UPSTREAMS: policy.upstreams_wait_s,
         Feed.PEERS: policy.peers_wait_s,
         Feed.MOVES: policy.moves_wait_s,
+        Feed.QUARANTINE: 0.0,
     }
     for state in world.feeds.values():
-        if state.call or now < state.next_at:
-            continue
-        if state.feed is Feed.MOVES and not world.moves.under_way:
+        if state.call or now < state.next_at or not _is_wanted(world, state):
             continue
         state.call = world.next_call
         state.called_at = now
@@ -277,6 +280,19 @@
         world.emit(_make_call(state, waits[state.feed], world))
 
 
+def _is_wanted(world: ServingWorld, state: FeedState) -> bool:
+    """Tells whether a feed is to be read now.
+
+    Moves are followed while one is under way. Quarantines are read once; the entries
+    tell each other of later ones.
+    """
+    if state.feed is Feed.MOVES:
+        return world.moves.under_way
+    if state.feed is Feed.QUARANTINE:
+        return state.version is None and world.store_offset_s is not None
+    return True
+
+
 def _make_call(
     state: FeedState, wait_s: float, world: ServingWorld
 ) -> ReadFeed | FollowFeed:
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -18,6 +18,7 @@
     may_try_again,
     try_again,
 )
+from magnoliahold.core.serving.systems.suspects import note_break
 from magnoliahold.core.serving.systems.trust import distrust, doubt, note_alive
 from magnoliahold.core.serving.systems.verdicts import count_latency
 from magnoliahold.core.serving.upstreams import mix_mean
@@ -117,5 +118,6 @@
             continue
         count_outcome(world, attempt, True, now, died=broke.reset)
         if broke.reset:
+            note_break(world, attempt, now)
             doubt(world, attempt.upstream, broke.reason, now)
         break_off(world, attempt, broke.reason, now)
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.requests import AttemptState, CopyName, MemoryCopy
 from magnoliahold.core.serving.systems.endings import drop_attempt, refuse
+from magnoliahold.core.serving.systems.suspects import may_run_again
 from magnoliahold.core.serving.systems.verdicts import count_result
 
 if TYPE_CHECKING:
@@ -74,6 +75,8 @@
         return False
     if request.handed >= request.route.max_attempts:
         return False
+    if not may_run_again(world, request):
+        return False
     if now >= request.deadline_at:
         return False
     if request.handed == 0:
--- a/src/magnoliahold/core/serving/systems/sharing.py
+++ b/src/magnoliahold/core/serving/systems/sharing.py
@@ -18,6 +18,7 @@
     PromptPlace,
     UpstreamLoad,
 )
+from magnoliahold.core.serving.systems.suspects import list_quarantined
 from magnoliahold.core.serving.systems.trust import doubt
 from magnoliahold.core.serving.systems.verdicts import list_evidence, list_suspensions
 from magnoliahold.core.serving.upstreams import Trust
@@ -213,6 +214,9 @@
             move.own for move in world.moves.by_service.values() if not move.ended
         ),
         suspensions=list_suspensions(world),
+        crashes=tuple(world.suspicions.own),
+        quarantined=list_quarantined(world),
+        acquitted=tuple(world.suspicions.acquitted),
     )
 
 
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/suspects.py
@@ -0,0 +1,189 @@
+"""Finds requests that crash the upstreams that run them, and stops them.
+
+An upstream that is lost by itself counts against the requests that it ran; upstreams
+that are lost together have another cause. Entries tell each other the crashes that they
+saw, so that three of them suffice wherever they were seen. A request that an upstream
+has answered is none of them: entries tell that too. A quarantine is also kept in the
+store, for entries that start later.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.effects import WriteQuarantine
+from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.suspicions import Break, Crash, QuarantineRecord
+from magnoliahold.core.serving.upstreams import Trust
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+T = TypeVar("T")
+
+
+def note_break(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Notes that a connection was reset while a request may have run."""
+    fingerprint = attempt.request.caller.fingerprint
+    if fingerprint:
+        world.suspicions.breaks.append(Break(fingerprint, attempt.upstream, now))
+
+
+def note_loss(world: ServingWorld, upstream: Upstream, now: float) -> None:
+    """Notes that an upstream is taken for lost."""
+    world.suspicions.losses.append((now, upstream.record.service, upstream.id))
+
+
+def may_run_again(world: ServingWorld, request: ServedRequest) -> bool:
+    """Tells whether too many upstreams have crashed under a request."""
+    crashes = world.suspicions.count_crashes(request.caller.fingerprint)
+    return crashes < world.serving.suspicion.crashes_to_convict
+
+
+def clear(world: ServingWorld, request: ServedRequest) -> None:
+    """Drops what is held against a request that an upstream has survived."""
+    fingerprint = request.caller.fingerprint
+    if fingerprint in world.suspicions.by_fingerprint:
+        world.entries.urgent = True
+        acquit(world, fingerprint, request.arrived_at)
+
+
+def acquit(world: ServingWorld, fingerprint: str, now: float) -> None:
+    """Holds nothing against a fingerprint any more, whatever the others tell."""
+    table = world.suspicions
+    if fingerprint in table.acquitted:
+        return
+    table.acquitted[fingerprint] = now
+    table.by_fingerprint.pop(fingerprint, None)
+    for crash in [item for item in table.own if item.fingerprint == fingerprint]:
+        del table.own[crash]
+    world.log_decision("suspects", "Request acquitted.", fingerprint=fingerprint)
+
+
+def settle_breaks(world: ServingWorld, now: float) -> None:
+    """Counts breaks as crashes once their upstreams are known to be lost alone."""
+    for received in world.inbox.read_events(NoticeReceived):
+        notice = received.notice
+        for fingerprint in notice.acquitted:
+            acquit(world, fingerprint, now)
+        for crash in notice.crashes:
+            hold_crash(world, crash, now)
+        for fingerprint in notice.quarantined:
+            quarantine(world, fingerprint, now)
+    if not world.scans:
+        return
+    _forget_old(world, now)
+    policy = world.serving.suspicion
+    open_breaks = []
+    for item in world.suspicions.breaks:
+        age_s = now - item.at
+        if item.upstream.trust is Trust.TRUSTED or age_s > policy.settle_max_s:
+            continue
+        if item.upstream.trust is not Trust.DOWN or age_s < policy.settle_s:
+            open_breaks.append(item)
+        elif not _is_common(world, item):
+            _note_crash(world, item, now)
+    world.suspicions.breaks = open_breaks
+
+
+def _is_common(world: ServingWorld, item: Break) -> bool:
+    """Tells whether other upstreams of the service were lost at the same time."""
+    near_s = world.serving.suspicion.settle_s
+    service = item.upstream.record.service
+    return any(
+        other != item.upstream.id and of == service and abs(at - item.at) <= near_s
+        for at, of, other in world.suspicions.losses
+    )
+
+
+def _note_crash(world: ServingWorld, item: Break, now: float) -> None:
+    record = item.upstream.record
+    crash = Crash(item.fingerprint, record.id, record.born_ms)
+    world.suspicions.own[crash] = now
+    world.entries.urgent = True
+    hold_crash(world, crash, now)
+
+
+def hold_crash(world: ServingWorld, crash: Crash, now: float) -> None:
+    """Holds a crash against a fingerprint, and quarantines it after enough of them."""
+    if crash.fingerprint in world.suspicions.acquitted:
+        return
+    suspicion = world.suspicions.find(crash.fingerprint)
+    if crash in suspicion.crashes:
+        return
+    suspicion.crashes[crash] = now
+    world.log_decision(
+        "suspects",
+        "Upstream crashed under a request.",
+        fingerprint=crash.fingerprint,
+        upstream=crash.upstream_id,
+        crashes=len(suspicion.crashes),
+    )
+    if len(suspicion.crashes) >= world.serving.suspicion.crashes_to_convict:
+        quarantine(world, crash.fingerprint, now)
+
+
+def quarantine(world: ServingWorld, fingerprint: str, now: float) -> None:
+    """Refuses a request from now on, and has all entries do so."""
+    if fingerprint in world.suspicions.acquitted:
+        return
+    suspicion = world.suspicions.find(fingerprint)
+    if suspicion.quarantined_until is not None:
+        return
+    suspicion.quarantined_until = now + world.serving.suspicion.quarantine_s
+    world.entries.urgent = True
+    world.emit(CountMetric("requests_quarantined"))
+    world.log_decision(
+        "suspects",
+        "Request quarantined.",
+        fingerprint=fingerprint,
+        crashes=len(suspicion.crashes),
+    )
+    store_time = world.read_store_time()
+    if suspicion.crashes and store_time is not None:
+        record = QuarantineRecord(fingerprint, store_time)
+        timeout_s = world.serving.suspicion.write_timeout_s
+        world.emit(WriteQuarantine(record, timeout_s))
+
+
+def apply_quarantine(world: ServingWorld, record: QuarantineRecord, now: float) -> None:
+    """Takes a quarantine that the store keeps, unless its time is over."""
+    store_time = world.read_store_time()
+    if store_time is None:
+        return
+    left_s = record.convicted_at + world.serving.suspicion.quarantine_s - store_time
+    if left_s > 0:
+        world.suspicions.find(record.fingerprint).quarantined_until = now + left_s
+
+
+def _forget_old(world: ServingWorld, now: float) -> None:
+    table = world.suspicions
+    policy = world.serving.suspicion
+    while table.losses and now - table.losses[0][0] > policy.settle_max_s:
+        table.losses.popleft()
+    for fingerprint, suspicion in list(table.by_fingerprint.items()):
+        _drop_old(suspicion.crashes, now, policy.crash_kept_s)
+        until = suspicion.quarantined_until
+        if until is not None and now >= until:
+            suspicion.quarantined_until = until = None
+        if until is None and not suspicion.crashes:
+            del table.by_fingerprint[fingerprint]
+    _drop_old(table.own, now, policy.crash_kept_s)
+    _drop_old(table.acquitted, now, policy.crash_kept_s)
+
+
+def _drop_old(items: dict[T, float], now: float, kept_s: float) -> None:
+    for item in [item for item, at in items.items() if now - at > kept_s]:
+        del items[item]
+
+
+def list_quarantined(world: ServingWorld) -> tuple[str, ...]:
+    """Lists the quarantined fingerprints, for notices."""
+    return tuple(
+        fingerprint
+        for fingerprint, suspicion in world.suspicions.by_fingerprint.items()
+        if suspicion.quarantined_until is not None
+    )
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -12,6 +12,7 @@
 from magnoliahold.core.serving.peers import PeerTable
 from magnoliahold.core.serving.policy import ServingPolicy
 from magnoliahold.core.serving.requests import RequestTable
+from magnoliahold.core.serving.suspicions import SuspicionTable
 from magnoliahold.core.serving.upstreams import UpstreamTable
 from magnoliahold.core.worlds import World
 
@@ -46,6 +47,7 @@
     requests: RequestTable = field(factory=RequestTable)
     entries: PeerTable = field(factory=PeerTable)
     moves: MoveTable = field(factory=MoveTable)
+    suspicions: SuspicionTable = field(factory=SuspicionTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     lookups: dict[str, PromptLookup] = field(factory=dict)
     openings: dict[str, float] = field(factory=dict)
--- a/src/magnoliahold/platform/callers.py
+++ b/src/magnoliahold/platform/callers.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from xxhash import xxh3_64_hexdigest, xxh32_intdigest
+
 from magnoliahold.core.serving.requests import CallerRequest, PromptPart
 
 if TYPE_CHECKING:
@@ -19,26 +21,36 @@
 
 
 def read_caller_request(
-    handle: int, method: str, target: str, headers: Headers
+    handle: int, method: str, target: str, headers: Headers, body: bytes = b""
 ) -> CallerRequest:
     """Reads what decisions need of a request; raises BadRequest."""
     request_id = _read(headers, "Request-Id")
     if not request_id:
         raise BadRequest("send a Request-Id")
     host = _read(headers, "Host") or ""
+    credential = _read_credential(headers)
     return CallerRequest(
         handle=handle,
         request_id=request_id,
         method=method,
         host=host.partition(":")[0].lower(),
         path=target.partition("?")[0],
-        credential=_read_credential(headers),
+        credential=credential,
         patience_s=_read_patience(headers),
         resume_after=_read_number(headers, "Last-Event-Id"),
         prompt=_read_prompt(headers),
+        fingerprint=_make_fingerprint(method, host, target, credential, body),
     )
 
 
+def _make_fingerprint(
+    method: str, host: str, target: str, credential: str | None, body: bytes
+) -> str:
+    """Hashes what is the same in a request and its repeats."""
+    head = "\n".join((method, host, target, credential or ""))
+    return xxh3_64_hexdigest(body, seed=xxh32_intdigest(head.encode()))
+
+
 def _read(headers: Headers, name: str) -> str | None:
     values = headers.getRawHeaders(name)
     return values[0].strip() if values else None
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -16,6 +16,7 @@
 )
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.suspicions import QuarantineRecord
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.endpoints import read_endpoint
 
@@ -114,6 +115,7 @@
 _peer_decoder = msgspec.json.Decoder(PeerRecord)
 _order_decoder = msgspec.json.Decoder(_Order)
 _record_decoder = msgspec.json.Decoder(MoveRecord)
+_quarantine_decoder = msgspec.json.Decoder(QuarantineRecord)
 
 
 def read_configuration(document: bytes) -> Configuration:
@@ -234,3 +236,16 @@
             "state": STATES[record.state],
         }
     )
+
+
+def read_quarantine(document: bytes) -> QuarantineRecord:
+    """Reads a quarantine that the store keeps; raises DocumentError."""
+    try:
+        return _quarantine_decoder.decode(document)
+    except msgspec.MsgspecError as error:
+        raise DocumentError(str(error)) from error
+
+
+def write_quarantine(record: QuarantineRecord) -> bytes:
+    """Writes a quarantine, for entries that start later."""
+    return msgspec.json.encode(record)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -26,9 +26,11 @@
     read_configuration,
     read_order,
     read_peer,
+    read_quarantine,
     read_record,
     read_upstream,
     write_peer,
+    write_quarantine,
     write_record,
     write_status,
 )
@@ -41,6 +43,7 @@
     from magnoliahold.core.serving.feeds import FeedValue
     from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import PeerRecord
+    from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.httpclient import HttpAnswer
     from magnoliahold.runtime import Reactor
 
@@ -49,6 +52,7 @@
     Feed.UPSTREAMS: "servers",
     Feed.PEERS: "magnoliahold-entries",
     Feed.MOVES: "magnoliahold-moves",
+    Feed.QUARANTINE: "magnoliahold-quarantine",
 }
 CONFIGURATION_KEY = "config"
 ORDER_PREFIX = "rollout/"
@@ -184,6 +188,20 @@
 
         self._transact(changes, timeout_s).addCallback(take).addErrback(fail)
 
+    def write_quarantine(self, record: QuarantineRecord, timeout_s: float) -> None:
+        """Keeps a quarantine; one that is lost is still told by the entries."""
+        value = _encode_value(write_quarantine(record))
+        row = {**_name_row(Feed.QUARANTINE, record.fingerprint), "value": value}
+
+        def log_failure(failure: Any) -> None:
+            logger.warning(
+                "Quarantine not kept.",
+                fingerprint=record.fingerprint,
+                reason=str(failure.value),
+            )
+
+        self._transact({"puts": [row]}, timeout_s).addErrback(log_failure)
+
     def _transact(
         self, changes: dict[str, Any], timeout_s: float
     ) -> Deferred[HttpAnswer]:
@@ -317,6 +335,8 @@
         return read_peer(document)
     if feed is Feed.MOVES:
         return read_record(document)
+    if feed is Feed.QUARANTINE:
+        return read_quarantine(document)
     if row.key == CONFIGURATION_KEY:
         return read_configuration(document)
     if row.key.startswith(ORDER_PREFIX):
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -228,6 +228,7 @@
                 exchange.method.decode("ascii", "replace"),
                 exchange.uri.decode("ascii", "replace"),
                 exchange.requestHeaders,
+                body,
             )
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -35,6 +35,10 @@
         loads=notice.loads[:MAX_ITEMS],
         down=notice.down[:MAX_ITEMS],
         places=notice.places[:MAX_ITEMS],
+        evidence=notice.evidence[:MAX_ITEMS],
+        crashes=notice.crashes[-MAX_ITEMS:],
+        quarantined=notice.quarantined[-MAX_ITEMS:],
+        acquitted=notice.acquitted[-MAX_ITEMS:],
     )
     return _encoder.encode(short)
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -166,5 +166,24 @@
             self.read(**{"Request-Id": ""})
 
 
+class FingerprintTests(unittest.TestCase):
+    def test_repeats_have_the_same_fingerprint_and_others_not(self) -> None:
+        def read(target: str = "/a?b", body: bytes = b"x", **changes: str) -> str:
+            headers = Headers({k: [v] for k, v in {**RECEIVED, **changes}.items()})
+            caller = read_caller_request(1, "POST", target, headers, body)
+            return caller.fingerprint
+
+        known = read()
+        self.assertEqual(known, read(**{"Request-Id": "other", "Deadline-Ms": "9"}))
+        for name, other in (
+            ("path", read(target="/a?c")),
+            ("body", read(body=b"y")),
+            ("caller", read(Authorization="Token other")),
+            ("host", read(Host="other.example")),
+        ):
+            with self.subTest(name):
+                self.assertNotEqual(known, other)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,6 +22,7 @@
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.suspicions import QuarantineRecord
 from magnoliahold.platform.store import StoreClient
 from tests.loopback import LoopbackTestCase, on_loopback
 from tests.platform.test_documents import SERVER
@@ -191,6 +192,17 @@
             )
         self.assertEqual(event.rows, ())
 
+    @on_loopback
+    async def test_quarantine_is_kept_and_read(self) -> None:
+        record = QuarantineRecord("fingerprint-1", 51.5)
+        self.store.answers = [(200, {"ver": 12})]
+        self.client.write_quarantine(record, 0.3)
+        await self.wait_until(lambda: bool(self.store.bodies))
+        (row,) = json.loads(self.store.bodies[0])["puts"]
+        rows = [{**row, "ver": 12}]
+        event = await self.read((200, {"rows": rows, "ver": 12}), feed=Feed.QUARANTINE)
+        self.assertEqual(event.rows[0].value, record)
+
     @on_loopback
     async def test_registration(self) -> None:
         record = PeerRecord("entry-1", "entry-1.a", "h", 7)
