Part the fixed extra of the retry budget among the entries there are

Cause: each entry had ten repeats of its own besides half of its arrivals. 29 entries would have had 290 together, where 150 are allowed beyond 0.8 of the requests (streams of the grown deployments: 137 requests in 10 s). An entry that restarted had its ten again.

Change: bounds of the deployment come from its settings; 65% of them is used. An entry's part of the extra is that of the number of entries that are registered; one that has just started gets most of it only after a window.

--- a/src/magnoliahold/core/serving/budget.py
+++ b/src/magnoliahold/core/serving/budget.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.policy import BudgetPolicy
+
 
 @define
 class RetryBudget:
     """First sends and repeats of one service within a sliding window.
 
-    All entries share the budget of a service without telling each other: each spends a
-    share of its own arrivals and a small fixed allowance.
+    All entries share the budget of a service without a call for each repeat: each may
+    repeat a part of its own arrivals, and has an equal part of the fixed extra. An
+    entry that has just started gets most of its extra in its second window, since it
+    may have used one just before.
     """
 
-    window_s: float
-    ratio: float
-    allowance: int
+    policy: BudgetPolicy
+    started_at: float
     requests: deque[float] = field(factory=deque)
     repeats: deque[float] = field(factory=deque)
 
@@ -25,19 +30,28 @@
         """Counts a request that arrived for the service."""
         self.requests.append(now)
 
-    def take_repeat(self, now: float) -> bool:
-        """Takes one repeat out of the budget; false when none is left."""
-        if self.count_left(now) < 1:
+    def take_repeat(self, now: float, entries: int) -> bool:
+        """Takes one repeat out of the budget; false when none is left.
+
+        `entries` is how many share the budget.
+        """
+        if self.count_left(now, entries) < 1:
             return False
         self.repeats.append(now)
         return True
 
-    def count_left(self, now: float) -> float:
+    def count_left(self, now: float, entries: int) -> float:
         """Counts the repeats that are left."""
         self._drop_old(now)
-        return self.ratio * len(self.requests) + self.allowance - len(self.repeats)
+        policy = self.policy
+        windows = (now - self.started_at) / policy.window_s
+        age = min(1.0, max(0.0, windows - 1.0))
+        share = policy.extra / entries
+        extra = max(age * share, min(policy.first_extra, policy.first_part * share))
+        whole = policy.ratio * len(self.requests) + extra
+        return policy.used_part * whole - len(self.repeats)
 
     def _drop_old(self, now: float) -> None:
         for times in (self.requests, self.repeats):
-            while times and times[0] <= now - self.window_s:
+            while times and times[0] <= now - self.policy.window_s:
                 times.popleft()
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -111,9 +111,25 @@
     lookup_s: float = _seconds(0.25)
     lookup_kept_s: float = _seconds(1.0)
     retry_after_s: float = _seconds(0.25)
-    budget_window_s: float = _seconds(10.0)
-    budget_ratio: float = _part(0.5)
-    budget_allowance: int = _count(10)
+
+
+@frozen
+class BudgetPolicy:
+    """Repeats that all entries together may send to a service.
+
+    Within `window_s` there may be `ratio` of the requests for it and `extra` more.
+    `used_part` of that is used, since entries restart and don't know at once how many
+    they are. An entry that knows no others takes them for `unknown_entries`. One that
+    has just started has `first_part` of its extra, at most `first_extra`.
+    """
+
+    window_s: float = _seconds(10.0)
+    ratio: float = _part(0.8)
+    extra: float = _part(150.0)
+    used_part: float = _part(0.65)
+    unknown_entries: int = _count(30)
+    first_part: float = _part(0.35)
+    first_extra: float = _part(4.0)
 
 
 @frozen
@@ -226,6 +242,7 @@
     feeds: FeedPolicy = field(factory=FeedPolicy)
     watch: WatchPolicy = field(factory=WatchPolicy)
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
+    budget: BudgetPolicy = field(factory=BudgetPolicy)
     copies: CopyPolicy = field(factory=CopyPolicy)
     moves: VersionPolicy = field(factory=VersionPolicy)
     suspicion: SuspicionPolicy = field(factory=SuspicionPolicy)
--- a/src/magnoliahold/core/serving/systems/pauses.py
+++ b/src/magnoliahold/core/serving/systems/pauses.py
@@ -16,6 +16,7 @@
     if world.scans:
         world.next_scan_at = now + world.serving.watch.scan_s
     if before is None:
+        world.started_at = now
         return
     pause_s = now - before - world.policy.tick_s
     if pause_s <= world.serving.watch.pause_s:
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -81,7 +81,8 @@
         return False
     if request.handed == 0:
         return True
-    return world.find_budget(request.service).count_left(now) >= 1
+    budget = world.find_budget(request.service)
+    return budget.count_left(now, world.count_entries()) >= 1
 
 
 def _may_have_run(request: ServedRequest) -> bool:
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -68,7 +68,8 @@
     copy: MemoryCopy | None,
     now: float,
 ) -> None:
-    if request.handed and not world.find_budget(request.service).take_repeat(now):
+    budget = world.find_budget(request.service)
+    if request.handed and not budget.take_repeat(now, world.count_entries()):
         return
     table = world.requests
     attempt = Attempt(
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -36,7 +36,7 @@
     is the newest one ever read; it never goes back. `lookups` holds the last questions
     about prompts by service.
     `openings` and `durations` are moving means, by service, of the seconds to the first
-    piece and to the end of streams.
+    piece and to the end of streams. `started_at` is the time of the first tick.
     """
 
     boot_clock: Callable[[], float]
@@ -53,6 +53,7 @@
     openings: dict[str, float] = field(factory=dict)
     durations: dict[str, float] = field(factory=dict)
     store_offset_s: float | None = None
+    started_at: float = 0.0
     next_call: int = 1
     ticked_at: float | None = None
     next_scan_at: float = 0.0
@@ -64,13 +65,17 @@
         """Finds the budget of a service, or starts it."""
         budget = self.budgets.get(service)
         if budget is None:
-            policy = self.serving.attempts
-            budget = RetryBudget(
-                policy.budget_window_s, policy.budget_ratio, policy.budget_allowance
+            budget = self.budgets[service] = RetryBudget(
+                self.serving.budget, self.started_at
             )
-            self.budgets[service] = budget
         return budget
 
+    def count_entries(self) -> int:
+        """Counts the entries that share budgets, this one too."""
+        if self.feeds[Feed.PEERS].version is None:
+            return self.serving.budget.unknown_entries
+        return len(self.entries.by_name) + 1
+
     def read_store_time(self) -> float | None:
         """Reads the store's clock, in seconds; None before the first answer."""
         if self.store_offset_s is None:
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -39,7 +39,9 @@
 
     A credential that was taken back is refused `revocation_ms` later at the latest, and
     a process has `stop_grace_s` from the order to stop to its end. A bad version may
-    get `exposure_share` of a service's requests and `exposure_extra` more.
+    get `exposure_share` of a service's requests and `exposure_extra` more. All entries
+    together may repeat `retry_ratio` of a service's requests within `retry_window_s`,
+    and `retry_extra` more.
     """
 
     revocation_ms: float = field(
@@ -48,6 +50,9 @@
     stop_grace_s: float = field(metadata=checks(require_range(1, 3600)), default=8.0)
     exposure_share: float = field(metadata=checks(require_range(0, 1)), default=0.1)
     exposure_extra: float = field(metadata=checks(require_range(0, 1e6)), default=50.0)
+    retry_ratio: float = field(metadata=checks(require_range(0, 10)), default=0.8)
+    retry_extra: float = field(metadata=checks(require_range(0, 1e6)), default=150.0)
+    retry_window_s: float = field(metadata=checks(require_range(1, 600)), default=10.0)
 
 
 @frozen
@@ -88,4 +93,10 @@
         exposure_share=bounds.exposure_share,
         exposure_extra=bounds.exposure_extra,
     )
-    return evolve(policy, feeds=feeds, leave=leave, moves=moves)
+    budget = evolve(
+        policy.budget,
+        ratio=bounds.retry_ratio,
+        extra=bounds.retry_extra,
+        window_s=bounds.retry_window_s,
+    )
+    return evolve(policy, feeds=feeds, leave=leave, moves=moves, budget=budget)
--- a/tests/core/serving/rig.py
+++ b/tests/core/serving/rig.py
@@ -123,6 +123,8 @@
             boot_clock=lambda: self.now + self.suspended_s,
         )
         self.world.checks_everything = True
+        self.post()
+        self.world.started_at = self.now - 100.0
 
     def post(self, *events: object) -> None:
         """Posts events and runs a tick."""
@@ -168,6 +170,7 @@
             upstreams = tuple(make_upstream(n, ENGINES) for n in numbers)
             upstreams += tuple(make_upstream(n, CALLS) for n in numbers)
         self.post()
+        self.read(Feed.PEERS, {})
         self.read(Feed.CONFIGURATION, {"config": configuration or make_configuration()})
         self.read(Feed.UPSTREAMS, {record.id: record for record in upstreams})
 
--- a/tests/core/serving/test_calls.py
+++ b/tests/core/serving/test_calls.py
@@ -12,6 +12,8 @@
     SendAttempt,
 )
 from magnoliahold.core.serving.events import AttemptUnsent, CallerLeft
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.upstreams import Trust
 from tests.core.serving.rig import CALLS, ServingRig, make_upstream
 
@@ -58,6 +60,11 @@
     return AGAIN if rig.take(SendAttempt) else None
 
 
+def make_peer(number: int) -> PeerRecord:
+    """Makes the registration of another entry."""
+    return PeerRecord(f"entry-{number}", f"entry-{number}.a", "10.9.0.1", number)
+
+
 class CallTests(unittest.TestCase):
     def test_answers(self) -> None:
         for name, head, repeatable, once in ANSWERS:
@@ -163,15 +170,17 @@
     def test_retries_stop_with_the_budget(self) -> None:
         rig = ServingRig()
         rig.start()
-        allowance = rig.world.serving.attempts.budget_allowance
+        rig.read(Feed.PEERS, {f"entry-{n}": make_peer(n) for n in range(1, 16)})
+        policy = rig.world.serving.budget
+        extra = policy.extra / 15
+        calls = 40
         sent = 0
-        for _ in range(allowance * 4):
+        for _ in range(calls):
             rig.request(IDEMPOTENT)
             rig.break_off(rig.send())
             sent += len(rig.take(SendAttempt))
-        share = rig.world.serving.attempts.budget_ratio * allowance * 4
-        self.assertLessEqual(sent, allowance + share)
-        self.assertGreaterEqual(sent, allowance)
+        self.assertLessEqual(sent, policy.used_part * (extra + policy.ratio * calls))
+        self.assertGreaterEqual(sent, policy.used_part * extra)
 
 
 if __name__ == "__main__":
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -25,6 +25,9 @@
     "bounds.grace_s": "8",
     "bounds.exposure_share": "0.1",
     "bounds.exposure_extra": "50",
+    "bounds.budget_ratio": "0.8",
+    "bounds.budget_extra": "150",
+    "bounds.budget_window_s": "10",
 }
 # What a process needs from its last log line to its end, on a small core.
 TIME_TO_END_S = 0.5
