Explain requests that were lost with their entry, or that none has read

Cause: explain printed a story without an end for a request whose entry lost power, and nothing for one that found no entry; the cause of both is what became of the entry.

Change: a story without an end says when its entry was lost and started again, or that the log ends; a request that no entry has read is answered with when each was there.

--- a/src/magnoliahold/cli/explain.py
+++ b/src/magnoliahold/cli/explain.py
@@ -4,14 +4,15 @@
 
 from pathlib import Path  # noqa: TC003
 
-from magnoliahold.stories import read_story
+from magnoliahold.stories import list_lives, read_logs, read_story
 
 
 def explain(request_id: str, *files: Path) -> int:
     """Prints what became of a request, and why, from the logs of entries.
 
     Lines of the request come in order of time, with what the entry came to believe of
-    the upstreams concerned while the request was open.
+    the upstreams concerned while the request was open. A request that no entry has read
+    is answered with when each entry was there.
 
     Args:
         request_id: The id of the request, as the caller sent it.
@@ -20,9 +21,13 @@
     Returns:
         0, or 1 when no file has a line of the request.
     """
-    lines = read_story(request_id, files)
-    for line in lines:
+    lines = read_logs(files)
+    story = read_story(request_id, lines)
+    for line in story or list_lives(lines):
         print(line)
-    if not lines:
-        print(f"no line of request {request_id}; name the logs of all entries")
-    return 0 if lines else 1
+    if not story:
+        print(
+            f"no entry has read request {request_id}: its entry was away, or its log "
+            "is not among these"
+        )
+    return 0 if story else 1
--- a/src/magnoliahold/stories.py
+++ b/src/magnoliahold/stories.py
@@ -13,6 +13,8 @@
 
 HIDDEN = frozenset(("time", "level", "process", "message", "request"))
 BELIEFS = ("trust:", "upstreams:")
+STARTED = "daemon: Process started."
+ENDS = ("Request ended.", "Request refused.")
 PROCESS_LINES = ("configuration:", "store:", "leaving:", "pause:", "daemon:")
 
 
@@ -35,15 +37,54 @@
         return f"{self.time}  {self.process}  {self.message}  {details}".rstrip()
 
 
-def read_story(request_id: str, files: Iterable[Path]) -> list[str]:
-    """Reads the lines that tell what became of a request, in order of time."""
-    lines = [line for path in files for line in read_lines(path)]
-    lines.sort(key=lambda line: line.time)
+def read_story(request_id: str, lines: list[LogLine]) -> list[str]:
+    """Reads the lines that tell what became of a request, in order of time.
+
+    A story without an end names what became of the entry.
+    """
     own = [line for line in lines if line.fields.get("request") == request_id]
     if not own:
         return []
     found = [line for line in lines if line in own or _concerns(line, own)]
-    return [line.describe() for line in found]
+    story = [line.describe() for line in found]
+    if not any(line.message.endswith(ENDS) for line in own):
+        story.append(_describe_loss(lines, own[-1]))
+    return story
+
+
+def _describe_loss(lines: list[LogLine], last: LogLine) -> str:
+    """Describes how an entry went on after its last line about a request."""
+    later = [
+        line for line in lines if line.process == last.process and line.time > last.time
+    ]
+    starts = [line.time for line in later if line.message == STARTED]
+    if starts:
+        before = [line.time for line in later if line.time < starts[0]]
+        lost = max(before, default=last.time)
+        return f"{lost}  {last.process}  lost with the request; started {starts[0]}"
+    end = max((line.time for line in later), default=last.time)
+    return f"{end}  {last.process}  no later line; the request was open"
+
+
+def list_lives(lines: list[LogLine]) -> list[str]:
+    """Lists when each process was there, for requests that none of them has read."""
+    lives: dict[str, list[list[str]]] = {}
+    for line in lines:
+        spans = lives.setdefault(line.process, [])
+        if not spans or line.message == STARTED:
+            spans.append([line.time, line.time])
+        spans[-1][1] = line.time
+    return [
+        f"{process}  there from {start} to {end}"
+        for process, spans in sorted(lives.items())
+        for start, end in spans
+    ]
+
+
+def read_logs(files: Iterable[Path]) -> list[LogLine]:
+    """Reads all lines of some logs, in order of time."""
+    lines = [line for path in files for line in read_lines(path)]
+    return sorted(lines, key=lambda line: line.time)
 
 
 def _concerns(line: LogLine, own: list[LogLine]) -> bool:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from magnoliahold.stories import read_story
+from magnoliahold.stories import list_lives, read_logs, read_story
 
 
 def make_line(second: int, process: str, message: str, **fields: Any) -> str:
@@ -41,7 +41,7 @@
         self.path.write_text("".join(reversed(LINES)), encoding="utf-8")
 
     def test_story_has_own_lines_and_what_bears_on_them_in_order(self) -> None:
-        story = read_story("r-1", [self.path])
+        story = read_story("r-1", read_logs([self.path]))
         sentences = [line.split("  ")[2] for line in story]
         expected = [
             "admission: Request admitted.",
@@ -54,7 +54,31 @@
         self.assertIn("reason silent", story[2])
 
     def test_unknown_request_has_no_story(self) -> None:
-        self.assertEqual(read_story("r-9", [self.path]), [])
+        self.assertEqual(read_story("r-9", read_logs([self.path])), [])
+
+    def read_last(self, *lines: str) -> str:
+        """Reads the last line of a request's story, with more lines in the log."""
+        self.path.write_text("".join((*LINES, *lines)), encoding="utf-8")
+        return read_story("r-2", read_logs([self.path]))[-1]
+
+    def test_request_that_was_lost_with_its_entry(self) -> None:
+        started = make_line(9, "entry-1", "daemon: Process started.")
+        last = self.read_last(started)
+        self.assertIn("entry-1  lost with the request", last)
+        self.assertTrue(last.startswith("2026-01-01T00:00:07.000Z"))
+        self.assertTrue(last.endswith("started 2026-01-01T00:00:09.000Z"))
+
+    def test_request_that_is_still_open_when_the_log_ends(self) -> None:
+        self.assertIn("no later line; the request was open", self.read_last())
+
+    def test_lives_of_entries(self) -> None:
+        started = make_line(9, "entry-1", "daemon: Process started.")
+        self.path.write_text("".join((*LINES, started)), encoding="utf-8")
+        lives = list_lives(read_logs([self.path]))
+        self.assertEqual(
+            [line.split()[0] for line in lives], ["entry-1"] * 2 + ["entry-2"]
+        )
+        self.assertIn("to 2026-01-01T00:00:07.000Z", lives[0])
 
 
 if __name__ == "__main__":
