Give back repeats that reached no upstream; count a stream's goal from its arrival

Change: a repeat whose connection failed is given back (75% of the budget is used now, 65% before); the moment to leave a slow opening counts from the arrival. Both have a test that fails first.

--- a/src/magnoliahold/core/serving/budget.py
+++ b/src/magnoliahold/core/serving/budget.py
@@ -40,6 +40,11 @@
         self.repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Gives the last repeat back: it reached no upstream."""
+        if self.repeats:
+            self.repeats.pop()
+
     def count_left(self, now: float, entries: int) -> float:
         """Counts the repeats that are left."""
         self._drop_old(now)
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -126,9 +126,9 @@
     window_s: float = _seconds(10.0)
     ratio: float = _part(0.8)
     extra: float = _part(150.0)
-    used_part: float = _part(0.65)
+    used_part: float = _part(0.75)
     unknown_entries: int = _count(30)
-    first_part: float = _part(0.35)
+    first_part: float = _part(0.3)
     first_extra: float = _part(4.0)
 
 
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -46,6 +46,8 @@
             continue
         distrust(world, attempt.upstream, unsent.reason, now)
         attempt.request.handed -= 1
+        if attempt.request.handed:
+            world.find_budget(attempt.request.service).give_back()
         attempt.state = AttemptState.CONNECTING
         try_again(world, attempt, unsent.reason, now)
 
--- a/src/magnoliahold/core/serving/systems/silence.py
+++ b/src/magnoliahold/core/serving/systems/silence.py
@@ -72,19 +72,17 @@
     waited_s = now - (attempt.sent_at or attempt.started_at)
     if now - max(attempt.upstream.heard_at, attempt.heard_at) >= policy.probe_after_s:
         probe(world, attempt.upstream, "a stream has not begun", now)
-    if request.opened_late or not _is_time_to_leave(world, request, waited_s):
+    if request.opened_late or not _is_time_to_leave(world, request, now):
         return
     if is_elsewhere_faster(world, attempt, now):
         request.opened_late = True
         move_request(world, attempt, f"no first piece for {waited_s:.2f} s", now)
 
 
-def _is_time_to_leave(
-    world: ServingWorld, request: ServedRequest, waited_s: float
-) -> bool:
+def _is_time_to_leave(world: ServingWorld, request: ServedRequest, now: float) -> bool:
     """Tells whether another upstream can still, but only just, begin in time."""
     goal_s = request.route.goal_s
-    left_s = goal_s - waited_s
+    left_s = request.arrived_at + goal_s - now
     opening_s = world.openings.get(request.service, goal_s * UNKNOWN_OPENING_SHARE)
     margin = world.serving.attempts.opening_margin
     return opening_s <= left_s <= opening_s * margin
--- a/tests/core/serving/test_budget.py
+++ b/tests/core/serving/test_budget.py
@@ -86,7 +86,7 @@
             self.assertLessEqual(repeats, allowed, start)
 
     def test_extra_is_parted_among_the_entries(self) -> None:
-        for entries, repeats in ((1, 97), (6, 16), (30, 3)):
+        for entries, repeats in ((1, 112), (6, 18), (30, 3)):
             with self.subTest(entries=entries):
                 budget = RetryBudget(POLICY, EARLIER)
                 taken = 0
@@ -94,11 +94,20 @@
                     taken += 1
                 self.assertEqual(taken, repeats)
 
+    def test_repeat_that_reached_no_upstream_is_given_back(self) -> None:
+        budget = RetryBudget(POLICY, EARLIER)
+        left = budget.count_left(0.0, 6)
+        budget.take_repeat(0.0, 6)
+        budget.give_back()
+        self.assertEqual(budget.count_left(0.0, 6), left)
+
     def test_entry_that_has_just_started_gets_its_extra_later(self) -> None:
         budget = RetryBudget(POLICY, 0.0)
         for now, extra in ((0.0, 4), (10.0, 4), (15.0, 75), (20.0, 150), (99.0, 150)):
             with self.subTest(now=now):
-                self.assertAlmostEqual(budget.count_left(now, 1), 0.65 * extra)
+                self.assertAlmostEqual(
+                    budget.count_left(now, 1), POLICY.used_part * extra
+                )
 
     def test_repeats_come_back_after_the_window(self) -> None:
         budget = RetryBudget(POLICY, EARLIER)
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -28,6 +28,7 @@
     ServingRig,
     make_configuration,
     make_route,
+    make_upstream,
 )
 
 
@@ -262,6 +263,44 @@
         self.assertEqual(request.handed, 1)
         self.assertFalse(request.may_have_run)
 
+    def test_time_that_a_lost_upstream_took_counts_towards_the_goal(self) -> None:
+        """After 2 s at the first one, none can begin in time 3.25 s into the second."""
+        rig = ServingRig()
+        rig.start()
+        rig.world.openings[ENGINES] = 1.0
+        rig.request(RouteKind.STREAM)
+        first = rig.send()
+        rig.advance(2.0)
+        rig.break_off(first)
+        rig.send()
+        moved_after = []
+        for step in range(200):
+            rig.advance(0.02)
+            for probe in rig.take(ProbeServing):
+                record = probe.upstream
+                rig.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+            if rig.take(SendAttempt):
+                moved_after.append(2.0 + 0.02 * (step + 1))
+        self.assertEqual(len(moved_after), 1)
+        self.assertAlmostEqual(moved_after[0], 3.25, delta=0.07)
+
+    def test_connections_that_fail_cost_no_repeats(self) -> None:
+        """A stream finds its way past dead upstreams, however small the budget."""
+        rig = ServingRig()
+        rig.start(upstreams=tuple(make_upstream(n, ENGINES) for n in range(1, 12)))
+        caller = rig.request(RouteKind.STREAM)
+        first = rig.send()
+        rig.open(first, caller)
+        rig.produce(first, 7)
+        budget = rig.world.find_budget(ENGINES)
+        while budget.count_left(rig.now, 1) >= 2:
+            budget.take_repeat(rig.now, 1)
+        rig.break_off(first)
+        for _ in range(8):
+            attempt = rig.take_one(SendAttempt)
+            rig.post(AttemptUnsent(attempt.attempt, "refused"))
+        self.assertEqual(rig.send().resume_after, 7)
+
     def test_returning_caller_goes_on_after_its_last_piece(self) -> None:
         self.rig.request(RouteKind.STREAM, resume_after=12)
         self.rig.deny_prompts()
