--- a/src/magnoliahold/core/judgement.py
+++ b/src/magnoliahold/core/judgement.py
@@ -20,17 +20,23 @@
 
 from attrs import define, evolve, field, frozen
 
-from magnoliahold.core.evidence import (
-    BUCKETS,
-    BUCKETS_PER_DOUBLING,
-    find_bucket,
-    find_seconds,
+from magnoliahold.core.evidence import BUCKETS, BUCKETS_PER_DOUBLING
+from magnoliahold.core.results import (
+    Reference,
+    Trials,
+    find_delta,
+    find_limit,
+    find_slow_share,
+    split_trials,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from magnoliahold.core.policy import MovePolicy
+    from magnoliahold.core.results import (
+        Delta,
+    )
     from magnoliahold.core.workspaces import MoveRule
     from magnoliahold.wire.messages import EvidenceCount
 
@@ -45,84 +51,10 @@
 HARM_LEVELS = (0.08, 0.25, 0.5, 0.9)
 HIGHEST_P0 = 0.7
 SLOW_ALLOWANCE = 0.05
-LEAST_SLOWER_S = 0.01
 UNMATCHED_BUCKETS = 2 * BUCKETS_PER_DOUBLING
 ANY = ("any", "any")
 
 
-@frozen
-class Trials:
-    """Good and bad results of one kind."""
-
-    good: float
-    bad: float
-
-
-@define
-class Reference:
-    """Results of the old version, in which older ones fade."""
-
-    answered: float = 0.0
-    failed: float = 0.0
-    latencies: dict[int, float] = field(factory=dict)
-    gaps: dict[int, float] = field(factory=dict)
-    faded_at: float = 0.0
-
-    @property
-    def count(self) -> float:
-        """All answers and failures."""
-        return self.answered + self.failed
-
-    def add(self, delta: Delta, now: float, fade_s: float) -> None:
-        """Adds results after fading the earlier ones."""
-        factor = exp(-max(0.0, now - self.faded_at) / fade_s)
-        self.faded_at = now
-        self.answered = self.answered * factor + delta.answered
-        self.failed = self.failed * factor + delta.failed
-        _add_histogram(self.latencies, delta.latencies, factor)
-        _add_histogram(self.gaps, delta.gaps, factor)
-
-
-def _add_histogram(
-    histogram: dict[int, float], added: Mapping[int, int], factor: float
-) -> None:
-    for bucket in histogram:
-        histogram[bucket] *= factor
-    for bucket, count in added.items():
-        histogram[bucket] = histogram.get(bucket, 0.0) + count
-
-
-@frozen
-class Delta:
-    """Results of one cell since they were last seen."""
-
-    answered: int
-    failed: int
-    latencies: Mapping[int, int]
-    gaps: Mapping[int, int]
-
-
-def find_delta(before: EvidenceCount | None, after: EvidenceCount) -> Delta:
-    """Finds the results that `after` has beyond `before`."""
-    return Delta(
-        answered=after.answered - (before.answered if before else 0),
-        failed=after.failed - (before.failed if before else 0),
-        latencies=_subtract(after.latencies, before.latencies if before else ()),
-        gaps=_subtract(after.gaps, before.gaps if before else ()),
-    )
-
-
-def _subtract(
-    after: tuple[tuple[int, int], ...], before: tuple[tuple[int, int], ...]
-) -> dict[int, int]:
-    known = dict(before)
-    return {
-        bucket: count - known.get(bucket, 0)
-        for bucket, count in after
-        if count > known.get(bucket, 0)
-    }
-
-
 @define
 class Scores:
     """Log likelihood ratios against each level of harm."""
@@ -395,29 +327,3 @@
         if sum(histogram.values()) >= least:
             return histogram
     return None
-
-
-def find_slow_share(histogram: Mapping[int, float], limit: int) -> float:
-    """Finds the share of a histogram at or above a bucket."""
-    trials = split_trials(histogram, limit)
-    return trials.bad / (trials.good + trials.bad)
-
-
-def find_limit(histogram: Mapping[int, float], quantile: float, increase: float) -> int:
-    """Finds the first bucket that counts as slow: above a quantile and the guard."""
-    left = sum(histogram.values()) * quantile
-    found = 0
-    for bucket in sorted(histogram):
-        left -= histogram[bucket]
-        if left <= 0:
-            found = bucket
-            break
-    steps = log(1 + increase, 2) * BUCKETS_PER_DOUBLING
-    noticeable = find_bucket(find_seconds(found) + LEAST_SLOWER_S)
-    return min(BUCKETS - 1, max(found + round(steps), noticeable, found + 1))
-
-
-def split_trials(histogram: Mapping[int, float], limit: int) -> Trials:
-    """Splits a histogram at the first slow bucket."""
-    bad = sum(count for bucket, count in histogram.items() if bucket >= limit)
-    return Trials(sum(histogram.values()) - bad, bad)
--- a/tests/core/test_judgement.py
+++ b/tests/core/test_judgement.py
@@ -8,8 +8,9 @@
 from attrs import frozen
 
 from magnoliahold.core.evidence import find_bucket
-from magnoliahold.core.judgement import Cell, Delta, Judgement
+from magnoliahold.core.judgement import Cell, Judgement
 from magnoliahold.core.policy import MovePolicy
+from magnoliahold.core.results import Delta
 from magnoliahold.core.workspaces import MoveRule
 
 POLICY = MovePolicy()
