Close callers' connections after their answer while the entry isn't ready

Change: while the entry is not ready for any reason, not only when it stops, connections close after their answer, so that the next request reaches a ready entry.

--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -15,6 +15,7 @@
     forget_caller,
 )
 from magnoliahold.core.serving.systems.lookups import look_up, wants_lookup
+from magnoliahold.core.serving.systems.readiness import should_close
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -155,7 +156,7 @@
 ) -> None:
     if status == UNAVAILABLE and retry_after_s is None:
         retry_after_s = choose_retry_after(world)
-    closing = world.leaving_since is not None
+    closing = should_close(world)
     world.emit(
         RefuseCaller(caller.handle, status, reason, True, retry_after_s, closing)
     )
