Keep the order of bytes in the soak's proxies; end its processes when it is interrupted

Found by seed 19 (order: piece 6 where 3 was due): a proxy whose delay ended sent later bytes before those that it still held, which no TCP connection does.

Found by ending a soak by a signal: its entries stayed. They are ended before the reactor stops; a test interrupts a soak and looks for its children.

--- a/src/magnoliahold/cli/soak.py
+++ b/src/magnoliahold/cli/soak.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from magnoliahold.soak.run import SoakReport
 
+INTERRUPTED = 130
+
 
 def soak(*, seed: int = 1, seconds: float = 20.0, processes: int = 3) -> int:
     """Runs entries as processes, injects drawn faults from outside and checks promises.
@@ -21,7 +23,7 @@
         processes: How many entries run.
 
     Returns:
-        0, or 1 when a promise was broken.
+        0, 1 when a promise was broken, or 130 when it was interrupted.
     """
     from twisted.internet import reactor as installed
     from twisted.internet.defer import ensureDeferred
@@ -48,6 +50,9 @@
     reactor.run()
     if failures:
         raise failures[0]
+    if not results:
+        print(f"interrupted; logs: {folder}")
+        return INTERRUPTED
     (report,) = results
     print(report.describe())
     if report.broken:
--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -276,14 +276,18 @@
         self.configuration = {**self.configuration, **changes, "version": version}
         self.store.put(*CONFIGURATION_ROW, self.configuration)
 
+    def end_processes(self) -> None:
+        """Ends the entries, also when the soak is interrupted."""
+        for entry in self.entries:
+            entry.close()
+
     def close(self) -> Deferred[Any] | None:
         """Ends all processes and listeners that were started here."""
         for caller in self.callers:
             caller.stopped = True
         if self._balancer is not None and self._balancer.running:
             self._balancer.stop()
-        for entry in self.entries:
-            entry.close()
+        self.end_processes()
         for place in self.places:
             if place.listener is not None:
                 place.listener.close()
--- a/src/magnoliahold/soak/proxies.py
+++ b/src/magnoliahold/soak/proxies.py
@@ -73,6 +73,7 @@
         self.waiting: list[bytes] = []
         self.silenced = False
         self.over = False
+        self.due_at: dict[str, float] = {}
 
     def connectionMade(self) -> None:  # noqa: N802
         self.proxy.links.add(self)
@@ -89,20 +90,25 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if not self.silenced and self.proxy.manner is not Manner.SILENT:
-            self._pass(data, self.send_far)
+            self._pass("there", data, self.send_far)
 
     def take_back(self, data: bytes) -> None:
         """Passes bytes of the target on."""
         quiet = (Manner.SILENT, Manner.ONE_WAY)
         if not self.silenced and self.proxy.manner not in quiet:
             transport: Any = self.transport
-            self._pass(data, transport.write)
-
-    def _pass(self, data: bytes, send: Any) -> None:
-        if self.proxy.manner is Manner.DELAYED:
-            self.proxy.reactor.callLater(self.proxy.delay_s, send, data)
-        else:
+            self._pass("back", data, transport.write)
+
+    def _pass(self, way: str, data: bytes, send: Any) -> None:
+        """Passes bytes on, none before those that came earlier on their way."""
+        now = self.proxy.reactor.seconds()
+        delay_s = self.proxy.delay_s if self.proxy.manner is Manner.DELAYED else 0.0
+        due_at = max(now + delay_s, self.due_at.get(way, 0.0))
+        if due_at <= now:
             send(data)
+            return
+        self.due_at[way] = due_at
+        self.proxy.reactor.callLater(due_at - now, send, data)
 
     def send_far(self, data: bytes) -> None:
         """Sends bytes to the target, or keeps them until it is connected."""
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -65,6 +65,7 @@
     random = Random(seed)
     report = SoakReport(seed, seconds, logs=str(folder))
     deployment = Deployment(reactor, random, folder, entries)
+    reactor.addSystemEventTrigger("before", "shutdown", deployment.end_processes)
     try:
         deployment.start()
         await _wait_until_ready(reactor, deployment)
--- /dev/null
+++ b/tests/soak/test_proxies.py
@@ -0,0 +1,87 @@
+"""Tests of the proxies that hurt connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+
+from magnoliahold.soak.proxies import LOOPBACK, Manner, Proxy
+from tests.loopback import LoopbackTestCase, on_loopback
+
+
+class Recorder(Protocol):
+    """Keeps what comes."""
+
+    def __init__(self, ends: list[Recorder]) -> None:
+        self.received = b""
+        self.lost = False
+        ends.append(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.received += data
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.lost = True
+
+
+class ProxyTests(LoopbackTestCase):
+    async def connect(self) -> tuple[Proxy, Any, Any]:
+        """Connects through a proxy; returns it and both ends."""
+        near: list[Recorder] = []
+        far: list[Recorder] = []
+        server = Factory()
+        server.buildProtocol = lambda _: Recorder(far)  # type: ignore[assignment]
+        listener = self.reactor.listenTCP(0, server, interface=LOOPBACK)
+        proxy = Proxy(self.reactor, listener.getHost().port)
+        client = ClientFactory()
+        client.buildProtocol = lambda _: Recorder(near)  # type: ignore[assignment]
+        self.reactor.connectTCP(LOOPBACK, proxy.open(), client)
+        await self.wait_until(lambda: bool(near and near[0].connected))
+        near[0].transport.write(b"hello")
+        await self.wait_until(lambda: bool(far and far[0].received))
+        return proxy, near[0], far[0]
+
+    @on_loopback
+    async def test_bytes_keep_their_order_when_a_delay_ends(self) -> None:
+        """Seed 19 had later pieces of a stream overtake delayed ones."""
+        proxy, near, far = await self.connect()
+        proxy.manner = Manner.DELAYED
+        far.transport.write(b"1")
+        await self.sleep(0.02)
+        proxy.manner = Manner.PLAIN
+        far.transport.write(b"2")
+        await self.wait_until(lambda: len(near.received) == 2)
+        self.assertEqual(near.received, b"12")
+        proxy.close()
+
+    @on_loopback
+    async def test_manners(self) -> None:
+        for manner, there, back in (
+            (Manner.PLAIN, b"a", b"b"),
+            (Manner.SILENT, b"", b""),
+            (Manner.ONE_WAY, b"a", b""),
+            (Manner.DELAYED, b"a", b"b"),
+        ):
+            with self.subTest(manner):
+                proxy, near, far = await self.connect()
+                far.received = b""
+                proxy.manner = manner
+                near.transport.write(b"a")
+                far.transport.write(b"b")
+                await self.sleep(0.2)
+                self.assertEqual((far.received, near.received), (there, back))
+                proxy.close()
+
+    @on_loopback
+    async def test_reset_ends_both_ends(self) -> None:
+        proxy, near, far = await self.connect()
+        proxy.reset()
+        await self.wait_until(lambda: near.lost and far.lost)
+        proxy.close()
+
+
+if __name__ == "__main__":
+    import unittest
+
+    unittest.main()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,8 @@
 import unittest
 from pathlib import Path
 
+from tests.process_fleet import wait_until
+
 SECONDS = 8
 LIMIT_S = 90.0
 SEED = 1
@@ -23,6 +25,12 @@
     return [SEED, *failed]
 
 
+def list_children(process_id: int) -> list[int]:
+    """Lists the processes that a process has started."""
+    path = Path(f"/proc/{process_id}/task/{process_id}/children")
+    return [int(word) for word in path.read_text(encoding="ascii").split()]
+
+
 class SoakTests(unittest.TestCase):
     def test_no_promise_is_broken(self) -> None:
         for seed in list_seeds():
@@ -40,6 +48,24 @@
                 self.assertIn("0 promises broken", soak.stdout)
                 self.assertIn("recovery 1", soak.stdout)
 
+    def test_interrupted_soak_leaves_no_process(self) -> None:
+        soak = subprocess.Popen(
+            [sys.executable, "-m", "magnoliahold", "soak", "--seconds", "60"],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            self.assertTrue(wait_until(lambda: len(list_children(soak.pid)) == 3))
+            children = list_children(soak.pid)
+            soak.terminate()
+            output, _ = soak.communicate(timeout=LIMIT_S)
+        finally:
+            soak.kill()
+        self.assertIn("interrupted", output)
+        self.assertEqual(soak.returncode, 130)
+        for child in children:
+            self.assertFalse(Path(f"/proc/{child}").exists())
+
 
 if __name__ == "__main__":
     unittest.main()
