Hold the bytes of the soak's proxies in a queue

Held bytes lie in a queue for each way now; the test sends 40 pieces across the end of a delay and fails on the version before.

--- a/src/magnoliahold/soak/proxies.py
+++ b/src/magnoliahold/soak/proxies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -64,6 +65,13 @@
         return self._listener.stopListening()
 
 
+@define(eq=False)
+class _Way:
+    """Bytes that are held on one way of a connection, with when each is due."""
+
+    held: deque[tuple[float, bytes]] = field(factory=deque)
+
+
 class _Link(Protocol):
     """A connection and the one that it is forwarded on."""
 
@@ -73,7 +81,8 @@
         self.waiting: list[bytes] = []
         self.silenced = False
         self.over = False
-        self.due_at: dict[str, float] = {}
+        self.there = _Way()
+        self.back = _Way()
 
     def connectionMade(self) -> None:  # noqa: N802
         self.proxy.links.add(self)
@@ -90,25 +99,37 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if not self.silenced and self.proxy.manner is not Manner.SILENT:
-            self._pass("there", data, self.send_far)
+            self._pass(self.there, data, self.send_far)
 
     def take_back(self, data: bytes) -> None:
         """Passes bytes of the target on."""
         quiet = (Manner.SILENT, Manner.ONE_WAY)
         if not self.silenced and self.proxy.manner not in quiet:
             transport: Any = self.transport
-            self._pass("back", data, transport.write)
+            self._pass(self.back, data, transport.write)
 
-    def _pass(self, way: str, data: bytes, send: Any) -> None:
+    def _pass(self, way: _Way, data: bytes, send: Any) -> None:
         """Passes bytes on, none before those that came earlier on their way."""
         now = self.proxy.reactor.seconds()
         delay_s = self.proxy.delay_s if self.proxy.manner is Manner.DELAYED else 0.0
-        due_at = max(now + delay_s, self.due_at.get(way, 0.0))
-        if due_at <= now:
+        if not delay_s and not way.held:
             send(data)
             return
-        self.due_at[way] = due_at
-        self.proxy.reactor.callLater(due_at - now, send, data)
+        way.held.append((now + delay_s, data))
+        if len(way.held) == 1:
+            self.proxy.reactor.callLater(delay_s, self._release, way, send)
+
+    def _release(self, way: _Way, send: Any) -> None:
+        """Passes the oldest held bytes on, and those that are due with them."""
+        now = self.proxy.reactor.seconds()
+        _, data = way.held.popleft()
+        send(data)
+        while way.held and way.held[0][0] <= now:
+            _, data = way.held.popleft()
+            send(data)
+        if way.held:
+            left_s = way.held[0][0] - now
+            self.proxy.reactor.callLater(left_s, self._release, way, send)
 
     def send_far(self, data: bytes) -> None:
         """Sends bytes to the target, or keeps them until it is connected."""
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -46,13 +46,14 @@
     async def test_bytes_keep_their_order_when_a_delay_ends(self) -> None:
         """Seed 19 had later pieces of a stream overtake delayed ones."""
         proxy, near, far = await self.connect()
-        proxy.manner = Manner.DELAYED
-        far.transport.write(b"1")
-        await self.sleep(0.02)
-        proxy.manner = Manner.PLAIN
-        far.transport.write(b"2")
-        await self.wait_until(lambda: len(near.received) == 2)
-        self.assertEqual(near.received, b"12")
+        sent = b""
+        for number in range(40):
+            proxy.manner = Manner.DELAYED if number < 20 else Manner.PLAIN
+            far.transport.write(b"%d." % number)
+            sent += b"%d." % number
+            await self.sleep(0.004)
+        await self.wait_until(lambda: len(near.received) == len(sent))
+        self.assertEqual(near.received, sent)
         proxy.close()
 
     @on_loopback
