--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from random import Random
+from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
@@ -40,6 +40,7 @@
 OLD, NEW = "v1", "v2"
 DATA_CENTRES = ("data-centre-1", "data-centre-2", "data-centre-3")
 HOST = LOOPBACK
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 CREDENTIALS = 4
 CALLERS = 8
 BALANCER_S = 0.5
@@ -49,10 +50,19 @@
 
 
 def find_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Finds a free port of loopback."""
-    with socket.socket(socket.AF_INET, kind) as found:
-        found.bind((LOOPBACK, 0))
-        return int(found.getsockname()[1])
+    """Finds a free port of loopback.
+
+    It is below those that the system gives to outgoing connections, one of which may
+    take a port while the process that listens there is restarted.
+    """
+    while True:
+        port = SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket(socket.AF_INET, kind) as found:
+            try:
+                found.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
 
 
 @define(eq=False)
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import unittest
+from pathlib import Path
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from magnoliahold.soak.deployment import FIRST_PORT, LAST_PORT, find_port
 from magnoliahold.soak.proxies import LOOPBACK, Manner, Proxy
 from tests.loopback import LoopbackTestCase, on_loopback
 
@@ -25,6 +28,15 @@
         self.lost = True
 
 
+class PortTests(unittest.TestCase):
+    def test_ports_are_none_that_outgoing_connections_get(self) -> None:
+        path = Path("/proc/sys/net/ipv4/ip_local_port_range")
+        first = int(path.read_text(encoding="ascii").split()[0])
+        self.assertLessEqual(LAST_PORT, first)
+        for _ in range(20):
+            self.assertIn(find_port(), range(FIRST_PORT, LAST_PORT))
+
+
 class ProxyTests(LoopbackTestCase):
     async def connect(self) -> tuple[Proxy, Any, Any]:
         """Connects through a proxy; returns it and both ends."""
@@ -83,6 +95,4 @@
 
 
 if __name__ == "__main__":
-    import unittest
-
     unittest.main()
