Keep callers' connections while the entry isn't ready again (failed try)

Closing them after each answer while an entry isn't ready was to send callers elsewhere before their credentials can't be checked.

--- a/src/magnoliahold/core/serving/systems/arrivals.py
+++ b/src/magnoliahold/core/serving/systems/arrivals.py
@@ -15,7 +15,6 @@
     forget_caller,
 )
 from magnoliahold.core.serving.systems.lookups import look_up, wants_lookup
-from magnoliahold.core.serving.systems.readiness import should_close
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -156,7 +155,7 @@
 ) -> None:
     if status == UNAVAILABLE and retry_after_s is None:
         retry_after_s = choose_retry_after(world)
-    closing = should_close(world)
+    closing = world.leaving_since is not None
     world.emit(
         RefuseCaller(caller.handle, status, reason, True, retry_after_s, closing)
     )
--- a/src/magnoliahold/core/serving/systems/endings.py
+++ b/src/magnoliahold/core/serving/systems/endings.py
@@ -15,7 +15,6 @@
 )
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.copies import free_copy
-from magnoliahold.core.serving.systems.readiness import should_close
 from magnoliahold.core.serving.systems.suspects import clear
 
 if TYPE_CHECKING:
@@ -33,14 +32,15 @@
 ) -> None:
     """Gives a caller an upstream's whole answer."""
     clear(world, request)
-    world.emit(DeliverAnswer(request.handle, attempt, should_close(world)))
+    closing = world.leaving_since is not None
+    world.emit(DeliverAnswer(request.handle, attempt, closing))
     _end(world, request, "answered", now, status=status)
 
 
 def finish_stream(world: ServingWorld, request: ServedRequest, now: float) -> None:
     """Ends a caller's stream after its last piece."""
     clear(world, request)
-    world.emit(FinishAnswer(request.handle, should_close(world)))
+    world.emit(FinishAnswer(request.handle, world.leaving_since is not None))
     _end(world, request, "completed", now, status=200)
 
 
@@ -68,7 +68,7 @@
         reason,
         not request.may_have_run,
         retry_after_s,
-        should_close(world),
+        world.leaving_since is not None,
     )
     world.emit(effect)
     _end(world, request, "refused", now, status=status, reason=reason)
--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -61,3 +61,17 @@
     if idle and farewell_at is not None and now - farewell_at >= policy.farewell_s:
         world.stopping = True
         world.emit(StopProcess("nothing is in flight"))
+
+
+def find_obstacle(world: ServingWorld) -> str:
+    """Finds why callers should go elsewhere, or an empty string."""
+    if world.leaving_since is not None:
+        return "leaving"
+    if world.configuration is None:
+        return "no configuration is known yet"
+    if not world.upstreams.known:
+        return "the upstreams are not known yet"
+    age_s = world.measure_proof_age()
+    if age_s is None or age_s > world.serving.feeds.ready_age_s:
+        return "the configuration may be out of date"
+    return ""
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -16,7 +16,7 @@
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
-from magnoliahold.core.serving.systems.readiness import find_obstacle
+from magnoliahold.core.serving.systems.leaving import find_obstacle
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import read_endpoint
--- a/tests/core/serving/test_leaving.py
+++ b/tests/core/serving/test_leaving.py
@@ -16,7 +16,7 @@
     RefuseCaller,
     RemoveEntry,
 )
-from magnoliahold.core.serving.systems.readiness import find_obstacle
+from magnoliahold.core.serving.systems.leaving import find_obstacle
 from tests.core.serving.rig import ENGINES, ServingRig
 
 
