--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -80,14 +80,13 @@
 class CopyOrder:
     """Copies that are ordered one by one, after a stream lost its copy's holder.
 
-    `name` is that of the copy that was made last, None before the first. Times are on
-    the process clock; `copied_at` is when the last one was ordered that was made.
+    `name` is that of the copy that was made last, None before the first; `ordered_at`
+    is on the process clock.
     """
 
     ordered_at: float
     under_way: bool = True
     name: CopyName | None = None
-    copied_at: float = 0.0
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -43,6 +43,15 @@
     at: float
 
 
+@frozen
+class Loss:
+    """An upstream that was taken for lost."""
+
+    upstream_id: str
+    service: str
+    at: float
+
+
 @define
 class Suspicion:
     """The crashes held against one fingerprint, with when each became known.
@@ -60,15 +69,15 @@
     """Suspicions by fingerprint, and the breaks that are not settled yet.
 
     `own` are the crashes that this entry saw itself, `acquitted` the fingerprints that
-    an upstream has survived. `losses` holds the upstreams that were lost lately, with
-    service and time, to tell a crash from a common cause.
+    an upstream has survived. `losses` holds the upstreams that were lost lately, to
+    tell a crash from a common cause.
     """
 
     by_fingerprint: dict[str, Suspicion] = field(factory=dict)
     breaks: list[Break] = field(factory=list)
     own: dict[Crash, float] = field(factory=dict)
     acquitted: dict[str, float] = field(factory=dict)
-    losses: deque[tuple[float, str, str]] = field(factory=deque)
+    losses: deque[Loss] = field(factory=deque)
 
     def find(self, fingerprint: str) -> Suspicion:
         """Finds the suspicion of a fingerprint, or starts one."""
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -70,7 +70,6 @@
             continue
         order.under_way = False
         order.name = copied.copy
-        order.copied_at = order.ordered_at
     for failed in world.inbox.read_events(CopyFailed):
         attempt = world.requests.attempts.get(failed.attempt)
         if attempt is None or attempt.copy_order is None:
--- a/src/magnoliahold/core/serving/systems/suspects.py
+++ b/src/magnoliahold/core/serving/systems/suspects.py
@@ -14,7 +14,7 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.events import NoticeReceived
-from magnoliahold.core.serving.suspicions import Break, Crash, QuarantineRecord
+from magnoliahold.core.serving.suspicions import Break, Crash, Loss, QuarantineRecord
 from magnoliahold.core.serving.upstreams import Trust
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
 
 def note_loss(world: ServingWorld, upstream: Upstream, now: float) -> None:
     """Notes that an upstream is taken for lost."""
-    world.suspicions.losses.append((now, upstream.record.service, upstream.id))
+    world.suspicions.losses.append(Loss(upstream.id, upstream.record.service, now))
 
 
 def may_run_again(world: ServingWorld, request: ServedRequest) -> bool:
@@ -94,8 +94,10 @@
     near_s = world.serving.suspicion.settle_s
     service = item.upstream.record.service
     return any(
-        other != item.upstream.id and of == service and abs(at - item.at) <= near_s
-        for at, of, other in world.suspicions.losses
+        loss.upstream_id != item.upstream.id
+        and loss.service == service
+        and abs(loss.at - item.at) <= near_s
+        for loss in world.suspicions.losses
     )
 
 
@@ -162,7 +164,7 @@
 def _forget_old(world: ServingWorld, now: float) -> None:
     table = world.suspicions
     policy = world.serving.suspicion
-    while table.losses and now - table.losses[0][0] > policy.settle_max_s:
+    while table.losses and now - table.losses[0].at > policy.settle_max_s:
         table.losses.popleft()
     for fingerprint, suspicion in list(table.by_fingerprint.items()):
         _drop_old(suspicion.crashes, now, policy.crash_kept_s)
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -24,7 +24,7 @@
 
 @define(eq=False)
 class SoakReport:
-    """What a soak has seen; `logs` is where the logs lie while they are kept."""
+    """What a soak has seen."""
 
     seed: int
     seconds: float
@@ -34,7 +34,6 @@
     served: Counter[str] = field(factory=Counter)
     asked: Counter[str] = field(factory=Counter)
     ended: Counter[str] = field(factory=Counter)
-    logs: str = ""
 
     def describe(self) -> str:
         """Describes the soak in a few lines."""
@@ -63,7 +62,7 @@
 ) -> SoakReport:
     """Runs one soak and ends all that it started."""
     random = Random(seed)
-    report = SoakReport(seed, seconds, logs=str(folder))
+    report = SoakReport(seed, seconds)
     deployment = Deployment(reactor, random, folder, entries)
     reactor.addSystemEventTrigger("before", "shutdown", deployment.end_processes)
     try:
