Follow what upstreams say about themselves in their answers

Cause: an upstream's answer may say that it is leaving, or a rejection for how long it wants no more requests. Both were ignored: requests went on to an upstream that was about to end, and came back every 0.1 s to one that asked for seconds.

Change: the adapter reads both from every answer (head of a stream, rejection, probe, list of prompts, order of a copy) and posts UpstreamSignalled. A start that says it is leaving gets no new request until the next start, whatever the list says; other entries are told and prefer others. A start that backs off gets nothing from this entry, no probe, list or order of a copy either, until the longest time asked is over. If all upstreams of a service back off for longer than a request may wait, it is refused at once as not run, with a time to return derived from the first end and spread after it. A stream whose copy is at an upstream that backs off shortly waits for it.

--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -22,6 +22,7 @@
     routing,
     stalls,
     upstream_health,
+    upstream_signals,
 )
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     pauses.detect_pause,
     feeds.apply_feed_results,
     feeds.remove_lapsed_upstreams,
+    upstream_signals.apply_upstream_signals,
     leaving.start_leaving,
     admission.admit_requests,
     admission.handle_caller_disconnects,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -121,6 +121,20 @@
     reason: str
 
 
+@frozen
+class UpstreamSignalled:
+    """An answer of an upstream said that it is leaving, or asked to back off.
+
+    `backoff_s` is how long it wants no requests from this entry, None if it did not
+    ask for that.
+    """
+
+    upstream_id: str
+    born_ms: int
+    leaving: bool = False
+    backoff_s: float | None = None
+
+
 @frozen
 class KvCacheCopied:
     """A copy that was ordered is complete; `copy` refers to it."""
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -7,6 +7,7 @@
 # The codec resolves the types of notices while the process runs.
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
 from magnoliahold.core.serving.suspicions import Crash  # noqa: TC001
+from magnoliahold.core.serving.upstreams import UpstreamStart  # noqa: TC001
 from magnoliahold.wire.messages import EvidenceCount  # noqa: TC001
 
 
@@ -58,7 +59,7 @@
     has marked as down, and `places` the upstreams that have read the prompts of its
     open streams. `evidence`, `exposures` and `suspensions` concern moves between
     versions; `crashes`, `quarantined` and `acquitted` (cleared) concern requests that
-    crash upstreams.
+    crash upstreams. `leaving` lists the upstreams that have said that they are leaving.
     """
 
     sender: str
@@ -73,6 +74,7 @@
     crashes: tuple[Crash, ...] = ()
     quarantined: tuple[str, ...] = ()
     acquitted: tuple[str, ...] = ()
+    leaving: tuple[UpstreamStart, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -59,7 +59,8 @@
     are probed. A delay of more than `pause_s` between two ticks is a pause of this
     process and doesn't count as silence of upstreams. The weight of outcomes halves
     every `outcome_half_life_s`. Upstreams from which nothing was received since a
-    neighbour was suspected or down are avoided for `shaken_s`.
+    neighbour was suspected or down are avoided for `shaken_s`. What an upstream has
+    said about itself is forgotten `signals_kept_s` after its registration is gone.
     """
 
     scan_s: float = _positive(0.02)
@@ -79,6 +80,7 @@
     avoided_share: float = _non_negative(0.5)
     slow_times: float = _positive(2.5)
     shaken_s: float = _positive(4.0)
+    signals_kept_s: float = _positive(600.0)
 
 
 @frozen
@@ -144,13 +146,14 @@
     chosen. Copies are ordered after a stream has lost the holder of its copy. They are
     renewed every `renew_s`, since upstreams keep them for a few seconds only, and
     ordered again `retry_s` after a failed order. An upstream has `order_timeout_s` to
-    make a copy.
+    make a copy. A stream waits up to `backoff_wait_s` for a holder that backs off.
     """
 
     unheard_s: float = _positive(1.0)
     renew_s: float = _positive(2.0)
     retry_s: float = _positive(0.5)
     order_timeout_s: float = _positive(1.5)
+    backoff_wait_s: float = _positive(0.6)
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/completion.py
+++ b/src/magnoliahold/core/serving/systems/completion.py
@@ -24,6 +24,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+# Over which share of a wait the returns of callers are spread after it.
+RETURN_SPREAD = 0.25
 SUCCESSFUL_OUTCOMES = frozenset(("answered", "completed"))
 
 
@@ -45,14 +47,19 @@
 
 
 def refuse(
-    world: ServingWorld, request: ServedRequest, reason: str, now: float
+    world: ServingWorld,
+    request: ServedRequest,
+    reason: str,
+    now: float,
+    retry_after_s: float | None = None,
 ) -> None:
     """Refuses a request, or aborts its answer if that has already begun.
 
-    The refusal says "not run" only if no upstream can have run the request.
+    The refusal says "not run" only if no upstream can have run the request. Only then
+    the caller is told to retry, after `retry_after_s` if that is given.
     """
     if request.attempt is not None:
-        free_copy(world, request.attempt)
+        free_copy(world, request.attempt, now)
         close_attempt(world, request.attempt)
     if request.answer_started:
         world.emit(AbortAnswer(request.handle))
@@ -64,7 +71,7 @@
         retry_after_s = None
     else:
         status = UNAVAILABLE
-        retry_after_s = choose_retry_after(world)
+        retry_after_s = retry_after_s or choose_retry_after(world)
     effect = RefuseCaller(
         request.handle,
         status,
@@ -96,10 +103,15 @@
     return ""
 
 
-def choose_retry_after(world: ServingWorld) -> float:
-    """Chooses when a caller should retry, with 40 % jitter around the mean."""
+def choose_retry_after(world: ServingWorld, earliest_s: float = 0.0) -> float:
+    """Chooses when a caller should retry, with 40 % jitter around the mean.
+
+    It is not before `earliest_s`, and spread in proportion to that, so that the callers
+    of a longer wait don't all return at its end.
+    """
     mean = world.serving_policy.attempts.retry_after_s
-    return round(mean * world.random.uniform(0.6, 1.4), 3)
+    spread_s = earliest_s * RETURN_SPREAD * world.random.random()
+    return round(earliest_s + spread_s + mean * world.random.uniform(0.6, 1.4), 3)
 
 
 def close_attempt(world: ServingWorld, attempt: Attempt) -> None:
@@ -113,7 +125,7 @@
 def cancel_request(world: ServingWorld, request: ServedRequest, now: float) -> None:
     """Cancels the request of a caller that has disconnected."""
     if request.attempt is not None:
-        free_copy(world, request.attempt)
+        free_copy(world, request.attempt, now)
         close_attempt(world, request.attempt)
     _end_request(world, request, "caller left", now)
 
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -17,7 +17,7 @@
 from magnoliahold.core.serving.systems.selection import (
     filter_preferred,
     find_needing_probe,
-    list_not_leaving,
+    list_available,
     measure_load,
 )
 from magnoliahold.core.serving.systems.version_routing import matches_resume_version
@@ -43,7 +43,7 @@
     service = configuration and configuration.services_by_name.get(request.service)
     if not service or not service.keeps_copies:
         return None
-    remaining = list_not_leaving(world, request.service)
+    remaining = list_available(world, request.service, now)
     candidates = [
         item
         for item in filter_preferred(world, request, remaining, now)
@@ -96,7 +96,7 @@
     if not world.scan_due:
         return
     for attempt in world.requests.attempts.values():
-        if not attempt.pieces:
+        if not attempt.pieces or not _accepts_orders(attempt.upstream, now):
             continue
         if _is_holder_lost(world, attempt.copy_holder):
             _replace_holder(world, attempt, now)
@@ -104,8 +104,13 @@
             _renew_copy(world, attempt, attempt.copy_order, now)
 
 
+def _accepts_orders(upstream: Upstream, now: float) -> bool:
+    """Tells whether an upstream may be asked for copies, also while it is leaving."""
+    return upstream.signals.backoff_until <= now
+
+
 def _is_holder_lost(world: ServingWorld, holder: Upstream | None) -> bool:
-    if holder is None or holder.health is UpstreamHealth.DOWN or holder.record.leaving:
+    if holder is None or holder.health is UpstreamHealth.DOWN or holder.leaving:
         return True
     return world.upstreams.by_id.get(holder.id) is not holder
 
@@ -164,10 +169,16 @@
     )
 
 
-def free_copy(world: ServingWorld, attempt: Attempt) -> None:
-    """Frees the ordered copy of a stream that has ended."""
+def free_copy(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Frees the ordered copy of a stream that has ended.
+
+    Where the upstream that made it backs off, the holder discards the copy after a
+    while by itself.
+    """
     order = attempt.copy_order
-    if order is not None and order.reference is not None:
+    if order is None or not _accepts_orders(attempt.upstream, now):
+        return
+    if order.reference is not None:
         world.emit(
             FreeCopy(order.reference, world.serving_policy.copies.order_timeout_s)
         )
--- a/src/magnoliahold/core/serving/systems/deadlines.py
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -19,14 +19,14 @@
         if now >= request.deadline_at:
             refuse(world, request, "the deadline has passed", now)
     for request in list(world.requests.waiting.values()):
-        if now - (request.last_failure_at or request.arrived_at) >= _find_wait_limit_s(
+        if now - (request.last_failure_at or request.arrived_at) >= find_wait_limit_s(
             world, request
         ):
             reason = request.failure_reason or "no upstream is usable"
             refuse(world, request, reason, now)
 
 
-def _find_wait_limit_s(world: ServingWorld, request: ServedRequest) -> float:
+def find_wait_limit_s(world: ServingWorld, request: ServedRequest) -> float:
     """Returns how long a request may wait for a usable upstream, in seconds."""
     policy = world.serving_policy.attempts
     if request.answer_started:
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -24,6 +24,7 @@
 )
 from magnoliahold.core.serving.systems.quarantine import list_quarantined
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
+from magnoliahold.core.serving.systems.upstream_signals import list_leaving
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -237,6 +238,7 @@
         crashes=tuple(world.suspicions.observed_crashes),
         quarantined=list_quarantined(world),
         acquitted=tuple(world.suspicions.cleared_fingerprints),
+        leaving=list_leaving(world),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -94,7 +94,7 @@
             count_outcome(world, attempt, False, now)
             world.requests.end_attempt(attempt)
             world.emit(CloseAttempt(attempt.number))
-            free_copy(world, attempt)
+            free_copy(world, attempt, now)
             _record_stream_duration(world, attempt.request, now)
             finish_stream(world, attempt.request, now)
 
--- a/src/magnoliahold/core/serving/systems/prefix_lookups.py
+++ b/src/magnoliahold/core/serving/systems/prefix_lookups.py
@@ -57,7 +57,7 @@
     lookup = PromptLookup(now)
     world.lookups[service] = lookup
     for upstream in world.upstreams.list_service(service):
-        if upstream.health is UpstreamHealth.HEALTHY and not upstream.record.leaving:
+        if upstream.health is UpstreamHealth.HEALTHY and upstream.is_available(now):
             lookup.pending.add(upstream.id)
             timeout_s = world.serving_policy.attempts.lookup_s
             world.emit(ListPrompts(upstream.record, timeout_s))
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -8,9 +8,12 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.requests import Attempt
+from magnoliahold.core.serving.systems.completion import choose_retry_after, refuse
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
+from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
 from magnoliahold.core.serving.systems.selection import (
     choose_upstream,
+    find_backoff_end,
     find_candidates,
     find_prefix_location,
     measure_load,
@@ -44,12 +47,40 @@
     choose_version(world, request)
     copy = _find_usable_copy(world, request)
     if copy is not None:
-        _start_attempt(world, request, copy.holder, copy, now)
-        return
+        if _is_worth_awaiting(world, copy.holder, now):
+            return
+        if copy.holder.is_available(now):
+            _start_attempt(world, request, copy.holder, copy, now)
+            return
     candidates = find_candidates(world, request, now)
     if candidates:
         upstream = choose_upstream(world, request, candidates)
         _start_attempt(world, request, upstream, None, now)
+    else:
+        _refuse_for_backoff(world, request, now)
+
+
+def _is_worth_awaiting(world: ServingWorld, holder: Upstream, now: float) -> bool:
+    """Tells whether the end of a backoff comes sooner than a new prefill would."""
+    left_s = holder.signals.backoff_until - now
+    return 0 < left_s <= world.serving_policy.copies.backoff_wait_s
+
+
+def _refuse_for_backoff(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> None:
+    """Refuses a request at once if all upstreams back off for longer than it may wait.
+
+    The caller is told to return after the first of them is available again.
+    """
+    available_at = find_backoff_end(world, request.service, now)
+    if available_at is None or request.answer_started:
+        return
+    waiting_since = request.last_failure_at or request.arrived_at
+    if available_at <= waiting_since + find_wait_limit_s(world, request):
+        return
+    retry_after_s = choose_retry_after(world, available_at - now)
+    refuse(world, request, "all upstreams back off", now, retry_after_s)
 
 
 def _find_usable_copy(
@@ -58,7 +89,7 @@
     copy = request.copy
     if copy is None or copy.holder.health is not UpstreamHealth.HEALTHY:
         return None
-    if copy.holder.id not in world.upstreams.by_id or copy.holder.record.leaving:
+    if copy.holder.id not in world.upstreams.by_id or copy.holder.leaving:
         return None
     return None if is_version_suspended(world, copy.holder) else copy
 
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -26,21 +26,32 @@
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
     """Finds the preferred upstreams for a request."""
-    remaining = list_not_leaving(world, request.service)
+    available = list_available(world, request.service, now)
     return filter_preferred(
-        world, request, filter_by_version(world, request, remaining, now), now
+        world, request, filter_by_version(world, request, available, now), now
     )
 
 
-def list_not_leaving(world: ServingWorld, service: str) -> list[Upstream]:
-    """Lists the upstreams of a service that are not leaving."""
+def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
+    """Lists the upstreams of a service that neither leave nor back off."""
     return [
         upstream
         for upstream in world.upstreams.list_service(service)
-        if not upstream.record.leaving
+        if upstream.is_available(now)
     ]
 
 
+def find_backoff_end(world: ServingWorld, service: str, now: float) -> float | None:
+    """Returns when the first upstream of a service that backs off is available again.
+
+    None if one is available already, or all are leaving.
+    """
+    staying = [i for i in world.upstreams.list_service(service) if not i.leaving]
+    if not staying or any(item.is_available(now) for item in staying):
+        return None
+    return min(item.signals.backoff_until for item in staying)
+
+
 def filter_preferred(
     world: ServingWorld, request: ServedRequest, upstreams: list[Upstream], now: float
 ) -> list[Upstream]:
@@ -55,7 +66,10 @@
     unaffected = _exclude_avoided(
         untried, find_needing_probe(world, untried, now), world
     )
-    reliable = _exclude_avoided(unaffected, find_failing(world, unaffected, now), world)
+    staying = [
+        item for item in unaffected if not item.signals.leaving_reported
+    ] or unaffected
+    reliable = _exclude_avoided(staying, find_failing(world, staying, now), world)
     fast = _exclude_avoided(reliable, find_slow(world, reliable), world)
     not_full = [item for item in fast if item.full_until <= now] or fast
     return [
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -23,9 +23,11 @@
 
 
 def probe(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
-    """Probes an upstream unless a probe is in progress or too recent."""
+    """Probes an upstream unless it backs off, or a probe is in progress or recent."""
     if upstream.probe_sent_at is not None or now < upstream.next_probe_at:
         return
+    if now < upstream.signals.backoff_until:
+        return
     policy = world.serving_policy.watch
     upstream.probe_sent_at = now
     upstream.next_probe_at = now + policy.probe_interval_s
@@ -129,8 +131,5 @@
     if not world.scan_due:
         return
     for upstream in world.upstreams.by_id.values():
-        if (
-            upstream.health is not UpstreamHealth.HEALTHY
-            and not upstream.record.leaving
-        ):
+        if upstream.health is not UpstreamHealth.HEALTHY and not upstream.leaving:
             probe(world, upstream, "not healthy", now)
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -45,6 +45,29 @@
     DOWN = "down"
 
 
+@frozen
+class UpstreamStart:
+    """One start of an upstream: its id, and when it started, in Unix milliseconds."""
+
+    id: str
+    born_ms: int
+
+
+@define
+class UpstreamSignals:
+    """What one start of an upstream has said about itself; it holds until its end.
+
+    `leaving` is set once it has said that it is leaving, in its registration or in an
+    answer, and `leaving_reported` once another entry has said so. `backoff_until` is
+    the end of the longest backoff that it asked of this entry.
+    """
+
+    leaving: bool = False
+    leaving_reported: bool = False
+    backoff_until: float = 0.0
+    changed_at: float = 0.0
+
+
 @define(eq=False)
 class Upstream:
     """One upstream, and the attempts that this entry runs there.
@@ -58,6 +81,7 @@
     """
 
     record: UpstreamRecord
+    signals: UpstreamSignals = field(factory=UpstreamSignals)
     health: UpstreamHealth = UpstreamHealth.HEALTHY
     last_received_at: float = 0.0
     probe_sent_at: float | None = None
@@ -79,6 +103,20 @@
         """The id of the registration."""
         return self.record.id
 
+    @property
+    def start(self) -> UpstreamStart:
+        """The start that this is."""
+        return UpstreamStart(self.record.id, self.record.born_ms)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it is leaving; that ends only with its next start."""
+        return self.signals.leaving
+
+    def is_available(self, now: float) -> bool:
+        """Tells whether it may get any request: it neither leaves nor backs off."""
+        return not self.signals.leaving and self.signals.backoff_until <= now
+
     def adjust_copies(self, count: int, tokens: int) -> None:
         """Adds to the copies that it keeps for this entry; negative values subtract."""
         self.copies += count
@@ -98,6 +136,7 @@
 
     `last_incident_at` holds when an upstream was last suspected or marked as down, by
     service and data centre. `versions_first_seen_at` is by service and version.
+    `signals` outlives registrations, which may be gone for a while and come back.
     """
 
     by_id: dict[str, Upstream] = field(factory=dict)
@@ -105,6 +144,7 @@
     loaded: bool = False
     last_incident_at: dict[tuple[str, str], float] = field(factory=dict)
     versions_first_seen_at: dict[tuple[str, str], float] = field(factory=dict)
+    signals: dict[UpstreamStart, UpstreamSignals] = field(factory=dict)
 
     def put_record(self, record: UpstreamRecord, now: float) -> Upstream:
         """Adds or updates an upstream; one that was restarted is a new upstream."""
@@ -113,10 +153,13 @@
         if upstream is not None and _is_same_start(upstream.record, record):
             upstream.record = record
             upstream.missing_since = None
+            self._record_leaving(upstream, now)
             return upstream
         if upstream is not None:
             self.remove(record.id)
-        upstream = Upstream(record, last_received_at=now, decayed_at=now)
+        signals = self.find_signals(UpstreamStart(record.id, record.born_ms), now)
+        upstream = Upstream(record, signals, last_received_at=now, decayed_at=now)
+        self._record_leaving(upstream, now)
         self.by_id[record.id] = upstream
         self.by_service.setdefault(record.service, {})[record.id] = upstream
         return upstream
@@ -128,6 +171,15 @@
             self.by_service.get(upstream.record.service, {}).pop(upstream_id, None)
         return upstream
 
+    def find_signals(self, start: UpstreamStart, now: float) -> UpstreamSignals:
+        """Returns the signals of a start; creates them if there are none."""
+        return self.signals.setdefault(start, UpstreamSignals(changed_at=now))
+
+    def _record_leaving(self, upstream: Upstream, now: float) -> None:
+        if upstream.record.leaving and not upstream.signals.leaving:
+            upstream.signals.leaving = True
+            upstream.signals.changed_at = now
+
     def _record_version(self, record: UpstreamRecord, now: float) -> None:
         """Records when a version was first seen; those in the first list aren't new."""
         first = now if self.loaded else -math.inf
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -2,25 +2,32 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
 import msgspec
 from twisted.web.http_headers import Headers
 
-from magnoliahold.core.serving.events import AnswerHead
+from magnoliahold.core.serving.events import AnswerHead, UpstreamSignalled
+from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.effects import SendAttempt
     from magnoliahold.core.serving.upstreams import UpstreamRecord
+    from magnoliahold.httpconnections import HeaderPairs
 
 REPORT_PATH = b"/-/report"
 PROMPTS_PATH = "/-/kv-list"
 COPY_PATH = "/-/kv-move"
 MISDIRECTED = 421
+UNAVAILABLE = 503
+LEAVING_VALUE = "1"
 MIN_DEADLINE_MS = 1
 MS_PER_S = 1000.0
 
+logger = make_part_logger("upstreams")
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -155,6 +162,50 @@
     )
 
 
+def read_signal(
+    record: UpstreamRecord, status: int, headers: Headers
+) -> UpstreamSignalled | None:
+    """Reads what an upstream says about itself in the headers of an answer.
+
+    None if it says nothing, or if the answer is from another upstream.
+    """
+    if status == MISDIRECTED:
+        return None
+    leaving = _read_header(headers, "Server-Leaving") == LEAVING_VALUE
+    backoff_s = None
+    if status == UNAVAILABLE:
+        backoff_s = _read_backoff(record, _read_header(headers, "Retry-After"))
+    if not leaving and backoff_s is None:
+        return None
+    return UpstreamSignalled(record.id, record.born_ms, leaving, backoff_s)
+
+
+def read_signal_of_pairs(
+    record: UpstreamRecord, status: int, pairs: HeaderPairs
+) -> UpstreamSignalled | None:
+    """Does the same as read_signal for headers as pairs of name and value."""
+    headers = Headers()
+    for name, value in pairs:
+        headers.addRawHeader(name, value)
+    return read_signal(record, status, headers)
+
+
+def _read_backoff(record: UpstreamRecord, value: str) -> float | None:
+    """Reads a number of seconds; a malformed one is logged and ignored."""
+    if not value:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if math.isfinite(seconds) and seconds >= 0:
+        return seconds
+    logger.warning(
+        "Retry-After can't be read and is ignored.", upstream=record.id, value=value
+    )
+    return None
+
+
 def _read_header(headers: Headers, name: str) -> str:
     values = headers.getRawHeaders(name)
     return values[0].strip() if values else ""
--- a/src/magnoliahold/serving/copies.py
+++ b/src/magnoliahold/serving/copies.py
@@ -15,6 +15,7 @@
     make_copy_order,
     make_free_path,
     read_copy_key,
+    read_signal_of_pairs,
 )
 
 if TYPE_CHECKING:
@@ -45,6 +46,9 @@
         body = make_copy_order(effect.run_id, effect.holder)
 
         def handle_answer(answer: HttpAnswer) -> None:
+            signal = read_signal_of_pairs(source, answer.status, answer.headers)
+            if signal is not None:
+                self.post(signal)
             if answer.status != OK:
                 reason = f"answered {answer.status}"
                 self.post(CopyFailed(effect.attempt, holder_id, reason))
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -30,6 +30,7 @@
     make_probe_headers,
     make_upstream_headers,
     read_answer_head,
+    read_signal,
 )
 from magnoliahold.serving.connections import (
     MAX_IDLE_S,
@@ -76,6 +77,7 @@
     """
 
     attempt: int
+    upstream: UpstreamRecord
     pool_key: PoolKey
     connection: UpstreamConnection | None = None
     connector: Any = None
@@ -102,7 +104,7 @@
         """Sends a request on a pooled connection, or on a new one."""
         record = effect.upstream
         pool_key = (record.id, record.address, record.port)
-        exchange = Exchange(effect.attempt, pool_key)
+        exchange = Exchange(effect.attempt, record, pool_key)
         self._exchanges[effect.attempt] = exchange
         max_idle_s = FRESH_MAX_IDLE_S if effect.fresh_connection else MAX_IDLE_S
         pooled = self.pool.acquire(pool_key, max_idle_s)
@@ -148,6 +150,7 @@
         )
 
     def _handle_head(self, exchange: Exchange, response: Any) -> None:
+        self.report_signal(exchange.upstream, response)
         if exchange.aborted:
             return
         connection = exchange.connection
@@ -163,6 +166,12 @@
         else:
             response.deliverBody(_BodyReader(self, exchange))
 
+    def report_signal(self, record: UpstreamRecord, response: Any) -> None:
+        """Reports what the headers of an answer say about their upstream."""
+        signal = read_signal(record, response.code, response.headers)
+        if signal is not None:
+            self.post(signal)
+
     def add_body_bytes(self, exchange: Exchange, data: bytes) -> None:
         """Adds bytes to the body of an answer; one that is too long is a failure."""
         exchange.body.append(data)
@@ -319,6 +328,7 @@
 
     def _succeed(self, response: Any) -> None:
         response.deliverBody(Protocol())
+        self.exchanges.report_signal(self.record, response)
         if read_answer_head(response.code, response.headers).misdirected:
             self._fail("another upstream has its address")
         elif not self.done:
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -39,6 +39,7 @@
         crashes=notice.crashes[-MAX_ITEMS:],
         quarantined=notice.quarantined[-MAX_ITEMS:],
         acquitted=notice.acquitted[-MAX_ITEMS:],
+        leaving=notice.leaving[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
 
--- a/src/magnoliahold/serving/prompts.py
+++ b/src/magnoliahold/serving/prompts.py
@@ -8,7 +8,11 @@
 
 from magnoliahold.core.serving.events import PromptListFailed, PromptsListed
 from magnoliahold.httpclient import HttpClient
-from magnoliahold.platform.upstreams import PROMPTS_PATH, read_prompt_list
+from magnoliahold.platform.upstreams import (
+    PROMPTS_PATH,
+    read_prompt_list,
+    read_signal_of_pairs,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +36,9 @@
         client = HttpClient(self.reactor, f"http://{record.address}:{record.port}")
 
         def handle_answer(answer: HttpAnswer) -> None:
+            signal = read_signal_of_pairs(record, answer.status, answer.headers)
+            if signal is not None:
+                self.post(signal)
             if answer.status != OK:
                 self.post(PromptListFailed(record.id, f"answered {answer.status}"))
                 return
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -8,6 +8,7 @@
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.effects import SendAttempt
+from magnoliahold.core.serving.events import UpstreamSignalled
 from magnoliahold.core.serving.requests import CopyReference, PromptPart
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.platform.callers import BadRequest, read_caller_request
@@ -16,9 +17,12 @@
     list_answer_headers,
     make_upstream_headers,
     read_answer_head,
+    read_signal,
+    read_signal_of_pairs,
 )
 
 RECORD = UpstreamRecord("i-1", "s-1", "10.0.0.1", 8080, "z-1")
+STARTED = UpstreamRecord("i-1", "s-1", "10.0.0.1", 8080, "z-1", born_ms=7)
 RECEIVED = {
     "Host": "host.example",
     "Request-Id": "abc",
@@ -57,6 +61,11 @@
     return SendAttempt(**values)
 
 
+def make_backoff(seconds: float) -> UpstreamSignalled:
+    """Makes the event of an upstream that asks to back off."""
+    return UpstreamSignalled("i-1", 7, backoff_s=seconds)
+
+
 def make_headers(**values: str) -> Headers:
     """Makes headers with one value each."""
     return Headers({name: [value] for name, value in values.items()})
@@ -121,6 +130,32 @@
                 found = (head.signed, head.not_run, head.misdirected)
                 self.assertEqual(found, expected)
 
+    def test_signals_of_upstreams_are_read(self) -> None:
+        leaving = UpstreamSignalled("i-1", 7, leaving=True)
+        table: tuple[tuple[int, dict[str, str], UpstreamSignalled | None], ...] = (
+            (200, {}, None),
+            (200, {"Server-Leaving": "1"}, leaving),
+            (503, {"Server-Leaving": "1"}, leaving),
+            (200, {"Server-Leaving": "0"}, None),
+            (421, {"Server-Leaving": "1"}, None),
+            (503, {"Retry-After": "1.25"}, make_backoff(1.25)),
+            (503, {"Retry-After": " 2 "}, make_backoff(2.0)),
+            (200, {"Retry-After": "2"}, None),
+            (429, {"Retry-After": "2"}, None),
+        )
+        for status, headers, expected in table:
+            with self.subTest(status=status, headers=headers):
+                found = read_signal(STARTED, status, make_headers(**headers))
+                self.assertEqual(found, expected)
+                pairs = tuple(headers.items())
+                self.assertEqual(read_signal_of_pairs(STARTED, status, pairs), expected)
+
+    def test_malformed_backoffs_are_logged_and_ignored(self) -> None:
+        for value in ("soon", "-1", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(value), self.assertLogs("magnoliahold", "WARNING"):
+                headers = make_headers(**{"Retry-After": value})
+                self.assertIsNone(read_signal(STARTED, 503, headers))
+
     def test_answer_headers_are_passed_on_except_hop_by_hop(self) -> None:
         headers = make_headers(**{"Response-Signature": "s", "Keep-Alive": "timeout=5"})
         names = [name for name, _ in list_answer_headers(headers)]
--- a/tests/serving/test_copies.py
+++ b/tests/serving/test_copies.py
@@ -5,7 +5,11 @@
 from typing import Any
 
 from magnoliahold.core.serving.effects import CopyKvCache, FreeCopy
-from magnoliahold.core.serving.events import CopyFailed, KvCacheCopied
+from magnoliahold.core.serving.events import (
+    CopyFailed,
+    KvCacheCopied,
+    UpstreamSignalled,
+)
 from magnoliahold.core.serving.requests import CopyReference
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.copies import KvCacheCopier
@@ -53,6 +57,14 @@
                         event.copy, CopyReference("127.0.0.1", server.port, "h-1")
                     )
 
+    @on_loopback
+    async def test_answer_to_an_order_tells_that_its_upstream_is_leaving(self) -> None:
+        server = self.listen([MADE.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)])
+        source = UpstreamRecord("i-1", "s", "127.0.0.1", server.port, "z-1", born_ms=5)
+        self.copies.order(CopyKvCache(5, "run-1", source, HOLDER, 0.3))
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.assertEqual(self.events[0], UpstreamSignalled("i-1", 5, leaving=True))
+
     @on_loopback
     async def test_copy_is_freed_by_its_key(self) -> None:
         server = self.listen([make_answer(b"200 OK", b"{}")])
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from twisted.web.http_headers import Headers
@@ -17,6 +18,7 @@
     StreamOpened,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
+    UpstreamSignalled,
 )
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.connections import ConnectionPool
@@ -180,6 +182,26 @@
         await self.sleep(0.02)
         self.assertEqual(self.events, [])
 
+    @on_loopback
+    async def test_each_answer_reports_what_it_says_about_its_upstream(self) -> None:
+        said = b"\r\nServer-Leaving: 1\r\nRetry-After: 0.5\r\n"
+        full = WHOLE.replace(b"200 OK", b"503 Full")
+        leaving = UpstreamSignalled("i-1", 5, leaving=True)
+        backing_off = UpstreamSignalled("i-1", 5, leaving=True, backoff_s=0.5)
+        for name, answer, expected in (
+            ("whole", WHOLE, leaving),
+            ("stream", STREAM, leaving),
+            ("rejection", full, backing_off),
+        ):
+            with self.subTest(name):
+                server = self.listen([answer.replace(b"\r\n", said, 1)])
+                self.events.clear()
+                self.send(server.port)
+                await self.wait_until(partial(self.events.__contains__, expected))
+                self.events.clear()
+                self.exchanges.probe(self.make_record(server.port), 0.1)
+                await self.wait_until(partial(self.events.__contains__, expected))
+
     @on_loopback
     async def test_result_of_each_probe(self) -> None:
         rejected = b"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/tests/serving/test_prompts.py
+++ b/tests/serving/test_prompts.py
@@ -4,7 +4,11 @@
 
 from typing import Any
 
-from magnoliahold.core.serving.events import PromptListFailed, PromptsListed
+from magnoliahold.core.serving.events import (
+    PromptListFailed,
+    PromptsListed,
+    UpstreamSignalled,
+)
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.prompts import PromptListClient
 from tests.loopback import LoopbackTestCase, on_loopback
@@ -39,3 +43,16 @@
                     self.assertEqual(events[0].parts, ("ab12", "cd34"))
                     self.assertIn(b"GET /-/kv-list", server.requests[0])
                 await listener.stopListening()
+
+    @on_loopback
+    async def test_list_tells_that_its_upstream_is_leaving(self) -> None:
+        events: list[Any] = []
+        answer = make_answer(b"200 OK", LIST)
+        said = answer.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+        server = ScriptedServer([[said]])
+        listener = server.listen(self.reactor)
+        record = UpstreamRecord("i-1", "s", "127.0.0.1", server.port, "z", born_ms=5)
+        PromptListClient(self.reactor, events.append).request_list(record, 0.3)
+        await self.wait_until(lambda: len(events) == 2)
+        self.assertEqual(events[0], UpstreamSignalled("i-1", 5, leaving=True))
+        await listener.stopListening()
