--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -89,6 +89,17 @@
     priority: int | None = None
 
 
+@frozen
+class ListedConfiguration:
+    """The configuration that the store lists: its version, and that of its row.
+
+    `row_version` is None if it can't be compared with versions of this epoch.
+    """
+
+    version: int
+    row_version: int | None
+
+
 @frozen
 class Configuration:
     """One version of the configuration that operators have put into force."""
--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -204,24 +204,28 @@
 class RemoveEntry:
     """Removes the registration of an entry if its row still has the given version.
 
-    Without a version it is removed in any case.
+    That version was read in `epoch` of the store; in another one nothing is sent.
+    Without a version the row is removed in any case.
     """
 
     name: str
     row_version: int | None
     timeout_s: float
+    epoch: int | None = None
 
 
 @frozen
 class WriteMove:
     """Writes a step of a move if its row still has `expected_version`, 0 for no row.
 
+    That version was read in `epoch` of the store; in another one nothing is sent.
     MoveWritten answers.
     """
 
     record: MoveRecord
     expected_version: int
     timeout_s: float
+    epoch: int | None = None
 
 
 @frozen
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -19,8 +19,10 @@
     pieces,
     prefix_lookups,
     quarantine,
+    registrations,
     routing,
     stalls,
+    store_epochs,
     upstream_health,
     upstream_signals,
 )
@@ -33,8 +35,9 @@
 
 SERVING_SYSTEMS: tuple[System[ServingWorld], ...] = (
     pauses.detect_pause,
+    store_epochs.detect_epoch_rise,
     feeds.apply_feed_results,
-    feeds.remove_lapsed_upstreams,
+    registrations.remove_lapsed_upstreams,
     upstream_signals.apply_upstream_signals,
     leaving.start_leaving,
     admission.admit_requests,
@@ -50,6 +53,7 @@
     prefix_lookups.apply_prompt_lists,
     copies.handle_copy_results,
     quarantine.resolve_resets,
+    quarantine.rewrite_quarantines,
     canary_analysis.evaluate_versions,
     moves.advance_moves,
     stalls.watch_attempts,
@@ -60,6 +64,7 @@
     peer_notices.register_entry,
     peer_notices.notify_peers,
     peer_notices.remove_silent_peers,
+    peer_notices.remove_lost_peers,
     leaving.finish_leaving,
     feeds.start_feed_calls,
 )
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -173,8 +173,10 @@
 class FeedRead:
     """All rows of a followed table as of `version` of the store.
 
-    `sent_at` is when the read was sent, on the boot clock, and `store_time` the time of
-    the store's clock when it answered, in seconds.
+    `epoch` is the store's epoch that the answer named, here and in the other results of
+    calls to the store; None if it named none, or if there was no answer. `sent_at` is
+    when the read was sent, on the boot clock, and `store_time` the time of the store's
+    clock when it answered, in seconds.
     """
 
     feed: Feed
@@ -183,6 +185,7 @@
     version: int
     sent_at: float
     store_time: float | None = None
+    epoch: int | None = None
 
 
 @frozen
@@ -195,6 +198,7 @@
     version: int
     sent_at: float
     store_time: float | None = None
+    epoch: int | None = None
 
 
 @frozen
@@ -203,6 +207,7 @@
 
     feed: Feed
     call: int
+    epoch: int | None = None
 
 
 @frozen
@@ -212,6 +217,7 @@
     feed: Feed
     call: int
     reason: str
+    epoch: int | None = None
 
 
 @frozen
@@ -221,6 +227,7 @@
     record: MoveRecord
     row_version: int
     reason: str = ""
+    epoch: int | None = None
 
 
 @frozen
@@ -236,3 +243,4 @@
 
     done: bool
     reason: str = ""
+    epoch: int | None = None
--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -51,7 +51,8 @@
     first full read. `proved_at` is when the last successful read was sent, on the boot
     clock, which also counts the time while the instance is suspended. `call` is the
     number of the call in progress, 0 if there is none. `failing_since` is when the
-    first of the calls was sent that have failed without a success since.
+    first of the calls was sent that have failed without a success since. `restored` is
+    set from a restore of the store until the first full read after it.
     """
 
     feed: Feed
@@ -62,3 +63,4 @@
     next_call_at: float = 0.0
     failures: int = 0
     failing_since: float | None = None
+    restored: bool = False
--- a/src/magnoliahold/core/serving/moves.py
+++ b/src/magnoliahold/core/serving/moves.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.canary_analysis import CanaryAnalysis
 from magnoliahold.core.moves import ENDED_STATES, MoveState
@@ -13,6 +14,9 @@
     from magnoliahold.core.evidence import EvidenceKey, ResultCounts
 
 
+PAST_ORDERS = 64
+
+
 @frozen
 class MoveOrder:
     """An operator's order to move a service to a version.
@@ -31,12 +35,17 @@
         """The id of the order."""
         return f"{self.service}@{self.row_version}"
 
+    def has_same_content(self, other: MoveOrder) -> bool:
+        """Tells whether another order may be this one, written again."""
+        return evolve(other, row_version=self.row_version) == self
+
 
 @frozen
 class MoveRecord:
     """The progress of a move, on which all entries agree through the store.
 
-    `began_at` is on the store's clock, in seconds.
+    `began_at` is on the store's clock, in seconds. `epoch` is the store's epoch in
+    which the move came to its state.
     """
 
     service: str
@@ -45,6 +54,18 @@
     state: MoveState
     began_at: float
     reason: str = ""
+    epoch: int = 0
+
+    def is_ahead_of(self, other: MoveRecord) -> bool:
+        """Tells whether this is further than another record of the same move.
+
+        A move that has ended stays ended; of two ends the one of the earlier epoch
+        stands, since operators have already acted on it.
+        """
+        ended = self.state in ENDED_STATES
+        if ended != (other.state in ENDED_STATES):
+            return ended
+        return ended and self.state != other.state and self.epoch < other.epoch
 
 
 @frozen
@@ -75,7 +96,10 @@
     `peer_exposures` those of the other entries, by incarnation. `counted_losses` holds
     the upstreams whose loss was counted: a loss counts once, although it breaks many
     streams. `selection_position` is the state of the sequence that chooses between the
-    versions, from 0 to 1. `due_since` is when the next step became due.
+    versions, from 0 to 1. `due_since` is when the next step became due. `listed` is
+    unset while a restored store lacks the order, and `needs_rewrite` is set while the
+    store's record is behind `record`. `former_ids` are the ids that the order had in
+    earlier epochs of the store.
     """
 
     order: MoveOrder
@@ -91,11 +115,34 @@
     due_since: float | None = None
     writing: bool = False
     next_write_at: float = 0.0
+    listed: bool = True
+    needs_rewrite: bool = False
+    former_ids: set[str] = field(factory=set)
 
     @own_exposure.default
     def _start_exposure(self) -> Exposure:
         return Exposure(self.order.id)
 
+    def matches(self, record: MoveRecord) -> bool:
+        """Tells whether a record is of this order, under its present or a former id."""
+        return record.order == self.order.id or record.order in self.former_ids
+
+    def renew_order(self, order: MoveOrder) -> None:
+        """Takes over an order that operators have written again after a restore."""
+        self.listed = True
+        if order.id == self.order.id:
+            return
+        self.former_ids.add(self.order.id)
+        self.order = order
+        self.own_exposure = evolve(self.own_exposure, order=order.id)
+        self.result_counts = {
+            evolve(key, move=order.id): counts
+            for key, counts in self.result_counts.items()
+        }
+        if self.record is not None:
+            self.record = evolve(self.record, order=order.id)
+            self.needs_rewrite = True
+
     @property
     def ended(self) -> bool:
         """Whether the move is done or taken back."""
@@ -122,12 +169,14 @@
     """The newest order for each service, and the records in the store.
 
     `services_by_row_key` maps the row keys of orders to their services. `records` holds
-    the record of each service and the version of its row.
+    the record of each service and the version of its row. `past_orders` are orders that
+    newer ones have replaced; a restored store may list them again.
     """
 
     by_service: dict[str, VersionMove] = field(factory=dict)
     services_by_row_key: dict[str, str] = field(factory=dict)
     records: dict[str, tuple[MoveRecord, int]] = field(factory=dict)
+    past_orders: deque[MoveOrder] = field(factory=lambda: deque(maxlen=PAST_ORDERS))
 
     def find_order(self, order_id: str) -> VersionMove | None:
         """Finds the move of an order, unless a newer order has replaced it."""
@@ -138,5 +187,7 @@
 
     @property
     def in_progress(self) -> bool:
-        """Whether any move has not ended."""
-        return any(not move.ended for move in self.by_service.values())
+        """Whether any move has not ended, or its end has to be written again."""
+        return any(
+            not move.ended or move.needs_rewrite for move in self.by_service.values()
+        )
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -82,13 +82,16 @@
     """Another entry.
 
     `last_received_at` is when its last notice was received, on the process clock.
+    `row_version` is None if the row was not read in this epoch of the store, and
+    `unlisted_since` is set while a restored store doesn't list it.
     """
 
     record: PeerRecord
-    row_version: int
+    row_version: int | None
     known_since: float
     last_received_at: float | None = None
     notice: LoadNotice | None = None
+    unlisted_since: float | None = None
 
 
 @define
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -28,7 +28,8 @@
     for `gather_per_upstream_s` times the number of upstreams, at most `gather_max_s`,
     before the next read, since each change wakes all entries. Upstreams whose
     registration is missing after an outage of the store longer than `lapse_after_s`
-    have `lapse_grace_s` to register again.
+    have `lapse_grace_s` to register again. For `restore_grace_s` after a restore of the
+    store from a copy, others may still be writing there again what the copy lacks.
     """
 
     configuration_wait_s: float = _positive(1.4)
@@ -45,6 +46,7 @@
     ready_age_s: float = _positive(3.6)
     lapse_after_s: float = _positive(2.0)
     lapse_grace_s: float = _positive(2.2)
+    restore_grace_s: float = _positive(2.2)
 
 
 @frozen
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -56,12 +56,15 @@
 class Suspicion:
     """The crashes counted against one fingerprint, with when each became known.
 
-    `quarantined_until` is None unless the fingerprint is quarantined. Times are on the
-    process clock.
+    `quarantined_until` is None unless the fingerprint is quarantined. `unlisted_since`
+    is set while a restored store lacks the quarantine. Times are on the process clock,
+    but `convicted_at` is on the store's.
     """
 
     crashes: dict[Crash, float] = field(factory=dict)
     quarantined_until: float | None = None
+    convicted_at: float | None = None
+    unlisted_since: float | None = None
 
 
 @define
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+from functools import singledispatch
+from types import NoneType
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.configuration import Configuration
-from magnoliahold.core.serving.effects import LongPollFeed, ReadFeed, SetCallerLimits
+from magnoliahold.core.serving.effects import LongPollFeed, ReadFeed
 from magnoliahold.core.serving.events import (
     FeedChanged,
     FeedFailed,
@@ -21,19 +25,31 @@
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.suspicions import QuarantineRecord
+from magnoliahold.core.serving.systems.configurations import (
+    apply_configuration,
+    record_proof,
+)
 from magnoliahold.core.serving.systems.moves import (
     apply_move_record,
     apply_order,
     remove_order,
     remove_unlisted_orders,
+    submit_unlisted_records,
 )
 from magnoliahold.core.serving.systems.peer_notices import (
     add_peer,
     remove_peer,
     remove_unlisted_peers,
 )
-from magnoliahold.core.serving.systems.quarantine import apply_quarantine_record
-from magnoliahold.core.serving.systems.upstream_health import mark_down
+from magnoliahold.core.serving.systems.quarantine import (
+    apply_quarantine_record,
+    schedule_unlisted_quarantines,
+)
+from magnoliahold.core.serving.systems.registrations import (
+    apply_registration,
+    remove_unlisted_upstreams,
+    remove_upstream,
+)
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 
 if TYPE_CHECKING:
@@ -48,27 +64,40 @@
 GATHERED_FEEDS = frozenset((Feed.UPSTREAMS, Feed.PEERS))
 
 
+@frozen
+class _ReadContext:
+    """How the rows of a read are to be understood.
+
+    `from_copy` is set if the store may hold them from before a restore, and
+    `may_have_lapsed` if rows may be missing that their writers will write again.
+    """
+
+    now: float
+    from_copy: bool
+    may_have_lapsed: bool
+
+
 def apply_feed_results(world: ServingWorld, now: float) -> None:
     """Applies the results of store reads."""
     for read in world.inbox.read_events(FeedRead):
-        state = _end_call(world, read.feed, read.call)
+        state = _end_call(world, read, now)
         if state is not None:
             _set_store_time(world, read.store_time)
             _apply_full_read(world, state, read, now)
     for changed in world.inbox.read_events(FeedChanged):
-        state = _end_call(world, changed.feed, changed.call)
+        state = _end_call(world, changed, now)
         if state is not None:
             _set_store_time(world, changed.store_time)
             _apply_changes(world, state, changed, now)
     for gone in world.inbox.read_events(FeedHistoryGone):
-        state = _end_call(world, gone.feed, gone.call)
+        state = _end_call(world, gone, now)
         if state is not None:
             state.version = None
             world.log_decision(
                 "store", "Change history is no longer available.", feed=gone.feed.value
             )
     for failed in world.inbox.read_events(FeedFailed):
-        state = _end_call(world, failed.feed, failed.call)
+        state = _end_call(world, failed, now)
         if state is not None:
             _record_failure(world, state, failed.reason, now)
 
@@ -78,12 +107,19 @@
         world.store_offset_s = store_time - world.boot_clock()
 
 
-def _end_call(world: ServingWorld, feed: Feed, call: int) -> FeedState | None:
-    """Ends a feed's call and returns the feed, or None if the call is outdated."""
-    state = world.feeds[feed]
-    if not state.call or state.call != call:
+def _end_call(
+    world: ServingWorld,
+    result: FeedRead | FeedChanged | FeedHistoryGone | FeedFailed,
+    now: float,
+) -> FeedState | None:
+    """Ends a feed's call and returns the feed, or None if its result is outdated."""
+    state = world.feeds[result.feed]
+    if not state.call or state.call != result.call:
         return None
     state.call = 0
+    if world.store_epoch.is_outdated(result.epoch):
+        _record_failure(world, state, "the answer is of an earlier epoch", now)
+        return None
     return state
 
 
@@ -95,16 +131,53 @@
             world, state, "the store returned an older version than before", now
         )
         return
-    outage_s = _record_success(world, state, read.version, read.sent_at, now)
-    _apply_rows(world, read.feed, read.rows, now)
+    outage_s = _record_success(world, state, read.version, now)
+    context = _make_context(world, outage_s, state.restored, now)
+    state.restored = False
+    _apply_rows(world, read.feed, read.rows, context)
+    _apply_missing_rows(world, read, context)
+    _record_proof(world, state, read.sent_at, now)
+
+
+def _apply_missing_rows(
+    world: ServingWorld, read: FeedRead, context: _ReadContext
+) -> None:
+    """Removes what a full read doesn't list, or has it written again."""
     listed = {row.key for row in read.rows}
-    if state.feed is Feed.UPSTREAMS:
+    if read.feed is Feed.UPSTREAMS:
         world.upstreams.loaded = True
-        _remove_unlisted_upstreams(world, listed, outage_s, now)
-    if state.feed is Feed.PEERS:
-        remove_unlisted_peers(world, listed)
-    if state.feed is Feed.CONFIGURATION:
+        remove_unlisted_upstreams(world, listed, context.may_have_lapsed, context.now)
+    elif read.feed is Feed.PEERS:
+        remove_unlisted_peers(world, listed, context.from_copy, context.now)
+    elif read.feed is Feed.CONFIGURATION:
         remove_unlisted_orders(world, listed)
+    elif read.feed is Feed.MOVES:
+        submit_unlisted_records(world)
+    elif read.feed is Feed.QUARANTINE and context.from_copy:
+        schedule_unlisted_quarantines(world, listed, context.now)
+
+
+def _make_context(
+    world: ServingWorld, outage_s: float, from_copy: bool, now: float
+) -> _ReadContext:
+    policy = world.serving_policy.feeds
+    lapsed = outage_s > policy.lapse_after_s
+    settling = world.store_epoch.is_settling(now, policy.restore_grace_s)
+    return _ReadContext(now, from_copy, lapsed or from_copy or settling)
+
+
+def _apply_rows(
+    world: ServingWorld, feed: Feed, rows: Iterable[FeedRow], context: _ReadContext
+) -> None:
+    for row in rows:
+        _apply_value(row.value, world, feed, row, context)
+
+
+def _record_proof(
+    world: ServingWorld, state: FeedState, sent_at: float, now: float
+) -> None:
+    if state.feed is Feed.CONFIGURATION:
+        record_proof(world, sent_at, now)
 
 
 def _apply_changes(
@@ -116,12 +189,14 @@
             world, state, "the store returned an older version than before", now
         )
         return
-    outage_s = _record_success(world, state, changed.version, changed.sent_at, now)
-    _apply_rows(world, changed.feed, changed.rows, now, outage_s)
+    outage_s = _record_success(world, state, changed.version, now)
+    context = _make_context(world, outage_s, False, now)
+    _apply_rows(world, changed.feed, changed.rows, context)
+    _record_proof(world, state, changed.sent_at, now)
 
 
 def _record_success(
-    world: ServingWorld, state: FeedState, version: int, sent_at: float, now: float
+    world: ServingWorld, state: FeedState, version: int, now: float
 ) -> float:
     """Records a successful read and returns the length of the outage before it."""
     outage_s = 0.0
@@ -137,7 +212,6 @@
     state.failing_since = None
     state.failures = 0
     state.version = version
-    state.proved_at = max(sent_at, state.proved_at or sent_at)
     state.next_call_at = now
     if state.feed in GATHERED_FEEDS:
         state.next_call_at += _find_gather_delay_s(world)
@@ -170,113 +244,73 @@
     world.emit(CountMetric("store_calls_failed", 1, {"feed": state.feed.value}))
 
 
-def _apply_rows(
-    world: ServingWorld,
-    feed: Feed,
-    rows: Iterable[FeedRow],
-    now: float,
-    outage_s: float = 0.0,
+@singledispatch
+def _apply_value(
+    value: object, world: ServingWorld, feed: Feed, row: FeedRow, read: _ReadContext
 ) -> None:
-    for row in rows:
-        if isinstance(row.value, Configuration):
-            _apply_configuration(world, row.value)
-        elif isinstance(row.value, UpstreamRecord):
-            _apply_upstream_record(world, row.value, now)
-        elif isinstance(row.value, PeerRecord):
-            add_peer(world, row.value, row.version, now)
-        elif isinstance(row.value, MoveOrder):
-            apply_order(world, row.key, row.value)
-        elif isinstance(row.value, MoveRecord):
-            apply_move_record(world, row.value, row.version)
-        elif isinstance(row.value, QuarantineRecord):
-            apply_quarantine_record(world, row.value, now)
-        elif feed is Feed.PEERS:
-            remove_peer(world, row.key)
-        elif feed is Feed.CONFIGURATION:
-            remove_order(world, row.key)
-        elif feed is Feed.UPSTREAMS and row.key in world.upstreams.by_id:
-            _remove_upstream(world, row.key, outage_s, now)
-
-
-def _apply_configuration(world: ServingWorld, configuration: Configuration) -> None:
-    current = world.configuration
-    if current is not None and configuration.version <= current.version:
-        return
-    world.configuration = configuration
-    world.emit(SetCallerLimits(configuration.limits))
-    world.log_decision(
-        "configuration",
-        "Configuration in force.",
-        version=configuration.version,
-        before=current.version if current else None,
-        routes=len(configuration.routes),
-        workspaces=len(configuration.workspaces),
-    )
-
-
-def _apply_upstream_record(
-    world: ServingWorld, record: UpstreamRecord, now: float
+    """Applies the value of a row; a row of no known kind changes nothing."""
+
+
+@_apply_value.register(Configuration)
+def _apply_configuration_row(
+    value: Configuration, world: ServingWorld, _: Feed, row: FeedRow, __: _ReadContext
 ) -> None:
-    known = world.upstreams.by_id.get(record.id)
-    if known is not None and known.record == record:
-        known.missing_since = None
-        return
-    _remove_replaced_upstreams(world, record, now)
-    world.upstreams.put_record(record, now)
-    world.log_decision(
-        "upstreams",
-        "Upstream registered." if known is None else "Upstream changed.",
-        upstream=record.id,
-        service=record.service,
-        data_centre=record.data_centre,
-        leaving=record.leaving,
-    )
-
-
-def _remove_replaced_upstreams(
-    world: ServingWorld, record: UpstreamRecord, now: float
+    apply_configuration(world, value, row.version)
+
+
+@_apply_value.register(UpstreamRecord)
+def _apply_upstream_row(
+    value: UpstreamRecord,
+    world: ServingWorld,
+    _: Feed,
+    __: FeedRow,
+    read: _ReadContext,
 ) -> None:
-    """Removes other upstreams registered under the address of a new one."""
-    for upstream in list(world.upstreams.by_id.values()):
-        old = upstream.record
-        same_address = (old.address, old.port) == (record.address, record.port)
-        if same_address and (old.id, old.born_ms) != (record.id, record.born_ms):
-            mark_down(world, upstream, "another upstream has its address", now)
-            _remove_upstream(world, upstream.id, 0.0, now)
+    apply_registration(world, value, read.from_copy, read.now)
 
 
-def _remove_unlisted_upstreams(
-    world: ServingWorld, listed: set[str], outage_s: float, now: float
+@_apply_value.register(PeerRecord)
+def _apply_peer_row(
+    value: PeerRecord, world: ServingWorld, _: Feed, row: FeedRow, read: _ReadContext
 ) -> None:
-    for upstream_id in list(world.upstreams.by_id):
-        if upstream_id not in listed:
-            _remove_upstream(world, upstream_id, outage_s, now)
+    add_peer(world, value, row.version, read.from_copy, read.now)
 
 
-def _remove_upstream(
-    world: ServingWorld, upstream_id: str, outage_s: float, now: float
+@_apply_value.register(MoveOrder)
+def _apply_order_row(
+    value: MoveOrder, world: ServingWorld, _: Feed, row: FeedRow, __: _ReadContext
 ) -> None:
-    """Removes an upstream, or marks it missing after an outage of the store.
+    apply_order(world, row.key, value)
 
-    Its registration may only have lapsed because it couldn't be renewed.
-    """
-    upstream = world.upstreams.by_id[upstream_id]
-    if outage_s > world.serving_policy.feeds.lapse_after_s:
-        upstream.missing_since = upstream.missing_since or now
-        return
-    world.upstreams.remove(upstream_id)
-    world.log_decision("upstreams", "Upstream removed.", upstream=upstream_id)
 
+@_apply_value.register(MoveRecord)
+def _apply_move_row(
+    value: MoveRecord, world: ServingWorld, _: Feed, row: FeedRow, __: _ReadContext
+) -> None:
+    apply_move_record(world, value, row.version)
 
-def remove_lapsed_upstreams(world: ServingWorld, now: float) -> None:
-    """Removes upstreams that did not register again within the grace period."""
-    if not world.scan_due:
-        return
-    grace_s = world.serving_policy.feeds.lapse_grace_s
-    for upstream in list(world.upstreams.by_id.values()):
-        missing_since = upstream.missing_since
-        if missing_since is not None and now - missing_since >= grace_s:
-            _remove_upstream(world, upstream.id, 0.0, now)
+
+@_apply_value.register(QuarantineRecord)
+def _apply_quarantine_row(
+    value: QuarantineRecord,
+    world: ServingWorld,
+    _: Feed,
+    __: FeedRow,
+    read: _ReadContext,
+) -> None:
+    apply_quarantine_record(world, value, read.now)
+
+
+@_apply_value.register(NoneType)
+def _apply_removal(
+    _: None, world: ServingWorld, feed: Feed, row: FeedRow, read: _ReadContext
+) -> None:
+    if feed is Feed.PEERS:
+        remove_peer(world, row.key)
+    elif feed is Feed.CONFIGURATION:
+        remove_order(world, row.key)
+    elif feed is Feed.UPSTREAMS:
+        remove_upstream(world, row.key, read.may_have_lapsed, read.now)
 
 
 def start_feed_calls(world: ServingWorld, now: float) -> None:
@@ -301,11 +335,11 @@
 def _is_read_needed(world: ServingWorld, state: FeedState) -> bool:
     """Checks whether a feed needs to be read at all.
 
-    Moves are followed while one is in progress. Quarantines are read once; later ones
-    come with the notices of other entries.
+    Moves are followed while one is in progress, or has to be written again. Quarantines
+    are read once; later ones come with the notices of other entries.
     """
     if state.feed is Feed.MOVES:
-        return world.moves.in_progress
+        return world.moves.in_progress or state.restored
     if state.feed is Feed.QUARANTINE:
         return state.version is None and world.store_offset_s is not None
     return True
--- a/src/magnoliahold/core/serving/systems/moves.py
+++ b/src/magnoliahold/core/serving/systems/moves.py
@@ -13,11 +13,12 @@
 from attrs import evolve
 
 from magnoliahold.core.effects import CountMetric
-from magnoliahold.core.moves import MoveState, count_ranked_before
+from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.effects import WriteMove
 from magnoliahold.core.serving.events import MoveWritten
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.moves import MoveRecord, VersionMove
+from magnoliahold.core.serving.systems.turns import find_turn_s
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.moves import MoveOrder
@@ -25,11 +26,24 @@
 
 
 def apply_order(world: ServingWorld, key: str, order: MoveOrder) -> None:
-    """Applies an operator's order unless it, or a newer one, is already known."""
+    """Applies an operator's order unless it, or a newer one, is already known.
+
+    After a restore the versions of rows don't tell which order is newer. The known one
+    then stays until it is listed again or one appears that was never seen.
+    """
     table = world.moves
     known = table.by_service.get(order.service)
-    if known is not None and known.order.row_version >= order.row_version:
+    if known is not None and known.listed:
+        if known.order.row_version >= order.row_version:
+            return
+    elif known is not None and known.order.has_same_content(order):
+        known.renew_order(order)
+        return
+    elif order in table.past_orders:
+        world.log_decision("moves", "Old order is not run again.", move=order.id)
         return
+    if known is not None:
+        table.past_orders.append(known.order)
     table.services_by_row_key[key] = order.service
     move = VersionMove(order)
     table.by_service[order.service] = move
@@ -44,18 +58,40 @@
     )
 
 
+def forget_row_versions(world: ServingWorld) -> None:
+    """Forgets the versions of all rows about moves after a restore of the store."""
+    world.moves.records.clear()
+    for move in world.moves.by_service.values():
+        move.listed = False
+        move.record_version = 0
+        move.due_since = None
+
+
+def submit_unlisted_records(world: ServingWorld) -> None:
+    """Has the records written again that a full read of a restored store lacks."""
+    for move in world.moves.by_service.values():
+        if move.record is not None and move.order.service not in world.moves.records:
+            move.needs_rewrite = True
+
+
 def remove_order(world: ServingWorld, key: str) -> None:
     """Removes an order that an operator has deleted."""
     service = world.moves.services_by_row_key.pop(key, None)
     move = world.moves.by_service.pop(service, None) if service else None
     if move is not None:
+        world.moves.past_orders.append(move.order)
         world.log_decision("moves", "Order removed.", move=move.order.id)
 
 
 def remove_unlisted_orders(world: ServingWorld, listed: set[str]) -> None:
-    """Removes the orders that are missing from a full read."""
+    """Removes the orders that are missing from a full read.
+
+    Those that were not listed since a restore stay: operators write them again.
+    """
     for key in set(world.moves.services_by_row_key) - listed:
-        remove_order(world, key)
+        move = world.moves.by_service.get(world.moves.services_by_row_key[key])
+        if move is None or move.listed:
+            remove_order(world, key)
 
 
 def apply_move_record(
@@ -81,10 +117,15 @@
 
 
 def _set_record(move: VersionMove, record: MoveRecord, row_version: int) -> None:
+    """Sets the stored record of a move, unless the known one is ahead of it."""
     move.record_version = row_version
-    if record.order == move.order.id:
-        move.record = record
-        move.due_since = None
+    if not move.matches(record):
+        return
+    ahead = move.record is not None and move.record.is_ahead_of(record)
+    move.needs_rewrite = ahead or record.order != move.order.id
+    if not ahead:
+        move.record = evolve(record, order=move.order.id)
+    move.due_since = None
 
 
 def advance_moves(world: ServingWorld, now: float) -> None:
@@ -100,7 +141,7 @@
             continue
         if move.due_since is None:
             move.due_since = now
-        if now - move.due_since >= _find_backoff_s(world, move.order.id):
+        if now - move.due_since >= find_turn_s(world, move.order.id):
             _write_step(world, move, step, now)
 
 
@@ -109,7 +150,8 @@
     if move is not None:
         move.writing = False
         move.next_write_at = now + world.serving_policy.moves.write_retry_s
-    if written.row_version:
+    undecided = world.store_epoch.is_outdated(written.epoch)
+    if written.row_version and not undecided:
         apply_move_record(world, written.record, written.row_version)
         world.emit(CountMetric("moves_stepped", 1, {"state": written.record.state}))
         return
@@ -118,22 +160,35 @@
         "Move step not written.",
         move=written.record.order,
         state=written.record.state.value,
-        reason=written.reason,
+        reason=written.reason or "the store was restored meanwhile",
     )
 
 
 def _find_step(world: ServingWorld, move: VersionMove) -> MoveRecord | None:
     """Returns the record after the next step of a move, or None if no step is due."""
     store_time = world.read_store_time()
-    if store_time is None or world.feeds[Feed.MOVES].version is None or move.ended:
+    if store_time is None or world.feeds[Feed.MOVES].version is None:
         return None
     record = move.record
     order = move.order
+    if not move.listed:
+        return None
+    if move.needs_rewrite:
+        return record
+    if move.ended or _is_settling(world):
+        return None
     if record is None:
         state = MoveState.CANARY
-        return MoveRecord(order.service, order.id, order.to_version, state, store_time)
+        return MoveRecord(
+            order.service,
+            order.id,
+            order.to_version,
+            state,
+            store_time,
+            epoch=_read_epoch(world),
+        )
     if move.suspension_reason:
-        return _take_back(record, move.suspension_reason)
+        return _take_back(world, record, move.suspension_reason)
     left_s = record.began_at + order.over_s - store_time
     if left_s > world.serving_policy.moves.decide_before_s:
         return None
@@ -146,24 +201,28 @@
     """Ends a move shortly before its deadline by the evidence so far."""
     analysis = move.analysis
     if analysis.answered < world.serving_policy.moves.answers_to_end:
-        return _take_back(record, "too little evidence by the deadline")
+        return _take_back(world, record, "too little evidence by the deadline")
     if analysis.suspicion >= world.serving_policy.moves.end_evidence:
-        return _take_back(record, "in doubt at the deadline")
+        return _take_back(world, record, "in doubt at the deadline")
     reason = "no worse than the old version"
-    return evolve(record, state=MoveState.DONE, reason=reason)
+    epoch = _read_epoch(world)
+    return evolve(record, state=MoveState.DONE, reason=reason, epoch=epoch)
 
 
-def _take_back(record: MoveRecord, reason: str) -> MoveRecord:
-    return evolve(record, state=MoveState.TAKEN_BACK, reason=reason)
+def _take_back(world: ServingWorld, record: MoveRecord, reason: str) -> MoveRecord:
+    epoch = _read_epoch(world)
+    return evolve(record, state=MoveState.TAKEN_BACK, reason=reason, epoch=epoch)
 
 
-def _find_backoff_s(world: ServingWorld, order_id: str) -> float:
-    """Returns how long this entry delays a due step, by its rank among the entries."""
-    policy = world.serving_policy.moves
-    rank = count_ranked_before(
-        order_id, world.identity.name, world.other_entries.by_name
-    )
-    return min(rank * policy.turn_s, policy.turn_max_s)
+def _read_epoch(world: ServingWorld) -> int:
+    return world.store_epoch.number or 0
+
+
+def _is_settling(world: ServingWorld) -> bool:
+    """Tells whether an entry that knows more may still write its record again."""
+    grace_s = world.serving_policy.feeds.restore_grace_s
+    now = world.last_tick_at or 0.0
+    return world.store_epoch.is_settling(now, grace_s)
 
 
 def _write_step(
@@ -173,7 +232,8 @@
         return
     move.writing = True
     timeout_s = world.serving_policy.moves.write_timeout_s
-    world.emit(WriteMove(step, move.record_version, timeout_s))
+    epoch = world.store_epoch.number
+    world.emit(WriteMove(step, move.record_version, timeout_s, epoch))
     world.log_decision(
         "moves",
         "Move step submitted.",
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -34,19 +34,47 @@
 
 
 def add_peer(
-    world: ServingWorld, record: PeerRecord, row_version: int, now: float
+    world: ServingWorld,
+    record: PeerRecord,
+    row_version: int,
+    from_copy: bool,
+    now: float,
 ) -> None:
-    """Adds another entry, or replaces it after a restart."""
-    if record.name == world.identity.name:
+    """Adds another entry, or replaces it after a restart.
+
+    `from_copy` is set for rows that a restored store may hold from before its restore;
+    an entry that still sends notices then stays as it is known.
+    """
+    identity = world.identity
+    if record.name == identity.name:
+        if record.incarnation != identity.incarnation:
+            world.other_entries.registered = False
         return
     peer = world.other_entries.by_name.get(record.name)
     if peer is not None and peer.record == record:
+        peer.row_version = row_version
+        peer.unlisted_since = None
+        return
+    if from_copy and peer is not None and _is_heard(world, peer, now):
+        peer.unlisted_since = now
         return
     world.other_entries.by_name[record.name] = Peer(record, row_version, now)
     world.other_entries.last_sent_notice = None
     world.log_decision("peers", "Entry registered.", peer=record.name)
 
 
+def _is_heard(world: ServingWorld, peer: Peer, now: float) -> bool:
+    last_received_at = peer.last_received_at
+    retention_s = world.serving_policy.peers.notice_kept_s
+    return last_received_at is not None and now - last_received_at <= retention_s
+
+
+def forget_peer_versions(world: ServingWorld) -> None:
+    """Forgets the versions of all registrations of entries after a restore."""
+    for peer in world.other_entries.by_name.values():
+        peer.row_version = None
+
+
 def remove_peer(world: ServingWorld, name: str) -> None:
     """Removes an entry whose registration is gone.
 
@@ -58,10 +86,30 @@
         world.log_decision("peers", "Entry removed.", peer=name)
 
 
-def remove_unlisted_peers(world: ServingWorld, listed: set[str]) -> None:
-    """Removes the entries that are missing from a full list of registrations."""
-    for name in {*world.other_entries.by_name, world.identity.name} - listed:
-        remove_peer(world, name)
+def remove_unlisted_peers(
+    world: ServingWorld, listed: set[str], from_copy: bool, now: float
+) -> None:
+    """Removes the entries that are missing from a full list of registrations.
+
+    In the first list after a restore the others may only be missing for a while.
+    """
+    table = world.other_entries
+    for name in {*table.by_name, world.identity.name} - listed:
+        peer = table.by_name.get(name)
+        if from_copy and peer is not None:
+            peer.unlisted_since = peer.unlisted_since or now
+        else:
+            remove_peer(world, name)
+
+
+def remove_lost_peers(world: ServingWorld, now: float) -> None:
+    """Removes entries that did not register again after a restore of the store."""
+    if not world.scan_due:
+        return
+    grace_s = world.serving_policy.feeds.restore_grace_s
+    for name, peer in list(world.other_entries.by_name.items()):
+        if peer.unlisted_since is not None and now - peer.unlisted_since >= grace_s:
+            remove_peer(world, name)
 
 
 def register_entry(world: ServingWorld, now: float) -> None:
@@ -70,9 +118,11 @@
     policy = world.serving_policy.peers
     for result in world.inbox.read_events(EntryRegistered):
         table.registering = False
-        table.registered = result.done
+        table.registered = result.done and not world.store_epoch.is_outdated(
+            result.epoch
+        )
         table.next_registration_at = now + policy.registration_retry_s
-        if not result.done:
+        if not table.registered:
             world.log_decision(
                 "peers", "Registration failed, trying again.", reason=result.reason
             )
@@ -96,6 +146,8 @@
         return
     table.next_removal_at = now + policy.registration_retry_s
     for peer in table.by_name.values():
+        if peer.row_version is None:
+            continue
         last_received_at = (
             peer.known_since if peer.last_received_at is None else peer.last_received_at
         )
@@ -103,7 +155,8 @@
             peer.last_received_at = now
             name = peer.record.name
             timeout_s = policy.registration_timeout_s
-            world.emit(RemoveEntry(name, peer.row_version, timeout_s))
+            epoch = world.store_epoch.number
+            world.emit(RemoveEntry(name, peer.row_version, timeout_s, epoch))
             world.log_decision("peers", "Silent entry removed.", peer=name)
 
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -14,12 +14,14 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.suspicions import (
     ConnectionReset,
     Crash,
     QuarantineRecord,
     UpstreamLoss,
 )
+from magnoliahold.core.serving.systems.turns import find_turn_s
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -166,10 +168,55 @@
         crashes=len(suspicion.crashes),
     )
     store_time = world.read_store_time()
+    suspicion.convicted_at = store_time
     if suspicion.crashes and store_time is not None:
-        record = QuarantineRecord(fingerprint, store_time)
-        timeout_s = world.serving_policy.suspicion.write_timeout_s
-        world.emit(WriteQuarantine(record, timeout_s))
+        _write_quarantine(world, QuarantineRecord(fingerprint, store_time))
+
+
+def _write_quarantine(world: ServingWorld, record: QuarantineRecord) -> None:
+    timeout_s = world.serving_policy.suspicion.write_timeout_s
+    world.emit(WriteQuarantine(record, timeout_s))
+
+
+def schedule_unlisted_quarantines(
+    world: ServingWorld, listed: set[str], now: float
+) -> None:
+    """Has quarantines written again that a restored store doesn't list."""
+    for fingerprint, suspicion in world.suspicions.by_fingerprint.items():
+        known = suspicion.quarantined_until is not None
+        if not known or fingerprint in listed:
+            suspicion.unlisted_since = None
+        else:
+            suspicion.unlisted_since = suspicion.unlisted_since or now
+
+
+def rewrite_quarantines(world: ServingWorld, now: float) -> None:
+    """Writes unlisted quarantines again.
+
+    Each entry leaves that to those ranked before it for a while, and reads the table
+    again before its own turn.
+    """
+    if not world.scan_due:
+        return
+    table_state = world.feeds[Feed.QUARANTINE]
+    for fingerprint, suspicion in world.suspicions.by_fingerprint.items():
+        since = suspicion.unlisted_since
+        if since is None or table_state.version is None:
+            continue
+        turn_s = find_turn_s(world, fingerprint)
+        if now - since < turn_s:
+            continue
+        if turn_s and table_state.called_at < since + turn_s:
+            table_state.version = None
+            table_state.restored = True
+            continue
+        suspicion.unlisted_since = None
+        convicted_at = suspicion.convicted_at or world.read_store_time()
+        if convicted_at is not None:
+            _write_quarantine(world, QuarantineRecord(fingerprint, convicted_at))
+            world.log_decision(
+                "suspects", "Quarantine written again.", fingerprint=fingerprint
+            )
 
 
 def apply_quarantine_record(
@@ -183,9 +230,9 @@
         record.convicted_at + world.serving_policy.suspicion.quarantine_s - store_time
     )
     if left_s > 0:
-        world.suspicions.get_or_create(record.fingerprint).quarantined_until = (
-            now + left_s
-        )
+        suspicion = world.suspicions.get_or_create(record.fingerprint)
+        suspicion.quarantined_until = now + left_s
+        suspicion.convicted_at = record.convicted_at
 
 
 def _expire_suspicions(world: ServingWorld, now: float) -> None:
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -72,6 +72,18 @@
     upstream.next_probe_at = now + min(delay_s, policy.down_probe_max_s)
 
 
+def await_sign_of_life(
+    world: ServingWorld, upstream: Upstream, reason: str, now: float
+) -> None:
+    """Gives an upstream no request until it has answered a probe."""
+    upstream.awaits_sign = True
+    upstream.health = UpstreamHealth.SUSPECTED
+    world.log_decision(
+        "trust", "Upstream awaits a probe.", upstream=upstream.id, reason=reason
+    )
+    probe(world, upstream, reason, now)
+
+
 def _probe_neighbours(world: ServingWorld, upstream: Upstream, now: float) -> None:
     """Probes busy upstreams of the same data centre that may have failed with it."""
     record = upstream.record
@@ -119,6 +131,7 @@
 def mark_healthy(world: ServingWorld, upstream: Upstream, now: float) -> None:
     """Records a response of an upstream's process, which makes it healthy."""
     upstream.last_received_at = now
+    upstream.awaits_sign = False
     if upstream.health is UpstreamHealth.HEALTHY:
         return
     upstream.health = UpstreamHealth.HEALTHY
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -59,12 +59,14 @@
 
     `leaving` is set once it has said that it is leaving, in its registration or in an
     answer, and `leaving_reported` once another entry has said so. `backoff_until` is
-    the end of the longest backoff that it asked of this entry.
+    the end of the longest backoff that it asked of this entry. `removed` is set while
+    its registration is gone for good.
     """
 
     leaving: bool = False
     leaving_reported: bool = False
     backoff_until: float = 0.0
+    removed: bool = False
     changed_at: float = 0.0
 
 
@@ -76,7 +78,8 @@
     received from it. `failures` and `answers` decay with time; `gap_s` and `opening_s`
     are moving averages of the time between pieces and of the time to the first piece.
     `missing_since` is set while its registration is missing after an outage of the
-    store. `copies` counts the streams whose KV cache it keeps a copy of, and
+    store. While `awaits_sign` is set it gets no request, since it may have ended long
+    ago. `copies` counts the streams whose KV cache it keeps a copy of, and
     `copied_tokens` the tokens of their prompts.
     """
 
@@ -88,6 +91,7 @@
     next_probe_at: float = 0.0
     failed_probes: int = 0
     missing_since: float | None = None
+    awaits_sign: bool = False
     attempts: dict[int, Attempt] = field(factory=dict)
     copies: int = 0
     copied_tokens: int = 0
@@ -114,8 +118,10 @@
         return self.signals.leaving
 
     def is_available(self, now: float) -> bool:
-        """Tells whether it may get any request: it neither leaves nor backs off."""
-        return not self.signals.leaving and self.signals.backoff_until <= now
+        """Tells whether it may get requests: it neither leaves nor backs off."""
+        if self.signals.leaving or self.awaits_sign:
+            return False
+        return self.signals.backoff_until <= now
 
     def adjust_copies(self, count: int, tokens: int) -> None:
         """Adds to the copies that it keeps for this entry; negative values subtract."""
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.budget import RetryBudget
+from magnoliahold.core.serving.epochs import StoreEpoch
 from magnoliahold.core.serving.feeds import Feed, FeedState
 from magnoliahold.core.serving.moves import MoveTable
 from magnoliahold.core.serving.peers import PeerTable
@@ -19,7 +20,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliahold.core.serving.configuration import Configuration
+    from magnoliahold.core.serving.configuration import (
+        Configuration,
+        ListedConfiguration,
+    )
     from magnoliahold.core.serving.lookups import PromptLookup
 
 
@@ -33,7 +37,9 @@
 
     `boot_clock` reads seconds and continues while the instance is suspended, unlike the
     clock of ticks; the store's clock is `store_offset_s` ahead of it. `configuration`
-    is the newest one ever read; an older one never replaces it. `lookups` holds the
+    is the newest one ever read; an older one never replaces it. `listed_configuration`
+    is the one that the store listed last, and `awaited_configuration` the one that it
+    has to list again after a restore. `lookups` holds the
     last prompt lookup of each service. `mean_opening_by_service` and
     `mean_duration_by_service` are moving averages of the seconds to the first piece and
     to the end of streams. `started_at` is the time of the first tick. `scan_due` is set
@@ -44,6 +50,9 @@
     boot_clock: Callable[[], float]
     serving_policy: ServingPolicy = field(factory=ServingPolicy)
     configuration: Configuration | None = None
+    listed_configuration: ListedConfiguration | None = None
+    awaited_configuration: ListedConfiguration | None = None
+    store_epoch: StoreEpoch = field(factory=StoreEpoch)
     feeds: dict[Feed, FeedState] = field(factory=_make_feeds)
     upstreams: UpstreamTable = field(factory=UpstreamTable)
     requests: RequestTable = field(factory=RequestTable)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -61,6 +61,7 @@
 OK = 200
 GONE = 410
 MS_PER_S = 1000.0
+EPOCH_HEADER = "store-era"
 
 logger = make_part_logger("store")
 
@@ -105,6 +106,7 @@
     post: Callable[[object], None]
     boot_clock: Callable[[], float]
     _clients: dict[Feed, HttpClient] = field(factory=dict)
+    _epoch: int | None = None
 
     def set_base_url(self, base_url: str) -> None:
         """Changes the address of the store for later calls."""
@@ -112,6 +114,17 @@
             self.base_url = base_url
             self._clients.clear()
 
+    def _read_epoch(self, answer: HttpAnswer) -> int | None:
+        """Reads the epoch that an answer names, and remembers the newest one."""
+        epoch = _read_epoch(answer)
+        if epoch is not None:
+            self._epoch = max(epoch, self._epoch or epoch)
+        return epoch
+
+    def _is_current(self, epoch: int | None) -> bool:
+        """Tells whether a version that was read in an epoch may be expected now."""
+        return epoch is None or self._epoch is None or epoch == self._epoch
+
     def read_feed(self, feed: Feed, call: int, timeout_s: float) -> None:
         """Reads a whole table; posts FeedRead or FeedFailed."""
         self._read_page(_TableRead(feed, call, timeout_s, self.boot_clock()), None)
@@ -127,13 +140,14 @@
         query = {"after": after, "wait_ms": round(wait_s * MS_PER_S)}
         path = _make_path("rows-feed", feed, query)
 
-        def handle_answer(answer: HttpAnswer) -> None:
+        def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
             if answer.status == GONE:
-                self.post(FeedHistoryGone(feed, call))
+                self.post(FeedHistoryGone(feed, call, epoch))
                 return
             page = _decode_page(answer)
             rows = _read_rows(feed, page.rows)
-            self.post(FeedChanged(feed, call, rows, page.ver, sent_at, page.time_s))
+            event = FeedChanged(feed, call, rows, page.ver, sent_at, page.time_s, epoch)
+            self.post(event)
 
         self._send(feed, call, path, timeout_s, handle_answer)
 
@@ -142,17 +156,31 @@
         value = _encode_value(write_peer(record))
         row = {**_make_row_key(Feed.PEERS, record.name), "value": value}
         sending = self._transact({"puts": [row]}, timeout_s)
-        sending.addCallbacks(
-            lambda answer: self.post(
-                EntryRegistered(answer.status == OK, f"answered {answer.status}")
-            ),
-            lambda failure: self.post(EntryRegistered(False, str(failure.value))),
-        )
+
+        def handle_answer(answer: HttpAnswer) -> None:
+            done = answer.status == OK
+            epoch = self._read_epoch(answer)
+            self.post(EntryRegistered(done, f"answered {answer.status}", epoch))
+
+        def handle_failure(failure: Any) -> None:
+            self.post(EntryRegistered(False, str(failure.value)))
+
+        sending.addCallback(handle_answer).addErrback(handle_failure)
 
     def remove_entry(
-        self, name: str, row_version: int | None, timeout_s: float
+        self,
+        name: str,
+        row_version: int | None,
+        timeout_s: float,
+        epoch: int | None = None,
     ) -> None:
-        """Removes a registration; if `row_version` is given, only at that version."""
+        """Removes a registration; if `row_version` is given, only at that version.
+
+        Nothing is sent if the version was read in another epoch of the store.
+        """
+        if row_version is not None and not self._is_current(epoch):
+            logger.info("Registration is not removed, the store was restored.")
+            return
         row = _make_row_key(Feed.PEERS, name)
         expected = [] if row_version is None else [{**row, "ver": row_version}]
         changes = {"expect_rev": expected, "remove": [row]}
@@ -162,15 +190,32 @@
                 "Removing registration failed.", entry=name, reason=str(failure.value)
             )
 
-        self._transact(changes, timeout_s).addErrback(log_failure)
+        def log_answer(answer: HttpAnswer) -> None:
+            self._read_epoch(answer)
+            if answer.status != OK:
+                logger.warning(
+                    "Registration is not removed.", entry=name, status=answer.status
+                )
+
+        sending = self._transact(changes, timeout_s)
+        sending.addCallback(log_answer).addErrback(log_failure)
 
     def write_move(
-        self, record: MoveRecord, expected_version: int, timeout_s: float
+        self,
+        record: MoveRecord,
+        expected_version: int,
+        timeout_s: float,
+        epoch: int | None = None,
     ) -> None:
         """Writes a step of a move and its status in one transaction.
 
-        Nothing is written unless the row has `expected_version`. Posts MoveWritten.
+        Nothing is written unless the row has `expected_version`, which was read in
+        `epoch` of the store. Posts MoveWritten.
         """
+        if not self._is_current(epoch):
+            reason = "the store was restored since its row was read"
+            self.post(MoveWritten(record, 0, reason, self._epoch))
+            return
         move_row = _make_row_key(Feed.MOVES, record.service)
         status_row = {
             "table": STATUS_TABLE,
@@ -186,11 +231,13 @@
         }
 
         def handle_answer(answer: HttpAnswer) -> None:
+            answered_in = self._read_epoch(answer)
             if answer.status != OK:
-                self.post(MoveWritten(record, 0, f"answered {answer.status}"))
+                reason = f"answered {answer.status}"
+                self.post(MoveWritten(record, 0, reason, answered_in))
                 return
             version = _written_decoder.decode(answer.body).ver
-            self.post(MoveWritten(record, version))
+            self.post(MoveWritten(record, version, "", answered_in))
 
         def handle_failure(failure: Any) -> None:
             self.post(MoveWritten(record, 0, str(failure.value)))
@@ -211,7 +258,17 @@
                 reason=str(failure.value),
             )
 
-        self._transact({"puts": [row]}, timeout_s).addErrback(log_failure)
+        def log_answer(answer: HttpAnswer) -> None:
+            self._read_epoch(answer)
+            if answer.status != OK:
+                logger.warning(
+                    "Quarantine is not written.",
+                    fingerprint=record.fingerprint,
+                    status=answer.status,
+                )
+
+        sending = self._transact({"puts": [row]}, timeout_s)
+        sending.addCallback(log_answer).addErrback(log_failure)
 
     def _transact(
         self, changes: dict[str, Any], timeout_s: float
@@ -231,9 +288,9 @@
             query["from"] = start
         path = _make_path("rows-get", table_read.feed, query)
 
-        def handle_answer(answer: HttpAnswer) -> None:
+        def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
             page = _decode_page(answer)
-            table_read.add_page(page)
+            table_read.add_page(page, epoch)
             if page.has_more and page.rows:
                 # The smallest key above the last one read.
                 self._read_page(table_read, page.rows[-1].key + "\0")
@@ -242,7 +299,13 @@
             version = table_read.version or 0
             sent_at = table_read.sent_at
             event = FeedRead(
-                table_read.feed, table_read.call, rows, version, sent_at, page.time_s
+                table_read.feed,
+                table_read.call,
+                rows,
+                version,
+                sent_at,
+                page.time_s,
+                epoch,
             )
             self.post(event)
 
@@ -256,21 +319,27 @@
         call: int,
         path: str,
         timeout_s: float,
-        handle_answer: Callable[[HttpAnswer], None],
+        handle_answer: Callable[[HttpAnswer, int | None], None],
     ) -> None:
+        epoch: int | None = None
         client = self._clients.get(feed)
         if client is None:
             client = HttpClient(self.reactor, self.base_url, persistent=True)
             self._clients[feed] = client
 
+        def handle_any_answer(answer: HttpAnswer) -> None:
+            nonlocal epoch
+            epoch = self._read_epoch(answer)
+            handle_answer(answer, epoch)
+
         def handle_failure(failure: Any) -> None:
             error = failure.value
             expected = (HttpExchangeError, StoreAnswerError)
             reason = str(error) if isinstance(error, expected) else repr(error)
-            self.post(FeedFailed(feed, call, reason))
+            self.post(FeedFailed(feed, call, reason, epoch))
 
         sending = client.send("GET", path, timeout_s=timeout_s)
-        sending.addCallback(handle_answer).addErrback(handle_failure)
+        sending.addCallback(handle_any_answer).addErrback(handle_failure)
 
 
 class StoreAnswerError(Exception):
@@ -282,7 +351,8 @@
     """A table that is read page by page.
 
     `version` is the lowest one of all pages: a page may be newer than an earlier one,
-    and changes between them must be read again.
+    and changes between them must be read again. Pages of different epochs don't belong
+    together.
     """
 
     feed: Feed
@@ -291,9 +361,13 @@
     sent_at: float
     rows: list[_Row] = field(factory=list)
     version: int | None = None
+    epoch: int | None = None
 
-    def add_page(self, page: _Rows) -> None:
-        """Adds the rows of a page."""
+    def add_page(self, page: _Rows, epoch: int | None) -> None:
+        """Adds the rows of a page; raises StoreAnswerError if its epoch is another."""
+        if self.version is not None and epoch != self.epoch:
+            raise StoreAnswerError("the store was restored between two pages")
+        self.epoch = epoch
         self.rows.extend(page.rows)
         if self.version is None or page.ver < self.version:
             self.version = page.ver
@@ -311,6 +385,18 @@
     return f"/-/{call}?{urlencode({'table': TABLES[feed], **query})}"
 
 
+def _read_epoch(answer: HttpAnswer) -> int | None:
+    """Reads the store's epoch; a malformed one is logged and counts as absent."""
+    values = [value for name, value in answer.headers if name.lower() == EPOCH_HEADER]
+    if not values:
+        return None
+    try:
+        return int(values[0])
+    except ValueError:
+        logger.warning("The store's epoch can't be read.", value=values[0])
+        return None
+
+
 def _decode_page(answer: HttpAnswer) -> _Rows:
     if answer.status != OK:
         raise StoreAnswerError(f"the store answered {answer.status}")
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -162,13 +162,15 @@
 @perform_effect.register(effects.RemoveEntry)
 def _remove_entry(effect: effects.RemoveEntry, node: Node) -> None:
     if node.ports.own_record is not None:
-        node.ports.store.remove_entry(effect.name, effect.row_version, effect.timeout_s)
+        node.ports.store.remove_entry(
+            effect.name, effect.row_version, effect.timeout_s, effect.epoch
+        )
 
 
 @perform_effect.register(effects.WriteMove)
 def _write_move(effect: effects.WriteMove, node: Node) -> None:
     node.ports.store.write_move(
-        effect.record, effect.expected_version, effect.timeout_s
+        effect.record, effect.expected_version, effect.timeout_s, effect.epoch
     )
 
 
