Act on signals that arrive while a process starts

Cause: a SIGHUP between the start of the process and the installation of its handler was ignored, and a SIGTERM before the daemon existed was handed to nobody.

Change: the handler of SIGHUP stands before anything else and reloads once the daemon has started; a signal to stop that arrives before makes the daemon leave as it starts.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -170,9 +170,13 @@
     """
     daemons: list[Drainable] = []
     failures: list[Exception] = []
+    early_signals: list[str] = []
 
     def handle_signal(number: int, frame: object) -> None:
         name = signal.Signals(number).name
+        if not daemons:
+            early_signals.append(name)
+            return
         if any(item.node.world.leaving_since is not None for item in daemons):
             reactor.callFromThread(reactor.stop)
             return
@@ -182,6 +186,9 @@
     def start_daemons() -> None:
         try:
             daemons.extend(start())
+            for name in early_signals[:1]:
+                for item in daemons:
+                    item.leave(name)
         except Exception as error:
             failures.append(error)
             reactor.stop()
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -199,19 +199,25 @@
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
+    started: list[ServingDaemon] = []
+
+    def reload_started() -> None:
+        for daemon in started:
+            reload_settings(path, load, daemon)
+
+    def handle_sighup(_: int, __: object) -> None:
+        # The reactor runs this after the start, so no signal is lost before it.
+        reactor.callFromThread(reload_started)
+
+    signal.signal(signal.SIGHUP, handle_sighup)
     settings = load(path)
     configure_serving_logs(settings)
 
     def start() -> list[ServingDaemon]:
         daemon = make_serving_entry(reactor, settings, lambda _: stop_reactor(reactor))
+        started.append(daemon)
+        return started
 
-        def handle_sighup(_: int, __: object) -> None:
-            reactor.callFromThread(reload_settings, path, load, daemon)
-
-        signal.signal(signal.SIGHUP, handle_sighup)
-        return [daemon]
-
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     run_until_stopped(reactor, start)
 
 
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import threading
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -245,6 +246,31 @@
         self.assertEqual((process.returncode, errors), (0, ""))
         self.assertIn("leaving: Entry leaves.", output)
 
+    def test_signals_during_the_start_are_not_lost(self) -> None:
+        """Sends each signal before the process can have started its daemon."""
+        (port,) = find_free_ports(1)
+        process = self.start_serving(port)
+        self.addCleanup(process.kill)
+        self.wait_for_handler(process.pid, signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        output, errors = process.communicate(timeout=20)
+        self.assertEqual((process.returncode, errors), (0, ""))
+        self.assertIn("Settings reloaded", output)
+        self.assertIn("leaving: Entry leaves.", output)
+
+    def wait_for_handler(self, pid: int, number: signal.Signals) -> None:
+        """Waits until a process handles a signal, by the kernel's status of it."""
+        mask = 1 << (number - 1)
+        limit = time.monotonic() + RELOAD_TIMEOUT_S
+        while time.monotonic() < limit:
+            status = Path(f"/proc/{pid}/status").read_text().splitlines()
+            caught = next(line for line in status if line.startswith("SigCgt:"))
+            if int(caught.split()[1], 16) & mask:
+                return
+            time.sleep(0.0005)
+        self.fail(f"the process does not handle {number.name}")
+
     def start_serving(self, port: int) -> subprocess.Popen[str]:
         """Starts a serving entry whose store is unreachable."""
         (store,) = find_free_ports(1)
