Pass on proofs of the newest configuration, and follow loads by their change

Each entry polls the configuration every 1.4 s only to prove that its own is still the newest (0.7 calls a second and entry, whatever changes).

Change: from eight entries on, two readers (by rendezvous rank, among those from which notices come) poll every 0.6 s and send each other entry a proof that names its last notice before the read: the proof is as old as that notice on the receiver's own clock, whatever the network does. Others keep a long poll of 12 s for changes, and ask themselves once their proof is 2.6 s old. Sums of loads follow each notice by its difference, also when an entry is removed or restarts (they stayed until the next notice before). Signals are looked through every 10 s.

--- a/src/magnoliahold/cli/soak.py
+++ b/src/magnoliahold/cli/soak.py
@@ -11,7 +11,9 @@
 EXIT_INTERRUPTED = 130
 
 
-def soak(*, seed: int = 1, seconds: float = 20.0, processes: int = 3) -> int:
+def soak(
+    *, seed: int = 1, seconds: float = 20.0, processes: int = 3, restores: int = 0
+) -> int:
     """Runs entries as processes, injects random faults and checks guarantees.
 
     The store, the upstreams and the callers are stand-ins in this process. It ends only
@@ -21,6 +23,7 @@
         seed: The random seed of the faults.
         seconds: How long faults are injected; startup and recovery take extra time.
         processes: The number of entries.
+        restores: How often the store is restored from an older copy.
 
     Returns:
         0, 1 if a guarantee was violated, or 130 if it was interrupted.
@@ -37,7 +40,8 @@
 
     async def run() -> None:
         try:
-            results.append(await run_soak(reactor, seed, seconds, processes, folder))
+            report = await run_soak(reactor, seed, seconds, processes, folder, restores)
+            results.append(report)
         except Exception as error:
             failures.append(error)
         finally:
--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -11,6 +11,7 @@
     from magnoliahold.core.serving.feeds import Feed
     from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
+    from magnoliahold.core.serving.proofs import ConfigurationProof
     from magnoliahold.core.serving.requests import CopyReference
     from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.core.serving.upstreams import UpstreamRecord
@@ -236,6 +237,13 @@
     timeout_s: float
 
 
+@frozen
+class SendProofs:
+    """Sends each entry its proof of the newest configuration, without a guarantee."""
+
+    messages: tuple[tuple[PeerRecord, ConfigurationProof], ...]
+
+
 @frozen
 class SendNotice:
     """Sends a notice to other entries without a guarantee of delivery."""
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -10,6 +10,7 @@
     from magnoliahold.core.serving.feeds import Feed, FeedRow
     from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import LoadNotice
+    from magnoliahold.core.serving.proofs import ConfigurationProof
     from magnoliahold.core.serving.requests import CallerRequest, CopyReference
 
 
@@ -237,6 +238,13 @@
     notice: LoadNotice
 
 
+@frozen
+class ProofReceived:
+    """A proof of the newest configuration was received from another entry."""
+
+    proof: ConfigurationProof
+
+
 @frozen
 class EntryRegistered:
     """The result of writing this entry's registration to the store."""
--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -52,7 +52,9 @@
     clock, which also counts the time while the instance is suspended. `call` is the
     number of the call in progress, 0 if there is none. `failing_since` is when the
     first of the calls was sent that have failed without a success since. `restored` is
-    set from a restore of the store until the first full read after it.
+    set from a restore of the store until the first full read after it. `relayed_at` is
+    when another entry last passed on a proof; it is None once such proofs stay away.
+    With `answer_at_once` the next poll doesn't wait for a change.
     """
 
     feed: Feed
@@ -64,3 +66,5 @@
     failures: int = 0
     failing_since: float | None = None
     restored: bool = False
+    relayed_at: float | None = None
+    answer_at_once: bool = False
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -39,6 +39,16 @@
     copies: int = 0
     tokens: int = 0
 
+    def add(self, other: UpstreamLoad, sign: int = 1) -> UpstreamLoad:
+        """Returns the sum of both loads, or with `sign` -1 the difference."""
+        return UpstreamLoad(
+            self.upstream_id,
+            self.reading + sign * other.reading,
+            self.writing + sign * other.writing,
+            self.copies + sign * other.copies,
+            self.tokens + sign * other.tokens,
+        )
+
 
 @frozen
 class PrefixCacheLocation:
@@ -115,3 +125,21 @@
     registered: bool = False
     next_registration_at: float = 0.0
     next_removal_at: float = 0.0
+
+    def set_notice(self, peer: Peer, notice: LoadNotice | None) -> None:
+        """Replaces the last notice of an entry, and adjusts the sums by the change."""
+        old = peer.notice.loads if peer.notice is not None else ()
+        new = notice.loads if notice is not None else ()
+        peer.notice = notice
+        if old != new:
+            self._add_loads(old, -1)
+            self._add_loads(new, 1)
+
+    def _add_loads(self, loads: tuple[UpstreamLoad, ...], sign: int) -> None:
+        for load in loads:
+            known = self.loads.get(load.upstream_id, UpstreamLoad(load.upstream_id))
+            total = known.add(load, sign)
+            if total == UpstreamLoad(load.upstream_id):
+                self.loads.pop(load.upstream_id, None)
+            else:
+                self.loads[load.upstream_id] = total
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -49,6 +49,25 @@
     restore_grace_s: float = _positive(2.2)
 
 
+@frozen
+class RelayPolicy:
+    """Proofs of the newest configuration that entries pass on.
+
+    From `min_entries` entries on, `readers` of them poll the store for at most
+    `reader_wait_s` and pass on what it proves; the others poll for `follower_wait_s`.
+    They poll anew once their proof is older than `max_age_s`, which is well below the
+    age at which they would not be ready. A poll that was sent less than `min_call_s`
+    ago is not given up.
+    """
+
+    min_entries: int = _positive_int(8)
+    readers: int = _positive_int(2)
+    reader_wait_s: float = _positive(0.6)
+    follower_wait_s: float = _positive(12.0)
+    max_age_s: float = _positive(2.6)
+    min_call_s: float = _positive(0.2)
+
+
 @frozen
 class WatchPolicy:
     """Detection of upstreams that have failed, fallen silent or are slow.
@@ -253,6 +272,7 @@
     """All limits and intervals of a serving entry."""
 
     feeds: FeedPolicy = field(factory=FeedPolicy)
+    relay: RelayPolicy = field(factory=RelayPolicy)
     watch: WatchPolicy = field(factory=WatchPolicy)
     attempts: AttemptPolicy = field(factory=AttemptPolicy)
     budget: BudgetPolicy = field(factory=BudgetPolicy)
--- a/src/magnoliahold/core/serving/systems/configurations.py
+++ b/src/magnoliahold/core/serving/systems/configurations.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.serving.configuration import ListedConfiguration
 from magnoliahold.core.serving.effects import SetCallerLimits
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.systems.proof_relay import pass_on_proof
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import Configuration
@@ -66,6 +67,7 @@
         )
     state = world.feeds[Feed.CONFIGURATION]
     state.proved_at = max(sent_at, state.proved_at or sent_at)
+    pass_on_proof(world)
 
 
 def _is_newest_listed(world: ServingWorld, sent_at: float) -> bool:
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -41,6 +41,10 @@
     remove_peer,
     remove_unlisted_peers,
 )
+from magnoliahold.core.serving.systems.proof_relay import (
+    choose_configuration_wait_s,
+    record_seen_notices,
+)
 from magnoliahold.core.serving.systems.quarantine import (
     apply_quarantine_record,
     schedule_unlisted_quarantines,
@@ -317,7 +321,7 @@
     """Starts the next read of each feed that is due and has none in progress."""
     policy = world.serving_policy.feeds
     waits = {
-        Feed.CONFIGURATION: policy.configuration_wait_s,
+        Feed.CONFIGURATION: choose_configuration_wait_s(world),
         Feed.UPSTREAMS: policy.upstreams_wait_s,
         Feed.PEERS: policy.peers_wait_s,
         Feed.MOVES: policy.moves_wait_s,
@@ -329,7 +333,10 @@
         state.call = world.next_call
         state.called_at = now
         world.next_call += 1
+        if state.feed is Feed.CONFIGURATION:
+            record_seen_notices(world)
         world.emit(_make_call(state, waits[state.feed], world))
+        state.answer_at_once = False
 
 
 def _is_read_needed(world: ServingWorld, state: FeedState) -> bool:
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -22,6 +22,7 @@
     list_evidence,
     list_suspensions,
 )
+from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
 from magnoliahold.core.serving.systems.quarantine import list_quarantined
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
 from magnoliahold.core.serving.systems.upstream_signals import list_leaving
@@ -58,6 +59,8 @@
     if from_copy and peer is not None and _is_heard(world, peer, now):
         peer.unlisted_since = now
         return
+    if peer is not None:
+        world.other_entries.set_notice(peer, None)
     world.other_entries.by_name[record.name] = Peer(record, row_version, now)
     world.other_entries.last_sent_notice = None
     world.log_decision("peers", "Entry registered.", peer=record.name)
@@ -82,7 +85,10 @@
     """
     if name == world.identity.name:
         world.other_entries.registered = False
-    elif world.other_entries.by_name.pop(name, None) is not None:
+        return
+    peer = world.other_entries.by_name.pop(name, None)
+    if peer is not None:
+        world.other_entries.set_notice(peer, None)
         world.log_decision("peers", "Entry removed.", peer=name)
 
 
@@ -161,30 +167,27 @@
 
 
 def apply_notices(world: ServingWorld, now: float) -> None:
-    """Applies the notices of other entries and sums their loads by upstream."""
-    changed = False
+    """Applies the notices of other entries, and forgets old ones."""
     for received in world.inbox.read_events(NoticeReceived):
-        changed |= _apply_notice(world, received.notice, now)
+        _apply_notice(world, received.notice, now)
+    if not world.scan_due:
+        return
+    table = world.other_entries
     retention_s = world.serving_policy.peers.notice_kept_s
-    if world.scan_due:
-        for peer in world.other_entries.by_name.values():
-            if peer.notice and now - (peer.last_received_at or 0.0) > retention_s:
-                peer.notice = None
-                changed = True
-    if changed:
-        world.other_entries.loads = _sum_loads(world)
-    if world.scan_due:
-        _expire_prefix_locations(world, now)
-
-
-def _apply_notice(world: ServingWorld, notice: LoadNotice, now: float) -> bool:
+    for peer in table.by_name.values():
+        if peer.notice and now - (peer.last_received_at or 0.0) > retention_s:
+            table.set_notice(peer, None)
+    _expire_prefix_locations(world, now)
+
+
+def _apply_notice(world: ServingWorld, notice: LoadNotice, now: float) -> None:
     peer = world.other_entries.by_name.get(notice.sender)
     if peer is None or peer.record.incarnation != notice.incarnation:
-        return False
+        return
     if peer.notice is not None and notice.serial <= peer.notice.serial:
-        return False
+        return
     before = set(peer.notice.down) if peer.notice else set()
-    peer.notice = notice
+    world.other_entries.set_notice(peer, notice)
     peer.last_received_at = now
     for location in notice.places:
         record_prefix_location(world, location.part, location.upstream_id, now)
@@ -192,7 +195,6 @@
         upstream = world.upstreams.by_id.get(upstream_id)
         if upstream is not None and upstream.health is UpstreamHealth.HEALTHY:
             mark_suspected(world, upstream, f"{notice.sender} reports it as down", now)
-    return True
 
 
 def record_prefix_location(
@@ -214,21 +216,6 @@
         del locations[part]
 
 
-def _sum_loads(world: ServingWorld) -> dict[str, UpstreamLoad]:
-    sums: dict[str, UpstreamLoad] = {}
-    for peer in world.other_entries.by_name.values():
-        for load in peer.notice.loads if peer.notice else ():
-            known = sums.get(load.upstream_id, UpstreamLoad(load.upstream_id))
-            sums[load.upstream_id] = UpstreamLoad(
-                load.upstream_id,
-                known.reading + load.reading,
-                known.writing + load.writing,
-                known.copies + load.copies,
-                known.tokens + load.tokens,
-            )
-    return sums
-
-
 def count_own_load(upstream: Upstream) -> UpstreamLoad:
     """Counts this entry's load at an upstream."""
     writing = sum(attempt.pieces > 0 for attempt in upstream.attempts.values())
@@ -259,6 +246,7 @@
     table.serial += 1
     table.last_sent_at = now
     table.last_sent_notice = notice
+    record_sent_notice(world, notice.serial)
     peers = tuple(peer.record for peer in table.by_name.values())
     world.emit(SendNotice(peers, notice))
 
@@ -297,6 +285,8 @@
 
 def _is_reported(upstream: Upstream) -> bool:
     """Checks whether to report a load; short calls end before the notice arrives."""
+    if not upstream.attempts:
+        return upstream.copies > 0
     attempts = upstream.attempts.values()
     streams = (item.request.route.kind is RouteKind.STREAM for item in attempts)
     return upstream.copies > 0 or any(streams)
--- a/src/magnoliahold/core/serving/systems/upstream_signals.py
+++ b/src/magnoliahold/core/serving/systems/upstream_signals.py
@@ -16,6 +16,9 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+FORGET_INTERVAL_S = 10.0
+
+
 def apply_upstream_signals(world: ServingWorld, now: float) -> None:
     """Applies what upstreams have said, and what other entries report of them."""
     for signalled in world.inbox.read_events(UpstreamSignalled):
@@ -27,7 +30,8 @@
     for received in world.inbox.read_events(NoticeReceived):
         for start in received.notice.leaving:
             world.upstreams.find_signals(start, now).leaving_reported = True
-    if world.scan_due:
+    if now >= world.upstreams.next_forgetting_at:
+        world.upstreams.next_forgetting_at = now + FORGET_INTERVAL_S
         _forget_old_signals(world, now)
 
 
@@ -35,8 +39,7 @@
     signals = world.upstreams.find_signals(start, now)
     if signals.leaving:
         return
-    signals.leaving = True
-    signals.changed_at = now
+    world.upstreams.mark_leaving(signals, now)
     world.other_entries.send_now = True
     world.emit(CountMetric("upstreams_leaving"))
     world.log_decision(
@@ -70,12 +73,12 @@
         last_needed_at = max(signals.changed_at, signals.backoff_until)
         if start not in registered and now - last_needed_at > kept_s:
             del table.signals[start]
+    table.any_leaving = any(item.leaving for item in table.signals.values())
 
 
 def list_leaving(world: ServingWorld) -> tuple[UpstreamStart, ...]:
-    """Lists the registered upstreams that have said that they are leaving."""
-    return tuple(
-        upstream.start
-        for upstream in world.upstreams.by_id.values()
-        if upstream.leaving
-    )
+    """Lists the upstreams that have said that they are leaving."""
+    if not world.upstreams.any_leaving:
+        return ()
+    signals = world.upstreams.signals
+    return tuple(start for start, item in signals.items() if item.leaving)
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -142,7 +142,8 @@
 
     `last_incident_at` holds when an upstream was last suspected or marked as down, by
     service and data centre. `versions_first_seen_at` is by service and version.
-    `signals` outlives registrations, which may be gone for a while and come back.
+    `signals` outlives registrations, which may be gone for a while and come back;
+    `any_leaving` is unset if none of them says that an upstream is leaving.
     """
 
     by_id: dict[str, Upstream] = field(factory=dict)
@@ -151,6 +152,8 @@
     last_incident_at: dict[tuple[str, str], float] = field(factory=dict)
     versions_first_seen_at: dict[tuple[str, str], float] = field(factory=dict)
     signals: dict[UpstreamStart, UpstreamSignals] = field(factory=dict)
+    any_leaving: bool = False
+    next_forgetting_at: float = 0.0
 
     def put_record(self, record: UpstreamRecord, now: float) -> Upstream:
         """Adds or updates an upstream; one that was restarted is a new upstream."""
@@ -183,8 +186,13 @@
 
     def _record_leaving(self, upstream: Upstream, now: float) -> None:
         if upstream.record.leaving and not upstream.signals.leaving:
-            upstream.signals.leaving = True
-            upstream.signals.changed_at = now
+            self.mark_leaving(upstream.signals, now)
+
+    def mark_leaving(self, signals: UpstreamSignals, now: float) -> None:
+        """Marks a start as leaving until its end."""
+        signals.leaving = True
+        signals.changed_at = now
+        self.any_leaving = True
 
     def _record_version(self, record: UpstreamRecord, now: float) -> None:
         """Records when a version was first seen; those in the first list aren't new."""
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -12,6 +12,7 @@
 from magnoliahold.core.serving.moves import MoveTable
 from magnoliahold.core.serving.peers import PeerTable
 from magnoliahold.core.serving.policy import ServingPolicy
+from magnoliahold.core.serving.proofs import ProofTable
 from magnoliahold.core.serving.requests import RequestTable
 from magnoliahold.core.serving.suspicions import SuspicionTable
 from magnoliahold.core.serving.upstreams import UpstreamTable
@@ -53,6 +54,7 @@
     listed_configuration: ListedConfiguration | None = None
     awaited_configuration: ListedConfiguration | None = None
     store_epoch: StoreEpoch = field(factory=StoreEpoch)
+    proofs: ProofTable = field(factory=ProofTable)
     feeds: dict[Feed, FeedState] = field(factory=_make_feeds)
     upstreams: UpstreamTable = field(factory=UpstreamTable)
     requests: RequestTable = field(factory=RequestTable)
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -12,8 +12,9 @@
 from attrs import define, evolve
 from twisted.internet.protocol import DatagramProtocol
 
-from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.events import NoticeReceived, ProofReceived
 from magnoliahold.core.serving.peers import LoadNotice
+from magnoliahold.core.serving.proofs import ConfigurationProof
 from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
@@ -22,10 +23,13 @@
     from magnoliahold.core.serving.peers import PeerRecord
 
 MAX_ITEMS = 40
+# The first byte of a proof; the encoding of a notice never begins with it.
+PROOF_TAG = b"\xc1"
 
 logger = make_part_logger("peers")
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(LoadNotice)
+_proof_decoder = msgspec.msgpack.Decoder(ConfigurationProof)
 
 
 def encode_notice(notice: LoadNotice) -> bytes:
@@ -57,21 +61,35 @@
             return
         content = encode_notice(notice)
         for peer in peers:
-            try:
-                self.transport.write(content, (peer.address, peer.port))
-            except OSError as error:
-                logger.warning(
-                    "Sending notice failed.", peer=peer.name, reason=str(error)
-                )
+            self._write(peer, content)
+
+    def send_proofs(
+        self, messages: Iterable[tuple[PeerRecord, ConfigurationProof]]
+    ) -> None:
+        """Sends each entry the proof that is meant for it."""
+        for peer, proof in messages:
+            self._write(peer, PROOF_TAG + _encoder.encode(proof))
+
+    def _write(self, peer: PeerRecord, content: bytes) -> None:
+        if self.transport is None:
+            return
+        try:
+            self.transport.write(content, (peer.address, peer.port))
+        except OSError as error:
+            logger.warning("Sending notice failed.", peer=peer.name, reason=str(error))
 
     def handle_datagram(self, content: bytes) -> None:
-        """Posts a received notice; one that can't be decoded is logged and dropped."""
+        """Posts what was received; what can't be decoded is logged and dropped."""
         try:
-            notice = _decoder.decode(content)
+            event: NoticeReceived | ProofReceived
+            if content.startswith(PROOF_TAG):
+                event = ProofReceived(_proof_decoder.decode(content[1:]))
+            else:
+                event = NoticeReceived(_decoder.decode(content))
         except msgspec.MsgspecError as error:
             logger.warning("Notice can't be decoded.", reason=str(error))
             return
-        self.post(NoticeReceived(notice))
+        self.post(event)
 
 
 class NoticeProtocol(DatagramProtocol):
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -179,6 +179,11 @@
     node.ports.store.write_quarantine(effect.record, effect.timeout_s)
 
 
+@perform_effect.register(effects.SendProofs)
+def _send_proofs(effect: effects.SendProofs, node: Node) -> None:
+    node.ports.notices.send_proofs(effect.messages)
+
+
 @perform_effect.register(effects.SendNotice)
 def _send_notice(effect: effects.SendNotice, node: Node) -> None:
     node.ports.notices.send(effect.peers, effect.notice)
--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -21,6 +21,7 @@
     READY_PATH,
     REGISTRATIONS,
     make_configuration,
+    make_order,
     make_registration,
     make_route,
 )
@@ -100,6 +101,7 @@
     outcomes: list[Outcome] = field(factory=list)
     behaviours: dict[str, Behaviour] = field(factory=dict)
     configuration: dict[str, Any] = field(factory=dict)
+    order: tuple[str, str, Any] | None = None
     failed_checks: dict[str, int] = field(factory=dict)
     _store_listener: Listener | None = None
     _readiness_checks: LoopingCall | None = None
@@ -307,6 +309,26 @@
         self.configuration = {**self.configuration, **changes, "version": version}
         self.store.put(*CONFIGURATION_ROW, self.configuration)
 
+    def order_move(self, service: str, version: str, duration_s: float) -> None:
+        """Orders a move of a service to another version."""
+        self.order = make_order(service, version, duration_s)
+        self.store.put(*self.order)
+
+    def rewrite_lost_rows(self) -> None:
+        """Writes again what the operators and the upstreams had written."""
+        current = [(*CONFIGURATION_ROW, self.configuration)]
+        if self.order is not None:
+            current.append(self.order)
+        for table, key, document in current:
+            if self.store.read(table, key) != document:
+                self.store.put(table, key, document)
+        alive = {slot.upstream.id for slot in self.slots if slot.upstream is not None}
+        for slot in self.slots:
+            self.register(slot, "draining" if slot.draining else "ready")
+        for row in list(self.store.rows):
+            if row.table == REGISTRATIONS and row.key not in alive:
+                self.reactor.callLater(2.0, self.store.remove, row.table, row.key)
+
     def kill_processes(self) -> None:
         """Kills the entries; called also when the soak is interrupted."""
         for entry in self.entries:
--- a/src/magnoliahold/soak/faults.py
+++ b/src/magnoliahold/soak/faults.py
@@ -17,7 +17,6 @@
 )
 from magnoliahold.soak.processes import STOP_GRACE_S
 from magnoliahold.soak.proxies import ProxyMode
-from magnoliahold.standins.users.operators import make_order
 from magnoliahold.standins.users.store import StoreState
 from magnoliahold.standins.users.upstreams import Behaviour
 
@@ -75,6 +74,18 @@
     """The store discards its change history."""
 
 
+@frozen
+class RestoreStore:
+    """The store goes away and comes back from a copy that is some seconds old.
+
+    Operators and upstreams write again what it lacks within `rewrite_s`.
+    """
+
+    copy_age_s: float
+    outage_s: float
+    rewrite_s: float
+
+
 @frozen
 class LoseUpstreams:
     """One upstream, or all engines of a data centre, crash and are restarted."""
@@ -141,12 +152,22 @@
 Fault = object
 
 
-def draw_faults(random: Random, count: int) -> list[Fault]:
-    """Draws faults at random; a revocation and a move occur exactly once."""
+def draw_faults(random: Random, count: int, restores: int = 0) -> list[Fault]:
+    """Draws faults at random; a revocation and a move occur exactly once.
+
+    `restores` of the store are added; without them the other draws are the same.
+    """
     drawn = [_draw(random) for _ in range(count)]
     single = [RevokeCredential(), OrderMove(bad=random.random() < 0.6)]
     for fault in single:
         drawn.insert(random.randint(0, len(drawn)), fault)
+    for _ in range(restores):
+        fault = RestoreStore(
+            copy_age_s=random.uniform(0.3, 3.0),
+            outage_s=random.uniform(0.1, 1.5),
+            rewrite_s=random.uniform(0.1, 1.5),
+        )
+        drawn.insert(random.randint(0, len(drawn)), fault)
     return drawn
 
 
@@ -288,6 +309,25 @@
     deployment.store.discard_history()
 
 
+@inject.register
+def _restore_store(fault: RestoreStore, deployment: Deployment) -> None:
+    store, reactor = deployment.store, deployment.reactor
+    copy = store.copy_rows()
+
+    def end_outage() -> None:
+        store.restore(copy)
+        store.state = StoreState.UP
+        reactor.callLater(fault.rewrite_s, deployment.rewrite_lost_rows)
+
+    def begin_outage() -> None:
+        store.state = StoreState.UNAVAILABLE
+        lasting_s = fault.outage_s + fault.rewrite_s + RECOVERY_TIME_S
+        deployment.checker.allow_late_updates(lasting_s)
+        reactor.callLater(fault.outage_s, end_outage)
+
+    reactor.callLater(fault.copy_age_s, begin_outage)
+
+
 @inject.register
 def _lose_upstreams(fault: LoseUpstreams, deployment: Deployment) -> None:
     first = _pick_slot(deployment, fault.service)
@@ -402,7 +442,7 @@
     deployment.behaviours[NEW_VERSION] = Behaviour(failures=failures)
     for number in range(3):
         deployment.add_slot(CALLS, number, NEW_VERSION)
-    deployment.store.put(*make_order(CALLS, NEW_VERSION, MOVE_DURATION_S))
+    deployment.order_move(CALLS, NEW_VERSION, MOVE_DURATION_S)
     if fault.bad:
         since = deployment.reactor.seconds()
         deployment.reactor.callLater(
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -58,7 +58,12 @@
 
 
 async def run_soak(
-    reactor: Any, seed: int, seconds: float, entries: int, folder: Path
+    reactor: Any,
+    seed: int,
+    seconds: float,
+    entries: int,
+    folder: Path,
+    restores: int = 0,
 ) -> SoakReport:
     """Runs one soak and stops everything that it started."""
     random = Random(seed)
@@ -70,7 +75,8 @@
         await _wait_until_ready(reactor, deployment)
         deployment.start_callers()
         await deferLater(reactor, 1.0)
-        for fault in draw_faults(random, round(seconds * FAULTS_PER_S)):
+        count = round(seconds * FAULTS_PER_S)
+        for fault in draw_faults(random, count, restores):
             report.faults[type(fault).__name__] += 1
             inject(fault, deployment)
             await deferLater(reactor, random.uniform(0, 2.0) / FAULTS_PER_S)
--- a/src/magnoliahold/standins/users/store.py
+++ b/src/magnoliahold/standins/users/store.py
@@ -16,6 +16,7 @@
 
 MS_PER_S = 1000.0
 NORMAL_DELAY_S = 0.004
+EPOCH_HEADER = b"Store-Era"
 
 
 class StoreState(Enum):
@@ -49,6 +50,14 @@
     value: bytes | None
 
 
+@frozen
+class StoreCopy:
+    """The rows and the version of a store at one time."""
+
+    version: int
+    rows: dict[RowKey, StoredRow]
+
+
 @define(eq=False)
 class _Poll:
     """A long poll that waits for a change to a table."""
@@ -61,9 +70,13 @@
 
 @define(eq=False)
 class UsersStore(Resource):
-    """Rows that share one version counter; `slow_s` is the delay of slow answers."""
+    """Rows that share one version counter; `slow_s` is the delay of slow answers.
+
+    `epoch` rises by one with each restore from a copy, and all answers name it.
+    """
 
     clock: Clock
+    epoch: int = 1
     state: StoreState = StoreState.UP
     slow_s: float = 0.3
     version: int = 1
@@ -97,6 +110,19 @@
         for poll in list(self._polls):
             self._finish(poll, 410, {})
 
+    def copy_rows(self) -> StoreCopy:
+        """Copies all rows, to restore them later."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replaces all rows by those of a copy; later versions are given out again."""
+        self.epoch += 1
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.oldest = min(self.oldest, copy.version)
+        for poll in list(self._polls):
+            self._finish(poll, 410, {})
+
     def _apply(self, changes: dict[RowKey, bytes | None]) -> int:
         self.version += 1
         for key, value in changes.items():
@@ -152,7 +178,7 @@
         wait_s = int(request.args[b"wait_ms"][0]) / MS_PER_S
         poll = _Poll(request.args[b"table"][0].decode(), after, request)
         self._polls.append(poll)
-        if after < self.oldest:
+        if not self.oldest <= after <= self.version:
             self._finish(poll, 410, {})
         elif self._list_rows(poll.table, after, True):
             self._answer_poll(poll)
@@ -194,6 +220,7 @@
             return
         request.setResponseCode(status)
         request.setHeader(b"Content-Type", b"application/json")
+        request.setHeader(EPOCH_HEADER, str(self.epoch).encode())
         request.write(json.dumps(body).encode())
         request.finish()
 
--- a/tests/core/serving/test_peer_notices.py
+++ b/tests/core/serving/test_peer_notices.py
@@ -56,6 +56,27 @@
         self.harness.request(STREAM, prompt=parts)
         return self.harness.pop_effect(SendAttempt).upstream.id
 
+    def test_sums_of_loads_follow_each_notice(self) -> None:
+        second = PeerRecord("entry-3", "entry-3.a", "10.0.9.3", 7340)
+        self.harness.change(Feed.PEERS, {second.name: second})
+        one = UpstreamLoad(f"{ENGINES}-1", 2, 1, 1, 800)
+        loads = self.harness.world.other_entries.loads
+        self.post_notice(loads=(one,))
+        notice = LoadNotice(second.name, second.incarnation, 1, (one, *OTHERS[1:]))
+        self.harness.post(NoticeReceived(notice))
+        self.assertEqual(loads[one.upstream_id], one.add(one))
+        self.post_notice(loads=())
+        self.assertEqual(loads[one.upstream_id], one)
+        again = PeerRecord("entry-3", "entry-3.b", "10.0.9.3", 7340)
+        for name, change in (("restarted", again), ("removed", None)):
+            with self.subTest(name):
+                self.harness.change(Feed.PEERS, {second.name: change})
+                self.assertEqual(loads, {})
+                if change is not None:
+                    restarted = LoadNotice(again.name, again.incarnation, 1, (one,))
+                    self.harness.post(NoticeReceived(restarted))
+                    self.assertEqual(loads, {one.upstream_id: one})
+
     def test_load_of_other_entries_counts(self) -> None:
         self.post_notice(loads=OTHERS)
         self.assertEqual(self.choose(), f"{ENGINES}-3")
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -4,13 +4,14 @@
 
 import unittest
 
-from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.events import NoticeReceived, ProofReceived
 from magnoliahold.core.serving.peers import (
     LoadNotice,
     PeerRecord,
     PrefixCacheLocation,
     UpstreamLoad,
 )
+from magnoliahold.core.serving.proofs import ConfigurationProof
 from magnoliahold.serving.notices import MAX_ITEMS, NoticePort, encode_notice
 
 NOTICE = LoadNotice(
@@ -45,6 +46,20 @@
         self.port.handle_datagram(encode_notice(NOTICE))
         self.assertEqual(self.posted, [NoticeReceived(NOTICE)])
 
+    def test_each_entry_gets_the_proof_that_is_meant_for_it(self) -> None:
+        peers = (PeerRecord("a", "a.a", "h", 2), PeerRecord("b", "b.a", "h", 3))
+        proofs = tuple(
+            ConfigurationProof("entry-1", peer.incarnation, 7, 5, 1) for peer in peers
+        )
+        self.port.send_proofs(zip(peers, proofs, strict=True))
+        for (content, address), peer, proof in zip(
+            self.port.transport.sent, peers, proofs, strict=True
+        ):
+            self.posted.clear()
+            self.port.handle_datagram(content)
+            self.assertEqual(address, (peer.address, peer.port))
+            self.assertEqual(self.posted, [ProofReceived(proof)])
+
     def test_long_lists_in_a_notice_are_truncated(self) -> None:
         many = tuple(UpstreamLoad(f"upstream-{n}", 1) for n in range(1000))
         self.port.handle_datagram(encode_notice(LoadNotice("e", "e.a", 1, many)))
@@ -53,7 +68,7 @@
         self.assertEqual(len(received.notice.loads), MAX_ITEMS)
 
     def test_invalid_datagrams_are_dropped(self) -> None:
-        for content in (b"", b"\xff\xff", b"{}"):
+        for content in (b"", b"\xff\xff", b"{}", b"\xc1", b"\xc1\x80"):
             with self.subTest(content), self.assertLogs("magnoliahold.peers"):
                 self.port.handle_datagram(content)
         self.assertEqual(self.posted, [])
