--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -17,6 +17,10 @@
 MS_PER_S = 1000.0
 PROOF_MARGIN_S = 0.6
 READY_AGE_SHARE = 0.72
+# Leaves time for an own read before the entry would not be ready.
+RELAY_AGE_SHARE = 0.72
+# Share of the drain time for which changes of registrations may be gathered.
+GATHER_SHARE = 0.3
 ACCEPT_MARGIN_S = 5.0
 # The process itself takes up to a quarter of a second to exit on a small core.
 LIMIT_MARGIN_S = 0.6
@@ -41,7 +45,8 @@
     exit within `stop_grace_s` of the signal to stop. A bad version may get up to
     `exposure_share` of a service's requests plus `exposure_extra`. All entries together
     may retry up to `retry_ratio` of a service's requests within `retry_window_s`, plus
-    `retry_extra`.
+    `retry_extra`. An upstream gets no request later than `drain_ms` after it has
+    registered that it is leaving.
     """
 
     revocation_ms: float = field(
@@ -53,6 +58,9 @@
     retry_ratio: float = field(metadata=checks(require_range(0, 10)), default=0.8)
     retry_extra: float = field(metadata=checks(require_range(0, 1e6)), default=150.0)
     retry_window_s: float = field(metadata=checks(require_range(1, 600)), default=10.0)
+    drain_ms: float = field(
+        metadata=checks(require_range(100, 600_000)), default=2000.0
+    )
 
 
 @frozen
@@ -84,6 +92,13 @@
         policy.feeds,
         proof_max_age_s=max(MIN_LIMIT_S, revocation_s - PROOF_MARGIN_S),
         ready_age_s=revocation_s * READY_AGE_SHARE,
+        gather_max_s=min(
+            policy.feeds.gather_max_s, bounds.drain_ms / MS_PER_S * GATHER_SHARE
+        ),
+    )
+    relay = evolve(
+        policy.relay,
+        max_age_s=min(policy.relay.max_age_s, feeds.ready_age_s * RELAY_AGE_SHARE),
     )
     limit_s = max(MIN_LIMIT_S, bounds.stop_grace_s - LIMIT_MARGIN_S)
     accept_s = min(policy.leave.accept_s, max(MIN_LIMIT_S, limit_s - ACCEPT_MARGIN_S))
@@ -99,4 +114,6 @@
         extra=bounds.retry_extra,
         window_s=bounds.retry_window_s,
     )
-    return evolve(policy, feeds=feeds, leave=leave, moves=moves, budget=budget)
+    return evolve(
+        policy, feeds=feeds, relay=relay, leave=leave, moves=moves, budget=budget
+    )
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -28,6 +28,7 @@
     "bounds.budget_ratio": "0.8",
     "bounds.budget_extra": "150",
     "bounds.budget_window_s": "10",
+    "bounds.drain_ms": "2000",
 }
 # Time from the last log line of a process to its exit, on a small core.
 EXIT_TIME_S = 0.5
@@ -71,6 +72,17 @@
                     parse_serving_settings({**VALID, name: value})
                 self.assertIn(expected, " ".join(list_faults(caught.exception)))
 
+    def test_changes_of_registrations_are_gathered_well_within_the_drain_time(
+        self,
+    ) -> None:
+        for drain_ms in (500, 2000, 4000):
+            with self.subTest(drain_ms=drain_ms):
+                settings = parse_serving_settings(
+                    {**VALID, "bounds": {"drain_ms": drain_ms}}
+                )
+                policy = make_serving_policy(settings)
+                self.assertLess(policy.feeds.gather_max_s, drain_ms / 1000 / 2)
+
     def test_limits_follow_the_bounds_of_the_deployment(self) -> None:
         for revocation_ms, grace_s in ((5000, 8), (2000, 3), (60_000, 60)):
             with self.subTest(revocation_ms=revocation_ms, grace_s=grace_s):
@@ -80,6 +92,7 @@
                 proof_s = policy.feeds.proof_max_age_s
                 self.assertLess(proof_s, revocation_ms / 1000)
                 self.assertLess(policy.feeds.ready_age_s, revocation_ms / 1000)
+                self.assertLess(policy.relay.max_age_s, policy.feeds.ready_age_s)
                 self.assertLessEqual(policy.leave.limit_s, grace_s - EXIT_TIME_S)
                 self.assertLess(policy.leave.accept_s, policy.leave.limit_s)
 
