Estimate the time to a first piece by the size of the prompt

The time that a stream may take was the mean of all of the service; prompts there have from 200 to 17,000 tokens, and a long one takes over 2 s anywhere. Each such move wasted a prompt's reading, slowed the other engine and made the stream late.

Change: a linear model of the time by the size of the prompt, with moving averages; a stream moves only if it has waited for as long as its own prompt takes, and the same time is left. The refusal of streams whose deadline is too near uses it too. Tests that set the mean set the model's mean; their bounds are the same.

--- a/src/magnoliahold/core/serving/systems/completion.py
+++ b/src/magnoliahold/core/serving/systems/completion.py
@@ -94,7 +94,7 @@
     """
     if request.route.kind is not RouteKind.STREAM:
         return ""
-    opening_s = world.mean_opening_by_service.get(request.service, 0.0)
+    opening_s = world.estimate_opening_s(request, 0.0)
     if (
         request.deadline_at - now
         < opening_s * world.serving_policy.attempts.opening_part
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -11,6 +11,7 @@
     StreamEnded,
     StreamOpened,
 )
+from magnoliahold.core.serving.openings import OpeningModel
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
 from magnoliahold.core.serving.systems.completion import finish_stream
@@ -72,11 +73,10 @@
             opening_s = now - attempt.sent_at
             upstream.opening_s = update_moving_average(upstream.opening_s, opening_s)
             count_latency(world, attempt, opening_s)
-            mean_opening_by_service = world.mean_opening_by_service
-            service = attempt.request.service
-            mean_opening_by_service[service] = update_moving_average(
-                mean_opening_by_service.get(service), opening_s
+            model = world.openings.setdefault(
+                attempt.request.service, OpeningModel(opening_s)
             )
+            model.add(attempt.request.prompt_tokens, opening_s)
             world.emit(RecordMetric("first_piece_seconds", opening_s))
     elif attempt.last_piece_at is not None:
         gap_s = (now - attempt.last_piece_at) / count
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -76,7 +76,9 @@
         >= policy.probe_after_s
     ):
         probe(world, attempt.upstream, "a stream has not begun", now)
-    if request.first_piece_late or not _is_last_chance_to_switch(world, request, now):
+    if request.first_piece_late:
+        return
+    if not _is_last_chance_to_switch(world, request, waited_s, now):
         return
     if has_less_loaded_alternative(world, attempt, now):
         request.first_piece_late = True
@@ -84,14 +86,17 @@
 
 
 def _is_last_chance_to_switch(
-    world: ServingWorld, request: ServedRequest, now: float
+    world: ServingWorld, request: ServedRequest, waited_s: float, now: float
 ) -> bool:
-    """Checks whether another upstream can still, but only just, begin in time."""
+    """Checks whether another upstream can still, but only just, begin in time.
+
+    A stream that has not waited for as long as its prompt takes anywhere isn't late.
+    """
     goal_s = request.route.goal_s
     left_s = request.arrived_at + goal_s - now
-    opening_s = world.mean_opening_by_service.get(
-        request.service, goal_s * DEFAULT_OPENING_SHARE
-    )
+    opening_s = world.estimate_opening_s(request, goal_s * DEFAULT_OPENING_SHARE)
+    if waited_s < opening_s:
+        return False
     margin = world.serving_policy.attempts.opening_margin
     return opening_s <= left_s <= opening_s * margin
 
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -26,6 +26,8 @@
         ListedConfiguration,
     )
     from magnoliahold.core.serving.lookups import PromptLookup
+    from magnoliahold.core.serving.openings import OpeningModel
+    from magnoliahold.core.serving.requests import ServedRequest
 
 
 def _make_feeds() -> dict[Feed, FeedState]:
@@ -41,11 +43,11 @@
     is the newest one ever read; an older one never replaces it. `listed_configuration`
     is the one that the store listed last, and `awaited_configuration` the one that it
     has to list again after a restore. `lookups` holds the
-    last prompt lookup of each service. `mean_opening_by_service` and
-    `mean_duration_by_service` are moving averages of the seconds to the first piece and
-    to the end of streams. `started_at` is the time of the first tick. `scan_due` is set
-    in the ticks in which systems check all rows. `deregistered_at` is when the entry
-    removed its registration to stop.
+    last prompt lookup of each service. `openings` estimates the seconds to the first
+    piece of streams by service, and `mean_duration_by_service` is a moving average of
+    the seconds to their end. `started_at` is the time of the first tick. `scan_due` is
+    set in the ticks in which systems check all rows. `deregistered_at` is when the
+    entry removed its registration to stop.
     """
 
     boot_clock: Callable[[], float]
@@ -63,7 +65,7 @@
     suspicions: SuspicionTable = field(factory=SuspicionTable)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     lookups: dict[str, PromptLookup] = field(factory=dict)
-    mean_opening_by_service: dict[str, float] = field(factory=dict)
+    openings: dict[str, OpeningModel] = field(factory=dict)
     mean_duration_by_service: dict[str, float] = field(factory=dict)
     store_offset_s: float | None = None
     started_at: float = 0.0
@@ -89,6 +91,11 @@
             return self.serving_policy.budget.unknown_entries
         return len(self.other_entries.by_name) + 1
 
+    def estimate_opening_s(self, request: ServedRequest, unknown_s: float) -> float:
+        """Estimates the seconds to a request's first piece; `unknown_s` at first."""
+        model = self.openings.get(request.service)
+        return model.estimate_s(request.prompt_tokens) if model else unknown_s
+
     def read_store_time(self) -> float | None:
         """Returns the store's time, in seconds; None before its first answer."""
         if self.store_offset_s is None:
--- a/tests/core/serving/test_peer_notices.py
+++ b/tests/core/serving/test_peer_notices.py
@@ -21,6 +21,7 @@
     UpstreamAnsweredProbe,
 )
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.openings import OpeningModel
 from magnoliahold.core.serving.peers import (
     LoadNotice,
     PeerRecord,
@@ -202,7 +203,7 @@
         self.assertEqual((removal.name, removal.row_version), (PEER.name, 10))
 
     def test_stream_without_time_for_a_first_piece_is_refused_at_once(self) -> None:
-        self.harness.world.mean_opening_by_service[ENGINES] = 1.1
+        self.harness.world.openings[ENGINES] = OpeningModel(1.1)
         self.harness.request(STREAM, timeout_s=0.4)
         self.harness.report_no_prompts()
         refusal = self.harness.pop_effect(RefuseCaller)
--- a/tests/core/serving/test_prefix_lookups.py
+++ b/tests/core/serving/test_prefix_lookups.py
@@ -11,6 +11,7 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import ListPrompts, RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import PromptListFailed, PromptsListed
+from magnoliahold.core.serving.openings import OpeningModel
 from tests.core.serving.harness import ServingHarness
 
 OWN_PART = "own-1"
@@ -55,7 +56,7 @@
             with self.subTest(name):
                 harness = self.harness = ServingHarness()
                 harness.start()
-                harness.world.mean_opening_by_service["engines"] = 1.0
+                harness.world.openings["engines"] = OpeningModel(1.0)
                 asked = self.resume_stream(timeout_s=0.5)
                 for upstream_id in asked:
                     harness.post(PromptsListed(upstream_id, (kept,)))
@@ -70,7 +71,7 @@
         self.assertEqual(self.harness.pop_effects(ListPrompts), [])
 
     def test_first_request_with_too_little_time_needs_a_lookup(self) -> None:
-        self.harness.world.mean_opening_by_service["engines"] = 1.0
+        self.harness.world.openings["engines"] = OpeningModel(1.0)
         self.harness.request(RouteKind.STREAM, timeout_s=0.5)
         asked = self.harness.pop_effects(ListPrompts)
         self.assertEqual(len(asked), 4)
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -22,7 +22,9 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
+from magnoliahold.core.serving.openings import OpeningModel
 from magnoliahold.core.serving.peers import UpstreamLoad
+from magnoliahold.core.serving.requests import PromptPart
 from tests.core.serving.harness import (
     ENGINES,
     ServingHarness,
@@ -248,7 +250,7 @@
             with self.subTest(opening_s=opening_s):
                 harness = ServingHarness()
                 harness.start()
-                harness.world.mean_opening_by_service[ENGINES] = opening_s
+                harness.world.openings[ENGINES] = OpeningModel(opening_s)
                 harness.request(RouteKind.STREAM)
                 harness.send()
                 waited_s = 0.0
@@ -263,6 +265,35 @@
                 else:
                     self.assertAlmostEqual(waited_s, moved_at, delta=0.07)
 
+    def test_stream_with_a_long_prompt_does_not_move_while_it_is_being_read(
+        self,
+    ) -> None:
+        """Reading takes 0.5 s and 0.25 s for each 1,000 tokens; 1.7 s on average.
+
+        A prompt of 12,000 tokens needs 3.5 s, and could not begin in time elsewhere;
+        one of 2,000 needs 1 s, and moves when that is 1.25 times what is left.
+        """
+        for tokens, moved_at in ((12_000, None), (2_000, 3.25)):
+            with self.subTest(tokens=tokens):
+                harness = ServingHarness()
+                harness.start()
+                model = harness.world.openings[ENGINES] = OpeningModel(1.7)
+                for size in (200, 9_000, 1_000, 12_000, 400, 8_000, 200, 7_000) * 3:
+                    model.add(size, 0.5 + size / 4_000)
+                harness.request(RouteKind.STREAM, prompt=(PromptPart("own", tokens),))
+                harness.send()
+                waited_s = 0.0
+                while waited_s < 4.4 and not harness.pop_effects(SendAttempt):
+                    harness.advance(0.02)
+                    waited_s += 0.02
+                    for probe in harness.pop_effects(ProbeServingUpstream):
+                        record = probe.upstream
+                        harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+                if moved_at is None:
+                    self.assertGreaterEqual(waited_s, 4.4)
+                else:
+                    self.assertAlmostEqual(waited_s, moved_at, delta=0.1)
+
     def test_unsent_attempt_does_not_count(self) -> None:
         harness = ServingHarness()
         harness.start()
@@ -282,7 +313,7 @@
         """
         harness = ServingHarness()
         harness.start()
-        harness.world.mean_opening_by_service[ENGINES] = 1.0
+        harness.world.openings[ENGINES] = OpeningModel(1.0)
         harness.request(RouteKind.STREAM)
         first = harness.send()
         harness.advance(2.0)
