Let the soak remember closes that its proxies did not pass on

Its target was not told and still worked, while the check took it for reachable: an entry left a stream that was silent, and the old upstream ran on, which the users' rules allow where the machine doesn't reach it.

Change: the proxy keeps such connections until their target has ended. Tests: test_proxies closes a silenced connection, one in the silent mode and a plain one.

--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -281,14 +281,11 @@
     def is_reachable(self, upstream_id: str) -> bool:
         """Returns whether an upstream is notified when a connection is closed.
 
-        It isn't if its proxy injects a fault or has silenced a connection.
+        It isn't if its proxy injects a fault, or has not passed on a close.
         """
         for slot in self.slots:
             if slot.upstream is not None and slot.upstream.id == upstream_id:
-                silenced = any(
-                    connection.silenced for connection in slot.proxy.connections
-                )
-                return slot.proxy.mode is ProxyMode.PLAIN and not silenced
+                return slot.proxy.passes_on_closes
         return False
 
     def _write_first_configuration(self) -> None:
--- a/src/magnoliahold/soak/proxies.py
+++ b/src/magnoliahold/soak/proxies.py
@@ -31,7 +31,11 @@
 
 @define(eq=False)
 class Proxy:
-    """Forwards a port to another; resets new connections if `target_port` is 0."""
+    """Forwards a port to another; resets new connections if `target_port` is 0.
+
+    `unnotified` holds connections whose target was not told that the client has closed
+    its end, since the proxy passed nothing on at that time.
+    """
 
     reactor: Reactor
     target_port: int
@@ -39,6 +43,7 @@
     delay_s: float = 0.1
     port: int = 0
     connections: set[_ClientConnection] = field(factory=set)
+    unnotified: set[_ClientConnection] = field(factory=set)
     _listener: Any = None
 
     def open(self) -> int:
@@ -52,9 +57,15 @@
 
     def reset_connections(self) -> None:
         """Resets all connections."""
-        for connection in list(self.connections):
+        for connection in [*self.connections, *self.unnotified]:
             connection.abort()
 
+    @property
+    def passes_on_closes(self) -> bool:
+        """Whether the target has learned, and will learn, of each closed connection."""
+        silenced = any(connection.silenced for connection in self.connections)
+        return self.mode is ProxyMode.PLAIN and not silenced and not self.unnotified
+
     def silence_open_connections(self) -> None:
         """Stops forwarding on the open connections permanently; new ones work."""
         for connection in self.connections:
@@ -145,18 +156,24 @@
         self.proxy.connections.discard(self)
         self.closed = True
         silent = self.silenced or self.proxy.mode is ProxyMode.SILENT
-        if self.target is not None and not silent:
+        if self.target is None:
+            return
+        if silent:
+            self.proxy.unnotified.add(self)
+        else:
             self.target.transport.abortConnection()
 
     def abort(self) -> None:
         """Resets both ends."""
         self.proxy.connections.discard(self)
+        self.proxy.unnotified.discard(self)
         for end in (self, self.target):
             if end is not None and end.transport is not None:
                 end.transport.abortConnection()
 
     def close_after_target(self) -> None:
         """Closes the client's connection after the target has closed its own."""
+        self.proxy.unnotified.discard(self)
         transport: Any = self.transport
         if not self.closed and not self.silenced:
             transport.loseConnection()
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -89,6 +89,30 @@
                 )
                 proxy.close()
 
+    @on_loopback
+    async def test_proxy_knows_of_a_close_that_it_did_not_pass_on(self) -> None:
+        """Guards against a target that counts as told of a close, as seen with seed 1.
+
+        A silenced connection, or one in the silent mode, was forgotten as soon as its
+        client had closed it, while its target still worked.
+        """
+        for name in ("silenced", "silent mode", "plain"):
+            with self.subTest(name):
+                proxy, near, far = await self.connect()
+                if name == "silenced":
+                    proxy.silence_open_connections()
+                elif name == "silent mode":
+                    proxy.mode = ProxyMode.SILENT
+                near.transport.abortConnection()
+                await self.wait_until(lambda near=near: near.lost)
+                await self.sleep(0.05)
+                proxy.mode = ProxyMode.PLAIN
+                self.assertEqual(far.lost, name == "plain")
+                self.assertEqual(proxy.passes_on_closes, name == "plain")
+                far.transport.abortConnection()
+                await self.wait_until(lambda proxy=proxy: proxy.passes_on_closes)
+                proxy.close()
+
     @on_loopback
     async def test_reset_closes_both_ends(self) -> None:
         proxy, near, far = await self.connect()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
 SECONDS = 8
 LIMIT_S = 90.0
 SEED = 1
+RESTORE_SEED = 21
 SEEDS_FILE = Path(__file__).with_name("seeds.txt")
 
 
@@ -32,21 +33,31 @@
 
 
 class SoakTests(unittest.TestCase):
+    def run_soak(self, seed: int, restores: int) -> str:
+        """Runs a soak that violates no guarantee, and returns its report."""
+        soak = subprocess.run(
+            [
+                *(sys.executable, "-m", "magnoliahold", "soak"),
+                *("--seed", str(seed), "--seconds", str(SECONDS)),
+                *("--restores", str(restores)),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+        )
+        self.assertEqual(soak.returncode, 0, soak.stdout + soak.stderr)
+        self.assertIn("0 guarantees violated", soak.stdout)
+        self.assertIn("recovery 1", soak.stdout)
+        return soak.stdout
+
     def test_no_guarantee_is_violated(self) -> None:
         for seed in list_seeds():
             with self.subTest(seed=seed):
-                soak = subprocess.run(
-                    [
-                        *(sys.executable, "-m", "magnoliahold", "soak"),
-                        *("--seed", str(seed), "--seconds", str(SECONDS)),
-                    ],
-                    capture_output=True,
-                    text=True,
-                    timeout=LIMIT_S,
-                )
-                self.assertEqual(soak.returncode, 0, soak.stdout + soak.stderr)
-                self.assertIn("0 guarantees violated", soak.stdout)
-                self.assertIn("recovery 1", soak.stdout)
+                self.run_soak(seed, 0)
+
+    def test_no_guarantee_is_violated_by_a_restored_store(self) -> None:
+        report = self.run_soak(RESTORE_SEED, 2)
+        self.assertIn("RestoreStore 2", report)
 
     def test_interrupted_soak_leaves_no_process(self) -> None:
         soak = subprocess.Popen(
