--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -78,7 +78,6 @@
 
     attempt: int
     upstream: UpstreamRecord
-    pool_key: PoolKey
     connection: UpstreamConnection | None = None
     connector: Any = None
     aborted: bool = False
@@ -90,6 +89,11 @@
     body: list[bytes] = field(factory=list)
     pieces: list[Piece] = field(factory=list)
 
+    @property
+    def pool_key(self) -> PoolKey:
+        """The key of the upstream's connections in the pool."""
+        return make_pool_key(self.upstream)
+
 
 @define(eq=False)
 class UpstreamExchanges:
@@ -103,8 +107,8 @@
     def send(self, effect: SendAttempt, content: RequestContent) -> None:
         """Sends a request on a pooled connection, or on a new one."""
         record = effect.upstream
-        pool_key = (record.id, record.address, record.port)
-        exchange = Exchange(effect.attempt, record, pool_key)
+        exchange = Exchange(effect.attempt, record)
+        pool_key = exchange.pool_key
         self._exchanges[effect.attempt] = exchange
         max_idle_s = FRESH_MAX_IDLE_S if effect.fresh_connection else MAX_IDLE_S
         pooled = self.pool.acquire(pool_key, max_idle_s)
@@ -255,8 +259,13 @@
 
         Any answer counts as a success, unless another upstream has the address.
         """
-        pool_key = (record.id, record.address, record.port)
-        _Probe(self, record, UpstreamConnection(self.pool, pool_key), timeout_s).start()
+        connection = UpstreamConnection(self.pool, make_pool_key(record))
+        _Probe(self, record, connection, timeout_s).start()
+
+
+def make_pool_key(record: UpstreamRecord) -> PoolKey:
+    """Makes the key of an upstream's connections in the pool."""
+    return (record.id, record.address, record.port)
 
 
 class _BodyReader(Protocol):
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -9,6 +9,7 @@
 
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
+from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
@@ -39,6 +40,8 @@
     ("a slow head", b"POST /a HTTP/1.1\r\nHost:", 408),
 )
 
+UPSTREAM = UpstreamRecord("i", "s", "h", 1, "z")
+
 
 class Client(Protocol):
     """Collects the bytes that the server sends."""
@@ -110,7 +113,7 @@
     @on_loopback
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         client, handle = await self.send_request(REQUEST + REQUEST)
-        answer = Exchange(1, ("i", "h", 1), status=200, body=[b"first"])
+        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
         self.callers.answer(handle, answer, closing=False)
         await self.wait_until(lambda: len(self.events) == 2)
         second = self.events[1].caller.handle
@@ -128,7 +131,7 @@
         for finish in (True, False):
             with self.subTest(finish=finish):
                 client, handle = await self.send_request(REQUEST)
-                upstream = Exchange(1, ("i", "h", 1), status=200)
+                upstream = Exchange(1, UPSTREAM, status=200)
                 self.callers.open_answer(handle, upstream)
                 self.callers.write_pieces(handle, b"id: 1\n\n")
                 if finish:
@@ -149,7 +152,7 @@
         client.transport.loseConnection()
         await self.wait_until(lambda: len(self.events) == 2)
         self.assertEqual(self.events[1], CallerDisconnected(handle))
-        upstream = Exchange(1, ("i", "h", 1), status=200, body=[b"late"])
+        upstream = Exchange(1, UPSTREAM, status=200, body=[b"late"])
         self.callers.answer(handle, upstream, closing=False)
         self.callers.abort(handle)
 
@@ -164,7 +167,7 @@
         self.callers.close_idle()
         await self.wait_until(lambda: idle.closed)
         self.assertFalse(busy.closed)
-        answer = Exchange(1, ("i", "h", 1), status=200, body=[b"x"])
+        answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
         self.callers.answer(handle, answer, closing=True)
         await self.wait_until(lambda: busy.closed)
         self.assertIn(b"200", busy.received)
