Choose the wait of a poll only when it is sent, and share four small pieces

The end of a backoff was compared in three places, polls of the stand-in store were refused by the same loop twice, and two tests of late streams had the same wait.

Change: the wait is chosen when a call is due; Upstream.backs_off; _refuse_polls; wait_for_move. No decision, bound or assertion changes.

--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -96,7 +96,7 @@
     if not world.scan_due:
         return
     for attempt in world.requests.attempts.values():
-        if not attempt.pieces or not _accepts_orders(attempt.upstream, now):
+        if not attempt.pieces or attempt.upstream.backs_off(now):
             continue
         if _is_holder_lost(world, attempt.copy_holder):
             _replace_holder(world, attempt, now)
@@ -104,11 +104,6 @@
             _renew_copy(world, attempt, attempt.copy_order, now)
 
 
-def _accepts_orders(upstream: Upstream, now: float) -> bool:
-    """Tells whether an upstream may be asked for copies, also while it is leaving."""
-    return upstream.signals.backoff_until <= now
-
-
 def _is_holder_lost(world: ServingWorld, holder: Upstream | None) -> bool:
     if holder is None or holder.health is UpstreamHealth.DOWN or holder.leaving:
         return True
@@ -176,7 +171,7 @@
     while by itself.
     """
     order = attempt.copy_order
-    if order is None or not _accepts_orders(attempt.upstream, now):
+    if order is None or attempt.upstream.backs_off(now):
         return
     if order.reference is not None:
         world.emit(
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -319,14 +319,6 @@
 
 def start_feed_calls(world: ServingWorld, now: float) -> None:
     """Starts the next read of each feed that is due and has none in progress."""
-    policy = world.serving_policy.feeds
-    waits = {
-        Feed.CONFIGURATION: choose_configuration_wait_s(world),
-        Feed.UPSTREAMS: policy.upstreams_wait_s,
-        Feed.PEERS: policy.peers_wait_s,
-        Feed.MOVES: policy.moves_wait_s,
-        Feed.QUARANTINE: 0.0,
-    }
     for state in world.feeds.values():
         if state.call or now < state.next_call_at or not _is_read_needed(world, state):
             continue
@@ -335,10 +327,24 @@
         world.next_call += 1
         if state.feed is Feed.CONFIGURATION:
             record_seen_notices(world)
-        world.emit(_make_call(state, waits[state.feed], world))
+        world.emit(_make_call(state, _choose_wait_s(world, state.feed), world))
         state.answer_at_once = False
 
 
+def _choose_wait_s(world: ServingWorld, feed: Feed) -> float:
+    """Chooses how long the next poll of a feed waits for a change."""
+    if feed is Feed.CONFIGURATION:
+        return choose_configuration_wait_s(world)
+    policy = world.serving_policy.feeds
+    waits = {
+        Feed.UPSTREAMS: policy.upstreams_wait_s,
+        Feed.PEERS: policy.peers_wait_s,
+        Feed.MOVES: policy.moves_wait_s,
+        Feed.QUARANTINE: 0.0,
+    }
+    return waits[feed]
+
+
 def _is_read_needed(world: ServingWorld, state: FeedState) -> bool:
     """Checks whether a feed needs to be read at all.
 
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -26,7 +26,7 @@
     """Probes an upstream unless it backs off, or a probe is in progress or recent."""
     if upstream.probe_sent_at is not None or now < upstream.next_probe_at:
         return
-    if now < upstream.signals.backoff_until:
+    if upstream.backs_off(now):
         return
     policy = world.serving_policy.watch
     upstream.probe_sent_at = now
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -129,7 +129,11 @@
         """Tells whether it may get requests: it neither leaves nor backs off."""
         if self.signals.leaving or self.awaits_sign:
             return False
-        return self.signals.backoff_until <= now
+        return not self.backs_off(now)
+
+    def backs_off(self, now: float) -> bool:
+        """Tells whether it has asked this entry for no requests at present."""
+        return now < self.signals.backoff_until
 
     def adjust_copies(self, count: int, tokens: int) -> None:
         """Adds to the copies that it keeps for this entry; negative values subtract."""
--- a/src/magnoliahold/standins/users/store.py
+++ b/src/magnoliahold/standins/users/store.py
@@ -107,8 +107,7 @@
     def discard_history(self) -> None:
         """Discards the change history, so that feeds have to read all rows again."""
         self.oldest = self.version
-        for poll in list(self._polls):
-            self._finish(poll, 410, {})
+        self._refuse_polls()
 
     def copy_rows(self) -> StoreCopy:
         """Copies all rows, to restore them later."""
@@ -120,6 +119,10 @@
         self.version = copy.version
         self.rows = dict(copy.rows)
         self.oldest = min(self.oldest, copy.version)
+        self._refuse_polls()
+
+    def _refuse_polls(self) -> None:
+        """Tells all waiting polls that their history is gone."""
         for poll in list(self._polls):
             self._finish(poll, 410, {})
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -34,6 +34,21 @@
 )
 
 
+def wait_for_move(harness: ServingHarness) -> float:
+    """Returns the seconds until a stream is sent elsewhere, 4.4 or more if it isn't.
+
+    All probes are answered meanwhile.
+    """
+    waited_s = 0.0
+    while waited_s < 4.4 and not harness.pop_effects(SendAttempt):
+        harness.advance(0.02)
+        waited_s += 0.02
+        for probe in harness.pop_effects(ProbeServingUpstream):
+            record = probe.upstream
+            harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+    return waited_s
+
+
 class StreamTests(unittest.TestCase):
     def setUp(self) -> None:
         self.harness = ServingHarness()
@@ -253,13 +268,7 @@
                 harness.world.openings[ENGINES] = OpeningModel(opening_s)
                 harness.request(RouteKind.STREAM)
                 harness.send()
-                waited_s = 0.0
-                while waited_s < 4.4 and not harness.pop_effects(SendAttempt):
-                    harness.advance(0.02)
-                    waited_s += 0.02
-                    for probe in harness.pop_effects(ProbeServingUpstream):
-                        record = probe.upstream
-                        harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+                waited_s = wait_for_move(harness)
                 if moved_at is None:
                     self.assertGreaterEqual(waited_s, 4.4)
                 else:
@@ -282,13 +291,7 @@
                     model.add(size, 0.5 + size / 4_000)
                 harness.request(RouteKind.STREAM, prompt=(PromptPart("own", tokens),))
                 harness.send()
-                waited_s = 0.0
-                while waited_s < 4.4 and not harness.pop_effects(SendAttempt):
-                    harness.advance(0.02)
-                    waited_s += 0.02
-                    for probe in harness.pop_effects(ProbeServingUpstream):
-                        record = probe.upstream
-                        harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+                waited_s = wait_for_move(harness)
                 if moved_at is None:
                     self.assertGreaterEqual(waited_s, 4.4)
                 else:
