Log the prompt of each request whose connection was reset

The hypotheses of the incident can't be told apart by the logs: they name requests by hashes that no two share, and not whether a request had begun. The new line names the parts of the prompt and the pieces that had come.

--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -34,7 +34,17 @@
 
 def record_reset(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that a connection was reset while a request may have been running."""
-    fingerprint = attempt.request.caller.fingerprint
+    caller = attempt.request.caller
+    world.log_decision(
+        "suspects",
+        "Connection was reset under a request.",
+        request=caller.request_id,
+        upstream=attempt.upstream.id,
+        pieces=attempt.pieces,
+        resumed=attempt.resumed_from is not None,
+        prompt=[f"{part.id}:{part.tokens}" for part in caller.prompt],
+    )
+    fingerprint = caller.fingerprint
     if fingerprint:
         world.suspicions.unsettled_resets.append(
             ConnectionReset(fingerprint, attempt.upstream, now)
