Reproduce parts of prompts that crash one engine after the other

The model runs real worlds of entries on one clock, with engines that crash, stream and keep copies, a store, notices and callers that return. Evidence counts by the whole request, and a crash is dropped if another upstream fails within half a second, so that nothing is ever quarantined.

--- /dev/null
+++ b/tests/core/serving/crashing_parts.py
@@ -0,0 +1,905 @@
+"""Serving entries, engines and callers on a day when parts of prompts crash engines.
+
+Real worlds of entries run on one simulated clock, with a faked store, notices that may
+be lost, engines that stream and callers that return after a refusal. An engine that
+begins to write an answer to a prompt with a deadly part crashes. The results are those
+that callers, engines and the store observe.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from attrs import define, evolve, field, frozen
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import (
+    AbortAnswer,
+    CloseAttempt,
+    CopyKvCache,
+    DeliverPieces,
+    FinishAnswer,
+    FreeCopy,
+    ListPrompts,
+    LongPollFeed,
+    ProbeServingUpstream,
+    ReadFeed,
+    RefuseCaller,
+    RegisterEntry,
+    SendAttempt,
+    SendNotice,
+    WriteQuarantine,
+)
+from magnoliahold.core.serving.events import (
+    AnswerHead,
+    AnswerReceived,
+    AttemptInterrupted,
+    AttemptNotSent,
+    AttemptSent,
+    CopyFailed,
+    EntryRegistered,
+    FeedChanged,
+    FeedFailed,
+    FeedRead,
+    KvCacheCopied,
+    NoticeReceived,
+    PiecesReceived,
+    PromptListFailed,
+    PromptsListed,
+    RequestArrived,
+    StreamEnded,
+    StreamOpened,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
+)
+from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.requests import (
+    CallerRequest,
+    CopyReference,
+    PromptPart,
+)
+from tests.core.serving.harness import (
+    CREDENTIAL,
+    ENGINES,
+    ServingHarness,
+    make_configuration,
+    make_upstream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+STEP_S = 0.05
+EPOCH_S = 100.0
+WARM_UP_S = 3.0
+STORE_CLOCK_OFFSET_S = 1000.0
+STABLE_WINDOW_S = 3.0
+ANSWER_S = 0.01
+
+PROMPT_TOKENS = 8_200
+READ_TOKENS_PER_S = 8_000.0
+PIECES = 150
+PIECE_S = 0.02
+PIECES_AT_ONCE = 5
+COPY_LAG_PIECES = 8
+RESUME_S = 0.06
+ENGINE_COUNT = 9
+DATA_CENTRES = 4
+CALLER_TIMEOUT_S = 25.0
+CONNECT_AGAIN_S = 0.5
+
+FIRST_PART = PromptPart("first", 200)
+POPULAR_PART = PromptPart("popular", 1_500)
+MIDDLE_PARTS = tuple(PromptPart(f"middle-{number}", 1_200) for number in range(6))
+DEADLY_PART_TOKENS = 900
+COMPANION_SHARE = 0.33
+
+
+@frozen
+class Span:
+    """A period of the day, in seconds."""
+
+    start_s: float
+    end_s: float
+
+    def covers(self, seconds: float) -> bool:
+        """Tells whether the period includes a time."""
+        return self.start_s <= seconds < self.end_s
+
+
+@frozen
+class DeadlyPart:
+    """A part that crashes engines, and the requests that hold it.
+
+    It is in requests that arrive within `requested`, `rate_per_s` on average, and is
+    deadly within `deadly`. With `first` it is the first part of the prompt. With `tail`
+    it comes after the middle parts, without it before them. `companions` are parts that
+    each of the requests holds too, and `extra_middle` more that are drawn for each.
+    The first request arrives at the start of `requested`.
+    """
+
+    id: str
+    rate_per_s: float
+    requested: Span = Span(4.0, 26.0)
+    deadly: Span = Span(0.0, 1_000.0)
+    first: bool = False
+    tail: bool = True
+    companions: tuple[PromptPart, ...] = ()
+    extra_middle: int = 1
+
+
+@frozen
+class EngineLoss:
+    """Engines that end without a deadly part: one, or all of a data centre.
+
+    With `silent` their connections don't break but fall silent.
+    """
+
+    at_s: float
+    data_centre: bool = False
+    silent: bool = False
+
+
+@frozen
+class EntryStop:
+    """An entry that is killed and starts again; `start_s` 0 is a first start."""
+
+    entry: int
+    start_s: float
+    end_s: float
+
+
+@frozen
+class Day:
+    """What happens in the run of a fleet; times are in seconds.
+
+    `sound_per_s` requests arrive that hold no deadly part, each with `middle` of the
+    shared middle parts, and with the popular part in `popular_share` of them.
+    A third of those that arrive within `companion_span` hold `held_companions` too.
+    `resets` are when all connections of one engine are reset while it lives on.
+    `head_share` is how often an engine sends the head of its answer before it crashes.
+    """
+
+    deadly: tuple[DeadlyPart, ...] = ()
+    sound_per_s: float = 2.3
+    length_s: float = 30.0
+    entries: int = 4
+    middle: int = 1
+    popular_share: float = 0.33
+    held_companions: tuple[PromptPart, ...] = ()
+    companion_span: Span = Span(0.0, 0.0)
+    losses: tuple[EngineLoss, ...] = ()
+    resets: tuple[float, ...] = ()
+    stops: tuple[EntryStop, ...] = ()
+    notice_loss: float = 0.02
+    store_outage: Span = Span(0.0, 0.0)
+    has_keys: bool = True
+    cut_entry: int = 0
+    cut: Span = Span(0.0, 0.0)
+    head_share: float = 0.0
+
+
+@define(eq=False)
+class Asked:
+    """One request as its caller sees it; a repeat is another one with `first` unset.
+
+    `deadly` is the id of the deadly part that it holds, or empty. `refused_at` and
+    `retry_after_s` are set if it was refused as not run.
+    """
+
+    id: str
+    parts: tuple[PromptPart, ...]
+    arrived_at: float
+    deadline_at: float
+    deadly: str = ""
+    first: bool = True
+    resume_after: int | None = None
+    last_piece: int | None = None
+    began_at: float | None = None
+    refused_at: float | None = None
+    retry_after_s: float | None = None
+    ended_at: float | None = None
+    completed: bool = False
+    origin: Asked | None = None
+
+    @property
+    def root(self) -> Asked:
+        """The caller's first request, of which this is a repeat or itself."""
+        return self.origin or self
+
+
+@define(eq=False)
+class Engine:
+    """One start of an engine's process."""
+
+    record: Any
+    up: bool = True
+    runs: list[Run] = field(factory=list)
+    copies: dict[str, int] = field(factory=dict)
+    cached: set[str] = field(factory=set)
+    read_until: float = 0.0
+
+
+@define(eq=False)
+class Run:
+    """A request at an engine; `last` is the number of the last piece made."""
+
+    entry: Entry
+    send: SendAttempt
+    asked: Asked
+    engine: Engine
+    last: int = 0
+    ended: bool = False
+
+
+@define(eq=False)
+class Entry:
+    """A process of an entry; `polls` are its reads that wait at the store."""
+
+    number: int
+    harness: ServingHarness
+    started_at: float
+    asked: dict[int, Asked] = field(factory=dict)
+    runs: dict[int, Run] = field(factory=dict)
+    events: list[object] = field(factory=list)
+    polls: list[tuple[float, LongPollFeed]] = field(factory=list)
+    alive: bool = True
+    next_handle: int = 1
+
+    @property
+    def name(self) -> str:
+        """The name that the process has in all its starts."""
+        return self.harness.name
+
+
+@frozen
+class Crash:
+    """An engine that ended, and the deadly part that ended it, or an empty text."""
+
+    at_s: float
+    part: str
+
+
+@frozen
+class Sent:
+    """A request with a deadly part that reached an engine."""
+
+    at_s: float
+    part: str
+    in_touch: bool
+
+
+@define
+class Table:
+    """A table of the store: keys with the version and the value of their row."""
+
+    rows: dict[str, tuple[int, Any]] = field(factory=dict)
+
+    def list_rows(self, after: int = 0) -> tuple[FeedRow, ...]:
+        """Lists rows that changed after a version; removed ones too unless it is 0."""
+        return tuple(
+            FeedRow(key, version, value)
+            for key, (version, value) in self.rows.items()
+            if version > after and (after or value is not None)
+        )
+
+
+@define
+class CrashingFleet:
+    """Entries, engines, callers and a store, and what happened to requests."""
+
+    day: Day
+    seed: int
+    now: float = EPOCH_S - WARM_UP_S
+    random: Random = field(init=False)
+    arrivals: Random = field(init=False)
+    entries: list[Entry] = field(factory=list)
+    engines: dict[str, Engine] = field(factory=dict)
+    tables: dict[Feed, Table] = field(factory=lambda: {feed: Table() for feed in Feed})
+    version: int = 10
+    crashes: list[Crash] = field(factory=list)
+    sent: list[Sent] = field(factory=list)
+    requests: list[Asked] = field(factory=list)
+    quarantines: list[float] = field(factory=list)
+    _due: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _serial: Any = field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        self.random = Random(self.seed * 7 + 1)
+        self.arrivals = Random(self.seed * 7 + 2)
+        keys = {} if self.day.has_keys else {"workspaces": ()}
+        self.put_row(Feed.CONFIGURATION, "config", make_configuration(**keys))
+        for number in range(1, ENGINE_COUNT + 1):
+            centre = f"data-centre-{number % DATA_CENTRES}"
+            self._start_engine(make_upstream(number, ENGINES, data_centre=centre))
+        for number in range(1, self.day.entries + 1):
+            self._start_first(number)
+        self._plan_arrivals()
+        self._plan_troubles()
+
+    def _start_first(self, number: int) -> None:
+        for stop in self.day.stops:
+            if stop.entry == number and not stop.start_s:
+                return
+        self._start_entry(number, 1)
+
+    @property
+    def seconds(self) -> float:
+        """The seconds since the start of the day."""
+        return self.now - EPOCH_S
+
+    def run(self) -> CrashingFleet:
+        """Runs the whole day."""
+        self.advance_to(self.day.length_s)
+        return self
+
+    def advance_to(self, seconds: float) -> None:
+        """Advances the clock to a time of the day."""
+        while self.seconds < seconds - STEP_S / 2:
+            self.now += STEP_S
+            while self._due and self._due[0][0] <= self.now:
+                heapq.heappop(self._due)[2]()
+            for entry in list(self.entries):
+                if entry.alive:
+                    self._tick(entry)
+
+    def _tick(self, entry: Entry) -> None:
+        self._answer_polls(entry)
+        events, entry.events = entry.events, []
+        entry.harness.now = self.now
+        entry.harness.post(*events)
+        emitted, entry.harness.emitted = entry.harness.emitted, []
+        for effect in emitted:
+            handler = HANDLERS.get(type(effect))
+            if handler is not None:
+                handler(self, entry, effect)
+
+    def _after(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now + delay_s, next(self._serial), action))
+
+    def _at(self, seconds: float, action: Callable[[], None]) -> None:
+        self._after(EPOCH_S + seconds - self.now, action)
+
+    def _post(self, entry: Entry, event: object, delay_s: float = ANSWER_S) -> None:
+        self._after(delay_s, lambda: entry.events.append(event))
+
+    # Entries
+
+    def _start_entry(self, number: int, incarnation: int) -> None:
+        harness = ServingHarness(
+            name=f"entry-{number}",
+            seed=self.seed * 100 + number * 10 + incarnation,
+            now=self.now,
+        )
+        harness.world.checks_all_rows = False
+        if incarnation > 1 or self.seconds > 0:
+            harness.world.started_at = self.now
+        harness.world.identity = evolve(
+            harness.world.identity, incarnation=f"{harness.name}.{incarnation}"
+        )
+        self.entries = [item for item in self.entries if item.number != number]
+        self.entries.append(Entry(number, harness, self.now))
+
+    def _stop_entry(self, number: int) -> None:
+        for entry in self.entries:
+            if entry.number != number or not entry.alive:
+                continue
+            entry.alive = False
+            for run in list(entry.runs.values()):
+                self._end_run(run)
+            for asked in entry.asked.values():
+                if asked.ended_at is None:
+                    self._end_asked(asked, None)
+
+    def _is_cut(self, entry: Entry) -> bool:
+        return entry.number == self.day.cut_entry and self.day.cut.covers(self.seconds)
+
+    def _is_in_touch(self, entry: Entry) -> bool:
+        """Tells whether the rules with a time bound hold for an entry."""
+        started_in_day = entry.started_at > EPOCH_S - WARM_UP_S
+        if started_in_day and self.now - entry.started_at < STABLE_WINDOW_S:
+            return False
+        cut = self.day.cut
+        window = Span(cut.start_s, cut.end_s + STABLE_WINDOW_S)
+        is_cut = entry.number == self.day.cut_entry and cut.end_s > cut.start_s
+        return not (is_cut and window.covers(self.seconds))
+
+    def _deliver_notice(self, entry: Entry, effect: SendNotice) -> None:
+        names = {peer.name for peer in effect.peers}
+        for other in self.entries:
+            lost = self.random.random() < self.day.notice_loss
+            lost = lost or self._is_cut(entry) or self._is_cut(other)
+            if other.alive and other.name in names and not lost:
+                self._post(other, NoticeReceived(effect.notice))
+
+    # Store
+
+    def put_row(self, feed: Feed, key: str, value: Any) -> None:
+        """Writes a row, or removes it if the value is None."""
+        self.version += 1
+        self.tables[feed].rows[key] = (self.version, value)
+
+    @property
+    def _is_store_away(self) -> bool:
+        return self.day.store_outage.covers(self.seconds)
+
+    def _register_entry(self, entry: Entry, effect: RegisterEntry) -> None:
+        if self._is_store_away:
+            event = EntryRegistered(False, "no answer")
+            self._post(entry, event, effect.timeout_s)
+            return
+        identity = entry.harness.world.identity
+        address = f"10.9.0.{entry.number}"
+        record = PeerRecord(identity.name, identity.incarnation, address, 7)
+        self.put_row(Feed.PEERS, identity.name, record)
+        self._post(entry, EntryRegistered(True))
+
+    def _write_quarantine(self, entry: Entry, effect: WriteQuarantine) -> None:
+        if self._is_store_away:
+            return
+        self.quarantines.append(self.seconds)
+        key = str(attrs.astuple(effect.record, recurse=False)[0])
+        self.put_row(Feed.QUARANTINE, key, effect.record)
+
+    def _read(self, entry: Entry, effect: ReadFeed) -> None:
+        if self._is_store_away:
+            failed = FeedFailed(effect.feed, effect.call, "no answer")
+            self._post(entry, failed, effect.timeout_s)
+            return
+        read = FeedRead(
+            effect.feed,
+            effect.call,
+            self.tables[effect.feed].list_rows(),
+            self.version,
+            self.now,
+            self.now + STORE_CLOCK_OFFSET_S,
+        )
+        self._post(entry, read)
+
+    def _poll(self, entry: Entry, effect: LongPollFeed) -> None:
+        entry.polls.append((self.now, effect))
+
+    def _answer_polls(self, entry: Entry) -> None:
+        polls, entry.polls = entry.polls, []
+        for sent_at, effect in polls:
+            rows = self.tables[effect.feed].list_rows(effect.after)
+            age_s = self.now - sent_at
+            if self._is_store_away:
+                if age_s < effect.timeout_s:
+                    entry.polls.append((sent_at, effect))
+                else:
+                    failed = FeedFailed(effect.feed, effect.call, "no answer")
+                    entry.events.append(failed)
+            elif rows or age_s >= effect.wait_s:
+                changed = FeedChanged(
+                    effect.feed,
+                    effect.call,
+                    rows,
+                    self.version,
+                    sent_at,
+                    self.now + STORE_CLOCK_OFFSET_S,
+                )
+                entry.events.append(changed)
+            else:
+                entry.polls.append((sent_at, effect))
+
+    def _register_engine(self, record: Any, removed: bool = False) -> None:
+        """Writes or removes an engine's registration, later if the store is away."""
+        if self._is_store_away:
+            self._after(0.5, lambda: self._register_engine(record, removed))
+            return
+        current = self.tables[Feed.UPSTREAMS].rows.get(record.id, (0, None))[1]
+        if not removed:
+            self.put_row(Feed.UPSTREAMS, record.id, record)
+        elif current is not None and current.born_ms == record.born_ms:
+            self.put_row(Feed.UPSTREAMS, record.id, None)
+
+    # Engines
+
+    def _start_engine(self, record: Any) -> None:
+        self.engines[record.address] = Engine(record)
+        self._register_engine(record)
+
+    def _crash(self, engine: Engine, part: str = "", silent: bool = False) -> None:
+        if not engine.up:
+            return
+        engine.up = False
+        record = engine.record
+        self.crashes.append(Crash(self.seconds, part))
+        for run in list(engine.runs):
+            self._end_run(run)
+            if not silent:
+                event = AttemptInterrupted(run.send.attempt, "connection reset", True)
+                self._post(run.entry, event)
+        self._after(
+            self.random.uniform(2.0, 3.0), lambda: self._register_engine(record, True)
+        )
+        changes = {"born_ms": int(self.now * 1000)}
+        if self.random.random() < 0.5:
+            changes["id"] = f"{record.id}+"
+        restarted = evolve(record, **changes)
+        self._after(
+            self.random.uniform(1.5, 4.0), lambda: self._start_engine(restarted)
+        )
+
+    def _lose_engines(self, loss: EngineLoss) -> None:
+        running = [engine for engine in self.engines.values() if engine.up]
+        if not running:
+            return
+        chosen = self.random.choice(running)
+        lost = [chosen]
+        if loss.data_centre:
+            centre = chosen.record.data_centre
+            lost = [item for item in running if item.record.data_centre == centre]
+        for engine in lost:
+            self._crash(engine, silent=loss.silent)
+
+    def _reset_connections(self) -> None:
+        engine = self.random.choice(list(self.engines.values()))
+        for run in list(engine.runs):
+            self._end_run(run)
+            event = AttemptInterrupted(run.send.attempt, "connection reset", True)
+            self._post(run.entry, event)
+
+    def _probe(self, entry: Entry, effect: ProbeServingUpstream) -> None:
+        record = effect.upstream
+        engine = self.engines.get(record.address)
+        if engine is not None and engine.up and engine.record.id == record.id:
+            answered = UpstreamAnsweredProbe(record.id, record.born_ms)
+            self._post(entry, answered)
+        else:
+            failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
+            self._post(entry, failed)
+
+    def _list_prompts(self, entry: Entry, effect: ListPrompts) -> None:
+        engine = self.engines.get(effect.upstream.address)
+        event: object = PromptListFailed(effect.upstream.id, "refused")
+        if engine is not None and engine.up:
+            event = PromptsListed(effect.upstream.id, tuple(engine.cached))
+        self._post(entry, event)
+
+    # Runs
+
+    def _send(self, entry: Entry, effect: SendAttempt) -> None:
+        asked = entry.asked[effect.handle]
+        engine = self.engines.get(effect.upstream.address)
+        if engine is None or not engine.up:
+            self._post(entry, AttemptNotSent(effect.attempt, "refused"))
+            return
+        entry.events.append(AttemptSent(effect.attempt))
+        if engine.record.id != effect.upstream.id:
+            head = AnswerHead(421, "", not_run=True, misdirected=True)
+            self._post(entry, AnswerReceived(effect.attempt, head))
+            return
+        if asked.deadly and self._find_deadly(asked):
+            self.sent.append(Sent(self.seconds, asked.deadly, self._is_in_touch(entry)))
+        run = Run(entry, effect, asked, engine)
+        source = effect.copy_source
+        if source is not None and source.key not in engine.copies:
+            head = AnswerHead(503, "", not_run=True)
+            self._post(entry, AnswerReceived(effect.attempt, head))
+            return
+        entry.runs[effect.attempt] = run
+        engine.runs.append(run)
+        run.last = effect.resume_after or 0
+        delay_s = RESUME_S
+        if source is not None:
+            del engine.copies[source.key]
+        else:
+            delay_s = self._count_read_s(engine, asked)
+        self._after(delay_s, lambda: self._begin(run))
+
+    def _count_read_s(self, engine: Engine, asked: Asked) -> float:
+        """Returns when an engine will have read a prompt, prompts one by one."""
+        unread = list(asked.parts)
+        while unread and unread[0].id in engine.cached:
+            unread.pop(0)
+        read_s = sum(part.tokens for part in unread) / READ_TOKENS_PER_S
+        engine.read_until = max(engine.read_until, self.now) + read_s
+        return engine.read_until - self.now + RESUME_S
+
+    def _find_deadly(self, asked: Asked) -> bool:
+        ids = {part.id for part in asked.parts}
+        return any(
+            part.id in ids and part.deadly.covers(self.seconds)
+            for part in self.day.deadly
+        )
+
+    def _begin(self, run: Run) -> None:
+        if run.ended:
+            return
+        head = AnswerHead(200, run.asked.id, signed=True)
+        opened = StreamOpened(run.send.attempt, head)
+        if self._find_deadly(run.asked):
+            if self.random.random() < self.day.head_share:
+                run.entry.events.append(opened)
+            self._crash(run.engine, run.asked.deadly)
+            return
+        run.engine.cached.update(part.id for part in run.asked.parts)
+        run.entry.events.append(opened)
+        self._write_pieces(run, 1)
+
+    def _write_pieces(self, run: Run, count: int) -> None:
+        if run.ended:
+            return
+        count = min(count, PIECES - run.last)
+        run.last += count
+        if count:
+            event = PiecesReceived(run.send.attempt, run.last, count)
+            run.entry.events.append(event)
+        self._back_up(run)
+        if run.last < PIECES:
+            delay_s = PIECES_AT_ONCE * PIECE_S
+            self._after(delay_s, lambda: self._write_pieces(run, PIECES_AT_ONCE))
+            return
+        run.entry.events.append(StreamEnded(run.send.attempt))
+        self._end_run(run)
+
+    def _back_up(self, run: Run) -> None:
+        """Copies what an engine has made to the holder that it was told."""
+        if run.send.copy_to is None or run.last <= COPY_LAG_PIECES:
+            return
+        holder = self.engines.get(run.send.copy_to[0])
+        if holder is not None and holder.up:
+            holder.copies[run.asked.id] = run.last
+
+    def _end_run(self, run: Run) -> None:
+        run.ended = True
+        run.entry.runs.pop(run.send.attempt, None)
+        if run in run.engine.runs:
+            run.engine.runs.remove(run)
+
+    def _close_attempt(self, entry: Entry, effect: CloseAttempt) -> None:
+        run = entry.runs.get(effect.attempt)
+        if run is not None:
+            self._end_run(run)
+
+    def _copy(self, entry: Entry, effect: CopyKvCache) -> None:
+        self._after(0.1, lambda: self._finish_copy(entry, effect))
+
+    def _finish_copy(self, entry: Entry, effect: CopyKvCache) -> None:
+        run = entry.runs.get(effect.attempt)
+        holder = self.engines.get(effect.holder.address)
+        if run is None or holder is None or not holder.up:
+            failed = CopyFailed(effect.attempt, effect.holder.id, "no room")
+            entry.events.append(failed)
+            return
+        key = f"handle-{run.asked.id}"
+        holder.copies[key] = run.last
+        source = run.engine.record
+        copy = CopyReference(source.address, source.port, key)
+        entry.events.append(KvCacheCopied(effect.attempt, effect.holder.id, copy))
+
+    def _free_copy(self, entry: Entry, effect: FreeCopy) -> None:
+        for engine in self.engines.values():
+            engine.copies.pop(effect.copy.key, None)
+
+    # Callers
+
+    def _plan_arrivals(self) -> None:
+        """Draws the arrivals of the day: the sound ones don't depend on the others."""
+        day = self.day
+        last_s = day.length_s - PIECES * PIECE_S - 3.0
+        for at_s in self._draw_times(day.sound_per_s, Span(0.0, last_s)):
+            parts = self._draw_sound_parts(at_s)
+            self._at(at_s, lambda parts=parts: self._ask(parts))  # type: ignore[misc]
+        for part in day.deadly:
+            times = self._draw_times(part.rate_per_s, part.requested)
+            for at_s in (part.requested.start_s, *times):
+                parts = self._draw_deadly_parts(part)
+                self._at(
+                    at_s,
+                    lambda parts=parts, id_=part.id: self._ask(parts, id_),  # type: ignore[misc]
+                )
+
+    def _draw_times(self, rate_per_s: float, span: Span) -> list[float]:
+        times = []
+        at_s = span.start_s + self.arrivals.expovariate(rate_per_s)
+        while at_s < span.end_s:
+            times.append(at_s)
+            at_s += self.arrivals.expovariate(rate_per_s)
+        return times
+
+    def _draw_sound_parts(self, at_s: float) -> tuple[PromptPart, ...]:
+        shared = self.arrivals.sample(MIDDLE_PARTS, self.day.middle)
+        if self.arrivals.random() < self.day.popular_share:
+            shared.append(POPULAR_PART)
+        holds_companions = self.arrivals.random() < COMPANION_SHARE
+        if holds_companions and self.day.companion_span.covers(at_s):
+            shared.extend(self.day.held_companions)
+        return self._add_own_part((FIRST_PART, *shared))
+
+    def _draw_deadly_parts(self, part: DeadlyPart) -> tuple[PromptPart, ...]:
+        deadly = PromptPart(part.id, DEADLY_PART_TOKENS)
+        shared = self.arrivals.sample(MIDDLE_PARTS, part.extra_middle)
+        if self.arrivals.random() < self.day.popular_share:
+            shared.append(POPULAR_PART)
+        shared.extend(part.companions)
+        if part.first:
+            return self._add_own_part((deadly, *shared))
+        if part.tail:
+            return self._add_own_part((FIRST_PART, *shared, deadly))
+        return self._add_own_part((FIRST_PART, deadly, *shared))
+
+    def _add_own_part(self, shared: Iterable[PromptPart]) -> tuple[PromptPart, ...]:
+        parts = tuple(shared)
+        left = PROMPT_TOKENS - sum(part.tokens for part in parts)
+        own = f"own-{self.arrivals.getrandbits(48):x}"
+        return (*parts, PromptPart(own, max(left, 400)))
+
+    def _ask(self, parts: tuple[PromptPart, ...], deadly: str = "") -> None:
+        asked = Asked(
+            f"request-{next(self._serial)}",
+            parts,
+            self.now,
+            self.now + CALLER_TIMEOUT_S,
+            deadly,
+        )
+        self._submit(asked)
+
+    def _submit(self, asked: Asked) -> None:
+        """Sends a request to one of the entries that run, later if none does."""
+        running = [entry for entry in self.entries if entry.alive]
+        if not running:
+            self._after(CONNECT_AGAIN_S, lambda: self._submit(asked))
+            return
+        self.requests.append(asked)
+        entry = self.random.choice(running)
+        handle = entry.next_handle
+        entry.next_handle += 1
+        entry.asked[handle] = asked
+        caller = CallerRequest(
+            handle=handle,
+            request_id=asked.id,
+            method="POST",
+            host="host.example",
+            path=f"/{RouteKind.STREAM.value}/x",
+            credential=CREDENTIAL,
+            timeout_s=asked.deadline_at - self.now,
+            resume_after=asked.resume_after,
+            prompt=asked.parts,
+            fingerprint=f"fingerprint-{asked.parts[-1].id}",
+        )
+        entry.events.append(RequestArrived(caller))
+
+    def _end_asked(self, asked: Asked, retry_after_s: float | None) -> None:
+        """Ends a request without success; its caller repeats it once."""
+        asked.ended_at = self.now
+        left_s = asked.deadline_at - self.now
+        wait_s = 0.2 if retry_after_s is None else min(retry_after_s, left_s / 3)
+        if not asked.first or left_s <= wait_s:
+            return
+        repeat = Asked(
+            f"{asked.id}-again",
+            asked.parts,
+            self.now + wait_s,
+            asked.deadline_at,
+            asked.deadly,
+            first=False,
+            resume_after=asked.last_piece,
+            last_piece=asked.last_piece,
+            origin=asked,
+        )
+        self._after(wait_s, lambda: self._submit(repeat))
+
+    def _deliver(self, entry: Entry, effect: DeliverPieces) -> None:
+        asked = entry.asked[effect.handle]
+        run = entry.runs.get(effect.attempt)
+        asked.began_at = asked.began_at or self.now
+        if run is not None:
+            asked.last_piece = run.last
+
+    def _finish(self, entry: Entry, effect: FinishAnswer) -> None:
+        asked = entry.asked[effect.handle]
+        asked.ended_at = self.now
+        asked.completed = True
+        asked.root.completed = True
+
+    def _refuse(self, entry: Entry, effect: RefuseCaller) -> None:
+        asked = entry.asked[effect.handle]
+        if effect.not_run:
+            asked.refused_at = self.now
+            asked.retry_after_s = effect.retry_after_s
+        self._end_asked(asked, effect.retry_after_s)
+
+    def _abort(self, entry: Entry, effect: AbortAnswer) -> None:
+        self._end_asked(entry.asked[effect.handle], None)
+
+    # Troubles
+
+    def _plan_troubles(self) -> None:
+        for loss in self.day.losses:
+            self._at(loss.at_s, lambda loss=loss: self._lose_engines(loss))  # type: ignore[misc]
+        for at_s in self.day.resets:
+            self._at(at_s, self._reset_connections)
+        for stop in self.day.stops:
+            number = stop.entry
+            if stop.start_s:
+                self._at(stop.start_s, lambda n=number: self._stop_entry(n))  # type: ignore[misc]
+            self._at(stop.end_s, lambda n=number: self._start_entry(n, 2))  # type: ignore[misc]
+
+
+HANDLERS: dict[type, Callable[[CrashingFleet, Entry, Any], None]] = {
+    AbortAnswer: CrashingFleet._abort,
+    CloseAttempt: CrashingFleet._close_attempt,
+    CopyKvCache: CrashingFleet._copy,
+    DeliverPieces: CrashingFleet._deliver,
+    FinishAnswer: CrashingFleet._finish,
+    FreeCopy: CrashingFleet._free_copy,
+    ListPrompts: CrashingFleet._list_prompts,
+    LongPollFeed: CrashingFleet._poll,
+    ProbeServingUpstream: CrashingFleet._probe,
+    ReadFeed: CrashingFleet._read,
+    RefuseCaller: CrashingFleet._refuse,
+    RegisterEntry: CrashingFleet._register_entry,
+    SendAttempt: CrashingFleet._send,
+    SendNotice: CrashingFleet._deliver_notice,
+    WriteQuarantine: CrashingFleet._write_quarantine,
+}
+
+
+@frozen
+class Score:
+    """What a day counts for the rules.
+
+    `late` counts, by deadly part, the requests with it that reached engines later than
+    the stable window after its fifth crash. `judged` is how many sound requests arrived
+    in the time in which the rule counts them, and of these `begun` began at the first
+    attempt and `refused` were refused as not run. `served` of all `sound` requests were
+    completed, repeats included.
+    """
+
+    late: dict[str, int]
+    ended: int
+    judged: int
+    begun: int
+    refused: int
+    sound: int
+    served: int
+
+
+def find_judged_span(fleet: CrashingFleet) -> Span:
+    """Finds the time in which sound requests must begin at their first attempt."""
+    spans = []
+    for part in fleet.day.deadly:
+        times = [crash.at_s for crash in fleet.crashes if crash.part == part.id]
+        if times:
+            at_s = times[min(4, len(times) - 1)]
+            spans.append(Span(at_s + 2 * STABLE_WINDOW_S, part.requested.end_s))
+    if not spans:
+        return Span(0.0, fleet.day.length_s)
+    starts = max(span.start_s for span in spans)
+    return Span(starts, max(span.end_s for span in spans))
+
+
+def score(fleet: CrashingFleet) -> Score:
+    """Counts what the rules count."""
+    span = find_judged_span(fleet)
+    sound = [item for item in fleet.requests if item.first and not item.deadly]
+    judged = [item for item in sound if span.covers(item.arrived_at - EPOCH_S)]
+    return Score(
+        late={part.id: count_late(fleet, part.id) for part in fleet.day.deadly},
+        ended=len(fleet.crashes),
+        judged=len(judged),
+        begun=sum(item.began_at is not None for item in judged),
+        refused=sum(item.refused_at is not None for item in sound),
+        sound=len(sound),
+        served=sum(item.completed for item in sound),
+    )
+
+
+def count_late(fleet: CrashingFleet, part: str) -> int:
+    """Counts sends by entries in touch after the window of a part's fifth crash."""
+    times = [crash.at_s for crash in fleet.crashes if crash.part == part]
+    if len(times) < 5:
+        return 0
+    limit_s = times[4] + STABLE_WINDOW_S
+    return sum(
+        sent.part == part and sent.in_touch and sent.at_s > limit_s
+        for sent in fleet.sent
+    )
