Quarantine what requests that crash engines have in common

Cause: evidence was counted for the fingerprint of a whole request, and no two of these are alike; and a crash was dropped when another engine of the service was lost within half a second, which is the rule while several such requests are about.

Now what three crashes have in common is quarantined, be it a fingerprint, one part or parts that always came together. Only requests that had not begun are under suspicion, begun ones clear their parts, upstreams lost together count once, and what one group explains doesn't count against bystanders. Open requests that have not begun are ended, terms end in a trial of one request.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -7,7 +7,11 @@
 # The codec resolves the types of notices while the process runs.
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
-from magnoliahold.core.serving.suspicions import Crash  # noqa: TC001
+from magnoliahold.core.serving.suspicions import (  # noqa: TC001
+    Clearance,
+    CrashReport,
+    QuarantineRecord,
+)
 from magnoliahold.core.serving.upstreams import UpstreamStart  # noqa: TC001
 from magnoliahold.wire.messages import EvidenceCount  # noqa: TC001
 
@@ -43,7 +47,7 @@
     `serial` increases within an incarnation. `down` lists the upstreams that the sender
     has marked as down, and `places` the upstreams that have read the prompts of its
     open streams. `evidence`, `exposures` and `suspensions` concern moves between
-    versions; `crashes`, `quarantined` and `acquitted` (cleared) concern requests that
+    versions; `crash_reports`, `quarantines` and `clearances` concern requests that
     crash upstreams. `leaving` lists the upstreams that have said that they are leaving.
     """
 
@@ -56,9 +60,9 @@
     evidence: tuple[EvidenceCount, ...] = ()
     exposures: tuple[Exposure, ...] = ()
     suspensions: tuple[Suspension, ...] = ()
-    crashes: tuple[Crash, ...] = ()
-    quarantined: tuple[str, ...] = ()
-    acquitted: tuple[str, ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
+    quarantines: tuple[QuarantineRecord, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
     leaving: tuple[UpstreamStart, ...] = ()
 
 
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -213,20 +213,35 @@
 class SuspicionPolicy:
     """Detection of requests that crash the upstreams that run them.
 
-    A reset connection counts as a crash if the upstream is still down `settle_s` later
-    and no other upstream of the service was lost within `settle_s` of the reset; a
-    reset that is still undecided after `settle_max_s` is discarded. A request with
-    `crashes_to_convict` crashes within `crash_kept_s` is quarantined for
-    `quarantine_s`; its callers may retry after `retry_after_s`.
+    A reset connection counts as a crash if the upstream is down afterwards; a reset
+    that is still undecided after `settle_max_s` is discarded. Crashes within `settle_s`
+    of each other count once, and a request that was given up there within `settle_s` of
+    a crash is under suspicion too. A stream has begun once its upstream has lived on
+    for `begun_after_s` after the first piece. New evidence is evaluated after
+    `gather_s`, in which that of other entries arrives; a report is sent to them for
+    `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in common
+    is quarantined for `quarantine_s`, later for at most `max_quarantine_s`. Then the
+    entries try it in turns of `trial_turn_s`, of which an entry awaits at most
+    `max_trial_turns`. Refused callers may retry after `retry_after_s`. At most
+    `max_reports`, `max_begun` and `max_quarantines` rows are kept.
     """
 
     settle_s: float = _positive(0.5)
     settle_max_s: float = _positive(3.0)
+    begun_after_s: float = _positive(0.3)
+    gather_s: float = _positive(0.1)
+    reported_s: float = _positive(10.0)
     crashes_to_convict: int = _positive_int(3)
-    crash_kept_s: float = _positive(120.0)
-    quarantine_s: float = _positive(600.0)
+    crash_kept_s: float = _positive(90.0)
+    quarantine_s: float = _positive(45.0)
+    max_quarantine_s: float = _positive(3600.0)
+    trial_turn_s: float = _positive(5.0)
+    max_trial_turns: int = _positive_int(6)
     retry_after_s: float = _positive(10.0)
     write_timeout_s: float = _positive(1.0)
+    max_reports: int = _positive_int(256)
+    max_begun: int = _positive_int(4096)
+    max_quarantines: int = _positive_int(256)
 
 
 @frozen
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -7,6 +7,8 @@
 
 from attrs import define, field, frozen
 
+from magnoliahold.core.serving.suspicions import find_suspects
+
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import Route
     from magnoliahold.core.serving.upstreams import Upstream
@@ -100,8 +102,9 @@
     `copy_holder` gets a copy of the KV cache while the attempt runs. The upstream makes
     the copy by itself; once the first holder is lost, copies are ordered, and
     `copy_order` is the state of the orders. `resumed_from` is the copy from which this
-    attempt resumes. `upstream_suspected` is set once its silence has made the upstream
-    suspected. Times are on the process clock.
+    attempt resumes. `begun` is set once its upstream has lived on after the first
+    piece. `upstream_suspected` is set once its silence has made the upstream suspected.
+    Times are on the process clock.
     """
 
     number: int
@@ -117,6 +120,7 @@
     first_piece_at: float | None = None
     last_piece_at: float | None = None
     pieces: int = 0
+    begun: bool = False
     upstream_suspected: bool = False
 
 
@@ -132,7 +136,8 @@
     if none has. `prefers_new_version` tells whether the request goes to the version
     that its service moves to; it is None until a version is chosen. While
     `awaiting_lookup` is set, the request waits to learn which upstream has its prompt
-    in its prefix cache. `prompt_tokens` is the number of tokens of the prompt.
+    in its prefix cache. `prompt_tokens` is the number of tokens of the prompt, and
+    `suspects` what the request may have in common with others that crash upstreams.
     """
 
     caller: CallerRequest
@@ -156,11 +161,16 @@
     awaiting_lookup: bool = False
     prefers_new_version: bool | None = None
     prompt_tokens: int = field(init=False)
+    suspects: frozenset[str] = field(init=False)
 
     @prompt_tokens.default
     def _count_prompt_tokens(self) -> int:
         return sum(part.tokens for part in self.caller.prompt)
 
+    @suspects.default
+    def _find_suspects(self) -> frozenset[str]:
+        return find_suspects(self.caller)
+
     @property
     def handle(self) -> int:
         """The handle of the caller's open exchange."""
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -1,99 +1,153 @@
-"""Requests that are suspected of crashing the upstreams that run them."""
+"""Suspects of crashing the upstreams that run requests with them, and the evidence.
+
+A suspect is something that requests can have in common: the fingerprint of a request
+and its repeats, or a part of a prompt. The last part of a prompt belongs to one request
+or session, and is none.
+"""
 
 from __future__ import annotations
 
-from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from attrs import define, field, frozen
+from xxhash import xxh3_64_hexdigest
 
 if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.core.serving.upstreams import Upstream
 
+MAX_PARTS = 32
+NAME_SEPARATOR = "+"
+# Tells parts of prompts from fingerprints, which are hexadecimal.
+PART_TAG = "p"
+
+ReportKey: TypeAlias = tuple[str, int, str]
+
+
+def find_suspects(caller: CallerRequest) -> frozenset[str]:
+    """Finds what a request may have in common with others that crash upstreams."""
+    parts = caller.prompt[:-1][:MAX_PARTS]
+    suspects = {PART_TAG + xxh3_64_hexdigest(part.id.encode()) for part in parts}
+    if caller.fingerprint:
+        suspects.add(caller.fingerprint)
+    return frozenset(suspects)
+
 
 @frozen
-class Crash:
-    """The loss of an upstream while it ran a request.
+class CrashReport:
+    """A request that had not begun at an upstream when that upstream crashed.
 
-    `fingerprint` is the same for all requests with one path, caller and body.
+    `at` is the time of the crash on the store's clock, in seconds.
     """
 
-    fingerprint: str
     upstream_id: str
     born_ms: int
+    request_id: str
+    suspects: tuple[str, ...]
+    at: float
+
+    @property
+    def key(self) -> ReportKey:
+        """Identifies the report among those of all entries."""
+        return (self.upstream_id, self.born_ms, self.request_id)
+
+    @property
+    def crash(self) -> tuple[str, int]:
+        """Identifies the start of the upstream that crashed."""
+        return (self.upstream_id, self.born_ms)
 
 
 @frozen
-class QuarantineRecord:
-    """A request that is no longer sent to upstreams, as the store keeps it.
+class Clearance:
+    """A request with a suspect has begun at an upstream, which lived on.
 
-    `convicted_at` is when it was quarantined, on the store's clock, in seconds.
+    `at` is when it began, on the store's clock, in seconds.
     """
 
-    fingerprint: str
-    convicted_at: float
+    suspect: str
+    at: float
 
 
 @frozen
-class ConnectionReset:
-    """A connection reset during a request, possibly by a crash of the upstream."""
+class QuarantineRecord:
+    """Suspects that crash upstreams together, as the store and notices keep them.
+
+    `fingerprint` is the name of the quarantine: its suspects, joined. It is in force
+    for `term_s` from `convicted_at`, which is on the store's clock, in seconds. Rows of
+    former releases have no term.
+    """
 
     fingerprint: str
-    upstream: Upstream
-    at: float
+    convicted_at: float
+    term_s: float = 600.0
 
 
 @frozen
-class UpstreamLoss:
-    """An upstream that was marked as down."""
+class UnsettledReport:
+    """A report of a connection reset, until it is known whether the upstream crashed.
 
-    upstream_id: str
-    service: str
+    `at` is on the process clock.
+    """
+
+    report: CrashReport
+    upstream: Upstream
     at: float
 
 
 @define
-class Suspicion:
-    """The crashes counted against one fingerprint, with when each became known.
+class Quarantine:
+    """Requests with all of the `suspects` are refused for `term_s`.
 
-    `quarantined_until` is None unless the fingerprint is quarantined. `unlisted_since`
-    is set while a restored store lacks the quarantine. Times are on the process clock,
-    but `convicted_at` is on the store's.
+    After that they are on trial: each entry sends one at a time, until one has begun
+    or crashed its upstream. `convicted_at` is on the store's clock, in seconds, and
+    `unlisted_since` on the process clock; that is set while a restored store lacks it.
     """
 
-    crashes: dict[Crash, float] = field(factory=dict)
-    quarantined_until: float | None = None
-    convicted_at: float | None = None
+    suspects: frozenset[str]
+    convicted_at: float
+    term_s: float
     unlisted_since: float | None = None
 
+    @property
+    def name(self) -> str:
+        """The name of the row that keeps it."""
+        return name_suspects(self.suspects)
+
+    @property
+    def record(self) -> QuarantineRecord:
+        """The quarantine as the store and notices keep it."""
+        return QuarantineRecord(self.name, self.convicted_at, self.term_s)
+
+
+def name_suspects(suspects: frozenset[str]) -> str:
+    """Joins suspects to a name that is the same at all entries."""
+    return NAME_SEPARATOR.join(sorted(suspects))
+
 
 @define
 class SuspicionTable:
-    """Suspicions by fingerprint, and the connection resets that are still undecided.
-
-    `observed_crashes` holds the crashes that this entry observed itself, and
-    `cleared_fingerprints` the fingerprints of requests that an upstream has answered.
-    `recent_losses` holds the upstreams that were lost recently: if several were lost
-    together, no request is suspected.
+    """Evidence about suspects, and the quarantines that follow from it.
+
+    `reports` are those of all entries, and `own_reports` the keys of this entry's.
+    `departures` are requests that left an upstream before they began there.
+    `begun_at` holds when a request with a suspect last began, on the store's clock, the
+    latest last, and `reported_clearances` what other entries are told of that. The
+    `watched` suspects lack one crash to be quarantined. `evaluation_at` is set while
+    new evidence is not evaluated, on the process clock.
     """
 
-    by_fingerprint: dict[str, Suspicion] = field(factory=dict)
-    unsettled_resets: list[ConnectionReset] = field(factory=list)
-    observed_crashes: dict[Crash, float] = field(factory=dict)
-    cleared_fingerprints: dict[str, float] = field(factory=dict)
-    recent_losses: deque[UpstreamLoss] = field(factory=deque)
-
-    def get_or_create(self, fingerprint: str) -> Suspicion:
-        """Returns the suspicion of a fingerprint; creates it if there is none."""
-        return self.by_fingerprint.setdefault(fingerprint, Suspicion())
-
-    def count_crashes(self, fingerprint: str) -> int:
-        """Counts the crashes recorded against a fingerprint."""
-        suspicion = self.by_fingerprint.get(fingerprint)
-        return len(suspicion.crashes) if suspicion else 0
-
-    def is_quarantined(self, fingerprint: str, now: float) -> bool:
-        """Tells whether requests with a fingerprint are refused."""
-        suspicion = self.by_fingerprint.get(fingerprint)
-        until = suspicion.quarantined_until if suspicion else None
-        return until is not None and now < until
+    reports: dict[ReportKey, CrashReport] = field(factory=dict)
+    own_reports: set[ReportKey] = field(factory=set)
+    unsettled_resets: list[UnsettledReport] = field(factory=list)
+    departures: list[UnsettledReport] = field(factory=list)
+    begun_at: dict[str, float] = field(factory=dict)
+    reported_clearances: dict[str, float] = field(factory=dict)
+    watched: frozenset[str] = frozenset()
+    quarantines: dict[str, Quarantine] = field(factory=dict)
+    evaluation_at: float | None = None
+
+    def is_suspected(self, suspect: str) -> bool:
+        """Tells whether there is a report or a quarantine of a suspect."""
+        return any(
+            suspect in report.suspects for report in self.reports.values()
+        ) or any(suspect in item.suspects for item in self.quarantines.values())
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.serving.effects import RefuseCaller
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.requests import ServedRequest
+from magnoliahold.core.serving.suspicions import find_suspects
 from magnoliahold.core.serving.systems.completion import (
     cancel_request,
     choose_retry_after,
@@ -18,6 +19,8 @@
     needs_prefix_lookup,
     start_prefix_lookup,
 )
+from magnoliahold.core.serving.systems.quarantine import is_refused
+from magnoliahold.core.serving.systems.quarantine_stops import REFUSAL_REASON
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -57,10 +60,9 @@
         if workspace is None:
             _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
             return
-    if world.suspicions.is_quarantined(caller.fingerprint, now):
+    if world.suspicions.quarantines and is_refused(world, find_suspects(caller)):
         retry_after_s = world.serving_policy.suspicion.retry_after_s
-        reason = "such requests crash upstreams"
-        _refuse(world, caller, UNAVAILABLE, reason, retry_after_s)
+        _refuse(world, caller, UNAVAILABLE, REFUSAL_REASON, retry_after_s)
         return
     request = _make_request(world, caller, route, workspace, now)
     needs_lookup = needs_prefix_lookup(world, request, now)
--- a/src/magnoliahold/core/serving/systems/completion.py
+++ b/src/magnoliahold/core/serving/systems/completion.py
@@ -15,7 +15,7 @@
 )
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.copies import free_copy
-from magnoliahold.core.serving.systems.quarantine import clear_suspicion
+from magnoliahold.core.serving.systems.crashes import record_departure
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
@@ -33,7 +33,6 @@
     world: ServingWorld, request: ServedRequest, attempt: int, status: int, now: float
 ) -> None:
     """Sends a caller the complete answer of an upstream."""
-    clear_suspicion(world, request)
     closing = world.leaving_since is not None
     world.emit(DeliverAnswer(request.handle, attempt, closing))
     _end_request(world, request, "answered", now, status=status)
@@ -41,7 +40,6 @@
 
 def finish_stream(world: ServingWorld, request: ServedRequest, now: float) -> None:
     """Ends a caller's stream after its last piece."""
-    clear_suspicion(world, request)
     world.emit(FinishAnswer(request.handle, world.leaving_since is not None))
     _end_request(world, request, "completed", now, status=200)
 
@@ -60,7 +58,7 @@
     """
     if request.attempt is not None:
         free_copy(world, request.attempt, now)
-        close_attempt(world, request.attempt)
+        close_attempt(world, request.attempt, now)
     if request.answer_started:
         world.emit(AbortAnswer(request.handle))
         _end_request(world, request, "cut", now, reason=reason)
@@ -114,8 +112,9 @@
     return round(earliest_s + spread_s + mean * world.random.uniform(0.6, 1.4), 3)
 
 
-def close_attempt(world: ServingWorld, attempt: Attempt) -> None:
+def close_attempt(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Closes an attempt's connection; a request that was sent may have run."""
+    record_departure(world, attempt, now)
     if attempt.state is not AttemptState.CONNECTING:
         attempt.request.may_have_run = True
     world.requests.end_attempt(attempt)
@@ -126,7 +125,7 @@
     """Cancels the request of a caller that has disconnected."""
     if request.attempt is not None:
         free_copy(world, request.attempt, now)
-        close_attempt(world, request.attempt)
+        close_attempt(world, request.attempt, now)
     _end_request(world, request, "caller left", now)
 
 
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -0,0 +1,235 @@
+"""Gathers evidence about requests that crash the upstreams that run them.
+
+A request is under suspicion if its upstream crashed before it began there: one that
+has begun doesn't crash its upstream any more. Entries share what they observe, and
+also when a suspect has begun somewhere.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.suspicions import (
+    NAME_SEPARATOR,
+    Clearance,
+    CrashReport,
+    UnsettledReport,
+)
+from magnoliahold.core.serving.upstreams import UpstreamHealth
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.world import ServingWorld
+
+
+def record_reset(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Records that the connection of an attempt was reset.
+
+    Only a request that had not begun there may have crashed the upstream.
+    """
+    caller = attempt.request.caller
+    world.log_decision(
+        "suspects",
+        "Connection was reset under a request.",
+        request=caller.request_id,
+        upstream=attempt.upstream.id,
+        pieces=attempt.pieces,
+        resumed=attempt.resumed_from is not None,
+        prompt=",".join(f"{part.id}:{part.tokens}" for part in caller.prompt),
+    )
+    if attempt.pieces:
+        return
+    unsettled = _make_unsettled(world, attempt, now)
+    if unsettled is not None:
+        world.suspicions.unsettled_resets.append(unsettled)
+
+
+def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Records that an attempt is given up; the upstream may crash by it even so."""
+    if attempt.pieces or attempt.state is AttemptState.CONNECTING:
+        return
+    unsettled = _make_unsettled(world, attempt, now)
+    if unsettled is not None:
+        world.suspicions.departures.append(unsettled)
+
+
+def _make_unsettled(
+    world: ServingWorld, attempt: Attempt, now: float
+) -> UnsettledReport | None:
+    request = attempt.request
+    store_time = world.read_store_time()
+    if store_time is None or not request.suspects:
+        return None
+    record = attempt.upstream.record
+    report = CrashReport(
+        record.id,
+        record.born_ms,
+        request.id,
+        tuple(sorted(request.suspects)),
+        round(store_time, 3),
+    )
+    return UnsettledReport(report, attempt.upstream, now)
+
+
+def record_begin(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Records that a request has begun at an upstream, which lives on.
+
+    A call that was answered has begun after it was sent.
+    """
+    begun_at = attempt.first_piece_at or attempt.sent_at
+    store_time = world.read_store_time()
+    if begun_at is None or store_time is None:
+        return
+    at = round(store_time - (now - begun_at), 3)
+    for suspect in attempt.request.suspects:
+        add_clearance(world, Clearance(suspect, at), now)
+
+
+def add_clearance(world: ServingWorld, clearance: Clearance, now: float) -> None:
+    """Adds that a suspect has begun; crashes before that are not by it alone."""
+    table = world.suspicions
+    before = table.begun_at.pop(clearance.suspect, None)
+    at = clearance.at if before is None else max(before, clearance.at)
+    table.begun_at[clearance.suspect] = at
+    if len(table.begun_at) > world.serving_policy.suspicion.max_begun:
+        del table.begun_at[next(iter(table.begun_at))]
+    if at != before and table.is_suspected(clearance.suspect):
+        schedule_evaluation(world, now)
+
+
+def add_report(world: ServingWorld, report: CrashReport, now: float) -> None:
+    """Adds a report of this or another entry; the oldest is dropped beyond a limit."""
+    table = world.suspicions
+    if report.key in table.reports:
+        return
+    table.reports[report.key] = report
+    if len(table.reports) > world.serving_policy.suspicion.max_reports:
+        oldest = next(iter(table.reports))
+        del table.reports[oldest]
+        table.own_reports.discard(oldest)
+    schedule_evaluation(world, now)
+    world.log_decision(
+        "suspects",
+        "Upstream crashed under a request that had not begun.",
+        request=report.request_id,
+        upstream=report.upstream_id,
+        suspects=NAME_SEPARATOR.join(report.suspects),
+    )
+
+
+def schedule_evaluation(world: ServingWorld, now: float) -> None:
+    """Has the evidence evaluated once that of other entries has had time to arrive."""
+    table = world.suspicions
+    if table.evaluation_at is None:
+        table.evaluation_at = now + world.serving_policy.suspicion.gather_s
+
+
+def gather_evidence(world: ServingWorld, now: float) -> None:
+    """Applies the evidence of other entries, and settles resets of this one."""
+    for received in world.inbox.read_events(NoticeReceived):
+        for clearance in received.notice.clearances:
+            add_clearance(world, clearance, now)
+        for report in received.notice.crash_reports:
+            add_report(world, report, now)
+    if not world.scan_due:
+        return
+    _settle_resets(world, now)
+    _settle_departures(world, now)
+    _expire_reports(world)
+
+
+def _settle_resets(world: ServingWorld, now: float) -> None:
+    """Reports the resets of upstreams that are down; one that answers has not crashed.
+
+    An upstream that was leaving has ended as planned.
+    """
+    table = world.suspicions
+    settle_max_s = world.serving_policy.suspicion.settle_max_s
+    unsettled = []
+    for item in table.unsettled_resets:
+        health = item.upstream.health
+        if health is UpstreamHealth.DOWN and not item.upstream.leaving:
+            _add_own_report(world, item, now)
+        elif health is UpstreamHealth.SUSPECTED and now - item.at <= settle_max_s:
+            unsettled.append(item)
+    table.unsettled_resets = unsettled
+
+
+def _settle_departures(world: ServingWorld, now: float) -> None:
+    """Reports departures from upstreams that crashed right after them."""
+    table = world.suspicions
+    if not table.departures:
+        return
+    settle_s = world.serving_policy.suspicion.settle_s
+    crashed_at = {item.crash: item.at for item in table.reports.values()}
+    open_departures = []
+    for item in table.departures:
+        at = crashed_at.get(item.report.crash)
+        if at is not None and abs(at - item.report.at) <= settle_s:
+            _add_own_report(world, item, now)
+        elif now - item.at <= world.serving_policy.suspicion.settle_max_s:
+            open_departures.append(item)
+    table.departures = open_departures
+
+
+def _add_own_report(world: ServingWorld, item: UnsettledReport, now: float) -> None:
+    if item.report.key in world.suspicions.reports:
+        return
+    world.suspicions.own_reports.add(item.report.key)
+    world.other_entries.send_now = True
+    add_report(world, item.report, now)
+
+
+def _expire_reports(world: ServingWorld) -> None:
+    table = world.suspicions
+    store_time = world.read_store_time()
+    if store_time is None or not table.reports:
+        return
+    retention_s = world.serving_policy.suspicion.crash_kept_s
+    for key, report in list(table.reports.items()):
+        if store_time - report.at > retention_s:
+            del table.reports[key]
+            table.own_reports.discard(key)
+    if not table.reports:
+        table.reported_clearances.clear()
+        table.watched = frozenset()
+
+
+def list_crash_reports(world: ServingWorld) -> tuple[CrashReport, ...]:
+    """Lists this entry's recent reports, for notices."""
+    table = world.suspicions
+    store_time = world.read_store_time()
+    if not table.own_reports or store_time is None:
+        return ()
+    since = store_time - world.serving_policy.suspicion.reported_s
+    own = (table.reports[key] for key in table.own_reports)
+    recent = (report for report in own if report.at >= since)
+    return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
+
+
+def list_clearances(world: ServingWorld) -> tuple[Clearance, ...]:
+    """Lists the suspects that have begun, for notices.
+
+    A popular suspect begins all the time; it is listed anew only when that clears it of
+    another crash.
+    """
+    table = world.suspicions
+    newest: dict[str, float] = {}
+    for report in table.reports.values():
+        for suspect in report.suspects:
+            newest[suspect] = max(report.at, newest.get(suspect, report.at))
+    for suspect, crashed_at in newest.items():
+        begun_at = table.begun_at.get(suspect)
+        reported_at = table.reported_clearances.get(suspect)
+        if begun_at is None:
+            continue
+        if reported_at is None or reported_at < crashed_at <= begun_at:
+            table.reported_clearances[suspect] = begun_at
+    clearances = [
+        Clearance(suspect, at)
+        for suspect, at in table.reported_clearances.items()
+        if suspect in newest
+    ]
+    return tuple(sorted(clearances, key=lambda item: (item.at, item.suspect)))
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -13,7 +13,7 @@
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
 from magnoliahold.core.serving.systems.completion import deliver_answer
-from magnoliahold.core.serving.systems.quarantine import record_reset
+from magnoliahold.core.serving.systems.crashes import record_begin, record_reset
 from magnoliahold.core.serving.systems.retries import (
     count_outcome,
     fail_sent_attempt,
@@ -85,6 +85,7 @@
         return
     if not failed:
         _record_duration(world, attempt, now)
+    record_begin(world, attempt, now)
     world.requests.end_attempt(attempt)
     deliver_answer(world, request, attempt.number, head.status, now)
 
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -22,8 +22,12 @@
     list_evidence,
     list_suspensions,
 )
+from magnoliahold.core.serving.systems.crashes import (
+    list_clearances,
+    list_crash_reports,
+)
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
-from magnoliahold.core.serving.systems.quarantine import list_quarantined
+from magnoliahold.core.serving.systems.quarantine import list_quarantines
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
 from magnoliahold.core.serving.systems.upstream_signals import list_leaving
 from magnoliahold.core.serving.upstreams import UpstreamHealth
@@ -278,9 +282,9 @@
             if not move.ended
         ),
         suspensions=list_suspensions(world),
-        crashes=tuple(world.suspicions.observed_crashes),
-        quarantined=list_quarantined(world),
-        acquitted=tuple(world.suspicions.cleared_fingerprints),
+        crash_reports=list_crash_reports(world),
+        quarantines=list_quarantines(world),
+        clearances=list_clearances(world),
         leaving=list_leaving(world),
     )
 
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -16,6 +16,7 @@
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
 from magnoliahold.core.serving.systems.completion import finish_stream
 from magnoliahold.core.serving.systems.copies import free_copy
+from magnoliahold.core.serving.systems.crashes import record_begin
 from magnoliahold.core.serving.systems.outcomes import answers_other_request
 from magnoliahold.core.serving.systems.peer_notices import record_prefix_location
 from magnoliahold.core.serving.systems.retries import count_outcome, fail_sent_attempt
@@ -81,17 +82,28 @@
     elif attempt.last_piece_at is not None:
         gap_s = (now - attempt.last_piece_at) / count
         upstream.gap_s = update_moving_average(upstream.gap_s, gap_s)
+    _record_begin_once(world, attempt, now)
     attempt.last_piece_at = now
     attempt.last_received_at = now
     attempt.pieces += count
 
 
+def _record_begin_once(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    """Records that a stream has begun, once its upstream has lived on for a while."""
+    if attempt.begun or attempt.first_piece_at is None:
+        return
+    if now - attempt.first_piece_at >= world.serving_policy.suspicion.begun_after_s:
+        attempt.begun = True
+        record_begin(world, attempt, now)
+
+
 def end_streams(world: ServingWorld, now: float) -> None:
     """Finishes the answers of streams that were completed."""
     for ended in world.inbox.read_events(StreamEnded):
         attempt = world.requests.attempts.get(ended.attempt)
         if attempt is not None:
             count_outcome(world, attempt, False, now)
+            record_begin(world, attempt, now)
             world.requests.end_attempt(attempt)
             world.emit(CloseAttempt(attempt.number))
             free_copy(world, attempt, now)
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -1,203 +1,274 @@
-"""Detects poison requests, which crash the upstreams that run them, and blocks them.
+"""Quarantines what crashes the upstreams that run it.
 
-If a single upstream fails, the requests that it ran are suspected; upstreams that fail
-together have another cause. Entries share the crashes that they observed, so that
-three of them (`crashes_to_convict`) lead to a quarantine, whichever entries observed
-them. A request that an upstream has answered is cleared, which is shared too.
-Quarantines are also kept in the store, for entries that start later.
+After `crashes_to_convict` crashes that have suspects in common, requests with all of
+these are refused. Entries share quarantines, and keep them in the store for entries
+that start later. Once its term is over, a quarantine is on trial: each entry in its
+turn lets one request through at a time. If an upstream crashes under one, the
+quarantine is in force again for twice as long; if one begins, it ends.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.moves import count_ranked_before
+from magnoliahold.core.serving.convictions import (
+    count_by_suspect,
+    find_convictions,
+    gather_crashes,
+)
 from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.events import NoticeReceived
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.suspicions import (
-    ConnectionReset,
-    Crash,
-    QuarantineRecord,
-    UpstreamLoss,
+    NAME_SEPARATOR,
+    Quarantine,
+    name_suspects,
 )
 from magnoliahold.core.serving.systems.turns import find_turn_s
-from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.requests import Attempt, ServedRequest
-    from magnoliahold.core.serving.upstreams import Upstream
+    from collections.abc import Iterable
+
+    from magnoliahold.core.serving.convictions import CrashEvidence
+    from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.core.serving.world import ServingWorld
 
-T = TypeVar("T")
 
+def is_refused(
+    world: ServingWorld,
+    suspects: frozenset[str],
+    request: ServedRequest | None = None,
+) -> bool:
+    """Tells whether a request with these suspects is refused now.
 
-def record_reset(world: ServingWorld, attempt: Attempt, now: float) -> None:
-    """Records that a connection was reset while a request may have been running."""
-    caller = attempt.request.caller
-    world.log_decision(
-        "suspects",
-        "Connection was reset under a request.",
-        request=caller.request_id,
-        upstream=attempt.upstream.id,
-        pieces=attempt.pieces,
-        resumed=attempt.resumed_from is not None,
-        prompt=[f"{part.id}:{part.tokens}" for part in caller.prompt],
+    `request` is None before it was admitted.
+    """
+    return any(
+        quarantine.suspects <= suspects
+        and not _is_free_to_try(world, quarantine, request)
+        for quarantine in world.suspicions.quarantines.values()
     )
-    fingerprint = caller.fingerprint
-    if fingerprint:
-        world.suspicions.unsettled_resets.append(
-            ConnectionReset(fingerprint, attempt.upstream, now)
-        )
 
 
-def record_upstream_loss(world: ServingWorld, upstream: Upstream, now: float) -> None:
-    """Records that an upstream was marked down."""
-    world.suspicions.recent_losses.append(
-        UpstreamLoss(upstream.id, upstream.record.service, now)
+def must_wait_for_trial(world: ServingWorld, request: ServedRequest) -> bool:
+    """Tells whether a request waits until another one with a watched suspect begins.
+
+    One more crash decides about such suspects, so it takes only one request.
+    """
+    watched = world.suspicions.watched & request.suspects
+    return any(_has_unbegun_attempt(world, {item}, request) for item in watched)
+
+
+def _is_free_to_try(
+    world: ServingWorld, quarantine: Quarantine, request: ServedRequest | None
+) -> bool:
+    """Tells whether a quarantine is on trial, and no other request is trying here."""
+    store_time = world.read_store_time()
+    if store_time is None:
+        return False
+    policy = world.serving_policy.suspicion
+    rank = count_ranked_before(
+        quarantine.name, world.identity.name, world.other_entries.by_name
     )
+    turn_s = min(rank, policy.max_trial_turns) * policy.trial_turn_s
+    if store_time < quarantine.convicted_at + quarantine.term_s + turn_s:
+        return False
+    return not _has_unbegun_attempt(world, quarantine.suspects, request)
 
 
-def is_below_crash_limit(world: ServingWorld, request: ServedRequest) -> bool:
-    """Checks that fewer upstreams crashed under a request than lead to a quarantine."""
-    crashes = world.suspicions.count_crashes(request.caller.fingerprint)
-    return crashes < world.serving_policy.suspicion.crashes_to_convict
+def _has_unbegun_attempt(
+    world: ServingWorld, suspects: Iterable[str], besides: ServedRequest | None
+) -> bool:
+    return any(
+        not attempt.pieces
+        and attempt.request is not besides
+        and attempt.request.suspects.issuperset(suspects)
+        for attempt in world.requests.attempts.values()
+    )
 
 
-def clear_suspicion(world: ServingWorld, request: ServedRequest) -> None:
-    """Clears a suspected request that an upstream has answered."""
-    fingerprint = request.caller.fingerprint
-    if fingerprint in world.suspicions.by_fingerprint:
-        world.other_entries.send_now = True
-        clear_fingerprint(world, fingerprint, request.arrived_at)
+def update_quarantines(world: ServingWorld, now: float) -> None:
+    """Applies quarantines of other entries, and evaluates new evidence."""
+    for received in world.inbox.read_events(NoticeReceived):
+        for record in received.notice.quarantines:
+            apply_quarantine_record(world, record, now)
+    if not world.scan_due:
+        return
+    _expire_quarantines(world)
+    table = world.suspicions
+    if table.evaluation_at is not None and now >= table.evaluation_at:
+        table.evaluation_at = None
+        _evaluate(world)
 
 
-def clear_fingerprint(world: ServingWorld, fingerprint: str, now: float) -> None:
-    """Clears a fingerprint and ignores crashes reported for it for `crash_kept_s`."""
+def _evaluate(world: ServingWorld) -> None:
     table = world.suspicions
-    if fingerprint in table.cleared_fingerprints:
-        return
-    table.cleared_fingerprints[fingerprint] = now
-    table.by_fingerprint.pop(fingerprint, None)
-    for crash in [
-        item for item in table.observed_crashes if item.fingerprint == fingerprint
-    ]:
-        del table.observed_crashes[crash]
-    world.log_decision("suspects", "Request cleared.", fingerprint=fingerprint)
+    policy = world.serving_policy.suspicion
+    crashes = gather_crashes(table.reports.values(), table.begun_at)
+    _end_cleared_quarantines(world)
+    _renew_quarantines(world, crashes)
+    for suspects in find_convictions(
+        crashes, table.begun_at, policy.crashes_to_convict, policy.settle_s
+    ):
+        if not any(item.suspects <= suspects for item in table.quarantines.values()):
+            convicted_at = _find_last_crash(world, suspects)
+            quarantine_suspects(world, suspects, convicted_at)
+    counts = count_by_suspect(crashes, policy.settle_s)
+    limit = policy.crashes_to_convict - 1
+    table.watched = frozenset(item for item in counts if counts[item] >= limit)
+
+
+def _find_last_crash(world: ServingWorld, suspects: frozenset[str]) -> float:
+    return max(
+        report.at
+        for report in world.suspicions.reports.values()
+        if suspects.issubset(report.suspects)
+    )
 
 
-def resolve_resets(world: ServingWorld, now: float) -> None:
-    """Applies notices, and counts connection resets as crashes where that is confirmed.
+def quarantine_suspects(
+    world: ServingWorld,
+    suspects: frozenset[str],
+    convicted_at: float,
+    term_s: float | None = None,
+) -> None:
+    """Quarantines requests with all of the suspects, and tells the other entries.
 
-    A reset is confirmed once its upstream is down and no other upstream of the
-    service failed at the same time.
+    An entry with evidence of its own also writes the quarantine to the store.
     """
-    for received in world.inbox.read_events(NoticeReceived):
-        notice = received.notice
-        for fingerprint in notice.acquitted:
-            clear_fingerprint(world, fingerprint, now)
-        for crash in notice.crashes:
-            add_crash(world, crash, now)
-        for fingerprint in notice.quarantined:
-            quarantine_fingerprint(world, fingerprint, now)
-    if not world.scan_due:
-        return
-    _expire_suspicions(world, now)
-    policy = world.serving_policy.suspicion
-    open_resets = []
-    for item in world.suspicions.unsettled_resets:
-        age_s = now - item.at
-        if (
-            item.upstream.health is UpstreamHealth.HEALTHY
-            or age_s > policy.settle_max_s
-        ):
-            continue
-        if item.upstream.health is not UpstreamHealth.DOWN or age_s < policy.settle_s:
-            open_resets.append(item)
-        elif not _has_common_cause(world, item):
-            _record_crash(world, item, now)
-    world.suspicions.unsettled_resets = open_resets
+    if term_s is None:
+        term_s = world.serving_policy.suspicion.quarantine_s
+    quarantine = Quarantine(suspects, round(convicted_at, 3), term_s)
+    _add_quarantine(world, quarantine)
+    world.other_entries.send_now = True
+    world.emit(CountMetric("requests_quarantined"))
+    world.log_decision(
+        "suspects",
+        "Requests quarantined.",
+        suspects=name_suspects(suspects),
+        term_s=term_s,
+    )
+    if _has_own_evidence(world, suspects):
+        _write_quarantine(world, quarantine)
+
 
+def _add_quarantine(world: ServingWorld, quarantine: Quarantine) -> None:
+    """Adds a quarantine instead of those that refuse only some of its requests."""
+    table = world.suspicions.quarantines
+    for name, other in list(table.items()):
+        if other.suspects >= quarantine.suspects:
+            del table[name]
+    table[quarantine.name] = quarantine
+    if len(table) > world.serving_policy.suspicion.max_quarantines:
+        del table[min(table, key=lambda name: table[name].convicted_at)]
 
-def _has_common_cause(world: ServingWorld, item: ConnectionReset) -> bool:
-    """Checks whether other upstreams of the service failed at the same time."""
-    window_s = world.serving_policy.suspicion.settle_s
-    service = item.upstream.record.service
+
+def _has_own_evidence(world: ServingWorld, suspects: frozenset[str]) -> bool:
+    table = world.suspicions
     return any(
-        loss.upstream_id != item.upstream.id
-        and loss.service == service
-        and abs(loss.at - item.at) <= window_s
-        for loss in world.suspicions.recent_losses
+        suspects.issubset(table.reports[key].suspects) for key in table.own_reports
     )
 
 
-def _record_crash(world: ServingWorld, item: ConnectionReset, now: float) -> None:
-    record = item.upstream.record
-    crash = Crash(item.fingerprint, record.id, record.born_ms)
-    world.suspicions.observed_crashes[crash] = now
-    world.other_entries.send_now = True
-    add_crash(world, crash, now)
+def _write_quarantine(world: ServingWorld, quarantine: Quarantine) -> None:
+    timeout_s = world.serving_policy.suspicion.write_timeout_s
+    world.emit(WriteQuarantine(quarantine.record, timeout_s))
 
 
-def add_crash(world: ServingWorld, crash: Crash, now: float) -> None:
-    """Adds a crash to a fingerprint, and quarantines it after enough of them."""
-    if crash.fingerprint in world.suspicions.cleared_fingerprints:
-        return
-    suspicion = world.suspicions.get_or_create(crash.fingerprint)
-    if crash in suspicion.crashes:
-        return
-    suspicion.crashes[crash] = now
-    world.log_decision(
-        "suspects",
-        "Upstream crashed while running a request.",
-        fingerprint=crash.fingerprint,
-        upstream=crash.upstream_id,
-        crashes=len(suspicion.crashes),
-    )
-    if len(suspicion.crashes) >= world.serving_policy.suspicion.crashes_to_convict:
-        quarantine_fingerprint(world, crash.fingerprint, now)
+def _renew_quarantines(world: ServingWorld, crashes: list[CrashEvidence]) -> None:
+    """Puts quarantines in force again under which a trial crashed an upstream."""
+    policy = world.serving_policy.suspicion
+    for quarantine in list(world.suspicions.quarantines.values()):
+        over_at = quarantine.convicted_at + quarantine.term_s
+        crashed_at = max(
+            (
+                crash.at
+                for crash in crashes
+                if any(quarantine.suspects <= item for item in crash.requests)
+            ),
+            default=0.0,
+        )
+        if crashed_at > over_at:
+            term_s = min(2 * quarantine.term_s, policy.max_quarantine_s)
+            quarantine_suspects(world, quarantine.suspects, crashed_at, term_s)
 
 
-def quarantine_fingerprint(world: ServingWorld, fingerprint: str, now: float) -> None:
-    """Quarantines a fingerprint and has the other entries do the same.
+def _end_cleared_quarantines(world: ServingWorld) -> None:
+    """Takes suspects that have begun since out of quarantines.
 
-    An entry that has recorded crashes for it also writes the quarantine to the store.
+    What is left of a quarantine is to blame alone; if nothing is, it ends.
     """
-    if fingerprint in world.suspicions.cleared_fingerprints:
+    table = world.suspicions
+    for quarantine in list(table.quarantines.values()):
+        cleared = {
+            item
+            for item in quarantine.suspects
+            if table.begun_at.get(item, 0.0) > quarantine.convicted_at
+        }
+        if not cleared:
+            continue
+        del table.quarantines[quarantine.name]
+        world.other_entries.send_now = True
+        world.log_decision(
+            "suspects",
+            "Quarantine ended or narrowed.",
+            suspects=quarantine.name,
+            cleared=name_suspects(frozenset(cleared)),
+        )
+        left = quarantine.suspects - cleared
+        if left:
+            _add_quarantine(
+                world, Quarantine(left, quarantine.convicted_at, quarantine.term_s)
+            )
+
+
+def apply_quarantine_record(
+    world: ServingWorld, record: QuarantineRecord, now: float
+) -> None:
+    """Applies a quarantine of the store or of another entry unless it is over."""
+    store_time = world.read_store_time()
+    if store_time is None or store_time >= record.convicted_at + 2 * record.term_s:
+        return
+    table = world.suspicions
+    suspects = frozenset(record.fingerprint.split(NAME_SEPARATOR))
+    cleared_at = max(table.begun_at.get(item, 0.0) for item in suspects)
+    if cleared_at > record.convicted_at:
         return
-    suspicion = world.suspicions.get_or_create(fingerprint)
-    if suspicion.quarantined_until is not None:
+    known = table.quarantines.get(name_suspects(suspects))
+    if known is not None and known.convicted_at >= record.convicted_at:
         return
-    suspicion.quarantined_until = now + world.serving_policy.suspicion.quarantine_s
+    if any(item.suspects < suspects for item in table.quarantines.values()):
+        return
+    _add_quarantine(world, Quarantine(suspects, record.convicted_at, record.term_s))
     world.other_entries.send_now = True
-    world.emit(CountMetric("requests_quarantined"))
     world.log_decision(
-        "suspects",
-        "Request quarantined.",
-        fingerprint=fingerprint,
-        crashes=len(suspicion.crashes),
+        "suspects", "Quarantine received.", suspects=name_suspects(suspects)
     )
-    store_time = world.read_store_time()
-    suspicion.convicted_at = store_time
-    if suspicion.crashes and store_time is not None:
-        _write_quarantine(world, QuarantineRecord(fingerprint, store_time))
 
 
-def _write_quarantine(world: ServingWorld, record: QuarantineRecord) -> None:
-    timeout_s = world.serving_policy.suspicion.write_timeout_s
-    world.emit(WriteQuarantine(record, timeout_s))
+def _expire_quarantines(world: ServingWorld) -> None:
+    """Forgets quarantines whose trial nobody took."""
+    table = world.suspicions
+    store_time = world.read_store_time()
+    if store_time is None:
+        return
+    for name, quarantine in list(table.quarantines.items()):
+        if store_time >= quarantine.convicted_at + 2 * quarantine.term_s:
+            del table.quarantines[name]
 
 
 def schedule_unlisted_quarantines(
     world: ServingWorld, listed: set[str], now: float
 ) -> None:
     """Has quarantines written again that a restored store doesn't list."""
-    for fingerprint, suspicion in world.suspicions.by_fingerprint.items():
-        known = suspicion.quarantined_until is not None
-        if not known or fingerprint in listed:
-            suspicion.unlisted_since = None
+    for name, quarantine in world.suspicions.quarantines.items():
+        if name in listed:
+            quarantine.unlisted_since = None
         else:
-            suspicion.unlisted_since = suspicion.unlisted_since or now
+            quarantine.unlisted_since = quarantine.unlisted_since or now
 
 
 def rewrite_quarantines(world: ServingWorld, now: float) -> None:
@@ -208,68 +279,23 @@
     """
     if not world.scan_due:
         return
-    table_state = world.feeds[Feed.QUARANTINE]
-    for fingerprint, suspicion in world.suspicions.by_fingerprint.items():
-        since = suspicion.unlisted_since
-        if since is None or table_state.version is None:
+    feed = world.feeds[Feed.QUARANTINE]
+    for name, quarantine in world.suspicions.quarantines.items():
+        since = quarantine.unlisted_since
+        if since is None or feed.version is None:
             continue
-        turn_s = find_turn_s(world, fingerprint)
+        turn_s = find_turn_s(world, name)
         if now - since < turn_s:
             continue
-        if turn_s and table_state.called_at < since + turn_s:
-            table_state.version = None
-            table_state.restored = True
+        if turn_s and feed.called_at < since + turn_s:
+            feed.version = None
+            feed.restored = True
             continue
-        suspicion.unlisted_since = None
-        convicted_at = suspicion.convicted_at or world.read_store_time()
-        if convicted_at is not None:
-            _write_quarantine(world, QuarantineRecord(fingerprint, convicted_at))
-            world.log_decision(
-                "suspects", "Quarantine written again.", fingerprint=fingerprint
-            )
-
-
-def apply_quarantine_record(
-    world: ServingWorld, record: QuarantineRecord, now: float
-) -> None:
-    """Applies a quarantine from the store unless it has expired."""
-    store_time = world.read_store_time()
-    if store_time is None:
-        return
-    left_s = (
-        record.convicted_at + world.serving_policy.suspicion.quarantine_s - store_time
-    )
-    if left_s > 0:
-        suspicion = world.suspicions.get_or_create(record.fingerprint)
-        suspicion.quarantined_until = now + left_s
-        suspicion.convicted_at = record.convicted_at
+        quarantine.unlisted_since = None
+        _write_quarantine(world, quarantine)
+        world.log_decision("suspects", "Quarantine written again.", quarantine=name)
 
 
-def _expire_suspicions(world: ServingWorld, now: float) -> None:
-    table = world.suspicions
-    policy = world.serving_policy.suspicion
-    while table.recent_losses and now - table.recent_losses[0].at > policy.settle_max_s:
-        table.recent_losses.popleft()
-    for fingerprint, suspicion in list(table.by_fingerprint.items()):
-        _remove_expired(suspicion.crashes, now, policy.crash_kept_s)
-        until = suspicion.quarantined_until
-        if until is not None and now >= until:
-            suspicion.quarantined_until = until = None
-        if until is None and not suspicion.crashes:
-            del table.by_fingerprint[fingerprint]
-    _remove_expired(table.observed_crashes, now, policy.crash_kept_s)
-    _remove_expired(table.cleared_fingerprints, now, policy.crash_kept_s)
-
-
-def _remove_expired(items: dict[T, float], now: float, retention_s: float) -> None:
-    for item in [item for item, at in items.items() if now - at > retention_s]:
-        del items[item]
-
-
-def list_quarantined(world: ServingWorld) -> tuple[str, ...]:
-    """Lists the quarantined fingerprints, for notices."""
-    return tuple(
-        fingerprint
-        for fingerprint, suspicion in world.suspicions.by_fingerprint.items()
-        if suspicion.quarantined_until is not None
-    )
+def list_quarantines(world: ServingWorld) -> tuple[QuarantineRecord, ...]:
+    """Lists the quarantines, for notices."""
+    return tuple(item.record for item in world.suspicions.quarantines.values())
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -8,7 +8,7 @@
 from magnoliahold.core.serving.requests import AttemptState, CopyReference, KvCacheCopy
 from magnoliahold.core.serving.systems.canary_analysis import count_result
 from magnoliahold.core.serving.systems.completion import close_attempt, refuse
-from magnoliahold.core.serving.systems.quarantine import is_below_crash_limit
+from magnoliahold.core.serving.systems.quarantine import is_refused
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
@@ -30,7 +30,7 @@
     request = attempt.request
     _record_copy(attempt)
     request.tried_upstreams.add(attempt.upstream.id)
-    close_attempt(world, attempt)
+    close_attempt(world, attempt, now)
     world.emit(CountMetric("attempts_lost"))
     allowed = may_retry(world, request, now)
     world.log_decision(
@@ -78,7 +78,7 @@
         return False
     if request.send_count >= request.route.max_attempts:
         return False
-    if not is_below_crash_limit(world, request):
+    if is_refused(world, request.suspects, request):
         return False
     if now >= request.deadline_at:
         return False
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -11,6 +11,11 @@
 from magnoliahold.core.serving.systems.completion import choose_retry_after, refuse
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
+from magnoliahold.core.serving.systems.quarantine import (
+    is_refused,
+    must_wait_for_trial,
+)
+from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
 from magnoliahold.core.serving.systems.selection import (
     choose_upstream,
     find_backoff_end,
@@ -39,7 +44,9 @@
 def route_waiting(world: ServingWorld, now: float) -> None:
     """Sends each waiting request for which an upstream is usable."""
     for request in list(world.requests.waiting.values()):
-        if not request.awaiting_lookup:
+        if is_refused(world, request.suspects, request):
+            refuse_quarantined(world, request, now)
+        elif not request.awaiting_lookup and not must_wait_for_trial(world, request):
             _route_request(world, request, now)
 
 
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -14,7 +14,6 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from magnoliahold.core.serving.systems.quarantine import record_upstream_loss
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -63,7 +62,6 @@
             "trust", "Upstream down.", upstream=upstream.id, reason=reason
         )
         upstream.failed_probes = 0
-        record_upstream_loss(world, upstream, now)
         world.upstreams.record_incident(upstream.record, now)
         _probe_neighbours(world, upstream, now)
     upstream.health = UpstreamHealth.DOWN
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -40,9 +40,9 @@
         down=notice.down[:MAX_ITEMS],
         places=notice.places[:MAX_ITEMS],
         evidence=notice.evidence[:MAX_ITEMS],
-        crashes=notice.crashes[-MAX_ITEMS:],
-        quarantined=notice.quarantined[-MAX_ITEMS:],
-        acquitted=notice.acquitted[-MAX_ITEMS:],
+        crash_reports=notice.crash_reports[-MAX_ITEMS:],
+        quarantines=notice.quarantines[-MAX_ITEMS:],
+        clearances=notice.clearances[-MAX_ITEMS:],
         leaving=notice.leaving[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
