--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -88,7 +89,6 @@
 PIECES_AT_ONCE = 5
 COPY_LAG_PIECES = 8
 RESUME_S = 0.06
-ENGINE_COUNT = 9
 DATA_CENTRES = 4
 CALLER_TIMEOUT_S = 25.0
 CONNECT_AGAIN_S = 0.5
@@ -98,6 +98,9 @@
 MIDDLE_PARTS = tuple(PromptPart(f"middle-{number}", 1_200) for number in range(6))
 DEADLY_PART_TOKENS = 900
 COMPANION_SHARE = 0.33
+OPEN_SESSIONS = 6
+SESSION_ENDS = 0.25
+SESSION_TOKENS = 2_000
 
 
 @frozen
@@ -161,6 +164,7 @@
     `sound_per_s` requests arrive that hold no deadly part, each with `middle` of the
     shared middle parts, and with the popular part in `popular_share` of them.
     A third of those that arrive within `companion_span` hold `held_companions` too.
+    With `sessions` each holds the part of a session that a few others share, too.
     `resets` are when all connections of one engine are reset while it lives on.
     `head_share` is how often an engine sends the head of its answer before it crashes.
     """
@@ -169,10 +173,12 @@
     sound_per_s: float = 2.3
     length_s: float = 30.0
     entries: int = 4
+    engines: int = 9
     middle: int = 1
     popular_share: float = 0.33
     held_companions: tuple[PromptPart, ...] = ()
     companion_span: Span = Span(0.0, 0.0)
+    sessions: bool = False
     losses: tuple[EngineLoss, ...] = ()
     resets: tuple[float, ...] = ()
     stops: tuple[EntryStop, ...] = ()
@@ -189,7 +195,7 @@
     """One request as its caller sees it; a repeat is another one with `first` unset.
 
     `deadly` is the id of the deadly part that it holds, or empty. `refused_at` and
-    `retry_after_s` are set if it was refused as not run.
+    `retry_after_s` are set if it was refused as not run, `reason` says why.
     """
 
     id: str
@@ -203,6 +209,7 @@
     began_at: float | None = None
     refused_at: float | None = None
     retry_after_s: float | None = None
+    reason: str = ""
     ended_at: float | None = None
     completed: bool = False
     origin: Asked | None = None
@@ -306,15 +313,17 @@
     sent: list[Sent] = field(factory=list)
     requests: list[Asked] = field(factory=list)
     quarantines: list[float] = field(factory=list)
+    sessions: list[PromptPart] = field(factory=list)
     _due: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _serial: Any = field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed * 7 + 1)
         self.arrivals = Random(self.seed * 7 + 2)
+        self.sessions = [self._make_session() for _ in range(OPEN_SESSIONS)]
         keys = {} if self.day.has_keys else {"workspaces": ()}
         self.put_row(Feed.CONFIGURATION, "config", make_configuration(**keys))
-        for number in range(1, ENGINE_COUNT + 1):
+        for number in range(1, self.day.engines + 1):
             centre = f"data-centre-{number % DATA_CENTRES}"
             self._start_engine(make_upstream(number, ENGINES, data_centre=centre))
         for number in range(1, self.day.entries + 1):
@@ -712,8 +721,21 @@
         holds_companions = self.arrivals.random() < COMPANION_SHARE
         if holds_companions and self.day.companion_span.covers(at_s):
             shared.extend(self.day.held_companions)
+        if self.day.sessions:
+            shared.append(self._draw_session())
         return self._add_own_part((FIRST_PART, *shared))
 
+    def _draw_session(self) -> PromptPart:
+        """Draws one of the open sessions, some of which end and make room for new."""
+        place = self.arrivals.randrange(OPEN_SESSIONS)
+        part = self.sessions[place]
+        if self.arrivals.random() < SESSION_ENDS:
+            self.sessions[place] = self._make_session()
+        return part
+
+    def _make_session(self) -> PromptPart:
+        return PromptPart(f"session-{next(self._serial)}", SESSION_TOKENS)
+
     def _draw_deadly_parts(self, part: DeadlyPart) -> tuple[PromptPart, ...]:
         deadly = PromptPart(part.id, DEADLY_PART_TOKENS)
         shared = self.arrivals.sample(MIDDLE_PARTS, part.extra_middle)
@@ -805,6 +827,7 @@
         if effect.not_run:
             asked.refused_at = self.now
             asked.retry_after_s = effect.retry_after_s
+            asked.reason = effect.reason
         self._end_asked(asked, effect.retry_after_s)
 
     def _abort(self, entry: Entry, effect: AbortAnswer) -> None:
@@ -861,6 +884,7 @@
     refused: int
     sound: int
     served: int
+    reasons: dict[str, int]
 
 
 def find_judged_span(fleet: CrashingFleet) -> Span:
@@ -890,6 +914,7 @@
         refused=sum(item.refused_at is not None for item in sound),
         sound=len(sound),
         served=sum(item.completed for item in sound),
+        reasons=dict(Counter(item.reason for item in sound if item.reason)),
     )
 
 
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -123,6 +123,10 @@
     "entry_cut_off": Day(deadly=(PART,), cut_entry=1, cut=Span(3.0, 14.0)),
     "one_entry": Day(deadly=(PART,), entries=1),
     "eight_entries": Day(deadly=(PART,), entries=8),
+    "few_engines": Day(deadly=(PART,), engines=4, sound_per_s=1.2),
+    "crowded": Day(deadly=(PART,), sound_per_s=4.5),
+    "sessions": Day(deadly=(make_part(0.8),), sessions=True),
+    "crowded_sessions": Day(deadly=(PART,), sound_per_s=4.5, sessions=True),
     "lasting": Day(
         deadly=(make_part(0.4, requested=Span(4.0, 140.0)),), length_s=145.0
     ),
@@ -143,6 +147,9 @@
     "losses_under_popular_parts": Day(
         middle=3, popular_share=1.0, losses=SINGLE_LOSSES + CENTRE_LOSSES
     ),
+    "losses_beside_sessions": Day(
+        sound_per_s=4.5, sessions=True, losses=SINGLE_LOSSES + CENTRE_LOSSES
+    ),
     "losses_and_entry_restarts": Day(
         losses=SINGLE_LOSSES, stops=(EntryStop(2, 10.0, 11.0),)
     ),
