Test crashing parts before any sound answer, and as one entry sees them

One entry sends on the sixth request with a part after five crashes, and the seventh where they come in pairs. Nothing comes any more from an engine that fell silent, connections time out as on a lost host.

--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -161,8 +161,9 @@
 class Day:
     """What happens in the run of a fleet; times are in seconds.
 
-    `sound_per_s` requests arrive that hold no deadly part, each with `middle` of the
-    shared middle parts, and with the popular part in `popular_share` of them.
+    From `sound_from_s` on, `sound_per_s` requests arrive without a deadly part, each
+    with `middle` of the shared middle parts, and with the popular part in
+    `popular_share` of them.
     A third of those that arrive within `companion_span` hold `held_companions` too.
     With `sessions` each holds the part of a session that a few others share, too.
     `resets` are when all connections of one engine are reset while it lives on.
@@ -171,6 +172,7 @@
 
     deadly: tuple[DeadlyPart, ...] = ()
     sound_per_s: float = 2.3
+    sound_from_s: float = 0.0
     length_s: float = 30.0
     entries: int = 4
     engines: int = 9
@@ -222,10 +224,11 @@
 
 @define(eq=False)
 class Engine:
-    """One start of an engine's process."""
+    """One start of an engine's process; nothing comes from a `silent` one."""
 
     record: Any
     up: bool = True
+    silent: bool = False
     runs: list[Run] = field(factory=list)
     copies: dict[str, int] = field(factory=dict)
     cached: set[str] = field(factory=set)
@@ -518,6 +521,7 @@
         if not engine.up:
             return
         engine.up = False
+        engine.silent = silent
         record = engine.record
         self.crashes.append(Crash(self.seconds, part))
         for run in list(engine.runs):
@@ -562,8 +566,9 @@
             answered = UpstreamAnsweredProbe(record.id, record.born_ms)
             self._post(entry, answered)
         else:
-            failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
-            self._post(entry, failed)
+            delay_s = effect.timeout_s if engine and engine.silent else ANSWER_S
+            failed = UpstreamFailedProbe(record.id, record.born_ms, "no answer")
+            self._post(entry, failed, delay_s)
 
     def _list_prompts(self, entry: Entry, effect: ListPrompts) -> None:
         engine = self.engines.get(effect.upstream.address)
@@ -578,7 +583,9 @@
         asked = entry.asked[effect.handle]
         engine = self.engines.get(effect.upstream.address)
         if engine is None or not engine.up:
-            self._post(entry, AttemptNotSent(effect.attempt, "refused"))
+            delay_s = effect.connect_timeout_s if engine and engine.silent else ANSWER_S
+            event = AttemptNotSent(effect.attempt, "no connection")
+            self._post(entry, event, delay_s)
             return
         entry.events.append(AttemptSent(effect.attempt))
         if engine.record.id != effect.upstream.id:
@@ -694,7 +701,7 @@
         """Draws the arrivals of the day: the sound ones don't depend on the others."""
         day = self.day
         last_s = day.length_s - PIECES * PIECE_S - 3.0
-        for at_s in self._draw_times(day.sound_per_s, Span(0.0, last_s)):
+        for at_s in self._draw_times(day.sound_per_s, Span(day.sound_from_s, last_s)):
             parts = self._draw_sound_parts(at_s)
             self._at(at_s, lambda parts=parts: self._ask(parts))  # type: ignore[misc]
         for part in day.deadly:
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -14,7 +14,9 @@
 from attrs import fields, frozen
 
 from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import (
+    AttemptSent,
     CallerDisconnected,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
@@ -42,7 +44,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliahold.core.serving.effects import SendAttempt
     from magnoliahold.core.serving.requests import CallerRequest
     from tests.core.serving.crashing_parts import Score
 
@@ -123,6 +124,18 @@
     "entry_cut_off": Day(deadly=(PART,), cut_entry=1, cut=Span(3.0, 14.0)),
     "one_entry": Day(deadly=(PART,), entries=1),
     "eight_entries": Day(deadly=(PART,), entries=8),
+    "short_prompts": Day(
+        deadly=(make_part(0.4, extra_middle=0),), middle=0, popular_share=0.0
+    ),
+    "short_prompts_first_part": Day(
+        deadly=(make_part(0.4, extra_middle=0, first=True),),
+        middle=0,
+        popular_share=0.0,
+    ),
+    "from_the_start": Day(deadly=(make_part(0.8, requested=Span(0.0, 24.0)),)),
+    "sound_starts_late": Day(
+        deadly=(make_part(0.4, requested=Span(0.0, 26.0)),), sound_from_s=10.0
+    ),
     "few_engines": Day(deadly=(PART,), engines=4, sound_per_s=1.2),
     "crowded": Day(deadly=(PART,), sound_per_s=4.5),
     "sessions": Day(deadly=(make_part(0.8),), sessions=True),
@@ -283,6 +296,99 @@
                 self.assertEqual(outcome.score.served, outcome.score.sound)
 
 
+class SingleEntryTests(unittest.TestCase):
+    """What one entry sees of engines that crash while they read prompts."""
+
+    def setUp(self) -> None:
+        self.harness = ServingHarness()
+        self.harness.world.checks_all_rows = False
+        engines = tuple(
+            make_upstream(number, ENGINES, data_centre=f"data-centre-{number}")
+            for number in range(1, 13)
+        )
+        self.harness.start(make_configuration(workspaces=()), engines)
+
+    def request(self, *parts: str) -> CallerRequest:
+        """Sends a request whose last part is its own."""
+        own = f"own-{self.harness.next_handle}"
+        prompt = tuple(PromptPart(part, 1_000) for part in (*parts, own))
+        return self.harness.request(
+            RouteKind.STREAM, prompt=prompt, fingerprint=f"fingerprint-{own}"
+        )
+
+    def answer(self, *parts: str) -> None:
+        """Lets an engine answer a request completely."""
+        caller = self.request(*parts)
+        sent = self.harness.send()
+        self.harness.advance(1.0, 0.1)
+        self.harness.open(sent, caller)
+        for number in range(1, 21):
+            self.harness.produce(sent, number)
+            self.harness.advance(0.2, 0.1)
+        self.harness.finish(sent)
+        self.harness.emitted.clear()
+
+    def crash(self, *requests: tuple[str, ...]) -> None:
+        """Lets the engines that read some requests crash at the same moment."""
+        callers = [self.request(*parts) for parts in requests]
+        sends = self.harness.pop_effects(SendAttempt)
+        self.harness.post(*(AttemptSent(sent.attempt) for sent in sends))
+        self.harness.advance(1.0, 0.1)
+        for sent in sends:
+            self.harness.interrupt(sent)
+        for caller in callers:
+            self.harness.post(CallerDisconnected(caller.handle))
+        for record in (sent.upstream for sent in sends):
+            failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
+            self.harness.post(failed)
+        self.harness.advance(1.0, 0.1)
+        self.harness.emitted.clear()
+
+    def is_refused(self, *parts: str) -> bool:
+        """Tells whether a request is refused at once as not run, until later."""
+        caller = self.request(*parts)
+        self.harness.advance(0.1)
+        sent = self.harness.pop_effects(SendAttempt)
+        refused = [
+            item
+            for item in self.harness.pop_effects(RefuseCaller)
+            if (item.status, item.not_run) == (503, True) and item.retry_after_s
+        ]
+        self.harness.post(CallerDisconnected(caller.handle))
+        self.assertEqual(len(sent) + len(refused), 1)
+        return bool(refused)
+
+    def test_requests_with_one_part_crash_five_engines(self) -> None:
+        for place in range(3):
+            with self.subTest(place=place):
+                self.setUp()
+                sound = ("first", "middle") if place else ("other", "middle")
+                deadly = ["first", "middle"][: 1 if place == 0 else 2]
+                deadly.insert(place, "deadly")
+                self.answer(*sound)
+                for _ in range(5):
+                    self.crash(tuple(deadly))
+                self.assertTrue(self.is_refused(*deadly))
+                self.assertFalse(self.is_refused(*sound))
+
+    def test_engines_crash_at_the_same_moment(self) -> None:
+        self.answer("first", "middle")
+        for _ in range(3):
+            self.crash(("first", "deadly"), ("first", "middle", "deadly"))
+        self.assertTrue(self.is_refused("first", "deadly"))
+        self.assertFalse(self.is_refused("first", "middle"))
+
+    def test_parts_that_are_answered_between_crashes_are_sound(self) -> None:
+        for _ in range(5):
+            self.crash(("first", "middle"))
+            self.answer("first", "middle")
+        self.assertFalse(self.is_refused("first", "middle"))
+
+    def test_single_crash_refuses_nobody(self) -> None:
+        self.crash(("first", "middle"))
+        self.assertFalse(self.is_refused("first", "middle"))
+
+
 class TableSizeTests(unittest.TestCase):
     """The tables of suspicions stay small whatever callers send."""
 
