Blame what explains most crashes, not most moments

Groups are now ranked by the crashes that they explain. The case is in test_convictions, and failed before.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -28,6 +28,10 @@
     at: float
     requests: list[frozenset[str]]
 
+    def is_explained_by(self, group: frozenset[str]) -> bool:
+        """Tells whether a request with all suspects of a group was there."""
+        return any(group <= request for request in self.requests)
+
 
 def gather_crashes(
     reports: Iterable[CrashReport], begun_at: Mapping[str, float]
@@ -80,7 +84,7 @@
 
     Suspects that were always together can't be told apart, and are one group: only
     requests with all of them are to blame. What one group explains is no evidence
-    against others. A suspect of which no request was ever seen to begin comes first.
+    against others.
     """
     convictions: list[frozenset[str]] = []
     remaining = list(crashes)
@@ -89,22 +93,18 @@
         enough = [item for item in counts if counts[item] >= crashes_to_convict]
         if not enough:
             return convictions
-        groups = {item: _find_group(item, remaining) for item in enough}
-        best = max(
-            enough,
-            key=lambda item: (
-                item not in begun_at,
-                counts[item],
-                len(groups[item]),
-                item,
-            ),
-        )
-        convictions.append(groups[best])
-        remaining = [
-            crash
-            for crash in remaining
-            if not any(groups[best] <= request for request in crash.requests)
-        ]
+        groups = [_find_group(item, remaining) for item in enough]
+        best = max(groups, key=lambda group: _rank(group, remaining, begun_at))
+        convictions.append(best)
+        remaining = [crash for crash in remaining if not crash.is_explained_by(best)]
+
+
+def _rank(
+    group: frozenset[str], crashes: list[CrashEvidence], begun_at: Mapping[str, float]
+) -> tuple[int, bool, int, list[str]]:
+    """Ranks a group by what it explains, and then by how few requests it blames."""
+    explained = sum(crash.is_explained_by(group) for crash in crashes)
+    return (explained, begun_at.keys().isdisjoint(group), len(group), sorted(group))
 
 
 def _find_group(suspect: str, crashes: list[CrashEvidence]) -> frozenset[str]:
--- /dev/null
+++ b/tests/core/serving/test_convictions.py
@@ -0,0 +1,102 @@
+"""Tests of which suspects explain crashes of upstreams."""
+
+from __future__ import annotations
+
+import unittest
+
+from attrs import frozen
+
+from magnoliahold.core.serving.convictions import find_convictions, gather_crashes
+from magnoliahold.core.serving.suspicions import CrashReport
+
+CRASHES = 3
+MOMENT_S = 0.5
+
+
+@frozen
+class Case:
+    """Crashes as (second, upstream, suspects), and what is to blame for them.
+
+    `begun` holds when requests with a suspect began.
+    """
+
+    name: str
+    crashes: tuple[tuple[float, str, str], ...]
+    convicted: tuple[str, ...]
+    begun: tuple[tuple[str, float], ...] = ()
+
+
+CASES = (
+    Case("too few", ((1.0, "u1", "ab"), (2.0, "u2", "ab")), ()),
+    Case(
+        "always together",
+        ((1.0, "u1", "ab"), (2.0, "u2", "ab"), (3.0, "u3", "ab")),
+        ("ab",),
+    ),
+    Case(
+        "apart once",
+        ((1.0, "u1", "ab"), (2.0, "u2", "ab"), (3.0, "u3", "cb")),
+        ("b",),
+    ),
+    Case(
+        "one begun since",
+        ((1.0, "u1", "ab"), (2.0, "u2", "ab"), (3.0, "u3", "ab")),
+        ("b",),
+        (("a", 2.5),),
+    ),
+    Case(
+        "all begun since",
+        ((1.0, "u1", "ab"), (2.0, "u2", "ab"), (3.0, "u3", "ab")),
+        (),
+        (("a", 2.5), ("b", 2.5)),
+    ),
+    Case(
+        "same moment",
+        ((1.0, "u1", "ab"), (1.2, "u2", "ab"), (1.4, "u3", "ab"), (3.0, "u4", "ab")),
+        (),
+    ),
+    Case(
+        "two groups",
+        tuple((at, f"u{at}", "ab" if at % 2 else "cd") for at in range(1, 7)),
+        ("cd", "ab"),
+    ),
+    Case(
+        "beside it each time",
+        tuple(
+            (float(at), f"u{at}", suspects)
+            for at in (1, 2, 3)
+            for suspects in ("x", "ab")
+        ),
+        ("ab",),
+    ),
+    # A request that is sent again is not to blame where another one crashed too.
+    Case(
+        "another request within a moment",
+        (
+            (12.07, "u1", "fab"),
+            (13.16, "u2", "fab"),
+            (13.16, "u3", "gab"),
+            (14.29, "u4", "fab"),
+        ),
+        ("ab",),
+    ),
+)
+
+
+class ConvictionTests(unittest.TestCase):
+    def test_groups_that_explain_the_crashes_are_found(self) -> None:
+        for case in CASES:
+            with self.subTest(case.name):
+                reports = [
+                    CrashReport(upstream, 0, suspects, tuple(suspects), at)
+                    for at, upstream, suspects in case.crashes
+                ]
+                begun_at = dict(case.begun)
+                crashes = gather_crashes(reports, begun_at)
+                found = find_convictions(crashes, begun_at, CRASHES, MOMENT_S)
+                expected = [frozenset(group) for group in case.convicted]
+                self.assertEqual(found, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
