Compare times of crashes also before the store has told its clock

An entry that had not learnt the store's clock dropped all evidence without a line, which tests of one entry showed; real ones learn it with their first read. Its own clock serves until then.

--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -59,8 +59,7 @@
     world: ServingWorld, attempt: Attempt, now: float
 ) -> UnsettledReport | None:
     request = attempt.request
-    store_time = world.read_store_time()
-    if store_time is None or not request.suspects:
+    if not request.suspects:
         return None
     record = attempt.upstream.record
     report = CrashReport(
@@ -68,7 +67,7 @@
         record.born_ms,
         request.id,
         tuple(sorted(request.suspects)),
-        round(store_time, 3),
+        round(world.read_shared_time(), 3),
     )
     return UnsettledReport(report, attempt.upstream, now)
 
@@ -79,10 +78,9 @@
     A call that was answered has begun after it was sent.
     """
     begun_at = attempt.first_piece_at or attempt.sent_at
-    store_time = world.read_store_time()
-    if begun_at is None or store_time is None:
+    if begun_at is None:
         return
-    at = round(store_time - (now - begun_at), 3)
+    at = round(world.read_shared_time() - (now - begun_at), 3)
     for suspect in attempt.request.suspects:
         add_clearance(world, Clearance(suspect, at), now)
 
@@ -184,12 +182,11 @@
 
 def _expire_reports(world: ServingWorld) -> None:
     table = world.suspicions
-    store_time = world.read_store_time()
-    if store_time is None or not table.reports:
+    if not table.reports:
         return
-    retention_s = world.serving_policy.suspicion.crash_kept_s
+    since = world.read_shared_time() - world.serving_policy.suspicion.crash_kept_s
     for key, report in list(table.reports.items()):
-        if store_time - report.at > retention_s:
+        if report.at < since:
             del table.reports[key]
             table.own_reports.discard(key)
     if not table.reports:
@@ -200,10 +197,9 @@
 def list_crash_reports(world: ServingWorld) -> tuple[CrashReport, ...]:
     """Lists this entry's recent reports, for notices."""
     table = world.suspicions
-    store_time = world.read_store_time()
-    if not table.own_reports or store_time is None:
+    if not table.own_reports:
         return ()
-    since = store_time - world.serving_policy.suspicion.reported_s
+    since = world.read_shared_time() - world.serving_policy.suspicion.reported_s
     own = (table.reports[key] for key in table.own_reports)
     recent = (report for report in own if report.at >= since)
     return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -66,15 +66,13 @@
     world: ServingWorld, quarantine: Quarantine, request: ServedRequest | None
 ) -> bool:
     """Tells whether a quarantine is on trial, and no other request is trying here."""
-    store_time = world.read_store_time()
-    if store_time is None:
-        return False
     policy = world.serving_policy.suspicion
     rank = count_ranked_before(
         quarantine.name, world.identity.name, world.other_entries.by_name
     )
     turn_s = min(rank, policy.max_trial_turns) * policy.trial_turn_s
-    if store_time < quarantine.convicted_at + quarantine.term_s + turn_s:
+    over_at = quarantine.convicted_at + quarantine.term_s
+    if world.read_shared_time() < over_at + turn_s:
         return False
     return not _has_unbegun_attempt(world, quarantine.suspects, request)
 
@@ -229,8 +227,7 @@
     world: ServingWorld, record: QuarantineRecord, now: float
 ) -> None:
     """Applies a quarantine of the store or of another entry unless it is over."""
-    store_time = world.read_store_time()
-    if store_time is None or store_time >= record.convicted_at + 2 * record.term_s:
+    if world.read_shared_time() >= record.convicted_at + 2 * record.term_s:
         return
     table = world.suspicions
     suspects = frozenset(record.fingerprint.split(NAME_SEPARATOR))
@@ -252,11 +249,9 @@
 def _expire_quarantines(world: ServingWorld) -> None:
     """Forgets quarantines whose trial nobody took."""
     table = world.suspicions
-    store_time = world.read_store_time()
-    if store_time is None:
-        return
+    shared_time = world.read_shared_time()
     for name, quarantine in list(table.quarantines.items()):
-        if store_time >= quarantine.convicted_at + 2 * quarantine.term_s:
+        if shared_time >= quarantine.convicted_at + 2 * quarantine.term_s:
             del table.quarantines[name]
 
 
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -102,6 +102,13 @@
             return None
         return self.boot_clock() + self.store_offset_s
 
+    def read_shared_time(self) -> float:
+        """Returns a time, in seconds, that entries can compare with each other.
+
+        That is the store's; before its first answer, it is this process's.
+        """
+        return self.boot_clock() + (self.store_offset_s or 0.0)
+
     def measure_proof_age(self) -> float | None:
         """Returns how long ago a read confirmed the configuration as the newest."""
         proved_at = self.feeds[Feed.CONFIGURATION].proved_at
