Let the store tell its time in the tests of one entry

The two entries of KNOWN-RED.txt were at fault in the test: its store told no time, which each of its answers names, so that an entry could not date a crash. The table sizes were measured without any evidence for the same reason.

--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -25,6 +25,7 @@
 from tests.core.serving.crashing_parts import (
     EPOCH_S,
     POPULAR_PART,
+    STORE_CLOCK_OFFSET_S,
     CrashingFleet,
     Day,
     DeadlyPart,
@@ -307,6 +308,7 @@
             for number in range(1, 13)
         )
         self.harness.start(make_configuration(workspaces=()), engines)
+        self.harness.world.store_offset_s = STORE_CLOCK_OFFSET_S
 
     def request(self, *parts: str) -> CallerRequest:
         """Sends a request whose last part is its own."""
@@ -397,6 +399,7 @@
         self.harness.world.checks_all_rows = False
         engines = tuple(make_upstream(number, ENGINES) for number in range(1, 10))
         self.harness.start(make_configuration(workspaces=()), engines)
+        self.harness.world.store_offset_s = STORE_CLOCK_OFFSET_S
 
     def count_rows(self) -> int:
         """Counts the rows of all tables of suspicions."""
