Convict after three crashes in two moments, not in three

Crashes of one moment may have a common cause; after a crash in another moment that is not it any more.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -3,7 +3,7 @@
 A request that crashes upstreams does so whatever else runs there, and never begins. So
 each crash names the requests that had not begun at that upstream, and what all crashes
 have in common is to blame. Upstreams that crash within the same moment may have been
-lost together for another reason, and count once.
+lost together for another reason, so it takes crashes in two moments at least.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 
 CrashId: TypeAlias = tuple[str, int]
 MAX_GROUP = 8
+MIN_MOMENTS = 2
 
 
 @define(eq=False)
@@ -61,17 +62,15 @@
     return moments
 
 
-def count_by_suspect(
-    crashes: Iterable[CrashEvidence], moment_s: float
-) -> dict[str, int]:
-    """Counts the moments in which an upstream crashed under each suspect."""
+def group_by_suspect(
+    crashes: Iterable[CrashEvidence],
+) -> dict[str, list[CrashEvidence]]:
+    """Groups crashes by the suspects under which they happened."""
     by_suspect: dict[str, list[CrashEvidence]] = {}
     for crash in crashes:
         for suspect in frozenset().union(*crash.requests):
             by_suspect.setdefault(suspect, []).append(crash)
-    return {
-        suspect: count_moments(items, moment_s) for suspect, items in by_suspect.items()
-    }
+    return by_suspect
 
 
 def find_convictions(
@@ -89,8 +88,12 @@
     convictions: list[frozenset[str]] = []
     remaining = list(crashes)
     while True:
-        counts = count_by_suspect(remaining, moment_s)
-        enough = [item for item in counts if counts[item] >= crashes_to_convict]
+        enough = [
+            suspect
+            for suspect, items in group_by_suspect(remaining).items()
+            if len(items) >= crashes_to_convict
+            and count_moments(items, moment_s) >= MIN_MOMENTS
+        ]
         if not enough:
             return convictions
         groups = [_find_group(item, remaining) for item in enough]
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -215,15 +215,16 @@
 
     A reset connection counts as a crash if the upstream is down afterwards; a reset
     that is still undecided after `settle_max_s` is discarded. Crashes within `settle_s`
-    of each other count once, and a request that was given up there within `settle_s` of
-    a crash is under suspicion too. A stream has begun once its upstream has lived on
-    for `begun_after_s` after the first piece. New evidence is evaluated after
-    `gather_s`, in which that of other entries arrives; a report is sent to them for
-    `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in common
-    is quarantined for `quarantine_s`, later for at most `max_quarantine_s`. Then the
-    entries try it in turns of `trial_turn_s`, of which an entry awaits at most
-    `max_trial_turns`. Refused callers may retry after `retry_after_s`. At most
-    `max_reports`, `max_begun` and `max_quarantines` rows are kept.
+    of each other may have a common cause, and a request that was given up there within
+    `settle_s` of a crash is under suspicion too. A stream has begun once its upstream
+    has lived on for `begun_after_s` after the first piece. New evidence is evaluated
+    after `gather_s`, in which that of other entries arrives; a report is sent to them
+    for `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in
+    common, not all of the same moment, is quarantined for `quarantine_s`, later for at
+    most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
+    which an entry awaits at most `max_trial_turns`. Refused callers may retry after
+    `retry_after_s`. At most `max_reports`, `max_begun` and `max_quarantines` rows are
+    kept.
     """
 
     settle_s: float = _positive(0.5)
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -14,9 +14,9 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.moves import count_ranked_before
 from magnoliahold.core.serving.convictions import (
-    count_by_suspect,
     find_convictions,
     gather_crashes,
+    group_by_suspect,
 )
 from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.events import NoticeReceived
@@ -114,9 +114,12 @@
         if not any(item.suspects <= suspects for item in table.quarantines.values()):
             convicted_at = _find_last_crash(world, suspects)
             quarantine_suspects(world, suspects, convicted_at)
-    counts = count_by_suspect(crashes, policy.settle_s)
     limit = policy.crashes_to_convict - 1
-    table.watched = frozenset(item for item in counts if counts[item] >= limit)
+    table.watched = frozenset(
+        suspect
+        for suspect, items in group_by_suspect(crashes).items()
+        if len(items) >= limit
+    )
 
 
 def _find_last_crash(world: ServingWorld, suspects: frozenset[str]) -> float:
