Cut off heads without end, and don't count that as a crash

Callers waited until their timeout while an upstream sent header lines, lines of one header or interim heads without end: the HTTP parser bounds a line of a head but not their number, and all of them were kept. One line without end was noticed, but the parser then only asks for the connection to be closed, which counted as a connection that the upstream lost, and so as evidence of a crash by the request.

A connection now counts the bytes on the wire until the head is complete, interim heads included. Beyond the bound it is reset and the attempt has failed by its content (not by a lost connection), so that it is retried where that is allowed. A reset, unlike a close, doesn't wait for the rest of the request to be read.

--- /dev/null
+++ b/src/magnoliahold/httpbounds.py
@@ -0,0 +1,69 @@
+"""HTTP client connections that read a bounded number of bytes for an answer."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Interim heads count as part of the head that follows them.
+MAX_HEAD_BYTES = 64 * 1024
+
+
+class AnswerTooLongError(Exception):
+    """A server sent more bytes for an answer, or a part of one, than are allowed."""
+
+
+class BoundedClientProtocol(HTTP11ClientProtocol):
+    """A connection that is reset when an answer on it goes beyond its bounds.
+
+    The bounds count the bytes on the wire, so that they hold for what is no content,
+    too. A head is bounded; a body is if `allow_bytes` is called.
+    """
+
+    def __init__(self, on_quiescent: Callable[[Any], None]) -> None:
+        super().__init__(on_quiescent)  # type: ignore[no-untyped-call]
+        self._allowed_bytes: float = 0
+
+    def request(self, request: Any) -> Any:
+        """Sends a request; bounds the head of its answer."""
+        self.allow_bytes(MAX_HEAD_BYTES)
+        answer: Any = super().request(request)
+        return answer.addCallback(self._begin_body)
+
+    def allow_bytes(self, count: float) -> None:
+        """Sets how many more bytes of the current answer may arrive."""
+        self._allowed_bytes = count
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Reads bytes of an answer; gives it up if it is too long."""
+        self._allowed_bytes -= len(data)
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        transport: Any = self.transport
+        if self._parser is None:
+            return
+        # A parser that finds a line too long only asks for the connection's end.
+        if self._allowed_bytes < 0 or transport.disconnecting:
+            self._giveUp(Failure(AnswerTooLongError("the answer is too long")))
+
+    def _begin_body(self, response: Any) -> Any:
+        self.allow_bytes(math.inf)
+        return response
+
+    def _giveUp(self, reason: Failure) -> None:  # noqa: N802
+        """Resets the connection, or closes it if the answer was complete.
+
+        Closing waits for the server to read the rest of the request.
+        """
+        transport: Any = self.transport
+        if reason.check(ConnectionDone):
+            super()._giveUp(reason)  # type: ignore[no-untyped-call]
+            return
+        transport.abortConnection()
+        self._disconnectParser(reason)  # type: ignore[no-untyped-call]
--- a/src/magnoliahold/serving/connections.py
+++ b/src/magnoliahold/serving/connections.py
@@ -7,7 +7,8 @@
 from attrs import define, field
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
-from twisted.web._newclient import HTTP11ClientProtocol
+
+from magnoliahold.httpbounds import BoundedClientProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +24,7 @@
 PoolKey = tuple[str, str, int]
 
 
-class UpstreamConnection(HTTP11ClientProtocol):
+class UpstreamConnection(BoundedClientProtocol):
     """A connection to one upstream.
 
     `close_reason` is set when the connection has ended. `dirty` is set when bytes
@@ -31,7 +32,7 @@
     """
 
     def __init__(self, pool: ConnectionPool, pool_key: PoolKey) -> None:
-        super().__init__(self._return_to_pool)  # type: ignore[no-untyped-call]
+        super().__init__(self._return_to_pool)
         self.pool_key = pool_key
         self.close_reason: Failure | None = None
         self.dirty = False
@@ -66,7 +67,7 @@
             self.dirty = True
             self.reset_now()
             return
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        super().dataReceived(data)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Records why the connection ended and removes it from the pool."""
--- /dev/null
+++ b/tests/serving/exchanging.py
@@ -0,0 +1,50 @@
+"""A test case that sends attempts to servers and collects the events of the results."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.web.http_headers import Headers
+
+from magnoliahold.core.serving.effects import SendAttempt
+from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.serving.connections import ConnectionPool
+from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
+from tests.loopback import LoopbackTestCase
+
+
+class ExchangeTestCase(LoopbackTestCase):
+    """A test case with the exchanges of an entry; `events` are those they post."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.events: list[Any] = []
+        self.pool = ConnectionPool(self.reactor)
+        self.exchanges = UpstreamExchanges(self.reactor, self.events.append, self.pool)
+        self.attempt = 0
+
+    def make_record(self, port: int) -> UpstreamRecord:
+        """Makes the registration of a server on a port."""
+        return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
+
+    def send(self, port: int, *, fresh: bool = False, body: bytes = b"") -> int:
+        """Sends an attempt and returns its number."""
+        self.attempt += 1
+        effect = SendAttempt(
+            attempt=self.attempt,
+            handle=1,
+            upstream=self.make_record(port),
+            workspace="w",
+            deadline_s=1.0,
+            connect_timeout_s=0.5,
+            priority=5,
+            fresh_connection=fresh,
+        )
+        headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
+        self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
+        return self.attempt
+
+
+def make_chunk(content: bytes) -> bytes:
+    """Frames bytes as a chunk."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -5,9 +5,6 @@
 from functools import partial
 from typing import Any
 
-from twisted.web.http_headers import Headers
-
-from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -20,10 +17,8 @@
     UpstreamFailedProbe,
     UpstreamSignalled,
 )
-from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.connections import ConnectionPool
-from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
-from tests.loopback import LoopbackTestCase, on_loopback
+from tests.loopback import on_loopback
+from tests.serving.exchanging import ExchangeTestCase, make_chunk
 from tests.serving.scripted import CLOSE, RESET, ScriptedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
@@ -32,11 +27,6 @@
 PIECE = b"id: 1\ndata: a\n\n"
 
 
-def make_chunk(content: bytes) -> bytes:
-    """Frames bytes as a chunk."""
-    return b"%x\r\n%s\r\n" % (len(content), content)
-
-
 LAST_CHUNK = make_chunk(b"")
 
 # What an upstream sends, and the events that follow the sending of the request.
@@ -72,14 +62,7 @@
 )
 
 
-class ExchangeTests(LoopbackTestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.events: list[Any] = []
-        self.pool = ConnectionPool(self.reactor)
-        self.exchanges = UpstreamExchanges(self.reactor, self.events.append, self.pool)
-        self.attempt = 0
-
+class ExchangeTests(ExchangeTestCase):
     def listen(self, *scripts: list[Any]) -> ScriptedServer:
         """Starts a server that answers with scripts."""
         server = ScriptedServer(list(scripts))
@@ -88,27 +71,6 @@
         self.listeners.append(listener)
         return server
 
-    def make_record(self, port: int) -> UpstreamRecord:
-        """Makes the registration of a server on a port."""
-        return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
-
-    def send(self, port: int, *, fresh: bool = False, body: bytes = b"") -> int:
-        """Sends an attempt and returns its number."""
-        self.attempt += 1
-        effect = SendAttempt(
-            attempt=self.attempt,
-            handle=1,
-            upstream=self.make_record(port),
-            workspace="w",
-            deadline_s=1.0,
-            connect_timeout_s=0.5,
-            priority=5,
-            fresh_connection=fresh,
-        )
-        headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
-        self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
-        return self.attempt
-
     async def wait_for(self, count: int) -> list[type]:
         """Waits for `count` events, then 20 ms for surplus ones; lists their types."""
         await self.wait_until(lambda: len(self.events) >= count)
