Cut off bodies without end at once, and report them once

An upstream whose answer had no end was read on after the bound of 16 MiB, until the next tick of the core closed the attempt: each further chunk was kept, summed up with all earlier ones, and reported as one more failure of the attempt. A body whose bytes are mostly framing (chunk extensions) had no bound in practice. An answer over the bound that ended in the same read was reported as a failure and then as a complete answer as well.

An attempt is now interrupted once; that resets its connection, and nothing after it is kept or reported. The size is counted along, and the connection bounds the bytes on the wire at twice the size of the largest body.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -55,6 +55,8 @@
 # Longest idle time of a connection for attempts that need a fresh one.
 FRESH_MAX_IDLE_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# The framing of a body may take as many bytes as its content.
+MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
 
 
 @frozen
@@ -72,8 +74,9 @@
     """One attempt, its connection, and the part of its answer received so far.
 
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller;
-    else `body` holds the chunks of the answer. `aborted` is set when its result is no
-    longer wanted, `finished` when its answer is complete.
+    else `body` holds the chunks of the answer, `size` bytes in all. `aborted` is set
+    when its result is no longer wanted, `finished` when its answer is complete and
+    `interrupted` when it was reported as a failure.
     """
 
     attempt: int
@@ -82,11 +85,13 @@
     connector: Any = None
     aborted: bool = False
     finished: bool = False
+    interrupted: bool = False
     is_stream: bool = False
     status: int = 0
     head: AnswerHead | None = None
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: list[bytes] = field(factory=list)
+    size: int = 0
     pieces: list[Piece] = field(factory=list)
 
     @property
@@ -168,6 +173,8 @@
             self.post(StreamOpened(exchange.attempt, exchange.head))
             response.deliverBody(_PieceReader(self, exchange))
         else:
+            if connection is not None:
+                connection.allow_bytes(MAX_BODY_WIRE_BYTES)
             response.deliverBody(_BodyReader(self, exchange))
 
     def report_signal(self, record: UpstreamRecord, response: Any) -> None:
@@ -178,13 +185,15 @@
 
     def add_body_bytes(self, exchange: Exchange, data: bytes) -> None:
         """Adds bytes to the body of an answer; one that is too long is a failure."""
-        exchange.body.append(data)
-        if sum(map(len, exchange.body)) > MAX_ANSWER_BYTES:
+        exchange.size += len(data)
+        if exchange.size > MAX_ANSWER_BYTES:
             self._interrupt(exchange, "the answer is too long", False)
+        else:
+            exchange.body.append(data)
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
         """Adds complete pieces of a stream and reports them."""
-        if exchange.aborted or not pieces:
+        if exchange.aborted or exchange.interrupted or not pieces:
             return
         exchange.pieces.extend(pieces)
         last = max(piece.number for piece in pieces)
@@ -194,7 +203,7 @@
         self, exchange: Exchange, reason: Failure, at_piece_boundary: bool
     ) -> None:
         """Reports the end of an answer, complete or interrupted."""
-        if exchange.aborted:
+        if exchange.aborted or exchange.interrupted:
             return
         if not at_piece_boundary:
             self._interrupt(exchange, "the stream ended within a piece", True)
@@ -228,8 +237,12 @@
         self._interrupt(exchange, describe_failure(failure), reset or ended is not None)
 
     def _interrupt(self, exchange: Exchange, reason: str, reset: bool) -> None:
-        if exchange.aborted or exchange.finished:
+        """Reports an attempt as failed, once, and reads no more of its answer."""
+        if exchange.aborted or exchange.finished or exchange.interrupted:
             return
+        exchange.interrupted = True
+        if exchange.connection is not None:
+            exchange.connection.reset_now()
         self.post(AttemptInterrupted(exchange.attempt, reason, reset))
 
     def abort(self, attempt: int) -> None:
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -110,3 +110,14 @@
                     await self.check_cut_off(server, MIB)
                     self.check_interrupted_once()
                     self.assertEqual(len(self.events), 2)
+
+    @on_loopback
+    async def test_bodies_without_end_are_cut_off(self) -> None:
+        for name, start, filler in BODIES:
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(start, filler)
+                self.send(server.port)
+                await self.check_cut_off(server, BODY_BYTES)
+                self.check_interrupted_once()
+                self.assertEqual(len(self.events), 2)
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -17,17 +17,20 @@
     UpstreamFailedProbe,
     UpstreamSignalled,
 )
+from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase, make_chunk
 from tests.serving.scripted import CLOSE, RESET, ScriptedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
-STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM = HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED
 PIECE = b"id: 1\ndata: a\n\n"
 
 
 LAST_CHUNK = make_chunk(b"")
+TOO_LONG = b"x" * (MAX_ANSWER_BYTES + 1)
 
 # What an upstream sends, and the events that follow the sending of the request.
 ANSWERS: tuple[tuple[str, list[Any], list[type]], ...] = (
@@ -38,6 +41,17 @@
     ("closed without an answer", [CLOSE], [AttemptInterrupted]),
     ("reset without an answer", [RESET], [AttemptInterrupted]),
     ("no HTTP", [b"\x00\x01garbage\r\n\r\n", CLOSE], [AttemptInterrupted]),
+    (
+        "too long",
+        [HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(TOO_LONG), TOO_LONG)],
+        [AttemptInterrupted],
+    ),
+    ("too long, no length", [HEAD + b"\r\n" + TOO_LONG, CLOSE], [AttemptInterrupted]),
+    (
+        "too long, chunks",
+        [HEAD + CHUNKED + make_chunk(TOO_LONG) + LAST_CHUNK],
+        [AttemptInterrupted],
+    ),
     ("whole with bytes after it", [WHOLE + b"more"], [AnswerReceived]),
     (
         "stream",
@@ -49,6 +63,11 @@
         [STREAM, make_chunk(PIECE + b"id: 2\nda"), RESET],
         [StreamOpened, PiecesReceived, AttemptInterrupted],
     ),
+    (
+        "stream with a piece that is too long",
+        [STREAM, make_chunk(PIECE), make_chunk(TOO_LONG + b"\n\n") + LAST_CHUNK],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
     (
         "stream closed before its end",
         [STREAM, make_chunk(PIECE), CLOSE],
