Search each byte of an event stream once

An upstream that sends an event without end, in small chunks, or comments without end stopped its caller's whole entry for as long: the splitter copied and searched all bytes since the last piece again for each part that arrived, so that its work grew with the square of their number before the bound of 1 MiB was reached.

The splitter now keeps one buffer and goes on where the last search ended.

--- a/src/magnoliahold/serving/pieces.py
+++ b/src/magnoliahold/serving/pieces.py
@@ -4,9 +4,10 @@
 
 import re
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 PIECE_END = re.compile(rb"\r?\n\r?\n")
+MAX_END_BYTES = 4
 NUMBER_LINE = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 MAX_PIECE_BYTES = 1024 * 1024
 
@@ -28,31 +29,40 @@
     """Buffers bytes of an event stream and splits them into complete events.
 
     Events without a number, such as comments, become part of the next numbered piece.
+    Each byte is searched once, however small the parts are in which the bytes arrive.
     """
 
-    buffer: bytes = b""
-    unnumbered: bytes = b""
+    _buffer: bytearray = field(factory=bytearray)
+    _event_start: int = 0
+    _search_start: int = 0
 
     def add_bytes(self, data: bytes) -> list[Piece]:
         """Adds bytes and returns the pieces that are complete now."""
-        content = self.buffer + data
+        buffer = self._buffer
+        buffer += data
         pieces = []
-        start = 0
-        for end in PIECE_END.finditer(content):
-            event = self.unnumbered + content[start : end.end()]
-            start = end.end()
-            number = NUMBER_LINE.search(event)
-            if number is None:
-                self.unnumbered = event
-                continue
-            self.unnumbered = b""
-            pieces.append(Piece(int(number.group(1)), event))
-        self.buffer = content[start:]
-        if len(self.buffer) + len(self.unnumbered) > MAX_PIECE_BYTES:
+        piece_start = 0
+        for found in PIECE_END.finditer(buffer, self._search_start):
+            end = found.end()
+            number = NUMBER_LINE.search(buffer, self._event_start, end)
+            self._event_start = end
+            if number is not None:
+                content = bytes(buffer[piece_start:end])
+                pieces.append(Piece(int(number.group(1)), content))
+                piece_start = end
+        self._remove(piece_start)
+        if len(buffer) > MAX_PIECE_BYTES:
             raise PieceTooLongError(f"a piece is longer than {MAX_PIECE_BYTES} bytes")
         return pieces
 
+    def _remove(self, count: int) -> None:
+        """Removes complete pieces; an end of an event may have arrived in part."""
+        del self._buffer[:count]
+        self._event_start -= count
+        unsearched = len(self._buffer) - MAX_END_BYTES + 1
+        self._search_start = max(self._event_start, unsearched)
+
     @property
     def is_at_piece_boundary(self) -> bool:
         """Whether all bytes so far belong to complete events."""
-        return not self.buffer.strip()
+        return not self._buffer[self._event_start :].strip()
--- a/tests/serving/test_pieces.py
+++ b/tests/serving/test_pieces.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 from magnoliahold.serving.pieces import (
@@ -16,6 +17,8 @@
     b"weight-versions: 2\nid: 2\ndata: b\n\n"
     b"id:3\r\ndata: c\r\n\r\n"
 )
+# Time for the longest piece, which is far below that of a pause of the process.
+MAX_SPLIT_S = 2.0
 
 
 class PieceTests(unittest.TestCase):
@@ -41,6 +44,26 @@
         with self.assertRaises(PieceTooLongError):
             splitter.add_bytes(b"x" * (MAX_PIECE_BYTES + 1))
 
+    def test_time_for_a_long_piece_does_not_depend_on_its_parts(self) -> None:
+        comments = b": x\n\n" * (MAX_PIECE_BYTES // 5)
+        line = b"x" * MAX_PIECE_BYTES
+        for name, content, size in (
+            ("comments", comments, 65536),
+            ("parts of a line", line, 1),
+        ):
+            with self.subTest(name):
+                splitter = PieceSplitter()
+                started = time.process_time()
+                for start in range(0, len(content), size):
+                    splitter.add_bytes(content[start : start + size])
+                self.assertLess(time.process_time() - started, MAX_SPLIT_S)
+
+    def test_number_is_read_in_any_line_of_its_event_only(self) -> None:
+        splitter = PieceSplitter()
+        (piece,) = splitter.add_bytes(b"data: a\n\nx: id: 4\nid: 5\n\nid: 6\n")
+        self.assertEqual(piece.number, 5)
+        self.assertEqual(piece.content, b"data: a\n\nx: id: 4\nid: 5\n\n")
+
 
 if __name__ == "__main__":
     unittest.main()
