Reset connections on which bytes follow a complete answer

A connection on which bytes followed a complete answer was closed, which waits for the server to read the rest of the request. A server that only writes doesn't read it, so the connection stayed open, unread, for as long as the server liked. The same held after an answer with Connection: close.

Bytes that belong to no answer reset the connection. One that is only closed is reset if it is still open half a second later. The check moves to the bounded connection, for the other clients.

test_bytes_after_a_complete_answer_are_cut_off failed before in its two cases with a request of 8 MiB (open after a second).

--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -14,6 +14,8 @@
 
 # Interim heads count as part of the head that follows them.
 MAX_HEAD_BYTES = 64 * 1024
+# How long a connection that is being closed may wait for the rest of its request.
+CLOSE_TIMEOUT_S = 0.5
 
 
 class AnswerTooLongError(Exception):
@@ -25,11 +27,14 @@
 
     The bounds count the bytes on the wire, so that they hold for what is no content,
     too. A head is bounded; a body is if `allow_bytes` is called. `rejection` is set
-    when this end gave up an answer, which was too long or malformed.
+    when this end gave up an answer, which was too long or malformed. `dirty` is set
+    when bytes arrived that belong to no answer; such a connection is not reused.
     """
 
     def __init__(self, on_quiescent: Callable[[Any], None]) -> None:
-        super().__init__(on_quiescent)  # type: ignore[no-untyped-call]
+        super().__init__(self._handle_quiescent)  # type: ignore[no-untyped-call]
+        self.dirty = False
+        self._on_quiescent = on_quiescent
         self.rejection: Failure | None = None
         self._allowed_bytes: float = 0
 
@@ -44,7 +49,11 @@
         self._allowed_bytes = count
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Reads bytes of an answer; gives it up if it is too long."""
+        """Reads bytes of an answer; gives up one that is too long or not expected."""
+        if self.state == "QUIESCENT":
+            self.dirty = True
+            self.reset_now()
+            return
         self._allowed_bytes -= len(data)
         super().dataReceived(data)  # type: ignore[no-untyped-call]
         transport: Any = self.transport
@@ -54,19 +63,34 @@
         if self._allowed_bytes < 0 or transport.disconnecting:
             self._giveUp(Failure(AnswerTooLongError("the answer is too long")))
 
+    def reset_now(self) -> None:
+        """Resets the connection, so that the server notices at once."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.abortConnection()
+
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        """Marks the connection as dirty if bytes follow the end of an answer."""
+        self.dirty = self.dirty or bool(rest)
+        super()._finishResponse(rest)
+
+    def _handle_quiescent(self, _: Any) -> None:
+        if self.dirty:
+            self.reset_now()
+        else:
+            self._on_quiescent(self)
+
     def _begin_body(self, response: Any) -> Any:
         self.allow_bytes(math.inf)
         return response
 
     def _giveUp(self, reason: Failure) -> None:  # noqa: N802
-        """Resets the connection, or closes it if the answer was complete.
-
-        Closing waits for the server to read the rest of the request.
-        """
-        transport: Any = self.transport
+        """Closes the connection after a complete answer, else resets it."""
         if reason.check(ConnectionDone):
             super()._giveUp(reason)  # type: ignore[no-untyped-call]
+            transport: Any = self.transport
+            transport.reactor.callLater(CLOSE_TIMEOUT_S, self.reset_now)
             return
         self.rejection = reason
-        transport.abortConnection()
+        self.reset_now()
         self._disconnectParser(reason)  # type: ignore[no-untyped-call]
--- a/src/magnoliahold/serving/connections.py
+++ b/src/magnoliahold/serving/connections.py
@@ -27,15 +27,13 @@
 class UpstreamConnection(BoundedClientProtocol):
     """A connection to one upstream.
 
-    `close_reason` is set when the connection has ended. `dirty` is set when bytes
-    arrived that belong to no answer; such a connection is not reused.
+    `close_reason` is set when the connection has ended.
     """
 
     def __init__(self, pool: ConnectionPool, pool_key: PoolKey) -> None:
-        super().__init__(self._return_to_pool)
+        super().__init__(pool.release)
         self.pool_key = pool_key
         self.close_reason: Failure | None = None
-        self.dirty = False
         self.idle_since = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self._pool = pool
@@ -61,14 +59,6 @@
                 limit_s = int(value) - KEEP_ALIVE_MARGIN_S
                 self.idle_limit_s = min(MAX_IDLE_S, limit_s)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Reads bytes of an answer; resets the connection if no answer is expected."""
-        if self.state == "QUIESCENT":
-            self.dirty = True
-            self.reset_now()
-            return
-        super().dataReceived(data)
-
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Records why the connection ended and removes it from the pool."""
         self.close_reason = reason
@@ -78,21 +68,7 @@
     def reset_now(self) -> None:
         """Resets the connection, so that the upstream notices at once."""
         self._pool.remove(self)
-        transport: Any = self.transport
-        if transport is not None:
-            transport.abortConnection()
-
-    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
-        """Marks the connection as dirty if bytes follow the end of an answer."""
-        self.dirty = self.dirty or bool(rest)
-        super()._finishResponse(rest)
-
-    def _return_to_pool(self, _: Any) -> None:
-        if self.dirty:
-            transport: Any = self.transport
-            transport.loseConnection()
-        else:
-            self._pool.release(self)
+        super().reset_now()
 
 
 @define(eq=False)
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -5,6 +5,7 @@
 import time
 
 from magnoliahold.core.serving.events import (
+    AnswerReceived,
     AttemptInterrupted,
     AttemptSent,
     PiecesReceived,
@@ -157,3 +158,16 @@
         self.assertLess(exchange.size, BODY_BYTES)
         numbers = [item.number for item in exchange.pieces]
         self.assertEqual(numbers, list(range(1, len(numbers) + 1)))
+
+    @on_loopback
+    async def test_bytes_after_a_complete_answer_are_cut_off(self) -> None:
+        closing = WHOLE.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+        for name, answer in (("kept open", WHOLE), ("closing", closing)):
+            for body in (b"", b"y" * 8 * MIB):
+                with self.subTest(name, body=len(body)):
+                    self.events.clear()
+                    server = self.listen(answer, b"HTTP/1.1 200 OK\r\n")
+                    self.send(server.port, body=body)
+                    await self.check_cut_off(server, MIB)
+                    found = [type(event) for event in self.events]
+                    self.assertEqual(found, [AttemptSent, AnswerReceived])
