Bound the answers to probes, and close those without an end

The answer to a probe counted once its head had come; its body was thrown away without a bound and without a timeout, so that each probe of an upstream that sends a body without end cost the processor for as long as that upstream liked (up to 3.4 GB in a second in the test), and one that stays silent within the body left a connection open for good.

The bytes of the body are bounded, and a connection whose answer is incomplete at the timeout of the probe is reset. What counts as a success is unchanged.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -61,6 +61,7 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # The framing of a body may take as many bytes as its content.
 MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
+MAX_PROBE_WIRE_BYTES = 256 * 1024
 MAX_PIECE_WIRE_BYTES = 2 * MAX_PIECE_BYTES
 
 
@@ -305,7 +306,8 @@
     def probe(self, record: UpstreamRecord, timeout_s: float) -> None:
         """Probes an upstream on a new connection.
 
-        Any answer counts as a success, unless another upstream has the address.
+        Any answer counts as a success, unless another upstream has the address. Its
+        body is read only so that the connection can be reused.
         """
         connection = UpstreamConnection(self.pool, make_pool_key(record))
         _Probe(self, record, connection, timeout_s).start()
@@ -353,13 +355,17 @@
 
 @define(eq=False)
 class _Probe:
-    """One probe of an upstream."""
+    """One probe of an upstream.
+
+    `done` is set when its result is known, `finished` when its answer is complete.
+    """
 
     exchanges: UpstreamExchanges
     record: UpstreamRecord
     connection: UpstreamConnection
     timeout_s: float
     done: bool = False
+    finished: bool = False
     connector: Any = None
 
     def start(self) -> None:
@@ -373,7 +379,7 @@
         self.connector = reactor.connectTCP(
             self.record.address, self.record.port, factory, timeout=self.timeout_s
         )
-        reactor.callLater(self.timeout_s, self._fail, "no answer to a probe")
+        reactor.callLater(self.timeout_s, self._time_out)
 
     def _send_request(self, connection: UpstreamConnection) -> None:
         headers = make_probe_headers(self.record)
@@ -384,7 +390,8 @@
         )
 
     def _succeed(self, response: Any) -> None:
-        response.deliverBody(Protocol())
+        self.connection.allow_bytes(MAX_PROBE_WIRE_BYTES)
+        response.deliverBody(_ProbeReader(self))
         self.exchanges.report_signal(self.record, response)
         if read_answer_head(response.code, response.headers).misdirected:
             self._fail("another upstream has its address")
@@ -393,6 +400,11 @@
             record = self.record
             self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
 
+    def _time_out(self) -> None:
+        self._fail("no answer to a probe")
+        if not self.finished:
+            self.connection.reset_now()
+
     def _fail(self, reason: str) -> None:
         if self.done:
             return
@@ -400,3 +412,13 @@
         self.connector.disconnect()
         record = self.record
         self.exchanges.post(UpstreamFailedProbe(record.id, record.born_ms, reason))
+
+
+class _ProbeReader(Protocol):
+    """Discards the body of the answer to a probe."""
+
+    def __init__(self, probe: _Probe) -> None:
+        self._probe = probe
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._probe.finished = True
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -10,6 +10,8 @@
     AttemptSent,
     PiecesReceived,
     StreamOpened,
+    UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
 )
 from tests.flooding import FloodingServer
 from tests.loopback import on_loopback
@@ -171,3 +173,15 @@
                     await self.check_cut_off(server, MIB)
                     found = [type(event) for event in self.events]
                     self.assertEqual(found, [AttemptSent, AnswerReceived])
+
+    @on_loopback
+    async def test_probe_answers_without_end_are_cut_off(self) -> None:
+        results = (UpstreamAnsweredProbe, UpstreamFailedProbe)
+        for name, start, filler in HEADS + BODIES:
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(start, filler)
+                self.exchanges.probe(self.make_record(server.port), 0.5)
+                await self.check_cut_off(server, MIB)
+                (event,) = self.events
+                self.assertIsInstance(event, results)
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -202,3 +202,11 @@
                 await self.sleep(0.15)
                 self.assertEqual(len(self.events), 1)
                 self.assertIn(b"i-1", server.requests[0])
+
+    @on_loopback
+    async def test_connection_of_a_probe_closes_if_its_answer_has_no_end(self) -> None:
+        server = self.listen([WHOLE[:-1]])
+        self.exchanges.probe(self.make_record(server.port), 0.1)
+        await self.wait_until(lambda: server.ended == 1)
+        (event,) = self.events
+        self.assertIsInstance(event, UpstreamAnsweredProbe)
