Use bounded connections for all other calls over HTTP

Lists of prompts, orders of copies, calls of the store and of the other services went over connections whose heads had no bound, up to the timeout of the call. A body beyond its bound ended the call, but a kept connection was only closed, which waits for the server to read the request. On a kept connection, bytes that came with the end of an answer were dropped unseen and the connection reused, so that what followed them could be taken for the next answer.

The pools make bounded connections: they count the bytes on the wire and reset a connection at their bound, when its answer is malformed, or when bytes follow it.

--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 
@@ -26,16 +27,20 @@
     """A connection that is reset when an answer on it goes beyond its bounds.
 
     The bounds count the bytes on the wire, so that they hold for what is no content,
-    too. A head is bounded; a body is if `allow_bytes` is called. `rejection` is set
-    when this end gave up an answer, which was too long or malformed. `dirty` is set
-    when bytes arrived that belong to no answer; such a connection is not reused.
+    too: `max_body_bytes` in a body, unless `allow_bytes` sets another bound for what is
+    left of it. `rejection` is set when this end gave up an answer, which was too long
+    or malformed. `dirty` is set when bytes arrived that belong to no answer; such a
+    connection is not reused.
     """
 
-    def __init__(self, on_quiescent: Callable[[Any], None]) -> None:
+    def __init__(
+        self, on_quiescent: Callable[[Any], None], max_body_bytes: float = math.inf
+    ) -> None:
         super().__init__(self._handle_quiescent)  # type: ignore[no-untyped-call]
         self.dirty = False
         self._on_quiescent = on_quiescent
         self.rejection: Failure | None = None
+        self._max_body_bytes = max_body_bytes
         self._allowed_bytes: float = 0
 
     def request(self, request: Any) -> Any:
@@ -81,7 +86,7 @@
             self._on_quiescent(self)
 
     def _begin_body(self, response: Any) -> Any:
-        self.allow_bytes(math.inf)
+        self.allow_bytes(self._max_body_bytes)
         return response
 
     def _giveUp(self, reason: Failure) -> None:  # noqa: N802
@@ -94,3 +99,19 @@
         self.rejection = reason
         self.reset_now()
         self._disconnectParser(reason)  # type: ignore[no-untyped-call]
+
+
+class BoundedClientFactory(Factory):
+    """Makes the connections of a pool."""
+
+    noisy = False
+
+    def __init__(
+        self, max_body_bytes: float, on_quiescent: Callable[[Any], None], _: str
+    ) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._on_quiescent = on_quiescent
+
+    def buildProtocol(self, addr: Any) -> BoundedClientProtocol:  # noqa: N802
+        """Makes a connection."""
+        return BoundedClientProtocol(self._on_quiescent, self._max_body_bytes)
--- a/src/magnoliahold/httpconnections.py
+++ b/src/magnoliahold/httpconnections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any, cast
 
@@ -19,6 +20,8 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from magnoliahold.httpbounds import BoundedClientFactory
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -26,11 +29,14 @@
     from twisted.python.failure import Failure
     from twisted.web.client import URI
 
+    from magnoliahold.httpbounds import BoundedClientProtocol
     from magnoliahold.runtime import Reactor
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 POOLED_CONNECTIONS = 8
+# The longest body is half of this; its framing may take as many bytes.
+MAX_BODY_WIRE_BYTES = 32 * 1024 * 1024
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
@@ -41,13 +47,13 @@
 
     def __init__(self, reactor: Reactor) -> None:
         self._reactor = reactor
-        self._transport: Any = None
+        self._protocol: BoundedClientProtocol | None = None
         self._aborted = False
 
     @property
     def connected(self) -> bool:
         """Whether a connection has been made, open or not."""
-        return self._transport is not None
+        return self._protocol is not None
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
         """Builds an endpoint that records its connection; IP addresses need no DNS."""
@@ -62,14 +68,19 @@
     def abort(self) -> None:
         """Closes the connection, discarding unsent bytes, and prevents further ones."""
         self._aborted = True
-        if self._transport is not None:
-            self._transport.abortConnection()
+        if self._protocol is not None:
+            self._protocol.reset_now()
+
+    def allow_bytes(self, count: int) -> None:
+        """Sets how many more bytes of the current answer may arrive."""
+        if self._protocol is not None:
+            self._protocol.allow_bytes(count)
 
     def _record_connection(self, protocol: Any) -> Any:
         if self._aborted:
             protocol.transport.abortConnection()
             raise ConnectionAborted("the request was cancelled before it was sent")
-        self._transport = protocol.transport
+        self._protocol = protocol
         return protocol
 
     def _build_endpoint(self, uri: URI) -> Any:
@@ -96,20 +107,25 @@
 
 def build_pool(reactor: Reactor) -> HTTPConnectionPool:
     """Builds a pool of persistent connections without automatic retries."""
-    pool = HTTPConnectionPool(cast("Any", reactor), persistent=True)
-    pool.retryAutomatically = False
+    pool = _build_bounded_pool(reactor, persistent=True)
     pool.maxPersistentPerHost = POOLED_CONNECTIONS
     pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S  # type: ignore[assignment]
     return pool
 
 
+def _build_bounded_pool(reactor: Reactor, persistent: bool) -> HTTPConnectionPool:
+    pool = HTTPConnectionPool(cast("Any", reactor), persistent)
+    pool.retryAutomatically = False
+    pool._factory = partial(BoundedClientFactory, MAX_BODY_WIRE_BYTES)  # type: ignore[assignment]
+    return pool
+
+
 def build_agent(
     reactor: Reactor, connector: DirectConnector, pool: HTTPConnectionPool | None = None
 ) -> Agent:
     """Builds an agent; without a pool each request opens its own connection."""
     if pool is None:
-        pool = HTTPConnectionPool(cast("Any", reactor), persistent=False)
-        pool.retryAutomatically = False
+        pool = _build_bounded_pool(reactor, persistent=False)
     return Agent.usingEndpointFactory(reactor, connector, pool)  # type: ignore[no-any-return]
 
 
--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -1,15 +1,60 @@
-"""A TCP server for tests that sends part of an answer without end."""
+"""A TCP server for tests that sends part of an answer without end, and its answers."""
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from attrs import define, field
 from twisted.internet.protocol import Protocol, ServerFactory
 
+from tests.loopback import LoopbackTestCase
+
 BLOCK_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
 
+MIB = 1024 * 1024
+# Bytes that lie unread in the buffers of both sockets.
+SOCKET_BYTES = 12 * MIB
+BODY_BYTES = 32 * MIB
+# Time in which an answer is cut off.
+CUT_OFF_S = 1.0
+
+STATUS = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+PLAIN = STATUS + CHUNKED
+WHOLE = STATUS + b"Content-Length: 2\r\n\r\nok"
+EXTENDED = b"1;" + b"e" * 1000 + b"\r\nx\r\n"
+
+
+def make_chunk(content: bytes) -> bytes:
+    """Frames bytes as a chunk."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+# The start of an answer, and what follows it without end.
+HEADS = (
+    ("status line", b"HTTP/1.1 200 ", b"x"),
+    ("no answer", b"", b"\x00\x01\x02"),
+    ("status of many digits", b"HTTP/1.1 ", b"2"),
+    ("one header line", STATUS + b"Long: ", b"x"),
+    ("header lines", STATUS, b"Name: value\r\n"),
+    ("short header lines", STATUS, b"a:\n"),
+    ("lines of one header", STATUS + b"Name: value\r\n", b" \n"),
+    ("interim heads", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ("short interim heads", b"", b"HTTP/1.1 199\n\n"),
+)
+BODIES = (
+    ("length", STATUS + b"Content-Length: 99999999999999\r\n\r\n", b"x"),
+    ("no length", STATUS + b"\r\n", b"x"),
+    ("chunks", PLAIN, make_chunk(b"x" * 1000)),
+    ("one chunk", PLAIN + b"fffffffffff\r\n", b"x"),
+    ("chunk size line", PLAIN, b"1"),
+    ("chunk extension", PLAIN + b"5;", b"e"),
+    ("chunk extensions", PLAIN, EXTENDED),
+    ("trailers", PLAIN + make_chunk(b"ok") + b"0\r\n", b"Name: value\r\n"),
+)
+
 
 @define(eq=False)
 class FloodingServer:
@@ -97,3 +142,30 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing: the connection is lost."""
+
+
+class FloodTestCase(LoopbackTestCase):
+    """A test case with servers that send without end."""
+
+    def flood(
+        self, start: bytes, filler: bytes, sound: list[bytes] | None = None
+    ) -> FloodingServer:
+        """Starts a server that sends without end."""
+        server = FloodingServer(start, filler, sound or [])
+        self.listeners.append(server.listen(self.reactor))
+        return server
+
+    async def check_cut_off(
+        self, server: FloodingServer, limit: int, cut_off_s: float = CUT_OFF_S
+    ) -> None:
+        """Waits until the connection was closed; checks what came in till then."""
+        started = time.process_time()
+        stop = self.reactor.callLater(cut_off_s, server.stop)
+        await self.wait_until(lambda: server.ended == 1)
+        cut_off = stop.active()
+        if cut_off:
+            stop.cancel()
+        await self.sleep(0.03)
+        self.assertTrue(cut_off, f"went on after {server.sent} bytes")
+        self.assertLess(time.process_time() - started, cut_off_s)
+        self.assertLess(server.sent, limit + SOCKET_BYTES)
--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -43,8 +43,3 @@
         headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
         self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
         return self.attempt
-
-
-def make_chunk(content: bytes) -> bytes:
-    """Frames bytes as a chunk."""
-    return b"%x\r\n%s\r\n" % (len(content), content)
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -13,51 +11,30 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from tests.flooding import FloodingServer
+from tests.flooding import (
+    BODIES,
+    BODY_BYTES,
+    CHUNKED,
+    EXTENDED,
+    HEADS,
+    MIB,
+    STATUS,
+    WHOLE,
+    FloodTestCase,
+    make_chunk,
+)
 from tests.loopback import on_loopback
-from tests.serving.exchanging import ExchangeTestCase, make_chunk
+from tests.serving.exchanging import ExchangeTestCase
 
-MIB = 1024 * 1024
-# Bytes that lie unread in the buffers of both sockets.
-SOCKET_BYTES = 12 * MIB
-BODY_BYTES = 32 * MIB
-# Time in which an answer is cut off; a stream may come in very small parts.
-CUT_OFF_S = 1.0
+# A stream may come in very small parts.
 SMALL_PARTS_S = 3.0
 
-STATUS = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-PLAIN = STATUS + CHUNKED
 STREAM = STATUS + b"Content-Type: text/event-stream\r\n"
 PIECE = b"id: 1\ndata: a\n\n"
 LONG_PIECE = b"id: %d\ndata: " + b"a" * 1000 + b"\n\n"
-WHOLE = STATUS + b"Content-Length: 2\r\n\r\nok"
-EXTENDED = b"1;" + b"e" * 1000 + b"\r\nx\r\n"
 SMALL_CHUNK = b"1\r\nx\r\n"
 
 
-# The start of an answer, and what follows it without end.
-HEADS = (
-    ("status line", b"HTTP/1.1 200 ", b"x"),
-    ("no answer", b"", b"\x00\x01\x02"),
-    ("status of many digits", b"HTTP/1.1 ", b"2"),
-    ("one header line", STATUS + b"Long: ", b"x"),
-    ("header lines", STATUS, b"Name: value\r\n"),
-    ("short header lines", STATUS, b"a:\n"),
-    ("lines of one header", STATUS + b"Name: value\r\n", b" \n"),
-    ("interim heads", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    ("short interim heads", b"", b"HTTP/1.1 199\n\n"),
-)
-BODIES = (
-    ("length", STATUS + b"Content-Length: 99999999999999\r\n\r\n", b"x"),
-    ("no length", STATUS + b"\r\n", b"x"),
-    ("chunks", PLAIN, make_chunk(b"x" * 1000)),
-    ("one chunk", PLAIN + b"fffffffffff\r\n", b"x"),
-    ("chunk size line", PLAIN, b"1"),
-    ("chunk extension", PLAIN + b"5;", b"e"),
-    ("chunk extensions", PLAIN, EXTENDED),
-    ("trailers", PLAIN + make_chunk(b"ok") + b"0\r\n", b"Name: value\r\n"),
-)
 STREAMS = (
     ("event", STREAM + b"\r\n" + PIECE + b"id: 2\ndata: ", b"x"),
     ("event in chunks", STREAM + CHUNKED + make_chunk(PIECE), make_chunk(b"x" * 100)),
@@ -76,30 +53,7 @@
 )
 
 
-class EndlessAnswerTests(ExchangeTestCase):
-    def listen(
-        self, start: bytes, filler: bytes, sound: list[bytes] | None = None
-    ) -> FloodingServer:
-        """Starts a server that sends without end."""
-        server = FloodingServer(start, filler, sound or [])
-        self.listeners.append(server.listen(self.reactor))
-        return server
-
-    async def check_cut_off(
-        self, server: FloodingServer, limit: int, cut_off_s: float = CUT_OFF_S
-    ) -> None:
-        """Waits until the connection was closed; checks what came in till then."""
-        started = time.process_time()
-        stop = self.reactor.callLater(cut_off_s, server.stop)
-        await self.wait_until(lambda: server.ended == 1)
-        cut_off = stop.active()
-        if cut_off:
-            stop.cancel()
-        await self.sleep(0.03)
-        self.assertTrue(cut_off, f"went on after {server.sent} bytes")
-        self.assertLess(time.process_time() - started, cut_off_s)
-        self.assertLess(server.sent, limit + SOCKET_BYTES)
-
+class EndlessAnswerTests(ExchangeTestCase, FloodTestCase):
     def find_interruptions(self) -> list[AttemptInterrupted]:
         """Finds the interruptions among the events."""
         return [item for item in self.events if isinstance(item, AttemptInterrupted)]
@@ -115,7 +69,7 @@
             for body in (b"", b"y" * 8 * MIB):
                 with self.subTest(name, body=len(body)):
                     self.events.clear()
-                    server = self.listen(start, filler)
+                    server = self.flood(start, filler)
                     self.send(server.port, body=body)
                     await self.check_cut_off(server, MIB)
                     self.check_interrupted_once()
@@ -126,7 +80,7 @@
         for name, start, filler in BODIES:
             with self.subTest(name):
                 self.events.clear()
-                server = self.listen(start, filler)
+                server = self.flood(start, filler)
                 self.send(server.port)
                 await self.check_cut_off(server, BODY_BYTES)
                 self.check_interrupted_once()
@@ -137,7 +91,7 @@
         for name, start, filler in STREAMS:
             with self.subTest(name):
                 self.events.clear()
-                server = self.listen(start, filler)
+                server = self.flood(start, filler)
                 attempt = self.send(server.port)
                 await self.check_cut_off(server, 2 * MIB, SMALL_PARTS_S)
                 self.check_interrupted_once()
@@ -150,7 +104,7 @@
 
     @on_loopback
     async def test_stream_with_events_without_end_is_cut_off(self) -> None:
-        server = self.listen(STREAM + b"\r\n", LONG_PIECE)
+        server = self.flood(STREAM + b"\r\n", LONG_PIECE)
         server.count_from = 1
         attempt = self.send(server.port)
         await self.check_cut_off(server, BODY_BYTES)
@@ -168,7 +122,7 @@
             for body in (b"", b"y" * 8 * MIB):
                 with self.subTest(name, body=len(body)):
                     self.events.clear()
-                    server = self.listen(answer, b"HTTP/1.1 200 OK\r\n")
+                    server = self.flood(answer, b"HTTP/1.1 200 OK\r\n")
                     self.send(server.port, body=body)
                     await self.check_cut_off(server, MIB)
                     found = [type(event) for event in self.events]
@@ -180,7 +134,7 @@
         for name, start, filler in HEADS + BODIES:
             with self.subTest(name):
                 self.events.clear()
-                server = self.listen(start, filler)
+                server = self.flood(start, filler)
                 self.exchanges.probe(self.make_record(server.port), 0.5)
                 await self.check_cut_off(server, MIB)
                 (event,) = self.events
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -18,13 +18,13 @@
     UpstreamSignalled,
 )
 from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES
+from tests.flooding import CHUNKED, make_chunk
 from tests.loopback import on_loopback
-from tests.serving.exchanging import ExchangeTestCase, make_chunk
+from tests.serving.exchanging import ExchangeTestCase
 from tests.serving.scripted import CLOSE, RESET, ScriptedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
-CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 STREAM = HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED
 PIECE = b"id: 1\ndata: a\n\n"
 
