Cut off streams of engines that have no end, as broken ones

A stream of a model engine whose lines bring no further token had no bound: lines without tokens or with known ones, chunk extensions, header lines, interim heads. A line without end in small chunks was copied again for each of them. A head line without end counted as a lost connection, and so as the death of the engine.

The connection of a stream bounds the bytes until the output grows, at twice the longest line. A stream that this end gives up as too long, or as malformed once its head is complete, ends as broken. A head that is no HTTP still counts as lost.

--- a/src/magnoliahold/httpconnections.py
+++ b/src/magnoliahold/httpconnections.py
@@ -59,6 +59,11 @@
         """Builds an endpoint that records its connection; IP addresses need no DNS."""
         return cast("IStreamClientEndpoint", _RecordingEndpoint(self, uri))
 
+    @property
+    def rejection(self) -> Failure | None:
+        """Why this end gave up the answer, if it did."""
+        return self._protocol.rejection if self._protocol is not None else None
+
     def connect(self, uri: URI, factory: Any) -> Deferred[Any]:
         """Connects `factory` to the host and port of `uri`."""
         connecting: Deferred[Any] = self._build_endpoint(uri).connect(factory)
--- a/src/magnoliahold/sidecar/engine_stream.py
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 from twisted.internet.protocol import Protocol
 
+from magnoliahold.httpbounds import AnswerTooLongError
 from magnoliahold.httpconnections import (
     DirectConnector,
     build_agent,
@@ -30,6 +31,8 @@
     from magnoliahold.sidecar.engine_protocol import EngineRequest
 
 MAX_LINE_BYTES = 1024 * 1024
+# The framing of a line may take as many bytes as the line.
+MAX_LINE_WIRE_BYTES = 2 * MAX_LINE_BYTES
 
 
 @frozen
@@ -58,6 +61,7 @@
         self._reader: _LineReader | None = None
         self._paused = False
         self._ended = False
+        self._length = 0
         self._pending_response: Deferred[Any] | None = None
 
     def start(self, base_url: str, stream_id: str, request: EngineRequest) -> None:
@@ -102,13 +106,19 @@
         if response.code != 200:
             self._end(_classify_status(response.code), f"status {response.code}")
             return
-        self._reader = _LineReader(self._handle_line, self._handle_body_end)
+        self._connector.allow_bytes(MAX_LINE_WIRE_BYTES)
+        self._reader = _LineReader(
+            self._handle_line, self._handle_long_line, self._end_unfinished
+        )
         response.deliverBody(self._reader)
         if self._paused:
             self._reader.pause()
 
     def _handle_lost_connection(self, failure: Failure) -> None:
-        self._end(EndKind.CONNECTION_LOST, describe_failure(failure))
+        rejection = self._connector.rejection
+        too_long = rejection is not None and rejection.check(AnswerTooLongError)
+        kind = EndKind.BROKEN if too_long else EndKind.CONNECTION_LOST
+        self._end(kind, describe_failure(failure))
 
     def _handle_line(self, line: bytes) -> None:
         if self._ended:
@@ -123,10 +133,25 @@
         elif parsed.offset < 0:
             self._end(EndKind.BROKEN, "line without an offset")
         elif parsed.tokens:
+            self._count_tokens(parsed.offset + len(parsed.tokens))
             self._on_tokens(parsed.offset, parsed.tokens)
 
-    def _handle_body_end(self, end: EngineStreamEnd) -> None:
-        self._end(end.kind, end.reason)
+    def _count_tokens(self, length: int) -> None:
+        """Allows the bytes of a further line if the output has grown."""
+        if length > self._length:
+            self._length = length
+            self._connector.allow_bytes(MAX_LINE_WIRE_BYTES)
+
+    def _handle_long_line(self, reason: str) -> None:
+        self._end(EndKind.BROKEN, reason)
+
+    def _end_unfinished(self, reason: str) -> None:
+        """Ends a stream without a finish line; a rejected one is not lost."""
+        rejection = self._connector.rejection
+        if rejection is not None:
+            self._end(EndKind.BROKEN, describe_failure(rejection))
+        else:
+            self._end(EndKind.CONNECTION_LOST, reason)
 
     def _end(self, kind: EndKind, reason: str) -> None:
         if self._ended:
@@ -160,27 +185,28 @@
     def __init__(
         self,
         on_line: Callable[[bytes], None],
-        on_end: Callable[[EngineStreamEnd], None],
+        on_long_line: Callable[[str], None],
+        on_end: Callable[[str], None],
     ) -> None:
         self._on_line = on_line
+        self._on_long_line = on_long_line
         self._on_end = on_end
-        self._partial_line = b""
+        self._parts: list[bytes] = []
+        self._size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
-        for line in lines:
-            self._on_line(line)
-        if len(self._partial_line) > MAX_LINE_BYTES:
-            reason = f"line is longer than {MAX_LINE_BYTES} bytes"
-            self._on_end(EngineStreamEnd(EndKind.BROKEN, reason))
+        *ends, rest = data.split(b"\n")
+        for end in ends:
+            self._on_line(b"".join((*self._parts, end)))
+            self._parts = []
+            self._size = 0
+        self._parts.append(rest)
+        self._size += len(rest)
+        if self._size > MAX_LINE_BYTES:
+            self._on_long_line(f"line is longer than {MAX_LINE_BYTES} bytes")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        description = describe_failure(reason)
-        self._on_end(
-            EngineStreamEnd(
-                EndKind.CONNECTION_LOST, f"ended without a finish line: {description}"
-            )
-        )
+        self._on_end(f"ended without a finish line: {describe_failure(reason)}")
 
     def pause(self) -> None:
         transport: Any = self.transport
