Test a whole entry against an upstream whose answers have no end

A call is retried at the sound upstream, a booking ends with 502 and reached one upstream, a stream goes on at the sound upstream with each event once.

--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -14,9 +14,10 @@
 from magnoliahold.httpclient import HttpClient
 from magnoliahold.serving.daemon import make_serving_entry
 from magnoliahold.settings.loading import parse_serving_settings
+from tests.flooding import FloodingServer, make_chunk
 from tests.loopback import LoopbackTestCase, on_loopback
 from tests.serving.scripted import RESET, ScriptedServer
-from tests.serving.test_exchanges import HEAD, LAST_CHUNK, STREAM, WHOLE, make_chunk
+from tests.serving.test_exchanges import HEAD, LAST_CHUNK, STREAM, WHOLE
 
 if TYPE_CHECKING:
     from magnoliahold.serving.daemon import ServingDaemon
@@ -29,6 +30,12 @@
     ("bookings", "non_idempotent", False, 1),
     ("streams", "streaming", True, 3),
 )
+PIECE = b"id: %d\ndata: x\n\n"
+FLOODED = {
+    "calls": b"ok",
+    "bookings": b"ok",
+    "streams": b"".join(PIECE % number for number in range(1, 6)),
+}
 
 
 class FakeStore(Resource):
@@ -119,11 +126,12 @@
             **{name: f"127.0.0.1:{port}" for name, port in ports.items()},
         }
 
-    async def start(self, *scripts: list[Any]) -> ServingDaemon:
+    async def start(self, *scripts: list[Any] | FloodingServer) -> ServingDaemon:
         """Starts an entry with one upstream per script and waits until it is ready."""
-        self.servers = []
+        self.servers: list[Any] = []
         for number, script in enumerate(scripts):
-            server = ScriptedServer([script])
+            flooding = isinstance(script, FloodingServer)
+            server: Any = script if flooding else ScriptedServer([script])
             listening = server.listen(self.reactor)
             listening.close = listening.stopListening
             self.listeners.append(listening)
@@ -183,7 +191,7 @@
 
     @on_loopback
     async def test_stream_resumes_on_another_upstream_after_a_reset(self) -> None:
-        pieces = [b"id: %d\ndata: x\n\n" % number for number in range(1, 6)]
+        pieces = [PIECE % number for number in range(1, 6)]
         broken = [STREAM, *map(make_chunk, pieces[:3]), RESET]
         rest = [STREAM, *map(make_chunk, pieces), LAST_CHUNK]
         daemon = await self.start(broken, rest)
@@ -199,6 +207,46 @@
         self.assertEqual(exchanges._exchanges, {}, "ended exchanges are removed")
         self.assertTrue(resumed)
 
+    async def send_until_flooded(self, flooding: FloodingServer, name: str) -> Any:
+        """Sends requests until one has reached a flooding upstream; checks the rest."""
+        while True:
+            # The answer to the open long poll proves that the configuration is current.
+            self.store.put("op", "config", make_document(1))
+            answer = await self.send_request(name)
+            if flooding.requests:
+                return answer
+            self.assertEqual((answer.status, answer.body), (200, FLOODED[name]))
+
+    @on_loopback
+    async def test_call_with_a_head_without_end_is_retried(self) -> None:
+        flooding = FloodingServer(HEAD, b"Name: value\r\n")
+        daemon = await self.start(flooding, [WHOLE])
+        answer = await self.send_until_flooded(flooding, "calls")
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        await self.wait_until(lambda: flooding.ended == flooding.connections)
+        self.assertEqual(daemon.node.ports.upstreams._exchanges, {})
+
+    @on_loopback
+    async def test_booking_with_a_body_without_end_is_not_retried(self) -> None:
+        flooding = FloodingServer(HEAD + b"\r\n", b"x")
+        daemon = await self.start(flooding, [WHOLE])
+        answer = await self.send_until_flooded(flooding, "bookings")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(flooding.requests, 1)
+        await self.wait_until(lambda: flooding.ended == flooding.connections)
+        self.assertEqual(daemon.node.ports.upstreams._exchanges, {})
+
+    @on_loopback
+    async def test_stream_with_an_event_without_end_is_resumed(self) -> None:
+        whole = [PIECE % number for number in range(1, 6)]
+        flooding = FloodingServer(
+            STREAM + b"".join(map(make_chunk, whole[:3])), make_chunk(b"x" * 1000)
+        )
+        await self.start(flooding, [STREAM, *map(make_chunk, whole), LAST_CHUNK])
+        answer = await self.send_until_flooded(flooding, "streams")
+        self.assertEqual((answer.status, answer.body), (200, FLOODED["streams"]))
+        await self.wait_until(lambda: flooding.ended == flooding.connections)
+
     @on_loopback
     async def test_revoked_credential_is_refused(self) -> None:
         await self.start([WHOLE])
