Don't take a stream without a length or an event for complete

An upstream that ended after the head of a stream without a length, and before its first event, was taken to have completed it: the caller got an empty stream with a regular end, and the loss counted for nothing, neither against the upstream nor as a crash by the request. The end of the connection is the only sign of the end there, and a generation has at least one event.

Such a stream has been broken off, unless it was to go on after an earlier event.

The row "closed before its first piece" failed before (StreamEnded); the other rows for streams without a length, closed between and within events or reset, passed.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -256,10 +256,12 @@
         """Returns whether a body is complete.
 
         A body without a length is complete if the upstream closed the connection
-        rather than resetting it.
+        rather than resetting it; a stream has a piece, too.
         """
         if reason.check(ResponseDone):
             return True
+        if exchange.is_stream and exchange.last_piece is None:
+            return False
         connection = exchange.connection
         closed = connection is not None and connection.closed_cleanly
         return reason.check(PotentialDataLoss) is not None and closed
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -26,6 +26,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
 STREAM = HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED
+OPEN_STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
 PIECE = b"id: 1\ndata: a\n\n"
 
 
@@ -73,6 +74,36 @@
         [STREAM, make_chunk(PIECE), CLOSE],
         [StreamOpened, PiecesReceived, AttemptInterrupted],
     ),
+    (
+        "stream without a length, closed between pieces",
+        [OPEN_STREAM + PIECE, CLOSE],
+        [StreamOpened, PiecesReceived, StreamEnded],
+    ),
+    (
+        "stream without a length, announced and closed between pieces",
+        [OPEN_STREAM.replace(b"\r\n", b"\r\nConnection: close\r\n", 1) + PIECE, CLOSE],
+        [StreamOpened, PiecesReceived, StreamEnded],
+    ),
+    (
+        "stream without a length, closed within a piece",
+        [OPEN_STREAM + PIECE + b"id: 2\nda", CLOSE],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, closed before the blank line of a piece",
+        [OPEN_STREAM + PIECE + b"id: 2\ndata: b\n", CLOSE],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, reset between pieces",
+        [OPEN_STREAM + PIECE, RESET],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, closed before its first piece",
+        [OPEN_STREAM, CLOSE],
+        [StreamOpened, AttemptInterrupted],
+    ),
     (
         "stream that ends within a piece",
         [STREAM, make_chunk(PIECE + b"id: 2\nda"), LAST_CHUNK],
