--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -5,9 +5,6 @@
 from functools import partial
 from typing import Any
 
-from twisted.web.http_headers import Headers
-
-from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -20,24 +17,21 @@
     UpstreamFailedProbe,
     UpstreamSignalled,
 )
-from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.connections import ConnectionPool
-from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
-from tests.loopback import LoopbackTestCase, on_loopback
+from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES
+from tests.flooding import CHUNKED, make_chunk
+from tests.loopback import on_loopback
+from tests.serving.exchanging import ExchangeTestCase
 from tests.serving.scripted import CLOSE, RESET, ScriptedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
-STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+STREAM = HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED
+OPEN_STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
 PIECE = b"id: 1\ndata: a\n\n"
 
 
-def make_chunk(content: bytes) -> bytes:
-    """Frames bytes as a chunk."""
-    return b"%x\r\n%s\r\n" % (len(content), content)
-
-
 LAST_CHUNK = make_chunk(b"")
+TOO_LONG = b"x" * (MAX_ANSWER_BYTES + 1)
 
 # What an upstream sends, and the events that follow the sending of the request.
 ANSWERS: tuple[tuple[str, list[Any], list[type]], ...] = (
@@ -48,6 +42,17 @@
     ("closed without an answer", [CLOSE], [AttemptInterrupted]),
     ("reset without an answer", [RESET], [AttemptInterrupted]),
     ("no HTTP", [b"\x00\x01garbage\r\n\r\n", CLOSE], [AttemptInterrupted]),
+    (
+        "too long",
+        [HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(TOO_LONG), TOO_LONG)],
+        [AttemptInterrupted],
+    ),
+    ("too long, no length", [HEAD + b"\r\n" + TOO_LONG, CLOSE], [AttemptInterrupted]),
+    (
+        "too long, chunks",
+        [HEAD + CHUNKED + make_chunk(TOO_LONG) + LAST_CHUNK],
+        [AttemptInterrupted],
+    ),
     ("whole with bytes after it", [WHOLE + b"more"], [AnswerReceived]),
     (
         "stream",
@@ -59,11 +64,46 @@
         [STREAM, make_chunk(PIECE + b"id: 2\nda"), RESET],
         [StreamOpened, PiecesReceived, AttemptInterrupted],
     ),
+    (
+        "stream with a piece that is too long",
+        [STREAM, make_chunk(PIECE), make_chunk(TOO_LONG + b"\n\n") + LAST_CHUNK],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
     (
         "stream closed before its end",
         [STREAM, make_chunk(PIECE), CLOSE],
         [StreamOpened, PiecesReceived, AttemptInterrupted],
     ),
+    (
+        "stream without a length, closed between pieces",
+        [OPEN_STREAM + PIECE, CLOSE],
+        [StreamOpened, PiecesReceived, StreamEnded],
+    ),
+    (
+        "stream without a length, announced and closed between pieces",
+        [OPEN_STREAM.replace(b"\r\n", b"\r\nConnection: close\r\n", 1) + PIECE, CLOSE],
+        [StreamOpened, PiecesReceived, StreamEnded],
+    ),
+    (
+        "stream without a length, closed within a piece",
+        [OPEN_STREAM + PIECE + b"id: 2\nda", CLOSE],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, closed before the blank line of a piece",
+        [OPEN_STREAM + PIECE + b"id: 2\ndata: b\n", CLOSE],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, reset between pieces",
+        [OPEN_STREAM + PIECE, RESET],
+        [StreamOpened, PiecesReceived, AttemptInterrupted],
+    ),
+    (
+        "stream without a length, closed before its first piece",
+        [OPEN_STREAM, CLOSE],
+        [StreamOpened, AttemptInterrupted],
+    ),
     (
         "stream that ends within a piece",
         [STREAM, make_chunk(PIECE + b"id: 2\nda"), LAST_CHUNK],
@@ -72,14 +112,7 @@
 )
 
 
-class ExchangeTests(LoopbackTestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.events: list[Any] = []
-        self.pool = ConnectionPool(self.reactor)
-        self.exchanges = UpstreamExchanges(self.reactor, self.events.append, self.pool)
-        self.attempt = 0
-
+class ExchangeTests(ExchangeTestCase):
     def listen(self, *scripts: list[Any]) -> ScriptedServer:
         """Starts a server that answers with scripts."""
         server = ScriptedServer(list(scripts))
@@ -88,27 +121,6 @@
         self.listeners.append(listener)
         return server
 
-    def make_record(self, port: int) -> UpstreamRecord:
-        """Makes the registration of a server on a port."""
-        return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
-
-    def send(self, port: int, *, fresh: bool = False, body: bytes = b"") -> int:
-        """Sends an attempt and returns its number."""
-        self.attempt += 1
-        effect = SendAttempt(
-            attempt=self.attempt,
-            handle=1,
-            upstream=self.make_record(port),
-            workspace="w",
-            deadline_s=1.0,
-            connect_timeout_s=0.5,
-            priority=5,
-            fresh_connection=fresh,
-        )
-        headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
-        self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
-        return self.attempt
-
     async def wait_for(self, count: int) -> list[type]:
         """Waits for `count` events, then 20 ms for surplus ones; lists their types."""
         await self.wait_until(lambda: len(self.events) >= count)
@@ -221,3 +233,11 @@
                 await self.sleep(0.15)
                 self.assertEqual(len(self.events), 1)
                 self.assertIn(b"i-1", server.requests[0])
+
+    @on_loopback
+    async def test_connection_of_a_probe_closes_if_its_answer_has_no_end(self) -> None:
+        server = self.listen([WHOLE[:-1]])
+        self.exchanges.probe(self.make_record(server.port), 0.1)
+        await self.wait_until(lambda: server.ended == 1)
+        (event,) = self.events
+        self.assertIsInstance(event, UpstreamAnsweredProbe)
