--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -164,6 +164,11 @@
     "losses_beside_sessions": Day(
         sound_per_s=4.5, sessions=True, losses=SINGLE_LOSSES + CENTRE_LOSSES
     ),
+    "many_losses_beside_sessions": Day(
+        sound_per_s=4.5,
+        sessions=True,
+        losses=tuple(EngineLoss(4.0 + 1.1 * number) for number in range(18)),
+    ),
     "losses_and_entry_restarts": Day(
         losses=SINGLE_LOSSES, stops=(EntryStop(2, 10.0, 11.0),)
     ),
