Take an upstream that falls silent for lost, not for crashed by a request

A data centre without power ends its connections one after the other, as they time out, so that the same popular part of prompts could be blamed for several moments. The host of a crashed process refuses connections, and only that counts now. Found by reading; the check in test_quarantine fails without the change (a report for a silent upstream).

--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -37,10 +37,14 @@
 
 @frozen
 class AttemptNotSent:
-    """An attempt failed before any byte of the request was sent."""
+    """An attempt failed before any byte of the request was sent.
+
+    `silent` is set if the upstream's host didn't answer in time.
+    """
 
     attempt: int
     reason: str
+    silent: bool = False
 
 
 @frozen
@@ -115,11 +119,15 @@
 
 @frozen
 class UpstreamFailedProbe:
-    """An upstream did not answer a probe in time, or refused the connection."""
+    """An upstream did not answer a probe in time, or refused the connection.
+
+    `silent` is set if it didn't answer in time.
+    """
 
     upstream_id: str
     born_ms: int
     reason: str
+    silent: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -141,16 +141,19 @@
 def _settle_resets(world: ServingWorld, now: float) -> None:
     """Reports the resets of upstreams that are down; one that answers has not crashed.
 
-    An upstream that was leaving has ended as planned.
+    An upstream that was leaving has ended as planned, and one that is silent has lost
+    power or is cut off: the host of a crashed process refuses connections.
     """
     table = world.suspicions
     settle_max_s = world.serving_policy.suspicion.settle_max_s
     unsettled = []
     for item in table.unsettled_resets:
-        health = item.upstream.health
-        if health is UpstreamHealth.DOWN and not item.upstream.leaving:
+        upstream = item.upstream
+        if upstream.health is UpstreamHealth.HEALTHY or upstream.leaving:
+            continue
+        if upstream.health is UpstreamHealth.DOWN and not upstream.silent:
             _add_own_report(world, item, now)
-        elif health is UpstreamHealth.SUSPECTED and now - item.at <= settle_max_s:
+        elif now - item.at <= settle_max_s:
             unsettled.append(item)
     table.unsettled_resets = unsettled
 
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -48,7 +48,7 @@
         attempt = world.requests.attempts.get(unsent.attempt)
         if attempt is None:
             continue
-        mark_down(world, attempt.upstream, unsent.reason, now)
+        mark_down(world, attempt.upstream, unsent.reason, now, unsent.silent)
         attempt.request.send_count -= 1
         if attempt.request.send_count:
             world.find_budget(attempt.request.service).return_retry()
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -54,8 +54,17 @@
     probe(world, upstream, reason, now)
 
 
-def mark_down(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
-    """Marks an upstream as down until it responds; delays its next probe."""
+def mark_down(
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    silent: bool = False,
+) -> None:
+    """Marks an upstream as down until it responds; delays its next probe.
+
+    `silent` means that it didn't answer at all.
+    """
     policy = world.serving_policy.watch
     if upstream.health is not UpstreamHealth.DOWN:
         world.log_decision(
@@ -65,6 +74,7 @@
         world.upstreams.record_incident(upstream.record, now)
         _probe_neighbours(world, upstream, now)
     upstream.health = UpstreamHealth.DOWN
+    upstream.silent = silent
     delay_s = policy.down_probe_s * 2**upstream.failed_probes
     upstream.failed_probes = min(upstream.failed_probes + 1, 8)
     upstream.next_probe_at = now + min(delay_s, policy.down_probe_max_s)
@@ -110,7 +120,7 @@
         upstream = _find_probed(world, failed.upstream_id, failed.born_ms)
         if upstream is not None:
             upstream.probe_sent_at = None
-            mark_down(world, upstream, failed.reason, now)
+            mark_down(world, upstream, failed.reason, now, failed.silent)
 
 
 def _find_probed(
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -81,9 +81,9 @@
     are moving averages of the time between pieces and of the time to the first piece.
     `missing_since` is set while its registration is missing after an outage of the
     store. While `awaits_sign` is set it gets no request, since it may have ended long
-    ago. `copies` counts the streams whose KV cache it keeps a copy of, and
-    `copied_tokens` the tokens of their prompts. `no_load` is the load of an entry that
-    runs nothing there.
+    ago. `silent` is set while it is down and doesn't answer at all. `copies` counts the
+    streams whose KV cache it keeps a copy of, and `copied_tokens` the tokens of their
+    prompts. `no_load` is the load of an entry that runs nothing there.
     """
 
     record: UpstreamRecord
@@ -95,6 +95,7 @@
     failed_probes: int = 0
     missing_since: float | None = None
     awaits_sign: bool = False
+    silent: bool = False
     attempts: dict[int, Attempt] = field(factory=dict)
     copies: int = 0
     copied_tokens: int = 0
--- a/src/magnoliahold/httpconnections.py
+++ b/src/magnoliahold/httpconnections.py
@@ -13,7 +13,8 @@
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
 )
-from twisted.internet.error import ConnectionAborted
+from twisted.internet.error import ConnectionAborted, TCPTimedOutError
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
@@ -183,6 +184,11 @@
     )
 
 
+def is_timeout(failure: Failure) -> bool:
+    """Tells whether a connection was not answered in time, rather than refused."""
+    return failure.check(ConnectTimeoutError, TCPTimedOutError) is not None
+
+
 def describe_failure(failure: Failure) -> str:
     """Describes in one line why a request failed."""
     reasons: Sequence[Any] = getattr(failure.value, "reasons", None) or ()
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -22,7 +22,7 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from magnoliahold.httpconnections import BytesProducer, describe_failure
+from magnoliahold.httpconnections import BytesProducer, describe_failure, is_timeout
 from magnoliahold.platform.upstreams import (
     REPORT_PATH,
     is_event_stream,
@@ -160,7 +160,7 @@
         if exchange.aborted:
             return
         message = f"no connection: {describe_failure(reason)}"
-        self.post(AttemptNotSent(exchange.attempt, message))
+        self.post(AttemptNotSent(exchange.attempt, message, is_timeout(reason)))
 
     def _send_on(
         self,
@@ -375,7 +375,7 @@
         reactor = self.exchanges.reactor
         factory = ConnectionFactory(
             self.connection,
-            lambda reason: self._fail(describe_failure(reason)),
+            lambda reason: self._fail(describe_failure(reason), is_timeout(reason)),
             self._send_request,
         )
         self.connector = reactor.connectTCP(
@@ -403,17 +403,18 @@
             self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
 
     def _time_out(self) -> None:
-        self._fail("no answer to a probe")
+        self._fail("no answer to a probe", silent=True)
         if not self.finished:
             self.connection.reset_now()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, silent: bool = False) -> None:
         if self.done:
             return
         self.done = True
         self.connector.disconnect()
         record = self.record
-        self.exchanges.post(UpstreamFailedProbe(record.id, record.born_ms, reason))
+        failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent)
+        self.exchanges.post(failed)
 
 
 class _ProbeReader(Protocol):
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -127,6 +127,22 @@
         self.harness.advance(0.6)
         self.assertEqual(self.harness.world.suspicions.reports, {})
 
+    def test_upstream_that_falls_silent_has_not_crashed(self) -> None:
+        # As when a data centre loses power: its connections end at different times.
+        for silent, reported in ((True, 0), (False, 1)):
+            with self.subTest(silent=silent):
+                self.setUp()
+                _, first = self.send_request()
+                self.harness.interrupt(first)
+                record = first.upstream
+                failed = UpstreamFailedProbe(
+                    record.id, record.born_ms, "no answer", silent
+                )
+                self.harness.post(failed)
+                self.harness.advance(3.2)
+                reports = self.harness.world.suspicions.reports
+                self.assertEqual(len(reports), reported)
+
     def test_upstream_that_was_leaving_has_not_crashed(self) -> None:
         _, first = self.send_request()
         leaving = evolve(first.upstream, leaving=True)
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -214,6 +214,24 @@
                 self.exchanges.probe(self.make_record(server.port), 0.1)
                 await self.wait_until(partial(self.events.__contains__, expected))
 
+    @on_loopback
+    async def test_only_an_upstream_that_does_not_answer_is_silent(self) -> None:
+        for name, script, silent in (
+            ("no answer", [], True),
+            ("reset", [RESET], False),
+        ):
+            with self.subTest(name):
+                self.events.clear()
+                server = self.listen(script)
+                self.exchanges.probe(self.make_record(server.port), 0.1)
+                await self.wait_until(lambda: bool(self.events))
+                self.assertEqual(self.events[0].silent, silent)
+        with self.subTest("refused"):
+            self.events.clear()
+            self.exchanges.probe(self.make_record(1), 0.1)
+            await self.wait_until(lambda: bool(self.events))
+            self.assertFalse(self.events[0].silent)
+
     @on_loopback
     async def test_result_of_each_probe(self) -> None:
         rejected = b"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
