Hold back only requests with a suspect that never began

A popular part has begun before, and then isn't held back. The new check in test_quarantine failed before.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -132,8 +132,8 @@
     `departures` are requests that left an upstream before they began there.
     `begun_at` holds when a request with a suspect last began, on the store's clock, the
     latest last, and `reported_clearances` what other entries are told of that. The
-    `watched` suspects lack one crash to be quarantined. `evaluation_at` is set while
-    new evidence is not evaluated, on the process clock.
+    `watched` suspects lack one crash to be quarantined, and were never seen to begin.
+    `evaluation_at` is set while new evidence is not evaluated, on the process clock.
     """
 
     reports: dict[ReportKey, CrashReport] = field(factory=dict)
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -118,7 +118,7 @@
     table.watched = frozenset(
         suspect
         for suspect, items in group_by_suspect(crashes).items()
-        if len(items) >= limit
+        if len(items) >= limit and suspect not in table.begun_at
     )
 
 
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -361,6 +361,13 @@
         self.request(("other",))
         self.assertEqual(len(self.harness.pop_effects(SendAttempt)), 1)
 
+    def test_popular_part_is_not_held_back_where_engines_crash(self) -> None:
+        self.begin(("popular",))
+        self.crash_all(2, ("popular",))
+        self.request(("popular",))
+        self.request(("popular",))
+        self.assertEqual(len(self.harness.pop_effects(SendAttempt)), 2)
+
     def test_part_is_tried_again_by_one_request_after_its_term(self) -> None:
         for deadly, refused in ((True, True), (False, False)):
             with self.subTest(deadly=deadly):
