--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -12,9 +12,12 @@
 
 from attrs import define
 
+from magnoliahold.core.serving.suspicions import is_part
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from magnoliahold.core.serving.policy import SuspicionPolicy
     from magnoliahold.core.serving.suspicions import CrashReport
 
 CrashId: TypeAlias = tuple[str, int]
@@ -76,10 +79,9 @@
 def find_convictions(
     crashes: list[CrashEvidence],
     begun_at: Mapping[str, float],
-    crashes_to_convict: int,
-    moment_s: float,
+    policy: SuspicionPolicy,
 ) -> list[frozenset[str]]:
-    """Finds groups of suspects that explain at least `crashes_to_convict` crashes.
+    """Finds groups of suspects that explain enough crashes to quarantine them.
 
     Suspects that were always together can't be told apart, and are one group: only
     requests with all of them are to blame. What one group explains is no evidence
@@ -91,8 +93,8 @@
         enough = [
             suspect
             for suspect, items in group_by_suspect(remaining).items()
-            if len(items) >= crashes_to_convict
-            and count_moments(items, moment_s) >= MIN_MOMENTS
+            if len(items) >= _find_limit(suspect, begun_at, policy)
+            and count_moments(items, policy.settle_s) >= MIN_MOMENTS
         ]
         if not enough:
             return convictions
@@ -102,12 +104,26 @@
         remaining = [crash for crash in remaining if not crash.is_explained_by(best)]
 
 
+def _find_limit(
+    suspect: str, begun_at: Mapping[str, float], policy: SuspicionPolicy
+) -> int:
+    """Returns how many crashes convict; what has begun may be there by chance."""
+    if suspect in begun_at:
+        return policy.crashes_to_convict_begun
+    return policy.crashes_to_convict
+
+
 def _rank(
     group: frozenset[str], crashes: list[CrashEvidence], begun_at: Mapping[str, float]
-) -> tuple[int, bool, int, list[str]]:
-    """Ranks a group by what it explains, and then by how few requests it blames."""
+) -> tuple[bool, int, int, list[str]]:
+    """Ranks a group by what it explains, and then by how few requests it blames.
+
+    One with a part that was never seen to begin goes before all others. That a
+    fingerprint never began says nothing.
+    """
+    new_part = any(is_part(item) and item not in begun_at for item in group)
     explained = sum(crash.is_explained_by(group) for crash in crashes)
-    return (explained, begun_at.keys().isdisjoint(group), len(group), sorted(group))
+    return (new_part, explained, len(group), sorted(group))
 
 
 def _find_group(suspect: str, crashes: list[CrashEvidence]) -> frozenset[str]:
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -220,7 +220,8 @@
     has lived on for `begun_after_s` after the first piece. New evidence is evaluated
     after `gather_s`, in which that of other entries arrives; a report is sent to them
     for `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in
-    common, not all of the same moment, is quarantined for `quarantine_s`, later for at
+    common, not all of the same moment, is quarantined, if requests with it have begun
+    before after `crashes_to_convict_begun`. That is for `quarantine_s`, later for at
     most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
     which an entry awaits at most `max_trial_turns`. Refused callers may retry after
     `retry_after_s`. At most `max_reports`, `max_begun` and `max_quarantines` rows are
@@ -233,6 +234,7 @@
     gather_s: float = _positive(0.1)
     reported_s: float = _positive(10.0)
     crashes_to_convict: int = _positive_int(3)
+    crashes_to_convict_begun: int = _positive_int(5)
     crash_kept_s: float = _positive(90.0)
     quarantine_s: float = _positive(45.0)
     max_quarantine_s: float = _positive(3600.0)
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -33,6 +33,11 @@
     return frozenset(suspects)
 
 
+def is_part(suspect: str) -> bool:
+    """Tells whether a suspect is a part of a prompt."""
+    return suspect.startswith(PART_TAG)
+
+
 @frozen
 class CrashReport:
     """A request that had not begun at an upstream when that upstream crashed.
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -108,9 +108,7 @@
     crashes = gather_crashes(table.reports.values(), table.begun_at)
     _end_cleared_quarantines(world)
     _renew_quarantines(world, crashes)
-    for suspects in find_convictions(
-        crashes, table.begun_at, policy.crashes_to_convict, policy.settle_s
-    ):
+    for suspects in find_convictions(crashes, table.begun_at, policy):
         if not any(item.suspects <= suspects for item in table.quarantines.values()):
             convicted_at = _find_last_crash(world, suspects)
             quarantine_suspects(world, suspects, convicted_at)
