--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -300,9 +300,9 @@
     world: ServingWorld,
     _: Feed,
     __: FeedRow,
-    read: _ReadContext,
+    ___: _ReadContext,
 ) -> None:
-    apply_quarantine_record(world, value, read.now)
+    apply_quarantine_record(world, value, listed=True)
 
 
 @_apply_value.register(NoneType)
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -92,7 +92,7 @@
     """Applies quarantines of other entries, and evaluates new evidence."""
     for received in world.inbox.read_events(NoticeReceived):
         for record in received.notice.quarantines:
-            apply_quarantine_record(world, record, now)
+            apply_quarantine_record(world, record, listed=False)
     if not world.scan_due:
         return
     _expire_quarantines(world)
@@ -225,9 +225,13 @@
 
 
 def apply_quarantine_record(
-    world: ServingWorld, record: QuarantineRecord, now: float
+    world: ServingWorld, record: QuarantineRecord, listed: bool
 ) -> None:
-    """Applies a quarantine of the store or of another entry unless it is over."""
+    """Applies a quarantine of another entry, or one that the store lists.
+
+    One that is over is left out. An entry with evidence of its own writes what the
+    store may not list.
+    """
     if world.read_shared_time() >= record.convicted_at + 2 * record.term_s:
         return
     table = world.suspicions
@@ -240,11 +244,14 @@
         return
     if any(item.suspects < suspects for item in table.quarantines.values()):
         return
-    _add_quarantine(world, Quarantine(suspects, record.convicted_at, record.term_s))
+    quarantine = Quarantine(suspects, record.convicted_at, record.term_s)
+    _add_quarantine(world, quarantine)
     world.other_entries.send_now = True
     world.log_decision(
         "suspects", "Quarantine received.", suspects=name_suspects(suspects)
     )
+    if not listed and _has_own_evidence(world, suspects):
+        _write_quarantine(world, quarantine)
 
 
 def _expire_quarantines(world: ServingWorld) -> None:
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -202,6 +202,15 @@
         self.harness.advance(0.2)
         self.send_request()
 
+    def test_quarantine_that_another_entry_found_first_is_written(self) -> None:
+        # All entries restarted, and nobody had written it.
+        _, first = self.send_request()
+        self.crash_upstream(first)
+        name = f"{POISON}+{SHARED_SUSPECT}"
+        self.post_notice(quarantines=(QuarantineRecord(name, self.harness.now, 45.0),))
+        written = self.harness.pop_effect(WriteQuarantine)
+        self.assertEqual(written.record.fingerprint, name)
+
     def test_quarantine_in_the_store_applies_until_it_expires(self) -> None:
         for age_s, refused in ((44.0, 1), (91.0, 0)):
             with self.subTest(age_s=age_s):
