Leave the link to callers: bound the bytes of notices between entries

Cause: each entry sent its whole notice to every other one up to 25 times a second, and at once after each stream, at 1.5 KB and more. Probes and connections then timed out, which entries took for upstreams that were down, reported in more notices, and probed: the outage fed itself. Small deployments have 6 entries on 1,000 Mbps.

Notices now use at most a twentieth of the link on average, and what isn't urgent leaves half of a second's bytes to what is. The newest state goes out when the budget allows, so peers learn everything, later.

The check in test_peer_notices fails without the limit: 2,304,774 bytes in ten seconds, where 646,330 are allowed.

--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -239,6 +239,13 @@
     epoch: int | None = None
 
 
+@frozen
+class NoticeEncoded:
+    """A notice was sent; its encoding has `size_bytes`."""
+
+    size_bytes: int
+
+
 @frozen
 class NoticeReceived:
     """A notice of another entry was received."""
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -83,6 +83,36 @@
     unlisted_since: float | None = None
 
 
+@define
+class NoticeBudget:
+    """The bytes that notices may use, which accrue with time.
+
+    `notice_bytes` is the size of the last notice. `updated_at` is on the process clock.
+    """
+
+    available_bytes: float = 0.0
+    notice_bytes: int = 0
+    updated_at: float = 0.0
+
+    def try_spend(
+        self, peers: int, urgent: bool, max_bytes_per_s: float, now: float
+    ) -> bool:
+        """Spends the bytes of a notice to all peers, if that is allowed now.
+
+        Only urgent ones may use the last half of what accrues in a second.
+        """
+        cost = float(peers * self.notice_bytes)
+        limit = max(max_bytes_per_s, 2 * cost)
+        accrued = (now - self.updated_at) * max_bytes_per_s
+        self.available_bytes = min(limit, self.available_bytes + accrued)
+        self.updated_at = now
+        reserve = 0.0 if urgent else limit / 2
+        if self.available_bytes < cost + reserve:
+            return False
+        self.available_bytes -= cost
+        return True
+
+
 @define
 class PeerTable:
     """The other entries by name, and the last notice that was sent to them.
@@ -100,6 +130,7 @@
     last_sent_at: float = 0.0
     send_now: bool = False
     serial: int = 0
+    budget: NoticeBudget = field(factory=NoticeBudget)
     registering: bool = False
     registered: bool = False
     next_registration_at: float = 0.0
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -254,13 +254,17 @@
     A stream that was sent to an upstream is reported at once; otherwise requests that
     arrive at the same time at several entries would all be sent to the least loaded
     upstream. Other changes are reported at most every `least_interval_s`, an unchanged
-    load every `interval_s`. A peer's notice is valid for `notice_kept_s`, and the
-    location of a prompt in a prefix cache for `place_kept_s`. Registrations of entries
-    from which nothing was received for `removed_after_s` are removed.
+    load every `interval_s`. Notices to all peers together use at most `max_bytes_per_s`
+    on average over a second or more, so that they leave the link to callers and
+    upstreams; half of that is kept for what is urgent. A peer's notice is valid for
+    `notice_kept_s`, and the location of a prompt in a prefix cache for `place_kept_s`.
+    Registrations of entries from which nothing was received for `removed_after_s` are
+    removed.
     """
 
     least_interval_s: float = _positive(0.04)
     interval_s: float = _positive(1.0)
+    max_bytes_per_s: float = _positive(6_250_000.0)
     notice_kept_s: float = _positive(2.5)
     place_kept_s: float = _positive(6.0)
     registration_timeout_s: float = _positive(2.0)
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -11,7 +11,11 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RegisterEntry, RemoveEntry, SendNotice
-from magnoliahold.core.serving.events import EntryRegistered, NoticeReceived
+from magnoliahold.core.serving.events import (
+    EntryRegistered,
+    NoticeEncoded,
+    NoticeReceived,
+)
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.peers import (
     LoadNotice,
@@ -234,13 +238,14 @@
 def notify_peers(world: ServingWorld, now: float) -> None:
     """Sends a notice to the other entries when it changed, and periodically."""
     table = world.other_entries
+    for encoded in world.inbox.read_events(NoticeEncoded):
+        table.budget.notice_bytes = encoded.size_bytes
     if not table.by_name:
         return
     policy = world.serving_policy.peers
     elapsed_s = now - table.last_sent_at
     if elapsed_s < policy.least_interval_s and not table.send_now:
         return
-    table.send_now = False
     notice = _make_notice(world, table.serial + 1)
     last_sent_notice = table.last_sent_notice
     unchanged = (
@@ -248,12 +253,18 @@
         and evolve(last_sent_notice, serial=notice.serial) == notice
     )
     if unchanged and elapsed_s < policy.interval_s:
+        table.send_now = False
+        return
+    peers = tuple(peer.record for peer in table.by_name.values())
+    if not table.budget.try_spend(
+        len(peers), table.send_now, policy.max_bytes_per_s, now
+    ):
         return
+    table.send_now = False
     table.serial += 1
     table.last_sent_at = now
     table.last_sent_notice = notice
     record_sent_notice(world, notice.serial)
-    peers = tuple(peer.record for peer in table.by_name.values())
     world.emit(SendNotice(peers, notice))
 
 
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -55,13 +55,14 @@
     post: Callable[[object], None]
     transport: Any = None
 
-    def send(self, peers: Iterable[PeerRecord], notice: LoadNotice) -> None:
-        """Sends a notice to other entries."""
+    def send(self, peers: Iterable[PeerRecord], notice: LoadNotice) -> int:
+        """Sends a notice to other entries; returns its size in bytes."""
         if self.transport is None:
-            return
+            return 0
         content = encode_notice(notice)
         for peer in peers:
             self._write(peer, content)
+        return len(content)
 
     def send_proofs(
         self, messages: Iterable[tuple[PeerRecord, ConfigurationProof]]
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from magnoliahold.core.serving import effects
-from magnoliahold.core.serving.events import EntryRegistered
+from magnoliahold.core.serving.events import EntryRegistered, NoticeEncoded
 from magnoliahold.node import perform_effect
 
 if TYPE_CHECKING:
@@ -186,4 +186,6 @@
 
 @perform_effect.register(effects.SendNotice)
 def _send_notice(effect: effects.SendNotice, node: Node) -> None:
-    node.ports.notices.send(effect.peers, effect.notice)
+    size_bytes = node.ports.notices.send(effect.peers, effect.notice)
+    # The next tick reads it; nothing waits for that.
+    node.world.inbox.add_event(NoticeEncoded(size_bytes))
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -15,6 +15,9 @@
 from magnoliahold.settings.model import LogSettings
 
 MS_PER_S = 1000.0
+BYTES_PER_MEGABIT = 125_000.0
+# Share of an instance's link that notices between entries may use.
+NOTICE_LINK_SHARE = 0.05
 PROOF_MARGIN_S = 0.6
 READY_AGE_SHARE = 0.72
 # Leaves time for an own read before the entry would not be ready.
@@ -46,7 +49,7 @@
     `exposure_share` of a service's requests plus `exposure_extra`. All entries together
     may retry up to `retry_ratio` of a service's requests within `retry_window_s`, plus
     `retry_extra`. An upstream gets no request later than `drain_ms` after it has
-    registered that it is leaving.
+    registered that it is leaving. An instance's link carries `link_mbps`.
     """
 
     revocation_ms: float = field(
@@ -61,6 +64,7 @@
     drain_ms: float = field(
         metadata=checks(require_range(100, 600_000)), default=2000.0
     )
+    link_mbps: float = field(metadata=checks(require_range(0.1, 1e6)), default=1000.0)
 
 
 @frozen
@@ -114,6 +118,16 @@
         extra=bounds.retry_extra,
         window_s=bounds.retry_window_s,
     )
+    peers = evolve(
+        policy.peers,
+        max_bytes_per_s=bounds.link_mbps * BYTES_PER_MEGABIT * NOTICE_LINK_SHARE,
+    )
     return evolve(
-        policy, feeds=feeds, relay=relay, leave=leave, moves=moves, budget=budget
+        policy,
+        feeds=feeds,
+        relay=relay,
+        leave=leave,
+        moves=moves,
+        budget=budget,
+        peers=peers,
     )
--- a/tests/core/serving/test_peer_notices.py
+++ b/tests/core/serving/test_peer_notices.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import Any
 
+from attrs import evolve
+
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
     ProbeServingUpstream,
@@ -17,6 +19,7 @@
 from magnoliahold.core.serving.events import (
     CallerDisconnected,
     EntryRegistered,
+    NoticeEncoded,
     NoticeReceived,
     UpstreamAnsweredProbe,
 )
@@ -25,11 +28,13 @@
 from magnoliahold.core.serving.openings import OpeningModel
 from magnoliahold.core.serving.peers import (
     LoadNotice,
+    NoticeBudget,
     PeerRecord,
     PrefixCacheLocation,
 )
 from magnoliahold.core.serving.requests import PromptPart
 from magnoliahold.core.serving.upstreams import UpstreamHealth
+from magnoliahold.serving.notices import encode_notice
 from tests.core.serving.harness import ENGINES, ServingHarness
 
 STREAM = RouteKind.STREAM
@@ -175,6 +180,37 @@
         self.harness.advance(0.6)
         self.harness.pop_effect(SendNotice)
 
+    def test_notices_of_many_entries_leave_the_link_to_callers(self) -> None:
+        # On a thin link they filled it, and callers got neither answer nor refusal.
+        peers = {
+            f"entry-{number}": PeerRecord(f"entry-{number}", "a", "10.0.9.2", number)
+            for number in range(2, 29)
+        }
+        self.harness.change(Feed.PEERS, peers)
+        policy = self.harness.world.serving_policy
+        limit = 62_500.0
+        self.harness.world.serving_policy = evolve(
+            policy, peers=evolve(policy.peers, max_bytes_per_s=limit)
+        )
+        self.harness.pop_effects(SendNotice)
+        size_bytes = sent_bytes = 0
+        for _ in range(500):
+            self.harness.world.other_entries.send_now = True
+            self.harness.request(STREAM)
+            self.harness.advance(0.02)
+            for effect in self.harness.pop_effects(SendNotice):
+                size_bytes = len(encode_notice(effect.notice))
+                sent_bytes += size_bytes * len(effect.peers)
+                self.harness.post(NoticeEncoded(size_bytes))
+        self.assertGreater(sent_bytes, 0.5 * limit * 10.0)
+        self.assertLessEqual(sent_bytes, limit * 10.0 + 2 * 27 * size_bytes)
+
+    def test_urgent_notices_may_use_what_others_must_leave(self) -> None:
+        budget = NoticeBudget(available_bytes=600.0, notice_bytes=100)
+        self.assertFalse(budget.try_spend(5, False, 1000.0, 0.0))
+        self.assertTrue(budget.try_spend(5, True, 1000.0, 0.0))
+        self.assertFalse(budget.try_spend(5, True, 1000.0, 0.1))
+
     def test_upstream_chosen_for_a_stream_is_reported_at_once(self) -> None:
         self.harness.advance(1.0)
         for _ in range(3):
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -29,6 +29,7 @@
     "bounds.budget_extra": "150",
     "bounds.budget_window_s": "10",
     "bounds.drain_ms": "2000",
+    "limits.link_mbps": "10.0",
 }
 # Time from the last log line of a process to its exit, on a small core.
 EXIT_TIME_S = 0.5
