Log and count connections that end before the answer, and who ended them

Nothing told that a caller's connection had ended while a request of it was open, or whether the caller or this entry had ended it: only "caller left" for requests that had been admitted, and nothing at all for those that were being read.

The two bases of the tests of callers and daemons are now classes without tests, so that other test modules can use them.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from io import BytesIO
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import ServerFactory
 from twisted.web.http import HTTPChannel, Request
 
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
+from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.callers import (
     BadRequest,
     make_refusal_headers,
@@ -21,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.python.failure import Failure
+
     from magnoliahold.runtime import Clock
     from magnoliahold.serving.exchanges import Exchange
 
@@ -29,6 +34,10 @@
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 LINE_MARGIN_BYTES = 1024
+BY_CALLER = "caller"
+BY_ENTRY = "entry"
+
+logger = make_part_logger("callers")
 
 
 class CallerExchange(Request):
@@ -68,8 +77,10 @@
         callers = self._callers
         ended = self.ended
         self.ended = True
+        channel: Any = self.channel
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
         if not ended:
+            callers.record_unanswered(self, channel, reason)
             callers.handle_disconnect(self)
 
     @property
@@ -117,9 +128,11 @@
     """A caller's connection.
 
     Its header size limit and idle timeout are those in force when it was accepted.
+    `closed_because` says why this entry closes it; it is empty if it doesn't.
     """
 
     requestFactory = CallerExchange  # noqa: N815
+    closed_because = ""
 
     def __init__(self, callers: Callers) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
@@ -173,12 +186,18 @@
 
     def reject(self, status: int) -> None:
         """Answers a request that can't be parsed and closes the connection."""
+        self.closed_because = f"rejected, status {status}"
         self._stop_header_timer()
         transport: Any = self.transport
         head = f"HTTP/1.1 {status} Rejected\r\nConnection: close\r\n"
         transport.write(f"{head}Content-Length: 0\r\n\r\n".encode())
         self.loseConnection()  # type: ignore[no-untyped-call]
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Closes a connection that was idle for too long."""
+        self.closed_because = "it was idle for too long"
+        super().timeoutConnection()  # type: ignore[no-untyped-call]
+
     def _reject_slow(self) -> None:
         self._header_timer = None
         self.reject(REQUEST_TIMEOUT)
@@ -209,12 +228,17 @@
 
 @define(eq=False)
 class Callers:
-    """The callers' connections and their open requests by handle."""
+    """The callers' connections and their open requests by handle.
+
+    `unanswered` counts the requests whose connection ended before their answer, by who
+    ended it.
+    """
 
     clock: Clock
     post: Callable[[object], None]
     limits: CallerLimits = field(factory=CallerLimits)
     channels: set[CallerChannel] = field(factory=set)
+    unanswered: Counter[str] = field(factory=Counter)
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
@@ -255,6 +279,22 @@
         if self._remove(exchange.handle) is not None:
             self.post(CallerDisconnected(exchange.handle))
 
+    def record_unanswered(
+        self, exchange: CallerExchange, channel: CallerChannel, reason: Failure
+    ) -> None:
+        """Logs and counts a request whose connection ended before its answer."""
+        closed = reason.check(ConnectionDone, ConnectionLost) is not None
+        ended_by = BY_CALLER if closed and not channel.closed_because else BY_ENTRY
+        self.unanswered[ended_by] += 1
+        request_ids = exchange.requestHeaders.getRawHeaders(b"Request-Id") or [b""]
+        logger.info(
+            "Connection ended before the answer.",
+            request=request_ids[0].decode("ascii", "replace"),
+            read=exchange.handle in self._open_requests,
+            ended_by=ended_by,
+            reason=channel.closed_because or reason.getErrorMessage(),
+        )
+
     def find_content(self, handle: int) -> RequestContent | None:
         """Finds the content of a request; None when the request is not open."""
         return self._contents.get(handle)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -122,6 +122,8 @@
 
     def _read_metrics(self) -> tuple[int, bytes]:
         self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
+        for ended_by, count in self.node.ports.callers.unanswered.items():
+            self.metrics.set_gauge("requests_unanswered", count, ended_by=ended_by)
         age_s = self.node.world.measure_proof_age()
         if age_s is not None:
             self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -61,7 +61,9 @@
         self.closed = True
 
 
-class CallerTests(LoopbackTestCase):
+class CallerTestCase(LoopbackTestCase):
+    """A test case with a listening server for callers; `events` are those it posts."""
+
     def setUp(self) -> None:
         super().setUp()
         self.events: list[Any] = []
@@ -93,6 +95,8 @@
         assert isinstance(event, RequestArrived)
         return client, event.caller.handle
 
+
+class CallerTests(CallerTestCase):
     @on_loopback
     async def test_invalid_requests_are_rejected(self) -> None:
         for name, content, status in REJECTED:
--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -104,7 +104,9 @@
         return int(found.getsockname()[1])
 
 
-class DaemonTests(LoopbackTestCase):
+class DaemonTestCase(LoopbackTestCase):
+    """A test case with the settings of an entry and a store."""
+
     def setUp(self) -> None:
         super().setUp()
         self.store = FakeStore()
@@ -153,6 +155,8 @@
         client = HttpClient(self.reactor, f"http://{self.settings['callers']}")
         return await client.send("POST", f"/{name}/x", b"body", headers, 3.0)
 
+
+class DaemonTests(DaemonTestCase):
     @on_loopback
     async def test_call_reaches_the_upstream_with_its_workspace(self) -> None:
         await self.start([WHOLE])
