Answer requests whose headers can't be read, instead of dropping them

A request with a header that isn't UTF-8 (Request-Id, Host, Authorization), or with a number beyond 4300 digits or beyond a float, got neither an answer nor a refusal: reading it raised an error inside the connection, and Twisted closed that without a byte. A prompt of 400 digits even entered the tables.

They get 400 now. test_odd_headers_are_refused_with_an_answer failed before in 8 of 8 cases (7 connections closed empty, 1 admitted).

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -26,6 +26,7 @@
 
     from twisted.python.failure import Failure
 
+    from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.runtime import Clock
     from magnoliahold.serving.exchanges import Exchange
 
@@ -34,6 +35,8 @@
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 LINE_MARGIN_BYTES = 1024
+# The largest integer up to which a float is exact.
+MAX_NUMBER = 2**53
 BY_CALLER = "caller"
 BY_ENTRY = "entry"
 
@@ -226,6 +229,13 @@
         """Writes no access log: the end of each request is logged as a decision."""
 
 
+def check_numbers(caller: CallerRequest) -> None:
+    """Raises BadRequest if a number is too large to reckon with."""
+    numbers = [part.tokens for part in caller.prompt]
+    if max(*numbers, caller.resume_after or 0, 0) > MAX_NUMBER:
+        raise BadRequest(f"send no number above {MAX_NUMBER}")
+
+
 @define(eq=False)
 class Callers:
     """The callers' connections and their open requests by handle.
@@ -260,9 +270,14 @@
                 exchange.requestHeaders,
                 body,
             )
+            check_numbers(caller)
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
             return
+        except (ValueError, ArithmeticError) as error:
+            logger.warning("Request can't be read and is refused.", reason=str(error))
+            self._reject(exchange, BAD_REQUEST, "send headers that can be read")
+            return
         self._open_requests[exchange.handle] = exchange
         self._contents[exchange.handle] = RequestContent(
             exchange.method, exchange.uri, exchange.requestHeaders, body
@@ -271,8 +286,7 @@
 
     def _reject(self, exchange: CallerExchange, status: int, reason: str) -> None:
         exchange.close_connection_after()
-        request_id = exchange.getHeader("Request-Id")
-        self._write_own_answer(exchange, status, reason, request_id, None)
+        self._write_own_answer(exchange, status, reason, None)
 
     def handle_disconnect(self, exchange: CallerExchange) -> None:
         """Posts CallerDisconnected if the request is still open."""
@@ -346,21 +360,22 @@
             return
         if closing:
             exchange.close_connection_after()
-        request_id = exchange.getHeader("Request-Id")
-        self._write_own_answer(exchange, status, reason, request_id, retry_after_s)
+        self._write_own_answer(exchange, status, reason, retry_after_s)
 
     def _write_own_answer(
         self,
         exchange: CallerExchange,
         status: int,
         reason: str,
-        request_id: str | None,
         retry_after_s: float | None,
     ) -> None:
         headers = [
             (name.encode(), value.encode())
-            for name, value in make_refusal_headers(request_id, retry_after_s)
+            for name, value in make_refusal_headers(None, retry_after_s)
         ]
+        request_id = exchange.getHeader(b"Request-Id")
+        if request_id:
+            headers.append((b"Request-Id", request_id))
         exchange.write_complete_answer(status, headers, f"{reason}\n".encode())
 
     def abort(self, handle: int) -> None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -2,11 +2,38 @@
 
 from __future__ import annotations
 
+from attrs import evolve
+
 from tests.loopback import on_loopback
-from tests.serving.test_callers import REQUEST, CallerTestCase
+from tests.serving.test_callers import LIMITS, REQUEST, CallerTestCase
+
+ODD_NUMBER = b"9" * 5000
+
+# Headers that no caller should send; each such request still gets an answer.
+ODD_HEADERS = (
+    ("a request id that is no text", b"Request-Id: \xff\xfe\r\n"),
+    ("a credential that is no text", b"Request-Id: a\r\nAuthorization: Token \xff\r\n"),
+    ("a host that is no text", b"Request-Id: a\r\nHost: \xe9\r\n"),
+    ("a deadline beyond any number", b"Request-Id: a\r\nDeadline-Ms: %b\r\n"),
+    ("a deadline too large", b"Request-Id: a\r\nDeadline-Ms: %.400b\r\n"),
+    ("a piece number too long", b"Request-Id: a\r\nLast-Event-Id: %b\r\n"),
+    ("a prompt too long", b"Request-Id: a\r\nPrompt-Prefix: ab:%b\r\n"),
+    ("a prompt too large", b"Request-Id: a\r\nPrompt-Prefix: ab:%.400b\r\n"),
+)
 
 
 class CallerConnectionTests(CallerTestCase):
+    @on_loopback
+    async def test_odd_headers_are_refused_with_an_answer(self) -> None:
+        self.callers.limits = evolve(LIMITS, header_bytes=16_384)
+        for name, headers in ODD_HEADERS:
+            with self.subTest(name):
+                lines = headers % ODD_NUMBER if b"%" in headers else headers
+                client = await self.connect(b"GET /a HTTP/1.1\r\n" + lines + b"\r\n")
+                await self.wait_until(lambda client=client: client.closed)
+                self.assertEqual(client.received.split()[1:2], [b"400"])
+                self.assertEqual(self.events, [])
+
     @on_loopback
     async def test_connection_that_ends_before_the_answer_is_logged(self) -> None:
         client, _ = await self.send_request(REQUEST)
