Let the end of an answer arrive before its connection is closed

An answer after which this entry closes the connection (a rejection, or any while it leaves) was lost if the caller's bytes still came: the kernel resets a connection that is closed with unread bytes, or that gets bytes after its close, and that destroys what it has not delivered. The caller had sent a whole request and got neither answer nor refusal.

A connection without an answer on its way is closed as before. Requests that Twisted rejects get the same answer with a length.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -35,6 +35,8 @@
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 LINE_MARGIN_BYTES = 1024
+# How long the end of an answer may be on its way before its connection is closed.
+LINGER_S = 1.0
 # The largest integer up to which a float is exact.
 MAX_NUMBER = 2**53
 BY_CALLER = "caller"
@@ -141,6 +143,7 @@
         super().__init__()  # type: ignore[no-untyped-call]
         self._callers = callers
         self._header_timer: Any = None
+        self._linger_timer: Any = None
         limits = callers.limits
         self.timeOut = limits.idle_timeout_s  # type: ignore[assignment]
         self.totalHeadersSize = limits.header_bytes
@@ -150,7 +153,15 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return not self.requests and self._header_timer is None
+        busy = self.requests or self._header_timer or self._linger_timer
+        return not busy
+
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether a part of an answer still waits to be written to the socket."""
+        transport: Any = self.transport
+        in_buffer = len(transport.dataBuffer) - transport.offset
+        return bool(in_buffer or transport._tempDataLen)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection."""
@@ -158,7 +169,12 @@
         self._callers.channels.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Starts the timeout for request headers when a request begins."""
+        """Starts the timeout for request headers when a request begins.
+
+        Bytes that come after the last answer are discarded.
+        """
+        if self._linger_timer is not None:
+            return
         if self.is_idle:
             self._header_timer = self._callers.clock.callLater(
                 self._callers.limits.header_timeout_s, self._reject_slow
@@ -167,6 +183,8 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Reads a header line; rejects the request when its headers are too large."""
+        if self._linger_timer is not None:
+            return
         if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
             self.reject(HEADERS_TOO_LARGE)
             return
@@ -182,24 +200,61 @@
         super().allHeadersReceived()  # type: ignore[no-untyped-call]
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Cancels the timeout and unregisters the connection."""
+        """Cancels the timeouts and unregisters the connection."""
         self._stop_header_timer()
+        if self._linger_timer is not None and self._linger_timer.active():
+            self._linger_timer.cancel()
         self._callers.channels.discard(self)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
     def reject(self, status: int) -> None:
         """Answers a request that can't be parsed and closes the connection."""
-        self.closed_because = f"rejected, status {status}"
         self._stop_header_timer()
+        for request in self.requests:
+            request.ended = True
+        logger.info("Request rejected.", status=status)
         transport: Any = self.transport
         head = f"HTTP/1.1 {status} Rejected\r\nConnection: close\r\n"
         transport.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-        self.loseConnection()  # type: ignore[no-untyped-call]
+        self.loseConnection()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Closes the connection once its last answer has had the time to arrive.
+
+        Until then, what the caller still sends is read and discarded: a connection that
+        is closed with unread bytes is reset, which destroys the answer on its way.
+        """
+        if self._linger_timer is not None:
+            return
+        self._linger_timer = self._callers.clock.callLater(LINGER_S, self._end_linger)
+        self.setTimeout(None)  # type: ignore[no-untyped-call]
+        transport: Any = self.transport
+        transport.unregisterProducer()
+        transport.resumeProducing()
+        transport.loseWriteConnection()
+
+    def _end_linger(self) -> None:
+        if self.has_unwritten:
+            self._linger_timer = self._callers.clock.callLater(
+                LINGER_S, self._end_linger
+            )
+            return
+        transport: Any = self.transport
+        transport.loseConnection()
+
+    def close_now(self, reason: str) -> None:
+        """Closes a connection without an answer on its way."""
+        self.closed_because = reason
+        transport: Any = self.transport
+        transport.unregisterProducer()
+        transport.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        self.reject(BAD_REQUEST)
 
     def timeoutConnection(self) -> None:  # noqa: N802
         """Closes a connection that was idle for too long."""
-        self.closed_because = "it was idle for too long"
-        super().timeoutConnection()  # type: ignore[no-untyped-call]
+        self.close_now("it was idle for too long")
 
     def _reject_slow(self) -> None:
         self._header_timer = None
@@ -388,7 +443,7 @@
         """Closes the connections on which no request is open."""
         for channel in list(self.channels):
             if channel.is_idle:
-                channel.loseConnection()  # type: ignore[no-untyped-call]
+                channel.close_now("the entry stops")
 
     def _remove(self, handle: int) -> CallerExchange | None:
         self._contents.pop(handle, None)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from attrs import evolve
 
+from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import LIMITS, REQUEST, CallerTestCase
+from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM, CallerTestCase
 
 ODD_NUMBER = b"9" * 5000
 
@@ -22,6 +25,16 @@
 )
 
 
+# Bytes from a caller that are rejected while its body still comes, and the status.
+EARLY_ANSWERS = (
+    ("large headers", HEAD + b"X: " + b"x" * 700 + b"\r\n\r\n", 431),
+    ("two lengths", HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\n", 400),
+    ("a bad chunk", HEAD + b"Transfer-Encoding: chunked\r\n\r\nxx\r\n", 400),
+    ("no version", b"POST /a\r\n\r\n", 400),
+)
+LARGE_BODY = b"x" * 6_000_000
+
+
 class CallerConnectionTests(CallerTestCase):
     @on_loopback
     async def test_odd_headers_are_refused_with_an_answer(self) -> None:
@@ -55,3 +68,34 @@
         fields = logged.records[0].__dict__["fields"]
         self.assertEqual(fields["reason"], "it was idle for too long")
         self.assertFalse(fields["read"])
+
+    @on_loopback
+    async def test_bytes_on_the_way_do_not_destroy_the_answer_before_a_close(
+        self,
+    ) -> None:
+        for name, content, status in EARLY_ANSWERS:
+            with self.subTest(name):
+                client = await self.connect(content)
+                transport: Any = client.transport
+                transport.pauseProducing()
+                for _ in range(10):
+                    await self.sleep(0.02)
+                    transport.write(b"y" * 20_000)
+                await self.sleep(0.05)
+                transport.resumeProducing()
+                await self.wait_until(lambda client=client: client.closed)
+                self.assertEqual(client.received.split()[1:2], [b"%d" % status])
+
+    @on_loopback
+    async def test_bytes_behind_a_request_do_not_destroy_its_answer(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.pauseProducing()
+        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        self.callers.answer(handle, answer, closing=True)
+        for _ in range(10):
+            transport.write(b"y" * 2000)
+            await self.sleep(0.02)
+        transport.resumeProducing()
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.count(b"x"), len(LARGE_BODY))
