Reject a body that was cut, also if its limit is raised meanwhile

A body beyond the limit is discarded as it comes and then rejected. If a configuration raised the limit in between, the check at the end let the request pass without the discarded bytes, and an upstream ran it with another body than the caller's.

The limit that is in force when a body begins now holds to its end. test_body_around_a_change_of_the_limit_is_never_cut failed before: the request was admitted with 150 of 200 bytes or none instead of 413.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -53,10 +53,15 @@
 
     handle = 0
     body_bytes = 0
+    body_limit = 0
     ended = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Buffers the body in memory: its size is limited, and there is no disk."""
+        """Buffers the body in memory: its size is limited, and there is no disk.
+
+        A later limit doesn't apply: it could let a body pass that was cut.
+        """
+        self.body_limit = self._callers.limits.body_bytes
         self.content = BytesIO()
 
     def parseCookies(self) -> None:  # noqa: N802
@@ -65,7 +70,7 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Adds to the body; bytes beyond the size limit are discarded."""
         self.body_bytes += len(data)
-        if self.body_bytes <= self._callers.limits.body_bytes:
+        if self.body_bytes <= self.body_limit:
             super().handleContentChunk(data)  # type: ignore[no-untyped-call]
 
     def requestReceived(  # noqa: N802
@@ -312,7 +317,7 @@
         """Posts RequestArrived for a complete request, or rejects the request."""
         exchange.handle = self._next_handle
         self._next_handle += 1
-        if exchange.body_bytes > self.limits.body_bytes:
+        if exchange.body_bytes > exchange.body_limit:
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
             return
         content: Any = exchange.content
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -99,3 +99,15 @@
         transport.resumeProducing()
         await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.count(b"x"), len(LARGE_BODY))
+
+    @on_loopback
+    async def test_body_around_a_change_of_the_limit_is_never_cut(self) -> None:
+        head = HEAD + b"Content-Length: 200\r\n\r\n"
+        client = await self.connect(head + b"a" * 150)
+        await self.sleep(0.05)
+        self.callers.limits = evolve(LIMITS, body_bytes=1000)
+        assert client.transport is not None
+        client.transport.write(b"b" * 50)
+        await self.wait_until(lambda: client.closed or bool(self.events))
+        self.assertEqual(client.received.split()[1:2], [b"413"])
+        self.assertEqual(self.events, [])
