Apply the limits in force to open connections, not those of their start

A connection kept the idle timeout and the header limit of the configuration under which it was accepted. Once a configuration raised them, callers used connections for up to the new idle timeout while this entry closed them at the old one, so that a request could cross the close with neither answer nor refusal; larger headers got 431 though they were allowed. Both happened only beside a change of the configuration.

The header limit is taken when a request begins, and a connection that seems idle is closed by the idle timeout in force. A shorter one counts from the next request on. test_changed_limits_apply_to_open_connections failed before: the connection was closed 0.6 s after its accept, though the limit in force was 3 s.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -137,8 +137,8 @@
 class CallerChannel(HTTPChannel):
     """A caller's connection.
 
-    Its header size limit and idle timeout are those in force when it was accepted.
-    `closed_because` says why this entry closes it; it is empty if it doesn't.
+    A request is read within the limits in force when it begins. `closed_because` says
+    why this entry closes the connection; it is empty if it doesn't.
     """
 
     requestFactory = CallerExchange  # noqa: N815
@@ -149,11 +149,16 @@
         self._callers = callers
         self._header_timer: Any = None
         self._linger_timer: Any = None
-        limits = callers.limits
+        self._idle_since = 0.0
+        self._apply_limits()
+        self.callLater = callers.clock.callLater  # type: ignore[method-assign,assignment]
+
+    def _apply_limits(self) -> None:
+        limits = self._callers.limits
+        self._idle_since = self._callers.clock.seconds()
         self.timeOut = limits.idle_timeout_s  # type: ignore[assignment]
         self.totalHeadersSize = limits.header_bytes
         self.MAX_LENGTH = limits.header_bytes + LINE_MARGIN_BYTES
-        self.callLater = callers.clock.callLater  # type: ignore[method-assign,assignment]
 
     @property
     def is_idle(self) -> bool:
@@ -180,7 +185,9 @@
         """
         if self._linger_timer is not None:
             return
+        self._idle_since = self._callers.clock.seconds()
         if self.is_idle:
+            self._apply_limits()
             self._header_timer = self._callers.clock.callLater(
                 self._callers.limits.header_timeout_s, self._reject_slow
             )
@@ -204,6 +211,12 @@
         self._stop_header_timer()
         super().allHeadersReceived()  # type: ignore[no-untyped-call]
 
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Applies the limits in force to the next request."""
+        self._apply_limits()
+        self._savedTimeOut = self.timeOut
+        super().requestDone(request)  # type: ignore[no-untyped-call]
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Cancels the timeouts and unregisters the connection."""
         self._stop_header_timer()
@@ -258,7 +271,12 @@
         self.reject(BAD_REQUEST)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Closes a connection that was idle for too long."""
+        """Closes a connection that was idle for too long, by the limits in force."""
+        limit_s = self._callers.limits.idle_timeout_s
+        left_s = self._idle_since + limit_s - self._callers.clock.seconds()
+        if left_s > 0:
+            self.setTimeout(left_s)  # type: ignore[no-untyped-call]
+            return
         self.close_now("it was idle for too long")
 
     def _reject_slow(self) -> None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -111,3 +111,14 @@
         await self.wait_until(lambda: client.closed or bool(self.events))
         self.assertEqual(client.received.split()[1:2], [b"413"])
         self.assertEqual(self.events, [])
+
+    @on_loopback
+    async def test_changed_limits_apply_to_open_connections(self) -> None:
+        client = await self.connect(b"")
+        await self.sleep(0.1)
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=3.0, header_bytes=2000)
+        await self.sleep(0.8)
+        assert client.transport is not None
+        client.transport.write(HEAD + b"X: " + b"x" * 700 + b"\r\n\r\n")
+        await self.wait_until(lambda: client.closed or bool(self.events))
+        self.assertEqual(len(self.events), 1)
