Don't take a connection for idle while bytes wait in its socket

The reactor runs timers before it reads. When this process was held up, a request that had already arrived was closed unread, or got 408, by a timeout that fell due meanwhile, and the close of idle connections in a stop did the same; the caller had sent a whole request and got neither answer nor refusal. The idle time also began when an answer was handed to the connection, not when the caller had taken it, so that a connection whose answer passed a slow link was closed just when the caller used it again.

Before a connection is closed as idle, the socket is looked at: with unread bytes it stays, with unwritten ones it stays as long as the caller takes some within an idle timeout (then it is aborted, also after a last answer, where it stayed for ever). A slow head gets one more read.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from io import BytesIO
+from socket import MSG_PEEK
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
@@ -150,6 +151,8 @@
         self._header_timer: Any = None
         self._linger_timer: Any = None
         self._idle_since = 0.0
+        self._unwritten_before = 0
+        self._taken_at = 0.0
         self._apply_limits()
         self.callLater = callers.clock.callLater  # type: ignore[method-assign,assignment]
 
@@ -167,11 +170,30 @@
         return not busy
 
     @property
-    def has_unwritten(self) -> bool:
-        """Whether a part of an answer still waits to be written to the socket."""
+    def unwritten_bytes(self) -> int:
+        """How much of answers still waits to be written to the socket."""
         transport: Any = self.transport
         in_buffer = len(transport.dataBuffer) - transport.offset
-        return bool(in_buffer or transport._tempDataLen)
+        return int(in_buffer + transport._tempDataLen)
+
+    def _is_still_taking(self) -> bool:
+        """Whether the caller takes an answer, and took some in the idle timeout."""
+        now = self._callers.clock.seconds()
+        unwritten = self.unwritten_bytes
+        if unwritten != self._unwritten_before:
+            self._unwritten_before = unwritten
+            self._taken_at = now
+        limit_s = self._callers.limits.idle_timeout_s
+        return unwritten > 0 and now - self._taken_at < limit_s
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes of the caller wait in the socket."""
+        transport: Any = self.transport
+        try:
+            return bool(transport.getHandle().recv(1, MSG_PEEK))
+        except OSError:
+            return False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection."""
@@ -189,7 +211,7 @@
         if self.is_idle:
             self._apply_limits()
             self._header_timer = self._callers.clock.callLater(
-                self._callers.limits.header_timeout_s, self._reject_slow
+                self._callers.limits.header_timeout_s, self._reject_unless_unread
             )
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
@@ -252,26 +274,38 @@
         transport.loseWriteConnection()
 
     def _end_linger(self) -> None:
-        if self.has_unwritten:
+        if self._is_still_taking():
             self._linger_timer = self._callers.clock.callLater(
                 LINGER_S, self._end_linger
             )
             return
-        transport: Any = self.transport
-        transport.loseConnection()
+        self._end_connection()
 
     def close_now(self, reason: str) -> None:
-        """Closes a connection without an answer on its way."""
+        """Closes a connection without an answer that the caller still takes."""
         self.closed_because = reason
+        self._end_connection()
+
+    def _end_connection(self) -> None:
         transport: Any = self.transport
         transport.unregisterProducer()
-        transport.loseConnection()
+        if self.unwritten_bytes:
+            transport.abortConnection()
+        else:
+            transport.loseConnection()
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.reject(BAD_REQUEST)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Closes a connection that was idle for too long, by the limits in force."""
+        """Closes a connection that was idle for too long, by the limits in force.
+
+        It isn't idle while a request waits to be read, or an answer to be written.
+        """
+        if self.has_unread or self._is_still_taking():
+            self._apply_limits()
+            self.setTimeout(self.timeOut)  # type: ignore[no-untyped-call]
+            return
         limit_s = self._callers.limits.idle_timeout_s
         left_s = self._idle_since + limit_s - self._callers.clock.seconds()
         if left_s > 0:
@@ -279,6 +313,13 @@
             return
         self.close_now("it was idle for too long")
 
+    def _reject_unless_unread(self) -> None:
+        """Rejects a slow request, after one more read if bytes of it wait."""
+        if self.has_unread:
+            self._header_timer = self._callers.clock.callLater(0, self._reject_slow)
+        else:
+            self._reject_slow()
+
     def _reject_slow(self) -> None:
         self._header_timer = None
         self.reject(REQUEST_TIMEOUT)
@@ -463,9 +504,13 @@
             exchange.abort_answer()
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request is open."""
+        """Closes the connections on which no request is open or waits to be read."""
         for channel in list(self.channels):
-            if channel.is_idle:
+            if not channel.is_idle or channel.has_unread:
+                continue
+            if channel.unwritten_bytes:
+                channel.loseConnection()
+            else:
                 channel.close_now("the entry stops")
 
     def _remove(self, handle: int) -> CallerExchange | None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import time
 from typing import Any
 
 from attrs import evolve
@@ -122,3 +124,72 @@
         client.transport.write(HEAD + b"X: " + b"x" * 700 + b"\r\n\r\n")
         await self.wait_until(lambda: client.closed or bool(self.events))
         self.assertEqual(len(self.events), 1)
+
+    @on_loopback
+    async def test_request_that_waits_unread_is_read_before_a_timeout(self) -> None:
+        beginnings = (("idle", b"", 0.5), ("head", HEAD, 0.25))
+        for name, beginning, wait_s in beginnings:
+            with self.subTest(name):
+                count = len(self.events)
+                client = socket.create_connection(("127.0.0.1", self.port))
+                self.addCleanup(client.close)
+                client.sendall(beginning)
+                await self.sleep(wait_s)
+                rest = REQUEST.removeprefix(beginning)
+
+                def hold_up(event: Any, client: Any = client, rest: Any = rest) -> None:
+                    self.events.append(event)
+                    self.callers.post = self.events.append
+                    client.sendall(rest)
+                    time.sleep(0.2)
+
+                self.callers.post = hold_up
+                await self.connect(REQUEST)
+                await self.sleep(0.4)
+                self.assertEqual(len(self.events), count + 2)
+
+    @on_loopback
+    async def test_idle_time_begins_when_the_answer_has_been_written(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.pauseProducing()
+        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        self.callers.answer(handle, answer, closing=False)
+        await self.sleep(1.0)
+        transport.resumeProducing()
+        await self.wait_until(lambda: client.received.count(b"x") == len(LARGE_BODY))
+        transport.write(REQUEST)
+        await self.wait_until(lambda: client.closed or len(self.events) == 2)
+        self.assertEqual(len(self.events), 2)
+
+    @on_loopback
+    async def test_caller_that_takes_nothing_does_not_keep_its_connection(self) -> None:
+        for closing in (False, True):
+            with self.subTest(closing=closing):
+                client, handle = await self.send_request(REQUEST)
+                transport: Any = client.transport
+                transport.pauseProducing()
+                answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+                self.callers.answer(handle, answer, closing)
+                await self.sleep(0.4)
+                self.assertEqual(len(self.callers.channels), 1)
+                await self.wait_until(lambda: not self.callers.channels)
+
+    @on_loopback
+    async def test_idle_connections_close_without_loss(self) -> None:
+        reader, handle = await self.send_request(REQUEST)
+        transport: Any = reader.transport
+        transport.pauseProducing()
+        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        self.callers.answer(handle, answer, closing=False)
+        sender = await self.connect(b"")
+        await self.sleep(0.1)
+        unread = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(unread.close)
+        await self.sleep(0.1)
+        unread.sendall(REQUEST)
+        self.callers.close_idle()
+        transport.resumeProducing()
+        await self.wait_until(lambda: reader.closed and sender.closed)
+        self.assertEqual(reader.received.count(b"x"), len(LARGE_BODY))
+        self.assertEqual(len(self.events), 2)
