Answer the requests behind one another before an entry that leaves closes

While an entry leaves, the first answer on a connection closed it. Requests that the caller had sent behind that one were read and dropped with neither answer nor refusal, after having waited as long as the first one took.

The connection closes after the last request that has come, and only that answer says so. test_requests_behind_one_another_are_all_answered_before_a_close failed before: 1 of 3 requests was passed on and answered.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -106,6 +106,15 @@
         channel.persistent = False
         self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
+    def close_connection_unless_used(self) -> None:
+        """Does the same, unless the caller has already sent a next request.
+
+        That one is answered too; the connection closes after the last.
+        """
+        channel: Any = self.channel
+        if not channel.has_next_request:
+            self.close_connection_after()
+
     def start_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Sets status and headers; they are sent with the first bytes of the body."""
         self.setResponseCode(status)
@@ -169,6 +178,11 @@
         busy = self.requests or self._header_timer or self._linger_timer
         return not busy
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes came behind the request that is being answered."""
+        return any(self._dataBuffer) or self.has_unread
+
     @property
     def unwritten_bytes(self) -> int:
         """How much of answers still waits to be written to the socket."""
@@ -451,8 +465,7 @@
         if exchange is None:
             return
         if closing:
-            channel: Any = exchange.channel
-            channel.persistent = False
+            exchange.close_connection_unless_used()
         exchange.finish_answer()
 
     def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
@@ -461,7 +474,7 @@
         if exchange is None:
             return
         if closing:
-            exchange.close_connection_after()
+            exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
         exchange.write_complete_answer(upstream.status, upstream.headers, body)
 
@@ -478,7 +491,7 @@
         if exchange is None:
             return
         if closing:
-            exchange.close_connection_after()
+            exchange.close_connection_unless_used()
         self._write_own_answer(exchange, status, reason, retry_after_s)
 
     def _write_own_answer(
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -10,7 +10,14 @@
 
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM, CallerTestCase
+from tests.serving.test_callers import (
+    GET,
+    HEAD,
+    LIMITS,
+    REQUEST,
+    UPSTREAM,
+    CallerTestCase,
+)
 
 ODD_NUMBER = b"9" * 5000
 
@@ -193,3 +200,23 @@
         await self.wait_until(lambda: reader.closed and sender.closed)
         self.assertEqual(reader.received.count(b"x"), len(LARGE_BODY))
         self.assertEqual(len(self.events), 2)
+
+    @on_loopback
+    async def test_requests_behind_one_another_are_all_answered_before_a_close(
+        self,
+    ) -> None:
+        client, handle = await self.send_request(REQUEST + REQUEST + GET)
+        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+        self.callers.answer(handle, answer, closing=True)
+        await self.wait_until(lambda: client.closed or len(self.events) == 2)
+        self.assertEqual(len(self.events), 2)
+        second = self.events[1].caller.handle
+        self.callers.open_answer(second, Exchange(2, UPSTREAM, status=200))
+        self.callers.finish_stream(second, closing=True)
+        await self.wait_until(lambda: client.closed or len(self.events) == 3)
+        self.assertEqual(len(self.events), 3)
+        third = self.events[2].caller.handle
+        self.callers.refuse(third, 503, "leaving", 0.25, closing=True)
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.count(b"HTTP/1.1"), 3)
+        self.assertEqual(client.received.count(b"Connection: close"), 1)
