Stop only once callers have taken their answers

A process that leaves stopped as soon as no request was open. An answer that still lay in the buffer of a slow caller's connection was dropped with the process, and a request that was being read at that moment, or read in the same turn of the reactor, ended with neither answer nor refusal.

The process now goes on until the callers' connections have ended, and serves what is still read. At the limit what was read in part gets 408 and what is open is refused; 0.2 s later the process ends, and says if connections were open.

Failed before: test_answer_on_a_slow_link_outlives_the_stop (2883500 of 6000000 bytes), test_request_that_is_read_while_the_entry_stops_is_answered and test_stop_is_bounded_and_refuses_what_is_left (nothing received).

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -256,7 +256,8 @@
 
     The registration is removed once no request is open, but not before `settle_s` after
     the listener was closed, and at the latest `farewell_s` before `limit_s`. The entry
-    stops `farewell_s` after the removal. A stream is accepted only if `stream_margin`
+    stops `farewell_s` after the removal, once callers have taken their answers, but at
+    the latest `flush_s` after `limit_s`. A stream is accepted only if `stream_margin`
     times the mean duration of streams is left.
     """
 
@@ -264,6 +265,7 @@
     settle_s: float = _positive(0.3)
     limit_s: float = _positive(7.4)
     farewell_s: float = _positive(0.15)
+    flush_s: float = _positive(0.2)
     stream_margin: float = _positive(1.15)
 
 
--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -28,9 +28,12 @@
 
 
 def finish_leaving(world: ServingWorld, now: float) -> None:
-    """Closes the listener after a delay, and stops once all requests have ended."""
+    """Closes the listener after a delay, and stops once all requests have ended.
+
+    Requests that are still being read when it stops are admitted until the limit.
+    """
     since = world.leaving_since
-    if since is None or world.stopping or not world.scan_due:
+    if since is None or not world.scan_due:
         return
     policy = world.serving_policy.leave
     if now - since < policy.accept_s:
@@ -42,7 +45,8 @@
     if now - since >= policy.limit_s:
         for request in list(world.requests.by_handle.values()):
             refuse(world, request, "the entry stops", now)
-    _stop_when_idle(world, now - since, now)
+    if not world.stopping:
+        _stop_when_idle(world, now - since, now)
 
 
 def _stop_when_idle(world: ServingWorld, leaving_s: float, now: float) -> None:
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -200,6 +200,13 @@
         limit_s = self._callers.limits.idle_timeout_s
         return unwritten > 0 and now - self._taken_at < limit_s
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request was read."""
+        begun = self.requests or self._header_timer is not None
+        answered = self._handlingRequest or self._linger_timer is not None
+        return bool(begun and not answered)
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes of the caller wait in the socket."""
@@ -526,6 +533,12 @@
             else:
                 channel.close_now("the entry stops")
 
+    def reject_unfinished(self) -> None:
+        """Rejects the requests that have not been read to their end."""
+        for channel in list(self.channels):
+            if channel.is_reading:
+                channel.reject(REQUEST_TIMEOUT)
+
     def _remove(self, handle: int) -> CallerExchange | None:
         self._contents.pop(handle, None)
         return self._open_requests.pop(handle, None)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -55,7 +55,8 @@
 class ServingDaemon:
     """A serving entry that runs in a reactor.
 
-    `on_stopped` is called with the reason when it has stopped. `broken` is set when it
+    `on_stopped` is called with the reason when it has stopped; `finishing` is the next
+    look at whether it may. `broken` is set when it
     stopped because its tables were inconsistent.
     """
 
@@ -65,6 +66,7 @@
     metrics: Metrics
     on_stopped: Callable[[str], None]
     broken: bool = False
+    finishing: Any = None
     listeners: list[Any] = field(factory=list)
     auxiliary_listeners: list[Any] = field(factory=list)
 
@@ -104,9 +106,33 @@
         """Starts draining; `on_stopped` is called when nothing is in flight."""
         self.node.post_event(LeaveRequested(reason))
 
+    def finish(self, reason: str) -> None:
+        """Stops once callers have taken their answers, or when the time is up.
+
+        Ticks go on meanwhile: a request that was being read is still served.
+        """
+        self.close_listener()
+        callers = self.node.ports.callers
+        callers.close_idle()
+        world = self.node.world
+        leave = world.serving_policy.leave
+        left_s = (world.leaving_since or 0.0) + leave.limit_s - self.reactor.seconds()
+        if left_s <= 0:
+            callers.reject_unfinished()
+        if callers.channels and left_s > -leave.flush_s:
+            self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
+            return
+        if callers.channels:
+            logger.warning(
+                "Connections were open at the stop.", connections=len(callers.channels)
+            )
+        self.stop(reason)
+
     def stop(self, reason: str) -> None:
         """Stops ticks, listeners and metrics, and calls `on_stopped`."""
         logger.info("Process is stopping.", reason=reason)
+        if self.finishing is not None and self.finishing.active():
+            self.finishing.cancel()
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         self.close_listener()
@@ -171,7 +197,7 @@
     notices = NoticePort(node.post_event)
     node.ports = ServingPorts(
         journal=MetricsJournal(metrics),
-        stop=lambda reason: reactor.callLater(0, daemon.stop, reason),
+        stop=lambda reason: reactor.callLater(0, daemon.finish, reason),
         callers=callers,
         upstreams=exchanges,
         prompts=PromptListClient(reactor, node.post_event),
--- a/tests/core/serving/test_leaving.py
+++ b/tests/core/serving/test_leaving.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from magnoliahold.core.effects import StopProcess
 from magnoliahold.core.events import LeaveRequested
 from magnoliahold.core.serving.configuration import RouteKind
@@ -70,6 +72,22 @@
         self.harness.request(RouteKind.IDEMPOTENT)
         self.harness.send()
 
+    def test_request_that_was_read_during_the_stop_is_answered(self) -> None:
+        world = self.harness.world
+        leave = evolve(world.serving_policy.leave, limit_s=3.6)
+        world.serving_policy = evolve(world.serving_policy, leave=leave)
+        self.harness.post(LeaveRequested("SIGTERM"))
+        self.harness.advance(3.0)
+        self.harness.pop_effect(StopProcess)
+        caller = self.harness.request(RouteKind.IDEMPOTENT)
+        self.harness.answer(self.harness.send(), caller, 200)
+        self.assertTrue(self.harness.pop_effect(DeliverAnswer).closing)
+        self.harness.request(RouteKind.NOT_REPEATABLE)
+        self.harness.send()
+        self.harness.advance(0.7)
+        self.assertEqual(self.harness.pop_effect(RefuseCaller).status, 502)
+        self.assertFalse(self.harness.pop_effects(StopProcess))
+
     def test_running_stream_is_aborted_at_the_limit(self) -> None:
         caller = self.harness.request(RouteKind.STREAM)
         attempt = self.harness.send()
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -61,6 +61,19 @@
         self.closed = True
 
 
+async def connect_client(reactor: Any, port: int, content: bytes) -> Client:
+    """Connects to a port on loopback and sends bytes."""
+    client = Client()
+    factory = ClientFactory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _: client  # type: ignore
+    reactor.connectTCP("127.0.0.1", port, factory)
+    await client.connected_at
+    assert client.transport is not None
+    client.transport.write(content)
+    return client
+
+
 class CallerTestCase(LoopbackTestCase):
     """A test case with a listening server for callers; `events` are those it posts."""
 
@@ -76,15 +89,7 @@
 
     async def connect(self, content: bytes) -> Client:
         """Connects and sends bytes."""
-        client = Client()
-        factory = ClientFactory()
-        factory.noisy = False
-        factory.buildProtocol = lambda _: client  # type: ignore
-        self.reactor.connectTCP("127.0.0.1", self.port, factory)
-        await client.connected_at
-        assert client.transport is not None
-        client.transport.write(content)
-        return client
+        return await connect_client(self.reactor, self.port, content)
 
     async def send_request(self, content: bytes) -> tuple[Client, int]:
         """Sends a request and returns the client and the request's handle."""
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -4,9 +4,11 @@
 
 import socket
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import evolve
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
 
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
@@ -17,7 +19,15 @@
     REQUEST,
     UPSTREAM,
     CallerTestCase,
+    connect_client,
 )
+from tests.serving.test_daemon import DaemonTestCase
+from tests.serving.test_exchanges import HEAD as ANSWER_HEAD
+from tests.serving.test_exchanges import WHOLE
+
+if TYPE_CHECKING:
+    from magnoliahold.serving.daemon import ServingDaemon
+    from tests.serving.test_callers import Client
 
 ODD_NUMBER = b"9" * 5000
 
@@ -44,6 +54,12 @@
 LARGE_BODY = b"x" * 6_000_000
 
 
+CALL = (
+    b"POST /calls/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: abc\r\n"
+    b"Authorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi"
+)
+
+
 class CallerConnectionTests(CallerTestCase):
     @on_loopback
     async def test_odd_headers_are_refused_with_an_answer(self) -> None:
@@ -220,3 +236,73 @@
         await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.count(b"HTTP/1.1"), 3)
         self.assertEqual(client.received.count(b"Connection: close"), 1)
+
+
+class StoppingTests(DaemonTestCase):
+    async def start_leaving(self, *scripts: list[Any]) -> ServingDaemon:
+        """Starts an entry that stops as its process does, with short times."""
+        daemon = await self.start(*scripts)
+        daemon.on_stopped = self.exit_process
+        world = daemon.node.world
+        leave = evolve(world.serving_policy.leave, accept_s=0.2, settle_s=0.1)
+        world.serving_policy = evolve(world.serving_policy, leave=leave)
+        self.channels = daemon.node.ports.callers.channels
+        return daemon
+
+    def exit_process(self, reason: str) -> None:
+        """Does to the connections of callers what the reactor does when it stops."""
+        self.stopped.append(reason)
+        for channel in list(self.channels):
+            transport: Any = channel.transport
+            transport.connectionLost(Failure(ConnectionLost()))
+
+    async def connect(self, content: bytes) -> Client:
+        """Connects as a caller and sends bytes."""
+        _, _, port = self.settings["callers"].partition(":")
+        return await connect_client(self.reactor, int(port), content)
+
+    @on_loopback
+    async def test_answer_on_a_slow_link_outlives_the_stop(self) -> None:
+        answer = (
+            ANSWER_HEAD + b"Content-Length: %d\r\n\r\n" % len(LARGE_BODY) + LARGE_BODY
+        )
+        daemon = await self.start_leaving([answer])
+        client = await self.connect(CALL)
+        transport: Any = client.transport
+        transport.pauseProducing()
+        await self.wait_until(lambda: len(daemon.node.world.requests.by_handle) == 1)
+        await self.wait_until(lambda: not daemon.node.world.requests.by_handle)
+        daemon.leave("SIGTERM")
+        await self.sleep(1.0)
+        transport.resumeProducing()
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.count(b"x"), len(LARGE_BODY))
+        await self.wait_until(lambda: bool(self.stopped))
+
+    @on_loopback
+    async def test_request_that_is_read_while_the_entry_stops_is_answered(self) -> None:
+        daemon = await self.start_leaving([WHOLE])
+        client = await self.connect(CALL[:-2])
+        await self.sleep(0.1)
+        daemon.leave("SIGTERM")
+        await self.sleep(1.2)
+        transport: Any = client.transport
+        transport.write(CALL[-2:])
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"200"])
+        await self.wait_until(lambda: bool(self.stopped))
+
+    @on_loopback
+    async def test_stop_is_bounded_and_refuses_what_is_left(self) -> None:
+        daemon = await self.start_leaving([ANSWER_HEAD + b"Content-Length: 2\r\n\r\n"])
+        world = daemon.node.world
+        leave = evolve(world.serving_policy.leave, limit_s=1.2)
+        world.serving_policy = evolve(world.serving_policy, leave=leave)
+        waiting = await self.connect(CALL)
+        silent = await self.connect(CALL[:-2])
+        await self.sleep(0.1)
+        daemon.leave("SIGTERM")
+        await self.wait_until(lambda: bool(self.stopped))
+        await self.wait_until(lambda: waiting.closed and silent.closed)
+        self.assertEqual(waiting.received.split()[1:2], [b"502"])
+        self.assertEqual(silent.received.split()[1:2], [b"408"])
