Answer the open requests of an entry whose tick has failed

An exception in a tick stops the process, since its tables may be inconsistent. All open requests ended with it without an answer, as did those that were read in its last turn; one fault lost every request of the entry.

test_failed_tick_answers_all_open_requests failed before (no answer, and no close until the process ended), test_requests_behind_a_failed_tick_are_refused is new with it.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -33,6 +33,8 @@
 
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 LINE_MARGIN_BYTES = 1024
@@ -380,6 +382,7 @@
 class Callers:
     """The callers' connections and their open requests by handle.
 
+    `refusing_because` is why all requests are refused; it is empty if they aren't.
     `unanswered` counts the requests whose connection ended before their answer, by who
     ended it.
     """
@@ -389,6 +392,7 @@
     limits: CallerLimits = field(factory=CallerLimits)
     channels: set[CallerChannel] = field(factory=set)
     unanswered: Counter[str] = field(factory=Counter)
+    refusing_because: str = ""
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
@@ -397,6 +401,9 @@
         """Posts RequestArrived for a complete request, or rejects the request."""
         exchange.handle = self._next_handle
         self._next_handle += 1
+        if self.refusing_because:
+            self._reject(exchange, UNAVAILABLE, self.refusing_because)
+            return
         if exchange.body_bytes > exchange.body_limit:
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
             return
@@ -533,6 +540,15 @@
             else:
                 channel.close_now("the entry stops")
 
+    def fail_open_requests(self, reason: str) -> None:
+        """Ends all open requests, of which any may have run, and refuses later ones."""
+        self.refusing_because = reason
+        for handle, exchange in list(self._open_requests.items()):
+            if exchange.startedWriting:
+                self.abort(handle)
+            else:
+                self.refuse(handle, BAD_GATEWAY, reason, None, closing=True)
+
     def reject_unfinished(self) -> None:
         """Rejects the requests that have not been read to their end."""
         for channel in list(self.channels):
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -56,8 +56,8 @@
     """A serving entry that runs in a reactor.
 
     `on_stopped` is called with the reason when it has stopped; `finishing` is the next
-    look at whether it may. `broken` is set when it
-    stopped because its tables were inconsistent.
+    look at whether it may, and `finish_limit` when requests must have been read.
+    `broken` is set when it stopped because its tables were inconsistent.
     """
 
     reactor: Any
@@ -67,6 +67,7 @@
     on_stopped: Callable[[str], None]
     broken: bool = False
     finishing: Any = None
+    finish_limit: float | None = None
     listeners: list[Any] = field(factory=list)
     auxiliary_listeners: list[Any] = field(factory=list)
 
@@ -113,13 +114,14 @@
         """
         self.close_listener()
         callers = self.node.ports.callers
+        if reason == BROKEN_TABLES:
+            callers.fail_open_requests(reason)
         callers.close_idle()
-        world = self.node.world
-        leave = world.serving_policy.leave
-        left_s = (world.leaving_since or 0.0) + leave.limit_s - self.reactor.seconds()
+        left_s = self._find_finish_limit(reason) - self.reactor.seconds()
         if left_s <= 0:
             callers.reject_unfinished()
-        if callers.channels and left_s > -leave.flush_s:
+        flush_s = self.node.world.serving_policy.leave.flush_s
+        if callers.channels and left_s > -flush_s:
             self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
             return
         if callers.channels:
@@ -128,6 +130,16 @@
             )
         self.stop(reason)
 
+    def _find_finish_limit(self, reason: str) -> float:
+        """Returns when callers must have sent their requests; no ticks, no service."""
+        world = self.node.world
+        if self.finish_limit is None and reason == BROKEN_TABLES:
+            self.finish_limit = self.reactor.seconds()
+        elif self.finish_limit is None:
+            leave = world.serving_policy.leave
+            self.finish_limit = (world.leaving_since or 0.0) + leave.limit_s
+        return self.finish_limit
+
     def stop(self, reason: str) -> None:
         """Stops ticks, listeners and metrics, and calls `on_stopped`."""
         logger.info("Process is stopping.", reason=reason)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -23,7 +23,7 @@
 )
 from tests.serving.test_daemon import DaemonTestCase
 from tests.serving.test_exchanges import HEAD as ANSWER_HEAD
-from tests.serving.test_exchanges import WHOLE
+from tests.serving.test_exchanges import LAST_CHUNK, STREAM, WHOLE, make_chunk
 
 if TYPE_CHECKING:
     from magnoliahold.serving.daemon import ServingDaemon
@@ -237,6 +237,15 @@
         self.assertEqual(client.received.count(b"HTTP/1.1"), 3)
         self.assertEqual(client.received.count(b"Connection: close"), 1)
 
+    @on_loopback
+    async def test_requests_behind_a_failed_tick_are_refused(self) -> None:
+        client, _ = await self.send_request(REQUEST + REQUEST)
+        self.callers.fail_open_requests("broken")
+        await self.wait_until(lambda: client.closed)
+        statuses = [part[:3] for part in client.received.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual(statuses, [b"502", b"503"])
+        self.assertEqual(len(self.events), 1)
+
 
 class StoppingTests(DaemonTestCase):
     async def start_leaving(self, *scripts: list[Any]) -> ServingDaemon:
@@ -306,3 +315,27 @@
         await self.wait_until(lambda: waiting.closed and silent.closed)
         self.assertEqual(waiting.received.split()[1:2], [b"502"])
         self.assertEqual(silent.received.split()[1:2], [b"408"])
+
+    @on_loopback
+    async def test_failed_tick_answers_all_open_requests(self) -> None:
+        chunk = make_chunk(b"id: 1\ndata: x\n\n")
+        daemon = await self.start_leaving([STREAM, chunk])
+        stream = await self.connect(CALL.replace(b"calls", b"streams"))
+        await self.wait_until(lambda: b"data" in stream.received)
+        self.servers[0].scripts = [[]]
+        calls = [await self.connect(CALL) for _ in range(3)]
+        unread = await self.connect(CALL[:-2])
+        await self.wait_until(lambda: len(daemon.node.world.requests.by_handle) == 4)
+
+        def fail(world: Any, now: float) -> None:
+            raise KeyError("a fault")
+
+        with self.assertLogs("magnoliahold", "ERROR"):
+            daemon.node.systems = (*daemon.node.systems, fail)
+            await self.wait_until(lambda: not daemon.node.running)
+        await self.wait_until(lambda: bool(self.stopped) and stream.closed)
+        for client in calls:
+            self.assertEqual(client.received.split()[1:2], [b"502"])
+        self.assertEqual(unread.received.split()[1:2], [b"408"])
+        self.assertFalse(stream.received.endswith(LAST_CHUNK))
+        self.assertTrue(daemon.broken)
