Refuse a request whose answer is gone, instead of leaving it open

Where the answer of an upstream was no longer there when it was to be delivered, nothing was done: the request had left the tables, so that neither its deadline nor a stop could end it, and its caller waited for ever. No path to that state is known.

It gets 502 and an error is logged. test_answer_that_is_gone_is_reported_to_the_caller failed before: no answer, no log.

--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -8,7 +8,9 @@
 
 from magnoliahold.core.serving import effects
 from magnoliahold.core.serving.events import EntryRegistered
+from magnoliahold.logs import make_part_logger
 from magnoliahold.node import perform_effect
+from magnoliahold.serving.callers import BAD_GATEWAY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +24,8 @@
     from magnoliahold.serving.notices import NoticePort
     from magnoliahold.serving.prompts import PromptListClient
 
+logger = make_part_logger("callers")
+
 
 @define
 class ServingPorts:
@@ -85,6 +89,10 @@
     exchange = node.ports.upstreams.remove(effect.attempt)
     if exchange is not None:
         node.ports.callers.answer(effect.handle, exchange, effect.closing)
+        return
+    reason = "the answer is gone"
+    logger.error("Answer is refused.", attempt=effect.attempt, reason=reason)
+    node.ports.callers.refuse(effect.handle, BAD_GATEWAY, reason, None, effect.closing)
 
 
 @perform_effect.register(effects.RefuseCaller)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -10,6 +10,8 @@
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
+from magnoliahold.core.serving.effects import DeliverAnswer
+from magnoliahold.node import perform_effect
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.test_callers import (
@@ -339,3 +341,15 @@
         self.assertEqual(unread.received.split()[1:2], [b"408"])
         self.assertFalse(stream.received.endswith(LAST_CHUNK))
         self.assertTrue(daemon.broken)
+
+    @on_loopback
+    async def test_answer_that_is_gone_is_reported_to_the_caller(self) -> None:
+        daemon = await self.start_leaving([ANSWER_HEAD + b"Content-Length: 2\r\n\r\n"])
+        client = await self.connect(CALL)
+        table = daemon.node.world.requests
+        await self.wait_until(lambda: bool(table.by_handle))
+        (handle,) = table.by_handle
+        with self.assertLogs("magnoliahold", "ERROR"):
+            perform_effect(DeliverAnswer(handle, 99), daemon.node)
+        await self.wait_until(lambda: bool(client.received))
+        self.assertEqual(client.received.split()[1:2], [b"502"])
