Log and count answers whose end the caller never took

A request counts as ended once its answer is handed to the connection. Whether the caller took it was nowhere to be seen; the line and requests_unanswered now tell, with who ended the connection.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -143,6 +143,7 @@
         self.ended = True
         channel: Any = self.channel
         if channel is not None:
+            channel.closed_because = "its answer was cut"
             channel.transport.abortConnection()
 
 
@@ -268,6 +269,8 @@
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
         self._callers.channels.discard(self)
+        if self.unwritten_bytes:
+            self._callers.record_unwritten(self, reason)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
     def reject(self, status: int) -> None:
@@ -313,6 +316,7 @@
         transport: Any = self.transport
         transport.unregisterProducer()
         if self.unwritten_bytes:
+            self.closed_because = self.closed_because or "the caller takes nothing"
             transport.abortConnection()
         else:
             transport.loseConnection()
@@ -371,6 +375,12 @@
         """Writes no access log: the end of each request is logged as a decision."""
 
 
+def find_ender(channel: CallerChannel, reason: Failure) -> str:
+    """Tells whether the caller or this entry ended a connection."""
+    closed = reason.check(ConnectionDone, ConnectionLost) is not None
+    return BY_CALLER if closed and not channel.closed_because else BY_ENTRY
+
+
 def check_numbers(caller: CallerRequest) -> None:
     """Raises BadRequest if a number is too large to reckon with."""
     numbers = [part.tokens for part in caller.prompt]
@@ -444,8 +454,7 @@
         self, exchange: CallerExchange, channel: CallerChannel, reason: Failure
     ) -> None:
         """Logs and counts a request whose connection ended before its answer."""
-        closed = reason.check(ConnectionDone, ConnectionLost) is not None
-        ended_by = BY_CALLER if closed and not channel.closed_because else BY_ENTRY
+        ended_by = find_ender(channel, reason)
         self.unanswered[ended_by] += 1
         request_ids = exchange.requestHeaders.getRawHeaders(b"Request-Id") or [b""]
         logger.info(
@@ -456,6 +465,17 @@
             reason=channel.closed_because or reason.getErrorMessage(),
         )
 
+    def record_unwritten(self, channel: CallerChannel, reason: Failure) -> None:
+        """Logs and counts an answer whose end the caller never took."""
+        ended_by = find_ender(channel, reason)
+        self.unanswered[ended_by] += 1
+        logger.info(
+            "Connection ended before the answer was written.",
+            bytes=channel.unwritten_bytes,
+            ended_by=ended_by,
+            reason=channel.closed_because or reason.getErrorMessage(),
+        )
+
     def find_content(self, handle: int) -> RequestContent | None:
         """Finds the content of a request; None when the request is not open."""
         return self._contents.get(handle)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -199,6 +199,7 @@
                 await self.sleep(0.4)
                 self.assertEqual(len(self.callers.channels), 1)
                 await self.wait_until(lambda: not self.callers.channels)
+        self.assertEqual(self.callers.unanswered, {"entry": 2})
 
     @on_loopback
     async def test_idle_connections_close_without_loss(self) -> None:
@@ -281,7 +282,7 @@
         client = await self.connect(CALL)
         transport: Any = client.transport
         transport.pauseProducing()
-        await self.wait_until(lambda: len(daemon.node.world.requests.by_handle) == 1)
+        await self.wait_until(lambda: bool(self.servers[0].requests))
         await self.wait_until(lambda: not daemon.node.world.requests.by_handle)
         daemon.leave("SIGTERM")
         await self.sleep(1.0)
