Serve connections that wait for their accept when the listener closes

Closing the listener reset the connections that the kernel had accepted for it, and the close of idle ones that came with it ended those that had just been accepted. Their callers had sent a whole request, or were about to, and got neither answer nor refusal.

The connections that wait are accepted first, and one without a request yet is left open for half a second. The tests of close_idle wait for that, and with an idle timeout that can't close the connection in its stead.

test_connection_that_waits_at_the_close_of_the_listener_is_served failed before: reset.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -40,6 +40,8 @@
 LINE_MARGIN_BYTES = 1024
 # How long the end of an answer may be on its way before its connection is closed.
 LINGER_S = 1.0
+# How long the first request of a connection may be on its way.
+FRESH_S = 0.5
 # The largest integer up to which a float is exact.
 MAX_NUMBER = 2**53
 BY_CALLER = "caller"
@@ -162,6 +164,8 @@
         self._callers = callers
         self._header_timer: Any = None
         self._linger_timer: Any = None
+        self._opened_at = callers.clock.seconds()
+        self._was_used = False
         self._idle_since = 0.0
         self._unwritten_before = 0
         self._taken_at = 0.0
@@ -203,6 +207,12 @@
         limit_s = self._callers.limits.idle_timeout_s
         return unwritten > 0 and now - self._taken_at < limit_s
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether its first request may still be on its way."""
+        age_s = self._callers.clock.seconds() - self._opened_at
+        return not self._was_used and age_s < FRESH_S
+
     @property
     def is_reading(self) -> bool:
         """Whether a part of a request was read."""
@@ -231,6 +241,7 @@
         """
         if self._linger_timer is not None:
             return
+        self._was_used = True
         self._idle_since = self._callers.clock.seconds()
         if self.is_idle:
             self._apply_limits()
@@ -551,9 +562,9 @@
             exchange.abort_answer()
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request is open or waits to be read."""
+        """Closes the connections on which no request is open or may still come."""
         for channel in list(self.channels):
-            if not channel.is_idle or channel.has_unread:
+            if not channel.is_idle or channel.is_fresh or channel.has_unread:
                 continue
             if channel.unwritten_bytes:
                 channel.loseConnection()
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -98,8 +98,10 @@
         )
 
     def close_listener(self) -> None:
-        """Stops accepting connections of callers."""
+        """Accepts the connections that already wait, and stops listening."""
         for listener in self.listeners:
+            listener.numberAccepts = LISTEN_BACKLOG
+            listener.doRead()
             listener.stopListening()
         self.listeners.clear()
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -4,13 +4,14 @@
 
 from typing import Any
 
+from attrs import evolve
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.callers import CallerFactory, Callers
+from magnoliahold.serving.callers import FRESH_S, CallerFactory, Callers
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
 
@@ -171,8 +172,10 @@
         await self.sleep(0.3)
         self.assertFalse(client.closed)
         await self.wait_until(lambda: client.closed)
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=30.0)
         idle = await self.connect(b"")
         busy, handle = await self.send_request(REQUEST)
+        await self.sleep(FRESH_S)
         self.callers.close_idle()
         await self.wait_until(lambda: idle.closed)
         self.assertFalse(busy.closed)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -12,6 +12,7 @@
 
 from magnoliahold.core.serving.effects import DeliverAnswer
 from magnoliahold.node import perform_effect
+from magnoliahold.serving.callers import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.test_callers import (
@@ -203,13 +204,14 @@
 
     @on_loopback
     async def test_idle_connections_close_without_loss(self) -> None:
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=30.0)
         reader, handle = await self.send_request(REQUEST)
         transport: Any = reader.transport
         transport.pauseProducing()
         answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
         self.callers.answer(handle, answer, closing=False)
         sender = await self.connect(b"")
-        await self.sleep(0.1)
+        await self.sleep(FRESH_S)
         unread = socket.create_connection(("127.0.0.1", self.port))
         self.addCleanup(unread.close)
         await self.sleep(0.1)
@@ -354,3 +356,24 @@
             perform_effect(DeliverAnswer(handle, 99), daemon.node)
         await self.wait_until(lambda: bool(client.received))
         self.assertEqual(client.received.split()[1:2], [b"502"])
+
+    @on_loopback
+    async def test_connection_that_waits_at_the_close_of_the_listener_is_served(
+        self,
+    ) -> None:
+        daemon = await self.start_leaving([WHOLE])
+        _, _, port = self.settings["callers"].partition(":")
+        clients = []
+        for content in (CALL, b""):
+            client = socket.create_connection(("127.0.0.1", int(port)))
+            self.addCleanup(client.close)
+            client.sendall(content)
+            client.setblocking(False)
+            clients.append(client)
+        daemon.close_listener()
+        daemon.node.ports.callers.close_idle()
+        await self.sleep(0.1)
+        clients[1].sendall(CALL)
+        await self.sleep(0.3)
+        for client in clients:
+            self.assertEqual(client.recv(1000).split()[1:2], [b"200"])
