--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -68,6 +68,9 @@
     factory = ClientFactory()
     factory.noisy = False
     factory.buildProtocol = lambda _: client  # type: ignore
+    factory.clientConnectionFailed = (  # type: ignore[method-assign]
+        lambda _, reason: client.connected_at.errback(reason)
+    )
     reactor.connectTCP("127.0.0.1", port, factory)
     await client.connected_at
     assert client.transport is not None
