--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -286,6 +286,8 @@
 
     def reject(self, status: int) -> None:
         """Answers a request that can't be parsed and closes the connection."""
+        if self._linger_timer is not None:
+            return
         self._stop_header_timer()
         for request in self.requests:
             request.ended = True
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -114,6 +114,12 @@
                 await self.wait_until(lambda client=client: client.closed)
                 self.assertEqual(client.received.split()[1:2], [b"%d" % status])
 
+    @on_loopback
+    async def test_request_with_two_faults_is_rejected_once(self) -> None:
+        client = await self.connect(b"POST /a\r\n" + HEAD + b"X: " + b"x" * 5000)
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.count(b"HTTP/1.1"), 1)
+
     @on_loopback
     async def test_bytes_behind_a_request_do_not_destroy_its_answer(self) -> None:
         client, handle = await self.send_request(REQUEST)
