Answer 408 when the rest of a request doesn't come in time

A request whose body stalled for the idle timeout ended with a closed connection, so that its caller couldn't know that it had not run.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -271,6 +271,7 @@
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Applies the limits in force to the next request."""
         self._apply_limits()
+        self._unwritten_before = 0
         self._savedTimeOut = self.timeOut
         super().requestDone(request)  # type: ignore[no-untyped-call]
 
@@ -340,7 +341,8 @@
     def timeoutConnection(self) -> None:  # noqa: N802
         """Closes a connection that was idle for too long, by the limits in force.
 
-        It isn't idle while a request waits to be read, or an answer to be written.
+        It isn't idle while a request waits to be read, or an answer to be written. A
+        request of which only a part came is rejected.
         """
         if self.has_unread or self._is_still_taking():
             self._apply_limits()
@@ -351,7 +353,10 @@
         if left_s > 0:
             self.setTimeout(left_s)  # type: ignore[no-untyped-call]
             return
-        self.close_now("it was idle for too long")
+        if self.is_reading:
+            self.reject(REQUEST_TIMEOUT)
+        else:
+            self.close_now("it was idle for too long")
 
     def _reject_unless_unread(self) -> None:
         """Rejects a slow request, after one more read if bytes of it wait."""
