--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -55,8 +55,9 @@
 class ServingDaemon:
     """A serving entry that runs in a reactor.
 
-    `on_stopped` is called with the reason when it has stopped. `broken` is set when it
-    stopped because its tables were inconsistent.
+    `on_stopped` is called with the reason when it has stopped; `finishing` is the next
+    look at whether it may, and `finish_limit` when requests must have been read.
+    `broken` is set when it stopped because its tables were inconsistent.
     """
 
     reactor: Any
@@ -65,6 +66,8 @@
     metrics: Metrics
     on_stopped: Callable[[str], None]
     broken: bool = False
+    finishing: Any = None
+    finish_limit: float | None = None
     listeners: list[Any] = field(factory=list)
     auxiliary_listeners: list[Any] = field(factory=list)
 
@@ -95,8 +98,10 @@
         )
 
     def close_listener(self) -> None:
-        """Stops accepting connections of callers."""
+        """Accepts the connections that already wait, and stops listening."""
         for listener in self.listeners:
+            listener.numberAccepts = LISTEN_BACKLOG
+            listener.doRead()
             listener.stopListening()
         self.listeners.clear()
 
@@ -104,9 +109,44 @@
         """Starts draining; `on_stopped` is called when nothing is in flight."""
         self.node.post_event(LeaveRequested(reason))
 
+    def finish(self, reason: str) -> None:
+        """Stops once callers have taken their answers, or when the time is up.
+
+        Ticks go on meanwhile: a request that was being read is still served.
+        """
+        self.close_listener()
+        callers = self.node.ports.callers
+        if reason == BROKEN_TABLES:
+            callers.fail_open_requests(reason)
+        callers.close_idle()
+        left_s = self._find_finish_limit(reason) - self.reactor.seconds()
+        if left_s <= 0:
+            callers.reject_unfinished()
+        flush_s = self.node.world.serving_policy.leave.flush_s
+        if callers.channels and left_s > -flush_s:
+            self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
+            return
+        if callers.channels:
+            logger.warning(
+                "Connections were open at the stop.", connections=len(callers.channels)
+            )
+        self.stop(reason)
+
+    def _find_finish_limit(self, reason: str) -> float:
+        """Returns when callers must have sent their requests; no ticks, no service."""
+        world = self.node.world
+        if self.finish_limit is None and reason == BROKEN_TABLES:
+            self.finish_limit = self.reactor.seconds()
+        elif self.finish_limit is None:
+            leave = world.serving_policy.leave
+            self.finish_limit = (world.leaving_since or 0.0) + leave.limit_s
+        return self.finish_limit
+
     def stop(self, reason: str) -> None:
         """Stops ticks, listeners and metrics, and calls `on_stopped`."""
         logger.info("Process is stopping.", reason=reason)
+        if self.finishing is not None and self.finishing.active():
+            self.finishing.cancel()
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         self.close_listener()
@@ -122,6 +162,8 @@
 
     def _read_metrics(self) -> tuple[int, bytes]:
         self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
+        for ended_by, count in self.node.ports.callers.unanswered.items():
+            self.metrics.set_gauge("requests_unanswered", count, ended_by=ended_by)
         age_s = self.node.world.measure_proof_age()
         if age_s is not None:
             self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
@@ -169,7 +211,7 @@
     notices = NoticePort(node.post_event)
     node.ports = ServingPorts(
         journal=MetricsJournal(metrics),
-        stop=lambda reason: reactor.callLater(0, daemon.stop, reason),
+        stop=lambda reason: reactor.callLater(0, daemon.finish, reason),
         callers=callers,
         upstreams=exchanges,
         prompts=PromptListClient(reactor, node.post_event),
