Move a silent upstream's streams only as far as retries are left

Where an upstream fell silent, all its streams were checked against the same retries left. The attempts of all were closed though the upstream still worked on them, the first few took the retries, and the others were cut 1.5 s later. Callers lost streams to a pause that is no failure.

--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -31,7 +31,7 @@
         if not may_retry(world, attempt.request, now):
             continue
         if attempt.upstream.health is UpstreamHealth.DOWN:
-            retry_elsewhere(world, attempt, "the upstream is down", now)
+            _retry_if_free(world, attempt, "the upstream is down", now)
         elif attempt.pieces:
             _watch_gap(world, attempt, now)
         elif attempt.request.route.kind is RouteKind.STREAM:
@@ -40,6 +40,23 @@
             _watch_call(world, attempt, now)
 
 
+def _retry_if_free(
+    world: ServingWorld, attempt: Attempt, reason: str, now: float
+) -> bool:
+    """Retries an attempt elsewhere if a retry is left that no waiting request takes.
+
+    Otherwise it goes on: its upstream may only be silent, and still at work on it.
+    """
+    service = attempt.request.service
+    waiting = world.requests.waiting.values()
+    promised = sum(item.service == service and item.send_count > 0 for item in waiting)
+    left = world.find_budget(service).count_remaining(now, world.count_entries())
+    if left < promised + 1:
+        return False
+    retry_elsewhere(world, attempt, reason, now)
+    return True
+
+
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     policy = world.serving_policy.watch
     silent_s = now - attempt.last_received_at
@@ -49,7 +66,7 @@
     has_copy = holder is not None and holder.health is UpstreamHealth.HEALTHY
     if has_copy or silent_s >= policy.gap_without_copy_s:
         mark_suspected(world, attempt.upstream, "a stream is silent", now)
-        retry_elsewhere(world, attempt, f"no piece for {silent_s:.2f} s", now)
+        _retry_if_free(world, attempt, f"no piece for {silent_s:.2f} s", now)
     elif not attempt.upstream_suspected:
         attempt.upstream_suspected = True
         mark_suspected(world, attempt.upstream, "a stream is silent", now)
@@ -81,8 +98,8 @@
     if not _is_last_chance_to_switch(world, request, waited_s, now):
         return
     if has_less_loaded_alternative(world, attempt, now):
-        request.first_piece_late = True
-        retry_elsewhere(world, attempt, f"no first piece for {waited_s:.2f} s", now)
+        reason = f"no first piece for {waited_s:.2f} s"
+        request.first_piece_late = _retry_if_free(world, attempt, reason, now)
 
 
 def _is_last_chance_to_switch(
@@ -104,4 +121,4 @@
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
     waited_s = now - (attempt.sent_at or attempt.started_at)
     if waited_s >= world.serving_policy.attempts.repeat_after_s:
-        retry_elsewhere(world, attempt, f"no answer for {waited_s:.2f} s", now)
+        _retry_if_free(world, attempt, f"no answer for {waited_s:.2f} s", now)
