Say plainly that any end of a connection within an answer is a loss

The condition computed whether the connection was reset and then didn't use it. A crash of a process can look like a close, too, so the outcome stays as it is; an end that this side made is told apart before.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field, frozen
-from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import Request
 from twisted.web.client import ResponseDone
@@ -270,9 +269,8 @@
         if exchange.aborted:
             return
         connection = exchange.connection
-        ended = connection.close_reason if connection is not None else None
-        reset = ended is not None and ended.check(ConnectionDone) is None
-        self._interrupt(exchange, describe_failure(failure), reset or ended is not None)
+        lost = connection is not None and connection.close_reason is not None
+        self._interrupt(exchange, describe_failure(failure), lost)
 
     def _interrupt(self, exchange: Exchange, reason: str, reset: bool) -> None:
         """Reports an attempt as failed, once, and reads no more of its answer."""
