--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -10,6 +10,8 @@
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 
+from magnoliahold.logs import make_part_logger
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -18,6 +20,8 @@
 # How long a connection that is being closed may wait for the rest of its request.
 CLOSE_TIMEOUT_S = 0.5
 
+logger = make_part_logger("http")
+
 
 class AnswerTooLongError(Exception):
     """A server sent more bytes for an answer, or a part of one, than are allowed."""
@@ -57,7 +61,7 @@
         """Reads bytes of an answer; gives up one that is too long or not expected."""
         if self.state == "QUIESCENT":
             self.dirty = True
-            self.reset_now()
+            self._reset_dirty()
             return
         self._allowed_bytes -= len(data)
         super().dataReceived(data)  # type: ignore[no-untyped-call]
@@ -81,10 +85,19 @@
 
     def _handle_quiescent(self, _: Any) -> None:
         if self.dirty:
-            self.reset_now()
+            self._reset_dirty()
         else:
             self._on_quiescent(self)
 
+    def _reset_dirty(self) -> None:
+        transport: Any = self.transport
+        peer = transport.getPeer()
+        logger.info(
+            "Connection reset, bytes belong to no answer.",
+            address=f"{peer.host}:{peer.port}",
+        )
+        self.reset_now()
+
     def _begin_body(self, response: Any) -> Any:
         self.allow_bytes(self._max_body_bytes)
         return response
