--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -568,8 +568,9 @@
             answered = UpstreamAnsweredProbe(record.id, record.born_ms)
             self._post(entry, answered)
         else:
-            delay_s = effect.timeout_s if engine and engine.silent else ANSWER_S
-            failed = UpstreamFailedProbe(record.id, record.born_ms, "no answer")
+            silent = engine is not None and engine.silent
+            delay_s = effect.timeout_s if silent else ANSWER_S
+            failed = UpstreamFailedProbe(record.id, record.born_ms, "lost", silent)
             self._post(entry, failed, delay_s)
 
     def _list_prompts(self, entry: Entry, effect: ListPrompts) -> None:
@@ -585,8 +586,9 @@
         asked = entry.asked[effect.handle]
         engine = self.engines.get(effect.upstream.address)
         if engine is None or not engine.up:
-            delay_s = effect.connect_timeout_s if engine and engine.silent else ANSWER_S
-            event = AttemptNotSent(effect.attempt, "no connection")
+            silent = engine is not None and engine.silent
+            delay_s = effect.connect_timeout_s if silent else ANSWER_S
+            event = AttemptNotSent(effect.attempt, "no connection", silent)
             self._post(entry, event, delay_s)
             return
         entry.events.append(AttemptSent(effect.attempt))
