--- a/tests/core/serving/test_crash_review.py
+++ b/tests/core/serving/test_crash_review.py
@@ -30,6 +30,13 @@
     name_suspects,
 )
 from magnoliahold.core.serving.systems.crashes import add_report
+from tests.core.serving.crashing_parts import (
+    CrashingFleet,
+    Day,
+    DeadlyPart,
+    Span,
+    score,
+)
 from tests.core.serving.harness import (
     ENGINES,
     ServingHarness,
@@ -128,6 +135,15 @@
         self.harness.advance(0.6)
         self.assertEqual(self.harness.pop_effects(SendAttempt), [])
 
+    def test_trials_of_a_part_that_stays_deadly_reach_few_engines(self) -> None:
+        requested = Span(4.0, 415.0)
+        for entries, seed in ((1, 1), (4, 2)):
+            with self.subTest(entries=entries, seed=seed):
+                part = DeadlyPart(DEADLY, 0.8, requested=requested)
+                day = Day(deadly=(part,), length_s=420.0, entries=entries)
+                late = score(CrashingFleet(day, seed).run()).late
+                self.assertLessEqual(late[DEADLY], 3)
+
     def test_watched_request_is_not_sent_on_before_its_crash_is_settled(self) -> None:
         self.crash_all(2, ("subject", DEADLY))
         self.request(("subject", DEADLY))
