Blame a part that turns deadly, not a session that is beside it

A review showed: six crashes under a part that had begun before, three of them beside a session that never had; the session was quarantined, its crashes no longer counted against the part, and the other three were too few. What a later group explains with more besides is now dropped. A start that crashes twice, where starts aren't told apart, counts twice.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -23,6 +23,8 @@
 CrashId: TypeAlias = tuple[str, int]
 MAX_GROUP = 8
 MIN_MOMENTS = 2
+# What one evaluation quarantines; the rest follows with the next evidence.
+MAX_CONVICTIONS = 8
 
 
 @define(eq=False)
@@ -38,20 +40,28 @@
 
 
 def gather_crashes(
-    reports: Iterable[CrashReport], begun_at: Mapping[str, float]
+    reports: Iterable[CrashReport],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
 ) -> list[CrashEvidence]:
-    """Gathers reports by crash, without suspects of which one has begun since."""
-    crashes: dict[CrashId, CrashEvidence] = {}
-    for report in reports:
+    """Gathers reports by crash, without suspects of which one has begun since.
+
+    An upstream that doesn't tell its starts apart may crash again.
+    """
+    crashes: list[CrashEvidence] = []
+    last_crashes: dict[CrashId, CrashEvidence] = {}
+    for report in sorted(reports, key=lambda item: (item.at, item.key)):
         suspects = frozenset(
             item for item in report.suspects if begun_at.get(item, -1.0) < report.at
         )
         if not suspects:
             continue
-        crash = crashes.setdefault(report.crash, CrashEvidence(report.at, []))
-        crash.at = min(crash.at, report.at)
+        crash = last_crashes.get(report.crash)
+        if crash is None or report.at - crash.at > policy.settle_max_s:
+            crash = last_crashes[report.crash] = CrashEvidence(report.at, [])
+            crashes.append(crash)
         crash.requests.append(suspects)
-    return list(crashes.values())
+    return crashes
 
 
 def count_moments(crashes: Iterable[CrashEvidence], moment_s: float) -> int:
@@ -85,32 +95,63 @@
 
     Suspects that were always together can't be told apart, and are one group: only
     requests with all of them are to blame. What one group explains is no evidence
-    against others.
+    against others, unless a later one explains all of that and more.
     """
+    totals = group_by_suspect(crashes)
     convictions: list[frozenset[str]] = []
     remaining = list(crashes)
-    while True:
+    while len(convictions) < MAX_CONVICTIONS:
         enough = [
             suspect
             for suspect, items in group_by_suspect(remaining).items()
-            if len(items) >= _find_limit(suspect, begun_at, policy)
-            and count_moments(items, policy.settle_s) >= MIN_MOMENTS
+            if _is_enough(suspect, items, totals[suspect], begun_at, policy)
         ]
         if not enough:
-            return convictions
-        groups = [_find_group(item, remaining) for item in enough]
+            break
+        groups = _find_groups(enough, remaining)
         best = max(groups, key=lambda group: _rank(group, remaining, begun_at))
         convictions.append(best)
         remaining = [crash for crash in remaining if not crash.is_explained_by(best)]
+    return _drop_covered(convictions, crashes)
 
 
-def _find_limit(
-    suspect: str, begun_at: Mapping[str, float], policy: SuspicionPolicy
-) -> int:
-    """Returns how many crashes convict; what has begun may be there by chance."""
+def _is_enough(
+    suspect: str,
+    unexplained: list[CrashEvidence],
+    crashes: list[CrashEvidence],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
+) -> bool:
+    """Tells whether the crashes under a suspect are enough to quarantine it.
+
+    One that has begun before may be there by chance, and takes more crashes in all.
+    """
+    if count_moments(unexplained, policy.settle_s) < MIN_MOMENTS:
+        return False
     if suspect in begun_at:
-        return policy.crashes_to_convict_begun
-    return policy.crashes_to_convict
+        return len(crashes) >= policy.crashes_to_convict_begun
+    return len(unexplained) >= policy.crashes_to_convict
+
+
+def _find_groups(
+    suspects: list[str], crashes: list[CrashEvidence]
+) -> set[frozenset[str]]:
+    """Finds for each suspect what all requests with it have in common."""
+    requests_by_suspect: dict[str, list[frozenset[str]]] = {}
+    for crash in crashes:
+        for request in crash.requests:
+            for suspect in request:
+                requests_by_suspect.setdefault(suspect, []).append(request)
+    groups: dict[tuple[int, ...], frozenset[str]] = {}
+    for suspect in sorted(suspects):
+        requests = requests_by_suspect[suspect]
+        # Suspects of the same requests have the same group.
+        key = tuple(map(id, requests))
+        if key not in groups:
+            group = frozenset.intersection(*requests)
+            others = sorted(group - {suspect})[: MAX_GROUP - 1]
+            groups[key] = frozenset((suspect, *others))
+    return set(groups.values())
 
 
 def _rank(
@@ -126,10 +167,16 @@
     return (new_part, explained, len(group), sorted(group))
 
 
-def _find_group(suspect: str, crashes: list[CrashEvidence]) -> frozenset[str]:
-    """Finds the suspects that all requests with one of them have in common."""
-    requests = [
-        request for crash in crashes for request in crash.requests if suspect in request
+def _drop_covered(
+    groups: list[frozenset[str]], crashes: list[CrashEvidence]
+) -> list[frozenset[str]]:
+    """Drops groups that were merely there when another one crashed upstreams."""
+    explained = {
+        group: {n for n, crash in enumerate(crashes) if crash.is_explained_by(group)}
+        for group in groups
+    }
+    return [
+        group
+        for group in groups
+        if not any(explained[group] < explained[other] for other in groups)
     ]
-    group = frozenset.intersection(*requests)
-    return frozenset(sorted(group - {suspect})[: MAX_GROUP - 1]) | {suspect}
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -105,7 +105,7 @@
 def _evaluate(world: ServingWorld) -> None:
     table = world.suspicions
     policy = world.serving_policy.suspicion
-    crashes = gather_crashes(table.reports.values(), table.begun_at)
+    crashes = gather_crashes(table.reports.values(), table.begun_at, policy)
     _end_cleared_quarantines(world)
     _renew_quarantines(world, crashes)
     for suspects in find_convictions(crashes, table.begun_at, policy):
--- a/tests/core/serving/test_convictions.py
+++ b/tests/core/serving/test_convictions.py
@@ -79,6 +79,11 @@
         ),
         ("ab",),
     ),
+    Case(
+        "same start again",
+        ((1.0, "u1", "ab"), (9.0, "u1", "ab"), (20.0, "u1", "ab")),
+        ("ab",),
+    ),
     # A part that has begun before is there by chance once more.
     Case(
         "begun before, and in one crash more",
@@ -133,7 +138,7 @@
                     for at, upstream, suspects in case.crashes
                 ]
                 begun_at = dict(case.begun)
-                crashes = gather_crashes(reports, begun_at)
+                crashes = gather_crashes(reports, begun_at, POLICY)
                 found = find_convictions(crashes, begun_at, POLICY)
                 expected = [frozenset(group) for group in case.convicted]
                 self.assertEqual(found, expected)
