Don't take an error for a stream that has begun

Any whole answer cleared the suspects of its request, also an engine's 500 or 400 to a stream: engines that answered errors in between cleared a deadly part at all entries. test_failure_of_an_engine_clears_no_part failed before.

--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -32,6 +33,7 @@
     from magnoliahold.core.serving.requests import Attempt
     from magnoliahold.core.serving.world import ServingWorld
 
+MIN_ERROR_STATUS = 400
 MIN_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -85,7 +87,8 @@
         return
     if not failed:
         _record_duration(world, attempt, now)
-    record_begin(world, attempt, now)
+    if head.status < MIN_ERROR_STATUS or request.route.kind is not RouteKind.STREAM:
+        record_begin(world, attempt, now)
     world.requests.end_attempt(attempt)
     deliver_answer(world, request, attempt.number, head.status, now)
 
