Probe an upstream after a reset, also while it backs off

One that had asked for a backoff and then crashed wasn't probed, so its crash was never confirmed and counted against nothing. The process that asked may be gone. test_crash_of_an_engine_that_backs_off_counts failed before.

--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -137,5 +137,5 @@
         count_outcome(world, attempt, True, now, upstream_lost=interrupted.reset)
         if interrupted.reset:
             record_reset(world, attempt, now)
-            mark_suspected(world, attempt.upstream, interrupted.reason, now)
+            mark_suspected(world, attempt.upstream, interrupted.reason, now, reset=True)
         fail_sent_attempt(world, attempt, interrupted.reason, now)
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -21,11 +21,20 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
-def probe(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
-    """Probes an upstream unless it backs off, or a probe is in progress or recent."""
+def probe(
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    in_backoff: bool = False,
+) -> None:
+    """Probes an upstream unless it backs off, or a probe is in progress or recent.
+
+    Only `in_backoff` it is probed even so.
+    """
     if upstream.probe_sent_at is not None or now < upstream.next_probe_at:
         return
-    if upstream.backs_off(now):
+    if upstream.backs_off(now) and not in_backoff:
         return
     policy = world.serving_policy.watch
     upstream.probe_sent_at = now
@@ -41,9 +50,16 @@
 
 
 def mark_suspected(
-    world: ServingWorld, upstream: Upstream, reason: str, now: float
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    reset: bool = False,
 ) -> None:
-    """Marks an upstream as suspected, so that it gets no new work, and probes it."""
+    """Marks an upstream as suspected, so that it gets no new work, and probes it.
+
+    After a reset, the process that asked for a backoff may be gone.
+    """
     if upstream.health is UpstreamHealth.HEALTHY:
         upstream.health = UpstreamHealth.SUSPECTED
         world.upstreams.record_incident(upstream.record, now)
@@ -51,7 +67,7 @@
             "trust", "Upstream suspected.", upstream=upstream.id, reason=reason
         )
         _probe_neighbours(world, upstream, now)
-    probe(world, upstream, reason, now)
+    probe(world, upstream, reason, now, in_backoff=reset)
 
 
 def mark_down(
