Suspect also a request whose first piece came right before the crash

One piece made a request unsuspicious, although a part is cleared only after an upstream has lived on for 0.3 s. An engine that flushes a first piece and then crashes was never reported. test_engine_that_crashes_right_after_its_first_piece failed before; it now asks for a quarantine after three crashes, not five.

--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -102,9 +102,9 @@
     `copy_holder` gets a copy of the KV cache while the attempt runs. The upstream makes
     the copy by itself; once the first holder is lost, copies are ordered, and
     `copy_order` is the state of the orders. `resumed_from` is the copy from which this
-    attempt resumes. `begun` is set once its upstream has lived on after the first
-    piece. `upstream_suspected` is set once its silence has made the upstream suspected.
-    Times are on the process clock.
+    attempt resumes. `begun` is set once it is recorded that its upstream has lived on
+    after the first piece. `upstream_suspected` is set once its silence has made the
+    upstream suspected. Times are on the process clock.
     """
 
     number: int
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -24,6 +24,14 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+def has_begun(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether an upstream has lived on after the first piece of an attempt."""
+    if attempt.first_piece_at is None:
+        return False
+    lived_s = now - attempt.first_piece_at
+    return lived_s >= world.serving_policy.suspicion.begun_after_s
+
+
 def record_reset(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that the connection of an attempt was reset.
 
@@ -39,7 +47,7 @@
         resumed=attempt.resumed_from is not None,
         prompt=",".join(f"{part.id}:{part.tokens}" for part in caller.prompt),
     )
-    if attempt.pieces:
+    if has_begun(world, attempt, now):
         return
     unsettled = _make_unsettled(world, attempt, now)
     if unsettled is not None:
@@ -48,7 +56,7 @@
 
 def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that an attempt is given up; the upstream may crash by it even so."""
-    if attempt.pieces or attempt.state is AttemptState.CONNECTING:
+    if attempt.state is AttemptState.CONNECTING or has_begun(world, attempt, now):
         return
     unsettled = _make_unsettled(world, attempt, now)
     if unsettled is not None:
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -16,7 +16,7 @@
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
 from magnoliahold.core.serving.systems.completion import finish_stream
 from magnoliahold.core.serving.systems.copies import free_copy
-from magnoliahold.core.serving.systems.crashes import record_begin
+from magnoliahold.core.serving.systems.crashes import has_begun, record_begin
 from magnoliahold.core.serving.systems.outcomes import answers_other_request
 from magnoliahold.core.serving.systems.peer_notices import record_prefix_location
 from magnoliahold.core.serving.systems.retries import count_outcome, fail_sent_attempt
@@ -90,9 +90,7 @@
 
 def _record_begin_once(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that a stream has begun, once its upstream has lived on for a while."""
-    if attempt.begun or attempt.first_piece_at is None:
-        return
-    if now - attempt.first_piece_at >= world.serving_policy.suspicion.begun_after_s:
+    if not attempt.begun and has_begun(world, attempt, now):
         attempt.begun = True
         record_begin(world, attempt, now)
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -81,7 +81,7 @@
     world: ServingWorld, suspects: Iterable[str], besides: ServedRequest | None
 ) -> bool:
     return any(
-        not attempt.pieces
+        not attempt.begun
         and attempt.request is not besides
         and attempt.request.suspects.issuperset(suspects)
         for attempt in world.requests.attempts.values()
--- a/src/magnoliahold/core/serving/systems/quarantine_stops.py
+++ b/src/magnoliahold/core/serving/systems/quarantine_stops.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.serving.systems.completion import refuse
-from magnoliahold.core.serving.systems.quarantine import is_refused
+from magnoliahold.core.serving.systems.crashes import has_begun
+from magnoliahold.core.serving.systems.quarantine import is_in_force
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import ServedRequest
@@ -20,7 +21,7 @@
         return
     for request in list(world.requests.by_handle.values()):
         attempt = request.attempt
-        if attempt is not None and attempt.pieces:
+        if attempt is not None and has_begun(world, attempt, now):
             continue
         if is_refused(world, request.suspects, request):
             refuse_quarantined(world, request, now)
