Apply what is left of a quarantine whose companion has begun

An entry that had seen the popular companion of a deadly part begin dropped the whole quarantine that it was told, and went on sending requests with both. test_quarantine_with_a_cleared_companion_applies_to_the_rest failed before.

--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -235,9 +235,12 @@
     if world.read_shared_time() >= record.convicted_at + 2 * record.term_s:
         return
     table = world.suspicions
-    suspects = frozenset(record.fingerprint.split(NAME_SEPARATOR))
-    cleared_at = max(table.begun_at.get(item, 0.0) for item in suspects)
-    if cleared_at > record.convicted_at:
+    suspects = frozenset(
+        item
+        for item in record.fingerprint.split(NAME_SEPARATOR)
+        if table.begun_at.get(item, 0.0) <= record.convicted_at
+    )
+    if not suspects:
         return
     known = table.quarantines.get(name_suspects(suspects))
     if known is not None and known.convicted_at >= record.convicted_at:
