Tell other entries also what ends a quarantine after a renewed term

A trial after a longer term ended the quarantine at its own entry; the others went on refusing until their own turn. test_clearance_after_a_renewed_term_is_told failed before.

--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -201,7 +201,6 @@
             del table.reports[key]
             table.own_reports.discard(key)
     if not table.reports:
-        table.reported_clearances.clear()
         table.watched = frozenset()
 
 
@@ -223,6 +222,8 @@
     another crash.
     """
     table = world.suspicions
+    if not table.reports and not table.reported_clearances:
+        return ()
     newest: dict[str, float] = {}
     for report in table.reports.values():
         for suspect in report.suspects:
@@ -234,9 +235,11 @@
             continue
         if reported_at is None or reported_at < crashed_at <= begun_at:
             table.reported_clearances[suspect] = begun_at
+    since = world.read_shared_time() - world.serving_policy.suspicion.reported_s
     clearances = [
         Clearance(suspect, at)
         for suspect, at in table.reported_clearances.items()
-        if suspect in newest
+        if suspect in newest or at >= since
     ]
+    table.reported_clearances = {item.suspect: item.at for item in clearances}
     return tuple(sorted(clearances, key=lambda item: (item.at, item.suspect)))
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -210,6 +210,8 @@
         if not cleared:
             continue
         del table.quarantines[quarantine.name]
+        for item in cleared:
+            table.reported_clearances[item] = table.begun_at[item]
         world.other_entries.send_now = True
         world.log_decision(
             "suspects",
