Send no request on while it is open if it has crashed its upstream

A trial, or the request that decides about a watched suspect, was sent to the next upstream in the same tick in which its connection was reset, before the probe and the evaluation had said what that meant; other waiting requests went in between too. Suspects with an open reset or an unevaluated report are now taken for tried, and only quarantines in force end requests that run.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -12,6 +12,8 @@
 from attrs import define, field, frozen
 from xxhash import xxh3_64_hexdigest
 
+from magnoliahold.core.serving.upstreams import UpstreamHealth
+
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.core.serving.upstreams import Upstream
@@ -98,6 +100,12 @@
     upstream: Upstream
     at: float
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the upstream may prove to have crashed."""
+        healthy = self.upstream.health is UpstreamHealth.HEALTHY
+        return not (healthy or self.upstream.silent)
+
 
 @define
 class Quarantine:
@@ -138,7 +146,8 @@
     `begun_at` holds when a request with a suspect last began, on the store's clock, the
     latest last, and `reported_clearances` what other entries are told of that. The
     `watched` suspects lack one crash to be quarantined, and were never seen to begin.
-    `evaluation_at` is set while new evidence is not evaluated, on the process clock.
+    `evaluation_at` is set while new evidence is not evaluated, on the process clock,
+    and `unevaluated` are the reports among it.
     """
 
     reports: dict[ReportKey, CrashReport] = field(factory=dict)
@@ -150,6 +159,13 @@
     watched: frozenset[str] = frozenset()
     quarantines: dict[str, Quarantine] = field(factory=dict)
     evaluation_at: float | None = None
+    unevaluated: list[CrashReport] = field(factory=list)
+
+    def is_unsettled(self, suspects: frozenset[str]) -> bool:
+        """Tells whether it is still open if a request with all suspects has crashed."""
+        open_reports = [item.report for item in self.unsettled_resets if item.is_open]
+        open_reports += self.unevaluated
+        return any(suspects.issubset(report.suspects) for report in open_reports)
 
     def is_suspected(self, suspect: str) -> bool:
         """Tells whether there is a report or a quarantine of a suspect."""
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -111,6 +111,7 @@
     if report.key in table.reports:
         return
     table.reports[report.key] = report
+    table.unevaluated.append(report)
     if len(table.reports) > world.serving_policy.suspicion.max_reports:
         oldest = next(iter(table.reports))
         del table.reports[oldest]
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -29,8 +29,6 @@
 from magnoliahold.core.serving.systems.turns import find_turn_s
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from magnoliahold.core.serving.convictions import CrashEvidence
     from magnoliahold.core.serving.requests import ServedRequest
     from magnoliahold.core.serving.suspicions import QuarantineRecord
@@ -53,39 +51,54 @@
     )
 
 
+def is_in_force(world: ServingWorld, suspects: frozenset[str]) -> bool:
+    """Tells whether a quarantine of these suspects is in force, not on trial."""
+    return any(
+        quarantine.suspects <= suspects and not _is_on_trial(world, quarantine)
+        for quarantine in world.suspicions.quarantines.values()
+    )
+
+
 def must_wait_for_trial(world: ServingWorld, request: ServedRequest) -> bool:
     """Tells whether a request waits until another one with a watched suspect begins.
 
     One more crash decides about such suspects, so it takes only one request.
     """
     watched = world.suspicions.watched & request.suspects
-    return any(_has_unbegun_attempt(world, {item}, request) for item in watched)
+    return any(_is_tried(world, frozenset((item,)), request) for item in watched)
 
 
 def _is_free_to_try(
     world: ServingWorld, quarantine: Quarantine, request: ServedRequest | None
 ) -> bool:
     """Tells whether a quarantine is on trial, and no other request is trying here."""
+    on_trial = _is_on_trial(world, quarantine)
+    return on_trial and not _is_tried(world, quarantine.suspects, request)
+
+
+def _is_on_trial(world: ServingWorld, quarantine: Quarantine) -> bool:
+    """Tells whether the term of a quarantine is over, and it is this entry's turn."""
     policy = world.serving_policy.suspicion
     rank = count_ranked_before(
         quarantine.name, world.identity.name, world.other_entries.by_name
     )
     turn_s = min(rank, policy.max_trial_turns) * policy.trial_turn_s
     over_at = quarantine.convicted_at + quarantine.term_s
-    if world.read_shared_time() < over_at + turn_s:
-        return False
-    return not _has_unbegun_attempt(world, quarantine.suspects, request)
+    return world.read_shared_time() >= over_at + turn_s
 
 
-def _has_unbegun_attempt(
-    world: ServingWorld, suspects: Iterable[str], besides: ServedRequest | None
+def _is_tried(
+    world: ServingWorld, suspects: frozenset[str], besides: ServedRequest | None
 ) -> bool:
-    return any(
+    """Tells whether it is still open if a request with all suspects has crashed."""
+    table = world.suspicions
+    has_attempt = any(
         not attempt.begun
         and attempt.request is not besides
-        and attempt.request.suspects.issuperset(suspects)
+        and suspects <= attempt.request.suspects
         for attempt in world.requests.attempts.values()
     )
+    return has_attempt or table.is_unsettled(suspects)
 
 
 def update_quarantines(world: ServingWorld, now: float) -> None:
@@ -99,6 +112,7 @@
     table = world.suspicions
     if table.evaluation_at is not None and now >= table.evaluation_at:
         table.evaluation_at = None
+        table.unevaluated.clear()
         _evaluate(world)
 
 
--- a/src/magnoliahold/core/serving/systems/quarantine_stops.py
+++ b/src/magnoliahold/core/serving/systems/quarantine_stops.py
@@ -23,7 +23,7 @@
         attempt = request.attempt
         if attempt is not None and has_begun(world, attempt, now):
             continue
-        if is_refused(world, request.suspects, request):
+        if is_in_force(world, request.suspects):
             refuse_quarantined(world, request, now)
 
 
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -324,6 +324,8 @@
             caller = self.request(("subject", DEADLY))
             sent = self.harness.send()
             self.harness.interrupt(beside)
+            record = beside.upstream
+            self.harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
             self.cancel(bystander)
             report = CrashReport(
                 sent.upstream.id,
