--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -41,6 +41,13 @@
     ("too short", [HEAD + b"Content-Length: 9\r\n\r\nok", CLOSE], [AttemptInterrupted]),
     ("closed without an answer", [CLOSE], [AttemptInterrupted]),
     ("reset without an answer", [RESET], [AttemptInterrupted]),
+    # The caller waited until its deadline.
+    ("id that is no text", [WHOLE.replace(b"abc", b"\xff")], [AttemptInterrupted]),
+    (
+        "type that is no text",
+        [STREAM.replace(b"text/", b"\xff/")],
+        [AttemptInterrupted],
+    ),
     ("no HTTP", [b"\x00\x01garbage\r\n\r\n", CLOSE], [AttemptInterrupted]),
     (
         "too long",
