--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -254,13 +254,17 @@
     A stream that was sent to an upstream is reported at once; otherwise requests that
     arrive at the same time at several entries would all be sent to the least loaded
     upstream. Other changes are reported at most every `least_interval_s`, an unchanged
-    load every `interval_s`. A peer's notice is valid for `notice_kept_s`, and the
-    location of a prompt in a prefix cache for `place_kept_s`. Registrations of entries
-    from which nothing was received for `removed_after_s` are removed.
+    load every `interval_s`. Notices to all peers together use at most `max_bytes_per_s`
+    on average over a second or more, so that they leave the link to callers and
+    upstreams; half of that is kept for what is urgent. A peer's notice is valid for
+    `notice_kept_s`, and the location of a prompt in a prefix cache for `place_kept_s`.
+    Registrations of entries from which nothing was received for `removed_after_s` are
+    removed.
     """
 
     least_interval_s: float = _positive(0.04)
     interval_s: float = _positive(1.0)
+    max_bytes_per_s: float = _positive(6_250_000.0)
     notice_kept_s: float = _positive(2.5)
     place_kept_s: float = _positive(6.0)
     registration_timeout_s: float = _positive(2.0)
@@ -274,7 +278,8 @@
 
     The registration is removed once no request is open, but not before `settle_s` after
     the listener was closed, and at the latest `farewell_s` before `limit_s`. The entry
-    stops `farewell_s` after the removal. A stream is accepted only if `stream_margin`
+    stops `farewell_s` after the removal, once callers have taken their answers, but at
+    the latest `flush_s` after `limit_s`. A stream is accepted only if `stream_margin`
     times the mean duration of streams is left.
     """
 
@@ -282,6 +287,7 @@
     settle_s: float = _positive(0.3)
     limit_s: float = _positive(7.4)
     farewell_s: float = _positive(0.15)
+    flush_s: float = _positive(0.2)
     stream_margin: float = _positive(1.15)
 
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -4,13 +4,14 @@
 
 from typing import Any
 
+from attrs import evolve
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.callers import CallerFactory, Callers
+from magnoliahold.serving.callers import FRESH_S, CallerFactory, Callers
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
 
@@ -61,7 +62,25 @@
         self.closed = True
 
 
-class CallerTests(LoopbackTestCase):
+async def connect_client(reactor: Any, port: int, content: bytes) -> Client:
+    """Connects to a port on loopback and sends bytes."""
+    client = Client()
+    factory = ClientFactory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _: client  # type: ignore
+    factory.clientConnectionFailed = (  # type: ignore[method-assign]
+        lambda _, reason: client.connected_at.errback(reason)
+    )
+    reactor.connectTCP("127.0.0.1", port, factory)
+    await client.connected_at
+    assert client.transport is not None
+    client.transport.write(content)
+    return client
+
+
+class CallerTestCase(LoopbackTestCase):
+    """A test case with a listening server for callers; `events` are those it posts."""
+
     def setUp(self) -> None:
         super().setUp()
         self.events: list[Any] = []
@@ -74,15 +93,7 @@
 
     async def connect(self, content: bytes) -> Client:
         """Connects and sends bytes."""
-        client = Client()
-        factory = ClientFactory()
-        factory.noisy = False
-        factory.buildProtocol = lambda _: client  # type: ignore
-        self.reactor.connectTCP("127.0.0.1", self.port, factory)
-        await client.connected_at
-        assert client.transport is not None
-        client.transport.write(content)
-        return client
+        return await connect_client(self.reactor, self.port, content)
 
     async def send_request(self, content: bytes) -> tuple[Client, int]:
         """Sends a request and returns the client and the request's handle."""
@@ -93,6 +104,8 @@
         assert isinstance(event, RequestArrived)
         return client, event.caller.handle
 
+
+class CallerTests(CallerTestCase):
     @on_loopback
     async def test_invalid_requests_are_rejected(self) -> None:
         for name, content, status in REJECTED:
@@ -162,8 +175,10 @@
         await self.sleep(0.3)
         self.assertFalse(client.closed)
         await self.wait_until(lambda: client.closed)
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=30.0)
         idle = await self.connect(b"")
         busy, handle = await self.send_request(REQUEST)
+        await self.sleep(FRESH_S)
         self.callers.close_idle()
         await self.wait_until(lambda: idle.closed)
         self.assertFalse(busy.closed)
