Test six crashing parts at once and one at the end of a long prompt

Behind the 32nd part a deadly part is no suspect, and sound requests with the same first parts are refused.

--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -1,20 +1,22 @@
 """Serving entries, engines and callers on a day when parts of prompts crash engines.
 
-Real worlds of entries run on one simulated clock, with a faked store, notices that may
-be lost, engines that stream and callers that return after a refusal. An engine that
-begins to write an answer to a prompt with a deadly part crashes. The results are those
-that callers, engines and the store observe.
+Real worlds of entries run on one simulated clock, with a faked store, encoded notices
+that may be lost, engines that stream and callers that return after a refusal. An engine
+that begins to write an answer to a prompt with a deadly part crashes. The results are
+those that callers, engines and the store observe.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import msgspec
 from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.serving.configuration import RouteKind
@@ -58,12 +60,13 @@
     UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.feeds import Feed, FeedRow
-from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
 from magnoliahold.core.serving.requests import (
     CallerRequest,
     CopyReference,
     PromptPart,
 )
+from magnoliahold.serving.notices import encode_notice
 from tests.core.serving.harness import (
     CREDENTIAL,
     ENGINES,
@@ -92,6 +95,7 @@
 DATA_CENTRES = 4
 CALLER_TIMEOUT_S = 25.0
 CONNECT_AGAIN_S = 0.5
+GOAL_S = 4.5
 
 FIRST_PART = PromptPart("first", 200)
 POPULAR_PART = PromptPart("popular", 1_500)
@@ -102,6 +106,8 @@
 SESSION_ENDS = 0.25
 SESSION_TOKENS = 2_000
 
+_decoder = msgspec.msgpack.Decoder(LoadNotice)
+
 
 @frozen
 class Span:
@@ -218,6 +224,11 @@
     completed: bool = False
     origin: Asked | None = None
 
+    @property
+    def wait_s(self) -> float:
+        """The seconds until it began, infinite if it didn't."""
+        return math.inf if self.began_at is None else self.began_at - self.arrived_at
+
     @property
     def root(self) -> Asked:
         """The caller's first request, of which this is a repeat or itself."""
@@ -425,11 +436,12 @@
 
     def _deliver_notice(self, entry: Entry, effect: SendNotice) -> None:
         names = {peer.name for peer in effect.peers}
+        notice = _decoder.decode(encode_notice(effect.notice))
         for other in self.entries:
             lost = self.random.random() < self.day.notice_loss
             lost = lost or self._is_cut(entry) or self._is_cut(other)
             if other.alive and other.name in names and not lost:
-                self._post(other, NoticeReceived(effect.notice))
+                self._post(other, NoticeReceived(notice))
 
     # Store
 
@@ -893,6 +905,7 @@
     ended: int
     judged: int
     begun: int
+    on_time: int
     refused: int
     sound: int
     served: int
@@ -928,6 +941,7 @@
         ended=len(fleet.crashes),
         judged=len(judged),
         begun=sum(item.began_at is not None for item in judged),
+        on_time=sum(item.wait_s <= GOAL_S for item in judged),
         refused=len(refused),
         sound=len(sound),
         served=sum(item.completed for item in sound),
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -98,6 +98,9 @@
             make_part(0.3, "deadly-3", first=True),
         )
     ),
+    "six_parts": Day(
+        deadly=tuple(make_part(0.15, f"deadly-{n}", tail=n % 2 == 0) for n in range(6))
+    ),
     "burst": Day(
         deadly=(make_part(8.0, requested=Span(4.0, 5.5)), PART),
     ),
@@ -378,6 +381,14 @@
                 self.assertTrue(self.is_refused(*deadly))
                 self.assertFalse(self.is_refused(*sound))
 
+    def test_deadly_part_is_the_fortieth_of_a_long_prompt(self) -> None:
+        sound = tuple(f"part-{number}" for number in range(39))
+        self.answer(*sound)
+        for _ in range(5):
+            self.crash((*sound, "deadly"))
+        self.assertTrue(self.is_refused(*sound, "deadly"))
+        self.assertFalse(self.is_refused(*sound))
+
     def test_engines_crash_at_the_same_moment(self) -> None:
         self.answer("first", "middle")
         for _ in range(3):
