Test engines that are known to be down before their connections break

Another entry's notice makes this one probe; the probe is refused, the request leaves, and its reset is seen later or, on a lossy link, never. Five crashes of that kind convict nothing.

--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -174,6 +174,8 @@
     With `sessions` each holds the part of a session that a few others share, too.
     `resets` are when all connections of one engine are reset while it lives on.
     `head_share` is how often an engine sends the head of its answer before it crashes.
+    Entries learn up to `reset_delay_s` late that a connection was reset, and engines
+    are back after a time within `restart`. Callers repeat a request `repeats` times.
     """
 
     deadly: tuple[DeadlyPart, ...] = ()
@@ -196,11 +198,14 @@
     cut_entry: int = 0
     cut: Span = Span(0.0, 0.0)
     head_share: float = 0.0
+    reset_delay_s: float = ANSWER_S
+    restart: Span = Span(1.5, 4.0)
+    repeats: int = 1
 
 
 @define(eq=False)
 class Asked:
-    """One request as its caller sees it; a repeat is another one with `first` unset.
+    """One request as its caller sees it; `repeat` counts those before it, if any.
 
     `deadly` is the id of the deadly part that it holds, or empty. `refused_at` and
     `retry_after_s` are set if it was refused as not run, `reason` says why, and
@@ -212,7 +217,7 @@
     arrived_at: float
     deadline_at: float
     deadly: str = ""
-    first: bool = True
+    repeat: int = 0
     resume_after: int | None = None
     last_piece: int | None = None
     began_at: float | None = None
@@ -224,6 +229,11 @@
     completed: bool = False
     origin: Asked | None = None
 
+    @property
+    def first(self) -> bool:
+        """Whether this is no repeat."""
+        return self.origin is None
+
     @property
     def wait_s(self) -> float:
         """The seconds until it began, infinite if it didn't."""
@@ -542,7 +552,8 @@
             self._end_run(run)
             if not silent:
                 event = AttemptInterrupted(run.send.attempt, "connection reset", True)
-                self._post(run.entry, event)
+                delay_s = self.random.uniform(ANSWER_S, self.day.reset_delay_s)
+                self._post(run.entry, event, delay_s)
         self._after(
             self.random.uniform(2.0, 3.0), lambda: self._register_engine(record, True)
         )
@@ -551,7 +562,8 @@
             changes["id"] = f"{record.id}+"
         restarted = evolve(record, **changes)
         self._after(
-            self.random.uniform(1.5, 4.0), lambda: self._start_engine(restarted)
+            self.random.uniform(self.day.restart.start_s, self.day.restart.end_s),
+            lambda: self._start_engine(restarted),
         )
 
     def _lose_engines(self, loss: EngineLoss) -> None:
@@ -813,11 +825,11 @@
         entry.events.append(RequestArrived(caller))
 
     def _end_asked(self, asked: Asked, retry_after_s: float | None) -> None:
-        """Ends a request without success; its caller repeats it once."""
+        """Ends a request without success; its caller may repeat it."""
         asked.ended_at = self.now
         left_s = asked.deadline_at - self.now
         wait_s = 0.2 if retry_after_s is None else min(retry_after_s, left_s / 3)
-        if not asked.first or left_s <= wait_s:
+        if asked.repeat >= self.day.repeats or left_s <= wait_s:
             return
         repeat = Asked(
             f"{asked.id}-again",
@@ -825,10 +837,10 @@
             self.now + wait_s,
             asked.deadline_at,
             asked.deadly,
-            first=False,
+            repeat=asked.repeat + 1,
             resume_after=asked.last_piece,
             last_piece=asked.last_piece,
-            origin=asked,
+            origin=asked.root,
         )
         self._after(wait_s, lambda: self._submit(repeat))
 
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -113,6 +113,9 @@
     "centre_losses_too": Day(deadly=(PART,), losses=CENTRE_LOSSES),
     "silent_losses_too": Day(deadly=(PART,), losses=SILENT_LOSSES),
     "resets_too": Day(deadly=(PART,), resets=(5.0, 7.0, 9.0, 11.0, 13.0)),
+    "resets_seen_late": Day(deadly=(PART,), reset_delay_s=0.5),
+    "engines_back_soon": Day(deadly=(PART,), restart=Span(0.4, 0.9)),
+    "callers_repeat_often": Day(deadly=(PART,), repeats=5),
     "entry_starts_late": Day(deadly=(PART,), stops=(EntryStop(2, 0.0, 13.0),)),
     "entry_restarts": Day(deadly=(PART,), stops=(EntryStop(2, 12.0, 13.0),)),
     "entries_restart_in_turn": Day(
@@ -338,21 +341,31 @@
         self.harness.finish(sent)
         self.harness.emitted.clear()
 
-    def crash(self, *requests: tuple[str, ...]) -> None:
-        """Lets the engines that read some requests crash at the same moment."""
+    def crash(self, *requests: tuple[str, ...], probed_first: bool = False) -> None:
+        """Lets the engines that read some requests crash at the same moment.
+
+        With `probed_first` a probe fails before the connections are reset.
+        """
         callers = [self.request(*parts) for parts in requests]
         sends = self.harness.pop_effects(SendAttempt)
         self.harness.post(*(AttemptSent(sent.attempt) for sent in sends))
         self.harness.advance(1.0, 0.1)
+        if probed_first:
+            self.fail_probes(sends)
+            self.harness.advance(0.3, 0.1)
         for sent in sends:
             self.harness.interrupt(sent)
         for caller in callers:
             self.harness.post(CallerDisconnected(caller.handle))
+        self.fail_probes(sends)
+        self.harness.advance(1.0, 0.1)
+        self.harness.emitted.clear()
+
+    def fail_probes(self, sends: list[SendAttempt]) -> None:
+        """Lets the hosts of upstreams refuse probes."""
         for record in (sent.upstream for sent in sends):
             failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
             self.harness.post(failed)
-        self.harness.advance(1.0, 0.1)
-        self.harness.emitted.clear()
 
     def is_refused(self, *parts: str) -> bool:
         """Tells whether a request is refused at once as not run, until later."""
@@ -389,6 +402,13 @@
         self.assertTrue(self.is_refused(*sound, "deadly"))
         self.assertFalse(self.is_refused(*sound))
 
+    def test_engines_are_known_to_be_down_before_their_connections_break(self) -> None:
+        self.answer("first", "middle")
+        for _ in range(5):
+            self.crash(("first", "deadly"), probed_first=True)
+        self.assertTrue(self.is_refused("first", "deadly"))
+        self.assertFalse(self.is_refused("first", "middle"))
+
     def test_engines_crash_at_the_same_moment(self) -> None:
         self.answer("first", "middle")
         for _ in range(3):
