--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -24,6 +24,14 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+def has_begun(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether an upstream has lived on after the first piece of an attempt."""
+    if attempt.first_piece_at is None:
+        return False
+    lived_s = now - attempt.first_piece_at
+    return lived_s >= world.serving_policy.suspicion.begun_after_s
+
+
 def record_reset(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that the connection of an attempt was reset.
 
@@ -39,7 +47,7 @@
         resumed=attempt.resumed_from is not None,
         prompt=",".join(f"{part.id}:{part.tokens}" for part in caller.prompt),
     )
-    if attempt.pieces:
+    if has_begun(world, attempt, now):
         return
     unsettled = _make_unsettled(world, attempt, now)
     if unsettled is not None:
@@ -48,7 +56,7 @@
 
 def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that an attempt is given up; the upstream may crash by it even so."""
-    if attempt.pieces or attempt.state is AttemptState.CONNECTING:
+    if attempt.state is AttemptState.CONNECTING or has_begun(world, attempt, now):
         return
     unsettled = _make_unsettled(world, attempt, now)
     if unsettled is not None:
@@ -103,6 +111,7 @@
     if report.key in table.reports:
         return
     table.reports[report.key] = report
+    table.unevaluated.append(report)
     if len(table.reports) > world.serving_policy.suspicion.max_reports:
         oldest = next(iter(table.reports))
         del table.reports[oldest]
@@ -193,7 +202,6 @@
             del table.reports[key]
             table.own_reports.discard(key)
     if not table.reports:
-        table.reported_clearances.clear()
         table.watched = frozenset()
 
 
@@ -215,6 +223,8 @@
     another crash.
     """
     table = world.suspicions
+    if not table.reports and not table.reported_clearances:
+        return ()
     newest: dict[str, float] = {}
     for report in table.reports.values():
         for suspect in report.suspects:
@@ -226,9 +236,11 @@
             continue
         if reported_at is None or reported_at < crashed_at <= begun_at:
             table.reported_clearances[suspect] = begun_at
+    since = world.read_shared_time() - world.serving_policy.suspicion.reported_s
     clearances = [
         Clearance(suspect, at)
         for suspect, at in table.reported_clearances.items()
-        if suspect in newest
+        if suspect in newest or at >= since
     ]
+    table.reported_clearances = {item.suspect: item.at for item in clearances}
     return tuple(sorted(clearances, key=lambda item: (item.at, item.suspect)))
