--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -1,20 +1,22 @@
 """Serving entries, engines and callers on a day when parts of prompts crash engines.
 
-Real worlds of entries run on one simulated clock, with a faked store, notices that may
-be lost, engines that stream and callers that return after a refusal. An engine that
-begins to write an answer to a prompt with a deadly part crashes. The results are those
-that callers, engines and the store observe.
+Real worlds of entries run on one simulated clock, with a faked store, encoded notices
+that may be lost, engines that stream and callers that return after a refusal. An engine
+that begins to write an answer to a prompt with a deadly part crashes. The results are
+those that callers, engines and the store observe.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import msgspec
 from attrs import define, evolve, field, frozen
 
 from magnoliahold.core.serving.configuration import RouteKind
@@ -58,12 +60,13 @@
     UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.feeds import Feed, FeedRow
-from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
 from magnoliahold.core.serving.requests import (
     CallerRequest,
     CopyReference,
     PromptPart,
 )
+from magnoliahold.serving.notices import encode_notice
 from tests.core.serving.harness import (
     CREDENTIAL,
     ENGINES,
@@ -92,6 +95,7 @@
 DATA_CENTRES = 4
 CALLER_TIMEOUT_S = 25.0
 CONNECT_AGAIN_S = 0.5
+GOAL_S = 4.5
 
 FIRST_PART = PromptPart("first", 200)
 POPULAR_PART = PromptPart("popular", 1_500)
@@ -102,6 +106,8 @@
 SESSION_ENDS = 0.25
 SESSION_TOKENS = 2_000
 
+_decoder = msgspec.msgpack.Decoder(LoadNotice)
+
 
 @frozen
 class Span:
@@ -168,6 +174,8 @@
     With `sessions` each holds the part of a session that a few others share, too.
     `resets` are when all connections of one engine are reset while it lives on.
     `head_share` is how often an engine sends the head of its answer before it crashes.
+    Entries learn up to `reset_delay_s` late that a connection was reset, and engines
+    are back after a time within `restart`. Callers repeat a request `repeats` times.
     """
 
     deadly: tuple[DeadlyPart, ...] = ()
@@ -190,11 +198,14 @@
     cut_entry: int = 0
     cut: Span = Span(0.0, 0.0)
     head_share: float = 0.0
+    reset_delay_s: float = ANSWER_S
+    restart: Span = Span(1.5, 4.0)
+    repeats: int = 1
 
 
 @define(eq=False)
 class Asked:
-    """One request as its caller sees it; a repeat is another one with `first` unset.
+    """One request as its caller sees it; `repeat` counts those before it, if any.
 
     `deadly` is the id of the deadly part that it holds, or empty. `refused_at` and
     `retry_after_s` are set if it was refused as not run, `reason` says why, and
@@ -206,7 +217,7 @@
     arrived_at: float
     deadline_at: float
     deadly: str = ""
-    first: bool = True
+    repeat: int = 0
     resume_after: int | None = None
     last_piece: int | None = None
     began_at: float | None = None
@@ -218,6 +229,16 @@
     completed: bool = False
     origin: Asked | None = None
 
+    @property
+    def first(self) -> bool:
+        """Whether this is no repeat."""
+        return self.origin is None
+
+    @property
+    def wait_s(self) -> float:
+        """The seconds until it began, infinite if it didn't."""
+        return math.inf if self.began_at is None else self.began_at - self.arrived_at
+
     @property
     def root(self) -> Asked:
         """The caller's first request, of which this is a repeat or itself."""
@@ -425,11 +446,12 @@
 
     def _deliver_notice(self, entry: Entry, effect: SendNotice) -> None:
         names = {peer.name for peer in effect.peers}
+        notice = _decoder.decode(encode_notice(effect.notice))
         for other in self.entries:
             lost = self.random.random() < self.day.notice_loss
             lost = lost or self._is_cut(entry) or self._is_cut(other)
             if other.alive and other.name in names and not lost:
-                self._post(other, NoticeReceived(effect.notice))
+                self._post(other, NoticeReceived(notice))
 
     # Store
 
@@ -530,7 +552,8 @@
             self._end_run(run)
             if not silent:
                 event = AttemptInterrupted(run.send.attempt, "connection reset", True)
-                self._post(run.entry, event)
+                delay_s = self.random.uniform(ANSWER_S, self.day.reset_delay_s)
+                self._post(run.entry, event, delay_s)
         self._after(
             self.random.uniform(2.0, 3.0), lambda: self._register_engine(record, True)
         )
@@ -539,7 +562,8 @@
             changes["id"] = f"{record.id}+"
         restarted = evolve(record, **changes)
         self._after(
-            self.random.uniform(1.5, 4.0), lambda: self._start_engine(restarted)
+            self.random.uniform(self.day.restart.start_s, self.day.restart.end_s),
+            lambda: self._start_engine(restarted),
         )
 
     def _lose_engines(self, loss: EngineLoss) -> None:
@@ -801,11 +825,11 @@
         entry.events.append(RequestArrived(caller))
 
     def _end_asked(self, asked: Asked, retry_after_s: float | None) -> None:
-        """Ends a request without success; its caller repeats it once."""
+        """Ends a request without success; its caller may repeat it."""
         asked.ended_at = self.now
         left_s = asked.deadline_at - self.now
         wait_s = 0.2 if retry_after_s is None else min(retry_after_s, left_s / 3)
-        if not asked.first or left_s <= wait_s:
+        if asked.repeat >= self.day.repeats or left_s <= wait_s:
             return
         repeat = Asked(
             f"{asked.id}-again",
@@ -813,10 +837,10 @@
             self.now + wait_s,
             asked.deadline_at,
             asked.deadly,
-            first=False,
+            repeat=asked.repeat + 1,
             resume_after=asked.last_piece,
             last_piece=asked.last_piece,
-            origin=asked,
+            origin=asked.root,
         )
         self._after(wait_s, lambda: self._submit(repeat))
 
@@ -893,6 +917,7 @@
     ended: int
     judged: int
     begun: int
+    on_time: int
     refused: int
     sound: int
     served: int
@@ -928,6 +953,7 @@
         ended=len(fleet.crashes),
         judged=len(judged),
         begun=sum(item.began_at is not None for item in judged),
+        on_time=sum(item.wait_s <= GOAL_S for item in judged),
         refused=len(refused),
         sound=len(sound),
         served=sum(item.completed for item in sound),
