--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -186,7 +186,7 @@
 
     def _handle_head(self, exchange: Exchange, response: Any) -> None:
         try:
-            self._read_head(exchange, response)
+            exchange.head = head = self._read_head(exchange, response)
         except ValueError as error:
             response.deliverBody(Protocol())
             self._interrupt(exchange, f"the head can't be read: {error}", False)
@@ -195,22 +195,22 @@
             return
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
-            self.post(StreamOpened(exchange.attempt, exchange.head))
+            self.post(StreamOpened(exchange.attempt, head))
             response.deliverBody(_PieceReader(self, exchange))
         else:
             exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
             response.deliverBody(_BodyReader(self, exchange))
 
-    def _read_head(self, exchange: Exchange, response: Any) -> None:
+    def _read_head(self, exchange: Exchange, response: Any) -> AnswerHead:
         """Reads the head of an answer; raises ValueError if it isn't text."""
         self.report_signal(exchange.upstream, response)
         connection = exchange.connection
         if connection is not None:
             connection.update_idle_limit()
         exchange.status = response.code
-        exchange.head = read_answer_head(response.code, response.headers)
         exchange.headers = list_answer_headers(response.headers)
         exchange.is_stream = is_event_stream(response.code, response.headers)
+        return read_answer_head(response.code, response.headers)
 
     def report_signal(self, record: UpstreamRecord, response: Any) -> None:
         """Reports what the headers of an answer say about their upstream."""
