Count a crash also where the upstream is known to be down before its reset

If a probe was refused before the connection of a request ended, the attempt was given up first, and the reset that came later belonged to no attempt: the crash counted against nothing. test_engines_are_known_to_be_down_before_their_ connections_break, listed as known red by its author, failed before.

--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -55,11 +55,18 @@
 
 
 def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
-    """Records that an attempt is given up; the upstream may crash by it even so."""
+    """Records that an attempt is given up; the upstream may crash by it even so.
+
+    One that is known to be down already may have crashed by it.
+    """
     if attempt.state is AttemptState.CONNECTING or has_begun(world, attempt, now):
         return
     unsettled = _make_unsettled(world, attempt, now)
-    if unsettled is not None:
+    if unsettled is None:
+        return
+    if attempt.upstream.health is UpstreamHealth.DOWN:
+        world.suspicions.unsettled_resets.append(unsettled)
+    else:
         world.suspicions.departures.append(unsettled)
 
 
