--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.suspicions import SuspicionTable
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -223,19 +224,27 @@
     return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
 
 
+def _find_newest_crashes(table: SuspicionTable) -> dict[str, float]:
+    """Finds when upstreams last crashed under each suspect with two crashes or more."""
+    newest: dict[str, float] = {}
+    crashes: dict[str, set[tuple[str, int]]] = {}
+    for report in table.reports.values():
+        for suspect in report.suspects:
+            newest[suspect] = max(report.at, newest.get(suspect, report.at))
+            crashes.setdefault(suspect, set()).add(report.crash)
+    return {item: newest[item] for item in newest if len(crashes[item]) > 1}
+
+
 def list_clearances(world: ServingWorld) -> tuple[Clearance, ...]:
     """Lists the suspects that have begun, for notices.
 
     A popular suspect begins all the time; it is listed anew only when that clears it of
-    another crash.
+    another crash, and not before its second one, since one convicts nothing.
     """
     table = world.suspicions
     if not table.reports and not table.reported_clearances:
         return ()
-    newest: dict[str, float] = {}
-    for report in table.reports.values():
-        for suspect in report.suspects:
-            newest[suspect] = max(report.at, newest.get(suspect, report.at))
+    newest = _find_newest_crashes(table)
     for suspect, crashed_at in newest.items():
         begun_at = table.begun_at.get(suspect)
         reported_at = table.reported_clearances.get(suspect)
