Count the crash of a start once, however late an entry notices it

Since reports of one start that lay 3 s apart counted as two crashes; an entry that was paused or cut off would have made one loss many. Only starts that can't be told apart may crash again. test_evidence_review failed before.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -46,8 +46,10 @@
 ) -> list[CrashEvidence]:
     """Gathers reports by crash, without suspects of which one has begun since.
 
-    An upstream that doesn't tell its starts apart may crash again.
+    An upstream that doesn't tell its starts apart may crash again. Another one crashes
+    once, whenever an entry that was paused or cut off notices.
     """
+    same_crash_s = policy.settle_max_s
     crashes: list[CrashEvidence] = []
     last_crashes: dict[CrashId, CrashEvidence] = {}
     for report in sorted(reports, key=lambda item: (item.at, item.key)):
@@ -57,7 +59,8 @@
         if not suspects:
             continue
         crash = last_crashes.get(report.crash)
-        if crash is None or report.at - crash.at > policy.settle_max_s:
+        again = not report.born_ms and crash and report.at - crash.at > same_crash_s
+        if crash is None or again:
             crash = last_crashes[report.crash] = CrashEvidence(report.at, [])
             crashes.append(crash)
         crash.requests.append(suspects)
