Withdraw a quarantine whose crashes are explained otherwise

Each entry now takes a first quarantine back when its own evidence blames something else, and doesn't take it from others again. An evaluation may find 32 groups instead of 8, since it finds the same ones each time.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -23,8 +23,8 @@
 CrashId: TypeAlias = tuple[str, int]
 MAX_GROUP = 8
 MIN_MOMENTS = 2
-# What one evaluation quarantines; the rest follows with the next evidence.
-MAX_CONVICTIONS = 8
+# Bounds the time of an evaluation.
+MAX_CONVICTIONS = 32
 
 
 @define(eq=False)
@@ -100,14 +100,13 @@
     requests with all of them are to blame. What one group explains is no evidence
     against others, unless a later one explains all of that and more.
     """
-    totals = group_by_suspect(crashes)
     convictions: list[frozenset[str]] = []
     remaining = list(crashes)
     while len(convictions) < MAX_CONVICTIONS:
         enough = [
             suspect
             for suspect, items in group_by_suspect(remaining).items()
-            if _is_enough(suspect, items, totals[suspect], begun_at, policy)
+            if _is_enough(suspect, items, begun_at, policy)
         ]
         if not enough:
             break
@@ -120,20 +119,19 @@
 
 def _is_enough(
     suspect: str,
-    unexplained: list[CrashEvidence],
     crashes: list[CrashEvidence],
     begun_at: Mapping[str, float],
     policy: SuspicionPolicy,
 ) -> bool:
     """Tells whether the crashes under a suspect are enough to quarantine it.
 
-    One that has begun before may be there by chance, and takes more crashes in all.
+    One that has begun before may be there by chance, and takes more crashes.
     """
-    if count_moments(unexplained, policy.settle_s) < MIN_MOMENTS:
+    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
         return False
     if suspect in begun_at:
         return len(crashes) >= policy.crashes_to_convict_begun
-    return len(unexplained) >= policy.crashes_to_convict
+    return len(crashes) >= policy.crashes_to_convict
 
 
 def _find_groups(
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -18,7 +18,7 @@
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.core.serving.upstreams import Upstream
 
-MAX_PARTS = 32
+MAX_PARTS = 64
 NAME_SEPARATOR = "+"
 # Tells parts of prompts from fingerprints, which are hexadecimal.
 PART_TAG = "p"
@@ -146,6 +146,7 @@
     `begun_at` holds when a request with a suspect last began, on the store's clock, the
     latest last, and `reported_clearances` what other entries are told of that. The
     `watched` suspects lack one crash to be quarantined, and were never seen to begin.
+    `withdrawn` holds when quarantines that were taken back had been convicted.
     `evaluation_at` is set while new evidence is not evaluated, on the process clock,
     and `unevaluated` are the reports among it.
     """
@@ -158,6 +159,7 @@
     reported_clearances: dict[str, float] = field(factory=dict)
     watched: frozenset[str] = frozenset()
     quarantines: dict[str, Quarantine] = field(factory=dict)
+    withdrawn: dict[str, float] = field(factory=dict)
     evaluation_at: float | None = None
     unevaluated: list[CrashReport] = field(factory=list)
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
@@ -122,7 +123,9 @@
     crashes = gather_crashes(table.reports.values(), table.begun_at, policy)
     _end_cleared_quarantines(world)
     _renew_quarantines(world, crashes)
-    for suspects in find_convictions(crashes, table.begun_at, policy):
+    convictions = find_convictions(crashes, table.begun_at, policy)
+    _withdraw_quarantines(world, crashes, convictions)
+    for suspects in convictions:
         if not any(item.suspects <= suspects for item in table.quarantines.values()):
             convicted_at = _find_last_crash(world, suspects)
             quarantine_suspects(world, suspects, convicted_at)
@@ -209,6 +212,32 @@
             quarantine_suspects(world, quarantine.suspects, crashed_at, term_s)
 
 
+def _withdraw_quarantines(
+    world: ServingWorld,
+    crashes: list[CrashEvidence],
+    convictions: list[frozenset[str]],
+) -> None:
+    """Takes back quarantines whose crashes are now explained otherwise.
+
+    The first evidence may come from an entry that saw only what was beside the cause.
+    """
+    table = world.suspicions
+    policy = world.serving_policy.suspicion
+    for name, quarantine in list(table.quarantines.items()):
+        suspects = quarantine.suspects
+        known = sum(crash.is_explained_by(suspects) for crash in crashes)
+        confirmed = any(group <= suspects for group in convictions)
+        renewed = quarantine.term_s > policy.quarantine_s
+        if renewed or confirmed or known < policy.crashes_to_convict:
+            continue
+        del table.quarantines[name]
+        table.withdrawn[name] = quarantine.convicted_at
+        if len(table.withdrawn) > policy.max_quarantines:
+            del table.withdrawn[next(iter(table.withdrawn))]
+        world.other_entries.send_now = True
+        world.log_decision("suspects", "Quarantine withdrawn.", suspects=name)
+
+
 def _end_cleared_quarantines(world: ServingWorld) -> None:
     """Takes suspects that have begun since out of quarantines.
 
@@ -258,7 +287,10 @@
     )
     if not suspects:
         return
-    known = table.quarantines.get(name_suspects(suspects))
+    name = name_suspects(suspects)
+    if table.withdrawn.get(name, -math.inf) >= record.convicted_at:
+        return
+    known = table.quarantines.get(name)
     if known is not None and known.convicted_at >= record.convicted_at:
         return
     if any(item.suspects < suspects for item in table.quarantines.values()):
