--- a/tests/core/serving/test_evidence_review.py
+++ b/tests/core/serving/test_evidence_review.py
@@ -11,6 +11,9 @@
 )
 from magnoliahold.core.serving.policy import SuspicionPolicy
 from magnoliahold.core.serving.suspicions import CrashReport
+from magnoliahold.core.serving.systems.crashes import add_report
+from magnoliahold.core.serving.systems.quarantine import _evaluate
+from tests.core.serving.harness import ServingHarness
 
 
 class EvidenceReviewTests(unittest.TestCase):
@@ -32,6 +35,29 @@
         found = find_convictions(crashes, {}, SuspicionPolicy())
         self.assertIn(frozenset(("p8",)), found)
 
+    def test_first_part_is_not_blamed_while_a_report_is_on_its_way(self) -> None:
+        world = ServingHarness().world
+        world.store_offset_s = 0.0
+        table = world.suspicions
+        table.begun_at = {"pfirst": 90.0, "pdeadly": 85.0}
+        for number in range(6):
+            upstream, at = f"u-{number}", 98.0 + 0.3 * number
+            beside = CrashReport(
+                upstream, 1, f"b-{number}", ("pfirst", f"f{number}"), at
+            )
+            deadly = CrashReport(
+                upstream, 1, f"d-{number}", ("pdeadly", "pfirst", f"e{number}"), at
+            )
+            add_report(world, beside, at)
+            if number < 5:
+                add_report(world, deadly, at)
+            _evaluate(world)
+        add_report(world, deadly, at)
+        _evaluate(world)
+        blamed = [sorted(item.suspects) for item in table.quarantines.values()]
+        self.assertNotIn(["pfirst"], blamed)
+        self.assertEqual(blamed, [["pdeadly", "pfirst"]])
+
 
 if __name__ == "__main__":
     unittest.main()
