--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -23,8 +23,8 @@
 CrashId: TypeAlias = tuple[str, int]
 MAX_GROUP = 8
 MIN_MOMENTS = 2
-# What one evaluation quarantines; the rest follows with the next evidence.
-MAX_CONVICTIONS = 8
+# Bounds the time of an evaluation.
+MAX_CONVICTIONS = 32
 
 
 @define(eq=False)
@@ -46,8 +46,10 @@
 ) -> list[CrashEvidence]:
     """Gathers reports by crash, without suspects of which one has begun since.
 
-    An upstream that doesn't tell its starts apart may crash again.
+    An upstream that doesn't tell its starts apart may crash again. Another one crashes
+    once, whenever an entry that was paused or cut off notices.
     """
+    same_crash_s = policy.settle_max_s
     crashes: list[CrashEvidence] = []
     last_crashes: dict[CrashId, CrashEvidence] = {}
     for report in sorted(reports, key=lambda item: (item.at, item.key)):
@@ -57,7 +59,8 @@
         if not suspects:
             continue
         crash = last_crashes.get(report.crash)
-        if crash is None or report.at - crash.at > policy.settle_max_s:
+        again = not report.born_ms and crash and report.at - crash.at > same_crash_s
+        if crash is None or again:
             crash = last_crashes[report.crash] = CrashEvidence(report.at, [])
             crashes.append(crash)
         crash.requests.append(suspects)
@@ -97,14 +100,13 @@
     requests with all of them are to blame. What one group explains is no evidence
     against others, unless a later one explains all of that and more.
     """
-    totals = group_by_suspect(crashes)
     convictions: list[frozenset[str]] = []
     remaining = list(crashes)
     while len(convictions) < MAX_CONVICTIONS:
         enough = [
             suspect
             for suspect, items in group_by_suspect(remaining).items()
-            if _is_enough(suspect, items, totals[suspect], begun_at, policy)
+            if _is_enough(suspect, items, begun_at, policy)
         ]
         if not enough:
             break
@@ -117,20 +119,19 @@
 
 def _is_enough(
     suspect: str,
-    unexplained: list[CrashEvidence],
     crashes: list[CrashEvidence],
     begun_at: Mapping[str, float],
     policy: SuspicionPolicy,
 ) -> bool:
     """Tells whether the crashes under a suspect are enough to quarantine it.
 
-    One that has begun before may be there by chance, and takes more crashes in all.
+    One that has begun before may be there by chance, and takes more crashes.
     """
-    if count_moments(unexplained, policy.settle_s) < MIN_MOMENTS:
+    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
         return False
     if suspect in begun_at:
         return len(crashes) >= policy.crashes_to_convict_begun
-    return len(unexplained) >= policy.crashes_to_convict
+    return len(crashes) >= policy.crashes_to_convict
 
 
 def _find_groups(
