--- a/tests/core/serving/test_evidence_review.py
+++ b/tests/core/serving/test_evidence_review.py
@@ -10,9 +10,12 @@
     gather_crashes,
 )
 from magnoliahold.core.serving.policy import SuspicionPolicy
-from magnoliahold.core.serving.suspicions import CrashReport
+from magnoliahold.core.serving.suspicions import CrashReport, QuarantineRecord
 from magnoliahold.core.serving.systems.crashes import add_report
-from magnoliahold.core.serving.systems.quarantine import _evaluate
+from magnoliahold.core.serving.systems.quarantine import (
+    _evaluate,
+    apply_quarantine_record,
+)
 from tests.core.serving.harness import ServingHarness
 
 
@@ -58,6 +61,17 @@
         self.assertNotIn(["pfirst"], blamed)
         self.assertEqual(blamed, [["pdeadly", "pfirst"]])
 
+    def test_narrower_quarantine_of_another_entry_is_not_withdrawn(self) -> None:
+        world = ServingHarness().world
+        world.store_offset_s = 0.0
+        apply_quarantine_record(world, QuarantineRecord("pdeadly", 99.0, 45.0), False)
+        for number in range(3):
+            suspects = ("pdeadly", "psubject", f"f{number}")
+            at = 95.0 + number
+            add_report(world, CrashReport(f"u-{number}", 1, "r", suspects, at), at)
+        _evaluate(world)
+        self.assertIn("pdeadly", world.suspicions.quarantines)
+
 
 if __name__ == "__main__":
     unittest.main()
