Keep a smaller quarantine of another entry that one's own evidence contains

An entry whose own crashes all held the same two parts withdrew the quarantine of one of them, which another entry had found, and sent on requests with that part and a third. test_narrower_quarantine_of_another_entry_is_not_withdrawn failed before. What was also lost without the rest is still withdrawn.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -168,6 +168,22 @@
     return (new_part, explained, len(group), sorted(group))
 
 
+def is_part_of_cause(
+    suspects: frozenset[str], group: frozenset[str], crashes: list[CrashEvidence]
+) -> bool:
+    """Tells whether another entry may have blamed a smaller group for good reason.
+
+    It may have seen a request of the rest begin. But what is also in requests without
+    the rest, beside others, is not the cause.
+    """
+    apart = any(
+        suspects <= request and not group <= request
+        for crash in crashes
+        for request in crash.requests
+    )
+    return suspects <= group and not apart
+
+
 def _drop_covered(
     groups: list[frozenset[str]], crashes: list[CrashEvidence]
 ) -> list[frozenset[str]]:
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -18,6 +18,7 @@
     find_convictions,
     gather_crashes,
     group_by_suspect,
+    is_part_of_cause,
 )
 from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.events import NoticeReceived
@@ -226,7 +227,10 @@
     for name, quarantine in list(table.quarantines.items()):
         suspects = quarantine.suspects
         known = sum(crash.is_explained_by(suspects) for crash in crashes)
-        confirmed = any(group <= suspects for group in convictions)
+        confirmed = any(
+            group <= suspects or is_part_of_cause(suspects, group, crashes)
+            for group in convictions
+        )
         renewed = quarantine.term_s > policy.quarantine_s
         if renewed or confirmed or known < policy.crashes_to_convict:
             continue
