--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -1,16 +1,13 @@
-"""The HTTP server for callers: reads requests within limits and writes answers."""
+"""The HTTP server for callers: their connections and open requests."""
 
 from __future__ import annotations
 
 from collections import Counter
-from io import BytesIO
-from socket import MSG_PEEK
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import ServerFactory
-from twisted.web.http import HTTPChannel, Request
 
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
@@ -20,6 +17,11 @@
     make_refusal_headers,
     read_caller_request,
 )
+from magnoliahold.serving.callerconnections import (
+    BAD_REQUEST,
+    REQUEST_TIMEOUT,
+    CallerChannel,
+)
 from magnoliahold.serving.exchanges import RequestContent
 
 if TYPE_CHECKING:
@@ -29,19 +31,12 @@
 
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.runtime import Clock
+    from magnoliahold.serving.callerconnections import CallerExchange
     from magnoliahold.serving.exchanges import Exchange
 
-BAD_REQUEST = 400
-REQUEST_TIMEOUT = 408
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 CONTENT_TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
-LINE_MARGIN_BYTES = 1024
-# How long the end of an answer may be on its way before its connection is closed.
-LINGER_S = 1.0
-# How long the first request of a connection may be on its way.
-FRESH_S = 0.5
 # The largest integer up to which a float is exact.
 MAX_NUMBER = 2**53
 BY_CALLER = "caller"
@@ -50,331 +45,6 @@
 logger = make_part_logger("callers")
 
 
-class CallerExchange(Request):
-    """One request of a caller and its answer.
-
-    `ended` is set once the answer is complete or aborted, or the connection is closed.
-    """
-
-    handle = 0
-    body_bytes = 0
-    body_limit = 0
-    ended = False
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Buffers the body in memory: its size is limited, and there is no disk.
-
-        A later limit doesn't apply: it could let a body pass that was cut.
-        """
-        self.body_limit = self._callers.limits.body_bytes
-        self.content = BytesIO()
-
-    def parseCookies(self) -> None:  # noqa: N802
-        """Doesn't parse cookies; the upstream does."""
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Adds to the body; bytes beyond the size limit are discarded."""
-        self.body_bytes += len(data)
-        if self.body_bytes <= self.body_limit:
-            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
-
-    def requestReceived(  # noqa: N802
-        self, command: bytes, path: bytes, version: bytes
-    ) -> None:
-        """Passes on a request that has been read completely."""
-        self.method = command
-        self.uri = path
-        self.clientproto = version
-        self._callers.handle_request(self)
-
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Reports a caller that disconnected before its answer was complete."""
-        callers = self._callers
-        ended = self.ended
-        self.ended = True
-        channel: Any = self.channel
-        super().connectionLost(reason)  # type: ignore[no-untyped-call]
-        if not ended:
-            callers.record_unanswered(self, channel, reason)
-            callers.handle_disconnect(self)
-
-    @property
-    def _callers(self) -> Callers:
-        channel: Any = self.channel
-        callers: Callers = channel.factory.callers
-        return callers
-
-    def close_connection_after(self) -> None:
-        """Makes the connection close after this answer."""
-        channel: Any = self.channel
-        channel.persistent = False
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-
-    def close_connection_unless_used(self) -> None:
-        """Does the same, unless the caller has already sent a next request.
-
-        That one is answered too; the connection closes after the last.
-        """
-        channel: Any = self.channel
-        if not channel.has_next_request:
-            self.close_connection_after()
-
-    def start_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Sets status and headers; they are sent with the first bytes of the body."""
-        self.setResponseCode(status)
-        for name, value in headers:
-            self.responseHeaders.addRawHeader(name, value)
-
-    def finish_answer(self) -> None:
-        """Ends the answer as complete."""
-        self.ended = True
-        self.finish()  # type: ignore[no-untyped-call]
-
-    def write_complete_answer(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Writes an answer with a known length and ends it."""
-        self.start_answer(status, headers)
-        length = str(len(body)).encode()
-        self.responseHeaders.setRawHeaders(b"Content-Length", [length])
-        self.write(body)  # type: ignore[no-untyped-call]
-        self.finish_answer()
-
-    def abort_answer(self) -> None:
-        """Aborts the connection, so that the answer doesn't look complete."""
-        self.ended = True
-        channel: Any = self.channel
-        if channel is not None:
-            channel.closed_because = "its answer was cut"
-            channel.transport.abortConnection()
-
-
-class CallerChannel(HTTPChannel):
-    """A caller's connection.
-
-    A request is read within the limits in force when it begins. `closed_because` says
-    why this entry closes the connection; it is empty if it doesn't.
-    """
-
-    requestFactory = CallerExchange  # noqa: N815
-    closed_because = ""
-
-    def __init__(self, callers: Callers) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
-        self._callers = callers
-        self._header_timer: Any = None
-        self._linger_timer: Any = None
-        self._opened_at = callers.clock.seconds()
-        self._was_used = False
-        self._idle_since = 0.0
-        self._unwritten_before = 0
-        self._taken_at = 0.0
-        self._apply_limits()
-        self.callLater = callers.clock.callLater  # type: ignore[method-assign,assignment]
-
-    def _apply_limits(self) -> None:
-        limits = self._callers.limits
-        self._idle_since = self._callers.clock.seconds()
-        self.timeOut = limits.idle_timeout_s  # type: ignore[assignment]
-        self.totalHeadersSize = limits.header_bytes
-        self.MAX_LENGTH = limits.header_bytes + LINE_MARGIN_BYTES
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        busy = self.requests or self._header_timer or self._linger_timer
-        return not busy
-
-    @property
-    def has_next_request(self) -> bool:
-        """Whether bytes came behind the request that is being answered."""
-        return any(self._dataBuffer) or self.has_unread
-
-    @property
-    def unwritten_bytes(self) -> int:
-        """How much of answers still waits to be written to the socket."""
-        transport: Any = self.transport
-        in_buffer = len(transport.dataBuffer) - transport.offset
-        return int(in_buffer + transport._tempDataLen)
-
-    def _is_still_taking(self) -> bool:
-        """Whether the caller takes an answer, and took some in the idle timeout."""
-        now = self._callers.clock.seconds()
-        unwritten = self.unwritten_bytes
-        if unwritten != self._unwritten_before:
-            self._unwritten_before = unwritten
-            self._taken_at = now
-        limit_s = self._callers.limits.idle_timeout_s
-        return unwritten > 0 and now - self._taken_at < limit_s
-
-    @property
-    def is_fresh(self) -> bool:
-        """Whether its first request may still be on its way."""
-        age_s = self._callers.clock.seconds() - self._opened_at
-        return not self._was_used and age_s < FRESH_S
-
-    @property
-    def is_reading(self) -> bool:
-        """Whether a part of a request was read."""
-        begun = self.requests or self._header_timer is not None
-        answered = self._handlingRequest or self._linger_timer is not None
-        return bool(begun and not answered)
-
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes of the caller wait in the socket."""
-        transport: Any = self.transport
-        try:
-            return bool(transport.getHandle().recv(1, MSG_PEEK))
-        except OSError:
-            return False
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Registers the connection."""
-        super().connectionMade()  # type: ignore[no-untyped-call]
-        self._callers.channels.add(self)
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Starts the timeout for request headers when a request begins.
-
-        Bytes that come after the last answer are discarded.
-        """
-        if self._linger_timer is not None:
-            return
-        self._was_used = True
-        self._idle_since = self._callers.clock.seconds()
-        if self.is_idle:
-            self._apply_limits()
-            self._header_timer = self._callers.clock.callLater(
-                self._callers.limits.header_timeout_s, self._reject_unless_unread
-            )
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
-
-    def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Reads a header line; rejects the request when its headers are too large."""
-        if self._linger_timer is not None:
-            return
-        if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
-            self.reject(HEADERS_TOO_LARGE)
-            return
-        super().lineReceived(line)  # type: ignore[no-untyped-call]
-
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        """Rejects a line that is longer than all headers together may be."""
-        self.reject(HEADERS_TOO_LARGE)
-
-    def allHeadersReceived(self) -> None:  # noqa: N802
-        """Cancels the timeout for request headers."""
-        self._stop_header_timer()
-        super().allHeadersReceived()  # type: ignore[no-untyped-call]
-
-    def requestDone(self, request: Any) -> None:  # noqa: N802
-        """Applies the limits in force to the next request."""
-        self._apply_limits()
-        self._unwritten_before = 0
-        self._savedTimeOut = self.timeOut
-        super().requestDone(request)  # type: ignore[no-untyped-call]
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Cancels the timeouts and unregisters the connection."""
-        self._stop_header_timer()
-        if self._linger_timer is not None and self._linger_timer.active():
-            self._linger_timer.cancel()
-        self._callers.channels.discard(self)
-        if self.unwritten_bytes:
-            self._callers.record_unwritten(self, reason)
-        super().connectionLost(reason)  # type: ignore[no-untyped-call]
-
-    def reject(self, status: int) -> None:
-        """Answers a request that can't be parsed and closes the connection."""
-        if self._linger_timer is not None:
-            return
-        self._stop_header_timer()
-        for request in self.requests:
-            request.ended = True
-        logger.info("Request rejected.", status=status)
-        transport: Any = self.transport
-        head = f"HTTP/1.1 {status} Rejected\r\nConnection: close\r\n"
-        transport.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-        self.loseConnection()
-
-    def loseConnection(self) -> None:  # noqa: N802
-        """Closes the connection once its last answer has had the time to arrive.
-
-        Until then, what the caller still sends is read and discarded: a connection that
-        is closed with unread bytes is reset, which destroys the answer on its way.
-        """
-        if self._linger_timer is not None:
-            return
-        self._linger_timer = self._callers.clock.callLater(LINGER_S, self._end_linger)
-        self.setTimeout(None)  # type: ignore[no-untyped-call]
-        transport: Any = self.transport
-        transport.unregisterProducer()
-        transport.resumeProducing()
-        transport.loseWriteConnection()
-
-    def _end_linger(self) -> None:
-        if self._is_still_taking():
-            self._linger_timer = self._callers.clock.callLater(
-                LINGER_S, self._end_linger
-            )
-            return
-        self._end_connection()
-
-    def close_now(self, reason: str) -> None:
-        """Closes a connection without an answer that the caller still takes."""
-        self.closed_because = reason
-        self._end_connection()
-
-    def _end_connection(self) -> None:
-        transport: Any = self.transport
-        transport.unregisterProducer()
-        if self.unwritten_bytes:
-            self.closed_because = self.closed_because or "the caller takes nothing"
-            transport.abortConnection()
-        else:
-            transport.loseConnection()
-
-    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
-        self.reject(BAD_REQUEST)
-
-    def timeoutConnection(self) -> None:  # noqa: N802
-        """Closes a connection that was idle for too long, by the limits in force.
-
-        It isn't idle while a request waits to be read, or an answer to be written. A
-        request of which only a part came is rejected.
-        """
-        if self.has_unread or self._is_still_taking():
-            self._apply_limits()
-            self.setTimeout(self.timeOut)  # type: ignore[no-untyped-call]
-            return
-        limit_s = self._callers.limits.idle_timeout_s
-        left_s = self._idle_since + limit_s - self._callers.clock.seconds()
-        if left_s > 0:
-            self.setTimeout(left_s)  # type: ignore[no-untyped-call]
-            return
-        if self.is_reading:
-            self.reject(REQUEST_TIMEOUT)
-        else:
-            self.close_now("it was idle for too long")
-
-    def _reject_unless_unread(self) -> None:
-        """Rejects a slow request, after one more read if bytes of it wait."""
-        if self.has_unread:
-            self._header_timer = self._callers.clock.callLater(0, self._reject_slow)
-        else:
-            self._reject_slow()
-
-    def _reject_slow(self) -> None:
-        self._header_timer = None
-        self.reject(REQUEST_TIMEOUT)
-
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None and self._header_timer.active():
-            self._header_timer.cancel()
-        self._header_timer = None
-
-
 class CallerFactory(ServerFactory):
     """Creates the channels of callers' connections."""
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -11,7 +11,8 @@
 from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.callers import FRESH_S, CallerFactory, Callers
+from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
 
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -12,7 +12,7 @@
 
 from magnoliahold.core.serving.effects import DeliverAnswer
 from magnoliahold.node import perform_effect
-from magnoliahold.serving.callers import FRESH_S
+from magnoliahold.serving.callerconnections import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.test_callers import (
