Compare the new version of a service with the old one by route

Cause: results of all routes were compared with one reference. In the log, 21 of 172 old results are of a route whose requests end at their time limit of 0.40 s. They lift the 95% quantile to 0.40 s, so answers of 0.09 to 0.19 s never counted as slow beside a median of 0.025 s on their own routes (95%: 0.036 and 0.047 s). The same mixture gave the failures of that route the probability of all routes, so good versions were taken back by it.

Now entries compare by route. An interval with too few results of a route is represented by those of all routes, relative to the median of each, so that a slow fleet is still seen. A route on which the old version fails more than MAX_P0 says nothing by failures.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -25,8 +25,10 @@
     Reference,
     Trials,
     find_delta,
+    find_quantile,
     find_slow_limit,
     find_slow_share,
+    shift_histogram,
     split_trials,
 )
 
@@ -106,7 +108,9 @@
     """One entry's evidence for and against the new version of one move.
 
     `references` holds the old version's results over some time, `windows` those of the
-    last three intervals, the current one first. `scores` are kept by kind of result and
+    last three intervals, the current one first. `relative_windows` are the same of all
+    sources together, as buckets relative to the median of each source, since sources
+    differ in their durations. `scores` are kept by kind of result and
     by slice: all results, one route, one upstream, or busy upstreams only.
     `last_counts` holds the last cumulative counts of each source. `rejection_reason` is
     empty until the new version is found to be worse.
@@ -114,6 +118,9 @@
 
     references: dict[Slice, Reference] = field(factory=dict)
     windows: list[dict[Slice, Reference]] = field(factory=lambda: [{}, {}, {}])
+    relative_windows: list[Reference] = field(
+        factory=lambda: [Reference(), Reference(), Reference()]
+    )
     pending: list[PendingDurations] = field(factory=list)
     window_closes_at: float = 0.0
     scores: dict[tuple[str, Slice], Scores] = field(factory=dict)
@@ -138,6 +145,19 @@
             for table in (self.references, self.windows[0]):
                 reference = table.setdefault(name, Reference())
                 reference.add(delta, now, policy.reference_fade_s)
+        relative = self._make_relative(cell, delta, policy)
+        self.relative_windows[0].add(relative, now, policy.reference_fade_s)
+
+    def _make_relative(self, cell: Cell, delta: Delta, policy: MovePolicy) -> Delta:
+        """Makes the durations of a delta relative to the median of their source."""
+        reference = self.references[cell.list_references()[0]]
+        return evolve(
+            delta,
+            latencies=_shift_from_median(
+                delta.latencies, reference.latencies, policy.window_min
+            ),
+            gaps=_shift_from_median(delta.gaps, reference.gaps, policy.window_min),
+        )
 
     def add_new_results(
         self,
@@ -154,7 +174,9 @@
         self.failed += delta.failed
         trials = Trials(delta.answered, delta.failed)
         p0 = self._find_failure_p0(cell, rule, policy)
-        self._score(FAILURES, cell, trials, p0, is_recent=is_recent)
+        # Where the old version fails too, a failure says nothing about the new one.
+        if p0 <= MAX_P0:
+            self._score(FAILURES, cell, trials, p0, is_recent=is_recent)
         if delta.latencies or delta.gaps:
             self.pending.append(PendingDurations(cell, delta, is_recent))
         self._check_evidence(policy)
@@ -180,6 +202,7 @@
             self._evaluate_durations(LATENCY, item, rule, policy)
             self._evaluate_durations(GAPS, item, rule, policy)
         self.windows = [{}, *self.windows[:2]]
+        self.relative_windows = [Reference(), *self.relative_windows[:2]]
         if pending:
             self._check_evidence(policy)
 
@@ -198,13 +221,12 @@
         )
         if reference is None:
             return
-        min_count = policy.window_min
-        recent = [
-            _find_histogram(window, item.cell, kind, min_count)
-            for window in self.windows
-        ]
+        recent = self._list_recent(item.cell, kind, policy)
         matched = recent[1 if item.carried_over else 0] is not None
         old = [reference, *(histogram for histogram in recent if histogram is not None)]
+        own = _find_durations(self.references, item.cell.list_references()[0], kind)
+        if sum(own.values()) >= policy.window_min:
+            old.append(own)
         for quantile, name in QUANTILES.items():
             increase = rule.max_latency_increase if quantile == MEDIAN else 0.0
             limit = max(
@@ -222,16 +244,47 @@
                 f"{name} {kind}", item.cell, trials, p0, is_recent=item.is_recent
             )
 
+    def _list_recent(
+        self, cell: Cell, kind: str, policy: MovePolicy
+    ) -> list[Mapping[int, float] | None]:
+        """Lists the histograms of the last intervals, in the durations of the source.
+
+        An interval with too few results of the source itself is represented by those of
+        all sources, relative to their medians.
+        """
+        own_name = cell.list_references()[0]
+        own = _find_durations(self.references, own_name, kind)
+        if sum(own.values()) < policy.reference_min:
+            return [
+                _find_histogram(window, cell, kind, policy.window_min)
+                for window in self.windows
+            ]
+        median = find_quantile(own, MEDIAN)
+        recent: list[Mapping[int, float] | None] = []
+        for window, relative in zip(self.windows, self.relative_windows, strict=True):
+            histogram = _find_durations(window, own_name, kind)
+            if sum(histogram.values()) < policy.window_min:
+                histogram = shift_histogram(_read_durations(relative, kind), median)
+            enough = sum(histogram.values()) >= policy.window_min
+            recent.append(histogram if enough else None)
+        return recent
+
     def _find_failure_p0(self, cell: Cell, rule: MoveRule, policy: MovePolicy) -> float:
         """Finds the highest failure probability that the guard allows."""
-        old = 0.0
-        for name in cell.list_references():
+        own_name, *others = cell.list_references()
+        own = self.references.get(own_name, Reference())
+        old = own.failed / own.count if own.count else 0.0
+        if own.count < policy.reference_min:
+            old = max(old, self._find_failure_share(others, policy))
+        allowed = max(rule.max_error_increase, policy.failure_floor)
+        return old + allowed
+
+    def _find_failure_share(self, names: list[Slice], policy: MovePolicy) -> float:
+        for name in names:
             reference = self.references.get(name)
             if reference is not None and reference.count >= policy.reference_min:
-                old = reference.failed / reference.count
-                break
-        allowed = max(rule.max_error_increase, policy.failure_floor)
-        return min(MAX_P0, old + allowed)
+                return reference.failed / reference.count
+        return 0.0
 
     def _score(
         self, kind: str, cell: Cell, trials: Trials, p0: float, *, is_recent: bool
@@ -311,16 +364,22 @@
 
 @frozen
 class Cell:
-    """The source of results: an upstream, a route, and whether it was busy."""
+    """The source of results: an upstream, a route, and whether it was busy.
+
+    With `compared_by_route`, results are compared with those of the same route instead
+    of the same upstream.
+    """
 
     upstream: str
     route: str
     busy: bool
+    compared_by_route: bool = False
 
     def list_references(self) -> tuple[Slice, ...]:
         """Lists the slices of the old version to compare with, closest first."""
         load = "busy" if self.busy else "idle"
-        return ((self.upstream, load), ("any", load), ANY_SOURCE)
+        source = self.route if self.compared_by_route else self.upstream
+        return ((source, load), ("any", load), ANY_SOURCE)
 
     def list_slices(self) -> tuple[Slice, ...]:
         """Lists the slices that results of this cell count in."""
@@ -342,10 +401,27 @@
 ) -> Mapping[int, float] | None:
     """Finds the histogram of the closest reference with enough results."""
     for name in cell.list_references():
-        reference = references.get(name)
-        if reference is None:
-            continue
-        histogram = reference.latencies if kind == LATENCY else reference.gaps
+        histogram = _find_durations(references, name, kind)
         if sum(histogram.values()) >= min_count:
             return histogram
     return None
+
+
+def _find_durations(
+    references: Mapping[Slice, Reference], name: Slice, kind: str
+) -> Mapping[int, float]:
+    reference = references.get(name)
+    return {} if reference is None else _read_durations(reference, kind)
+
+
+def _read_durations(reference: Reference, kind: str) -> Mapping[int, float]:
+    return reference.latencies if kind == LATENCY else reference.gaps
+
+
+def _shift_from_median(
+    added: Mapping[int, int], reference: Mapping[int, float], min_count: int
+) -> dict[int, int]:
+    """Makes buckets relative to the reference's median, none without enough results."""
+    if not added or sum(reference.values()) < min_count:
+        return {}
+    return shift_histogram(added, -find_quantile(reference, MEDIAN))
--- a/src/magnoliahold/core/serving/systems/canary_analysis.py
+++ b/src/magnoliahold/core/serving/systems/canary_analysis.py
@@ -126,7 +126,7 @@
         add_cumulative_results(
             move.analysis,
             (name, incarnation),
-            Cell(name, count.route, count.busy),
+            Cell(name, count.route, count.busy, compared_by_route=True),
             count,
             count.version == new_version,
             _make_rule(move),
--- a/src/magnoliahold/core/version_results.py
+++ b/src/magnoliahold/core/version_results.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from math import exp, log
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from attrs import define, field, frozen
 
@@ -20,6 +20,7 @@
     from magnoliahold.wire.messages import EvidenceCount
 
 MIN_SLOWDOWN_S = 0.01
+Count = TypeVar("Count", int, float)
 
 
 @frozen
@@ -101,6 +102,21 @@
     return trials.bad / (trials.good + trials.bad)
 
 
+def find_quantile(histogram: Mapping[int, float], quantile: float) -> int:
+    """Finds the bucket of a quantile."""
+    left = sum(histogram.values()) * quantile
+    for bucket in sorted(histogram):
+        left -= histogram[bucket]
+        if left <= 0:
+            return bucket
+    return 0
+
+
+def shift_histogram(histogram: Mapping[int, Count], buckets: int) -> dict[int, Count]:
+    """Moves all results of a histogram by a number of buckets."""
+    return {bucket + buckets: count for bucket, count in histogram.items()}
+
+
 def find_slow_limit(
     histogram: Mapping[int, float], quantile: float, increase: float
 ) -> int:
@@ -109,13 +125,7 @@
     It is above a quantile by the relative `increase` that the guard allows, and at
     least by MIN_SLOWDOWN_S.
     """
-    left = sum(histogram.values()) * quantile
-    found = 0
-    for bucket in sorted(histogram):
-        left -= histogram[bucket]
-        if left <= 0:
-            found = bucket
-            break
+    found = find_quantile(histogram, quantile)
     steps = log(1 + increase, 2) * BUCKETS_PER_DOUBLING
     noticeable = find_bucket(find_bucket_start_s(found) + MIN_SLOWDOWN_S)
     return min(BUCKET_COUNT - 1, max(found + round(steps), noticeable, found + 1))
--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -23,6 +23,8 @@
 ALL_FAIL = Behaviour(failures=1.0)
 SOME_FAIL = Behaviour(failures=0.4)
 SLOW = Behaviour(latency_factor=5.0)
+PARTLY_SLOW = Behaviour(latency_factor=6.0, slow_share=0.34)
+LIMITED = {"limited_share": 0.12}
 LATE = Behaviour(failures=0.6, bad_from_s=5.0)
 DONE, TAKEN_BACK = MoveState.DONE, MoveState.TAKEN_BACK
 
@@ -31,6 +33,8 @@
     ("all fail", ALL_FAIL, {}, TAKEN_BACK),
     ("some fail", SOME_FAIL, {}, TAKEN_BACK),
     ("slow", SLOW, {}, TAKEN_BACK),
+    ("good, a route at its time limit", GOOD, LIMITED, DONE),
+    ("partly slow, a route at its time limit", PARTLY_SLOW, LIMITED, TAKEN_BACK),
     ("turns bad", LATE, {}, TAKEN_BACK),
     ("good, store away", GOOD, {"store_outage": Outage(2, 6)}, DONE),
     ("bad, store away", ALL_FAIL, {"store_outage": Outage(0.3, 7)}, TAKEN_BACK),
--- a/tests/core/test_canary_analysis.py
+++ b/tests/core/test_canary_analysis.py
@@ -10,11 +10,13 @@
 from magnoliahold.core.canary_analysis import CanaryAnalysis, Cell
 from magnoliahold.core.evidence import find_bucket
 from magnoliahold.core.policy import MovePolicy
+from magnoliahold.core.serving.policy import VersionPolicy
 from magnoliahold.core.version_results import Delta
 from magnoliahold.core.workspaces import MoveRule
 
 POLICY = MovePolicy()
 RULE = MoveRule("v2", 0.05, 0.0)
+END_EVIDENCE = VersionPolicy().end_evidence
 REQUESTS_PER_S = 16.0
 STAGES = ((15.0, 0.0), (15.0, 0.05), (8.0, 0.1), (8.0, 0.25), (8.0, 0.5), (15.0, 0.95))
 
@@ -73,6 +75,56 @@
     return analysis.rejection_reason, requests
 
 
+@frozen
+class RouteKind:
+    """A kind of request: its share, its median latency and its share of failures."""
+
+    share: float
+    latency_s: float
+    failures: float = 0.02
+
+
+# The last kind ends at its time limit, whichever version runs it.
+ROUTE_KINDS = {
+    "short": RouteKind(0.25, 0.004),
+    "long": RouteKind(0.63, 0.025),
+    "limited": RouteKind(0.12, 0.4, failures=1.0),
+}
+SERVICE_RATE = 13.0
+CANARY_S = 15.0
+
+
+def draw_part_slow(random: Random, kind: RouteKind, slow_share: float) -> Delta:
+    """Draws a result whose latency is 4 to 8 times longer with `slow_share`."""
+    if kind.failures == 1.0:
+        return Delta(0, 1, {find_bucket(kind.latency_s): 1}, {})
+    latency_s = kind.latency_s * random.lognormvariate(0, 0.25)
+    if random.random() < slow_share:
+        latency_s *= random.uniform(4, 8)
+    failed = random.random() < kind.failures
+    return Delta(not failed, int(failed), {find_bucket(latency_s): 1}, {})
+
+
+def analyze_service(seed: int, slow_share: float) -> CanaryAnalysis:
+    """Analyses few results of a service whose routes differ in their latency."""
+    random = Random(seed)
+    analysis = CanaryAnalysis()
+    now = 0.0
+    while now < CANARY_S and not analysis.rejection_reason:
+        now += random.expovariate(SERVICE_RATE)
+        weights = [kind.share for kind in ROUTE_KINDS.values()]
+        route = random.choices(list(ROUTE_KINDS), weights)[0]
+        cell = Cell(f"e{random.randrange(4)}", route, False, compared_by_route=True)
+        if random.random() < (0.1 if now < CANARY_S / 3 else 0.2):
+            delta = draw_part_slow(random, ROUTE_KINDS[route], slow_share)
+            analysis.add_new_results(cell, delta, RULE, POLICY, is_recent=True)
+        else:
+            delta = draw_part_slow(random, ROUTE_KINDS[route], 0.0)
+            analysis.add_old_results(cell, delta, now, POLICY)
+        analysis.close_window(now, RULE, POLICY)
+    return analysis
+
+
 class CanaryAnalysisTests(unittest.TestCase):
     def test_good_versions_are_not_rejected(self) -> None:
         for name, versions in (
@@ -97,6 +149,23 @@
                 self.assertTrue(all(reason for reason, _ in results), results)
                 self.assertLessEqual(max(count for _, count in results), most)
 
+    def test_partly_slow_version_is_found_where_routes_differ_in_latency(self) -> None:
+        # Answers at another route's time limit had hidden it.
+        found = [
+            seed
+            for seed in range(20)
+            if analyze_service(seed, 0.34).suspicion >= END_EVIDENCE
+        ]
+        self.assertGreaterEqual(len(found), 16)
+
+    def test_good_version_is_kept_where_routes_differ_in_latency(self) -> None:
+        rejected = [
+            seed
+            for seed in range(100)
+            if analyze_service(seed, 0.0).suspicion >= END_EVIDENCE
+        ]
+        self.assertLessEqual(len(rejected), 5)
+
     def test_one_failure_is_not_enough(self) -> None:
         analysis = CanaryAnalysis()
         cell = Cell("u0", "a", False)
