Count answers far beyond the old version's tail as evidence of their own

Of 12 answers on the routes of 0.02 s, 3 took 0.31 to 0.34 s.

Cause: a result counts as slow or not, so one 12 times slower weighs like one just beyond the limit, and that one has a probability of 5% and an allowance of 5% more.

Now a third limit lies at twice that of the tail. Few old results lie beyond it, so its allowance is 2%, and three in twenty answers there are enough to end a move in doubt.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -53,6 +53,8 @@
 HARM_LEVELS = (0.08, 0.25, 0.5, 0.9)
 MAX_P0 = 0.7
 SLOW_ALLOWANCE = 0.05
+FAR_TAIL_BUCKETS = BUCKETS_PER_DOUBLING
+FAR_ALLOWANCE = 0.02
 UNMATCHED_MARGIN_BUCKETS = 2 * BUCKETS_PER_DOUBLING
 ANY_SOURCE = ("any", "any")
 
@@ -234,15 +236,24 @@
             )
             if not matched:
                 limit = min(BUCKET_COUNT - 1, limit + UNMATCHED_MARGIN_BUCKETS)
-            p0 = (
-                max(find_slow_share(histogram, limit) for histogram in old)
-                + SLOW_ALLOWANCE
-            )
-            trials = split_trials(new, limit)
-            p0 = min(p0, MAX_P0)
-            self._score(
-                f"{name} {kind}", item.cell, trials, p0, is_recent=item.is_recent
-            )
+            self._score_slow(f"{name} {kind}", item, new, old, limit, SLOW_ALLOWANCE)
+        # Few answers that are far slower are evidence as well.
+        limit = min(BUCKET_COUNT - 1, limit + FAR_TAIL_BUCKETS)
+        self._score_slow(f"far tail {kind}", item, new, old, limit, FAR_ALLOWANCE)
+
+    def _score_slow(
+        self,
+        name: str,
+        item: PendingDurations,
+        new: Mapping[int, int],
+        old: list[Mapping[int, float]],
+        limit: int,
+        allowance: float,
+    ) -> None:
+        share = max(find_slow_share(histogram, limit) for histogram in old)
+        p0 = min(MAX_P0, share + allowance)
+        trials = split_trials(new, limit)
+        self._score(name, item.cell, trials, p0, is_recent=item.is_recent)
 
     def _list_recent(
         self, cell: Cell, kind: str, policy: MovePolicy
--- a/tests/core/test_canary_analysis.py
+++ b/tests/core/test_canary_analysis.py
@@ -158,6 +158,19 @@
         ]
         self.assertGreaterEqual(len(found), 16)
 
+    def test_few_answers_that_are_far_slower_are_enough(self) -> None:
+        analysis = CanaryAnalysis()
+        cell = Cell("e0", "a", False, compared_by_route=True)
+        usual, slow = find_bucket(0.025), find_bucket(0.3)
+        for number in range(20):
+            now = number * 0.5
+            old = Delta(20, 0, {usual: 19, usual + 4: 1}, {})
+            new = Delta(1, 0, {usual if number % 7 else slow: 1}, {})
+            analysis.add_old_results(cell, old, now, POLICY)
+            analysis.add_new_results(cell, new, RULE, POLICY, is_recent=True)
+            analysis.close_window(now, RULE, POLICY)
+        self.assertGreaterEqual(analysis.suspicion, END_EVIDENCE)
+
     def test_good_version_is_kept_where_routes_differ_in_latency(self) -> None:
         rejected = [
             seed
