--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -88,6 +88,13 @@
             late = fleet.bad_sends_s[COUNTED_BAD - 1] + TAKE_BACK_LIMIT_S
             self.assertEqual(fleet.count_sent(NEW, [(late, 99.0)]), 0)
 
+    def test_partly_slow_version_is_taken_back_with_few_requests(self) -> None:
+        # Kept on naulakko-fleet with about 20 results.
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                fleet = self.run_move(seed, PARTLY_SLOW, rate_per_s=10.0, **LIMITED)
+                self.assertEqual(fleet.state, TAKEN_BACK)
+
     def test_all_entries_stop_using_a_bad_version_without_the_store(self) -> None:
         fleet = self.run_move(1, ALL_FAIL, store_outage=Outage(0.6, 9.0))
         self.assertEqual(fleet.count_sent(NEW, [(4.0, 99.0)]), 0)
