--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -23,6 +23,8 @@
 ALL_FAIL = Behaviour(failures=1.0)
 SOME_FAIL = Behaviour(failures=0.4)
 SLOW = Behaviour(latency_factor=5.0)
+PARTLY_SLOW = Behaviour(latency_factor=6.0, slow_share=0.34)
+LIMITED = {"limited_share": 0.12}
 LATE = Behaviour(failures=0.6, bad_from_s=5.0)
 DONE, TAKEN_BACK = MoveState.DONE, MoveState.TAKEN_BACK
 
@@ -31,6 +33,8 @@
     ("all fail", ALL_FAIL, {}, TAKEN_BACK),
     ("some fail", SOME_FAIL, {}, TAKEN_BACK),
     ("slow", SLOW, {}, TAKEN_BACK),
+    ("good, a route at its time limit", GOOD, LIMITED, DONE),
+    ("partly slow, a route at its time limit", PARTLY_SLOW, LIMITED, TAKEN_BACK),
     ("turns bad", LATE, {}, TAKEN_BACK),
     ("good, store away", GOOD, {"store_outage": Outage(2, 6)}, DONE),
     ("bad, store away", ALL_FAIL, {"store_outage": Outage(0.3, 7)}, TAKEN_BACK),
@@ -84,6 +88,13 @@
             late = fleet.bad_sends_s[COUNTED_BAD - 1] + TAKE_BACK_LIMIT_S
             self.assertEqual(fleet.count_sent(NEW, [(late, 99.0)]), 0)
 
+    def test_partly_slow_version_is_taken_back_with_few_requests(self) -> None:
+        # Kept on naulakko-fleet with about 20 results.
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                fleet = self.run_move(seed, PARTLY_SLOW, rate_per_s=10.0, **LIMITED)
+                self.assertEqual(fleet.state, TAKEN_BACK)
+
     def test_all_entries_stop_using_a_bad_version_without_the_store(self) -> None:
         fleet = self.run_move(1, ALL_FAIL, store_outage=Outage(0.6, 9.0))
         self.assertEqual(fleet.count_sent(NEW, [(4.0, 99.0)]), 0)
