Let idle time begin when the caller has taken the answer, not at the last look

Cause: whether an answer is still being taken is looked at once in an idle timeout; if its end went out between two looks, the second one counted idle time from the first. A caller's next request could cross that close. An answer that was taken since the last look now counts as taken just then.

The test looked only before the second look, unless the machine was busy.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -173,14 +173,18 @@
         return int(in_buffer + transport._tempDataLen)
 
     def _is_still_taking(self) -> bool:
-        """Whether the caller takes an answer, and took some in the idle timeout."""
+        """Whether the caller takes an answer, and took some in the idle timeout.
+
+        One that has taken the rest since the last look may only just have done so.
+        """
         now = self._callers.clock.seconds()
         unwritten = self.unwritten_bytes
-        if unwritten != self._unwritten_before:
+        has_taken = unwritten != self._unwritten_before
+        if has_taken:
             self._unwritten_before = unwritten
             self._taken_at = now
         limit_s = self._callers.limits.idle_timeout_s
-        return unwritten > 0 and now - self._taken_at < limit_s
+        return (unwritten > 0 or has_taken) and now - self._taken_at < limit_s
 
     @property
     def is_fresh(self) -> bool:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -181,14 +181,16 @@
 
     @on_loopback
     async def test_idle_time_begins_when_the_answer_has_been_written(self) -> None:
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=1.0)
         client, handle = await self.send_request(REQUEST)
         transport: Any = client.transport
         transport.pauseProducing()
         answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
         self.callers.answer(handle, answer, closing=False)
-        await self.sleep(1.0)
+        await self.sleep(1.5)
         transport.resumeProducing()
         await self.wait_until(lambda: client.received.count(b"x") == len(LARGE_BODY))
+        await self.sleep(0.6)
         transport.write(REQUEST)
         await self.wait_until(lambda: client.closed or len(self.events) == 2)
         self.assertEqual(len(self.events), 2)
