--- /dev/null
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -0,0 +1,183 @@
+"""Finds which suspects explain the crashes of upstreams.
+
+A request that crashes upstreams does so whatever else runs there, and never begins. So
+each crash names the requests that had not begun at that upstream, and what all crashes
+have in common is to blame. Upstreams that crash within the same moment may have been
+lost together for another reason, so it takes crashes in two moments at least.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+from attrs import define
+
+from magnoliahold.core.serving.suspicions import is_part
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from magnoliahold.core.serving.policy import SuspicionPolicy
+    from magnoliahold.core.serving.suspicions import CrashReport
+
+CrashId: TypeAlias = tuple[str, int]
+MAX_GROUP = 8
+MIN_MOMENTS = 2
+# Bounds the time of an evaluation.
+MAX_CONVICTIONS = 32
+
+
+@define(eq=False)
+class CrashEvidence:
+    """One crash: when it happened, and the suspects of each request under suspicion."""
+
+    at: float
+    requests: list[frozenset[str]]
+
+    def is_explained_by(self, group: frozenset[str]) -> bool:
+        """Tells whether a request with all suspects of a group was there."""
+        return any(group <= request for request in self.requests)
+
+
+def gather_crashes(
+    reports: Iterable[CrashReport],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
+) -> list[CrashEvidence]:
+    """Gathers reports by crash, without suspects of which one has begun since.
+
+    An upstream that doesn't tell its starts apart may crash again. Another one crashes
+    once, whenever an entry that was paused or cut off notices.
+    """
+    same_crash_s = policy.settle_max_s
+    crashes: list[CrashEvidence] = []
+    last_crashes: dict[CrashId, CrashEvidence] = {}
+    for report in sorted(reports, key=lambda item: (item.at, item.key)):
+        suspects = frozenset(
+            item for item in report.suspects if begun_at.get(item, -1.0) < report.at
+        )
+        if not suspects:
+            continue
+        crash = last_crashes.get(report.crash)
+        again = not report.born_ms and crash and report.at - crash.at > same_crash_s
+        if crash is None or again:
+            crash = last_crashes[report.crash] = CrashEvidence(report.at, [])
+            crashes.append(crash)
+        crash.requests.append(suspects)
+    return crashes
+
+
+def count_moments(crashes: Iterable[CrashEvidence], moment_s: float) -> int:
+    """Counts crashes; those within `moment_s` of the first of them count once."""
+    moments = 0
+    begun_at: float | None = None
+    for at in sorted(crash.at for crash in crashes):
+        if begun_at is None or at - begun_at > moment_s:
+            moments += 1
+            begun_at = at
+    return moments
+
+
+def group_by_suspect(
+    crashes: Iterable[CrashEvidence],
+) -> dict[str, list[CrashEvidence]]:
+    """Groups crashes by the suspects under which they happened."""
+    by_suspect: dict[str, list[CrashEvidence]] = {}
+    for crash in crashes:
+        for suspect in frozenset().union(*crash.requests):
+            by_suspect.setdefault(suspect, []).append(crash)
+    return by_suspect
+
+
+def find_convictions(
+    crashes: list[CrashEvidence],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
+) -> list[frozenset[str]]:
+    """Finds groups of suspects that explain enough crashes to quarantine them.
+
+    Suspects that were always together can't be told apart, and are one group: only
+    requests with all of them are to blame. What one group explains is no evidence
+    against others, unless a later one explains all of that and more.
+    """
+    convictions: list[frozenset[str]] = []
+    remaining = list(crashes)
+    while len(convictions) < MAX_CONVICTIONS:
+        enough = [
+            suspect
+            for suspect, items in group_by_suspect(remaining).items()
+            if _is_enough(suspect, items, begun_at, policy)
+        ]
+        if not enough:
+            break
+        groups = _find_groups(enough, remaining)
+        best = max(groups, key=lambda group: _rank(group, remaining, begun_at))
+        convictions.append(best)
+        remaining = [crash for crash in remaining if not crash.is_explained_by(best)]
+    return _drop_covered(convictions, crashes)
+
+
+def _is_enough(
+    suspect: str,
+    crashes: list[CrashEvidence],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
+) -> bool:
+    """Tells whether the crashes under a suspect are enough to quarantine it.
+
+    One that has begun before may be there by chance, and takes more crashes.
+    """
+    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
+        return False
+    if suspect in begun_at:
+        return len(crashes) >= policy.crashes_to_convict_begun
+    return len(crashes) >= policy.crashes_to_convict
+
+
+def _find_groups(
+    suspects: list[str], crashes: list[CrashEvidence]
+) -> set[frozenset[str]]:
+    """Finds for each suspect what all requests with it have in common."""
+    requests_by_suspect: dict[str, list[frozenset[str]]] = {}
+    for crash in crashes:
+        for request in crash.requests:
+            for suspect in request:
+                requests_by_suspect.setdefault(suspect, []).append(request)
+    groups: dict[tuple[int, ...], frozenset[str]] = {}
+    for suspect in sorted(suspects):
+        requests = requests_by_suspect[suspect]
+        # Suspects of the same requests have the same group.
+        key = tuple(map(id, requests))
+        if key not in groups:
+            group = frozenset.intersection(*requests)
+            others = sorted(group - {suspect})[: MAX_GROUP - 1]
+            groups[key] = frozenset((suspect, *others))
+    return set(groups.values())
+
+
+def _rank(
+    group: frozenset[str], crashes: list[CrashEvidence], begun_at: Mapping[str, float]
+) -> tuple[bool, int, int, list[str]]:
+    """Ranks a group by what it explains, and then by how few requests it blames.
+
+    One with a part that was never seen to begin goes before all others. That a
+    fingerprint never began says nothing.
+    """
+    new_part = any(is_part(item) and item not in begun_at for item in group)
+    explained = sum(crash.is_explained_by(group) for crash in crashes)
+    return (new_part, explained, len(group), sorted(group))
+
+
+def _drop_covered(
+    groups: list[frozenset[str]], crashes: list[CrashEvidence]
+) -> list[frozenset[str]]:
+    """Drops groups that were merely there when another one crashed upstreams."""
+    explained = {
+        group: {n for n, crash in enumerate(crashes) if crash.is_explained_by(group)}
+        for group in groups
+    }
+    return [
+        group
+        for group in groups
+        if not any(explained[group] < explained[other] for other in groups)
+    ]
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -7,7 +7,11 @@
 # The codec resolves the types of notices while the process runs.
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
-from magnoliahold.core.serving.suspicions import Crash  # noqa: TC001
+from magnoliahold.core.serving.suspicions import (  # noqa: TC001
+    Clearance,
+    CrashReport,
+    QuarantineRecord,
+)
 from magnoliahold.core.serving.upstreams import UpstreamStart  # noqa: TC001
 from magnoliahold.wire.messages import EvidenceCount  # noqa: TC001
 
@@ -43,7 +47,7 @@
     `serial` increases within an incarnation. `down` lists the upstreams that the sender
     has marked as down, and `places` the upstreams that have read the prompts of its
     open streams. `evidence`, `exposures` and `suspensions` concern moves between
-    versions; `crashes`, `quarantined` and `acquitted` (cleared) concern requests that
+    versions; `crash_reports`, `quarantines` and `clearances` concern requests that
     crash upstreams. `leaving` lists the upstreams that have said that they are leaving.
     """
 
@@ -56,9 +60,9 @@
     evidence: tuple[EvidenceCount, ...] = ()
     exposures: tuple[Exposure, ...] = ()
     suspensions: tuple[Suspension, ...] = ()
-    crashes: tuple[Crash, ...] = ()
-    quarantined: tuple[str, ...] = ()
-    acquitted: tuple[str, ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
+    quarantines: tuple[QuarantineRecord, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
     leaving: tuple[UpstreamStart, ...] = ()
 
 
@@ -79,6 +83,36 @@
     unlisted_since: float | None = None
 
 
+@define
+class NoticeBudget:
+    """The bytes that notices may use, which accrue with time.
+
+    `notice_bytes` is the size of the last notice. `updated_at` is on the process clock.
+    """
+
+    available_bytes: float = 0.0
+    notice_bytes: int = 0
+    updated_at: float = 0.0
+
+    def try_spend(
+        self, peers: int, urgent: bool, max_bytes_per_s: float, now: float
+    ) -> bool:
+        """Spends the bytes of a notice to all peers, if that is allowed now.
+
+        Only urgent ones may use the last half of what accrues in a second.
+        """
+        cost = float(peers * self.notice_bytes)
+        limit = max(max_bytes_per_s, 2 * cost)
+        accrued = (now - self.updated_at) * max_bytes_per_s
+        self.available_bytes = min(limit, self.available_bytes + accrued)
+        self.updated_at = now
+        reserve = 0.0 if urgent else limit / 2
+        if self.available_bytes < cost + reserve:
+            return False
+        self.available_bytes -= cost
+        return True
+
+
 @define
 class PeerTable:
     """The other entries by name, and the last notice that was sent to them.
@@ -96,6 +130,7 @@
     last_sent_at: float = 0.0
     send_now: bool = False
     serial: int = 0
+    budget: NoticeBudget = field(factory=NoticeBudget)
     registering: bool = False
     registered: bool = False
     next_registration_at: float = 0.0
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -213,20 +213,38 @@
 class SuspicionPolicy:
     """Detection of requests that crash the upstreams that run them.
 
-    A reset connection counts as a crash if the upstream is still down `settle_s` later
-    and no other upstream of the service was lost within `settle_s` of the reset; a
-    reset that is still undecided after `settle_max_s` is discarded. A request with
-    `crashes_to_convict` crashes within `crash_kept_s` is quarantined for
-    `quarantine_s`; its callers may retry after `retry_after_s`.
+    A reset connection counts as a crash if the upstream is down afterwards; a reset
+    that is still undecided after `settle_max_s` is discarded. Crashes within `settle_s`
+    of each other may have a common cause, and a request that was given up there within
+    `settle_s` of a crash is under suspicion too. A stream has begun once its upstream
+    has lived on for `begun_after_s` after the first piece. New evidence is evaluated
+    after `gather_s`, in which that of other entries arrives; a report is sent to them
+    for `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in
+    common, not all of the same moment, is quarantined, if requests with it have begun
+    before after `crashes_to_convict_begun`. That is for `quarantine_s`, later for at
+    most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
+    which an entry awaits at most `max_trial_turns`. Refused callers may retry after
+    `retry_after_s`. At most `max_reports`, `max_begun` and `max_quarantines` rows are
+    kept.
     """
 
     settle_s: float = _positive(0.5)
     settle_max_s: float = _positive(3.0)
+    begun_after_s: float = _positive(0.3)
+    gather_s: float = _positive(0.25)
+    reported_s: float = _positive(3.0)
     crashes_to_convict: int = _positive_int(3)
-    crash_kept_s: float = _positive(120.0)
-    quarantine_s: float = _positive(600.0)
+    crashes_to_convict_begun: int = _positive_int(5)
+    crash_kept_s: float = _positive(90.0)
+    quarantine_s: float = _positive(45.0)
+    max_quarantine_s: float = _positive(3600.0)
+    trial_turn_s: float = _positive(5.0)
+    max_trial_turns: int = _positive_int(6)
     retry_after_s: float = _positive(10.0)
     write_timeout_s: float = _positive(1.0)
+    max_reports: int = _positive_int(256)
+    max_begun: int = _positive_int(4096)
+    max_quarantines: int = _positive_int(256)
 
 
 @frozen
@@ -236,13 +254,17 @@
     A stream that was sent to an upstream is reported at once; otherwise requests that
     arrive at the same time at several entries would all be sent to the least loaded
     upstream. Other changes are reported at most every `least_interval_s`, an unchanged
-    load every `interval_s`. A peer's notice is valid for `notice_kept_s`, and the
-    location of a prompt in a prefix cache for `place_kept_s`. Registrations of entries
-    from which nothing was received for `removed_after_s` are removed.
+    load every `interval_s`. Notices to all peers together use at most `max_bytes_per_s`
+    on average over a second or more, so that they leave the link to callers and
+    upstreams; half of that is kept for what is urgent. A peer's notice is valid for
+    `notice_kept_s`, and the location of a prompt in a prefix cache for `place_kept_s`.
+    Registrations of entries from which nothing was received for `removed_after_s` are
+    removed.
     """
 
     least_interval_s: float = _positive(0.04)
     interval_s: float = _positive(1.0)
+    max_bytes_per_s: float = _positive(6_250_000.0)
     notice_kept_s: float = _positive(2.5)
     place_kept_s: float = _positive(6.0)
     registration_timeout_s: float = _positive(2.0)
@@ -256,7 +278,8 @@
 
     The registration is removed once no request is open, but not before `settle_s` after
     the listener was closed, and at the latest `farewell_s` before `limit_s`. The entry
-    stops `farewell_s` after the removal. A stream is accepted only if `stream_margin`
+    stops `farewell_s` after the removal, once callers have taken their answers, but at
+    the latest `flush_s` after `limit_s`. A stream is accepted only if `stream_margin`
     times the mean duration of streams is left.
     """
 
@@ -264,6 +287,7 @@
     settle_s: float = _positive(0.3)
     limit_s: float = _positive(7.4)
     farewell_s: float = _positive(0.15)
+    flush_s: float = _positive(0.2)
     stream_margin: float = _positive(1.15)
 
 
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -13,7 +14,7 @@
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
 from magnoliahold.core.serving.systems.completion import deliver_answer
-from magnoliahold.core.serving.systems.quarantine import record_reset
+from magnoliahold.core.serving.systems.crashes import record_begin, record_reset
 from magnoliahold.core.serving.systems.retries import (
     count_outcome,
     fail_sent_attempt,
@@ -32,6 +33,7 @@
     from magnoliahold.core.serving.requests import Attempt
     from magnoliahold.core.serving.world import ServingWorld
 
+MIN_ERROR_STATUS = 400
 MIN_FAILURE_STATUS = 500
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -48,7 +50,7 @@
         attempt = world.requests.attempts.get(unsent.attempt)
         if attempt is None:
             continue
-        mark_down(world, attempt.upstream, unsent.reason, now)
+        mark_down(world, attempt.upstream, unsent.reason, now, unsent.silent)
         attempt.request.send_count -= 1
         if attempt.request.send_count:
             world.find_budget(attempt.request.service).return_retry()
@@ -85,6 +87,8 @@
         return
     if not failed:
         _record_duration(world, attempt, now)
+    if head.status < MIN_ERROR_STATUS or request.route.kind is not RouteKind.STREAM:
+        record_begin(world, attempt, now)
     world.requests.end_attempt(attempt)
     deliver_answer(world, request, attempt.number, head.status, now)
 
@@ -133,5 +137,5 @@
         count_outcome(world, attempt, True, now, upstream_lost=interrupted.reset)
         if interrupted.reset:
             record_reset(world, attempt, now)
-            mark_suspected(world, attempt.upstream, interrupted.reason, now)
+            mark_suspected(world, attempt.upstream, interrupted.reason, now, reset=True)
         fail_sent_attempt(world, attempt, interrupted.reason, now)
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -14,7 +14,6 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from magnoliahold.core.serving.systems.quarantine import record_upstream_loss
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -22,11 +21,20 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
-def probe(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
-    """Probes an upstream unless it backs off, or a probe is in progress or recent."""
+def probe(
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    in_backoff: bool = False,
+) -> None:
+    """Probes an upstream unless it backs off, or a probe is in progress or recent.
+
+    Only `in_backoff` it is probed even so.
+    """
     if upstream.probe_sent_at is not None or now < upstream.next_probe_at:
         return
-    if upstream.backs_off(now):
+    if upstream.backs_off(now) and not in_backoff:
         return
     policy = world.serving_policy.watch
     upstream.probe_sent_at = now
@@ -42,9 +50,16 @@
 
 
 def mark_suspected(
-    world: ServingWorld, upstream: Upstream, reason: str, now: float
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    reset: bool = False,
 ) -> None:
-    """Marks an upstream as suspected, so that it gets no new work, and probes it."""
+    """Marks an upstream as suspected, so that it gets no new work, and probes it.
+
+    After a reset, the process that asked for a backoff may be gone.
+    """
     if upstream.health is UpstreamHealth.HEALTHY:
         upstream.health = UpstreamHealth.SUSPECTED
         world.upstreams.record_incident(upstream.record, now)
@@ -52,21 +67,30 @@
             "trust", "Upstream suspected.", upstream=upstream.id, reason=reason
         )
         _probe_neighbours(world, upstream, now)
-    probe(world, upstream, reason, now)
+    probe(world, upstream, reason, now, in_backoff=reset)
+
 
+def mark_down(
+    world: ServingWorld,
+    upstream: Upstream,
+    reason: str,
+    now: float,
+    silent: bool = False,
+) -> None:
+    """Marks an upstream as down until it responds; delays its next probe.
 
-def mark_down(world: ServingWorld, upstream: Upstream, reason: str, now: float) -> None:
-    """Marks an upstream as down until it responds; delays its next probe."""
+    `silent` means that it didn't answer at all.
+    """
     policy = world.serving_policy.watch
     if upstream.health is not UpstreamHealth.DOWN:
         world.log_decision(
             "trust", "Upstream down.", upstream=upstream.id, reason=reason
         )
         upstream.failed_probes = 0
-        record_upstream_loss(world, upstream, now)
         world.upstreams.record_incident(upstream.record, now)
         _probe_neighbours(world, upstream, now)
     upstream.health = UpstreamHealth.DOWN
+    upstream.silent = silent
     delay_s = policy.down_probe_s * 2**upstream.failed_probes
     upstream.failed_probes = min(upstream.failed_probes + 1, 8)
     upstream.next_probe_at = now + min(delay_s, policy.down_probe_max_s)
@@ -112,7 +136,7 @@
         upstream = _find_probed(world, failed.upstream_id, failed.born_ms)
         if upstream is not None:
             upstream.probe_sent_at = None
-            mark_down(world, upstream, failed.reason, now)
+            mark_down(world, upstream, failed.reason, now, failed.silent)
 
 
 def _find_probed(
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field, frozen
-from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import Request
 from twisted.web.client import ResponseDone
@@ -22,7 +21,7 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from magnoliahold.httpconnections import BytesProducer, describe_failure
+from magnoliahold.httpconnections import BytesProducer, describe_failure, is_timeout
 from magnoliahold.platform.upstreams import (
     REPORT_PATH,
     is_event_stream,
@@ -37,7 +36,11 @@
     ConnectionFactory,
     UpstreamConnection,
 )
-from magnoliahold.serving.pieces import PieceSplitter, PieceTooLongError
+from magnoliahold.serving.pieces import (
+    MAX_PIECE_BYTES,
+    PieceSplitter,
+    PieceTooLongError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,6 +58,10 @@
 # Longest idle time of a connection for attempts that need a fresh one.
 FRESH_MAX_IDLE_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# The framing of a body may take as many bytes as its content.
+MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
+MAX_PROBE_WIRE_BYTES = 256 * 1024
+MAX_PIECE_WIRE_BYTES = 2 * MAX_PIECE_BYTES
 
 
 @frozen
@@ -71,9 +78,11 @@
 class Exchange:
     """One attempt, its connection, and the part of its answer received so far.
 
-    If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller;
-    else `body` holds the chunks of the answer. `aborted` is set when its result is no
-    longer wanted, `finished` when its answer is complete.
+    If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
+    and `last_piece` is the highest number so far; else `body` holds the chunks of the
+    answer. `size` counts the bytes of either. `aborted` is set when its result is no
+    longer wanted, `finished` when its answer is complete and `interrupted` when it was
+    reported as a failure.
     """
 
     attempt: int
@@ -82,18 +91,40 @@
     connector: Any = None
     aborted: bool = False
     finished: bool = False
+    interrupted: bool = False
     is_stream: bool = False
     status: int = 0
     head: AnswerHead | None = None
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: list[bytes] = field(factory=list)
+    size: int = 0
     pieces: list[Piece] = field(factory=list)
+    last_piece: int | None = None
 
     @property
     def pool_key(self) -> PoolKey:
         """The key of the upstream's connections in the pool."""
         return make_pool_key(self.upstream)
 
+    @property
+    def rejection(self) -> Failure | None:
+        """Why its connection gave up the answer, if it did."""
+        return self.connection.rejection if self.connection is not None else None
+
+    def allow_bytes(self, count: int) -> None:
+        """Bounds what may arrive on the connection until this is called again."""
+        if self.connection is not None:
+            self.connection.allow_bytes(count)
+
+    def drop_repeated(self, pieces: list[Piece]) -> list[Piece]:
+        """Returns the pieces whose number is higher than all before it."""
+        new = []
+        for piece in pieces:
+            if self.last_piece is None or piece.number > self.last_piece:
+                self.last_piece = piece.number
+                new.append(piece)
+        return new
+
 
 @define(eq=False)
 class UpstreamExchanges:
@@ -107,7 +138,7 @@
     def send(self, effect: SendAttempt, content: RequestContent) -> None:
         """Sends a request on a pooled connection, or on a new one."""
         record = effect.upstream
-        exchange = Exchange(effect.attempt, record)
+        exchange = Exchange(effect.attempt, record, last_piece=effect.resume_after)
         pool_key = exchange.pool_key
         self._exchanges[effect.attempt] = exchange
         max_idle_s = FRESH_MAX_IDLE_S if effect.fresh_connection else MAX_IDLE_S
@@ -128,7 +159,7 @@
         if exchange.aborted:
             return
         message = f"no connection: {describe_failure(reason)}"
-        self.post(AttemptNotSent(exchange.attempt, message))
+        self.post(AttemptNotSent(exchange.attempt, message, is_timeout(reason)))
 
     def _send_on(
         self,
@@ -154,21 +185,32 @@
         )
 
     def _handle_head(self, exchange: Exchange, response: Any) -> None:
-        self.report_signal(exchange.upstream, response)
+        try:
+            exchange.head = head = self._read_head(exchange, response)
+        except ValueError as error:
+            response.deliverBody(Protocol())
+            self._interrupt(exchange, f"the head can't be read: {error}", False)
+            return
         if exchange.aborted:
             return
+        if exchange.is_stream:
+            exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
+            self.post(StreamOpened(exchange.attempt, head))
+            response.deliverBody(_PieceReader(self, exchange))
+        else:
+            exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
+            response.deliverBody(_BodyReader(self, exchange))
+
+    def _read_head(self, exchange: Exchange, response: Any) -> AnswerHead:
+        """Reads the head of an answer; raises ValueError if it isn't text."""
+        self.report_signal(exchange.upstream, response)
         connection = exchange.connection
         if connection is not None:
             connection.update_idle_limit()
         exchange.status = response.code
-        exchange.head = read_answer_head(response.code, response.headers)
         exchange.headers = list_answer_headers(response.headers)
         exchange.is_stream = is_event_stream(response.code, response.headers)
-        if exchange.is_stream:
-            self.post(StreamOpened(exchange.attempt, exchange.head))
-            response.deliverBody(_PieceReader(self, exchange))
-        else:
-            response.deliverBody(_BodyReader(self, exchange))
+        return read_answer_head(response.code, response.headers)
 
     def report_signal(self, record: UpstreamRecord, response: Any) -> None:
         """Reports what the headers of an answer say about their upstream."""
@@ -178,25 +220,36 @@
 
     def add_body_bytes(self, exchange: Exchange, data: bytes) -> None:
         """Adds bytes to the body of an answer; one that is too long is a failure."""
-        exchange.body.append(data)
-        if sum(map(len, exchange.body)) > MAX_ANSWER_BYTES:
+        exchange.size += len(data)
+        if exchange.size > MAX_ANSWER_BYTES:
             self._interrupt(exchange, "the answer is too long", False)
+        else:
+            exchange.body.append(data)
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
-        """Adds complete pieces of a stream and reports them."""
-        if exchange.aborted or not pieces:
+        """Adds complete pieces of a stream and reports those that are new."""
+        if exchange.aborted or exchange.interrupted:
+            return
+        new = exchange.drop_repeated(pieces)
+        if not new:
             return
-        exchange.pieces.extend(pieces)
-        last = max(piece.number for piece in pieces)
-        self.post(PiecesReceived(exchange.attempt, last, len(pieces)))
+        exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
+        exchange.pieces.extend(new)
+        self.post(PiecesReceived(exchange.attempt, new[-1].number, len(new)))
+        exchange.size += sum(len(piece.content) for piece in new)
+        if exchange.size > MAX_ANSWER_BYTES:
+            self._interrupt(exchange, "the stream is too long", False)
 
     def finish_body(
         self, exchange: Exchange, reason: Failure, at_piece_boundary: bool
     ) -> None:
         """Reports the end of an answer, complete or interrupted."""
-        if exchange.aborted:
+        if exchange.aborted or exchange.interrupted:
             return
-        if not at_piece_boundary:
+        rejection = exchange.rejection
+        if rejection is not None:
+            self._interrupt(exchange, describe_failure(rejection), False)
+        elif not at_piece_boundary:
             self._interrupt(exchange, "the stream ended within a piece", True)
         elif not self._is_complete(exchange, reason):
             self._report_interrupted(exchange, reason)
@@ -211,10 +264,12 @@
         """Returns whether a body is complete.
 
         A body without a length is complete if the upstream closed the connection
-        rather than resetting it.
+        rather than resetting it; a stream has a piece, too.
         """
         if reason.check(ResponseDone):
             return True
+        if exchange.is_stream and exchange.last_piece is None:
+            return False
         connection = exchange.connection
         closed = connection is not None and connection.closed_cleanly
         return reason.check(PotentialDataLoss) is not None and closed
@@ -223,13 +278,16 @@
         if exchange.aborted:
             return
         connection = exchange.connection
-        ended = connection.close_reason if connection is not None else None
-        reset = ended is not None and ended.check(ConnectionDone) is None
-        self._interrupt(exchange, describe_failure(failure), reset or ended is not None)
+        lost = connection is not None and connection.close_reason is not None
+        self._interrupt(exchange, describe_failure(failure), lost)
 
     def _interrupt(self, exchange: Exchange, reason: str, reset: bool) -> None:
-        if exchange.aborted or exchange.finished:
+        """Reports an attempt as failed, once, and reads no more of its answer."""
+        if exchange.aborted or exchange.finished or exchange.interrupted:
             return
+        exchange.interrupted = True
+        if exchange.connection is not None:
+            exchange.connection.reset_now()
         self.post(AttemptInterrupted(exchange.attempt, reason, reset))
 
     def abort(self, attempt: int) -> None:
@@ -257,7 +315,8 @@
     def probe(self, record: UpstreamRecord, timeout_s: float) -> None:
         """Probes an upstream on a new connection.
 
-        Any answer counts as a success, unless another upstream has the address.
+        Any answer counts as a success, unless another upstream has the address. Its
+        body is read only so that the connection can be reused.
         """
         connection = UpstreamConnection(self.pool, make_pool_key(record))
         _Probe(self, record, connection, timeout_s).start()
@@ -305,13 +364,17 @@
 
 @define(eq=False)
 class _Probe:
-    """One probe of an upstream."""
+    """One probe of an upstream.
+
+    `done` is set when its result is known, `finished` when its answer is complete.
+    """
 
     exchanges: UpstreamExchanges
     record: UpstreamRecord
     connection: UpstreamConnection
     timeout_s: float
     done: bool = False
+    finished: bool = False
     connector: Any = None
 
     def start(self) -> None:
@@ -319,13 +382,13 @@
         reactor = self.exchanges.reactor
         factory = ConnectionFactory(
             self.connection,
-            lambda reason: self._fail(describe_failure(reason)),
+            lambda reason: self._fail(describe_failure(reason), is_timeout(reason)),
             self._send_request,
         )
         self.connector = reactor.connectTCP(
             self.record.address, self.record.port, factory, timeout=self.timeout_s
         )
-        reactor.callLater(self.timeout_s, self._fail, "no answer to a probe")
+        reactor.callLater(self.timeout_s, self._time_out)
 
     def _send_request(self, connection: UpstreamConnection) -> None:
         headers = make_probe_headers(self.record)
@@ -336,7 +399,8 @@
         )
 
     def _succeed(self, response: Any) -> None:
-        response.deliverBody(Protocol())
+        self.connection.allow_bytes(MAX_PROBE_WIRE_BYTES)
+        response.deliverBody(_ProbeReader(self))
         self.exchanges.report_signal(self.record, response)
         if read_answer_head(response.code, response.headers).misdirected:
             self._fail("another upstream has its address")
@@ -345,10 +409,26 @@
             record = self.record
             self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
 
-    def _fail(self, reason: str) -> None:
+    def _time_out(self) -> None:
+        self._fail("no answer to a probe", silent=True)
+        if not self.finished:
+            self.connection.reset_now()
+
+    def _fail(self, reason: str, silent: bool = False) -> None:
         if self.done:
             return
         self.done = True
         self.connector.disconnect()
         record = self.record
-        self.exchanges.post(UpstreamFailedProbe(record.id, record.born_ms, reason))
+        failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent)
+        self.exchanges.post(failed)
+
+
+class _ProbeReader(Protocol):
+    """Discards the body of the answer to a probe."""
+
+    def __init__(self, probe: _Probe) -> None:
+        self._probe = probe
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._probe.finished = True
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -40,9 +40,9 @@
         down=notice.down[:MAX_ITEMS],
         places=notice.places[:MAX_ITEMS],
         evidence=notice.evidence[:MAX_ITEMS],
-        crashes=notice.crashes[-MAX_ITEMS:],
-        quarantined=notice.quarantined[-MAX_ITEMS:],
-        acquitted=notice.acquitted[-MAX_ITEMS:],
+        crash_reports=notice.crash_reports[-MAX_ITEMS:],
+        quarantines=notice.quarantines[-MAX_ITEMS:],
+        clearances=notice.clearances[-MAX_ITEMS:],
         leaving=notice.leaving[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
@@ -55,13 +55,14 @@
     post: Callable[[object], None]
     transport: Any = None
 
-    def send(self, peers: Iterable[PeerRecord], notice: LoadNotice) -> None:
-        """Sends a notice to other entries."""
+    def send(self, peers: Iterable[PeerRecord], notice: LoadNotice) -> int:
+        """Sends a notice to other entries; returns its size in bytes."""
         if self.transport is None:
-            return
+            return 0
         content = encode_notice(notice)
         for peer in peers:
             self._write(peer, content)
+        return len(content)
 
     def send_proofs(
         self, messages: Iterable[tuple[PeerRecord, ConfigurationProof]]
