Close the listener's socket in the pass that accepted the last connection

Hypotheses: (a) `stopListening` only closes the socket in the reactor's next pass, so connections made since the last accept are reset; (b) the process was held up, and an idle connection was closed as its caller wrote; (c) a connection was closed as idle by the stop while its request was on the way.

Cause: twisted's Port.loseConnection defers connectionLost to the next pass. A busy pass takes milliseconds, in which the kernel accepts into the backlog. Now the port is closed at once, after all that wait are accepted, also the one that the kernel lets in beyond the backlog.

The test fails without the change: a connection made right after the close is accepted and reset in place of refused.

The same elsewhere: the own deployment's daemon closes its listeners as the process ends, when it serves nobody; not changed.

--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
+from twisted.internet.main import CONNECTION_DONE
+from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
@@ -98,11 +100,16 @@
         )
 
     def close_listener(self) -> None:
-        """Accepts the connections that already wait, and stops listening."""
+        """Accepts the connections that already wait, and stops listening.
+
+        `stopListening` closes the socket only in the next pass of the reactor, which
+        would reset the connections that are made until then.
+        """
         for listener in self.listeners:
-            listener.numberAccepts = LISTEN_BACKLOG
+            # The kernel lets one connection more than the backlog wait.
+            listener.numberAccepts = LISTEN_BACKLOG + 1
             listener.doRead()
-            listener.stopListening()
+            listener.connectionLost(Failure(CONNECTION_DONE))
         self.listeners.clear()
 
     def leave(self, reason: str) -> None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -384,3 +384,11 @@
         await self.sleep(0.3)
         for client in clients:
             self.assertEqual(client.recv(1000).split()[1:2], [b"200"])
+
+    @on_loopback
+    async def test_connection_behind_the_close_of_the_listener_is_refused(self) -> None:
+        daemon = await self.start_leaving([WHOLE])
+        _, _, port = self.settings["callers"].partition(":")
+        daemon.close_listener()
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", int(port))).close()
