Bound the cost of floods in calls and bytes in place of seconds

Cause: the same work takes twice the processor time when all cores are busy: a plain function call takes 104 ns now. The small chunks cost 10 us each, half of it in twisted's decoder, without growth: 98,299 chunks, 10 reads.

The bounds on time are replaced by ones that don't hang on load: a flood is stopped once it has sent more than it may (before, after 3 s, whatever it had sent), and cost is told in plain function calls, measured beside it. On an idle processor, 50 ns a call, they are the old ones: 1, 2 and 3 s. Work that grows with the square of its input passes them many times over: a copy of half a piece for each byte of it is 50 s.

--- a/tests/flooding.py
+++ b/tests/flooding.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 from attrs import define, field
 from twisted.internet.protocol import Protocol, ServerFactory
 
+from tests.cputime import measure_cost
 from tests.loopback import LoopbackTestCase
 
 BLOCK_BYTES = 64 * 1024
@@ -17,9 +17,10 @@
 # Bytes that lie unread in the buffers of both sockets.
 SOCKET_BYTES = 12 * MIB
 BODY_BYTES = 32 * MIB
-# Time in which an answer is cut off, also beside load, and what it costs.
-CUT_OFF_S = 3.0
-CPU_S = 1.0
+# What it may cost to cut off an answer: a second of an idle processor.
+MAX_CALLS = 20_000_000
+# The same for an answer that may come in very small parts.
+SMALL_PARTS_CALLS = 3 * MAX_CALLS
 
 STATUS = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\nResponse-Signature: s\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -64,7 +65,8 @@
     While it does so, it reads nothing. The first requests get the answers in `sound`
     instead. `sent` counts the bytes of filler, `connections` the accepted connections
     and `ended` the closed ones. With `count_from`, fillers have a place for a number,
-    which counts up from there.
+    which counts up from there. It stops once it has sent more than `most`; `cut_off`
+    says that it didn't have to.
     """
 
     start: bytes
@@ -75,6 +77,8 @@
     requests: int = 0
     ended: int = 0
     sent: int = 0
+    most: float = float("inf")
+    cut_off: bool = True
     port: int = 0
     transports: list[Any] = field(factory=list)
 
@@ -89,6 +93,7 @@
 
     def stop(self) -> None:
         """Resets the connections that are still open."""
+        self.cut_off = False
         for transport in self.transports:
             transport.abortConnection()
 
@@ -136,6 +141,9 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Sends the next block."""
+        if self.server.sent > self.server.most:
+            self.server.stop()
+            return
         block = self.server.make_block()
         self.server.sent += len(block)
         transport: Any = self.transport
@@ -157,16 +165,13 @@
         return server
 
     async def check_cut_off(
-        self, server: FloodingServer, limit: int, cpu_s: float = CPU_S
+        self, server: FloodingServer, limit: int, max_calls: int = MAX_CALLS
     ) -> None:
         """Waits until the connection was closed; checks what came in till then."""
-        started = time.process_time()
-        stop = self.reactor.callLater(CUT_OFF_S, server.stop)
-        await self.wait_until(lambda: server.ended == 1)
-        cut_off = stop.active()
-        if cut_off:
-            stop.cancel()
-        await self.sleep(0.03)
-        self.assertTrue(cut_off, f"went on after {server.sent} bytes")
-        self.assertLess(time.process_time() - started, cpu_s)
+        server.most = limit + SOCKET_BYTES
+        with measure_cost() as cost:
+            await self.wait_until(lambda: server.ended == 1)
+            await self.sleep(0.03)
+        self.assertTrue(server.cut_off, f"went on after {server.sent} bytes")
+        self.assertLess(cost.calls, max_calls)
         self.assertLess(server.sent, limit + SOCKET_BYTES)
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -18,6 +18,7 @@
     EXTENDED,
     HEADS,
     MIB,
+    SMALL_PARTS_CALLS,
     STATUS,
     WHOLE,
     FloodTestCase,
@@ -26,9 +27,6 @@
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
 
-# A stream may come in very small parts.
-SMALL_PARTS_CPU_S = 3.0
-
 STREAM = STATUS + b"Content-Type: text/event-stream\r\n"
 PIECE = b"id: 1\ndata: a\n\n"
 LONG_PIECE = b"id: %d\ndata: " + b"a" * 1000 + b"\n\n"
@@ -93,7 +91,7 @@
                 self.events.clear()
                 server = self.flood(start, filler)
                 attempt = self.send(server.port)
-                await self.check_cut_off(server, 2 * MIB, SMALL_PARTS_CPU_S)
+                await self.check_cut_off(server, 2 * MIB, SMALL_PARTS_CALLS)
                 self.check_interrupted_once()
                 found = [type(event) for event in self.events]
                 expected = [AttemptSent, StreamOpened, PiecesReceived]
--- a/tests/serving/test_pieces.py
+++ b/tests/serving/test_pieces.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import unittest
 
 from magnoliahold.serving.pieces import (
@@ -10,6 +9,7 @@
     PieceSplitter,
     PieceTooLongError,
 )
+from tests.cputime import measure_cost
 
 STREAM = (
     b": comment\n\n"
@@ -17,8 +17,8 @@
     b"weight-versions: 2\nid: 2\ndata: b\n\n"
     b"id:3\r\ndata: c\r\n\r\n"
 )
-# Time for the longest piece, which is far below that of a pause of the process.
-MAX_SPLIT_S = 2.0
+# What the longest piece may cost: two seconds of an idle processor.
+MAX_SPLIT_CALLS = 40_000_000
 
 
 class PieceTests(unittest.TestCase):
@@ -53,10 +53,10 @@
         ):
             with self.subTest(name):
                 splitter = PieceSplitter()
-                started = time.process_time()
-                for start in range(0, len(content), size):
-                    splitter.add_bytes(content[start : start + size])
-                self.assertLess(time.process_time() - started, MAX_SPLIT_S)
+                with measure_cost() as cost:
+                    for start in range(0, len(content), size):
+                        splitter.add_bytes(content[start : start + size])
+                self.assertLess(cost.calls, MAX_SPLIT_CALLS)
 
     def test_number_is_read_in_any_line_of_its_event_only(self) -> None:
         splitter = PieceSplitter()
--- a/tests/sidecar/test_engine_floods.py
+++ b/tests/sidecar/test_engine_floods.py
@@ -14,6 +14,7 @@
     EXTENDED,
     HEADS,
     MIB,
+    SMALL_PARTS_CALLS,
     STATUS,
     FloodTestCase,
     make_chunk,
@@ -25,8 +26,6 @@
 
 PLAIN = STATUS + b"\r\n"
 LINE = b'{"offset":0,"tokens":["a"]}\n'
-# A stream may come in very small parts.
-SMALL_PARTS_CPU_S = 3.0
 
 STREAMS = (
     ("line", PLAIN + LINE, b"x"),
@@ -59,6 +58,6 @@
                     lambda *new, tokens=tokens: tokens.add(new),
                     ends.append,
                 )
-                await self.check_cut_off(server, 2 * MIB, SMALL_PARTS_CPU_S)
+                await self.check_cut_off(server, 2 * MIB, SMALL_PARTS_CALLS)
                 self.assertEqual([end.kind for end in ends], [EndKind.BROKEN])
                 self.assertLessEqual(tokens, {(0, ("a",))})
