Close an interval of the canary analysis once its durations are comparable

About half of the answers were compared without an interval of the old version, at four times the limit: 0.23 s instead of 0.06 s beside a median of 0.04 s. Slow answers of 0.11 to 0.23 s passed below it.

Cause: an interval was closed at its fifth result of any route, failures included. A failure has no duration, so with every seventh result a failure, half of the intervals had fewer than five durations, and the margin for unmatched durations applied.

Now an interval stays open until the durations that wait can each be compared, with those of their route or of all routes relative to their medians, for at most `window_max_s` as before.

The new test failed before.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -104,6 +104,11 @@
     is_recent: bool
     carried_over: bool = False
 
+    def list_kinds(self) -> list[str]:
+        """Lists the kinds of durations that there are."""
+        durations = {LATENCY: self.delta.latencies, GAPS: self.delta.gaps}
+        return [kind for kind, histogram in durations.items() if histogram]
+
 
 @define
 class CanaryAnalysis:
@@ -186,13 +191,13 @@
     def close_window(self, now: float, rule: MoveRule, policy: MovePolicy) -> None:
         """Compares durations with those of the old version at the same time.
 
-        An interval without enough results of the old version is extended, by at most
-        `window_max_s`.
+        An interval without enough durations of the old version to compare with is
+        extended, by at most `window_max_s`.
         """
         if now < self.window_closes_at:
             return
         expired = now >= self.window_closes_at + policy.window_max_s
-        if self.pending and not expired and not self._has_enough_current(policy):
+        if not expired and not self._has_enough_current(policy):
             return
         extended = now >= self.window_closes_at + policy.window_s
         self.window_closes_at = now + policy.window_s
@@ -209,8 +214,16 @@
             self._check_evidence(policy)
 
     def _has_enough_current(self, policy: MovePolicy) -> bool:
-        current = self.windows[0].get(ANY_SOURCE)
-        return current is not None and current.count >= policy.window_min
+        """Tells whether all pending durations can be compared with this interval's."""
+        compared = {
+            (item.cell.list_references(), kind): item.cell
+            for item in self.pending
+            for kind in item.list_kinds()
+        }
+        return all(
+            self._find_recent(cell, kind, policy, 0) is not None
+            for (_, kind), cell in compared.items()
+        )
 
     def _evaluate_durations(
         self, kind: str, item: PendingDurations, rule: MoveRule, policy: MovePolicy
@@ -223,7 +236,10 @@
         )
         if reference is None:
             return
-        recent = self._list_recent(item.cell, kind, policy)
+        recent = [
+            self._find_recent(item.cell, kind, policy, age)
+            for age in range(len(self.windows))
+        ]
         matched = recent[1 if item.carried_over else 0] is not None
         old = [reference, *(histogram for histogram in recent if histogram is not None)]
         own = _find_durations(self.references, item.cell.list_references()[0], kind)
@@ -255,30 +271,25 @@
         trials = split_trials(new, limit)
         self._score(name, item.cell, trials, p0, is_recent=item.is_recent)
 
-    def _list_recent(
-        self, cell: Cell, kind: str, policy: MovePolicy
-    ) -> list[Mapping[int, float] | None]:
-        """Lists the histograms of the last intervals, in the durations of the source.
+    def _find_recent(
+        self, cell: Cell, kind: str, policy: MovePolicy, age: int
+    ) -> Mapping[int, float] | None:
+        """Finds the histogram of a recent interval, in the durations of the source.
 
         An interval with too few results of the source itself is represented by those of
-        all sources, relative to their medians.
+        all sources, relative to their medians. The current interval has the age 0.
         """
         own_name = cell.list_references()[0]
         own = _find_durations(self.references, own_name, kind)
+        window = self.windows[age]
         if sum(own.values()) < policy.reference_min:
-            return [
-                _find_histogram(window, cell, kind, policy.window_min)
-                for window in self.windows
-            ]
-        median = find_quantile(own, MEDIAN)
-        recent: list[Mapping[int, float] | None] = []
-        for window, relative in zip(self.windows, self.relative_windows, strict=True):
-            histogram = _find_durations(window, own_name, kind)
-            if sum(histogram.values()) < policy.window_min:
-                histogram = shift_histogram(_read_durations(relative, kind), median)
-            enough = sum(histogram.values()) >= policy.window_min
-            recent.append(histogram if enough else None)
-        return recent
+            return _find_histogram(window, cell, kind, policy.window_min)
+        histogram = _find_durations(window, own_name, kind)
+        if sum(histogram.values()) < policy.window_min:
+            relative = _read_durations(self.relative_windows[age], kind)
+            histogram = shift_histogram(relative, find_quantile(own, MEDIAN))
+        enough = sum(histogram.values()) >= policy.window_min
+        return histogram if enough else None
 
     def _find_failure_p0(self, cell: Cell, rule: MoveRule, policy: MovePolicy) -> float:
         """Finds the highest failure probability that the guard allows."""
--- a/tests/core/test_canary_analysis.py
+++ b/tests/core/test_canary_analysis.py
@@ -125,6 +125,19 @@
     return analysis
 
 
+ROUTE_CELL = Cell("e0", "a", False, compared_by_route=True)
+
+
+def add_interval(
+    analysis: CanaryAnalysis, now: float, old: Delta, new: Delta | None
+) -> None:
+    """Adds an interval's results of both versions on one route."""
+    analysis.add_old_results(ROUTE_CELL, old, now, POLICY)
+    if new is not None:
+        analysis.add_new_results(ROUTE_CELL, new, RULE, POLICY, is_recent=True)
+    analysis.close_window(now, RULE, POLICY)
+
+
 class CanaryAnalysisTests(unittest.TestCase):
     def test_good_versions_are_not_rejected(self) -> None:
         for name, versions in (
@@ -160,17 +173,23 @@
 
     def test_few_answers_that_are_far_slower_are_enough(self) -> None:
         analysis = CanaryAnalysis()
-        cell = Cell("e0", "a", False, compared_by_route=True)
         usual, slow = find_bucket(0.025), find_bucket(0.3)
         for number in range(20):
-            now = number * 0.5
             old = Delta(20, 0, {usual: 19, usual + 4: 1}, {})
             new = Delta(1, 0, {usual if number % 7 else slow: 1}, {})
-            analysis.add_old_results(cell, old, now, POLICY)
-            analysis.add_new_results(cell, new, RULE, POLICY, is_recent=True)
-            analysis.close_window(now, RULE, POLICY)
+            add_interval(analysis, number * 0.5, old, new)
         self.assertGreaterEqual(analysis.suspicion, END_EVIDENCE)
 
+    def test_failures_end_no_interval_of_durations(self) -> None:
+        # Three times slower is less than the margin without comparable results.
+        analysis = CanaryAnalysis()
+        usual, slow = find_bucket(0.025), find_bucket(0.075)
+        old, new = Delta(3, 2, {usual: 3}, {}), Delta(1, 0, {slow: 1}, {})
+        for number in range(40):
+            sent_new = number >= 10 and number % 2
+            add_interval(analysis, number * 0.5, old, new if sent_new else None)
+        self.assertIn("latency", analysis.rejection_reason)
+
     def test_good_version_is_kept_where_routes_differ_in_latency(self) -> None:
         rejected = [
             seed
