Hold durations of a new version until there is a reference

Answers of a new version that came before 20 answers of the old one were never judged: the interval closed, no reference was found, and their durations were dropped.

Now an interval also stays open until there is a reference, for at most `window_max_s`.

The new test, a version whose first six answers are slow, failed before with evidence of 0.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -221,7 +221,8 @@
             for kind in item.list_kinds()
         }
         return all(
-            self._find_recent(cell, kind, policy, 0) is not None
+            self._find_reference(cell, kind, policy) is not None
+            and self._find_recent(cell, kind, policy, 0) is not None
             for (_, kind), cell in compared.items()
         )
 
@@ -231,9 +232,7 @@
         new = item.delta.latencies if kind == LATENCY else item.delta.gaps
         if not new:
             return
-        reference = _find_histogram(
-            self.references, item.cell, kind, policy.reference_min
-        )
+        reference = self._find_reference(item.cell, kind, policy)
         if reference is None:
             return
         recent = [
@@ -271,6 +270,11 @@
         trials = split_trials(new, limit)
         self._score(name, item.cell, trials, p0, is_recent=item.is_recent)
 
+    def _find_reference(
+        self, cell: Cell, kind: str, policy: MovePolicy
+    ) -> Mapping[int, float] | None:
+        return _find_histogram(self.references, cell, kind, policy.reference_min)
+
     def _find_recent(
         self, cell: Cell, kind: str, policy: MovePolicy, age: int
     ) -> Mapping[int, float] | None:
--- a/tests/core/test_canary_analysis.py
+++ b/tests/core/test_canary_analysis.py
@@ -190,6 +190,14 @@
             add_interval(analysis, number * 0.5, old, new if sent_new else None)
         self.assertIn("latency", analysis.rejection_reason)
 
+    def test_durations_wait_for_the_first_reference(self) -> None:
+        analysis = CanaryAnalysis()
+        usual, slow = find_bucket(0.025), find_bucket(0.3)
+        old, new = Delta(5, 0, {usual: 5}, {}), Delta(3, 0, {slow: 3}, {})
+        for number in range(10):
+            add_interval(analysis, number * 0.6, old, new if number < 2 else None)
+        self.assertGreaterEqual(analysis.suspicion, END_EVIDENCE)
+
     def test_good_version_is_kept_where_routes_differ_in_latency(self) -> None:
         rejected = [
             seed
