Evaluate the durations that still wait when a move is about to end

A new version of a service with few requests was reported as done though its last answers were slow.

Cause: durations wait for results of the old version from the same interval, with few requests up to six seconds. Nothing judged those that waited when the move ended.

Now they are evaluated from the moment on at which the move is due to end, those without results of the old version to compare with at the margin for these, as before.

The new test, six slow answers in the last half second, was done before.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -201,15 +201,21 @@
             return
         extended = now >= self.window_closes_at + policy.window_s
         self.window_closes_at = now + policy.window_s
+        held: list[PendingDurations] = []
+        if extended:
+            held = [item for item in self.pending if not item.carried_over]
+            self.pending = [item for item in self.pending if item.carried_over]
+        self.evaluate_pending(rule, policy)
+        self.pending = [evolve(item, carried_over=True) for item in held]
+        self.windows = [{}, *self.windows[:2]]
+        self.relative_windows = [Reference(), *self.relative_windows[:2]]
+
+    def evaluate_pending(self, rule: MoveRule, policy: MovePolicy) -> None:
+        """Evaluates the pending durations without waiting for the interval's end."""
         pending, self.pending = self.pending, []
         for item in pending:
-            if extended and not item.carried_over:
-                self.pending.append(evolve(item, carried_over=True))
-                continue
             self._evaluate_durations(LATENCY, item, rule, policy)
             self._evaluate_durations(GAPS, item, rule, policy)
-        self.windows = [{}, *self.windows[:2]]
-        self.relative_windows = [Reference(), *self.relative_windows[:2]]
         if pending:
             self._check_evidence(policy)
 
--- a/src/magnoliahold/core/serving/moves.py
+++ b/src/magnoliahold/core/serving/moves.py
@@ -148,6 +148,12 @@
         """Whether the move is done or taken back."""
         return self.record is not None and self.record.state in ENDED_STATES
 
+    def find_left_s(self, store_time: float) -> float:
+        """Finds the time that is left until the deadline."""
+        if self.record is None:
+            return self.order.over_s
+        return self.record.began_at + self.order.over_s - store_time
+
     @property
     def version_suspended(self) -> bool:
         """Whether the new version gets no more requests."""
--- a/src/magnoliahold/core/serving/systems/canary_analysis.py
+++ b/src/magnoliahold/core/serving/systems/canary_analysis.py
@@ -90,11 +90,21 @@
         )
         identity = world.identity
         _add_counts(world, move, identity.name, identity.incarnation, own_counts, now)
-        move.analysis.close_window(now, _make_rule(move), world.policy.moves)
+        if _is_due_to_end(world, move):
+            move.analysis.evaluate_pending(_make_rule(move), world.policy.moves)
+        else:
+            move.analysis.close_window(now, _make_rule(move), world.policy.moves)
         if move.analysis.rejection_reason:
             suspend_version(world, move, move.analysis.rejection_reason)
 
 
+def _is_due_to_end(world: ServingWorld, move: VersionMove) -> bool:
+    store_time = world.read_store_time()
+    if store_time is None:
+        return False
+    return move.find_left_s(store_time) <= world.serving_policy.moves.decide_before_s
+
+
 def _apply_notice(world: ServingWorld, notice: LoadNotice, now: float) -> None:
     for exposure in notice.exposures:
         move = world.moves.find_order(exposure.order)
--- a/src/magnoliahold/core/serving/systems/moves.py
+++ b/src/magnoliahold/core/serving/systems/moves.py
@@ -189,8 +189,7 @@
         )
     if move.suspension_reason:
         return _take_back(world, record, move.suspension_reason)
-    left_s = record.began_at + order.over_s - store_time
-    if left_s > world.serving_policy.moves.decide_before_s:
+    if move.find_left_s(store_time) > world.serving_policy.moves.decide_before_s:
         return None
     return _make_final_record(world, move, record)
 
--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -7,12 +7,16 @@
 from collections import Counter
 from typing import Any
 
+from magnoliahold.core.canary_analysis import Cell
+from magnoliahold.core.evidence import find_bucket
 from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import SendAttempt, WriteMove
 from magnoliahold.core.serving.events import MoveWritten
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
+from magnoliahold.core.version_results import Delta
+from magnoliahold.core.workspaces import MoveRule
 from tests.core.serving.fleet import NEW, OLD, Behaviour, Fleet, Outage
 from tests.core.serving.harness import CALLS, ServingHarness, make_upstream
 
@@ -192,6 +196,23 @@
             self.harness.pop_effect(WriteMove).record.state, MoveState.CANARY
         )
 
+    def test_answers_shortly_before_the_end_are_evaluated(self) -> None:
+        self.record(self.order(), MoveState.CANARY)
+        analysis = self.harness.world.moves.by_service[CALLS].analysis
+        policy = self.harness.world.policy.moves
+        cell = Cell("entry-1", "a", False, compared_by_route=True)
+        old = Delta(40, 0, {find_bucket(0.025): 40}, {})
+        analysis.add_old_results(cell, old, self.harness.now, policy)
+        self.harness.advance(DEADLINE_S - 2.0)
+        new = Delta(6, 0, {find_bucket(0.5): 6}, {})
+        rule = MoveRule(NEW, canary_cap=0.0, deadline=0.0)
+        analysis.add_new_results(cell, new, rule, policy, is_recent=True)
+        self.harness.advance(0.3)
+        self.assertEqual(self.harness.pop_effects(WriteMove), [])
+        self.harness.advance(0.3)
+        written = self.harness.pop_effect(WriteMove).record
+        self.assertEqual(written.state, TAKEN_BACK, written.reason)
+
     def test_removed_order_removes_the_move(self) -> None:
         self.record(self.order(), MoveState.CANARY)
         self.harness.change(Feed.CONFIGURATION, {"order": None}, 40)
