Let a version under suspicion have the few requests that decide about it

With 10 requests a second, moves to a partly slow version were done with evidence of 1 to 3 against it and about 10 requests of the new version.

Cause: with evidence of 1 the share of the new version falls to the canary share. With few requests that is one a second; the evidence stays between suspicion and rejection until the deadline, and the move is done.

The exposure limit holds as before. With many requests these are sent within moments, so there the canary share applies as before.

--- a/src/magnoliahold/core/serving/systems/version_routing.py
+++ b/src/magnoliahold/core/serving/systems/version_routing.py
@@ -48,8 +48,8 @@
 
     The share is 0 once the new version has had as many requests, summed over all
     entries, as a bad version may get. Below that limit it grows after some requests
-    were answered, or late in the move, unless the evidence against the version is too
-    strong.
+    were answered, or late in the move. With evidence against the version it grows only
+    while the version has had few requests, since these decide.
     """
     record = move.record
     if record is None or move.version_suspended:
@@ -63,7 +63,8 @@
     if exposure.sent_new >= allowed * policy.allowed_part:
         return 0.0
     analysis = move.analysis
-    if analysis.suspicion >= world.policy.moves.doubt_evidence:
+    in_doubt = analysis.suspicion >= world.policy.moves.doubt_evidence
+    if in_doubt and exposure.sent_new >= policy.exposure_in_doubt:
         return policy.canary_share
     enough_answers = analysis.answered >= policy.answers_to_grow
     return (
--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from typing import Any
 
-from magnoliahold.core.canary_analysis import Cell
+from magnoliahold.core.canary_analysis import ALL, FAILURES, Cell, Scores
 from magnoliahold.core.evidence import find_bucket
 from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import RouteKind
@@ -157,6 +157,18 @@
         self.record(self.order(), MoveState.CANARY)
         self.assertIn(self.list_versions(50)[NEW], (4, 5, 6))
 
+    def test_evidence_against_a_version_limits_its_share_after_some_requests(
+        self,
+    ) -> None:
+        self.record(self.order(), MoveState.CANARY)
+        analysis = self.harness.world.moves.by_service[CALLS].analysis
+        analysis.answered = self.harness.world.serving_policy.moves.answers_to_grow
+        doubt = self.harness.world.policy.moves.doubt_evidence
+        analysis.scores[FAILURES, (ALL, "results")] = Scores(total=[doubt])
+        self.assertIn(self.list_versions(80)[NEW], (19, 20, 21))
+        self.list_versions(20)
+        self.assertIn(self.list_versions(100)[NEW], (9, 10, 11))
+
     def test_record_of_an_earlier_order_is_ignored(self) -> None:
         order = self.order()
         self.record(order, MoveState.DONE)
