Blame no session that was beside a part that turned deadly

What callers saw: on a service where a part of a prompt comes to crash engines after it was served, a session that stood beside three of the crashes was refused for 45 s, and requests with the part went on crashing engines until it explained five crashes that the session was not beside.

Timeline of the regression test: six crashes under the part, which had begun 100 s before; at three of them another request, of a session that never began. Hypotheses: (1) the ranking puts the session first and takes its crashes from the part; (2) the part is dropped because it has begun; (3) the part's crashes count in one moment only. The session is ranked first as a part that never began, and three crashes are left for the part, where one that has begun takes five.

Cause: a group with a part that never began goes before all others even if another group explains all of its crashes and more. That order is for popular parts, which are in the requests of the cause itself. Requests of the session never hold the part.

A group now waits if another one with enough crashes explains all of its crashes and more and no request under suspicion holds both. The strict order leaves at least one group, and what a popular part shares requests with is ranked as before; a case in test_convictions holds that.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -110,8 +110,11 @@
         ]
         if not enough:
             break
-        groups = _find_groups(enough, remaining)
-        best = max(groups, key=lambda group: _rank(group, remaining, begun_at))
+        explained = _number_explained(_find_groups(enough, remaining), remaining)
+        groups = _drop_bystanders(explained, remaining)
+        best = max(
+            groups, key=lambda group: _rank(group, len(explained[group]), begun_at)
+        )
         convictions.append(best)
         remaining = [crash for crash in remaining if not crash.is_explained_by(best)]
     return _drop_covered(convictions, crashes)
@@ -155,8 +158,40 @@
     return set(groups.values())
 
 
+def _drop_bystanders(
+    explained: dict[frozenset[str], set[int]], crashes: list[CrashEvidence]
+) -> list[frozenset[str]]:
+    """Drops groups that were only beside the requests of one that explains more.
+
+    Where a request holds both, it is open which of them is to blame.
+    """
+    return [
+        group
+        for group, numbers in explained.items()
+        if not any(
+            numbers < others and not _are_held_together(group | other, crashes)
+            for other, others in explained.items()
+        )
+    ]
+
+
+def _are_held_together(suspects: frozenset[str], crashes: list[CrashEvidence]) -> bool:
+    """Tells whether a request under suspicion holds all of the suspects."""
+    return any(crash.is_explained_by(suspects) for crash in crashes)
+
+
+def _number_explained(
+    groups: Iterable[frozenset[str]], crashes: list[CrashEvidence]
+) -> dict[frozenset[str], set[int]]:
+    """Numbers the crashes that each group explains."""
+    return {
+        group: {n for n, crash in enumerate(crashes) if crash.is_explained_by(group)}
+        for group in groups
+    }
+
+
 def _rank(
-    group: frozenset[str], crashes: list[CrashEvidence], begun_at: Mapping[str, float]
+    group: frozenset[str], explained: int, begun_at: Mapping[str, float]
 ) -> tuple[bool, int, int, list[str]]:
     """Ranks a group by what it explains, and then by how few requests it blames.
 
@@ -164,7 +199,6 @@
     fingerprint never began says nothing.
     """
     new_part = any(is_part(item) and item not in begun_at for item in group)
-    explained = sum(crash.is_explained_by(group) for crash in crashes)
     return (new_part, explained, len(group), sorted(group))
 
 
@@ -188,10 +222,7 @@
     groups: list[frozenset[str]], crashes: list[CrashEvidence]
 ) -> list[frozenset[str]]:
     """Drops groups that were merely there when another one crashed upstreams."""
-    explained = {
-        group: {n for n, crash in enumerate(crashes) if crash.is_explained_by(group)}
-        for group in groups
-    }
+    explained = _number_explained(groups, crashes)
     return [
         group
         for group in groups
--- a/tests/core/serving/test_convictions.py
+++ b/tests/core/serving/test_convictions.py
@@ -115,6 +115,29 @@
         (("pm",),),
         (("pm", 1.0),),
     ),
+    Case(
+        "beside a part that has begun before, which explains more",
+        (
+            (2.0, "u1", ("pd", "f1")),
+            *((float(at), f"u{at}", ("pd", f"f{at}")) for at in range(3, 6)),
+            *((float(at), f"u{at}", ("ps", f"g{at}")) for at in range(3, 6)),
+            (6.0, "u6", ("pd", "f6")),
+        ),
+        (("pd",),),
+        (("pd", 1.0),),
+    ),
+    # Popular parts are in all requests, also where another one is to blame.
+    Case(
+        "in the requests of a part that has begun before, which explains more",
+        (
+            (2.0, "u2", ("pm", "f2")),
+            *((float(at), f"u{at}", ("pd", "pm", f"f{at}")) for at in range(3, 6)),
+            *((float(at), f"u{at}", ("pm", f"g{at}")) for at in range(3, 6)),
+            (6.0, "u6", ("pm", "f6")),
+        ),
+        (("pd", "pm"),),
+        (("pm", 1.0),),
+    ),
     # A request that is sent again is not to blame where another one crashed too.
     Case(
         "another request within a moment",
--- a/tests/core/serving/test_crash_review.py
+++ b/tests/core/serving/test_crash_review.py
@@ -69,10 +69,15 @@
         self.harness.start(make_configuration(workspaces=()), ENGINE_RECORDS)
         self.harness.world.store_offset_s = 0.0
 
-    def request(self, parts: Iterable[str]) -> CallerRequest:
+    def make_prompt(self, parts: Iterable[str]) -> tuple[PromptPart, ...]:
+        """Makes a prompt of parts and one of its own."""
         own = f"own-{self.harness.next_handle}"
-        prompt = tuple(PromptPart(part, 200) for part in (*parts, own))
-        return self.harness.request(STREAM, fingerprint=f"f-{own}", prompt=prompt)
+        return tuple(PromptPart(part, 200) for part in (*parts, own))
+
+    def request(self, parts: Iterable[str]) -> CallerRequest:
+        prompt = self.make_prompt(parts)
+        fingerprint = f"f-{prompt[-1].id}"
+        return self.harness.request(STREAM, fingerprint=fingerprint, prompt=prompt)
 
     def crash(self, sent: SendAttempt) -> None:
         record = sent.upstream
@@ -240,6 +245,33 @@
         found = find_convictions(crashes, {deadly: 100.0}, policy)
         self.assertEqual(found, [frozenset((deadly,))])
 
+    def crash_beside(self, parts: Iterable[str], beside: Iterable[str]) -> None:
+        """Lets a request crash its upstream while another entry's is beside it."""
+        caller = self.request(parts)
+        sent = self.harness.send()
+        own = CallerRequest(
+            1, "r", "POST", "h", "/", None, prompt=self.make_prompt(beside)
+        )
+        report = CrashReport(
+            sent.upstream.id,
+            sent.upstream.born_ms,
+            "beside",
+            tuple(sorted(find_suspects(own))),
+            self.harness.now,
+        )
+        add_report(self.harness.world, report, self.harness.now)
+        self.crash(sent)
+        self.cancel(caller)
+
+    def test_part_that_turns_deadly_is_refused_after_five_crashes(self) -> None:
+        self.begin((DEADLY,))
+        self.crash_all(1, (DEADLY,))
+        for _ in range(3):
+            self.crash_beside((DEADLY,), ("session",))
+        self.crash_all(1, (DEADLY,))
+        self.assertTrue(self.is_refused((DEADLY,)))
+        self.assertFalse(self.is_refused(("session",)))
+
     def test_evaluation_of_full_tables_blocks_no_entry(self) -> None:
         now = self.harness.now
         for number in range(256):
