Send notices to the other entries past one whose address can't be used

What others saw: an entry registers with an address that is no IP address, or with a port out of range. From then on, entries listed after it got no notices of loads, crashes and suspensions and no proofs of the configuration, from any entry.

Cause: the transport raises ValueError (an address that is no IP address) or OverflowError (a port out of range) for it, and only OSError was caught for a single peer. The error ended the whole effect, which sends to all peers, each time.

Evidence: test_notices_review sends over real sockets to a good entry behind a bad one, for six bad addresses. It failed before for all six (InvalidAddressError or OverflowError out of NoticePort.send) and passes now: both errors are logged for that peer alone.

--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -25,6 +25,9 @@
 MAX_ITEMS = 40
 # The first byte of a proof; the encoding of a notice never begins with it.
 PROOF_TAG = b"\xc1"
+# What a transport raises for a peer that can't be reached, or whose registered address
+# is no IP address or has no valid port.
+UNSENDABLE = (OSError, ValueError, OverflowError)
 
 logger = make_part_logger("peers")
 _encoder = msgspec.msgpack.Encoder()
@@ -76,7 +79,7 @@
             return
         try:
             self.transport.write(content, (peer.address, peer.port))
-        except OSError as error:
+        except UNSENDABLE as error:
             logger.warning("Sending notice failed.", peer=peer.name, reason=str(error))
 
     def handle_datagram(self, content: bytes) -> None:
