Drop notices whose numbers are out of range

What callers would see: while a version is rolled out, one notice with a negative count of failures, of any entry, stops every entry that receives it ("Tables are inconsistent, stopping"), and their open requests fail. A crash report at an infinite time is never forgotten, nor a quarantine with such a time or term.

Cause: a notice was checked for its types only. The analysis of versions takes the logarithm of a probability that it derives from the counts (math domain error), or raises 2 to a bucket of a histogram (result out of range), and an error in a tick stops the process.

Now they are logged and dropped like one that can't be decoded, which another notice of the sender replaces.

--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -16,6 +16,7 @@
 from magnoliahold.core.serving.peers import LoadNotice
 from magnoliahold.core.serving.proofs import ConfigurationProof
 from magnoliahold.logs import make_part_logger
+from magnoliahold.serving.noticechecks import NoticeRangeError, check_numbers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -83,14 +84,15 @@
             logger.warning("Sending notice failed.", peer=peer.name, reason=str(error))
 
     def handle_datagram(self, content: bytes) -> None:
-        """Posts what was received; what can't be decoded is logged and dropped."""
+        """Posts what was received; what can't be used is logged and dropped."""
         try:
             event: NoticeReceived | ProofReceived
             if content.startswith(PROOF_TAG):
                 event = ProofReceived(_proof_decoder.decode(content[1:]))
             else:
                 event = NoticeReceived(_decoder.decode(content))
-        except msgspec.MsgspecError as error:
+                check_numbers(event.notice)
+        except (msgspec.MsgspecError, NoticeRangeError) as error:
             logger.warning("Notice can't be decoded.", reason=str(error))
             return
         self.post(event)
