Take a configuration with numbers that can't be computed with for invalid

What callers would see: after a configuration with the weight "nan" or "inf" in a traffic split, or with a huge size of an engine's memory, the first request on that route stops each entry that reads it ("Tables are inconsistent, stopping"), and the open requests of the entry fail. Under a time limit of "nan" a request has no limit.

Cause: numbers may come as text, and the decoder reads "nan" and "inf" as floats. The choice between services then raises ValueError (total of weights must be finite), and the limit of prompt sizes OverflowError, in the tick that admits a request.

Such numbers are now refused by the classes of the configuration; a document with one is logged and left out, and the entry keeps the one before.

--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -3,9 +3,30 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING, Any
 
 from attrs import field, frozen
 
+if TYPE_CHECKING:
+    from attrs import Attribute
+
+# The largest integer up to which a float is exact.
+MAX_NUMBER = 2**53
+
+
+def _check_number(_: object, attribute: Attribute[Any], value: float) -> None:
+    """Raises ValueError for a number that can't be computed with, such as NaN."""
+    if not abs(value) <= MAX_NUMBER:
+        raise ValueError(f"{attribute.name} is out of range")
+
+
+def _number() -> Any:
+    return field(validator=_check_number)
+
+
+def _number_or(default: float) -> Any:
+    return field(default=default, validator=_check_number)
+
 
 class RouteKind(Enum):
     """The kind of a route; it decides which of its requests may be retried."""
@@ -20,7 +41,7 @@
     """The weight of one service in a route's traffic split."""
 
     service: str
-    weight: float
+    weight: float = _number()
 
 
 @frozen
@@ -38,9 +59,9 @@
     prefix: str
     kind: RouteKind
     shares: tuple[ServiceShare, ...]
-    timeout_s: float
-    goal_s: float
-    gap_goal_s: float = 0.0
+    timeout_s: float = _number()
+    goal_s: float = _number()
+    gap_goal_s: float = _number_or(0.0)
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
@@ -67,7 +88,7 @@
     name: str
     keeps_copies: bool = False
     keeps_prompts: bool = False
-    memory_tokens: int = 0
+    memory_tokens: int = _number_or(0)
 
 
 @frozen
@@ -76,8 +97,8 @@
 
     header_bytes: int = 16_384
     body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    header_timeout_s: float = _number_or(3.0)
+    idle_timeout_s: float = _number_or(15.0)
 
 
 @frozen
