Log a copy of a KV cache that an upstream answers it has not freed

Operators saw nothing where an upstream refused to free a copy, which then takes memory and a slot there for some seconds: only a failed connection was logged, any answer counted as freed.

test_copies_review failed before for the answers 404 and 503. Both are now logged like a failed connection, with the status as the reason.

--- a/src/magnoliahold/serving/copies.py
+++ b/src/magnoliahold/serving/copies.py
@@ -70,11 +70,15 @@
             self.reactor, f"http://{reference.address}:{reference.port}"
         )
 
-        def log_failure(failure: Any) -> None:
-            logger.info(
-                "Freeing copy failed.", key=reference.key, reason=str(failure.value)
-            )
+        def log_failure(reason: str) -> None:
+            logger.info("Freeing copy failed.", key=reference.key, reason=reason)
+
+        def check_answer(answer: HttpAnswer) -> None:
+            if answer.status != OK:
+                log_failure(f"answered {answer.status}")
 
         path = make_free_path(reference.key)
         sending = client.send("DELETE", path, timeout_s=effect.timeout_s)
-        sending.addErrback(log_failure)
+        sending.addCallbacks(
+            check_answer, lambda failure: log_failure(str(failure.value))
+        )
