--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -16,6 +16,7 @@
 from magnoliahold.core.serving.peers import LoadNotice
 from magnoliahold.core.serving.proofs import ConfigurationProof
 from magnoliahold.logs import make_part_logger
+from magnoliahold.serving.noticechecks import NoticeRangeError, check_numbers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,6 +26,9 @@
 MAX_ITEMS = 40
 # The first byte of a proof; the encoding of a notice never begins with it.
 PROOF_TAG = b"\xc1"
+# What a transport raises for a peer that can't be reached, or whose registered address
+# is no IP address or has no valid port.
+UNSENDABLE = (OSError, ValueError, OverflowError)
 
 logger = make_part_logger("peers")
 _encoder = msgspec.msgpack.Encoder()
@@ -76,18 +80,19 @@
             return
         try:
             self.transport.write(content, (peer.address, peer.port))
-        except OSError as error:
+        except UNSENDABLE as error:
             logger.warning("Sending notice failed.", peer=peer.name, reason=str(error))
 
     def handle_datagram(self, content: bytes) -> None:
-        """Posts what was received; what can't be decoded is logged and dropped."""
+        """Posts what was received; what can't be used is logged and dropped."""
         try:
             event: NoticeReceived | ProofReceived
             if content.startswith(PROOF_TAG):
                 event = ProofReceived(_proof_decoder.decode(content[1:]))
             else:
                 event = NoticeReceived(_decoder.decode(content))
-        except msgspec.MsgspecError as error:
+                check_numbers(event.notice)
+        except (msgspec.MsgspecError, NoticeRangeError) as error:
             logger.warning("Notice can't be decoded.", reason=str(error))
             return
         self.post(event)
