Let a read of the configuration end before it is given up

Cause: a proof of a newer version made an entry give up its call and read at once, also when that call was such a read already. Beside a slow store a read takes longer (0.28 s and its transfer) than the time to the next proof; so each was given up, and the next one had to carry one more version of 16 to 21 KB. That went on after the store was fast again, since an answer of many versions takes longer than the 0.6 s between two proofs.

The fix works since a poll that waits is still given up, while a read that doesn't wait ends with an answer or its timeout; what it misses the next poll gets at once.

The test failed before (6 calls for 6 proofs instead of 1).

--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -54,7 +54,8 @@
     first of the calls was sent that have failed without a success since. `restored` is
     set from a restore of the store until the first full read after it. `relayed_at` is
     when another entry last passed on a proof; it is None once such proofs stay away.
-    With `answer_at_once` the next poll doesn't wait for a change.
+    With `answer_at_once` the call in progress, or else the next one, doesn't wait for a
+    change.
     """
 
     feed: Feed
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -121,6 +121,7 @@
     if not state.call or state.call != result.call:
         return None
     state.call = 0
+    state.answer_at_once = False
     if world.store_epoch.is_outdated(result.epoch):
         _record_failure(world, state, "the answer is of an earlier epoch", now)
         return None
@@ -328,7 +329,6 @@
         if state.feed is Feed.CONFIGURATION:
             record_seen_notices(world)
         world.emit(_make_call(state, _choose_wait_s(world, state.feed), world))
-        state.answer_at_once = False
 
 
 def _choose_wait_s(world: ServingWorld, feed: Feed) -> float:
--- a/src/magnoliahold/core/serving/systems/proof_relay.py
+++ b/src/magnoliahold/core/serving/systems/proof_relay.py
@@ -65,10 +65,16 @@
 
 
 def _read_soon(world: ServingWorld, reason: str, now: float) -> None:
-    """Gives up a long poll of the configuration, and asks anew without delay."""
+    """Gives up a long poll of the configuration, and asks anew without delay.
+
+    A read that doesn't wait for a change goes on: where it takes longer than the time
+    between two changes, none would ever end.
+    """
     state = world.feeds[Feed.CONFIGURATION]
     if state.version is None or state.failing_since is not None:
         return
+    if state.call and state.answer_at_once:
+        return
     if state.call and now - state.called_at < world.serving_policy.relay.min_call_s:
         return
     state.call = 0
--- a/tests/core/serving/test_proof_relay.py
+++ b/tests/core/serving/test_proof_relay.py
@@ -26,6 +26,7 @@
 from tests.core.serving.harness import ServingHarness, make_configuration
 
 NAMES = tuple(f"entry-{number}" for number in range(1, 11))
+READ_INTERVAL_S = 0.25
 PEERS = {name: PeerRecord(name, f"{name}.a", "10.9.0.1", 7) for name in NAMES}
 
 
@@ -139,6 +140,26 @@
         self.assertEqual(polls[-1].wait_s, 0.0)
         self.assertGreater(polls[-1].call, call)
 
+    def test_slow_read_ends_though_newer_configurations_follow(self) -> None:
+        follower = self.follower
+        harness = follower.harness
+        follower.prove(follower.send_notice())
+        follower.poll()
+        harness.advance(1.0)
+        calls = set()
+        for version in range(6, 12):
+            follower.prove(follower.send_notice(), version=version)
+            harness.advance(READ_INTERVAL_S)
+            calls.add(harness.find_call(Feed.CONFIGURATION))
+        self.assertEqual(len(calls), 1)
+        harness.change(
+            Feed.CONFIGURATION, {"config": make_configuration(10)}, version=20
+        )
+        configuration = harness.world.configuration
+        self.assertEqual(configuration and configuration.version, 10)
+        harness.advance(0.04)
+        self.assertNotIn(harness.find_call(Feed.CONFIGURATION), calls)
+
     def test_entry_asks_itself_as_soon_as_no_proof_comes(self) -> None:
         follower = self.follower
         follower.prove(follower.send_notice())
