--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -9,7 +9,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import ServerFactory
 
-from magnoliahold.core.serving.configuration import CallerLimits
+from magnoliahold.core.serving.configuration import MAX_NUMBER, CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.callers import (
@@ -37,8 +37,6 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 CONTENT_TOO_LARGE = 413
-# The largest integer up to which a float is exact.
-MAX_NUMBER = 2**53
 BY_CALLER = "caller"
 BY_ENTRY = "entry"
 
