Bound the framing of an event more tightly

Cause: the bound on the wire let the framing of an event take as many bytes as the longest event, a mebibyte. It may take a quarter of that now. Chunks of 32 bytes or more still carry the longest event; an event of ordinary size may come in chunks of any size.

The test is unchanged.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -61,7 +61,8 @@
 # The framing of a body may take as many bytes as its content.
 MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
 MAX_PROBE_WIRE_BYTES = 256 * 1024
-MAX_PIECE_WIRE_BYTES = 2 * MAX_PIECE_BYTES
+# What frames a piece is less than a quarter of it, unless chunks are tiny.
+MAX_PIECE_WIRE_BYTES = MAX_PIECE_BYTES + MAX_PIECE_BYTES // 4
 
 
 @frozen
