Bound what waits of a stream, not its sum

Callers saw a sound stream end after 16 MiB: the entry cut it, took it to another upstream until no attempt was left, and broke off the answer. A caller that took nothing of a stream without end had up to 47 MB waiting for it in the entry.

Cause: the bound against streams without end counted all that an attempt had sent, also what the caller had long taken; and it was the only bound on what waited for a caller.

Evidence: test_long_stream (KNOWN-RED.txt) failed with "the stream is too long" at 20 MiB.

Fix: reading of an upstream pauses while more than 1 MiB waits to be written to its caller, and resumes when all is written; so the upstream is held back by TCP, and memory is bounded whatever it sends. What nobody takes is still bounded, by 32 MiB. A stream without end goes on until the time limit of its request; an event without end, and bytes that hold no new event, are cut off as before.

--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -7,6 +7,7 @@
 from magnoliahold.core.serving import checks
 from magnoliahold.core.serving.systems import (
     admission,
+    back_pressure,
     canary_analysis,
     copies,
     crashes,
@@ -46,6 +47,7 @@
     admission.admit_requests,
     admission.handle_caller_disconnects,
     outcomes.handle_sends,
+    back_pressure.apply_back_pressure,
     pieces.open_streams,
     pieces.deliver_pieces,
     pieces.end_streams,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -89,6 +89,14 @@
     count: int
 
 
+@frozen
+class ReadingChanged:
+    """Reading of a stream was paused because its caller is slow, or has resumed."""
+
+    attempt: int
+    paused: bool
+
+
 @frozen
 class StreamEnded:
     """A stream was received up to its regular end."""
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -104,7 +104,9 @@
     `copy_order` is the state of the orders. `resumed_from` is the copy from which this
     attempt resumes. `begun` is set once it is recorded that its upstream has lived on
     after the first piece. `upstream_suspected` is set once its silence has made the
-    upstream suspected. Times are on the process clock.
+    upstream suspected. `paused_at` is when reading was paused because the caller is
+    slow, None while it goes on, and `paused_s` how long earlier pauses took. Times are
+    on the process clock.
     """
 
     number: int
@@ -120,6 +122,8 @@
     first_piece_at: float | None = None
     last_piece_at: float | None = None
     pieces: int = 0
+    paused_at: float | None = None
+    paused_s: float = 0.0
     begun: bool = False
     upstream_suspected: bool = False
 
--- a/src/magnoliahold/core/serving/systems/canary_analysis.py
+++ b/src/magnoliahold/core/serving/systems/canary_analysis.py
@@ -55,7 +55,8 @@
     first, last = attempt.first_piece_at, attempt.last_piece_at
     if first is None or last is None or attempt.pieces < MIN_PIECES_FOR_GAPS:
         return
-    bucket = find_bucket((last - first) / (attempt.pieces - 1))
+    read_s = last - first - attempt.paused_s
+    bucket = find_bucket(read_s / (attempt.pieces - 1))
     counts.gaps[bucket] = counts.gaps.get(bucket, 0) + 1
 
 
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -58,6 +58,8 @@
 
 
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    if attempt.paused_at is not None:
+        return
     policy = world.serving_policy.watch
     silent_s = now - attempt.last_received_at
     if silent_s < _find_gap_limit_s(world, attempt):
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -16,6 +16,7 @@
     AttemptNotSent,
     AttemptSent,
     PiecesReceived,
+    ReadingChanged,
     StreamEnded,
     StreamOpened,
     UpstreamAnsweredProbe,
@@ -61,6 +62,8 @@
 # The framing of a body may take as many bytes as its content.
 MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
 MAX_PROBE_WIRE_BYTES = 256 * 1024
+# Pieces are taken when they arrive; this bounds those that nobody takes.
+MAX_WAITING_BYTES = MAX_BODY_WIRE_BYTES
 # What frames a piece is less than a quarter of it, unless chunks are tiny.
 MAX_PIECE_WIRE_BYTES = MAX_PIECE_BYTES + MAX_PIECE_BYTES // 4
 
@@ -83,7 +86,8 @@
     and `last_piece` is the highest number so far; else `body` holds the chunks of the
     answer. `size` counts the bytes of either. `aborted` is set when its result is no
     longer wanted, `finished` when its answer is complete and `interrupted` when it was
-    reported as a failure.
+    reported as a failure. `reader` reads the pieces of a stream; `paused` is set while
+    it doesn't.
     """
 
     attempt: int
@@ -101,6 +105,8 @@
     size: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
+    reader: _PieceReader | None = None
+    paused: bool = False
 
     @property
     def pool_key(self) -> PoolKey:
@@ -117,6 +123,25 @@
         if self.connection is not None:
             self.connection.allow_bytes(count)
 
+    def take_pieces(self) -> list[Piece]:
+        """Removes and returns the pieces that were not yet delivered."""
+        pieces = self.pieces
+        self.pieces = []
+        self.size = 0
+        return pieces
+
+    def pause_reading(self) -> None:
+        """Reads no more of a stream, so that its upstream has to wait."""
+        if self.reader is not None and not self.paused and not self.finished:
+            self.paused = True
+            self.reader.pause()
+
+    def resume_reading(self) -> None:
+        """Reads a stream on."""
+        if self.reader is not None and self.paused:
+            self.paused = False
+            self.reader.resume()
+
     def drop_repeated(self, pieces: list[Piece]) -> list[Piece]:
         """Returns the pieces whose number is higher than all before it."""
         new = []
@@ -197,7 +222,8 @@
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
             self.post(StreamOpened(exchange.attempt, head))
-            response.deliverBody(_PieceReader(self, exchange))
+            exchange.reader = _PieceReader(self, exchange)
+            response.deliverBody(exchange.reader)
         else:
             exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
             response.deliverBody(_BodyReader(self, exchange))
@@ -234,12 +260,14 @@
         new = exchange.drop_repeated(pieces)
         if not new:
             return
+        size = sum(len(piece.content) for piece in new)
+        if exchange.size + size > MAX_WAITING_BYTES:
+            self._interrupt(exchange, "too much of the stream waits", False)
+            return
         exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
         exchange.pieces.extend(new)
+        exchange.size += size
         self.post(PiecesReceived(exchange.attempt, new[-1].number, len(new)))
-        exchange.size += sum(len(piece.content) for piece in new)
-        if exchange.size > MAX_ANSWER_BYTES:
-            self._interrupt(exchange, "the stream is too long", False)
 
     def finish_body(
         self, exchange: Exchange, reason: Failure, at_piece_boundary: bool
@@ -350,6 +378,18 @@
         self._exchange = exchange
         self._splitter = PieceSplitter()
 
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+        transport: Any = self.transport
+        transport.pauseProducing()
+        self._exchanges.post(ReadingChanged(self._exchange.attempt, True))
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+        transport: Any = self.transport
+        transport.resumeProducing()
+        self._exchanges.post(ReadingChanged(self._exchange.attempt, False))
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         try:
             pieces = self._splitter.add_bytes(data)
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -18,6 +18,7 @@
     from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.node import Journal, Node
     from magnoliahold.platform.store import StoreClient
+    from magnoliahold.serving.backpressure import BackPressure
     from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.copies import KvCacheCopier
     from magnoliahold.serving.exchanges import UpstreamExchanges
@@ -37,6 +38,7 @@
     journal: Journal
     stop: Callable[[str], None]
     callers: Callers
+    back_pressure: BackPressure
     upstreams: UpstreamExchanges
     prompts: PromptListClient
     copies: KvCacheCopier
@@ -64,6 +66,7 @@
     exchange = node.ports.upstreams.find(effect.attempt)
     if exchange is not None:
         node.ports.callers.open_answer(effect.handle, exchange)
+        node.ports.back_pressure.start(effect.handle)
 
 
 @perform_effect.register(effects.DeliverPieces)
@@ -71,16 +74,17 @@
     exchange = node.ports.upstreams.find(effect.attempt)
     if exchange is None:
         return
-    pieces = exchange.pieces
-    exchange.pieces = []
+    pieces = exchange.take_pieces()
     after = effect.after
     selected = [item for item in pieces if after is None or item.number > after]
     content = b"".join(item.content for item in selected)
+    node.ports.back_pressure.follow(effect.handle, exchange)
     node.ports.callers.write_pieces(effect.handle, content)
 
 
 @perform_effect.register(effects.FinishAnswer)
 def _finish_answer(effect: effects.FinishAnswer, node: Node) -> None:
+    node.ports.back_pressure.stop(effect.handle)
     node.ports.callers.finish_stream(effect.handle, effect.closing)
 
 
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from magnoliahold.core.evidence import ResultCounts, find_bucket
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
     AbortAnswer,
@@ -18,6 +19,7 @@
 from magnoliahold.core.serving.events import (
     AnswerHead,
     AttemptNotSent,
+    ReadingChanged,
     StreamOpened,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
@@ -25,6 +27,7 @@
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.openings import OpeningModel
 from magnoliahold.core.serving.requests import PromptPart
+from magnoliahold.core.serving.systems.canary_analysis import _count_piece_gaps
 from tests.core.serving.harness import (
     ENGINES,
     ServingHarness,
@@ -162,6 +165,33 @@
         self.harness.advance(0.2)
         self.assertFalse(self.harness.pop_effects(SendAttempt))
 
+    def test_pause_of_reading_does_not_count_as_silence(self) -> None:
+        for has_copy in (True, False):
+            with self.subTest(has_copy=has_copy):
+                harness = ServingHarness()
+                harness.start()
+                caller = harness.request(RouteKind.STREAM)
+                attempt = harness.send()
+                harness.open(attempt, caller)
+                harness.produce(attempt, 7)
+                running = harness.world.requests.attempts[attempt.attempt]
+                if not has_copy:
+                    running.copy_holder = None
+                harness.post(ReadingChanged(attempt.attempt, True))
+                harness.advance(5.0)
+                self.assertFalse(harness.pop_effects(SendAttempt))
+                harness.post(ReadingChanged(attempt.attempt, False))
+                harness.advance(0.2)
+                self.assertFalse(harness.pop_effects(SendAttempt))
+                harness.produce(attempt, 17, count=10)
+                self.assertLess(running.upstream.gap_s or 0.0, 0.03)
+                self.assertAlmostEqual(running.paused_s, 5.0)
+                counts = ResultCounts()
+                _count_piece_gaps(counts, running)
+                self.assertEqual(counts.gaps, {find_bucket(0.02): 1})
+                harness.advance(2.0)
+                harness.pop_effect(SendAttempt)
+
     def test_stream_without_its_copy_falls_back_to_another_upstream(self) -> None:
         self.harness.open(self.first, self.caller)
         self.harness.produce(self.first, 7)
--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -84,7 +84,9 @@
         return self.describe([])
 
 
-def make_document(version: int, keys: tuple[str, ...] = ("key-1",)) -> dict[str, Any]:
+def make_document(
+    version: int, keys: tuple[str, ...] = ("key-1",), timeout_ms: int = 2000
+) -> dict[str, Any]:
     """Makes a configuration with a route of each kind."""
     routes = [
         {
@@ -92,7 +94,7 @@
             "hostname": "127.0.0.1",
             "prefix": f"/{name}/",
             "kind": kind,
-            "timeout_ms": 2000,
+            "timeout_ms": timeout_ms,
             "goal_ms": 1000,
             "service": "s-1",
             "max_attempts": attempts,
@@ -114,6 +116,8 @@
 class DaemonTestCase(LoopbackTestCase):
     """A test case with the settings of an entry and a store."""
 
+    timeout_ms = 2000
+
     def setUp(self) -> None:
         super().setUp()
         self.store = FakeStore()
@@ -145,7 +149,8 @@
                 "state": "ready",
             }
             self.store.put("servers", f"i-{number}", record)
-        self.store.put("op", "config", make_document(1))
+        document = make_document(1, timeout_ms=self.timeout_ms)
+        self.store.put("op", "config", document)
         settings = parse_serving_settings(self.settings)
         daemon = make_serving_entry(self.reactor, settings, self.stopped.append)
         self.listeners.append(StopOnClose(daemon))
