Read an outdated configuration without its history

An entry that learns from a proof that its configuration is outdated asked for the changes since its version. Only the newest version is put into force.

Now such an entry reads the table in full, until a read succeeds. Orders that are gone are removed as by any full read.

--- a/src/magnoliahold/core/serving/feeds.py
+++ b/src/magnoliahold/core/serving/feeds.py
@@ -55,7 +55,9 @@
     set from a restore of the store until the first full read after it. `relayed_at` is
     when another entry last passed on a proof; it is None once such proofs stay away.
     With `answer_at_once` the call in progress, or else the next one, doesn't wait for a
-    change.
+    change. `outdated` is set from when another entry knows a newer version of a row
+    until the next successful read. That read lists the rows as they are: the changes
+    since `version` may hold a row many times, and take too long over a slow link.
     """
 
     feed: Feed
@@ -69,3 +71,4 @@
     restored: bool = False
     relayed_at: float | None = None
     answer_at_once: bool = False
+    outdated: bool = False
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -216,6 +216,7 @@
         )
     state.failing_since = None
     state.failures = 0
+    state.outdated = False
     state.version = version
     state.next_call_at = now
     if state.feed in GATHERED_FEEDS:
@@ -362,7 +363,7 @@
     state: FeedState, wait_s: float, world: ServingWorld
 ) -> ReadFeed | LongPollFeed:
     policy = world.serving_policy.feeds
-    if state.version is None:
+    if state.version is None or state.outdated:
         return ReadFeed(state.feed, state.call, policy.read_timeout_s)
     timeout_s = wait_s + policy.answer_slack_s
     return LongPollFeed(state.feed, state.call, state.version, wait_s, timeout_s)
--- a/src/magnoliahold/core/serving/systems/proof_relay.py
+++ b/src/magnoliahold/core/serving/systems/proof_relay.py
@@ -40,6 +40,7 @@
         return
     sent_at_s = world.proofs.find_sent_at(proof.serial)
     if proof.version > configuration.version:
+        world.feeds[Feed.CONFIGURATION].outdated = True
         _read_soon(world, "another entry knows a newer configuration", now)
     elif (
         proof.version == configuration.version
