Don't take the late failure of a former copy order for the present one's

What upstreams saw: a stream loses the holder of its copy, and then the next holder while the order for a copy there is still open. When that order fails, up to 1.5 s later, the upstream gets a second order for the third holder though the first one is in progress, which it must reject.

Cause: a failed order was matched by its attempt only; one that succeeded was matched by its holder too. So the failure ended the order of another holder, and the next scan renewed it.

--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -66,10 +66,8 @@
 def handle_copy_results(world: ServingWorld, now: float) -> None:
     """Records which ordered copies were made and which failed."""
     for copied in world.inbox.read_events(KvCacheCopied):
-        attempt = world.requests.attempts.get(copied.attempt)
-        order = attempt.copy_order if attempt else None
-        holder = attempt.copy_holder if attempt else None
-        if order is None or holder is None or holder.id != copied.holder_id:
+        order = _find_order(world, copied.attempt, copied.holder_id)
+        if order is None:
             world.emit(
                 FreeCopy(copied.copy, world.serving_policy.copies.order_timeout_s)
             )
@@ -80,7 +78,9 @@
         attempt = world.requests.attempts.get(failed.attempt)
         if attempt is None or attempt.copy_order is None:
             continue
-        attempt.copy_order.in_progress = False
+        order = _find_order(world, failed.attempt, failed.holder_id)
+        if order is not None:
+            order.in_progress = False
         world.log_decision(
             "copies",
             "Copy failed.",
@@ -91,6 +91,15 @@
         )
 
 
+def _find_order(world: ServingWorld, number: int, holder_id: str) -> CopyOrder | None:
+    """Finds an attempt's order, unless its holder has been replaced since."""
+    attempt = world.requests.attempts.get(number)
+    holder = attempt.copy_holder if attempt else None
+    if attempt is None or holder is None or holder.id != holder_id:
+        return None
+    return attempt.copy_order
+
+
 def maintain_copies(world: ServingWorld, now: float) -> None:
     """Orders copies for streams that lost their copy holder, and renews such copies."""
     if not world.scan_due:
