Find the request of a stream by its handle for back pressure

No change of behaviour. The start of each stream walked over all connections of callers, and a second table kept requests by handle beside the one of Callers.

--- a/src/magnoliahold/serving/backpressure.py
+++ b/src/magnoliahold/serving/backpressure.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
-from weakref import WeakValueDictionary
 
-from attrs import define, field
+from attrs import define
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callerconnections import CallerChannel, CallerExchange
-    from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.exchanges import Exchange
 
 # How much of a stream may wait to be written before its upstream is read no further.
@@ -46,34 +44,21 @@
         """Does nothing: the lost connection closes the attempt."""
 
 
-@define(eq=False)
-class BackPressure:
-    """The callers' requests that are answered with streams, by handle."""
-
-    callers: Callers
-    _requests: WeakValueDictionary[int, CallerExchange] = field(
-        factory=WeakValueDictionary
-    )
-
-    def start(self, handle: int) -> None:
-        """Lets a caller's connection pause the source of the stream that begins."""
-        for channel in self.callers.channels:
-            for request in channel.requests:
-                if request.handle == handle:
-                    self._requests[handle] = request
-                    source = StreamSource(channel)
-                    request.registerProducer(source, True)
-                    return
-
-    def follow(self, handle: int, exchange: Exchange) -> None:
-        """Sets the exchange that the next pieces of a stream come from."""
-        request = self._requests.get(handle)
-        source: Any = request.producer if request is not None else None
-        if source is not None:
-            source.exchange = exchange
-
-    def stop(self, handle: int) -> None:
-        """Ends the back pressure on a stream that is complete."""
-        request = self._requests.pop(handle, None)
-        if request is not None and request.channel is not None:
-            request.unregisterProducer()  # type: ignore[no-untyped-call]
+def start_back_pressure(request: CallerExchange) -> None:
+    """Lets a caller's connection pause the source of the stream that begins."""
+    channel: Any = request.channel
+    source = StreamSource(channel)
+    request.registerProducer(source, True)  # type: ignore[no-untyped-call]
+
+
+def follow_source(request: CallerExchange, exchange: Exchange) -> None:
+    """Sets the exchange that the next pieces of a stream come from."""
+    source: Any = request.producer
+    if source is not None:
+        source.exchange = exchange
+
+
+def stop_back_pressure(request: CallerExchange) -> None:
+    """Ends the back pressure on a stream that is complete."""
+    if request.channel is not None:
+        request.unregisterProducer()  # type: ignore[no-untyped-call]
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -162,6 +162,10 @@
             reason=channel.closed_because or reason.getErrorMessage(),
         )
 
+    def find_open(self, handle: int) -> CallerExchange | None:
+        """Finds an open request; None when it has ended."""
+        return self._open_requests.get(handle)
+
     def find_content(self, handle: int) -> RequestContent | None:
         """Finds the content of a request; None when the request is not open."""
         return self._contents.get(handle)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -30,7 +30,6 @@
 from magnoliahold.node import BROKEN_TABLES, Node
 from magnoliahold.platform.callers import READY_PATH
 from magnoliahold.platform.store import StoreClient
-from magnoliahold.serving.backpressure import BackPressure
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.copies import KvCacheCopier
@@ -221,7 +220,6 @@
         journal=MetricsJournal(metrics),
         stop=lambda reason: reactor.callLater(0, daemon.finish, reason),
         callers=callers,
-        back_pressure=BackPressure(callers),
         upstreams=exchanges,
         prompts=PromptListClient(reactor, node.post_event),
         copies=KvCacheCopier(reactor, node.post_event),
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -10,6 +10,11 @@
 from magnoliahold.core.serving.events import EntryRegistered, NoticeEncoded
 from magnoliahold.logs import make_part_logger
 from magnoliahold.node import perform_effect
+from magnoliahold.serving.backpressure import (
+    follow_source,
+    start_back_pressure,
+    stop_back_pressure,
+)
 from magnoliahold.serving.callers import BAD_GATEWAY
 
 if TYPE_CHECKING:
@@ -18,7 +23,6 @@
     from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.node import Journal, Node
     from magnoliahold.platform.store import StoreClient
-    from magnoliahold.serving.backpressure import BackPressure
     from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.copies import KvCacheCopier
     from magnoliahold.serving.exchanges import UpstreamExchanges
@@ -38,7 +42,6 @@
     journal: Journal
     stop: Callable[[str], None]
     callers: Callers
-    back_pressure: BackPressure
     upstreams: UpstreamExchanges
     prompts: PromptListClient
     copies: KvCacheCopier
@@ -64,9 +67,10 @@
 @perform_effect.register(effects.OpenAnswer)
 def _open_answer(effect: effects.OpenAnswer, node: Node) -> None:
     exchange = node.ports.upstreams.find(effect.attempt)
-    if exchange is not None:
+    request = node.ports.callers.find_open(effect.handle)
+    if exchange is not None and request is not None:
         node.ports.callers.open_answer(effect.handle, exchange)
-        node.ports.back_pressure.start(effect.handle)
+        start_back_pressure(request)
 
 
 @perform_effect.register(effects.DeliverPieces)
@@ -78,13 +82,17 @@
     after = effect.after
     selected = [item for item in pieces if after is None or item.number > after]
     content = b"".join(item.content for item in selected)
-    node.ports.back_pressure.follow(effect.handle, exchange)
+    request = node.ports.callers.find_open(effect.handle)
+    if request is not None:
+        follow_source(request, exchange)
     node.ports.callers.write_pieces(effect.handle, content)
 
 
 @perform_effect.register(effects.FinishAnswer)
 def _finish_answer(effect: effects.FinishAnswer, node: Node) -> None:
-    node.ports.back_pressure.stop(effect.handle)
+    request = node.ports.callers.find_open(effect.handle)
+    if request is not None:
+        stop_back_pressure(request)
     node.ports.callers.finish_stream(effect.handle, effect.closing)
 
 
