End moves by separate limits for each way of counting evidence

A move whose new version was partly slow was done with evidence of 0.5 to 3 against it, while a good version was taken back for one failure shortly before the end.

Cause: one limit, 3.0, applied to the higher of two scores. The score that restarts at zero, of which a rejection asks e^11 instead of e^5.3, rises to 3.8 by a single result. The score from the first result on hardly reaches 0.5 with a good version; that of a partly slow one often stays between 0.5 and 3.

Now a move ends in doubt with 0.5 by durations or 2.0 by failures from the first result on, or with 4.0 restarted, more than one result makes. Failures have a higher limit since one among four results makes 1.2, and one alone must not end a good move.

The new test failed before in three cases: partly slow, a failure at the end, and a slow answer at the end.

The test's END_EVIDENCE of 3.0 is gone with the setting. The two tests that counted moves in doubt by it use the limits; the one for far slower answers still asks for 3.0.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -19,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, evolve, field, frozen
+from attrs.validators import gt
 
 from magnoliahold.core.evidence import BUCKET_COUNT, BUCKETS_PER_DOUBLING
 from magnoliahold.core.version_results import (
@@ -91,6 +92,23 @@
 Slice = tuple[str, str]
 
 
+@frozen
+class DoubtLimits:
+    """Evidence with which a move doesn't end as done, logarithms of likelihood ratios.
+
+    `failures` and `durations` apply to evidence from the first result on, `recent` to
+    that since the score last fell to zero. One failure alone passes none of them.
+    """
+
+    failures: float = field(default=2.0, validator=gt(0))
+    durations: float = field(default=0.5, validator=gt(0))
+    recent: float = field(default=4.0, validator=gt(0))
+
+    def get_total(self, kind: str) -> float:
+        """Returns the limit of the evidence from the first result on."""
+        return self.failures if kind == FAILURES else self.durations
+
+
 @frozen
 class PendingDurations:
     """Durations of the new version, to be compared with the old one's of that time.
@@ -358,12 +376,27 @@
         return max(
             (
                 max(scores.total_evidence, scores.recent_evidence)
-                for (_, name), scores in self.scores.items()
-                if name[0] == ALL
+                for _, scores in self._list_overall_scores()
             ),
             default=0.0,
         )
 
+    def is_in_doubt(self, limits: DoubtLimits) -> bool:
+        """Tells whether there is too much evidence to end a move as done."""
+        return any(
+            scores.total_evidence >= limits.get_total(kind)
+            or scores.recent_evidence >= limits.recent
+            for kind, scores in self._list_overall_scores()
+        )
+
+    def _list_overall_scores(self) -> list[tuple[str, Scores]]:
+        """Lists the kinds of results with their scores over all results."""
+        return [
+            (kind, scores)
+            for (kind, name), scores in self.scores.items()
+            if name[0] == ALL
+        ]
+
 
 def add_cumulative_results(
     analysis: CanaryAnalysis,
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -5,6 +5,8 @@
 from attrs import field, frozen
 from attrs.validators import ge, gt
 
+from magnoliahold.core.canary_analysis import DoubtLimits
+
 
 def _positive(default: float) -> float:
     return field(default=default, validator=gt(0))
@@ -186,11 +188,11 @@
     with `canary_share` of the requests and gets `grown_share` after `answers_to_grow`
     answers, or after `late_part` of the time; with evidence against it only up to
     `exposure_in_doubt` requests. A move ends `decide_before_s` before its deadline, and
-    ends as done only after `answers_to_end` answers and with less than `end_evidence`
-    against the new version, the natural logarithm of a likelihood ratio. A version that
-    has just appeared gets no requests for `hold_s`, since an order about it may still
-    arrive. An entry delays a due step by `turn_s` for each entry ranked before it, at
-    most by `turn_max_s`, so that two rarely write the same step.
+    ends as done only after `answers_to_end` answers and with less evidence against the
+    new version than `doubt_limits`. A version that has just appeared gets no requests
+    for `hold_s`, since an order about it may still arrive. An entry delays a due step
+    by `turn_s` for each entry ranked before it, at most by `turn_max_s`, so that two
+    rarely write the same step.
     """
 
     exposure_share: float = _non_negative(0.1)
@@ -202,7 +204,7 @@
     exposure_in_doubt: int = _positive_int(25)
     late_part: float = _non_negative(0.35)
     answers_to_end: int = _positive_int(3)
-    end_evidence: float = _non_negative(3.0)
+    doubt_limits: DoubtLimits = field(factory=DoubtLimits)
     decide_before_s: float = _positive(1.5)
     hold_s: float = _positive(2.0)
     turn_s: float = _positive(0.3)
--- a/src/magnoliahold/core/serving/systems/moves.py
+++ b/src/magnoliahold/core/serving/systems/moves.py
@@ -199,9 +199,10 @@
 ) -> MoveRecord:
     """Ends a move shortly before its deadline by the evidence so far."""
     analysis = move.analysis
-    if analysis.answered < world.serving_policy.moves.answers_to_end:
+    policy = world.serving_policy.moves
+    if analysis.answered < policy.answers_to_end:
         return _take_back(world, record, "too little evidence by the deadline")
-    if analysis.suspicion >= world.serving_policy.moves.end_evidence:
+    if analysis.is_in_doubt(policy.doubt_limits):
         return _take_back(world, record, "in doubt at the deadline")
     reason = "no worse than the old version"
     epoch = _read_epoch(world)
--- a/tests/core/serving/test_moves.py
+++ b/tests/core/serving/test_moves.py
@@ -48,6 +48,11 @@
     ("bad, few requests", ALL_FAIL, {"rate_per_s": 5.0}, TAKEN_BACK),
     ("good, two stop", GOOD, {"stopped": {"entry-1": 9.0, "entry-3": 10.4}}, DONE),
 )
+USUAL = find_bucket(0.025)
+ANSWER = Delta(1, 0, {USUAL: 1}, {})
+SLOW_ANSWER = Delta(1, 0, {find_bucket(0.5): 1}, {})
+PARTLY_SLOW_ANSWERS = ([ANSWER] * 3 + [SLOW_ANSWER]) * 2 + [ANSWER] * 6
+FAILURE = Delta(0, 1, {}, {})
 DEADLINE_S = 12.0
 TAKE_BACK_LIMIT_S = 5.0
 EXPOSURE_SHARE = 0.1
@@ -208,22 +213,36 @@
             self.harness.pop_effect(WriteMove).record.state, MoveState.CANARY
         )
 
-    def test_answers_shortly_before_the_end_are_evaluated(self) -> None:
+    def end_move(self, *results: Delta) -> MoveRecord:
+        """Ends a move whose new version gives its results shortly before the end."""
         self.record(self.order(), MoveState.CANARY)
         analysis = self.harness.world.moves.by_service[CALLS].analysis
         policy = self.harness.world.policy.moves
         cell = Cell("entry-1", "a", False, compared_by_route=True)
-        old = Delta(40, 0, {find_bucket(0.025): 40}, {})
+        old = Delta(40, 0, {USUAL: 40}, {})
         analysis.add_old_results(cell, old, self.harness.now, policy)
         self.harness.advance(DEADLINE_S - 2.0)
-        new = Delta(6, 0, {find_bucket(0.5): 6}, {})
         rule = MoveRule(NEW, canary_cap=0.0, deadline=0.0)
-        analysis.add_new_results(cell, new, rule, policy, is_recent=True)
+        for result in results:
+            analysis.add_new_results(cell, result, rule, policy, is_recent=True)
         self.harness.advance(0.3)
         self.assertEqual(self.harness.pop_effects(WriteMove), [])
         self.harness.advance(0.3)
-        written = self.harness.pop_effect(WriteMove).record
-        self.assertEqual(written.state, TAKEN_BACK, written.reason)
+        return self.harness.pop_effect(WriteMove).record
+
+    def test_moves_end_by_the_evidence_of_few_results(self) -> None:
+        for name, results, expected in (
+            ("good", [ANSWER] * 13, DONE),
+            ("slow", [SLOW_ANSWER] * 6, TAKEN_BACK),
+            ("partly slow", PARTLY_SLOW_ANSWERS, TAKEN_BACK),
+            ("a failure at the end", [ANSWER] * 12 + [FAILURE], DONE),
+            ("a failure with few answers", [FAILURE] + [ANSWER] * 3, DONE),
+            ("a slow answer", [ANSWER] * 8 + [SLOW_ANSWER], DONE),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                record = self.end_move(*results)
+                self.assertEqual(record.state, expected, record.reason)
 
     def test_removed_order_removes_the_move(self) -> None:
         self.record(self.order(), MoveState.CANARY)
--- a/tests/core/test_canary_analysis.py
+++ b/tests/core/test_canary_analysis.py
@@ -16,7 +16,8 @@
 
 POLICY = MovePolicy()
 RULE = MoveRule("v2", 0.05, 0.0)
-END_EVIDENCE = VersionPolicy().end_evidence
+DOUBT_LIMITS = VersionPolicy().doubt_limits
+STRONG_EVIDENCE = 3.0
 REQUESTS_PER_S = 16.0
 STAGES = ((15.0, 0.0), (15.0, 0.05), (8.0, 0.1), (8.0, 0.25), (8.0, 0.5), (15.0, 0.95))
 
@@ -167,7 +168,7 @@
         found = [
             seed
             for seed in range(20)
-            if analyze_service(seed, 0.34).suspicion >= END_EVIDENCE
+            if analyze_service(seed, 0.34).is_in_doubt(DOUBT_LIMITS)
         ]
         self.assertGreaterEqual(len(found), 16)
 
@@ -178,7 +179,7 @@
             old = Delta(20, 0, {usual: 19, usual + 4: 1}, {})
             new = Delta(1, 0, {usual if number % 7 else slow: 1}, {})
             add_interval(analysis, number * 0.5, old, new)
-        self.assertGreaterEqual(analysis.suspicion, END_EVIDENCE)
+        self.assertGreaterEqual(analysis.suspicion, STRONG_EVIDENCE)
 
     def test_failures_end_no_interval_of_durations(self) -> None:
         # Three times slower is less than the margin without comparable results.
@@ -196,13 +197,13 @@
         old, new = Delta(5, 0, {usual: 5}, {}), Delta(3, 0, {slow: 3}, {})
         for number in range(10):
             add_interval(analysis, number * 0.6, old, new if number < 2 else None)
-        self.assertGreaterEqual(analysis.suspicion, END_EVIDENCE)
+        self.assertGreaterEqual(analysis.suspicion, STRONG_EVIDENCE)
 
     def test_good_version_is_kept_where_routes_differ_in_latency(self) -> None:
         rejected = [
             seed
             for seed in range(100)
-            if analyze_service(seed, 0.0).suspicion >= END_EVIDENCE
+            if analyze_service(seed, 0.0).is_in_doubt(DOUBT_LIMITS)
         ]
         self.assertLessEqual(len(rejected), 5)
 
