Move the probes of upstreams into a module of their own

No behaviour changes: exchanges.py held the attempts and the probes. The class of a probe is public now, as another module makes it; nothing else differs.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -19,15 +19,11 @@
     ReadingChanged,
     StreamEnded,
     StreamOpened,
-    UpstreamAnsweredProbe,
-    UpstreamFailedProbe,
 )
 from magnoliahold.httpconnections import BytesProducer, describe_failure, is_timeout
 from magnoliahold.platform.upstreams import (
-    REPORT_PATH,
     is_event_stream,
     list_answer_headers,
-    make_probe_headers,
     make_upstream_headers,
     read_answer_head,
     read_signal,
@@ -42,6 +38,7 @@
     PieceSplitter,
     PieceTooLongError,
 )
+from magnoliahold.serving.probes import Probe
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,7 +58,6 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # The framing of a body may take as many bytes as its content.
 MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
-MAX_PROBE_WIRE_BYTES = 256 * 1024
 # Pieces are taken when they arrive; this bounds those that nobody takes.
 MAX_WAITING_BYTES = MAX_BODY_WIRE_BYTES
 # What frames a piece is less than a quarter of it, unless chunks are tiny.
@@ -348,7 +344,7 @@
         body is read only so that the connection can be reused.
         """
         connection = UpstreamConnection(self.pool, make_pool_key(record))
-        _Probe(self, record, connection, timeout_s).start()
+        Probe(self, record, connection, timeout_s).start()
 
 
 def make_pool_key(record: UpstreamRecord) -> PoolKey:
@@ -401,75 +397,3 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         at_piece_boundary = self._splitter.is_at_piece_boundary
         self._exchanges.finish_body(self._exchange, reason, at_piece_boundary)
-
-
-@define(eq=False)
-class _Probe:
-    """One probe of an upstream.
-
-    `done` is set when its result is known, `finished` when its answer is complete.
-    """
-
-    exchanges: UpstreamExchanges
-    record: UpstreamRecord
-    connection: UpstreamConnection
-    timeout_s: float
-    done: bool = False
-    finished: bool = False
-    connector: Any = None
-
-    def start(self) -> None:
-        """Connects and sends the request; `timeout_s` limits both together."""
-        reactor = self.exchanges.reactor
-        factory = ConnectionFactory(
-            self.connection,
-            lambda reason: self._fail(describe_failure(reason), is_timeout(reason)),
-            self._send_request,
-        )
-        self.connector = reactor.connectTCP(
-            self.record.address, self.record.port, factory, timeout=self.timeout_s
-        )
-        reactor.callLater(self.timeout_s, self._time_out)
-
-    def _send_request(self, connection: UpstreamConnection) -> None:
-        headers = make_probe_headers(self.record)
-        request = Request._construct(b"GET", REPORT_PATH, headers, None, True)
-        answer: Any = connection.request(request)
-        answer.addCallbacks(
-            self._succeed, lambda failure: self._fail(describe_failure(failure))
-        )
-
-    def _succeed(self, response: Any) -> None:
-        self.connection.allow_bytes(MAX_PROBE_WIRE_BYTES)
-        response.deliverBody(_ProbeReader(self))
-        self.exchanges.report_signal(self.record, response)
-        if read_answer_head(response.code, response.headers).misdirected:
-            self._fail("another upstream has its address")
-        elif not self.done:
-            self.done = True
-            record = self.record
-            self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
-
-    def _time_out(self) -> None:
-        self._fail("no answer to a probe", silent=True)
-        if not self.finished:
-            self.connection.reset_now()
-
-    def _fail(self, reason: str, silent: bool = False) -> None:
-        if self.done:
-            return
-        self.done = True
-        self.connector.disconnect()
-        record = self.record
-        failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent)
-        self.exchanges.post(failed)
-
-
-class _ProbeReader(Protocol):
-    """Discards the body of the answer to a probe."""
-
-    def __init__(self, probe: _Probe) -> None:
-        self._probe = probe
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        self._probe.finished = True
