Take an answer to a probe whose head is no text as a sign of life

What upstreams and callers saw: an upstream whose answer to a probe has a byte in a header that is no text was taken for silent, and was left out until it sent another answer.

Now it is logged and counts as an answer.

The new case of test_result_of_each_probe failed before.

--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -10,6 +10,7 @@
 
 from magnoliahold.core.serving.events import UpstreamAnsweredProbe, UpstreamFailedProbe
 from magnoliahold.httpconnections import describe_failure, is_timeout
+from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.upstreams import (
     REPORT_PATH,
     make_probe_headers,
@@ -24,6 +25,8 @@
 
 MAX_PROBE_WIRE_BYTES = 256 * 1024
 
+logger = make_part_logger("upstreams")
+
 
 @define(eq=False)
 class Probe:
@@ -64,14 +67,25 @@
     def _succeed(self, response: Any) -> None:
         self.connection.allow_bytes(MAX_PROBE_WIRE_BYTES)
         response.deliverBody(_ProbeReader(self))
-        self.exchanges.report_signal(self.record, response)
-        if read_answer_head(response.code, response.headers).misdirected:
+        if self._is_misdirected(response):
             self._fail("another upstream has its address")
         elif not self.done:
             self.done = True
             record = self.record
             self.exchanges.post(UpstreamAnsweredProbe(record.id, record.born_ms))
 
+    def _is_misdirected(self, response: Any) -> bool:
+        """Reads the head; one that can't be read still shows that something answers."""
+        try:
+            self.exchanges.report_signal(self.record, response)
+            return read_answer_head(response.code, response.headers).misdirected
+        except ValueError as error:
+            upstream = self.record.id
+            logger.warning(
+                "Answer to a probe can't be read.", upstream=upstream, reason=str(error)
+            )
+            return False
+
     def _time_out(self) -> None:
         self._fail("no answer to a probe", silent=True)
         if not self.finished:
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -243,8 +243,10 @@
     async def test_result_of_each_probe(self) -> None:
         rejected = b"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         other = b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
+        odd = WHOLE.replace(b"abc", b"\xff")
         for name, script, expected in (
             ("any answer", [rejected], UpstreamAnsweredProbe),
+            ("an answer whose head is no text", [odd], UpstreamAnsweredProbe),
             ("another upstream", [other], UpstreamFailedProbe),
             ("no answer", [], UpstreamFailedProbe),
             ("reset", [RESET], UpstreamFailedProbe),
