Keep a quarantine that shares a crash with another cause

What callers saw: where two parts of prompts crash engines in the same period, the quarantine of the right part was withdrawn again, and requests with it crashed further engines.

Hypotheses: (1) the new conviction takes the shared crash, and the rest are too few to convict again; (2) a request with the part began; (3) the reports expired.

Cause: a crash counts for one conviction alone, which is right for convicting, but a quarantine that lacked a crash for that reason was taken for one whose crashes were explained otherwise. It is now withdrawn only if the crashes that no conviction explains lack more than one to quarantine it.

Before: test_part_stays_quarantined_that_shares_a_crash_with_another failed.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -132,9 +132,16 @@
     """
     if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
         return False
+    return len(crashes) >= _count_needed(suspect, begun_at, policy)
+
+
+def _count_needed(
+    suspect: str, begun_at: Mapping[str, float], policy: SuspicionPolicy
+) -> int:
+    """Counts the crashes that it takes to quarantine a suspect."""
     if suspect in begun_at:
-        return len(crashes) >= policy.crashes_to_convict_begun
-    return len(crashes) >= policy.crashes_to_convict
+        return policy.crashes_to_convict_begun
+    return policy.crashes_to_convict
 
 
 def _find_groups(
@@ -218,6 +225,19 @@
     return suspects <= group and not apart
 
 
+def is_nearly_enough(
+    group: frozenset[str],
+    crashes: list[CrashEvidence],
+    begun_at: Mapping[str, float],
+    policy: SuspicionPolicy,
+) -> bool:
+    """Tells whether a group lacks one crash at most to be quarantined."""
+    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
+        return False
+    needed = min(_count_needed(item, begun_at, policy) for item in group)
+    return len(crashes) >= needed - 1
+
+
 def _drop_covered(
     groups: list[frozenset[str]], crashes: list[CrashEvidence]
 ) -> list[frozenset[str]]:
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -18,6 +18,7 @@
     find_convictions,
     gather_crashes,
     group_by_suspect,
+    is_nearly_enough,
     is_part_of_cause,
 )
 from magnoliahold.core.serving.effects import WriteQuarantine
@@ -221,18 +222,27 @@
     """Takes back quarantines whose crashes are now explained otherwise.
 
     The first evidence may come from an entry that saw only what was beside the cause.
+    A crash that two causes share counts for one conviction alone, so a quarantine
+    stays while it lacks one crash at most.
     """
     table = world.suspicions
     policy = world.serving_policy.suspicion
     for name, quarantine in list(table.quarantines.items()):
         suspects = quarantine.suspects
-        known = sum(crash.is_explained_by(suspects) for crash in crashes)
+        known = [crash for crash in crashes if crash.is_explained_by(suspects)]
+        unexplained = [
+            crash
+            for crash in known
+            if not any(crash.is_explained_by(group) for group in convictions)
+        ]
         confirmed = any(
             group <= suspects or is_part_of_cause(suspects, group, crashes)
             for group in convictions
         )
         renewed = quarantine.term_s > policy.quarantine_s
-        if renewed or confirmed or known < policy.crashes_to_convict:
+        if renewed or confirmed or len(known) < policy.crashes_to_convict:
+            continue
+        if is_nearly_enough(suspects, unexplained, table.begun_at, policy):
             continue
         del table.quarantines[name]
         table.withdrawn[name] = quarantine.convicted_at
