List two parts that turn deadly beside sessions as known red

Not mended: crashes that a standing quarantine explains would have to count less for the session without keeping wrong first quarantines in force.

--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -282,6 +282,15 @@
                 ]
                 self.assertGreaterEqual(len(refused), len(later) - MAX_LATE)
 
+    def test_two_parts_turn_deadly_beside_sessions(self) -> None:
+        turns = {"requested": Span(0.0, 28.0), "deadly": Span(8.0, 1e3)}
+        parts = tuple(make_part(0.4, f"d{number}", **turns) for number in range(2))
+        day = Day(deadly=parts, sound_per_s=4.5, sessions=True)
+        for seed in (5, 7):
+            with self.subTest(seed=seed):
+                late = score(CrashingFleet(day, seed).run()).late
+                self.assertLessEqual(max(late.values()), MAX_LATE)
+
     def test_part_that_is_no_longer_deadly_is_served_again(self) -> None:
         for seed in SEEDS:
             part = make_part(0.6, requested=Span(4.0, 125.0), deadly=Span(0.0, 20.0))
