Read the Connection header as bytes when a request is passed on

A caller that sent "Connection: \xff" got no answer. The headers of its upstream request could not be built, no event was posted for the attempt, and the entry waited on.

Hypotheses: the options of Connection are decoded as UTF-8; or the names of headers are decoded as ASCII and one has other bytes; or the value can't be written to the upstream.

Evidence (trial over loopback sockets): no event within 1 s, and a traceback that ends where make_upstream_headers asks for the values of Connection by a text name, so that twisted decodes them (UnicodeDecodeError). With 0xff as value of each of the other names in the test nothing raises. A name with 0xff is answered with 400 by twisted's channel.

The values are read as bytes, and the options decoded so that other bytes match no name. Options beside them still remove their headers. Answers with such a header were read before as well as now.

Both new tests failed before: one for Connection alone of all names, one for options beside a value that isn't text.

--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -103,9 +103,14 @@
 
 
 def _read_connection_options(headers: Headers) -> set[str]:
-    """Reads the names of further hop-by-hop headers from the Connection header."""
-    values = headers.getRawHeaders("Connection", [])
-    return {name.strip().lower() for value in values for name in value.split(",")}
+    """Reads the names of further hop-by-hop headers from the Connection header.
+
+    Values needn't be text. Names of headers are always ASCII, so that an option with
+    other bytes matches none.
+    """
+    values = headers.getRawHeaders(b"Connection", [])
+    options = b",".join(values).decode("ascii", errors="replace").split(",")
+    return {option.strip().lower() for option in options}
 
 
 class _PromptList(msgspec.Struct):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -99,6 +99,27 @@
         headers = self.build(make_send(), Connection="X-Hop", **{"X-Hop": "1"})
         self.assertIsNone(headers.getRawHeaders("X-Hop"))
 
+    def test_headers_that_are_not_text_are_passed_on(self) -> None:
+        for name in (*RECEIVED, *FORGED, *HOP_BY_HOP, "Last-Event-Id", "X-Other"):
+            with self.subTest(name):
+                received = make_headers(**{**RECEIVED, "X-Other": "1"})
+                received.setRawHeaders(name, [b"\xff"])
+                headers = make_upstream_headers(received, make_send(resume_after=12))
+                self.assertEqual(headers.getRawHeaders("Request-Priority"), ["4"])
+                expected = b"\xff" if name == "X-Other" else b"1"
+                self.assertEqual(headers.getRawHeaders(b"X-Other"), [expected])
+
+    def test_connection_options_beside_one_that_is_not_text_are_removed(self) -> None:
+        received = Headers({b"Connection": [b"\xff, X-Hop", b"X-Far"]})
+        for name in ("X-Hop", "X-Far", "X-Other"):
+            received.setRawHeaders(name, ["1"])
+        headers = make_upstream_headers(received, make_send())
+        self.assertIsNone(headers.getRawHeaders("X-Hop"))
+        self.assertIsNone(headers.getRawHeaders("X-Far"))
+        self.assertEqual(headers.getRawHeaders("X-Other"), ["1"])
+        names = [name for name, _ in list_answer_headers(received)]
+        self.assertEqual(names, [b"X-Other"])
+
     def test_remaining_time_is_sent_in_milliseconds(self) -> None:
         headers = self.build(make_send(deadline_s=0.4204))
         self.assertEqual(headers.getRawHeaders("Deadline-Ms"), ["420"])
