Reject registrations whose start time exceeds the bound of numbers

A registration with a "born" of 2**70 was accepted. An entry could then send no notice that listed that start, so that the others missed its loads, signals and evidence.

Hypotheses: the decoder accepts integers of any size, and the encoder of notices doesn't; or the number is computed on between both.

Evidence: read_upstream returned 2**70 and -(2**70) unchanged, and encode_notice raised "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1" for a notice that listed the start. With MAX_NUMBER of either sign it is encoded.

The field is bounded by MAX_NUMBER as it is decoded, like other numbers of rows. An invalid registration is logged and counts as removed, as before.

The three new rows of test_invalid_registrations_are_rejected failed before.

--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import (
+    MAX_NUMBER,
     CallerLimits,
     Configuration,
     Route,
@@ -32,6 +35,8 @@
     MoveState.TAKEN_BACK: "rolled_back",
 }
 LEAVING_BY_STATE = {"ready": False, "draining": True}
+# Messages between entries carry integers of 64 bits.
+BoundedInteger = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 class DocumentError(Exception):
@@ -108,7 +113,7 @@
     zone: str
     state: str
     # Start time in Unix milliseconds; not a count of starts.
-    born: int = 0
+    born: BoundedInteger = 0
     version: str = ""
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,8 +6,9 @@
 import unittest
 from typing import Any
 
-from magnoliahold.core.serving.configuration import RouteKind
-from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.configuration import MAX_NUMBER, RouteKind
+from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
+from magnoliahold.core.serving.upstreams import UpstreamStart
 from magnoliahold.platform.documents import (
     DocumentError,
     read_configuration,
@@ -15,6 +16,7 @@
     read_upstream,
     write_peer,
 )
+from magnoliahold.serving.notices import encode_notice
 
 ROUTE = {
     "name": "r-1",
@@ -39,6 +41,9 @@
     "born": 1700000000000,
 }
 
+# Integers that a notice can't list, and one that only just isn't exact as a float.
+TOO_LARGE = (2**70, -(2**70), MAX_NUMBER + 1)
+
 # Changes to a valid registration that make it invalid.
 INVALID_SERVERS: tuple[tuple[str, Any], ...] = (
     ("service", None),
@@ -49,6 +54,7 @@
     ("state", "dancing"),
     ("zone", []),
     ("born", 1.5),
+    *(("born", number) for number in TOO_LARGE),
 )
 
 # Changes to a valid route that make the whole configuration invalid.
@@ -123,6 +129,14 @@
             read_upstream("i", encode({**SERVER, "state": "draining"})).leaving
         )
 
+    def test_notices_can_list_the_largest_start_times(self) -> None:
+        for born in (MAX_NUMBER, -MAX_NUMBER):
+            with self.subTest(born=born):
+                record = read_upstream("i-1", encode({**SERVER, "born": born}))
+                self.assertEqual(record.born_ms, born)
+                start = UpstreamStart(record.id, record.born_ms)
+                encode_notice(LoadNotice("entry-1", "entry-1.a", 1, leaving=(start,)))
+
     def test_invalid_registrations_are_rejected(self) -> None:
         for name, value in INVALID_SERVERS:
             with self.subTest(name, value=value), self.assertRaises(DocumentError):
