Bound the versions of configurations and the store's epochs

With a configuration whose version was 2**70, or such an epoch of the store, an entry could pass on no proof of its configuration, so that the others lacked what it had read.

Hypotheses: the start times of registrations are the only unbounded integers that leave an entry; or the same holds for others. Those in messages are a proof's version and epoch; rows and orders of moves are JSON, whose integers the encoder doesn't limit.

Evidence: read_configuration and the client of the store passed 2**70 on, and sending a proof with either raised OverflowError. A record of a move with such an epoch is encoded.

Both are bounded by MAX_NUMBER where they are decoded. Such a configuration is invalid and the previous one stays in use; such an epoch is logged and counts as absent, like one that isn't a number.

Of the two new tests, each case beyond the bound failed before, 6 and 3.

--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -91,7 +91,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: BoundedInteger
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 from attrs import define, field
 
+from magnoliahold.core.serving.configuration import MAX_NUMBER
 from magnoliahold.core.serving.events import (
     EntryRegistered,
     FeedChanged,
@@ -391,10 +392,13 @@
     if not values:
         return None
     try:
-        return int(values[0])
+        epoch: int | None = int(values[0])
     except ValueError:
-        logger.warning("The store's epoch can't be read.", value=values[0])
-        return None
+        epoch = None
+    if epoch is not None and abs(epoch) <= MAX_NUMBER:
+        return epoch
+    logger.warning("The store's epoch can't be read.", value=values[0])
+    return None
 
 
 def _decode_page(answer: HttpAnswer) -> _Rows:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,9 +5,11 @@
 import json
 import unittest
 from typing import Any
+from unittest.mock import Mock
 
 from magnoliahold.core.serving.configuration import MAX_NUMBER, RouteKind
 from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
+from magnoliahold.core.serving.proofs import ConfigurationProof
 from magnoliahold.core.serving.upstreams import UpstreamStart
 from magnoliahold.platform.documents import (
     DocumentError,
@@ -16,7 +18,7 @@
     read_upstream,
     write_peer,
 )
-from magnoliahold.serving.notices import encode_notice
+from magnoliahold.serving.notices import NoticePort, encode_notice
 
 ROUTE = {
     "name": "r-1",
@@ -107,6 +109,17 @@
         self.assertEqual(configuration.workspaces_by_credential["k2"].name, "t")
         self.assertEqual(configuration.limits.header_timeout_s, 1.5)
 
+    def test_version_that_no_proof_can_name_is_rejected(self) -> None:
+        for number in TOO_LARGE:
+            for version in (number, str(number)):
+                with self.subTest(version=version), self.assertRaises(DocumentError):
+                    read_configuration(encode({"version": version}))
+        port = NoticePort(lambda _: None, Mock())
+        version = read_configuration(encode({"version": MAX_NUMBER})).version
+        proof = ConfigurationProof("entry-1", "entry-1.a", 1, version)
+        port.send_proofs([(PeerRecord("entry-2", "entry-2.a", "10.0.0.9", 1), proof)])
+        port.transport.write.assert_called_once()
+
     def test_invalid_configurations_are_rejected(self) -> None:
         for name, value in INVALID_ROUTES:
             with self.subTest(name, value=value), self.assertRaises(DocumentError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from magnoliahold.core.moves import MoveState
-from magnoliahold.core.serving.configuration import Configuration
+from magnoliahold.core.serving.configuration import MAX_NUMBER, Configuration
 from magnoliahold.core.serving.events import (
     EntryRegistered,
     FeedChanged,
@@ -23,7 +23,7 @@
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.suspicions import QuarantineRecord
-from magnoliahold.platform.store import StoreClient
+from magnoliahold.platform.store import EPOCH_HEADER, StoreClient
 from tests.loopback import LoopbackTestCase, on_loopback
 from tests.platform.test_documents import SERVER
 
@@ -44,6 +44,7 @@
         self.answers: list[tuple[int, Any] | None] = []
         self.calls: list[tuple[str, dict[str, Any]]] = []
         self.bodies: list[Any] = []
+        self.epoch: str | None = None
 
     def render(self, request: Any) -> Any:
         """Records a call and answers it."""
@@ -54,6 +55,8 @@
         if answer is None:
             return NOT_DONE_YET
         request.setResponseCode(answer[0])
+        if self.epoch is not None:
+            request.setHeader(EPOCH_HEADER, self.epoch)
         body = answer[1]
         return body if isinstance(body, bytes) else json.dumps(body).encode()
 
@@ -116,6 +119,18 @@
             with self.subTest(name):
                 self.assertIsInstance(await self.long_poll(answer), kind)
 
+    @on_loopback
+    async def test_epoch_that_no_message_can_name_counts_as_absent(self) -> None:
+        self.store.epoch = str(MAX_NUMBER)
+        event = await self.read((200, {"rows": [], "ver": 9}))
+        self.assertEqual(event.epoch, MAX_NUMBER)
+        for epoch in (MAX_NUMBER + 1, 2**70, -(2**70), "x", "9" * 5000):
+            self.store.epoch = str(epoch)
+            with self.subTest(epoch), self.assertLogs("magnoliahold.store", "WARNING"):
+                event = await self.read((200, {"rows": [], "ver": 9}))
+                self.assertIsInstance(event, FeedRead)
+                self.assertIsNone(event.epoch)
+
     @on_loopback
     async def test_invalid_rows_do_not_affect_others(self) -> None:
         rows = [
