Keep the ports of an entry under test from others until it listens

Cause, in the test: its ports were found, closed and used later; upstreams and clients of the same test, and other processes, could get them in between. Each is now bound until the test ends, without listening, and both sides reuse addresses, so that the entry may listen. The UDP port is still free meanwhile.

--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -106,13 +106,6 @@
     return {"version": version, "routes": routes, "tenants": tenants}
 
 
-def find_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Finds a free port on loopback."""
-    with socket.socket(socket.AF_INET, kind) as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
-
-
 class DaemonTestCase(LoopbackTestCase):
     """A test case with the settings of an entry and a store."""
 
@@ -123,15 +116,31 @@
         self.store = FakeStore()
         listener = self.serve(self.store)
         self.stopped: list[str] = []
-        ports = {name: find_port() for name in ("callers", "readiness", "metrics")}
+        names = ("callers", "readiness", "metrics")
+        ports = {name: self.reserve_port() for name in names}
         self.settings = {
             "name": "entry-1",
             "data_centre": "z-1",
             "store": listener.address.removeprefix("http://"),
-            "peers": f"127.0.0.1:{find_port(socket.SOCK_DGRAM)}",
+            "peers": f"127.0.0.1:{self.reserve_port(socket.SOCK_DGRAM)}",
             **{name: f"127.0.0.1:{port}" for name, port in ports.items()},
         }
 
+    def reserve_port(self, kind: int = socket.SOCK_STREAM) -> int:
+        """Finds a free port on loopback and keeps others from it until the test ends.
+
+        A socket may listen beside one that is only bound, if both reuse addresses. The
+        entry does so for TCP; a UDP port is free again.
+        """
+        reserved = socket.socket(socket.AF_INET, kind)
+        self.addCleanup(reserved.close)
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        port = int(reserved.getsockname()[1])
+        if kind == socket.SOCK_DGRAM:
+            reserved.close()
+        return port
+
     async def start(self, *scripts: list[Any] | FloodingServer) -> ServingDaemon:
         """Starts an entry with one upstream per script and waits until it is ready."""
         self.servers: list[Any] = []
