Count a request that was given up as a crash only once a second probe fails

Callers of a sound request were refused: after three failed probes in a row, each of an upstream that answered the next one, its suspects were quarantined, though no upstream had crashed.

Hypotheses: (1) the report is made before the upstream can answer; (2) the answer comes first and isn't applied to the upstream; (3) the evaluation counts a withdrawn report. Evidence: on the harness, a probe that is reset at 0.5 s and answered at 0.8 s leaves a report for each of three upstreams and quarantines its suspects; with the change, none. Nothing withdraws reports, and the upstream is healthy after the answer, which leaves (1).

Such a request now waits, unsettled, until two probes or connections in a row have failed, or the registration is gone or replaced; an answer discards it. A reset connection is evidence of its own and counts as before.

test_upstream_that_answers_after_a_failed_probe_has_not_crashed failed before. The other two new tests hold that real crashes still count; they passed before.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -93,12 +93,14 @@
 class UnsettledReport:
     """A report of a connection reset, until it is known whether the upstream crashed.
 
-    `at` is on the process clock.
+    `at` is on the process clock. `failures_needed` is how many probes and connection
+    attempts in a row have to fail before it counts as a crash.
     """
 
     report: CrashReport
     upstream: Upstream
     at: float
+    failures_needed: int = 1
 
     @property
     def is_open(self) -> bool:
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.serving.events import NoticeReceived
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.suspicions import (
@@ -25,6 +27,10 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+# A request that was given up left no broken connection as a second sign of a crash.
+FAILURES_TO_CONFIRM = 2
+
+
 def has_begun(world: ServingWorld, attempt: Attempt, now: float) -> bool:
     """Tells whether an upstream has lived on after the first piece of an attempt."""
     if attempt.first_piece_at is None:
@@ -58,7 +64,8 @@
 def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that an attempt is given up; the upstream may crash by it even so.
 
-    One that is known to be down already may have crashed by it.
+    One that is known to be down already may have crashed by it, unless it answers its
+    next probe: a process at its limit of connections resets a probe as well.
     """
     if attempt.state is AttemptState.CONNECTING or has_begun(world, attempt, now):
         return
@@ -66,7 +73,8 @@
     if unsettled is None:
         return
     if attempt.upstream.health is UpstreamHealth.DOWN:
-        world.suspicions.unsettled_resets.append(unsettled)
+        unconfirmed = evolve(unsettled, failures_needed=FAILURES_TO_CONFIRM)
+        world.suspicions.unsettled_resets.append(unconfirmed)
     else:
         world.suspicions.departures.append(unsettled)
 
@@ -168,13 +176,25 @@
         upstream = item.upstream
         if upstream.health is UpstreamHealth.HEALTHY or upstream.leaving:
             continue
-        if upstream.health is UpstreamHealth.DOWN and not upstream.silent:
+        if _is_crash(world, item):
             _add_own_report(world, item, now)
         elif now - item.at <= settle_max_s:
             unsettled.append(item)
     table.unsettled_resets = unsettled
 
 
+def _is_crash(world: ServingWorld, item: UnsettledReport) -> bool:
+    """Tells whether an upstream has crashed, as far as is known.
+
+    One whose registration is gone or replaced is not probed any more.
+    """
+    upstream = item.upstream
+    if upstream.health is not UpstreamHealth.DOWN or upstream.silent:
+        return False
+    is_registered = world.upstreams.by_id.get(upstream.id) is upstream
+    return not is_registered or upstream.failed_probes >= item.failures_needed
+
+
 def _settle_departures(world: ServingWorld, now: float) -> None:
     """Reports departures from upstreams that crashed right after them."""
     table = world.suspicions
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -228,6 +228,51 @@
         self.assertFalse(self.harness.world.suspicions.own_reports)
 
 
+class GivenUpRequestTests(unittest.TestCase):
+    """Requests that are given up after a failed probe, their connections unbroken."""
+
+    def setUp(self) -> None:
+        self.harness = ServingHarness()
+        self.harness.start()
+
+    def give_up_when_probe_fails(self) -> SendAttempt:
+        """Lets a probe be reset, so that the request there is sent elsewhere."""
+        sent = self.harness.send()
+        self.harness.advance(0.5)
+        self.fail_probe(sent)
+        self.harness.advance(0.3)
+        return sent
+
+    def fail_probe(self, sent: SendAttempt) -> None:
+        record = sent.upstream
+        reason = "connection reset"
+        failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent=False)
+        self.harness.post(failed)
+
+    def test_upstream_that_answers_after_a_failed_probe_has_not_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        for _ in range(3):
+            record = self.give_up_when_probe_fails().upstream
+            self.harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+            self.harness.advance(0.4)
+        self.assertEqual(self.harness.world.suspicions.reports, {})
+        self.assertEqual(self.harness.world.suspicions.quarantines, {})
+
+    def test_upstream_that_fails_another_probe_has_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        self.fail_probe(self.give_up_when_probe_fails())
+        self.harness.advance(0.1)
+        self.assertEqual(len(self.harness.world.suspicions.reports), 1)
+
+    def test_upstream_that_is_replaced_after_a_failed_probe_has_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        record = self.give_up_when_probe_fails().upstream
+        restarted = evolve(record, born_ms=record.born_ms + 1)
+        self.harness.change(Feed.UPSTREAMS, {record.id: restarted})
+        self.harness.advance(0.1)
+        self.assertEqual(len(self.harness.world.suspicions.reports), 1)
+
+
 class CrashingPartTests(unittest.TestCase):
     """Regression tests: one part of a prompt crashed engine after engine."""
 
