Report a crash to other entries for as long as any, however late it is settled

A crash may be settled up to 3 s after the reset, but its report was told to the other entries only until 3 s after the reset. An entry that missed it may send its callers' requests to further engines, since the crash counts at one entry only.

Hypotheses: (1) the time is counted from the reset; (2) the report is dropped as expired; (3) no notice is due. Evidence: after a reset that settled after 1.5 s and 2.8 s the report is in the table, yet the list for notices is empty before 3 s have passed since it was settled, and reports that settled after 0.1 s are listed: that leaves (1).

The time is counted from settling, which is kept beside the key of each own report; the time of the crash, which the evaluation uses, stays as it was.

test_crash_that_settles_late_is_reported_as_long_as_others failed before for 1.5 s and 2.8 s.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -143,7 +143,8 @@
 class SuspicionTable:
     """Evidence about suspects, and the quarantines that follow from it.
 
-    `reports` are those of all entries, and `own_reports` the keys of this entry's.
+    `reports` are those of all entries. `own_reports` has the keys of this entry's, and
+    when they were settled, on the store's clock.
     `departures` are requests that left an upstream before they began there.
     `begun_at` holds when a request with a suspect last began, on the store's clock, the
     latest last, and `reported_clearances` what other entries are told of that. The
@@ -154,7 +155,7 @@
     """
 
     reports: dict[ReportKey, CrashReport] = field(factory=dict)
-    own_reports: set[ReportKey] = field(factory=set)
+    own_reports: dict[ReportKey, float] = field(factory=dict)
     unsettled_resets: list[UnsettledReport] = field(factory=list)
     departures: list[UnsettledReport] = field(factory=list)
     begun_at: dict[str, float] = field(factory=dict)
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -131,7 +131,7 @@
     if len(table.reports) > world.serving_policy.suspicion.max_reports:
         oldest = next(iter(table.reports))
         del table.reports[oldest]
-        table.own_reports.discard(oldest)
+        table.own_reports.pop(oldest, None)
     schedule_evaluation(world, now)
     world.log_decision(
         "suspects",
@@ -213,9 +213,10 @@
 
 
 def _add_own_report(world: ServingWorld, item: UnsettledReport, now: float) -> None:
-    if item.report.key in world.suspicions.reports:
+    table = world.suspicions
+    if item.report.key in table.reports:
         return
-    world.suspicions.own_reports.add(item.report.key)
+    table.own_reports[item.report.key] = world.read_shared_time()
     world.other_entries.send_now = True
     add_report(world, item.report, now)
 
@@ -228,19 +229,22 @@
     for key, report in list(table.reports.items()):
         if report.at < since:
             del table.reports[key]
-            table.own_reports.discard(key)
+            table.own_reports.pop(key, None)
     if not table.reports:
         table.watched = frozenset()
 
 
 def list_crash_reports(world: ServingWorld) -> tuple[CrashReport, ...]:
-    """Lists this entry's recent reports, for notices."""
+    """Lists this entry's recently settled reports, for notices."""
     table = world.suspicions
     if not table.own_reports:
         return ()
     since = world.read_shared_time() - world.serving_policy.suspicion.reported_s
-    own = (table.reports[key] for key in table.own_reports)
-    recent = (report for report in own if report.at >= since)
+    recent = [
+        table.reports[key]
+        for key, settled_at in table.own_reports.items()
+        if settled_at >= since
+    ]
     return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
 
 
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -30,7 +30,11 @@
     QuarantineRecord,
     find_suspects,
 )
-from magnoliahold.core.serving.systems.crashes import add_clearance, add_report
+from magnoliahold.core.serving.systems.crashes import (
+    add_clearance,
+    add_report,
+    list_crash_reports,
+)
 from magnoliahold.core.serving.systems.quarantine import quarantine_suspects
 from tests.core.serving.harness import (
     CALLS,
@@ -192,6 +196,23 @@
         names = [item.fingerprint for item in notice.quarantines]
         self.assertEqual(names, [f"{POISON}+{SHARED_SUSPECT}"])
 
+    def test_crash_that_settles_late_is_reported_as_long_as_others(self) -> None:
+        for settled_after_s in (0.1, 1.5, 2.8):
+            with self.subTest(settled_after_s=settled_after_s):
+                self.setUp()
+                _, sent = self.send_request()
+                record = sent.upstream
+                self.harness.interrupt(sent)
+                self.harness.advance(settled_after_s)
+                failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
+                self.harness.post(failed)
+                self.harness.advance(0.1)
+                self.assertEqual(len(list_crash_reports(self.harness.world)), 1)
+                self.harness.advance(2.6)
+                self.assertEqual(len(list_crash_reports(self.harness.world)), 1)
+                self.harness.advance(0.6)
+                self.assertEqual(list_crash_reports(self.harness.world), ())
+
     def test_quarantines_of_other_entries_apply_until_cleared(self) -> None:
         record = QuarantineRecord(POISON, self.harness.now)
         self.post_notice(quarantines=(record,))
