Count crashes for clearances as convictions do

An entry told the others that a suspect had begun only after two crashes under it, but counted those by id and start. Crashes of one upstream that doesn't tell its starts apart (start 0) were one, though convictions count them as several: other entries may convict a request or part that had begun, and refuse it to callers.

Hypotheses: (1) the count takes repeated crashes for one; (2) the clearance is too old to be told. Evidence: three reports of upstream `u-1` with start 0, 4 s apart, and an older clearance give none where one is due; a clearance that was never told has no limit of age. That leaves (1).

The count now is that of gather_crashes, so that the two can't differ again. One crash that is noticed late, and one of a known start, still count once.

test_suspect_is_cleared_once_upstreams_have_crashed_twice failed before for the upstream of unknown starts; the other two rows passed.

--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -11,6 +11,7 @@
 
 from attrs import evolve
 
+from magnoliahold.core.serving.convictions import gather_crashes, group_by_suspect
 from magnoliahold.core.serving.events import NoticeReceived
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.suspicions import (
@@ -23,7 +24,6 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt
-    from magnoliahold.core.serving.suspicions import SuspicionTable
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -248,15 +248,19 @@
     return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
 
 
-def _find_newest_crashes(table: SuspicionTable) -> dict[str, float]:
+def _find_newest_crashes(world: ServingWorld) -> dict[str, float]:
     """Finds when upstreams last crashed under each suspect with two crashes or more."""
+    reports = world.suspicions.reports.values()
+    crashes = gather_crashes(reports, {}, world.serving_policy.suspicion)
     newest: dict[str, float] = {}
-    crashes: dict[str, set[tuple[str, int]]] = {}
-    for report in table.reports.values():
+    for report in reports:
         for suspect in report.suspects:
             newest[suspect] = max(report.at, newest.get(suspect, report.at))
-            crashes.setdefault(suspect, set()).add(report.crash)
-    return {item: newest[item] for item in newest if len(crashes[item]) > 1}
+    return {
+        suspect: newest[suspect]
+        for suspect, items in group_by_suspect(crashes).items()
+        if len(items) > 1
+    }
 
 
 def list_clearances(world: ServingWorld) -> tuple[Clearance, ...]:
@@ -268,7 +272,7 @@
     table = world.suspicions
     if not table.reports and not table.reported_clearances:
         return ()
-    newest = _find_newest_crashes(table)
+    newest = _find_newest_crashes(world)
     for suspect, crashed_at in newest.items():
         begun_at = table.begun_at.get(suspect)
         reported_at = table.reported_clearances.get(suspect)
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -33,6 +33,7 @@
 from magnoliahold.core.serving.systems.crashes import (
     add_clearance,
     add_report,
+    list_clearances,
     list_crash_reports,
 )
 from magnoliahold.core.serving.systems.quarantine import quarantine_suspects
@@ -213,6 +214,23 @@
                 self.harness.advance(0.6)
                 self.assertEqual(list_crash_reports(self.harness.world), ())
 
+    def test_suspect_is_cleared_once_upstreams_have_crashed_twice(self) -> None:
+        table = (
+            ("one crash that is noticed late", 0, (80.0, 82.5), 0),
+            ("crashes of an upstream of unknown starts", 0, (80.0, 84.0, 88.0), 1),
+            ("one crash of a known start", 1000, (80.0, 84.0, 88.0), 0),
+        )
+        for name, born_ms, times, cleared in table:
+            with self.subTest(name):
+                self.setUp()
+                world = self.harness.world
+                for number, at in enumerate(times):
+                    request_id = f"request-{number}"
+                    report = CrashReport("u-1", born_ms, request_id, (POISON,), at)
+                    add_report(world, report, self.harness.now)
+                add_clearance(world, Clearance(POISON, 75.0), self.harness.now)
+                self.assertEqual(len(list_clearances(world)), cleared)
+
     def test_quarantines_of_other_entries_apply_until_cleared(self) -> None:
         record = QuarantineRecord(POISON, self.harness.now)
         self.post_notice(quarantines=(record,))
