--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -9,6 +9,9 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
+from magnoliahold.core.serving.convictions import gather_crashes, group_by_suspect
 from magnoliahold.core.serving.events import NoticeReceived
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.suspicions import (
@@ -21,10 +24,13 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt
-    from magnoliahold.core.serving.suspicions import SuspicionTable
     from magnoliahold.core.serving.world import ServingWorld
 
 
+# A request that was given up left no broken connection as a second sign of a crash.
+FAILURES_TO_CONFIRM = 2
+
+
 def has_begun(world: ServingWorld, attempt: Attempt, now: float) -> bool:
     """Tells whether an upstream has lived on after the first piece of an attempt."""
     if attempt.first_piece_at is None:
@@ -58,7 +64,8 @@
 def record_departure(world: ServingWorld, attempt: Attempt, now: float) -> None:
     """Records that an attempt is given up; the upstream may crash by it even so.
 
-    One that is known to be down already may have crashed by it.
+    One that is known to be down already may have crashed by it, unless it answers its
+    next probe: a process at its limit of connections resets a probe as well.
     """
     if attempt.state is AttemptState.CONNECTING or has_begun(world, attempt, now):
         return
@@ -66,7 +73,8 @@
     if unsettled is None:
         return
     if attempt.upstream.health is UpstreamHealth.DOWN:
-        world.suspicions.unsettled_resets.append(unsettled)
+        unconfirmed = evolve(unsettled, failures_needed=FAILURES_TO_CONFIRM)
+        world.suspicions.unsettled_resets.append(unconfirmed)
     else:
         world.suspicions.departures.append(unsettled)
 
@@ -123,7 +131,7 @@
     if len(table.reports) > world.serving_policy.suspicion.max_reports:
         oldest = next(iter(table.reports))
         del table.reports[oldest]
-        table.own_reports.discard(oldest)
+        table.own_reports.pop(oldest, None)
     schedule_evaluation(world, now)
     world.log_decision(
         "suspects",
@@ -168,13 +176,25 @@
         upstream = item.upstream
         if upstream.health is UpstreamHealth.HEALTHY or upstream.leaving:
             continue
-        if upstream.health is UpstreamHealth.DOWN and not upstream.silent:
+        if _is_crash(world, item):
             _add_own_report(world, item, now)
         elif now - item.at <= settle_max_s:
             unsettled.append(item)
     table.unsettled_resets = unsettled
 
 
+def _is_crash(world: ServingWorld, item: UnsettledReport) -> bool:
+    """Tells whether an upstream has crashed, as far as is known.
+
+    One whose registration is gone or replaced is not probed any more.
+    """
+    upstream = item.upstream
+    if upstream.health is not UpstreamHealth.DOWN or upstream.silent:
+        return False
+    is_registered = world.upstreams.by_id.get(upstream.id) is upstream
+    return not is_registered or upstream.failed_probes >= item.failures_needed
+
+
 def _settle_departures(world: ServingWorld, now: float) -> None:
     """Reports departures from upstreams that crashed right after them."""
     table = world.suspicions
@@ -193,9 +213,10 @@
 
 
 def _add_own_report(world: ServingWorld, item: UnsettledReport, now: float) -> None:
-    if item.report.key in world.suspicions.reports:
+    table = world.suspicions
+    if item.report.key in table.reports:
         return
-    world.suspicions.own_reports.add(item.report.key)
+    table.own_reports[item.report.key] = world.read_shared_time()
     world.other_entries.send_now = True
     add_report(world, item.report, now)
 
@@ -208,31 +229,38 @@
     for key, report in list(table.reports.items()):
         if report.at < since:
             del table.reports[key]
-            table.own_reports.discard(key)
+            table.own_reports.pop(key, None)
     if not table.reports:
         table.watched = frozenset()
 
 
 def list_crash_reports(world: ServingWorld) -> tuple[CrashReport, ...]:
-    """Lists this entry's recent reports, for notices."""
+    """Lists this entry's recently settled reports, for notices."""
     table = world.suspicions
     if not table.own_reports:
         return ()
     since = world.read_shared_time() - world.serving_policy.suspicion.reported_s
-    own = (table.reports[key] for key in table.own_reports)
-    recent = (report for report in own if report.at >= since)
+    recent = [
+        table.reports[key]
+        for key, settled_at in table.own_reports.items()
+        if settled_at >= since
+    ]
     return tuple(sorted(recent, key=lambda report: (report.at, report.key)))
 
 
-def _find_newest_crashes(table: SuspicionTable) -> dict[str, float]:
+def _find_newest_crashes(world: ServingWorld) -> dict[str, float]:
     """Finds when upstreams last crashed under each suspect with two crashes or more."""
+    reports = world.suspicions.reports.values()
+    crashes = gather_crashes(reports, {}, world.serving_policy.suspicion)
     newest: dict[str, float] = {}
-    crashes: dict[str, set[tuple[str, int]]] = {}
-    for report in table.reports.values():
+    for report in reports:
         for suspect in report.suspects:
             newest[suspect] = max(report.at, newest.get(suspect, report.at))
-            crashes.setdefault(suspect, set()).add(report.crash)
-    return {item: newest[item] for item in newest if len(crashes[item]) > 1}
+    return {
+        suspect: newest[suspect]
+        for suspect, items in group_by_suspect(crashes).items()
+        if len(items) > 1
+    }
 
 
 def list_clearances(world: ServingWorld) -> tuple[Clearance, ...]:
@@ -244,7 +272,7 @@
     table = world.suspicions
     if not table.reports and not table.reported_clearances:
         return ()
-    newest = _find_newest_crashes(table)
+    newest = _find_newest_crashes(world)
     for suspect, crashed_at in newest.items():
         begun_at = table.begun_at.get(suspect)
         reported_at = table.reported_clearances.get(suspect)
