Give each state of a move that hasn't ended the status "running"

A move whose record had the state waiting, growing or probation stopped for good at an entry that had to write the record again, as after a restore of the store. Its order was neither carried out nor taken back at its deadline.

Hypotheses: the record can't be read; its state isn't routed or ended like canary; or it can't be written. The states are those of all moves, of which a serving entry itself makes only canary and the two ends.

Evidence: the record is read, routed and due like one in canary. write_move_status raised KeyError for these three states, within the effect, so that no MoveWritten followed.

Every state now has a status; the three are in progress and count as running.

The new test reads a record in each state and writes it; it failed before in these three.

--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -30,7 +30,10 @@
     "streaming": RouteKind.STREAM,
 }
 MOVE_STATUS_NAMES = {
+    MoveState.WAITING: "running",
     MoveState.CANARY: "running",
+    MoveState.GROWING: "running",
+    MoveState.PROBATION: "running",
     MoveState.DONE: "completed",
     MoveState.TAKEN_BACK: "rolled_back",
 }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -23,6 +23,7 @@
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.suspicions import QuarantineRecord
+from magnoliahold.platform.documents import write_move_record
 from magnoliahold.platform.store import EPOCH_HEADER, StoreClient
 from tests.loopback import LoopbackTestCase, on_loopback
 from tests.platform.test_documents import SERVER
@@ -198,6 +199,24 @@
             {"service": "s", "to": "v2", "state": "rolled_back"},
         )
 
+    @on_loopback
+    async def test_record_in_any_state_that_is_read_can_be_written(self) -> None:
+        shown = {MoveState.DONE: "completed", MoveState.TAKEN_BACK: "rolled_back"}
+        for state in MoveState:
+            with self.subTest(state=state):
+                self.store.bodies.clear()
+                stored = write_move_record(MoveRecord("s", "s@4", "v2", state, 7.0))
+                row = make_row("s", 5, stored)
+                answer = (200, {"rows": [row], "ver": 9})
+                read = await self.read(answer, feed=Feed.MOVES)
+                self.store.answers = [(200, {"ver": 12})]
+                self.client.write_move(read.rows[0].value, 5, 0.3)
+                await self.wait_until(lambda: bool(self.events))
+                self.assertEqual(self.events.pop().row_version, 12)
+                _, status = json.loads(self.store.bodies[-1])["puts"]
+                document = json.loads(b64decode(status["value"]))
+                self.assertEqual(document["state"], shown.get(state, "running"))
+
     @on_loopback
     async def test_invalid_configuration_is_left_out(self) -> None:
         rows = [make_row("config", 3, b"{}")]
