Leave out reports of results in which any count falls

Two reports of one sender, of which the second had fewer failures and more answers, made the failures of the old version negative. The next result of the new version then failed the tick of every entry that had received them.

Hypotheses: a negative difference makes a negative number of trials, which only lowers the evidence; it makes a negative share of failures, whose logarithm doesn't exist; or the decay of references lets their sum reach zero.

Evidence (trial, three notices through decoding, checks and ticks): after 0 answered and 1000 failed, then 2000 and 0 some seconds later, the reference held -181 failures. The earlier failures had decayed, while the difference was taken at full weight. A notice with results of the new version raised "ValueError: math domain error" in the tick, from log(p1 / p0) with a negative p0. Negative trials raise nothing, but they withdrew failures of the new version that were counted. The sum can't become negative.

A report counted as older only if its sum was lower. Cumulative counts never fall, so that it is older, or wrong, if either falls. In the same trial the second report is now left out, and the third one counts.

Both new tests failed before, one with the ValueError. Entries that work as intended never lower a count as far as their code was read; like numbers out of range, such a report may be wrong at its sender alone.

--- a/src/magnoliahold/core/canary_analysis.py
+++ b/src/magnoliahold/core/canary_analysis.py
@@ -424,7 +424,8 @@
 
 
 def _is_older(before: EvidenceCount, after: EvidenceCount) -> bool:
-    return after.answered + after.failed < before.answered + before.failed
+    """Tells whether any count falls, which those of a later report never do."""
+    return after.answered < before.answered or after.failed < before.failed
 
 
 @frozen
