Read no further request while earlier answers wait for their caller

Callers saw nothing of it; the entry did: one that sent requests behind one another and took no answer had all answers waiting in the entry's memory.

Hypotheses: (a) the end of an answer begins the next request, whatever still waits to be written (found); (b) the pause of a stream's upstream fails on a connection that is used again (no: these were no streams, which alone can be paused); (c) a request is begun before the answer before it is written to the buffer (no: they are handled one by one).

Cause: the back pressure of a caller reaches the upstream of a stream, but not the requests behind it. The HTTP server reads on as soon as an answer is complete, and pauses its connection only while it handles no request.

Fix: the next request is held back while more than 1 MiB waits to be written, and read once the transport has written all. So at most one answer waits beside that. What is held back keeps no idle connection open, and is answered in a stop.

test_requests_wait_while_earlier_answers_do failed before (47.4 MB for 6 calls, 10.5 MB allowed). The test of the idle timeout fails without its part of the fix: the connection ends by its caller's side, seconds later, and not by the entry. That of the stop passed before as well.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -9,6 +9,7 @@
 from twisted.web.http import HTTPChannel, Request
 
 from magnoliahold.logs import make_part_logger
+from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
@@ -156,9 +157,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
+        """Whether no request is being read, answered or held back."""
         busy = self.requests or self._header_timer or self._linger_timer
-        return not busy
+        return not busy and not (self.paused and self._buffer)
 
     @property
     def has_next_request(self) -> bool:
@@ -222,7 +223,7 @@
             return
         self._was_used = True
         self._idle_since = self._callers.clock.seconds()
-        if self.is_idle:
+        if self.is_idle and not self.paused:
             self._apply_limits()
             self._header_timer = self._callers.clock.callLater(
                 self._callers.limits.header_timeout_s, self._reject_unless_unread
@@ -252,12 +253,30 @@
         self._apply_limits()
         self._unwritten_before = 0
         self._savedTimeOut = self.timeOut
+        self._hold_next_request()
         super().requestDone(request)  # type: ignore[no-untyped-call]
 
+    def _hold_next_request(self) -> None:
+        """Reads no further request while too much of earlier answers waits.
+
+        Otherwise a caller that takes nothing could have any number of answers waiting.
+        """
+        if not self.persistent or self.unwritten_bytes <= MAX_UNWRITTEN_BYTES:
+            return
+        self.paused = True
+        transport: Any = self.transport
+        transport.pauseProducing()
+
     def resumeProducing(self) -> None:  # noqa: N802
-        """Lets idle time begin: the caller has taken all of a large answer."""
+        """Lets idle time begin: the caller has taken all of a large answer.
+
+        Requests that came behind it are read now.
+        """
         self._idle_since = self._callers.clock.seconds()
+        self.paused = False
         super().resumeProducing()  # type: ignore[no-untyped-call]
+        if self._buffer:
+            self.dataReceived(b"")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Cancels the timeouts and unregisters the connection."""
@@ -326,9 +345,11 @@
         """Closes a connection that was idle for too long, by the limits in force.
 
         It isn't idle while a request waits to be read, or an answer to be written. A
-        request of which only a part came is rejected.
+        request of which only a part came is rejected. One that is held back for a
+        caller who takes nothing keeps no connection open.
         """
-        if self.has_unread or self._is_still_taking():
+        waits = self.has_unread and not self.paused
+        if waits or self._is_still_taking():
             self._apply_limits()
             self.setTimeout(self.timeOut)  # type: ignore[no-untyped-call]
             return
--- a/tests/serving/test_back_pressure.py
+++ b/tests/serving/test_back_pressure.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from magnoliahold.serving.callers import BY_ENTRY
 from tests.flooding import MIB, SOCKET_BYTES, FloodingServer, make_chunk
 from tests.loopback import on_loopback
 from tests.serving.scripted import CLOSE
 from tests.serving.test_daemon import DaemonTestCase
-from tests.serving.test_exchanges import LAST_CHUNK, OPEN_STREAM, STREAM
+from tests.serving.test_exchanges import HEAD, LAST_CHUNK, OPEN_STREAM, STREAM
 
 if TYPE_CHECKING:
     from magnoliahold.serving.daemon import ServingDaemon
@@ -23,6 +25,11 @@
 )
 # What an entry may hold of one stream, in all its buffers.
 HELD_BYTES = 2 * MIB
+LARGE_BYTES = 8 * MIB
+CALL = REQUEST.replace(b"HTTP/1.0", b"HTTP/1.1").replace(b"streams", b"calls")
+CALLS = 6
+# More than are read at once.
+MANY_CALLS = 20_000
 # Longer than an upstream may be silent.
 PAUSE_S = 2.5
 # Longer than the time limit of the route.
@@ -157,3 +164,43 @@
         await self.wait_until(lambda: caller.received.count(end) == 2)
         self.assertEqual(caller.received.count(b"HTTP/1.1 200 OK"), 2)
         self.assertGreater(len(caller.received), 2 * len(content))
+
+    async def start_with_large_answers(self) -> ServingDaemon:
+        """Starts an entry whose upstream gives a large answer to each call."""
+        size = b"Content-Length: %d\r\n\r\n" % LARGE_BYTES
+        return await self.start([HEAD + size + b"x" * LARGE_BYTES])
+
+    async def take_all(self, caller: SlowCaller) -> None:
+        """Takes the large answers to `CALLS` requests."""
+        caller.take()
+        taken = CALLS * LARGE_BYTES
+        await self.wait_until(lambda: caller.received.count(b"x") >= taken)
+        self.assertEqual(caller.received.count(b"HTTP/1.1 200 OK"), CALLS)
+
+    @on_loopback
+    async def test_requests_wait_while_earlier_answers_do(self) -> None:
+        daemon = await self.start_with_large_answers()
+        caller = self.call(CALL * CALLS)
+        held = await self.watch(daemon, caller, 1.0)
+        self.assertLess(held, LARGE_BYTES + HELD_BYTES)
+        await self.take_all(caller)
+
+    @on_loopback
+    async def test_requests_that_wait_are_answered_in_a_stop(self) -> None:
+        daemon = await self.start_with_large_answers()
+        caller = self.call(CALL * CALLS)
+        await self.watch(daemon, caller, 0.5)
+        daemon.leave("SIGTERM")
+        await self.watch(daemon, caller, 0.5)
+        await self.take_all(caller)
+        await self.wait_until(lambda: bool(self.stopped))
+
+    @on_loopback
+    async def test_requests_that_wait_keep_no_idle_connection_open(self) -> None:
+        daemon = await self.start_with_large_answers()
+        callers = daemon.node.ports.callers
+        callers.limits = evolve(callers.limits, idle_timeout_s=0.5)
+        self.call(CALL * MANY_CALLS)
+        await self.wait_until(lambda: len(callers.channels) == 1)
+        await self.wait_until(lambda: not callers.channels)
+        self.assertEqual(callers.unanswered, {BY_ENTRY: 1})
