End the read of a table whose pages repeat

What an entry did: a store that always says there is more, with the same row, was asked without end, and no event came: the entry followed that table no more, and rows piled up.

Cause: each page has a timeout of its own, and a page that doesn't follow the one before was taken like any other. Now the read fails, which is logged and retried later like any failed read.

The new test failed before. Keys that go up without end are still read.

--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -365,9 +365,11 @@
     epoch: int | None = None
 
     def add_page(self, page: _Rows, epoch: int | None) -> None:
-        """Adds the rows of a page; raises StoreAnswerError if its epoch is another."""
+        """Adds the rows of a page; raises StoreAnswerError if it doesn't follow."""
         if self.version is not None and epoch != self.epoch:
             raise StoreAnswerError("the store was restored between two pages")
+        if self.rows and page.rows and page.rows[0].key <= self.rows[-1].key:
+            raise StoreAnswerError("a page doesn't begin behind the one before")
         self.epoch = epoch
         self.rows.extend(page.rows)
         if self.version is None or page.ver < self.version:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -96,6 +96,13 @@
         self.assertEqual((event.version, event.sent_at), (9, 50.0))
         self.assertEqual(self.store.calls[1][1]["from"], "a\0")
 
+    @on_loopback
+    async def test_table_whose_pages_repeat_is_read_no_further(self) -> None:
+        first = {"rows": [make_row("a", 3, SERVER)], "ver": 9, "has_more": True}
+        event = await self.read((200, first), (200, first), (200, first))
+        self.assertIsInstance(event, FeedFailed)
+        self.assertEqual(len(self.store.calls), 2)
+
     @on_loopback
     async def test_changed_and_removed_rows_are_reported(self) -> None:
         removed = {"key": "b", "ver": 9, "removed": True}
