Don't count the pauses of a slow caller in the duration of streams

What callers would see: one caller that takes its stream slowly raises the mean duration of streams, and an entry that leaves refuses new streams of the service that could end in time ("the entry stops before the stream could end").

Found by its review, by reading.

The new test failed before (2.0 s, less than 1 s allowed).

--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -24,7 +24,7 @@
 from magnoliahold.core.serving.upstreams import update_moving_average
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.requests import Attempt, ServedRequest
+    from magnoliahold.core.serving.requests import Attempt
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -105,15 +105,13 @@
             world.requests.end_attempt(attempt)
             world.emit(CloseAttempt(attempt.number))
             free_copy(world, attempt, now)
-            _record_stream_duration(world, attempt.request, now)
+            _record_stream_duration(world, attempt, now)
             finish_stream(world, attempt.request, now)
 
 
-def _record_stream_duration(
-    world: ServingWorld, request: ServedRequest, now: float
-) -> None:
-    service = request.service
-    duration_s = now - request.arrived_at
+def _record_stream_duration(world: ServingWorld, attempt: Attempt, now: float) -> None:
+    service = attempt.request.service
+    duration_s = now - attempt.request.arrived_at - attempt.paused_s
     world.mean_duration_by_service[service] = update_moving_average(
         world.mean_duration_by_service.get(service), duration_s
     )
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -192,6 +192,17 @@
                 harness.advance(2.0)
                 harness.pop_effect(SendAttempt)
 
+    def test_pauses_of_a_caller_do_not_lengthen_streams(self) -> None:
+        harness = self.harness
+        harness.open(self.first, self.caller)
+        harness.produce(self.first, 1)
+        harness.post(ReadingChanged(self.first.attempt, True))
+        harness.advance(2.0)
+        harness.post(ReadingChanged(self.first.attempt, False))
+        harness.produce(self.first, 2)
+        harness.finish(self.first)
+        self.assertLess(harness.world.mean_duration_by_service[ENGINES], 1.0)
+
     def test_stream_without_its_copy_falls_back_to_another_upstream(self) -> None:
         self.harness.open(self.first, self.caller)
         self.harness.produce(self.first, 7)
