--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -30,7 +30,12 @@
     QuarantineRecord,
     find_suspects,
 )
-from magnoliahold.core.serving.systems.crashes import add_clearance, add_report
+from magnoliahold.core.serving.systems.crashes import (
+    add_clearance,
+    add_report,
+    list_clearances,
+    list_crash_reports,
+)
 from magnoliahold.core.serving.systems.quarantine import quarantine_suspects
 from tests.core.serving.harness import (
     CALLS,
@@ -192,6 +197,40 @@
         names = [item.fingerprint for item in notice.quarantines]
         self.assertEqual(names, [f"{POISON}+{SHARED_SUSPECT}"])
 
+    def test_crash_that_settles_late_is_reported_as_long_as_others(self) -> None:
+        for settled_after_s in (0.1, 1.5, 2.8):
+            with self.subTest(settled_after_s=settled_after_s):
+                self.setUp()
+                _, sent = self.send_request()
+                record = sent.upstream
+                self.harness.interrupt(sent)
+                self.harness.advance(settled_after_s)
+                failed = UpstreamFailedProbe(record.id, record.born_ms, "refused")
+                self.harness.post(failed)
+                self.harness.advance(0.1)
+                self.assertEqual(len(list_crash_reports(self.harness.world)), 1)
+                self.harness.advance(2.6)
+                self.assertEqual(len(list_crash_reports(self.harness.world)), 1)
+                self.harness.advance(0.6)
+                self.assertEqual(list_crash_reports(self.harness.world), ())
+
+    def test_suspect_is_cleared_once_upstreams_have_crashed_twice(self) -> None:
+        table = (
+            ("one crash that is noticed late", 0, (80.0, 82.5), 0),
+            ("crashes of an upstream of unknown starts", 0, (80.0, 84.0, 88.0), 1),
+            ("one crash of a known start", 1000, (80.0, 84.0, 88.0), 0),
+        )
+        for name, born_ms, times, cleared in table:
+            with self.subTest(name):
+                self.setUp()
+                world = self.harness.world
+                for number, at in enumerate(times):
+                    request_id = f"request-{number}"
+                    report = CrashReport("u-1", born_ms, request_id, (POISON,), at)
+                    add_report(world, report, self.harness.now)
+                add_clearance(world, Clearance(POISON, 75.0), self.harness.now)
+                self.assertEqual(len(list_clearances(world)), cleared)
+
     def test_quarantines_of_other_entries_apply_until_cleared(self) -> None:
         record = QuarantineRecord(POISON, self.harness.now)
         self.post_notice(quarantines=(record,))
@@ -228,6 +267,51 @@
         self.assertFalse(self.harness.world.suspicions.own_reports)
 
 
+class GivenUpRequestTests(unittest.TestCase):
+    """Requests that are given up after a failed probe, their connections unbroken."""
+
+    def setUp(self) -> None:
+        self.harness = ServingHarness()
+        self.harness.start()
+
+    def give_up_when_probe_fails(self) -> SendAttempt:
+        """Lets a probe be reset, so that the request there is sent elsewhere."""
+        sent = self.harness.send()
+        self.harness.advance(0.5)
+        self.fail_probe(sent)
+        self.harness.advance(0.3)
+        return sent
+
+    def fail_probe(self, sent: SendAttempt) -> None:
+        record = sent.upstream
+        reason = "connection reset"
+        failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent=False)
+        self.harness.post(failed)
+
+    def test_upstream_that_answers_after_a_failed_probe_has_not_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        for _ in range(3):
+            record = self.give_up_when_probe_fails().upstream
+            self.harness.post(UpstreamAnsweredProbe(record.id, record.born_ms))
+            self.harness.advance(0.4)
+        self.assertEqual(self.harness.world.suspicions.reports, {})
+        self.assertEqual(self.harness.world.suspicions.quarantines, {})
+
+    def test_upstream_that_fails_another_probe_has_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        self.fail_probe(self.give_up_when_probe_fails())
+        self.harness.advance(0.1)
+        self.assertEqual(len(self.harness.world.suspicions.reports), 1)
+
+    def test_upstream_that_is_replaced_after_a_failed_probe_has_crashed(self) -> None:
+        self.harness.request(STREAM, fingerprint=POISON)
+        record = self.give_up_when_probe_fails().upstream
+        restarted = evolve(record, born_ms=record.born_ms + 1)
+        self.harness.change(Feed.UPSTREAMS, {record.id: restarted})
+        self.harness.advance(0.1)
+        self.assertEqual(len(self.harness.world.suspicions.reports), 1)
+
+
 class CrashingPartTests(unittest.TestCase):
     """Regression tests: one part of a prompt crashed engine after engine."""
 
