--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -132,10 +132,10 @@
     """
     if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
         return False
-    return len(crashes) >= _count_needed(suspect, begun_at, policy)
+    return len(crashes) >= count_needed(suspect, begun_at, policy)
 
 
-def _count_needed(
+def count_needed(
     suspect: str, begun_at: Mapping[str, float], policy: SuspicionPolicy
 ) -> int:
     """Counts the crashes that it takes to quarantine a suspect."""
@@ -234,7 +234,7 @@
     """Tells whether a group lacks one crash at most to be quarantined."""
     if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
         return False
-    needed = min(_count_needed(item, begun_at, policy) for item in group)
+    needed = min(count_needed(item, begun_at, policy) for item in group)
     return len(crashes) >= needed - 1
 
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -15,6 +15,8 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.moves import count_ranked_before
 from magnoliahold.core.serving.convictions import (
+    count_moments,
+    count_needed,
     find_convictions,
     gather_crashes,
     group_by_suspect,
@@ -37,6 +39,8 @@
     from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.core.serving.world import ServingWorld
 
+MIN_LOGGED_CRASHES = 2
+
 
 def is_refused(
     world: ServingWorld,
@@ -131,6 +135,8 @@
         if not any(item.suspects <= suspects for item in table.quarantines.values()):
             convicted_at = _find_last_crash(world, suspects)
             quarantine_suspects(world, suspects, convicted_at)
+    if not convictions:
+        _log_strongest_suspect(world, crashes)
     limit = policy.crashes_to_convict - 1
     table.watched = frozenset(
         suspect
@@ -139,6 +145,25 @@
     )
 
 
+def _log_strongest_suspect(world: ServingWorld, crashes: list[CrashEvidence]) -> None:
+    """Logs the suspect with most crashes if they are several, but not enough."""
+    by_suspect = group_by_suspect(crashes)
+    suspect = max(by_suspect, key=lambda item: len(by_suspect[item]), default=None)
+    if suspect is None or len(by_suspect[suspect]) < MIN_LOGGED_CRASHES:
+        return
+    policy = world.serving_policy.suspicion
+    begun_at = world.suspicions.begun_at
+    world.log_decision(
+        "suspects",
+        "Crashes are too few to quarantine.",
+        suspect=suspect,
+        crashes=len(by_suspect[suspect]),
+        moments=count_moments(by_suspect[suspect], policy.settle_s),
+        needed=count_needed(suspect, begun_at, policy),
+        begun=suspect in begun_at,
+    )
+
+
 def _find_last_crash(world: ServingWorld, suspects: frozenset[str]) -> float:
     return max(
         report.at
