Test calls that crash engines in bursts, turn deadly, or come again after a long pause

The bound is the rule's: three requests later than the stable window after the third crash; a trial is to cost one engine.

--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -24,6 +24,7 @@
     AbortAnswer,
     CloseAttempt,
     CopyKvCache,
+    DeliverAnswer,
     DeliverPieces,
     FinishAnswer,
     FreeCopy,
@@ -96,6 +97,8 @@
 CALLER_TIMEOUT_S = 25.0
 CONNECT_AGAIN_S = 0.5
 GOAL_S = 4.5
+# The rule judges parts of prompts from this crash on.
+COUNTED_CRASHES = 5
 
 FIRST_PART = PromptPart("first", 200)
 POPULAR_PART = PromptPart("popular", 1_500)
@@ -176,6 +179,8 @@
     `head_share` is how often an engine sends the head of its answer before it crashes.
     Entries learn up to `reset_delay_s` late that a connection was reset, and engines
     are back after a time within `restart`. Callers repeat a request `repeats` times.
+    Callers wait for `caller_timeout_s`. The clock advances by `step_s`, and the engines
+    are of `service`.
     """
 
     deadly: tuple[DeadlyPart, ...] = ()
@@ -201,6 +206,9 @@
     reset_delay_s: float = ANSWER_S
     restart: Span = Span(1.5, 4.0)
     repeats: int = 1
+    caller_timeout_s: float = CALLER_TIMEOUT_S
+    step_s: float = STEP_S
+    service: str = ENGINES
 
 
 @define(eq=False)
@@ -351,7 +359,8 @@
         self.put_row(Feed.CONFIGURATION, "config", make_configuration(**keys))
         for number in range(1, self.day.engines + 1):
             centre = f"data-centre-{number % DATA_CENTRES}"
-            self._start_engine(make_upstream(number, ENGINES, data_centre=centre))
+            record = make_upstream(number, self.day.service, data_centre=centre)
+            self._start_engine(record)
         for number in range(1, self.day.entries + 1):
             self._start_first(number)
         self._plan_arrivals()
@@ -375,8 +384,8 @@
 
     def advance_to(self, seconds: float) -> None:
         """Advances the clock to a time of the day."""
-        while self.seconds < seconds - STEP_S / 2:
-            self.now += STEP_S
+        while self.seconds < seconds - self.day.step_s / 2:
+            self.now += self.day.step_s
             while self._due and self._due[0][0] <= self.now:
                 heapq.heappop(self._due)[2]()
             for entry in list(self.entries):
@@ -794,7 +803,7 @@
             f"request-{next(self._serial)}",
             parts,
             self.now,
-            self.now + CALLER_TIMEOUT_S,
+            self.now + self.day.caller_timeout_s,
             deadly,
         )
         self._submit(asked)
@@ -810,7 +819,10 @@
         handle = entry.next_handle
         entry.next_handle += 1
         entry.asked[handle] = asked
-        caller = CallerRequest(
+        entry.events.append(RequestArrived(self._make_caller(handle, asked)))
+
+    def _make_caller(self, handle: int, asked: Asked) -> CallerRequest:
+        return CallerRequest(
             handle=handle,
             request_id=asked.id,
             method="POST",
@@ -822,13 +834,12 @@
             prompt=asked.parts,
             fingerprint=f"fingerprint-{asked.parts[-1].id}",
         )
-        entry.events.append(RequestArrived(caller))
 
     def _end_asked(self, asked: Asked, retry_after_s: float | None) -> None:
         """Ends a request without success; its caller may repeat it."""
         asked.ended_at = self.now
         left_s = asked.deadline_at - self.now
-        wait_s = 0.2 if retry_after_s is None else min(retry_after_s, left_s / 3)
+        wait_s = self._find_repeat_wait_s(retry_after_s, left_s)
         if asked.repeat >= self.day.repeats or left_s <= wait_s:
             return
         repeat = Asked(
@@ -844,6 +855,9 @@
         )
         self._after(wait_s, lambda: self._submit(repeat))
 
+    def _find_repeat_wait_s(self, retry_after_s: float | None, left_s: float) -> float:
+        return 0.2 if retry_after_s is None else min(retry_after_s, left_s / 3)
+
     def _deliver(self, entry: Entry, effect: DeliverPieces) -> None:
         asked = entry.asked[effect.handle]
         run = entry.runs.get(effect.attempt)
@@ -851,7 +865,7 @@
         if run is not None:
             asked.last_piece = run.last
 
-    def _finish(self, entry: Entry, effect: FinishAnswer) -> None:
+    def _finish(self, entry: Entry, effect: DeliverAnswer | FinishAnswer) -> None:
         asked = entry.asked[effect.handle]
         asked.ended_at = self.now
         asked.completed = True
@@ -887,6 +901,7 @@
     AbortAnswer: CrashingFleet._abort,
     CloseAttempt: CrashingFleet._close_attempt,
     CopyKvCache: CrashingFleet._copy,
+    DeliverAnswer: CrashingFleet._finish,
     DeliverPieces: CrashingFleet._deliver,
     FinishAnswer: CrashingFleet._finish,
     FreeCopy: CrashingFleet._free_copy,
@@ -961,12 +976,14 @@
     )
 
 
-def count_late(fleet: CrashingFleet, part: str) -> int:
-    """Counts sends by entries in touch after the window of a part's fifth crash."""
+def count_late(
+    fleet: CrashingFleet, part: str, counted_crashes: int = COUNTED_CRASHES
+) -> int:
+    """Counts sends by entries in touch after the window of a part's counted crash."""
     times = [crash.at_s for crash in fleet.crashes if crash.part == part]
-    if len(times) < 5:
+    if len(times) < counted_crashes:
         return 0
-    limit_s = times[4] + STABLE_WINDOW_S
+    limit_s = times[counted_crashes - 1] + STABLE_WINDOW_S
     return sum(
         sent.part == part and sent.in_touch and sent.at_s > limit_s
         for sent in fleet.sent
