Count crashes that follow each other as moments of their own, however close they are

Crashes within half a second counted as one, for they may have a common cause; the burst of a caller that repeats at once fits into that time. But a request that was sent after one crash and then loses the next upstream shows that this upstream was not lost with the first. Reports of crashes say when the request was sent, and such a crash is a moment of its own. An entry of a release before tells no such time, and its crashes count as before.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -3,14 +3,16 @@
 A request that crashes upstreams does so whatever else runs there, and never begins. So
 each crash names the requests that had not begun at that upstream, and what all crashes
 have in common is to blame. Upstreams that crash within the same moment may have been
-lost together for another reason, so it takes crashes in two moments at least.
+lost together for another reason, so it takes crashes in two moments at least. A crash
+under a request that was sent after another crash is in a moment of its own.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, TypeAlias
 
-from attrs import define
+from attrs import define, field
 
 from magnoliahold.core.serving.suspicions import is_part
 
@@ -29,10 +31,21 @@
 
 @define(eq=False)
 class CrashEvidence:
-    """One crash: when it happened, and the suspects of each request under suspicion."""
+    """One crash: when it happened, and the suspects of each request under suspicion.
+
+    `sent_at` has when the first request with a suspect was sent there, if known.
+    """
 
     at: float
-    requests: list[frozenset[str]]
+    requests: list[frozenset[str]] = field(factory=list)
+    sent_at: dict[str, float] = field(factory=dict)
+
+    def add_request(self, suspects: frozenset[str], sent_at: float) -> None:
+        """Adds a request under suspicion."""
+        self.requests.append(suspects)
+        for suspect in suspects:
+            first = self.sent_at.get(suspect, sent_at)
+            self.sent_at[suspect] = min(first, sent_at)
 
     def is_explained_by(self, group: frozenset[str]) -> bool:
         """Tells whether a request with all suspects of a group was there."""
@@ -61,20 +74,29 @@
         crash = last_crashes.get(report.crash)
         again = not report.born_ms and crash and report.at - crash.at > same_crash_s
         if crash is None or again:
-            crash = last_crashes[report.crash] = CrashEvidence(report.at, [])
+            crash = last_crashes[report.crash] = CrashEvidence(report.at)
             crashes.append(crash)
-        crash.requests.append(suspects)
+        sent_at = -math.inf if report.sent_at is None else report.sent_at
+        crash.add_request(suspects, sent_at)
     return crashes
 
 
-def count_moments(crashes: Iterable[CrashEvidence], moment_s: float) -> int:
-    """Counts crashes; those within `moment_s` of the first of them count once."""
+def count_moments(
+    suspects: Iterable[str], crashes: Iterable[CrashEvidence], moment_s: float
+) -> int:
+    """Counts crashes under suspects; those that may have a common cause count once.
+
+    They may if they are within `moment_s` of the first of them, unless the request was
+    sent after that: an upstream that was lost with another one accepts nothing more.
+    """
+    names = tuple(suspects)
     moments = 0
-    begun_at: float | None = None
-    for at in sorted(crash.at for crash in crashes):
-        if begun_at is None or at - begun_at > moment_s:
+    last_at = -math.inf
+    for crash in sorted(crashes, key=lambda item: item.at):
+        sent_at = min(crash.sent_at.get(name, -math.inf) for name in names)
+        if crash.at - last_at > moment_s or sent_at > last_at:
             moments += 1
-            begun_at = at
+            last_at = crash.at
     return moments
 
 
@@ -130,7 +152,7 @@
 
     One that has begun before may be there by chance, and takes more crashes.
     """
-    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
+    if count_moments((suspect,), crashes, policy.settle_s) < MIN_MOMENTS:
         return False
     return len(crashes) >= count_needed(suspect, begun_at, policy)
 
@@ -232,7 +254,7 @@
     policy: SuspicionPolicy,
 ) -> bool:
     """Tells whether a group lacks one crash at most to be quarantined."""
-    if count_moments(crashes, policy.settle_s) < MIN_MOMENTS:
+    if count_moments(group, crashes, policy.settle_s) < MIN_MOMENTS:
         return False
     needed = min(count_needed(item, begun_at, policy) for item in group)
     return len(crashes) >= needed - 1
--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -44,7 +44,8 @@
 class CrashReport:
     """A request that had not begun at an upstream when that upstream crashed.
 
-    `at` is the time of the crash on the store's clock, in seconds.
+    `at` is the time of the crash on the store's clock, in seconds, and `sent_at` when
+    the request was sent there, None if the entry that reports it doesn't tell.
     """
 
     upstream_id: str
@@ -52,6 +53,7 @@
     request_id: str
     suspects: tuple[str, ...]
     at: float
+    sent_at: float | None = None
 
     @property
     def key(self) -> ReportKey:
--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -86,12 +86,15 @@
     if not request.suspects:
         return None
     record = attempt.upstream.record
+    at = world.read_shared_time()
+    sent_s = 0.0 if attempt.sent_at is None else now - attempt.sent_at
     report = CrashReport(
         record.id,
         record.born_ms,
         request.id,
         tuple(sorted(request.suspects)),
-        round(world.read_shared_time(), 3),
+        round(at, 3),
+        round(at - sent_s, 3),
     )
     return UnsettledReport(report, attempt.upstream, now)
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -158,7 +158,7 @@
         "Crashes are too few to quarantine.",
         suspect=suspect,
         crashes=len(by_suspect[suspect]),
-        moments=count_moments(by_suspect[suspect], policy.settle_s),
+        moments=count_moments((suspect,), by_suspect[suspect], policy.settle_s),
         needed=count_needed(suspect, begun_at, policy),
         begun=suspect in begun_at,
     )
--- a/src/magnoliahold/serving/noticechecks.py
+++ b/src/magnoliahold/serving/noticechecks.py
@@ -41,6 +41,8 @@
 def _list_times(notice: LoadNotice) -> Iterator[float]:
     for report in notice.crash_reports:
         yield report.at
+        if report.sent_at is not None:
+            yield report.sent_at
     for clearance in notice.clearances:
         yield clearance.at
     for quarantine in notice.quarantines:
--- a/tests/core/serving/test_convictions.py
+++ b/tests/core/serving/test_convictions.py
@@ -166,6 +166,28 @@
                 expected = [frozenset(group) for group in case.convicted]
                 self.assertEqual(found, expected)
 
+    def test_call_that_crashes_upstreams_within_a_moment_is_convicted(self) -> None:
+        # Seconds of the crash, and how long before it the request was sent.
+        table = (
+            ("one after the other", ((1.0, 0.04), (1.1, 0.04), (1.2, 0.04)), True),
+            ("two at once, then one", ((1.0, 0.04), (1.02, 0.04), (1.1, 0.04)), True),
+            ("all at once", ((1.0, 0.04), (1.01, 0.04), (1.02, 0.04)), False),
+            ("sent before the first", ((1.0, 0.04), (1.2, 0.3), (1.4, 0.5)), False),
+            ("not told when sent", ((1.0, None), (1.1, None), (1.2, None)), False),
+            ("only two", ((1.0, 0.04), (1.1, 0.04)), False),
+        )
+        for name, crashes, convicted in table:
+            with self.subTest(name):
+                reports = [
+                    CrashReport(
+                        f"u{at}", 0, "r", ("f",), at, None if age is None else at - age
+                    )
+                    for at, age in crashes
+                ]
+                evidence = gather_crashes(reports, {}, POLICY)
+                found = find_convictions(evidence, {}, POLICY)
+                self.assertEqual(found, [frozenset("f")] if convicted else [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/serving/test_noticechecks.py
+++ b/tests/serving/test_noticechecks.py
@@ -53,6 +53,7 @@
         for time in (nan, inf, -inf)
         for name, item in (
             ("crash_reports", CrashReport("u", 1, "r", ("p1",), time)),
+            ("crash_reports", CrashReport("u", 1, "r", ("p1",), 1.0, time)),
             ("clearances", Clearance("p1", time)),
             ("quarantines", QuarantineRecord("p1", time, 45.0)),
             ("quarantines", QuarantineRecord("p1", 100.0, time)),
