Refuse a whole request after three crashes also if it was answered before

Five are asked for since a popular part of prompts is beside crashes by chance. A whole request has only its own repeats, and each answer still takes back all crashes before it. So only parts take five.

--- a/src/magnoliahold/core/serving/convictions.py
+++ b/src/magnoliahold/core/serving/convictions.py
@@ -150,7 +150,7 @@
 ) -> bool:
     """Tells whether the crashes under a suspect are enough to quarantine it.
 
-    One that has begun before may be there by chance, and takes more crashes.
+    A part that has begun before may be there by chance, and takes more crashes.
     """
     if count_moments((suspect,), crashes, policy.settle_s) < MIN_MOMENTS:
         return False
@@ -160,8 +160,11 @@
 def count_needed(
     suspect: str, begun_at: Mapping[str, float], policy: SuspicionPolicy
 ) -> int:
-    """Counts the crashes that it takes to quarantine a suspect."""
-    if suspect in begun_at:
+    """Counts the crashes that it takes to quarantine a suspect.
+
+    A whole request is no bystander of its own repeats, as a popular part is of others.
+    """
+    if suspect in begun_at and is_part(suspect):
         return policy.crashes_to_convict_begun
     return policy.crashes_to_convict
 
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -224,9 +224,9 @@
     has lived on for `begun_after_s` after the first piece. New evidence is evaluated
     after `gather_s`, in which that of other entries arrives; a report is sent to them
     for `reported_s`. What `crashes_to_convict` crashes within `crash_kept_s` have in
-    common, not all of the same moment, is quarantined, if requests with it have begun
-    before after `crashes_to_convict_begun`. That is for `quarantine_s`, later for at
-    most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
+    common, not all of the same moment, is quarantined; a part with which requests have
+    begun before takes `crashes_to_convict_begun`. That is for `quarantine_s`, later for
+    at most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
     which an entry awaits at most `max_trial_turns`. Refused callers may retry after
     `retry_after_s`. At most `max_reports`, `max_begun` and `max_quarantines` rows are
     kept.
--- a/tests/core/serving/test_convictions.py
+++ b/tests/core/serving/test_convictions.py
@@ -108,6 +108,12 @@
         (("pm",),),
         (("pm", 1.0),),
     ),
+    Case(
+        "three crashes of a call that has begun before",
+        tuple((float(at), f"u{at}", ("f",)) for at in range(2, 5)),
+        (("f",),),
+        (("f", 1.0),),
+    ),
     # Each new request ended three upstreams.
     Case(
         "fingerprints of requests with a part that has begun before",
