Announce a trial of a request that crashed upstreams, so that one entry tries it at a time

An entry now says in its notices what it tries, at once as it sends it, and the others wait. The same goes for a whole request that one more crash would convict; parts of prompts are still tried at several entries at once, since sound requests share them.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -48,7 +48,8 @@
     has marked as down, and `places` the upstreams that have read the prompts of its
     open streams. `evidence`, `exposures` and `suspensions` concern moves between
     versions; `crash_reports`, `quarantines` and `clearances` concern requests that
-    crash upstreams. `leaving` lists the upstreams that have said that they are leaving.
+    crash upstreams, and `trials` names the suspects of which the sender has an open
+    request. `leaving` lists the upstreams that have said that they are leaving.
     """
 
     sender: str
@@ -64,6 +65,7 @@
     quarantines: tuple[QuarantineRecord, ...] = ()
     clearances: tuple[Clearance, ...] = ()
     leaving: tuple[UpstreamStart, ...] = ()
+    trials: tuple[str, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -31,7 +31,7 @@
     list_crash_reports,
 )
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
-from magnoliahold.core.serving.systems.quarantine import list_quarantines
+from magnoliahold.core.serving.systems.quarantine import list_quarantines, list_trials
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
 from magnoliahold.core.serving.systems.upstream_signals import list_leaving
 from magnoliahold.core.serving.upstreams import UpstreamHealth
@@ -297,6 +297,7 @@
         quarantines=list_quarantines(world),
         clearances=list_clearances(world),
         leaving=list_leaving(world),
+        trials=list_trials(world),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -29,6 +29,7 @@
 from magnoliahold.core.serving.suspicions import (
     NAME_SEPARATOR,
     Quarantine,
+    is_part,
     name_suspects,
 )
 from magnoliahold.core.serving.systems.turns import find_turn_s
@@ -69,18 +70,27 @@
 def must_wait_for_trial(world: ServingWorld, request: ServedRequest) -> bool:
     """Tells whether a request waits until another one with a watched suspect begins.
 
-    One more crash decides about such suspects, so it takes only one request.
+    One more crash decides about such suspects, so it takes only one request. Sound
+    requests may share a part, so it is tried at several entries at once.
     """
-    watched = world.suspicions.watched & request.suspects
-    return any(_is_tried(world, frozenset((item,)), request) for item in watched)
+    for item in world.suspicions.watched & request.suspects:
+        suspects = frozenset((item,))
+        if _is_tried(world, suspects, request):
+            return True
+        if not is_part(item) and _is_tried_elsewhere(world, suspects):
+            return True
+    return False
 
 
 def _is_free_to_try(
     world: ServingWorld, quarantine: Quarantine, request: ServedRequest | None
 ) -> bool:
-    """Tells whether a quarantine is on trial, and no other request is trying here."""
-    on_trial = _is_on_trial(world, quarantine)
-    return on_trial and not _is_tried(world, quarantine.suspects, request)
+    """Tells whether a quarantine is on trial, and no other request is trying it."""
+    if not _is_on_trial(world, quarantine):
+        return False
+    suspects = quarantine.suspects
+    tried = _is_tried(world, suspects, request) or _is_tried_elsewhere(world, suspects)
+    return not tried
 
 
 def _is_on_trial(world: ServingWorld, quarantine: Quarantine) -> bool:
@@ -108,6 +118,45 @@
     return has_attempt or table.is_unsettled(suspects)
 
 
+def _is_tried_elsewhere(world: ServingWorld, suspects: frozenset[str]) -> bool:
+    """Tells whether another entry says that it tries a request with all suspects."""
+    name = name_suspects(suspects)
+    return any(
+        peer.notice is not None and name in peer.notice.trials
+        for peer in world.other_entries.by_name.values()
+    )
+
+
+def list_trials(world: ServingWorld) -> tuple[str, ...]:
+    """Lists the names of what this entry tries, for notices."""
+    table = world.suspicions
+    on_trial = [
+        quarantine.suspects
+        for quarantine in table.quarantines.values()
+        if _is_on_trial(world, quarantine)
+    ]
+    watched = [frozenset((item,)) for item in table.watched if not is_part(item)]
+    return tuple(
+        sorted(
+            name_suspects(suspects)
+            for suspects in (*on_trial, *watched)
+            if _is_tried(world, suspects, None)
+        )
+    )
+
+
+def announce_trial(world: ServingWorld, request: ServedRequest) -> None:
+    """Tells the other entries at once if a request that is sent is a trial."""
+    table = world.suspicions
+    if not table.quarantines and not table.watched:
+        return
+    if any(
+        frozenset(name.split(NAME_SEPARATOR)) <= request.suspects
+        for name in list_trials(world)
+    ):
+        world.other_entries.send_now = True
+
+
 def update_quarantines(world: ServingWorld, now: float) -> None:
     """Applies quarantines of other entries, and evaluates new evidence."""
     for received in world.inbox.read_events(NoticeReceived):
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -12,6 +12,7 @@
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
 from magnoliahold.core.serving.systems.quarantine import (
+    announce_trial,
     is_refused,
     must_wait_for_trial,
 )
@@ -126,6 +127,7 @@
     request.copy = None
     table.start_attempt(attempt)
     count_exposure(world, attempt)
+    announce_trial(world, request)
     if request.route.kind is RouteKind.STREAM:
         world.other_entries.send_now = True
     world.emit(_make_send(world, attempt, now))
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -48,6 +48,7 @@
         quarantines=notice.quarantines[-MAX_ITEMS:],
         clearances=notice.clearances[-MAX_ITEMS:],
         leaving=notice.leaving[:MAX_ITEMS],
+        trials=notice.trials[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
 
