--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -365,9 +365,9 @@
     One that is over is left out. An entry with evidence of its own writes what the
     store may not list.
     """
-    if world.read_shared_time() >= record.convicted_at + 2 * record.term_s:
-        return
     table = world.suspicions
+    if _is_forgotten(world, record.convicted_at, record.term_s):
+        return
     suspects = frozenset(
         item
         for item in record.fingerprint.split(NAME_SEPARATOR)
@@ -396,12 +396,20 @@
 def _expire_quarantines(world: ServingWorld) -> None:
     """Forgets quarantines whose trial nobody took."""
     table = world.suspicions
-    shared_time = world.read_shared_time()
     for name, quarantine in list(table.quarantines.items()):
-        if shared_time >= quarantine.convicted_at + 2 * quarantine.term_s:
+        if _is_forgotten(world, quarantine.convicted_at, quarantine.term_s):
             del table.quarantines[name]
 
 
+def _is_forgotten(world: ServingWorld, convicted_at: float, term_s: float) -> bool:
+    """Tells whether a quarantine has been on trial for so long that it is dropped.
+
+    Without it the request would have to crash several upstreams again.
+    """
+    trial_s = world.serving_policy.suspicion.max_quarantine_s
+    return world.read_shared_time() >= convicted_at + term_s + trial_s
+
+
 def schedule_unlisted_quarantines(
     world: ServingWorld, listed: set[str], now: float
 ) -> None:
@@ -439,5 +447,13 @@
 
 
 def list_quarantines(world: ServingWorld) -> tuple[QuarantineRecord, ...]:
-    """Lists the quarantines, for notices."""
-    return tuple(item.record for item in world.suspicions.quarantines.values())
+    """Lists the quarantines in force or new on trial, for notices.
+
+    Entries know older ones by then, or read them in the store as they start.
+    """
+    shared_time = world.read_shared_time()
+    return tuple(
+        item.record
+        for item in world.suspicions.quarantines.values()
+        if shared_time < item.convicted_at + 2 * item.term_s
+    )
