Don't clear a request of crashes when an upstream answers that it failed

An upstream that fails part of its requests answered 500 to a request that crashes upstreams, and took back all that was known of it: three more upstreams had to end. The first answer of 5xx is retried and never counted; the last one, which is passed on, did. An answer below 500 still clears a call; streams are as before.

test_failure_answer_clears_no_request_of_earlier_crashes failed before for 500.

--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -87,12 +87,22 @@
         return
     if not failed:
         _record_duration(world, attempt, now)
-    if head.status < MIN_ERROR_STATUS or request.route.kind is not RouteKind.STREAM:
+    if _shows_begin(attempt, head):
         record_begin(world, attempt, now)
     world.requests.end_attempt(attempt)
     deliver_answer(world, request, attempt.number, head.status, now)
 
 
+def _shows_begin(attempt: Attempt, head: AnswerHead) -> bool:
+    """Tells whether an answer shows that its upstream lives on after the request.
+
+    An upstream may fail a request that it didn't begin; one that it refuses, such as
+    with 404, is a call that was answered, but no stream that has begun.
+    """
+    is_stream = attempt.request.route.kind is RouteKind.STREAM
+    return head.status < (MIN_ERROR_STATUS if is_stream else MIN_FAILURE_STATUS)
+
+
 def answers_other_request(head: AnswerHead, attempt: Attempt) -> bool:
     """Checks whether an answer belongs to a request other than the attempt's.
 
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -16,6 +16,7 @@
     WriteQuarantine,
 )
 from magnoliahold.core.serving.events import (
+    AttemptSent,
     CallerDisconnected,
     NoticeReceived,
     UpstreamAnsweredProbe,
@@ -165,6 +166,25 @@
         self.harness.advance(0.2)
         self.send_request()
 
+    def test_failure_answer_clears_no_request_of_earlier_crashes(self) -> None:
+        # An upstream that fails requests with its health check good may not run them.
+        for status, quarantined in ((200, 0), (404, 0), (500, 1), (503, 1)):
+            with self.subTest(status=status):
+                self.setUp()
+                _, first = self.send_request()
+                self.crash_upstream(first)
+                self.crash_upstream(self.harness.send())
+                caller, failed = self.send_request()
+                self.harness.answer(failed, caller, status)
+                for again in self.harness.pop_effects(SendAttempt):
+                    self.harness.post(AttemptSent(again.attempt))
+                    self.harness.answer(again, caller, status)
+                self.harness.advance(0.6)
+                _, third = self.send_request()
+                self.crash_upstream(third)
+                quarantines = self.harness.world.suspicions.quarantines
+                self.assertEqual(len(quarantines), quarantined)
+
     def make_report(self, number: int, age_s: float) -> CrashReport:
         """Makes another entry's report of a crash; negative ages are in the past."""
         at = self.harness.now + age_s
