Read the limit that an upstream names, and log when it is named and ended

Server-Limit is decoded beside Server-Leaving and Retry-After; the least of several counts, and a malformed one is logged and ignored. An answer to a request that names none ends it. Nothing is decided by it yet.

--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -53,8 +53,8 @@
 
     `request_id` is the id of the request that is answered, empty if the answer names
     none. `signed` is set if the answer has an upstream's signature, `not_run` if the
-    upstream has not run the request, and `misdirected` if another upstream has the
-    address.
+    upstream has not run the request, `misdirected` if another upstream has the address,
+    and `names_limit` if it names a limit, whether that can be read or not.
     """
 
     status: int
@@ -62,6 +62,7 @@
     signed: bool = False
     not_run: bool = False
     misdirected: bool = False
+    names_limit: bool = False
 
 
 @frozen
@@ -140,16 +141,17 @@
 
 @frozen
 class UpstreamSignalled:
-    """An answer of an upstream said that it is leaving, or asked to back off.
+    """An answer of an upstream said that it is leaving, or wants fewer requests.
 
-    `backoff_s` is how long it wants no requests from this entry, None if it did not
-    ask for that.
+    `backoff_s` is how long it wants none from this entry, and `limit_per_s` how many a
+    second it takes from all entries together; each is None if it did not ask for that.
     """
 
     upstream_id: str
     born_ms: int
     leaving: bool = False
     backoff_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @frozen
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -61,13 +61,15 @@
 
     `leaving` is set once it has said that it is leaving, in its registration or in an
     answer, and `leaving_reported` once another entry has said so. `backoff_until` is
-    the end of the longest backoff that it asked of this entry. `removed` is set while
-    its registration is gone for good.
+    the end of the longest backoff that it asked of this entry, and `limit_per_s` how
+    many requests a second it takes from all entries together, None without a limit.
+    `removed` is set while its registration is gone for good.
     """
 
     leaving: bool = False
     leaving_reported: bool = False
     backoff_until: float = 0.0
+    limit_per_s: float | None = None
     removed: bool = False
     changed_at: float = 0.0
 
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -23,6 +23,7 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503
 LEAVING_VALUE = "1"
+LIMIT_HEADER = "Server-Limit"
 MIN_DEADLINE_MS = 1
 MS_PER_S = 1000.0
 
@@ -164,6 +165,7 @@
         signed=bool(_read_header(headers, "Response-Signature")),
         not_run=status == MISDIRECTED or headers.hasHeader("Not-Executed"),
         misdirected=status == MISDIRECTED,
+        names_limit=headers.hasHeader(LIMIT_HEADER),
     )
 
 
@@ -179,10 +181,11 @@
     leaving = _read_header(headers, "Server-Leaving") == LEAVING_VALUE
     backoff_s = None
     if status == UNAVAILABLE:
-        backoff_s = _read_backoff(record, _read_header(headers, "Retry-After"))
-    if not leaving and backoff_s is None:
+        backoff_s = next(iter(_read_numbers(record, headers, "Retry-After")), None)
+    limit_per_s = min(_read_numbers(record, headers, LIMIT_HEADER), default=None)
+    if not leaving and backoff_s is None and limit_per_s is None:
         return None
-    return UpstreamSignalled(record.id, record.born_ms, leaving, backoff_s)
+    return UpstreamSignalled(record.id, record.born_ms, leaving, backoff_s, limit_per_s)
 
 
 def read_signal_of_pairs(
@@ -195,20 +198,21 @@
     return read_signal(record, status, headers)
 
 
-def _read_backoff(record: UpstreamRecord, value: str) -> float | None:
-    """Reads a number of seconds; a malformed one is logged and ignored."""
-    if not value:
-        return None
-    try:
-        seconds = float(value)
-    except ValueError:
-        seconds = math.nan
-    if math.isfinite(seconds) and seconds >= 0:
-        return seconds
-    logger.warning(
-        "Retry-After can't be read and is ignored.", upstream=record.id, value=value
-    )
-    return None
+def _read_numbers(record: UpstreamRecord, headers: Headers, name: str) -> list[float]:
+    """Reads numbers from 0 on; malformed ones are logged and ignored."""
+    numbers = []
+    for value in headers.getRawHeaders(name, []):
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if math.isfinite(number) and number >= 0:
+            numbers.append(number)
+        elif value.strip():
+            logger.warning(
+                f"{name} can't be read and is ignored.", upstream=record.id, value=value
+            )
+    return numbers
 
 
 def _read_header(headers: Headers, name: str) -> str:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -61,6 +61,11 @@
     return SendAttempt(**values)
 
 
+def make_limit(per_s: float) -> UpstreamSignalled:
+    """Makes the event of an upstream that names a limit."""
+    return UpstreamSignalled("i-1", 7, limit_per_s=per_s)
+
+
 def make_backoff(seconds: float) -> UpstreamSignalled:
     """Makes the event of an upstream that asks to back off."""
     return UpstreamSignalled("i-1", 7, backoff_s=seconds)
@@ -163,6 +168,9 @@
             (503, {"Retry-After": " 2 "}, make_backoff(2.0)),
             (200, {"Retry-After": "2"}, None),
             (429, {"Retry-After": "2"}, None),
+            (200, {"Server-Limit": "1.3"}, make_limit(1.3)),
+            (500, {"Server-Limit": " 0 "}, make_limit(0.0)),
+            (421, {"Server-Limit": "1"}, None),
         )
         for status, headers, expected in table:
             with self.subTest(status=status, headers=headers):
@@ -171,11 +179,18 @@
                 pairs = tuple(headers.items())
                 self.assertEqual(read_signal_of_pairs(STARTED, status, pairs), expected)
 
-    def test_malformed_backoffs_are_logged_and_ignored(self) -> None:
+    def test_malformed_backoffs_and_limits_are_logged_and_ignored(self) -> None:
         for value in ("soon", "-1", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"):
-            with self.subTest(value), self.assertLogs("magnoliahold", "WARNING"):
-                headers = make_headers(**{"Retry-After": value})
-                self.assertIsNone(read_signal(STARTED, 503, headers))
+            for name in ("Retry-After", "Server-Limit"):
+                with self.subTest(value), self.assertLogs("magnoliahold", "WARNING"):
+                    headers = make_headers(**{name: value})
+                    self.assertIsNone(read_signal(STARTED, 503, headers))
+
+    def test_lowest_of_several_limits_counts(self) -> None:
+        headers = Headers({"Server-Limit": ["4", "soon", "2.5"]})
+        self.assertEqual(read_signal(STARTED, 200, headers), make_limit(2.5))
+        self.assertTrue(read_answer_head(200, headers).names_limit)
+        self.assertFalse(read_answer_head(200, make_headers()).names_limit)
 
     def test_answer_headers_are_passed_on_except_hop_by_hop(self) -> None:
         headers = make_headers(**{"Response-Signature": "s", "Keep-Alive": "timeout=5"})
