--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -401,7 +401,7 @@
         for effect in emitted:
             handler = HANDLERS.get(type(effect))
             if handler is not None:
-                handler(self, entry, effect)
+                getattr(self, handler)(entry, effect)
 
     def _after(self, delay_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._due, (self.now + delay_s, next(self._serial), action))
@@ -897,23 +897,24 @@
             self._at(stop.end_s, lambda n=number: self._start_entry(n, 2))  # type: ignore[misc]
 
 
-HANDLERS: dict[type, Callable[[CrashingFleet, Entry, Any], None]] = {
-    AbortAnswer: CrashingFleet._abort,
-    CloseAttempt: CrashingFleet._close_attempt,
-    CopyKvCache: CrashingFleet._copy,
-    DeliverAnswer: CrashingFleet._finish,
-    DeliverPieces: CrashingFleet._deliver,
-    FinishAnswer: CrashingFleet._finish,
-    FreeCopy: CrashingFleet._free_copy,
-    ListPrompts: CrashingFleet._list_prompts,
-    LongPollFeed: CrashingFleet._poll,
-    ProbeServingUpstream: CrashingFleet._probe,
-    ReadFeed: CrashingFleet._read,
-    RefuseCaller: CrashingFleet._refuse,
-    RegisterEntry: CrashingFleet._register_entry,
-    SendAttempt: CrashingFleet._send,
-    SendNotice: CrashingFleet._deliver_notice,
-    WriteQuarantine: CrashingFleet._write_quarantine,
+# The methods that carry out the effects of entries.
+HANDLERS: dict[type, str] = {
+    AbortAnswer: "_abort",
+    CloseAttempt: "_close_attempt",
+    CopyKvCache: "_copy",
+    DeliverAnswer: "_finish",
+    DeliverPieces: "_deliver",
+    FinishAnswer: "_finish",
+    FreeCopy: "_free_copy",
+    ListPrompts: "_list_prompts",
+    LongPollFeed: "_poll",
+    ProbeServingUpstream: "_probe",
+    ReadFeed: "_read",
+    RefuseCaller: "_refuse",
+    RegisterEntry: "_register_entry",
+    SendAttempt: "_send",
+    SendNotice: "_deliver_notice",
+    WriteQuarantine: "_write_quarantine",
 }
 
 
