Keep to the limits that upstreams name, all entries together

Cause: Server-Limit was read by nothing. The class: what an upstream says of itself concerns all entries, and each acted on its own.

Entries tell each other what the newest answer said. Of a limit as many entries have an equal share as it allows requests a second, and two more, by rendezvous hashing of the upstream and the entries that are heard; requests, retries, resumed streams and probes count. The limit holds until an answer to a request names none. Where no upstream takes a request in time it is refused at once, with the time at which one does.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 
 # The codec resolves the types of notices while the process runs.
+from magnoliahold.core.serving.limits import LimitReport  # noqa: TC001
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
 from magnoliahold.core.serving.suspicions import (  # noqa: TC001
@@ -49,7 +50,8 @@
     open streams. `evidence`, `exposures` and `suspensions` concern moves between
     versions; `crash_reports`, `quarantines` and `clearances` concern requests that
     crash upstreams, and `trials` names the suspects of which the sender has an open
-    request. `leaving` lists the upstreams that have said that they are leaving.
+    request. `leaving` lists the upstreams that have said that they are leaving, and
+    `limits` what upstreams have said last about limits.
     """
 
     sender: str
@@ -66,6 +68,7 @@
     clearances: tuple[Clearance, ...] = ()
     leaving: tuple[UpstreamStart, ...] = ()
     trials: tuple[str, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -30,6 +30,7 @@
     list_clearances,
     list_crash_reports,
 )
+from magnoliahold.core.serving.systems.limits import list_limits
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
 from magnoliahold.core.serving.systems.quarantine import list_quarantines, list_trials
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
@@ -298,6 +299,7 @@
         clearances=list_clearances(world),
         leaving=list_leaving(world),
         trials=list_trials(world),
+        limits=list_limits(world),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
@@ -19,7 +20,7 @@
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
 from magnoliahold.core.serving.systems.selection import (
     choose_upstream,
-    find_backoff_end,
+    find_available_at,
     find_candidates,
     find_prefix_location,
     measure_load,
@@ -65,30 +66,32 @@
         upstream = choose_upstream(world, request, candidates)
         _start_attempt(world, request, upstream, None, now)
     else:
-        _refuse_for_backoff(world, request, now)
+        _refuse_without_upstream(world, request, now)
 
 
 def _is_worth_awaiting(world: ServingWorld, holder: Upstream, now: float) -> bool:
-    """Tells whether the end of a backoff comes sooner than a new prefill would."""
-    left_s = holder.signals.backoff_until - now
+    """Tells whether a backoff or limit lets it through sooner than a new prefill."""
+    left_s = holder.find_free_at() - now
     return 0 < left_s <= world.serving_policy.copies.backoff_wait_s
 
 
-def _refuse_for_backoff(
+def _refuse_without_upstream(
     world: ServingWorld, request: ServedRequest, now: float
 ) -> None:
-    """Refuses a request at once if all upstreams back off for longer than it may wait.
+    """Refuses a request at once if no upstream takes it for longer than it may wait.
 
-    The caller is told to return after the first of them is available again.
+    The caller is told to return after the first of them does. Where only other entries
+    may send, it returns as after any refusal, and likely reaches one of these.
     """
-    available_at = find_backoff_end(world, request.service, now)
+    available_at = find_available_at(world, request.service, now)
     if available_at is None or request.answer_started:
         return
     waiting_since = request.last_failure_at or request.arrived_at
     if available_at <= waiting_since + find_wait_limit_s(world, request):
         return
-    retry_after_s = choose_retry_after(world, available_at - now)
-    refuse(world, request, "all upstreams back off", now, retry_after_s)
+    wait_s = available_at - now if math.isfinite(available_at) else 0.0
+    reason = "all upstreams back off or are at their limits"
+    refuse(world, request, reason, now, choose_retry_after(world, wait_s))
 
 
 def _find_usable_copy(
@@ -126,6 +129,7 @@
     request.send_count += 1
     request.copy = None
     table.start_attempt(attempt)
+    upstream.record_send(now)
     count_exposure(world, attempt)
     announce_trial(world, request)
     if request.route.kind is RouteKind.STREAM:
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -34,7 +34,7 @@
 
 
 def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
-    """Lists the upstreams of a service that neither leave nor back off."""
+    """Lists the upstreams of a service that may get requests now."""
     return [
         upstream
         for upstream in world.upstreams.list_service(service)
@@ -42,15 +42,16 @@
     ]
 
 
-def find_backoff_end(world: ServingWorld, service: str, now: float) -> float | None:
-    """Returns when the first upstream of a service that backs off is available again.
+def find_available_at(world: ServingWorld, service: str, now: float) -> float | None:
+    """Returns when an upstream of a service may first get a request of this entry.
 
-    None if one is available already, or all are leaving.
+    Infinite if that is left to other entries. None if one may get a request already, or
+    all are leaving.
     """
     staying = [i for i in world.upstreams.list_service(service) if not i.leaving]
     if not staying or any(item.is_available(now) for item in staying):
         return None
-    return min(item.signals.backoff_until for item in staying)
+    return min(item.find_free_at() for item in staying)
 
 
 def filter_preferred(
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -38,6 +38,7 @@
         return
     policy = world.serving_policy.watch
     upstream.probe_sent_at = now
+    upstream.record_send(now)
     upstream.next_probe_at = now + policy.probe_interval_s
     world.emit(ProbeServingUpstream(upstream.record, policy.probe_timeout_s))
     world.log_decision(
--- a/src/magnoliahold/core/serving/systems/upstream_signals.py
+++ b/src/magnoliahold/core/serving/systems/upstream_signals.py
@@ -9,16 +9,10 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
-from magnoliahold.core.serving.events import (
-    AnswerReceived,
-    NoticeReceived,
-    StreamOpened,
-    UpstreamSignalled,
-)
+from magnoliahold.core.serving.events import NoticeReceived, UpstreamSignalled
 from magnoliahold.core.serving.upstreams import UpstreamStart
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.events import AnswerHead
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -33,12 +27,6 @@
             _mark_leaving(world, start, now)
         if signalled.backoff_s is not None:
             _extend_backoff(world, start, signalled.backoff_s, now)
-        if signalled.limit_per_s is not None:
-            _set_limit(world, start, signalled.limit_per_s, now)
-    for answered in world.inbox.read_events(AnswerReceived):
-        _end_unnamed_limit(world, answered.attempt, answered.head, now)
-    for opened in world.inbox.read_events(StreamOpened):
-        _end_unnamed_limit(world, opened.attempt, opened.head, now)
     for received in world.inbox.read_events(NoticeReceived):
         for start in received.notice.leaving:
             world.upstreams.find_signals(start, now).leaving_reported = True
@@ -76,36 +64,6 @@
     )
 
 
-def _set_limit(
-    world: ServingWorld, start: UpstreamStart, per_s: float, now: float
-) -> None:
-    signals = world.upstreams.find_signals(start, now)
-    signals.changed_at = now
-    if signals.limit_per_s == per_s:
-        return
-    signals.limit_per_s = per_s
-    world.log_decision(
-        "upstreams", "Upstream names a limit.", upstream=start.id, per_s=per_s
-    )
-
-
-def _end_unnamed_limit(
-    world: ServingWorld, number: int, head: AnswerHead, now: float
-) -> None:
-    """Ends the limit of an upstream whose answer to a request names none."""
-    attempt = world.requests.attempts.get(number)
-    if attempt is None or head.names_limit or head.misdirected:
-        return
-    signals = attempt.upstream.signals
-    if signals.limit_per_s is None:
-        return
-    signals.limit_per_s = None
-    signals.changed_at = now
-    world.log_decision(
-        "upstreams", "Upstream names no limit any more.", upstream=attempt.upstream.id
-    )
-
-
 def _forget_old_signals(world: ServingWorld, now: float) -> None:
     """Forgets the signals of starts that are not registered any more."""
     table = world.upstreams
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -11,6 +11,7 @@
 from magnoliahold.core.serving.loads import UpstreamLoad
 
 if TYPE_CHECKING:
+    from magnoliahold.core.serving.limits import LimitReport, RateLimit
     from magnoliahold.core.serving.requests import Attempt
 
 
@@ -61,15 +62,16 @@
 
     `leaving` is set once it has said that it is leaving, in its registration or in an
     answer, and `leaving_reported` once another entry has said so. `backoff_until` is
-    the end of the longest backoff that it asked of this entry, and `limit_per_s` how
-    many requests a second it takes from all entries together, None without a limit.
-    `removed` is set while its registration is gone for good.
+    the end of the longest backoff that it asked of this entry. `limit` is this entry's
+    part of the limit that it names, None if it names none, and `limit_report` what it
+    said last about that. `removed` is set while its registration is gone for good.
     """
 
     leaving: bool = False
     leaving_reported: bool = False
     backoff_until: float = 0.0
-    limit_per_s: float | None = None
+    limit: RateLimit | None = None
+    limit_report: LimitReport | None = None
     removed: bool = False
     changed_at: float = 0.0
 
@@ -129,10 +131,22 @@
         return self.signals.leaving
 
     def is_available(self, now: float) -> bool:
-        """Tells whether it may get requests: it neither leaves nor backs off."""
+        """Tells whether it may get requests: it takes some and is not leaving."""
         if self.signals.leaving or self.awaits_sign:
             return False
-        return not self.backs_off(now)
+        return now >= self.find_free_at()
+
+    def find_free_at(self) -> float:
+        """Returns when its backoff and its limit allow a request of this entry."""
+        limit = self.signals.limit
+        if limit is None:
+            return self.signals.backoff_until
+        return max(self.signals.backoff_until, limit.find_free_at())
+
+    def record_send(self, now: float) -> None:
+        """Records a request to it, which counts for its limit."""
+        if self.signals.limit is not None:
+            self.signals.limit.record_send(now)
 
     def backs_off(self, now: float) -> bool:
         """Tells whether it has asked this entry for no requests at present."""
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.serving.budget import RetryBudget
 from magnoliahold.core.serving.epochs import StoreEpoch
 from magnoliahold.core.serving.feeds import Feed, FeedState
+from magnoliahold.core.serving.limits import LimitTable
 from magnoliahold.core.serving.moves import MoveTable
 from magnoliahold.core.serving.peers import PeerTable
 from magnoliahold.core.serving.policy import ServingPolicy
@@ -59,6 +60,7 @@
     proofs: ProofTable = field(factory=ProofTable)
     feeds: dict[Feed, FeedState] = field(factory=_make_feeds)
     upstreams: UpstreamTable = field(factory=UpstreamTable)
+    limits: LimitTable = field(factory=LimitTable)
     requests: RequestTable = field(factory=RequestTable)
     other_entries: PeerTable = field(factory=PeerTable)
     moves: MoveTable = field(factory=MoveTable)
--- a/src/magnoliahold/serving/noticechecks.py
+++ b/src/magnoliahold/serving/noticechecks.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from math import isfinite
+from math import inf, isfinite
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.evidence import BUCKET_COUNT
@@ -23,11 +23,14 @@
 
 
 def check_numbers(notice: LoadNotice) -> None:
-    """Raises NoticeRangeError if a count is negative or a time isn't finite."""
+    """Raises NoticeRangeError for a negative count or limit, or an infinite number."""
     for count in notice.evidence:
         _check_results(count)
     if not all(map(isfinite, _list_times(notice))):
         raise NoticeRangeError("a time is not finite")
+    for report in notice.limits:
+        if report.per_s is not None and not 0 <= report.per_s < inf:
+            raise NoticeRangeError("a limit is out of range")
 
 
 def _check_results(count: EvidenceCount) -> None:
@@ -45,6 +48,8 @@
             yield report.sent_at
     for clearance in notice.clearances:
         yield clearance.at
+    for limit in notice.limits:
+        yield limit.at
     for quarantine in notice.quarantines:
         yield quarantine.convicted_at
         yield quarantine.term_s
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -49,6 +49,7 @@
         clearances=notice.clearances[-MAX_ITEMS:],
         leaving=notice.leaving[:MAX_ITEMS],
         trials=notice.trials[:MAX_ITEMS],
+        limits=notice.limits[-MAX_ITEMS:],
     )
     return _encoder.encode(truncated)
 
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import Any
 
+from attrs import evolve
+
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
@@ -203,10 +205,10 @@
 
     @on_loopback
     async def test_each_answer_reports_what_it_says_about_its_upstream(self) -> None:
-        said = b"\r\nServer-Leaving: 1\r\nRetry-After: 0.5\r\n"
+        said = b"\r\nServer-Leaving: 1\r\nRetry-After: 0.5\r\nServer-Limit: 1.3\r\n"
         full = WHOLE.replace(b"200 OK", b"503 Full")
-        leaving = UpstreamSignalled("i-1", 5, leaving=True)
-        backing_off = UpstreamSignalled("i-1", 5, leaving=True, backoff_s=0.5)
+        leaving = UpstreamSignalled("i-1", 5, leaving=True, limit_per_s=1.3)
+        backing_off = evolve(leaving, backoff_s=0.5)
         for name, answer, expected in (
             ("whole", WHOLE, leaving),
             ("stream", STREAM, leaving),
--- a/tests/serving/test_noticechecks.py
+++ b/tests/serving/test_noticechecks.py
@@ -10,6 +10,7 @@
 from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.events import NoticeReceived
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.limits import LimitReport
 from magnoliahold.core.serving.moves import MoveOrder, MoveRecord
 from magnoliahold.core.serving.peers import LoadNotice
 from magnoliahold.core.serving.suspicions import (
@@ -54,6 +55,8 @@
         for name, item in (
             ("crash_reports", CrashReport("u", 1, "r", ("p1",), time)),
             ("crash_reports", CrashReport("u", 1, "r", ("p1",), 1.0, time)),
+            ("limits", LimitReport("u", 1, 1.0, time)),
+            ("limits", LimitReport("u", 1, time, 1.0)),
             ("clearances", Clearance("p1", time)),
             ("quarantines", QuarantineRecord("p1", time, 45.0)),
             ("quarantines", QuarantineRecord("p1", 100.0, time)),
