Prove the configuration as soon as one that a restore lost would be back

Polls now end when the 2.2 s are over, and the one after that doesn't wait; if it is no proof, since the store lists an older configuration, the ones after it wait again.

test_configuration_is_proved_as_soon_as_a_lost_one_would_be_back failed before.

--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -324,18 +324,19 @@
     for state in world.feeds.values():
         if state.call or now < state.next_call_at or not _is_read_needed(world, state):
             continue
+        wait_s = _choose_wait_s(world, state.feed, now)
         state.call = world.next_call
         state.called_at = now
         world.next_call += 1
         if state.feed is Feed.CONFIGURATION:
             record_seen_notices(world)
-        world.emit(_make_call(state, _choose_wait_s(world, state.feed), world))
+        world.emit(_make_call(state, wait_s, world))
 
 
-def _choose_wait_s(world: ServingWorld, feed: Feed) -> float:
+def _choose_wait_s(world: ServingWorld, feed: Feed, now: float) -> float:
     """Chooses how long the next poll of a feed waits for a change."""
     if feed is Feed.CONFIGURATION:
-        return choose_configuration_wait_s(world)
+        return choose_configuration_wait_s(world, now)
     policy = world.serving_policy.feeds
     waits = {
         Feed.UPSTREAMS: policy.upstreams_wait_s,
--- a/src/magnoliahold/core/serving/systems/proof_relay.py
+++ b/src/magnoliahold/core/serving/systems/proof_relay.py
@@ -86,11 +86,27 @@
     )
 
 
-def choose_configuration_wait_s(world: ServingWorld) -> float:
-    """Chooses how long the next poll of the configuration waits for a change."""
-    policy = world.serving_policy
-    if world.feeds[Feed.CONFIGURATION].answer_at_once:
+def choose_configuration_wait_s(world: ServingWorld, now: float) -> float:
+    """Chooses how long the next poll of the configuration waits for a change.
+
+    After a restore of the store it waits no longer than until what the restore lost is
+    back, and the first one after that doesn't wait, since it may be the proof.
+    """
+    state = world.feeds[Feed.CONFIGURATION]
+    if state.answer_at_once:
         return 0.0
+    wait_s = _choose_steady_wait_s(world)
+    risen_at = world.store_epoch.risen_at
+    if world.awaited_configuration is None or risen_at is None:
+        return wait_s
+    back_at = risen_at + world.serving_policy.feeds.restore_grace_s
+    if state.called_at >= back_at:
+        return wait_s
+    return min(wait_s, max(0.0, back_at - now))
+
+
+def _choose_steady_wait_s(world: ServingWorld) -> float:
+    policy = world.serving_policy
     if is_reader(world):
         return policy.relay.reader_wait_s
     if world.feeds[Feed.CONFIGURATION].relayed_at is not None:
--- a/tests/core/serving/test_store_restores.py
+++ b/tests/core/serving/test_store_restores.py
@@ -10,6 +10,7 @@
 from magnoliahold.core.moves import MoveState
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
+    LongPollFeed,
     ProbeServingUpstream,
     ReadFeed,
     RefuseCaller,
@@ -21,6 +22,7 @@
 )
 from magnoliahold.core.serving.events import (
     EntryRegistered,
+    FeedChanged,
     FeedFailed,
     FeedHistoryGone,
     FeedRead,
@@ -161,6 +163,47 @@
         self.harness.change(Feed.CONFIGURATION, {}, version=11)
         self.assertTrue(self.accepts_credential())
 
+    def test_configuration_is_proved_as_soon_as_a_lost_one_would_be_back(self) -> None:
+        self.restore()
+        restored_at = self.harness.now
+        self.read(Feed.CONFIGURATION, {"config": make_configuration(5)}, 10, 2)
+        polls = self.answer_polls(3.0)
+        proved_s = [at - restored_at for at in polls if at is not None]
+        grace_s = self.harness.world.serving_policy.feeds.restore_grace_s
+        self.assertIsNone(self.harness.world.awaited_configuration)
+        self.assertLess(min(proved_s), grace_s + 0.1)
+
+    def test_older_configuration_is_not_read_all_the_time(self) -> None:
+        self.restore()
+        self.read(Feed.CONFIGURATION, {"config": make_configuration(4)}, 9, 2)
+        self.assertLess(len(self.answer_polls(10.0)), 12)
+
+    def answer_polls(self, seconds: float) -> list[float | None]:
+        """Answers polls of the configuration without a change at their ends.
+
+        Returns, for each poll, when it was answered if the configuration is proved.
+        """
+        answered: list[float | None] = []
+        ends: dict[int, tuple[float, float]] = {}
+        until = self.harness.now + seconds
+        while self.harness.now < until:
+            for poll in self.harness.pop_effects(LongPollFeed):
+                if poll.feed is Feed.CONFIGURATION:
+                    now = self.harness.now
+                    ends[poll.call] = (now, now + poll.wait_s + 0.01)
+            for call, (sent_at, end) in list(ends.items()):
+                if self.harness.now < end:
+                    continue
+                del ends[call]
+                changed = FeedChanged(
+                    Feed.CONFIGURATION, call, (), 10, sent_at, None, 2
+                )
+                self.harness.post(changed)
+                proved = self.harness.world.awaited_configuration is None
+                answered.append(self.harness.now if proved else None)
+            self.harness.advance(0.02)
+        return answered
+
     def test_older_configuration_never_proves_ours(self) -> None:
         self.restore()
         self.read(Feed.CONFIGURATION, {"config": make_configuration(4)}, 9, 2)
