Refuse requests soon while all upstreams of their service are down

Each failed connection began the wait for a usable upstream anew, and every few milliseconds there was one. While all upstreams are down the wait goes on from one to the next, and ends as any: with 503, not run, so that also a call that may not be repeated can come back.

The new test was refused after 1.52 s, and now in time (0.2 s).

--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -11,10 +11,11 @@
     AttemptNotSent,
     AttemptSent,
 )
-from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.requests import AttemptState, RequestState
 from magnoliahold.core.serving.systems.canary_analysis import count_latency
-from magnoliahold.core.serving.systems.completion import deliver_answer
+from magnoliahold.core.serving.systems.completion import deliver_answer, refuse
 from magnoliahold.core.serving.systems.crashes import record_begin, record_reset
+from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
 from magnoliahold.core.serving.systems.retries import (
     count_outcome,
     fail_sent_attempt,
@@ -55,7 +56,27 @@
         if attempt.request.send_count:
             world.find_budget(attempt.request.service).return_retry()
         attempt.state = AttemptState.CONNECTING
-        retry_or_refuse(world, attempt, unsent.reason, now)
+        _retry_unsent(world, attempt, unsent.reason, now)
+
+
+def _retry_unsent(
+    world: ServingWorld, attempt: Attempt, reason: str, now: float
+) -> None:
+    """Retries an attempt that could not be sent.
+
+    While all upstreams are down the request counts as waiting, however often it is
+    tried, and is refused once it has waited for as long as it may.
+    """
+    request = attempt.request
+    last_failure_at = request.last_failure_at
+    retry_or_refuse(world, attempt, reason, now)
+    is_waiting = request.state is RequestState.WAITING and not request.answer_started
+    if not is_waiting or world.upstreams.is_any_up(request.service):
+        return
+    request.last_failure_at = last_failure_at
+    waited_s = now - (last_failure_at or request.arrived_at)
+    if waited_s >= find_wait_limit_s(world, request):
+        refuse(world, request, "all upstreams are down", now)
 
 
 def handle_answers(world: ServingWorld, now: float) -> None:
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -241,6 +241,11 @@
         at = self.last_incident_at.get((record.service, record.data_centre))
         return at is not None and now - at < window_s and upstream.last_received_at < at
 
+    def is_any_up(self, service: str) -> bool:
+        """Tells whether any upstream of a service is not known to be down."""
+        upstreams = self.by_service.get(service, {}).values()
+        return any(item.health is not UpstreamHealth.DOWN for item in upstreams)
+
     def list_service(self, service: str) -> list[Upstream]:
         """Lists the upstreams of one service."""
         return list(self.by_service.get(service, {}).values())
--- a/tests/core/serving/test_calls.py
+++ b/tests/core/serving/test_calls.py
@@ -94,6 +94,23 @@
         second = harness.pop_effect(SendAttempt)
         self.assertNotEqual(second.upstream.id, attempt.upstream.id)
 
+    def test_call_is_refused_soon_where_all_upstreams_refuse_connections(self) -> None:
+        for kind in (IDEMPOTENT, ONCE):
+            with self.subTest(kind=kind):
+                harness = ServingHarness()
+                harness.start()
+                arrived_at = harness.now
+                harness.request(kind)
+                refused: list[RefuseCaller] = []
+                while not refused:
+                    for sent in harness.pop_effects(SendAttempt):
+                        harness.advance(0.02)
+                        failed = AttemptNotSent(sent.attempt, "connection refused")
+                        harness.post(failed)
+                    refused = harness.pop_effects(RefuseCaller)
+                self.assertTrue(refused[0].not_run)
+                self.assertLess(harness.now - arrived_at, 0.2)
+
     def test_rejected_call_is_refused_as_not_run(self) -> None:
         """A call that upstreams rejected is refused with a time to retry."""
         harness = ServingHarness()
