--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -227,10 +227,9 @@
     common, not all of the same moment, is quarantined; a part with which requests have
     begun before takes `crashes_to_convict_begun`. That is for `quarantine_s`, later for
     at most `max_quarantine_s`. Then the entries try it in turns of `trial_turn_s`, of
-    which an entry awaits at most `max_trial_turns`; that they may do for
-    `max_quarantine_s`. Refused callers may retry after
-    `retry_after_s`. At most `max_reports`, `max_begun` and `max_quarantines` rows are
-    kept.
+    which an entry awaits at most `max_trial_turns`, for `max_quarantine_s` at most.
+    Refused callers may retry after `retry_after_s`. At most `max_reports`, `max_begun`
+    and `max_quarantines` rows are kept.
     """
 
     settle_s: float = _positive(0.5)
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -32,7 +32,8 @@
 )
 from magnoliahold.core.serving.systems.limits import list_limits
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
-from magnoliahold.core.serving.systems.quarantine import list_quarantines, list_trials
+from magnoliahold.core.serving.systems.quarantine import list_quarantines
+from magnoliahold.core.serving.systems.trials import list_trials
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
 from magnoliahold.core.serving.systems.upstream_signals import list_leaving
 from magnoliahold.core.serving.upstreams import UpstreamHealth
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -12,11 +12,7 @@
 from magnoliahold.core.serving.systems.completion import choose_retry_after, refuse
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
-from magnoliahold.core.serving.systems.quarantine import (
-    announce_trial,
-    is_refused,
-    must_wait_for_trial,
-)
+from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
 from magnoliahold.core.serving.systems.selection import (
     choose_upstream,
@@ -25,6 +21,10 @@
     find_prefix_location,
     measure_load,
 )
+from magnoliahold.core.serving.systems.trials import (
+    announce_trial,
+    must_wait_for_trial,
+)
 from magnoliahold.core.serving.systems.upstream_health import probe
 from magnoliahold.core.serving.systems.version_routing import (
     choose_version,
