Place streams by the pace of upstreams, with load.by_pace

Cause: an idle engine that works at half the pace of the others got as many streams as they did, since loads count streams. Each stream's gaps between pieces are sampled as medians of 16, so that the prefill of another prompt doesn't count; entries tell each other their samples once a second, each only once. Streams and copies go to the engine that is expected to complete them first. Paces within 1.25 of each other count as equal, and the decisions are then the same as before; without the setting nothing is learned.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from attrs import define, field, frozen
 
 # The codec resolves the types of notices while the process runs.
+from magnoliahold.core.load.pace import PaceSample  # noqa: TC001
 from magnoliahold.core.serving.limits import LimitReport  # noqa: TC001
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
@@ -51,7 +54,8 @@
     versions; `crash_reports`, `quarantines` and `clearances` concern requests that
     crash upstreams, and `trials` names the suspects of which the sender has an open
     request. `leaving` lists the upstreams that have said that they are leaving, and
-    `limits` what upstreams have said last about limits.
+    `limits` what upstreams have said last about limits. `paces` are samples since the
+    notice that last had some.
     """
 
     sender: str
@@ -69,6 +73,7 @@
     leaving: tuple[UpstreamStart, ...] = ()
     trials: tuple[str, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    paces: tuple[PaceSample, ...] = ()
 
 
 @define(eq=False)
@@ -118,6 +123,14 @@
         return True
 
 
+# Samples that wait for a report; older ones are dropped.
+MAX_PACE_SAMPLES = 256
+
+
+def _make_sample_queue() -> deque[PaceSample]:
+    return deque(maxlen=MAX_PACE_SAMPLES)
+
+
 @define
 class PeerTable:
     """The other entries by name, and the last notice that was sent to them.
@@ -125,7 +138,7 @@
     `loads` sums the loads in the others' notices by upstream. `prefix_locations` maps
     the id of a prompt's last part to the upstream that has cached the prompt, and to
     the time of the last report. `send_now` is set if the next notice must not wait for
-    the minimum interval.
+    the minimum interval. `pace_samples` are those not yet reported.
     """
 
     by_name: dict[str, Peer] = field(factory=dict)
@@ -134,6 +147,8 @@
     last_sent_notice: LoadNotice | None = None
     last_sent_at: float = 0.0
     send_now: bool = False
+    pace_samples: deque[PaceSample] = field(factory=_make_sample_queue)
+    paces_sent_at: float = 0.0
     serial: int = 0
     budget: NoticeBudget = field(factory=NoticeBudget)
     registering: bool = False
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -295,6 +295,20 @@
     stream_margin: float = _positive(1.15)
 
 
+@frozen
+class LoadPolicy:
+    """Decisions that a deployment with hard load asks for.
+
+    With `by_pace`, streams are placed by the time that they take at the pace of each
+    upstream; samples of paces are reported every `pace_interval_s`. Until streams of a
+    service have ended, one is assumed to take `stream_prefills` times its prefill.
+    """
+
+    by_pace: bool = False
+    pace_interval_s: float = _positive(1.0)
+    stream_prefills: float = _positive(5.0)
+
+
 @frozen
 class ServingPolicy:
     """All limits and intervals of a serving entry."""
@@ -309,3 +323,4 @@
     suspicion: SuspicionPolicy = field(factory=SuspicionPolicy)
     peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
+    load: LoadPolicy = field(factory=LoadPolicy)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from magnoliahold.core.load.pace import GapSampler
 from magnoliahold.core.serving.suspicions import find_suspects
 
 if TYPE_CHECKING:
@@ -126,6 +127,7 @@
     paused_s: float = 0.0
     begun: bool = False
     upstream_suspected: bool = False
+    gap_sampler: GapSampler = field(factory=GapSampler)
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -14,11 +14,11 @@
 from magnoliahold.core.serving.effects import CopyKvCache, FreeCopy
 from magnoliahold.core.serving.events import CopyFailed, KvCacheCopied
 from magnoliahold.core.serving.requests import CopyOrder
+from magnoliahold.core.serving.systems.loads import estimate_completions
 from magnoliahold.core.serving.systems.selection import (
     filter_preferred,
     find_needing_probe,
     list_available,
-    measure_load,
 )
 from magnoliahold.core.serving.systems.version_routing import matches_resume_version
 from magnoliahold.core.serving.upstreams import UpstreamHealth
@@ -35,7 +35,7 @@
     """Chooses the upstream that holds the copy of a stream.
 
     Prefers another data centre, then an upstream that needs no probe, then the version
-    at which the stream should be resumed, then the lowest load.
+    at which the stream should be resumed, then the one that would complete it first.
     """
     if request.route.kind is not RouteKind.STREAM or not request.route.resumable:
         return None
@@ -55,10 +55,11 @@
     if not candidates:
         return None
     needing_probe = find_needing_probe(world, candidates, now)
+    completions = estimate_completions(world, request, candidates, now)
 
     def rank(item: Upstream) -> tuple[bool, bool, float]:
         mismatched = not matches_resume_version(world, request, item)
-        return (item.id in needing_probe, mismatched, measure_load(world, item))
+        return (item.id in needing_probe, mismatched, completions[item.id])
 
     return min(candidates, key=rank)
 
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/loads.py
@@ -0,0 +1,87 @@
+"""Measures the load of upstreams, and estimates when they would complete a stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.load.placement import StreamWork, estimate_completion_s
+from magnoliahold.core.serving.loads import UpstreamLoad
+from magnoliahold.core.serving.systems.paces import find_uneven
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
+    from magnoliahold.core.serving.world import ServingWorld
+
+PREFILL_WEIGHT = 2.0
+DECODE_WEIGHT = 1.0
+COPY_WEIGHT = 0.3
+# Assumed time to the first piece as a share of the route's goal, used until a stream
+# of the service has begun at this entry.
+DEFAULT_OPENING_SHARE = 0.25
+
+
+def count_own_load(upstream: Upstream) -> UpstreamLoad:
+    """Counts this entry's load at an upstream."""
+    if not upstream.attempts and not upstream.copies:
+        return upstream.no_load
+    writing = sum(attempt.pieces > 0 for attempt in upstream.attempts.values())
+    reading = len(upstream.attempts) - writing
+    tokens = sum(item.request.prompt_tokens for item in upstream.attempts.values())
+    tokens += upstream.copied_tokens
+    return UpstreamLoad(upstream.id, reading, writing, upstream.copies, tokens)
+
+
+def measure_load(world: ServingWorld, upstream: Upstream) -> float:
+    """Measures the load of all entries at an upstream.
+
+    A stream in prefill counts double, since it slows down all other streams there.
+    """
+    load = count_own_load(upstream)
+    peer_load = world.other_entries.loads.get(upstream.id)
+    if peer_load is None:
+        return _compute_weighted_load(load)
+    return _compute_weighted_load(load) + _compute_weighted_load(peer_load)
+
+
+def _compute_weighted_load(load: UpstreamLoad) -> float:
+    return (
+        PREFILL_WEIGHT * load.reading
+        + DECODE_WEIGHT * load.writing
+        + COPY_WEIGHT * load.copies
+    )
+
+
+def estimate_opening_s(world: ServingWorld, request: ServedRequest) -> float:
+    """Estimates the seconds to a request's first piece, also before any was seen."""
+    unknown_s = request.route.goal_s * DEFAULT_OPENING_SHARE
+    return world.estimate_opening_s(request, unknown_s)
+
+
+def estimate_completions(
+    world: ServingWorld,
+    request: ServedRequest,
+    upstreams: list[Upstream],
+    now: float,
+) -> dict[str, float]:
+    """Estimates the seconds to complete a request at each upstream, by id.
+
+    Where all upstreams have the usual pace, these are in the order of their loads.
+    """
+    everywhere = world.upstreams.list_service(request.service)
+    uneven = find_uneven(world, everywhere, now)
+    work = _estimate_work(world, request)
+    return {
+        item.id: estimate_completion_s(
+            work, measure_load(world, item), uneven.get(item.id, 1.0)
+        )
+        for item in upstreams
+    }
+
+
+def _estimate_work(world: ServingWorld, request: ServedRequest) -> StreamWork:
+    prefill_s = estimate_opening_s(world, request)
+    duration_s = world.mean_duration_by_service.get(request.service)
+    if duration_s is None:
+        duration_s = prefill_s * world.serving_policy.load.stream_prefills
+    return StreamWork(prefill_s, max(prefill_s, duration_s))
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -16,7 +16,6 @@
     NoticeEncoded,
     NoticeReceived,
 )
-from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.peers import (
     LoadNotice,
     Peer,
@@ -31,6 +30,12 @@
     list_crash_reports,
 )
 from magnoliahold.core.serving.systems.limits import list_limits
+from magnoliahold.core.serving.systems.loads import count_own_load
+from magnoliahold.core.serving.systems.paces import (
+    apply_paces,
+    list_paces,
+    record_sent_paces,
+)
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
 from magnoliahold.core.serving.systems.quarantine import list_quarantines
 from magnoliahold.core.serving.systems.trials import list_trials
@@ -199,6 +204,7 @@
     before = set(peer.notice.down) if peer.notice else set()
     world.other_entries.set_notice(peer, notice)
     peer.last_received_at = now
+    apply_paces(world, notice.paces, now)
     for location in notice.places:
         record_prefix_location(world, location.part, location.upstream_id, now)
     for upstream_id in set(notice.down) - before:
@@ -226,17 +232,6 @@
         del locations[part]
 
 
-def count_own_load(upstream: Upstream) -> UpstreamLoad:
-    """Counts this entry's load at an upstream."""
-    if not upstream.attempts and not upstream.copies:
-        return upstream.no_load
-    writing = sum(attempt.pieces > 0 for attempt in upstream.attempts.values())
-    reading = len(upstream.attempts) - writing
-    tokens = sum(item.request.prompt_tokens for item in upstream.attempts.values())
-    tokens += upstream.copied_tokens
-    return UpstreamLoad(upstream.id, reading, writing, upstream.copies, tokens)
-
-
 def notify_peers(world: ServingWorld, now: float) -> None:
     """Sends a notice to the other entries when it changed, and periodically."""
     table = world.other_entries
@@ -248,7 +243,7 @@
     elapsed_s = now - table.last_sent_at
     if elapsed_s < policy.least_interval_s and not table.send_now:
         return
-    notice = _make_notice(world, table.serial + 1)
+    notice = _make_notice(world, table.serial + 1, now)
     last_sent_notice = table.last_sent_notice
     unchanged = (
         last_sent_notice is not None
@@ -267,10 +262,12 @@
     table.last_sent_at = now
     table.last_sent_notice = notice
     record_sent_notice(world, notice.serial)
+    if notice.paces:
+        record_sent_paces(world, now)
     world.emit(SendNotice(peers, notice))
 
 
-def _make_notice(world: ServingWorld, serial: int) -> LoadNotice:
+def _make_notice(world: ServingWorld, serial: int, now: float) -> LoadNotice:
     upstreams = world.upstreams.by_id.values()
     identity = world.identity
     return LoadNotice(
@@ -301,6 +298,7 @@
         leaving=list_leaving(world),
         trials=list_trials(world),
         limits=list_limits(world),
+        paces=list_paces(world, now),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -18,6 +18,7 @@
 from magnoliahold.core.serving.systems.copies import free_copy
 from magnoliahold.core.serving.systems.crashes import has_begun, record_begin
 from magnoliahold.core.serving.systems.outcomes import answers_other_request
+from magnoliahold.core.serving.systems.paces import record_gap
 from magnoliahold.core.serving.systems.peer_notices import record_prefix_location
 from magnoliahold.core.serving.systems.retries import count_outcome, fail_sent_attempt
 from magnoliahold.core.serving.systems.upstream_health import mark_healthy
@@ -82,6 +83,8 @@
     elif attempt.last_piece_at is not None:
         gap_s = (now - attempt.last_piece_at) / count
         upstream.gap_s = update_moving_average(upstream.gap_s, gap_s)
+        if attempt.paused_at is None:
+            record_gap(world, attempt, gap_s, now)
     _record_begin_once(world, attempt, now)
     attempt.last_piece_at = now
     attempt.last_received_at = now
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -12,6 +12,7 @@
 from magnoliahold.core.serving.systems.completion import choose_retry_after, refuse
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
+from magnoliahold.core.serving.systems.loads import measure_load
 from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
 from magnoliahold.core.serving.systems.selection import (
@@ -19,7 +20,6 @@
     find_available_at,
     find_candidates,
     find_prefix_location,
-    measure_load,
 )
 from magnoliahold.core.serving.systems.trials import (
     announce_trial,
@@ -63,7 +63,7 @@
             return
     candidates = find_candidates(world, request, now)
     if candidates:
-        upstream = choose_upstream(world, request, candidates)
+        upstream = choose_upstream(world, request, candidates, now)
         _start_attempt(world, request, upstream, None, now)
     else:
         _refuse_without_upstream(world, request, now)
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -5,20 +5,19 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.serving.loads import UpstreamLoad
-from magnoliahold.core.serving.systems.peer_notices import count_own_load
+from magnoliahold.core.serving.systems.loads import (
+    count_own_load,
+    estimate_completions,
+    measure_load,
+)
 from magnoliahold.core.serving.systems.version_routing import filter_by_version
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.loads import UpstreamLoad
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
     from magnoliahold.core.serving.upstreams import Upstream
     from magnoliahold.core.serving.world import ServingWorld
 
-PREFILL_WEIGHT = 2.0
-DECODE_WEIGHT = 1.0
-COPY_WEIGHT = 0.3
 PRIOR_OUTCOMES = 2.0
 MIN_COMPARED_UPSTREAMS = 3
 
@@ -170,8 +169,9 @@
     world: ServingWorld,
     request: ServedRequest,
     candidates: list[Upstream],
+    now: float,
 ) -> Upstream:
-    """Chooses the upstream that has cached the prompt, or the least loaded one.
+    """Chooses the upstream that has cached the prompt, or the one that is done first.
 
     Ties are broken at random: requests that share a prompt often arrive at several
     entries at once, and would otherwise all queue for the prefill at one upstream.
@@ -179,9 +179,10 @@
     cached = _choose_by_prefix_cache(world, request, candidates)
     if cached is not None:
         return cached
+    completions = estimate_completions(world, request, candidates, now)
 
     def rank(upstream: Upstream) -> tuple[float, float]:
-        return (measure_load(world, upstream), world.random.random())
+        return (completions[upstream.id], world.random.random())
 
     return min(candidates, key=rank)
 
@@ -227,23 +228,3 @@
         world.other_entries.prefix_locations.get(prompt[-1].id) if prompt else None
     )
     return location[0] if location is not None else None
-
-
-def measure_load(world: ServingWorld, upstream: Upstream) -> float:
-    """Measures the load of all entries at an upstream.
-
-    A stream in prefill counts double, since it slows down all other streams there.
-    """
-    load = count_own_load(upstream)
-    peer_load = world.other_entries.loads.get(upstream.id)
-    if peer_load is None:
-        return _compute_weighted_load(load)
-    return _compute_weighted_load(load) + _compute_weighted_load(peer_load)
-
-
-def _compute_weighted_load(load: UpstreamLoad) -> float:
-    return (
-        PREFILL_WEIGHT * load.reading
-        + DECODE_WEIGHT * load.writing
-        + COPY_WEIGHT * load.copies
-    )
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -6,6 +6,7 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
+from magnoliahold.core.serving.systems.loads import estimate_opening_s
 from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
 from magnoliahold.core.serving.systems.selection import has_less_loaded_alternative
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected, probe
@@ -16,11 +17,6 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
-# Assumed time to the first piece as a share of the route's goal, used until a stream
-# of the service has begun at this entry.
-DEFAULT_OPENING_SHARE = 0.25
-
-
 def watch_attempts(world: ServingWorld, now: float) -> None:
     """Retries attempts of silent upstreams elsewhere and probes suspicious ones."""
     if not world.scan_due:
@@ -113,7 +109,7 @@
     """
     goal_s = request.route.goal_s
     left_s = request.arrived_at + goal_s - now
-    opening_s = world.estimate_opening_s(request, goal_s * DEFAULT_OPENING_SHARE)
+    opening_s = estimate_opening_s(world, request)
     if waited_s < opening_s:
         return False
     margin = world.serving_policy.attempts.opening_margin
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field, frozen
 
+from magnoliahold.core.load.pace import PaceEstimate
 from magnoliahold.core.serving.loads import UpstreamLoad
 
 if TYPE_CHECKING:
@@ -87,7 +88,8 @@
     store. While `awaits_sign` is set it gets no request, since it may have ended long
     ago. `silent` is set while it is down and doesn't answer at all. `copies` counts the
     streams whose KV cache it keeps a copy of, and `copied_tokens` the tokens of their
-    prompts. `no_load` is the load of an entry that runs nothing there.
+    prompts. `pace` is learned from the streams of all entries. `no_load` is the load of
+    an entry that runs nothing there.
     """
 
     record: UpstreamRecord
@@ -109,6 +111,7 @@
     gap_s: float | None = None
     opening_s: float | None = None
     full_until: float = 0.0
+    pace: PaceEstimate = field(factory=PaceEstimate)
     no_load: UpstreamLoad = field(init=False)
 
     @no_load.default
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -50,6 +50,7 @@
         leaving=notice.leaving[:MAX_ITEMS],
         trials=notice.trials[:MAX_ITEMS],
         limits=notice.limits[-MAX_ITEMS:],
+        paces=notice.paces[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
 
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -67,6 +67,16 @@
     link_mbps: float = field(metadata=checks(require_range(0.1, 1e6)), default=1000.0)
 
 
+@frozen
+class LoadSettings:
+    """Decisions for hard load; without this section none of them acts.
+
+    With `by_pace`, streams are placed by the pace of each engine.
+    """
+
+    by_pace: bool = False
+
+
 @frozen
 class ServingSettings:
     """The settings of one serving entry; `policy` overrides limits by name.
@@ -83,6 +93,7 @@
     peers: str | None = field(metadata=checks(require_endpoint), default=None)
     metrics: str | None = field(metadata=checks(require_endpoint), default=None)
     bounds: DeploymentBounds = field(factory=DeploymentBounds)
+    load: LoadSettings = field(factory=LoadSettings)
     log: LogSettings = field(factory=LogSettings)
     policy: ServingPolicy = field(factory=ServingPolicy)
 
@@ -130,4 +141,5 @@
         moves=moves,
         budget=budget,
         peers=peers,
+        load=evolve(policy.load, by_pace=settings.load.by_pace),
     )
--- /dev/null
+++ b/tests/core/load/__init__.py
@@ -0,0 +1,3 @@
+"""Tests."""
+
+from __future__ import annotations
