Don't count attempts that reached another upstream than the chosen one

Such answers no longer count as attempts, up to ten of them. Test: test_stream_outlives_many_upstreams_that_restarted.

--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -15,6 +15,10 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+# Misdirected attempts after which a request isn't sent again.
+MAX_MISDIRECTED = 10
+
+
 def retry_elsewhere(
     world: ServingWorld, attempt: Attempt, reason: str, now: float
 ) -> None:
@@ -76,7 +80,7 @@
     """Checks whether a request may be sent to another upstream."""
     if not request.route.repeatable and _may_have_run(request):
         return False
-    if request.send_count >= request.route.max_attempts:
+    if not _has_attempts_left(request):
         return False
     if is_refused(world, request.suspects, request):
         return False
@@ -88,6 +92,17 @@
     return budget.count_remaining(now, world.count_entries()) >= 1
 
 
+def _has_attempts_left(request: ServedRequest) -> bool:
+    """Tells whether a request may be sent to one more upstream.
+
+    Attempts that reached another upstream than the chosen one don't count, but many in
+    a row end it all the same.
+    """
+    if request.misdirected >= MAX_MISDIRECTED:
+        return False
+    return request.send_count - request.misdirected < request.route.max_attempts
+
+
 def _may_have_run(request: ServedRequest) -> bool:
     attempt = request.attempt
     runs = attempt is not None and attempt.state is not AttemptState.CONNECTING
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -221,6 +221,23 @@
         self.harness.interrupt(self.first)
         self.assertIsNone(self.harness.pop_effect(SendAttempt).copy_source)
 
+    def test_stream_outlives_many_upstreams_that_restarted(self) -> None:
+        """Upstreams of a data centre that restart at once have other ids afterwards."""
+        upstreams = tuple(make_upstream(number, ENGINES) for number in range(1, 21))
+        for restarted, expected in (
+            (5, SendAttempt),
+            (9, SendAttempt),
+            (10, RefuseCaller),
+        ):
+            with self.subTest(restarted=restarted):
+                harness = ServingHarness()
+                harness.start(upstreams=upstreams)
+                caller = harness.request(RouteKind.STREAM)
+                for _ in range(restarted):
+                    rejected = {"not_run": True, "misdirected": True}
+                    harness.answer(harness.send(), caller, 421, **rejected)
+                self.assertEqual(len(harness.pop_effects(expected)), 1)
+
     def test_rejected_first_attempt_has_no_copy(self) -> None:
         self.harness.answer(self.first, self.caller, 503, not_run=True, request_id="")
         self.assertIsNone(self.harness.pop_effect(SendAttempt).copy_source)
