Let streams of ranked services wait at the entry while no engine has room

Cause: under a burst engines decided who waits, since entries sent everything at once; the most urgent streams had no way to go first, a flooding workspace took the room, and nothing was refused before its deadline. Services whose streaming routes differ in priority now have a queue at each entry: order by rank, goal, workspaces by turns and deadline; room from slots and KV cache less what all entries run there; turns among entries by weighted rendezvous hashing; refusal at arrival, with a time to return, of what can't be served; copies get what streams leave. Routes of equal rank send at once.

--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -81,14 +81,15 @@
 
     With `keeps_prompts` they are engines with a prefix cache of the prompts that they
     have read, and with `keeps_copies` they also keep copies of the KV caches of streams
-    that run elsewhere. Each has a KV cache for `memory_tokens` tokens, 0 if that is
-    unknown.
+    that run elsewhere. Each has a KV cache for `memory_tokens` tokens and runs `slots`
+    requests at a time, 0 if that is unknown.
     """
 
     name: str
     keeps_copies: bool = False
     keeps_prompts: bool = False
     memory_tokens: int = _number_or(0)
+    slots: int = _number_or(0)
 
 
 @frozen
@@ -130,12 +131,23 @@
     services: tuple[Service, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     limits: CallerLimits = field(factory=CallerLimits)
+    ranked_services: frozenset[str] = field(init=False, repr=False, eq=False)
     routes_by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
     services_by_name: dict[str, Service] = field(init=False, repr=False, eq=False)
     workspaces_by_credential: dict[str, Workspace] = field(
         init=False, repr=False, eq=False
     )
 
+    @ranked_services.default
+    def _find_ranked_services(self) -> frozenset[str]:
+        """Finds the services whose streams differ in rank by their routes."""
+        ranks: dict[str, set[int]] = {}
+        for route in self.routes:
+            if route.kind is RouteKind.STREAM:
+                for share in route.shares:
+                    ranks.setdefault(share.service, set()).add(route.priority)
+        return frozenset(name for name, found in ranks.items() if len(found) > 1)
+
     @routes_by_host.default
     def _index_routes(self) -> dict[str, list[Route]]:
         index: dict[str, list[Route]] = {}
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -11,6 +11,7 @@
 from magnoliahold.core.serving.limits import LimitReport  # noqa: TC001
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.moves import Exposure, Suspension  # noqa: TC001
+from magnoliahold.core.serving.queues import QueueReport  # noqa: TC001
 from magnoliahold.core.serving.suspicions import (  # noqa: TC001
     Clearance,
     CrashReport,
@@ -55,7 +56,7 @@
     crash upstreams, and `trials` names the suspects of which the sender has an open
     request. `leaving` lists the upstreams that have said that they are leaving, and
     `limits` what upstreams have said last about limits. `paces` are samples since the
-    notice that last had some.
+    notice that last had some, and `queues` tells what waits for room.
     """
 
     sender: str
@@ -74,6 +75,7 @@
     trials: tuple[str, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     paces: tuple[PaceSample, ...] = ()
+    queues: tuple[QueueReport, ...] = ()
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -135,14 +135,16 @@
     """A request from its arrival to its final answer.
 
     `may_have_run` is set once an attempt has ended that may have run. `send_count` is
-    the number of attempts that were sent to upstreams. `answer_started` is set once the
+    the number of attempts that were sent to upstreams, of which `misdirected`
+    reached another one with its address. `answer_started` is set once the
     head of the answer was sent to the caller, and `last_piece` is the number of the
     last piece sent. `first_piece_late` is set once the request left an upstream because
     its first piece took too long. `last_failure_at` is when the last attempt failed, 0
     if none has. `prefers_new_version` tells whether the request goes to the version
     that its service moves to; it is None until a version is chosen. While
     `awaiting_lookup` is set, the request waits to learn which upstream has its prompt
-    in its prefix cache. `prompt_tokens` is the number of tokens of the prompt, and
+    in its prefix cache. `held_at` is when it last waited for room, 0 if it never did.
+    `prompt_tokens` is the number of tokens of the prompt, and
     `suspects` what the request may have in common with others that crash upstreams.
     """
 
@@ -156,6 +158,7 @@
     state: RequestState = RequestState.WAITING
     attempt: Attempt | None = None
     send_count: int = 0
+    misdirected: int = 0
     tried_upstreams: set[str] = field(factory=set)
     may_have_run: bool = False
     answer_started: bool = False
@@ -166,6 +169,7 @@
     first_piece_late: bool = False
     awaiting_lookup: bool = False
     prefers_new_version: bool | None = None
+    held_at: float = 0.0
     prompt_tokens: int = field(init=False)
     suspects: frozenset[str] = field(init=False)
 
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -21,6 +21,10 @@
 )
 from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import REFUSAL_REASON
+from magnoliahold.core.serving.systems.queue_refusals import (
+    NO_ROOM,
+    find_queue_refusal,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -74,6 +78,10 @@
     if rejection_reason:
         _refuse(world, caller, UNAVAILABLE, rejection_reason)
         return
+    return_s = find_queue_refusal(world, request, now)
+    if return_s is not None:
+        _refuse(world, caller, UNAVAILABLE, NO_ROOM, return_s)
+        return
     world.requests.add(request)
     if needs_lookup:
         start_prefix_lookup(world, request, now)
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -14,7 +14,11 @@
 from magnoliahold.core.serving.effects import CopyKvCache, FreeCopy
 from magnoliahold.core.serving.events import CopyFailed, KvCacheCopied
 from magnoliahold.core.serving.requests import CopyOrder
-from magnoliahold.core.serving.systems.loads import estimate_completions
+from magnoliahold.core.serving.systems.loads import (
+    count_places,
+    estimate_completions,
+    has_ranks,
+)
 from magnoliahold.core.serving.systems.selection import (
     filter_preferred,
     find_needing_probe,
@@ -36,6 +40,7 @@
 
     Prefers another data centre, then an upstream that needs no probe, then the version
     at which the stream should be resumed, then the one that would complete it first.
+    Where streams compete for room, a copy gets only what they leave.
     """
     if request.route.kind is not RouteKind.STREAM or not request.route.resumable:
         return None
@@ -50,6 +55,8 @@
         if item is not upstream and item.health is UpstreamHealth.HEALTHY
     ]
     data_centre = upstream.record.data_centre
+    if has_ranks(world, request.service):
+        candidates = [i for i in candidates if count_places(world, request, i, now)]
     elsewhere = [item for item in candidates if item.record.data_centre != data_centre]
     candidates = elsewhere or candidates
     if not candidates:
--- a/src/magnoliahold/core/serving/systems/deadlines.py
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -19,9 +19,8 @@
         if now >= request.deadline_at:
             refuse(world, request, "the deadline has passed", now)
     for request in list(world.requests.waiting.values()):
-        if now - (request.last_failure_at or request.arrived_at) >= find_wait_limit_s(
-            world, request
-        ):
+        since = max(request.last_failure_at or request.arrived_at, request.held_at)
+        if now - since >= find_wait_limit_s(world, request):
             reason = request.failure_reason or "no upstream is usable"
             refuse(world, request, reason, now)
 
--- a/src/magnoliahold/core/serving/systems/loads.py
+++ b/src/magnoliahold/core/serving/systems/loads.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.load.placement import StreamWork, estimate_completion_s
+from magnoliahold.core.load.rooms import EngineRoom
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.systems.paces import find_uneven
 
@@ -32,19 +33,19 @@
     return UpstreamLoad(upstream.id, reading, writing, upstream.copies, tokens)
 
 
+def count_total_load(world: ServingWorld, upstream: Upstream) -> UpstreamLoad:
+    """Counts the load of all entries at an upstream."""
+    load = count_own_load(upstream)
+    peer_load = world.other_entries.loads.get(upstream.id)
+    return load if peer_load is None else load.add(peer_load)
+
+
 def measure_load(world: ServingWorld, upstream: Upstream) -> float:
     """Measures the load of all entries at an upstream.
 
     A stream in prefill counts double, since it slows down all other streams there.
     """
-    load = count_own_load(upstream)
-    peer_load = world.other_entries.loads.get(upstream.id)
-    if peer_load is None:
-        return _compute_weighted_load(load)
-    return _compute_weighted_load(load) + _compute_weighted_load(peer_load)
-
-
-def _compute_weighted_load(load: UpstreamLoad) -> float:
+    load = count_total_load(world, upstream)
     return (
         PREFILL_WEIGHT * load.reading
         + DECODE_WEIGHT * load.writing
@@ -79,9 +80,53 @@
     }
 
 
+def estimate_run_s(world: ServingWorld, request: ServedRequest) -> float:
+    """Estimates the seconds from the start of a request to its end."""
+    opening_s = estimate_opening_s(world, request)
+    run_s = world.mean_run_by_service.get(request.service)
+    if run_s is None:
+        run_s = opening_s * world.serving_policy.load.stream_prefills
+    return max(opening_s, run_s)
+
+
+def has_ranks(world: ServingWorld, service: str) -> bool:
+    """Tells whether streams of a service differ in rank, by its routes."""
+    configuration = world.configuration
+    return configuration is not None and service in configuration.ranked_services
+
+
+def count_places(
+    world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
+) -> int:
+    """Counts how many more streams like a request's an upstream can take.
+
+    One that has just rejected a request as full has no room, whatever is known of it.
+    """
+    if now < upstream.full_until:
+        return 0
+    return find_room(world, upstream).count_places(request.prompt_tokens)
+
+
+def find_room(world: ServingWorld, upstream: Upstream) -> EngineRoom:
+    """Finds the room at an upstream from the loads of all entries there.
+
+    A copy takes a place like a stream.
+    """
+    load = count_total_load(world, upstream)
+    name = upstream.record.service
+    configuration = world.configuration
+    service = configuration.services_by_name.get(name) if configuration else None
+    if service is None:
+        return EngineRoom()
+    memory_part = world.serving_policy.attempts.memory_part
+    return EngineRoom(
+        max_streams=service.slots,
+        max_tokens=service.memory_tokens * memory_part,
+        streams=load.reading + load.writing + load.copies,
+        tokens=load.tokens,
+    )
+
+
 def _estimate_work(world: ServingWorld, request: ServedRequest) -> StreamWork:
     prefill_s = estimate_opening_s(world, request)
-    duration_s = world.mean_duration_by_service.get(request.service)
-    if duration_s is None:
-        duration_s = prefill_s * world.serving_policy.load.stream_prefills
-    return StreamWork(prefill_s, max(prefill_s, duration_s))
+    return StreamWork(prefill_s, estimate_run_s(world, request))
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -16,6 +16,11 @@
 from magnoliahold.core.serving.systems.completion import deliver_answer, refuse
 from magnoliahold.core.serving.systems.crashes import record_begin, record_reset
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
+from magnoliahold.core.serving.systems.loads import (
+    count_total_load,
+    estimate_run_s,
+    has_ranks,
+)
 from magnoliahold.core.serving.systems.retries import (
     count_outcome,
     fail_sent_attempt,
@@ -143,13 +148,29 @@
     """
     upstream = attempt.upstream
     if attempt.resumed_from is None:
-        upstream.full_until = now + world.serving_policy.attempts.full_s
+        upstream.full_until = now + _estimate_full_s(world, attempt)
     if head.misdirected:
         mark_down(world, upstream, "another upstream has its address", now)
+        attempt.request.misdirected += 1
     attempt.state = AttemptState.CONNECTING
     retry_or_refuse(world, attempt, f"rejected, status {head.status}", now)
 
 
+def _estimate_full_s(world: ServingWorld, attempt: Attempt) -> float:
+    """Estimates for how long an upstream that rejected a stream has no room.
+
+    Where streams wait for room, that is until the next one there is expected to end,
+    since more of them may run there than this entry knows.
+    """
+    request = attempt.request
+    full_s = world.serving_policy.attempts.full_s
+    if not has_ranks(world, request.service):
+        return full_s
+    load = count_total_load(world, attempt.upstream)
+    streams = max(1, load.reading + load.writing)
+    return max(full_s, estimate_run_s(world, request) / streams)
+
+
 def _record_duration(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.sent_at is not None:
         upstream = attempt.upstream
--- a/src/magnoliahold/core/serving/systems/paces.py
+++ b/src/magnoliahold/core/serving/systems/paces.py
@@ -62,3 +62,10 @@
     if not world.serving_policy.load.by_pace:
         return {}
     return compare_paces({item.id: item.pace for item in upstreams}, now)
+
+
+def find_slowness(world: ServingWorld, upstream: Upstream, now: float) -> float | None:
+    """Returns how many times as long as usual an uneven upstream takes, else None."""
+    everywhere = world.upstreams.list_service(upstream.record.service)
+    found = find_uneven(world, everywhere, now).get(upstream.id)
+    return None if found is None else round(found, 2)
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -38,6 +38,7 @@
 )
 from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
 from magnoliahold.core.serving.systems.quarantine import list_quarantines
+from magnoliahold.core.serving.systems.queues import list_queues
 from magnoliahold.core.serving.systems.trials import list_trials
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected
 from magnoliahold.core.serving.systems.upstream_signals import list_leaving
@@ -299,6 +300,7 @@
         trials=list_trials(world),
         limits=list_limits(world),
         paces=list_paces(world, now),
+        queues=list_queues(world, now),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -118,3 +118,8 @@
     world.mean_duration_by_service[service] = update_moving_average(
         world.mean_duration_by_service.get(service), duration_s
     )
+    if attempt.request.send_count == 1:
+        run_s = now - attempt.started_at - attempt.paused_s
+        world.mean_run_by_service[service] = update_moving_average(
+            world.mean_run_by_service.get(service), run_s
+        )
--- /dev/null
+++ b/src/magnoliahold/core/serving/systems/queue_refusals.py
@@ -0,0 +1,97 @@
+"""Refuses streams that wait for room, or would, and can't be served in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.load.waits import can_be_served
+from magnoliahold.core.serving.systems.completion import refuse
+from magnoliahold.core.serving.systems.queue_flows import (
+    count_ahead,
+    count_free_places,
+    expect_flow,
+    find_queue,
+    is_queued,
+    list_held,
+    list_reports,
+    make_waiter,
+)
+
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.queues import ServiceQueue
+    from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.world import ServingWorld
+
+# An arrival is refused if it would be late with that many times its expected wait: one
+# that waits in vain loses the time to go elsewhere.
+ARRIVAL_MARGIN = 1.25
+NO_ROOM = "no room at the engines before it could be served"
+
+
+def find_queue_refusal(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> float | None:
+    """Returns in how many seconds a caller should return instead of waiting here.
+
+    None if its request starts at once, or is expected to be served after a wait.
+    """
+    if not is_queued(world, request):
+        return None
+    queue = find_queue(world, request.service)
+    queue.record_arrival(request.priority, now)
+    ahead = count_ahead(world, queue, request)
+    return _find_refusal(world, queue, request, ahead, now, ARRIVAL_MARGIN)
+
+
+def _find_refusal(
+    world: ServingWorld,
+    queue: ServiceQueue,
+    request: ServedRequest,
+    ahead: float,
+    now: float,
+    margin: float = 1.0,
+) -> float | None:
+    if count_free_places(world, request, now) > ahead:
+        return None
+    flow = expect_flow(world, request, ahead, now)
+    if not flow.served_per_s:
+        return None
+    waiter = make_waiter(world, request, now)
+    if can_be_served(flow, now, waiter.on_time_until, waiter.start_by, margin):
+        return None
+    per_s = flow.served_per_s / world.count_entries()
+    return queue.returns.choose_retry_after_s(now, flow.wait_s, per_s)
+
+
+def review_queues(world: ServingWorld, now: float) -> None:
+    """Forgets requests that wait no more, and refuses those that can't be served."""
+    if not world.scan_due:
+        return
+    for service, queue in world.queues.items():
+        held = list_held(world, queue)
+        queue.held = {item.handle: queue.held[item.handle] for item in held}
+        if held:
+            _review_held(world, service, queue, held, now)
+
+
+def _review_held(
+    world: ServingWorld,
+    service: str,
+    queue: ServiceQueue,
+    held: list[ServedRequest],
+    now: float,
+) -> None:
+    reports = list(list_reports(world, service))
+    by_handle = {item.handle: item for item in held}
+    waiters = [make_waiter(world, item, now) for item in held]
+    for before, waiter in enumerate(queue.fair.order(waiters, now)):
+        elsewhere = sum(item.waiting for item in reports if item.rank <= waiter.rank)
+        ahead = before + elsewhere * before / len(held)
+        request = by_handle[waiter.key]
+        retry_after_s = _find_refusal(world, queue, request, ahead, now)
+        if retry_after_s is not None:
+            del queue.held[request.handle]
+            labels = {"rank": str(waiter.rank)}
+            world.emit(CountMetric("streams_given_up", 1, labels))
+            refuse(world, request, NO_ROOM, now, retry_after_s)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -13,8 +13,15 @@
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
 from magnoliahold.core.serving.systems.loads import measure_load
+from magnoliahold.core.serving.systems.paces import find_slowness
 from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
+from magnoliahold.core.serving.systems.queues import (
+    filter_by_room,
+    hold_request,
+    order_waiting,
+    record_start,
+)
 from magnoliahold.core.serving.systems.selection import (
     choose_upstream,
     find_available_at,
@@ -45,7 +52,7 @@
 
 def route_waiting(world: ServingWorld, now: float) -> None:
     """Sends each waiting request for which an upstream is usable."""
-    for request in list(world.requests.waiting.values()):
+    for request in order_waiting(world, now):
         if is_refused(world, request.suspects, request):
             refuse_quarantined(world, request, now)
         elif not request.awaiting_lookup and not must_wait_for_trial(world, request):
@@ -62,11 +69,15 @@
             _start_attempt(world, request, copy.holder, copy, now)
             return
     candidates = find_candidates(world, request, now)
-    if candidates:
-        upstream = choose_upstream(world, request, candidates, now)
+    if not candidates:
+        _refuse_without_upstream(world, request, now)
+        return
+    roomy = filter_by_room(world, request, candidates, now)
+    if roomy:
+        upstream = choose_upstream(world, request, roomy, now)
         _start_attempt(world, request, upstream, None, now)
     else:
-        _refuse_without_upstream(world, request, now)
+        hold_request(world, request, now)
 
 
 def _is_worth_awaiting(world: ServingWorld, holder: Upstream, now: float) -> bool:
@@ -128,6 +139,7 @@
     table.next_attempt += 1
     request.send_count += 1
     request.copy = None
+    record_start(world, request, now)
     table.start_attempt(attempt)
     upstream.record_send(now)
     count_exposure(world, attempt)
@@ -137,7 +149,7 @@
     world.emit(_make_send(world, attempt, now))
     _probe_copy_holder(world, attempt, now)
     world.emit(CountMetric("attempts_started"))
-    _log_choice(world, attempt)
+    _log_choice(world, attempt, now)
 
 
 def _probe_copy_holder(world: ServingWorld, attempt: Attempt, now: float) -> None:
@@ -174,7 +186,7 @@
     return min(LAST_PRIORITY, FIRST_PRIORITY + request.priority)
 
 
-def _log_choice(world: ServingWorld, attempt: Attempt) -> None:
+def _log_choice(world: ServingWorld, attempt: Attempt, now: float) -> None:
     request = attempt.request
     holder = attempt.copy_holder
     world.log_decision(
@@ -186,6 +198,7 @@
         data_centre=attempt.upstream.record.data_centre,
         version=attempt.upstream.record.version,
         load=round(measure_load(world, attempt.upstream), 2),
+        slowness=find_slowness(world, attempt.upstream, now),
         resume_after=request.last_piece,
         from_copy=attempt.resumed_from is not None,
         prompt_place=find_prefix_location(world, request),
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -60,7 +60,7 @@
 
     A criterion that would exclude all, or most on weak evidence, is skipped.
     """
-    healthy = _filter_by_health(upstreams)
+    healthy = filter_by_health(upstreams)
     untried = [
         item for item in healthy if item.id not in request.tried_upstreams
     ] or healthy
@@ -78,7 +78,7 @@
     ] or not_full
 
 
-def _filter_by_health(upstreams: list[Upstream]) -> list[Upstream]:
+def filter_by_health(upstreams: list[Upstream]) -> list[Upstream]:
     """Keeps the healthiest upstreams, so that a service never runs out of upstreams.
 
     One whose registration is missing may be gone, and counts as suspected.
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -28,6 +28,7 @@
     )
     from magnoliahold.core.serving.lookups import PromptLookup
     from magnoliahold.core.serving.openings import OpeningModel
+    from magnoliahold.core.serving.queues import ServiceQueue
     from magnoliahold.core.serving.requests import ServedRequest
 
 
@@ -46,9 +47,10 @@
     has to list again after a restore. `lookups` holds the
     last prompt lookup of each service. `openings` estimates the seconds to the first
     piece of streams by service, and `mean_duration_by_service` is a moving average of
-    the seconds to their end. `started_at` is the time of the first tick. `scan_due` is
-    set in the ticks in which systems check all rows. `deregistered_at` is when the
-    entry removed its registration to stop.
+    the seconds to their end; `mean_run_by_service` is that from their start at an
+    upstream. `queues` are those of services whose routes differ in rank. `started_at`
+    is the time of the first tick. `scan_due` is set in the ticks in which systems check
+    all rows. `deregistered_at` is when the entry removed its registration to stop.
     """
 
     boot_clock: Callable[[], float]
@@ -69,6 +71,8 @@
     lookups: dict[str, PromptLookup] = field(factory=dict)
     openings: dict[str, OpeningModel] = field(factory=dict)
     mean_duration_by_service: dict[str, float] = field(factory=dict)
+    mean_run_by_service: dict[str, float] = field(factory=dict)
+    queues: dict[str, ServiceQueue] = field(factory=dict)
     store_offset_s: float | None = None
     started_at: float = 0.0
     next_call: int = 1
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -73,6 +73,8 @@
     backups: bool = False
     # KV cache size of an engine, in tokens.
     kv_capacity: int = 0
+    # How many requests an engine runs at a time.
+    slots: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -172,7 +174,13 @@
     engine = raw.engine
     if engine is None:
         return Service(raw.name)
-    return Service(raw.name, engine.backups, True, engine.kv_capacity)
+    return Service(
+        raw.name,
+        keeps_copies=engine.backups,
+        keeps_prompts=True,
+        memory_tokens=engine.kv_capacity,
+        slots=engine.slots,
+    )
 
 
 def _make_limits(raw: _Limits) -> CallerLimits:
--- a/src/magnoliahold/serving/noticechecks.py
+++ b/src/magnoliahold/serving/noticechecks.py
@@ -31,6 +31,9 @@
     for report in notice.limits:
         if report.per_s is not None and not 0 <= report.per_s < inf:
             raise NoticeRangeError("a limit is out of range")
+    for queue in notice.queues:
+        if min(queue.waiting, queue.workspaces) < 0 or not 0 <= queue.per_s < inf:
+            raise NoticeRangeError("a queue is out of range")
 
 
 def _check_results(count: EvidenceCount) -> None:
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -51,6 +51,7 @@
         trials=notice.trials[:MAX_ITEMS],
         limits=notice.limits[-MAX_ITEMS:],
         paces=notice.paces[:MAX_ITEMS],
+        queues=notice.queues[:MAX_ITEMS],
     )
     return _encoder.encode(truncated)
 
