Look through engines less often for paces and room, and call fewer of them uneven

Paces are now compared four times a second, engines within 1.5 of each other count as even, few samples count for less, and room is searched only until enough is found.

--- a/src/magnoliahold/core/load/pace.py
+++ b/src/magnoliahold/core/load/pace.py
@@ -19,9 +19,9 @@
 # Samples lose half of their weight in this time, so that slow ones are tried again.
 HALF_LIFE_S = 10.0
 # How many samples the assumption of a typical pace counts for.
-PRIOR_SAMPLES = 2.0
+PRIOR_SAMPLES = 4.0
 # Paces that differ by less than this factor count as equal.
-EVEN_RATIO = 1.25
+EVEN_RATIO = 1.5
 # One report counts for at most that many samples.
 MAX_SAMPLES = 64.0
 # Upstreams whose pace must be known before any is called slow or fast.
@@ -101,3 +101,11 @@
             samples = pace.count_samples(now)
             uneven[key] = math.exp(log_ratio * samples / (samples + PRIOR_SAMPLES))
     return uneven
+
+
+@frozen
+class PaceComparison:
+    """The uneven upstreams of a service, as found at a time on the process clock."""
+
+    at: float
+    uneven: dict[str, float]
--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -300,12 +300,14 @@
     """Decisions that a deployment with hard load asks for.
 
     With `by_pace`, streams are placed by the time that they take at the pace of each
-    upstream; samples of paces are reported every `pace_interval_s`. Until streams of a
+    upstream; samples of paces are reported every `pace_interval_s`, and compared every
+    `compare_s`. Until streams of a
     service have ended, one is assumed to take `stream_prefills` times its prefill.
     """
 
     by_pace: bool = False
     pace_interval_s: float = _positive(1.0)
+    compare_s: float = _positive(0.25)
     stream_prefills: float = _positive(5.0)
 
 
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -55,8 +55,6 @@
         if item is not upstream and item.health is UpstreamHealth.HEALTHY
     ]
     data_centre = upstream.record.data_centre
-    if has_ranks(world, request.service):
-        candidates = [i for i in candidates if count_places(world, request, i, now)]
     elsewhere = [item for item in candidates if item.record.data_centre != data_centre]
     candidates = elsewhere or candidates
     if not candidates:
@@ -68,7 +66,11 @@
         mismatched = not matches_resume_version(world, request, item)
         return (item.id in needing_probe, mismatched, completions[item.id])
 
-    return min(candidates, key=rank)
+    best = min(candidates, key=rank)
+    if not has_ranks(world, request.service) or count_places(world, request, best, now):
+        return best
+    roomy = [item for item in candidates if count_places(world, request, item, now)]
+    return min(roomy, key=rank, default=None)
 
 
 def handle_copy_results(world: ServingWorld, now: float) -> None:
--- a/src/magnoliahold/core/serving/systems/loads.py
+++ b/src/magnoliahold/core/serving/systems/loads.py
@@ -69,8 +69,7 @@
 
     Where all upstreams have the usual pace, these are in the order of their loads.
     """
-    everywhere = world.upstreams.list_service(request.service)
-    uneven = find_uneven(world, everywhere, now)
+    uneven = find_uneven(world, request.service, now)
     work = _estimate_work(world, request)
     return {
         item.id: estimate_completion_s(
@@ -107,6 +106,22 @@
     return find_room(world, upstream).count_places(request.prompt_tokens)
 
 
+def has_places(
+    world: ServingWorld,
+    request: ServedRequest,
+    upstreams: list[Upstream],
+    wanted: float,
+    now: float,
+) -> bool:
+    """Tells whether upstreams have more than the wanted places for a request."""
+    found = 0
+    for upstream in upstreams:
+        found += count_places(world, request, upstream, now)
+        if found > wanted:
+            return True
+    return False
+
+
 def find_room(world: ServingWorld, upstream: Upstream) -> EngineRoom:
     """Finds the room at an upstream from the loads of all entries there.
 
--- a/src/magnoliahold/core/serving/systems/paces.py
+++ b/src/magnoliahold/core/serving/systems/paces.py
@@ -5,11 +5,10 @@
 from statistics import fmean
 from typing import TYPE_CHECKING
 
-from magnoliahold.core.load.pace import PaceSample, compare_paces
+from magnoliahold.core.load.pace import PaceComparison, PaceSample, compare_paces
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import Attempt
-    from magnoliahold.core.serving.upstreams import Upstream
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -55,17 +54,18 @@
             upstream.pace.add(sample, now)
 
 
-def find_uneven(
-    world: ServingWorld, upstreams: list[Upstream], now: float
-) -> dict[str, float]:
-    """Returns how many times as long as usual uneven upstreams take, by id."""
-    if not world.serving_policy.load.by_pace:
-        return {}
-    return compare_paces({item.id: item.pace for item in upstreams}, now)
+def find_uneven(world: ServingWorld, service: str, now: float) -> dict[str, float]:
+    """Returns how many times as long as usual uneven upstreams take, by id.
 
-
-def find_slowness(world: ServingWorld, upstream: Upstream, now: float) -> float | None:
-    """Returns how many times as long as usual an uneven upstream takes, else None."""
-    everywhere = world.upstreams.list_service(upstream.record.service)
-    found = find_uneven(world, everywhere, now).get(upstream.id)
-    return None if found is None else round(found, 2)
+    It is found anew every `compare_s`, since it takes a look at all of them.
+    """
+    policy = world.serving_policy.load
+    if not policy.by_pace:
+        return {}
+    compared = world.pace_comparisons.get(service)
+    if compared is None or now - compared.at >= policy.compare_s:
+        upstreams = world.upstreams.list_service(service)
+        paces = {item.id: item.pace for item in upstreams}
+        compared = PaceComparison(now, compare_paces(paces, now))
+        world.pace_comparisons[service] = compared
+    return compared.uneven
--- a/src/magnoliahold/core/serving/systems/queue_flows.py
+++ b/src/magnoliahold/core/serving/systems/queue_flows.py
@@ -25,6 +25,7 @@
 
     from magnoliahold.core.serving.queues import QueueReport
     from magnoliahold.core.serving.requests import ServedRequest
+    from magnoliahold.core.serving.upstreams import Upstream
     from magnoliahold.core.serving.world import ServingWorld
 
 
@@ -99,20 +100,18 @@
     return urgent_per_s, equal_per_s
 
 
-def count_free_places(world: ServingWorld, request: ServedRequest, now: float) -> int:
-    """Counts the places for a request at the upstreams that it may be sent to."""
-    return sum(
-        count_places(world, request, item, now)
-        for item in filter_by_health(list_available(world, request.service, now))
-    )
+def list_usable(world: ServingWorld, service: str, now: float) -> list[Upstream]:
+    """Lists the upstreams of a service that a request may be sent to."""
+    return filter_by_health(list_available(world, service, now))
 
 
 def find_served_per_s(world: ServingWorld, request: ServedRequest, now: float) -> float:
     """Finds how many streams end a second once all places are taken."""
-    streams = count_free_places(world, request, now)
-    for upstream in filter_by_health(list_available(world, request.service, now)):
+    streams = 0
+    for upstream in list_usable(world, request.service, now):
         load = count_total_load(world, upstream)
         streams += load.reading + load.writing
+        streams += count_places(world, request, upstream, now)
     run_s = estimate_run_s(world, request)
     return streams / run_s if run_s > 0 else 0.0
 
--- a/src/magnoliahold/core/serving/systems/queue_refusals.py
+++ b/src/magnoliahold/core/serving/systems/queue_refusals.py
@@ -7,14 +7,15 @@
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.load.waits import can_be_served
 from magnoliahold.core.serving.systems.completion import refuse
+from magnoliahold.core.serving.systems.loads import has_places
 from magnoliahold.core.serving.systems.queue_flows import (
     count_ahead,
-    count_free_places,
     expect_flow,
     find_queue,
     is_queued,
     list_held,
     list_reports,
+    list_usable,
     make_waiter,
 )
 
@@ -52,7 +53,8 @@
     now: float,
     margin: float = 1.0,
 ) -> float | None:
-    if count_free_places(world, request, now) > ahead:
+    usable = list_usable(world, request.service, now)
+    if has_places(world, request, usable, ahead, now):
         return None
     flow = expect_flow(world, request, ahead, now)
     if not flow.served_per_s:
--- a/src/magnoliahold/core/serving/systems/queues.py
+++ b/src/magnoliahold/core/serving/systems/queues.py
@@ -10,7 +10,7 @@
 from magnoliahold.core.effects import CountMetric, RecordMetric
 from magnoliahold.core.load.shares import count_kept_places, may_take_place
 from magnoliahold.core.serving.queues import QueueReport
-from magnoliahold.core.serving.systems.loads import count_places
+from magnoliahold.core.serving.systems.loads import count_places, estimate_run_s
 from magnoliahold.core.serving.systems.queue_flows import (
     count_ahead,
     expect_flow,
@@ -65,7 +65,7 @@
     queue = find_queue(world, request.service)
     places = {item.id: count_places(world, request, item, now) for item in candidates}
     free = sum(places.values())
-    if free <= _count_reserved_places(world, queue, request, now):
+    if free <= _count_reserved_places(world, queue, request, free, now):
         return []
     waiting = _count_rivals(world, request)
     if not waiting:
@@ -82,7 +82,11 @@
 
 
 def _count_reserved_places(
-    world: ServingWorld, queue: ServiceQueue, request: ServedRequest, now: float
+    world: ServingWorld,
+    queue: ServiceQueue,
+    request: ServedRequest,
+    free: int,
+    now: float,
 ) -> int:
     """Counts the places that are left to more urgent streams of all entries."""
     held = list_held(world, queue)
@@ -93,8 +97,9 @@
         if report.rank < request.priority
     )
     urgent_per_s, _ = find_arrivals_per_s(world, request, now)
-    if not urgent_per_s:
-        return waiting
+    if free > urgent_per_s * estimate_run_s(world, request):
+        # Less than one of these places is needed until the next comes free.
+        return waiting + bool(urgent_per_s)
     served_per_s = find_served_per_s(world, request, now)
     return waiting + count_kept_places(urgent_per_s, served_per_s)
 
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -13,7 +13,7 @@
 from magnoliahold.core.serving.systems.copies import choose_copy_holder
 from magnoliahold.core.serving.systems.deadlines import find_wait_limit_s
 from magnoliahold.core.serving.systems.loads import measure_load
-from magnoliahold.core.serving.systems.paces import find_slowness
+from magnoliahold.core.serving.systems.paces import find_uneven
 from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
 from magnoliahold.core.serving.systems.queues import (
@@ -189,6 +189,7 @@
 def _log_choice(world: ServingWorld, attempt: Attempt, now: float) -> None:
     request = attempt.request
     holder = attempt.copy_holder
+    uneven = find_uneven(world, request.service, now)
     world.log_decision(
         "routing",
         "Upstream chosen.",
@@ -198,7 +199,7 @@
         data_centre=attempt.upstream.record.data_centre,
         version=attempt.upstream.record.version,
         load=round(measure_load(world, attempt.upstream), 2),
-        slowness=find_slowness(world, attempt.upstream, now),
+        slowness=round(uneven.get(attempt.upstream.id, 1.0), 2),
         resume_after=request.last_piece,
         from_copy=attempt.resumed_from is not None,
         prompt_place=find_prefix_location(world, request),
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliahold.core.load.pace import PaceComparison
     from magnoliahold.core.serving.configuration import (
         Configuration,
         ListedConfiguration,
@@ -48,7 +49,8 @@
     last prompt lookup of each service. `openings` estimates the seconds to the first
     piece of streams by service, and `mean_duration_by_service` is a moving average of
     the seconds to their end; `mean_run_by_service` is that from their start at an
-    upstream. `queues` are those of services whose routes differ in rank. `started_at`
+    upstream. `queues` are those of services whose routes differ in rank, and
+    `pace_comparisons` the last comparison of each service. `started_at`
     is the time of the first tick. `scan_due` is set in the ticks in which systems check
     all rows. `deregistered_at` is when the entry removed its registration to stop.
     """
@@ -73,6 +75,7 @@
     mean_duration_by_service: dict[str, float] = field(factory=dict)
     mean_run_by_service: dict[str, float] = field(factory=dict)
     queues: dict[str, ServiceQueue] = field(factory=dict)
+    pace_comparisons: dict[str, PaceComparison] = field(factory=dict)
     store_offset_s: float | None = None
     started_at: float = 0.0
     next_call: int = 1
--- a/tests/core/load/test_pace.py
+++ b/tests/core/load/test_pace.py
@@ -18,10 +18,11 @@
 NOW = 100.0
 
 
-def make_pace(gap_s: float, samples: float = 10.0) -> PaceEstimate:
+def make_pace(gap_s: float, samples: float = 20.0, reports: int = 1) -> PaceEstimate:
     """Makes an estimate from samples that all agree."""
     pace = PaceEstimate()
-    pace.add(PaceSample("any", gap_s, samples), NOW)
+    for _ in range(reports):
+        pace.add(PaceSample("any", gap_s, samples), NOW)
     return pace
 
 
@@ -38,7 +39,7 @@
 class PaceTests(unittest.TestCase):
     def compare(self, **gaps: float) -> dict[str, float]:
         """Compares the paces of upstreams, each known by many samples."""
-        paces = {name: make_pace(gap_s, 64.0) for name, gap_s in gaps.items()}
+        paces = {name: make_pace(gap_s, 64.0, 4) for name, gap_s in gaps.items()}
         return compare_paces(paces, NOW)
 
     def test_only_uneven_upstreams_are_named(self) -> None:
