--- a/src/magnoliahold/core/load/queues.py
+++ b/src/magnoliahold/core/load/queues.py
@@ -80,12 +80,16 @@
     def _put_owed_first(self, ordered: list[Waiter]) -> list[Waiter]:
         """Puts the first stream of a rank with credit behind those that have begun."""
         for owed in ordered:
-            if not owed.begun and self.credits.get(owed.rank, 0.0) >= 1.0:
+            if not owed.begun and self.is_owed(owed.rank):
                 begun = [item for item in ordered if item.begun]
                 rest = [i for i in ordered if not i.begun and i is not owed]
                 return [*begun, owed, *rest]
         return ordered
 
+    def is_owed(self, rank: int) -> bool:
+        """Tells whether a start is due to a rank before more urgent ones."""
+        return self.credits.get(rank, 0.0) >= 1.0
+
     def _find_tag(self, workspace: str) -> float:
         return max(self.virtual_time, self.finish_tags.get(workspace, 0.0))
 
--- a/src/magnoliahold/core/load/waits.py
+++ b/src/magnoliahold/core/load/waits.py
@@ -18,20 +18,27 @@
 class ExpectedFlow:
     """What a stream meets that waits for room, over all entries.
 
-    `ahead` is the number of streams that wait and go before it. Room for `served_per_s`
-    streams comes free a second; `urgent_per_s` more urgent ones and `equal_per_s` of
-    the same rank arrive a second.
+    `urgent` more urgent streams wait, and `equal` of its rank that go before it. Room
+    for `served_per_s` streams comes free a second; `urgent_per_s` more urgent ones and
+    `equal_per_s` of the same rank arrive a second.
     """
 
-    ahead: float
+    urgent: float
+    equal: float
     served_per_s: float
     urgent_per_s: float = 0.0
     equal_per_s: float = 0.0
 
     @property
     def wait_s(self) -> float:
-        """The expected wait while only more urgent work overtakes, in seconds."""
-        return self._divide(self.served_per_s - self.urgent_per_s)
+        """The expected wait while only more urgent work overtakes, in seconds.
+
+        It is no longer than that by the least share, which no urgent work takes.
+        """
+        left_per_s = self.served_per_s - self.urgent_per_s
+        by_rank_s = _divide(self.urgent + self.equal + 1.0, left_per_s)
+        by_share_s = _divide(self.equal + 1.0, LEAST_SHARE * self.served_per_s)
+        return min(by_rank_s, by_share_s)
 
     @property
     def late_wait_s(self) -> float:
@@ -41,11 +48,11 @@
         """
         newer_per_s = find_sure_rate(self.urgent_per_s + self.equal_per_s)
         left_per_s = self.served_per_s - newer_per_s
-        return inf if left_per_s <= 0 else self._divide(left_per_s)
+        return _divide(self.urgent + self.equal + 1.0, left_per_s)
+
 
-    def _divide(self, per_s: float) -> float:
-        per_s = max(per_s, LEAST_SHARE * self.served_per_s)
-        return inf if per_s <= 0 else (self.ahead + 1.0) / per_s
+def _divide(streams: float, per_s: float) -> float:
+    return streams / per_s if per_s > 0 else inf
 
 
 def estimate_equal_ahead(own: int, waiting: int, shares: int) -> float:
--- a/src/magnoliahold/core/serving/systems/queue_flows.py
+++ b/src/magnoliahold/core/serving/systems/queue_flows.py
@@ -72,8 +72,11 @@
 
 def count_ahead(
     world: ServingWorld, queue: ServiceQueue, request: ServedRequest
-) -> float:
-    """Estimates how many streams of all entries go before an arrival."""
+) -> tuple[float, float]:
+    """Estimates how many more urgent and equal streams go before an arrival.
+
+    They wait at all entries.
+    """
     held = list_held(world, queue)
     reports = list(list_reports(world, request.service))
     urgent = sum(item.priority < request.priority for item in held)
@@ -84,7 +87,7 @@
     shares = len({*equal, request.workspace})
     shares += sum(item.workspaces for item in reports)
     own = equal.count(request.workspace)
-    return urgent + estimate_equal_ahead(own, waiting, shares)
+    return urgent, estimate_equal_ahead(own, waiting, shares)
 
 
 def find_arrivals_per_s(
@@ -117,9 +120,12 @@
 
 
 def expect_flow(
-    world: ServingWorld, request: ServedRequest, ahead: float, now: float
+    world: ServingWorld,
+    request: ServedRequest,
+    ahead: tuple[float, float],
+    now: float,
 ) -> ExpectedFlow:
-    """Describes what a request meets that waits behind `ahead` others."""
+    """Describes what a request meets that waits behind urgent and equal streams."""
     urgent_per_s, equal_per_s = find_arrivals_per_s(world, request, now)
     served_per_s = find_served_per_s(world, request, now)
-    return ExpectedFlow(ahead, served_per_s, urgent_per_s, equal_per_s)
+    return ExpectedFlow(*ahead, served_per_s, urgent_per_s, equal_per_s)
--- a/src/magnoliahold/core/serving/systems/queue_refusals.py
+++ b/src/magnoliahold/core/serving/systems/queue_refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
@@ -49,12 +50,12 @@
     world: ServingWorld,
     queue: ServiceQueue,
     request: ServedRequest,
-    ahead: float,
+    ahead: tuple[float, float],
     now: float,
     margin: float = 1.0,
 ) -> float | None:
     usable = list_usable(world, request.service, now)
-    if has_places(world, request, usable, ahead, now):
+    if has_places(world, request, usable, sum(ahead), now):
         return None
     flow = expect_flow(world, request, ahead, now)
     if not flow.served_per_s:
@@ -87,13 +88,19 @@
     reports = list(list_reports(world, service))
     by_handle = {item.handle: item for item in held}
     waiters = [make_waiter(world, item, now) for item in held]
-    for before, waiter in enumerate(queue.fair.order(waiters, now)):
-        elsewhere = sum(item.waiting for item in reports if item.rank <= waiter.rank)
-        ahead = before + elsewhere * before / len(held)
+    before: Counter[int] = Counter()
+    for waiter in queue.fair.order(waiters, now):
+        rank = waiter.rank
+        urgent = sum(item.waiting for item in reports if item.rank < rank)
+        urgent += sum(count for other, count in before.items() if other < rank)
+        equal = sum(item.waiting for item in reports if item.rank == rank)
+        equal_here = sum(item.priority == rank for item in held)
+        ahead = (urgent, before[rank] * (1 + equal / equal_here))
+        before[rank] += 1
         request = by_handle[waiter.key]
         retry_after_s = _find_refusal(world, queue, request, ahead, now)
         if retry_after_s is not None:
             del queue.held[request.handle]
-            labels = {"rank": str(waiter.rank)}
+            labels = {"rank": str(rank)}
             world.emit(CountMetric("streams_given_up", 1, labels))
             refuse(world, request, NO_ROOM, now, retry_after_s)
--- a/src/magnoliahold/core/serving/systems/queues.py
+++ b/src/magnoliahold/core/serving/systems/queues.py
@@ -89,6 +89,8 @@
     now: float,
 ) -> int:
     """Counts the places that are left to more urgent streams of all entries."""
+    if queue.fair.is_owed(request.priority):
+        return 0
     held = list_held(world, queue)
     waiting = sum(item.priority < request.priority for item in held)
     waiting += sum(
@@ -133,7 +135,7 @@
         rank=request.priority,
         workspace=request.workspace,
         held=len(queue.held),
-        ahead=round(flow.ahead, 1),
+        ahead=round(flow.urgent + flow.equal, 1),
         served_per_s=round(flow.served_per_s, 2),
         expected_wait_s=round(min(flow.wait_s, MAX_LOGGED_S), 3),
     )
--- a/tests/core/load/test_waits.py
+++ b/tests/core/load/test_waits.py
@@ -28,14 +28,26 @@
 
 # The flow, how many seconds are left to be on time and to start, and whether it waits.
 WAITS: tuple[tuple[str, ExpectedFlow, float, float, bool], ...] = (
-    ("first in the queue", ExpectedFlow(0, 10), 2, 20, True),
-    ("on time", ExpectedFlow(15, 10), 2, 20, True),
-    ("late, but few others come", ExpectedFlow(30, 10), 2, 20, True),
-    ("late, and others overtake", ExpectedFlow(30, 10, equal_per_s=30), 2, 20, False),
-    ("urgent work takes all", ExpectedFlow(3, 10, urgent_per_s=30), 2, 20, False),
-    ("the least share is enough", ExpectedFlow(1, 10, urgent_per_s=30), 3, 20, True),
-    ("beyond the deadline", ExpectedFlow(300, 10), 2, 20, False),
-    ("nothing is served", ExpectedFlow(0, 0), 2, 20, False),
+    ("first in the queue", ExpectedFlow(0, 0, 10), 2, 20, True),
+    ("on time", ExpectedFlow(0, 15, 10), 2, 20, True),
+    ("late, but few others come", ExpectedFlow(0, 30, 10), 2, 20, True),
+    (
+        "late, and others overtake",
+        ExpectedFlow(0, 30, 10, equal_per_s=30),
+        2,
+        20,
+        False,
+    ),
+    ("urgent work takes all", ExpectedFlow(9, 3, 10, urgent_per_s=30), 2, 20, False),
+    (
+        "the least share is enough",
+        ExpectedFlow(30, 1, 10, urgent_per_s=30),
+        3,
+        20,
+        True,
+    ),
+    ("beyond the deadline", ExpectedFlow(0, 300, 10), 2, 20, False),
+    ("nothing is served", ExpectedFlow(0, 0, 0), 2, 20, False),
 )
 
 
@@ -65,7 +77,7 @@
                 self.assertEqual(found, expected)
 
     def test_no_flow_waits_for_ever(self) -> None:
-        self.assertEqual(ExpectedFlow(0, 0).wait_s, inf)
+        self.assertEqual(ExpectedFlow(0, 0, 0).wait_s, inf)
 
 
 class RateTests(unittest.TestCase):
--- a/tests/core/serving/test_queues.py
+++ b/tests/core/serving/test_queues.py
@@ -8,6 +8,7 @@
 
 from attrs import evolve
 
+from magnoliahold.core.load.queues import LEAST_SHARE
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
 from magnoliahold.core.serving.loads import UpstreamLoad
@@ -75,14 +76,18 @@
                 self.assertGreaterEqual(on_time, 0.97 * len(callers))
 
     def test_least_urgent_work_is_not_starved(self) -> None:
-        demands = (Demand(0, 14), Demand(2, 6))
+        demands = (Demand(0, 18), Demand(2, 6))
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                crowd = run_crowd(demands, seed)
-                callers = crowd.list_callers(2)
-                served = [item for item in callers if item.ended_at is not None]
-                during = [item for item in served if (item.began_at or 0.0) < 10.0]
-                self.assertTrue(during)
+                crowd = Crowd(demands, seed=seed)
+                crowd.run(12.0)
+                begun = [
+                    item.demand.rank
+                    for item in crowd.callers.values()
+                    if item.began_at is not None and 4.0 <= item.began_at < 10.0
+                ]
+                self.assertGreaterEqual(begun.count(2), LEAST_SHARE * len(begun) / 2)
+                self.assertLessEqual(begun.count(2), 0.2 * len(begun))
 
     def test_nothing_waits_or_is_refused_below_the_capacity(self) -> None:
         for seed in SEEDS:
@@ -252,7 +257,7 @@
         crowd.run(4.0)
         harness = crowd.harnesses[0]
         harness.emitted.clear()
-        harness.request(RouteKind.STREAM, path="/rank-1/x", credential="small")
+        harness.request(RouteKind.STREAM, path="/rank-0/x", credential="small")
         refusal = harness.pop_effect(RefuseCaller)
         self.assertTrue(refusal.not_run)
         self.assertGreater(refusal.retry_after_s or 0.0, 0.0)
