Test that prompts wait at the entry by rank, and describe that room

test_prompts_wait_at_the_entry_and_not_inside_engines: eight prompts at four engines, an urgent one that comes last takes the first place that comes free.

--- a/tests/core/serving/test_queues.py
+++ b/tests/core/serving/test_queues.py
@@ -9,8 +9,10 @@
 from attrs import evolve
 
 from magnoliahold.core.load.queues import LEAST_SHARE
+from magnoliahold.core.load.rooms import MIN_READING
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
+from magnoliahold.core.serving.events import AnswerHead, AttemptSent, StreamOpened
 from magnoliahold.core.serving.loads import UpstreamLoad
 from tests.core.serving.crowd import (
     DEADLINE_S,
@@ -49,6 +51,17 @@
     return crowd
 
 
+def start_ranked_entry() -> ServingHarness:
+    """Starts an entry with streams of two ranks."""
+    harness = ServingHarness()
+    routes = tuple(
+        make_route(RouteKind.STREAM, ENGINES, prefix=f"/{rank}/", priority=rank)
+        for rank in (0, 1)
+    )
+    harness.start(evolve(make_configuration(), routes=routes))
+    return harness
+
+
 class OverloadTests(unittest.TestCase):
     def test_capacity_serves_in_time(self) -> None:
         for name, _ in OVERLOADS[:3]:
@@ -215,12 +228,7 @@
 class RoomTests(unittest.TestCase):
     def test_long_prompts_take_the_room_of_several(self) -> None:
         """A stream is sent only where its prompt fits beside those of all entries."""
-        harness = ServingHarness()
-        routes = tuple(
-            make_route(RouteKind.STREAM, ENGINES, prefix=f"/{rank}/", priority=rank)
-            for rank in (0, 1)
-        )
-        harness.start(evolve(make_configuration(), routes=routes))
+        harness = start_ranked_entry()
         for number, tokens in ((1, 70_000), (2, 60_000), (3, 70_000), (4, 70_000)):
             upstream_id = f"{ENGINES}-{number}"
             harness.world.other_entries.loads[upstream_id] = UpstreamLoad(
@@ -234,13 +242,24 @@
         harness.advance(0.02)
         self.assertEqual(len(harness.pop_effects(SendAttempt)), 1)
 
+    def test_prompts_wait_at_the_entry_and_not_inside_engines(self) -> None:
+        harness = start_ranked_entry()
+        for _ in range(4 * MIN_READING):
+            harness.request(RouteKind.STREAM, path="/1/x")
+        sent = harness.pop_effects(SendAttempt)
+        self.assertEqual(len(sent), 4 * MIN_READING)
+        for path in ("/1/x", "/0/x"):
+            harness.request(RouteKind.STREAM, path=path)
+        self.assertEqual(harness.pop_effects(SendAttempt), [])
+        harness.post(AttemptSent(sent[0].attempt))
+        head = AnswerHead(200, "request-1", signed=True)
+        harness.post(StreamOpened(sent[0].attempt, head))
+        harness.produce(sent[0], 1)
+        urgent = harness.pop_effect(SendAttempt)
+        self.assertEqual(urgent.handle, 4 * MIN_READING + 2)
+
     def test_copy_gets_only_what_streams_leave(self) -> None:
-        harness = ServingHarness()
-        routes = tuple(
-            make_route(RouteKind.STREAM, ENGINES, prefix=f"/{rank}/", priority=rank)
-            for rank in (0, 1)
-        )
-        harness.start(evolve(make_configuration(), routes=routes))
+        harness = start_ranked_entry()
         for number in (1, 2, 3):
             upstream_id = f"{ENGINES}-{number}"
             harness.world.other_entries.loads[upstream_id] = UpstreamLoad(
