--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -131,7 +131,7 @@
     services: tuple[Service, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     limits: CallerLimits = field(factory=CallerLimits)
-    ranked_services: dict[str, float] = field(init=False, repr=False, eq=False)
+    ranked_services: frozenset[str] = field(init=False, repr=False, eq=False)
     routes_by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
     services_by_name: dict[str, Service] = field(init=False, repr=False, eq=False)
     workspaces_by_credential: dict[str, Workspace] = field(
@@ -139,18 +139,14 @@
     )
 
     @ranked_services.default
-    def _find_ranked_services(self) -> dict[str, float]:
-        """Finds services whose streams differ in rank, with their tightest goals."""
-        routes: dict[str, list[Route]] = {}
+    def _find_ranked_services(self) -> frozenset[str]:
+        """Finds the services whose streams differ in rank by their routes."""
+        ranks: dict[str, set[int]] = {}
         for route in self.routes:
             if route.kind is RouteKind.STREAM:
                 for share in route.shares:
-                    routes.setdefault(share.service, []).append(route)
-        return {
-            name: min(route.goal_s for route in found)
-            for name, found in routes.items()
-            if len({route.priority for route in found}) > 1
-        }
+                    ranks.setdefault(share.service, set()).add(route.priority)
+        return frozenset(name for name, found in ranks.items() if len(found) > 1)
 
     @routes_by_host.default
     def _index_routes(self) -> dict[str, list[Route]]:
--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -15,8 +15,8 @@
 from magnoliahold.core.serving.events import CopyFailed, KvCacheCopied
 from magnoliahold.core.serving.requests import CopyOrder
 from magnoliahold.core.serving.systems.loads import (
+    count_places,
     estimate_completions,
-    has_copy_room,
     has_ranks,
 )
 from magnoliahold.core.serving.systems.selection import (
@@ -67,11 +67,9 @@
         return (item.id in needing_probe, mismatched, completions[item.id])
 
     best = min(candidates, key=rank)
-    if not has_ranks(world, request.service):
+    if not has_ranks(world, request.service) or count_places(world, request, best, now):
         return best
-    if has_copy_room(world, request, best, now):
-        return best
-    roomy = [item for item in candidates if has_copy_room(world, request, item, now)]
+    roomy = [item for item in candidates if count_places(world, request, item, now)]
     return min(roomy, key=rank, default=None)
 
 
--- a/src/magnoliahold/core/serving/systems/loads.py
+++ b/src/magnoliahold/core/serving/systems/loads.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.load.placement import StreamWork, estimate_completion_s
-from magnoliahold.core.load.rooms import EngineRoom, find_reading_limit
+from magnoliahold.core.load.rooms import EngineRoom
 from magnoliahold.core.serving.loads import UpstreamLoad
 from magnoliahold.core.serving.systems.paces import find_uneven
 
@@ -103,29 +103,7 @@
     """
     if now < upstream.full_until:
         return 0
-    limit = estimate_reading_limit(world, request)
-    return find_room(world, upstream, limit).count_places(request.prompt_tokens)
-
-
-def estimate_reading_limit(world: ServingWorld, request: ServedRequest) -> int:
-    """Estimates how many prompts an engine of a request's service may read at a time.
-
-    0 if the service has no ranks, and so no limit.
-    """
-    configuration = world.configuration
-    if configuration is None or request.service not in configuration.ranked_services:
-        return 0
-    goal_s = configuration.ranked_services[request.service]
-    return find_reading_limit(goal_s, estimate_opening_s(world, request))
-
-
-def has_copy_room(
-    world: ServingWorld, request: ServedRequest, upstream: Upstream, now: float
-) -> bool:
-    """Tells whether an upstream can take a copy of a request's stream."""
-    if now < upstream.full_until:
-        return False
-    return find_room(world, upstream).count_places(request.prompt_tokens) > 0
+    return find_room(world, upstream).count_places(request.prompt_tokens)
 
 
 def has_places(
@@ -144,9 +122,7 @@
     return False
 
 
-def find_room(
-    world: ServingWorld, upstream: Upstream, max_reading: int = 0
-) -> EngineRoom:
+def find_room(world: ServingWorld, upstream: Upstream) -> EngineRoom:
     """Finds the room at an upstream from the loads of all entries there.
 
     A copy takes a place like a stream.
@@ -163,8 +139,6 @@
         max_tokens=service.memory_tokens * memory_part,
         streams=load.reading + load.writing + load.copies,
         tokens=load.tokens,
-        max_reading=max_reading,
-        reading=load.reading,
     )
 
 
--- a/src/magnoliahold/core/serving/systems/queue_flows.py
+++ b/src/magnoliahold/core/serving/systems/queue_flows.py
@@ -9,11 +9,10 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.queues import ServiceQueue
 from magnoliahold.core.serving.systems.loads import (
+    count_places,
     count_total_load,
     estimate_opening_s,
-    estimate_reading_limit,
     estimate_run_s,
-    find_room,
     has_ranks,
 )
 from magnoliahold.core.serving.systems.selection import (
@@ -110,22 +109,14 @@
 
 
 def find_served_per_s(world: ServingWorld, request: ServedRequest, now: float) -> float:
-    """Finds how many streams a second get a place once all places are taken.
-
-    That is as many as end, or as begin to write where prefill is what takes longest.
-    """
-    usable = list_usable(world, request.service, now)
+    """Finds how many streams end a second once all places are taken."""
     streams = 0
-    for upstream in usable:
+    for upstream in list_usable(world, request.service, now):
         load = count_total_load(world, upstream)
-        places = find_room(world, upstream).count_places(request.prompt_tokens)
-        streams += load.reading + load.writing + places
+        streams += load.reading + load.writing
+        streams += count_places(world, request, upstream, now)
     run_s = estimate_run_s(world, request)
-    opening_s = estimate_opening_s(world, request)
-    if run_s <= 0 or opening_s <= 0:
-        return 0.0
-    reading = len(usable) * estimate_reading_limit(world, request)
-    return min(streams / run_s, reading / opening_s)
+    return streams / run_s if run_s > 0 else 0.0
 
 
 def expect_flow(
--- a/tests/core/load/test_waits.py
+++ b/tests/core/load/test_waits.py
@@ -9,10 +9,8 @@
 from magnoliahold.core.load.rates import ArrivalRate
 from magnoliahold.core.load.returns import HORIZON_S, ReturnSchedule
 from magnoliahold.core.load.rooms import (
-    MIN_READING,
     UNKNOWN_PLACES,
     EngineRoom,
-    find_reading_limit,
 )
 from magnoliahold.core.load.shares import TURN_S, count_kept_places, may_take_place
 from magnoliahold.core.load.waits import (
@@ -29,8 +27,6 @@
     ("a long prompt", EngineRoom(max_tokens=74_800, tokens=50_000), 30_000, 0),
     ("the tighter of both", EngineRoom(8, 74_800, 7, 0), 8000, 1),
     ("no prompt", EngineRoom(8, 74_800, 0, 0), 0, 8),
-    ("prompts in prefill", EngineRoom(8, 74_800, 2, 0, 2, 1), 8000, 1),
-    ("as many prompts as it may have", EngineRoom(8, 0, 2, 0, 2, 2), 8000, 0),
 )
 
 # The flow, how many seconds are left to be on time and to start, and whether it waits.
@@ -64,16 +60,6 @@
             with self.subTest(name):
                 self.assertEqual(room.count_places(tokens), expected)
 
-    def test_prompts_in_prefill_fit_the_tightest_goal(self) -> None:
-        for goal_s, prefill_s, expected in (
-            (4.0, 1.2, MIN_READING),
-            (4.0, 0.5, 4),
-            (4.0, 8.0, MIN_READING),
-            (4.0, 0.0, MIN_READING),
-        ):
-            with self.subTest(prefill_s=prefill_s):
-                self.assertEqual(find_reading_limit(goal_s, prefill_s), expected)
-
 
 class WaitTests(unittest.TestCase):
     def test_only_what_can_be_served_waits(self) -> None:
--- a/tests/core/serving/test_queues.py
+++ b/tests/core/serving/test_queues.py
@@ -9,10 +9,8 @@
 from attrs import evolve
 
 from magnoliahold.core.load.queues import LEAST_SHARE
-from magnoliahold.core.load.rooms import MIN_READING
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
-from magnoliahold.core.serving.events import AnswerHead, AttemptSent, StreamOpened
 from magnoliahold.core.serving.loads import UpstreamLoad
 from tests.core.serving.crowd import (
     DEADLINE_S,
@@ -242,22 +240,6 @@
         harness.advance(0.02)
         self.assertEqual(len(harness.pop_effects(SendAttempt)), 1)
 
-    def test_prompts_wait_at_the_entry_and_not_inside_engines(self) -> None:
-        harness = start_ranked_entry()
-        for _ in range(4 * MIN_READING):
-            harness.request(RouteKind.STREAM, path="/1/x")
-        sent = harness.pop_effects(SendAttempt)
-        self.assertEqual(len(sent), 4 * MIN_READING)
-        for path in ("/1/x", "/0/x"):
-            harness.request(RouteKind.STREAM, path=path)
-        self.assertEqual(harness.pop_effects(SendAttempt), [])
-        harness.post(AttemptSent(sent[0].attempt))
-        head = AnswerHead(200, "request-1", signed=True)
-        harness.post(StreamOpened(sent[0].attempt, head))
-        harness.produce(sent[0], 1)
-        urgent = harness.pop_effect(SendAttempt)
-        self.assertEqual(urgent.handle, 4 * MIN_READING + 2)
-
     def test_copy_gets_only_what_streams_leave(self) -> None:
         harness = start_ranked_entry()
         for number in (1, 2, 3):
