--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -700,6 +700,10 @@
 
 
 async def _run(case: Callable[[Lab], Awaitable[int]], record: Record) -> int:
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         store = Store(record)
         await store.listen()
@@ -736,7 +740,7 @@
         verdict = {BROKEN: "the rule was broken", HELD: "the rule held"}[code]
         record.add(f"result: {verdict}")
         print(verdict)
-    except (UnableError, OSError) as error:
+    except (UnableError, OSError, asyncio.CancelledError) as error:
         record.add(f"result: the case couldn't run: {error}")
         print(f"the case couldn't run: {error}", file=sys.stderr)
     finally:
