End the tasks of a review case for sure

Entries are ended first now, and tasks are cancelled until they end, for 2 s at most. Cases 2 and 4 used the same code; they weren't seen to hang.

--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -37,6 +37,8 @@
 BORN_MS = 1_700_000_000_000
 READY_TIMEOUT_S = 20.0
 RUN_LIMIT_S = 117.0
+CANCEL_ROUNDS = 10
+CANCEL_WAIT_S = 0.2
 # Faults of the stand-ins themselves; a case with any of them says nothing.
 FAULTS: list[str] = []
 # All clients, so that their connections are closed at the end.
@@ -688,16 +690,24 @@
 
     async def close(self) -> None:
         """Ends everything that the case started."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for client in CLIENTS:
-            client.close()
         for entry in self.entries:
             entry.kill()
+        await self._cancel_tasks()
+        for client in CLIENTS:
+            client.close()
         for server in (*self.servers, self.store):
             await server.close()
 
+    async def _cancel_tasks(self) -> None:
+        """Cancels all tasks; more than once, since wait_for may swallow it."""
+        pending = {task for task in self.tasks if not task.done()}
+        for _ in range(CANCEL_ROUNDS):
+            if not pending:
+                return
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_WAIT_S)
+
 
 async def _run(case: Callable[[Lab], Awaitable[int]], record: Record) -> int:
     task = asyncio.current_task()
