Keep narrowing quarantines that have a suspect in common from ending all entries

Cause: _end_cleared_quarantines walked over a copy of the quarantines. What was left of the first, the deadly part alone, replaced the second in the table, and the walk then removed that one once more: KeyError, and an error in a tick ends the process. The rows in the store stay as they are, so that each start led to the same error.

Now all narrowed quarantines leave the table first, and what is left of them is added after the walk, the one with the longest term last. What a broader quarantine covers is not added beside it.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -130,6 +130,11 @@
         """The name of the row that keeps it."""
         return name_suspects(self.suspects)
 
+    @property
+    def over_at(self) -> float:
+        """When its term is over, on the store's clock, in seconds."""
+        return self.convicted_at + self.term_s
+
     @property
     def record(self) -> QuarantineRecord:
         """The quarantine as the store and notices keep it."""
@@ -174,6 +179,14 @@
         open_reports += self.unevaluated
         return any(suspects.issubset(report.suspects) for report in open_reports)
 
+    def find_cleared(self, quarantine: Quarantine) -> frozenset[str]:
+        """Finds the suspects of a quarantine that have begun since it was imposed."""
+        return frozenset(
+            item
+            for item in quarantine.suspects
+            if self.begun_at.get(item, 0.0) > quarantine.convicted_at
+        )
+
     def is_suspected(self, suspect: str) -> bool:
         """Tells whether there is a report or a quarantine of a suspect."""
         return any(
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -12,6 +12,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.convictions import (
     count_moments,
@@ -157,8 +159,13 @@
 
 
 def _add_quarantine(world: ServingWorld, quarantine: Quarantine) -> None:
-    """Adds a quarantine instead of those that refuse only some of its requests."""
+    """Adds a quarantine instead of those that refuse only some of its requests.
+
+    If another one refuses more than that already, nothing changes.
+    """
     table = world.suspicions.quarantines
+    if any(item.suspects < quarantine.suspects for item in table.values()):
+        return
     for name, other in list(table.items()):
         if other.suspects >= quarantine.suspects:
             del table[name]
@@ -183,7 +190,6 @@
     """Puts quarantines in force again under which a trial crashed an upstream."""
     policy = world.serving_policy.suspicion
     for quarantine in list(world.suspicions.quarantines.values()):
-        over_at = quarantine.convicted_at + quarantine.term_s
         crashed_at = max(
             (
                 crash.at
@@ -192,7 +198,7 @@
             ),
             default=0.0,
         )
-        if crashed_at > over_at:
+        if crashed_at > quarantine.over_at:
             term_s = min(2 * quarantine.term_s, policy.max_quarantine_s)
             quarantine_suspects(world, quarantine.suspects, crashed_at, term_s)
 
@@ -241,29 +247,27 @@
     What is left of a quarantine is to blame alone; if nothing is, it ends.
     """
     table = world.suspicions
-    for quarantine in list(table.quarantines.values()):
-        cleared = {
-            item
-            for item in quarantine.suspects
-            if table.begun_at.get(item, 0.0) > quarantine.convicted_at
-        }
+    narrowed = []
+    for name, quarantine in list(table.quarantines.items()):
+        cleared = table.find_cleared(quarantine)
         if not cleared:
             continue
-        del table.quarantines[quarantine.name]
+        del table.quarantines[name]
         for item in cleared:
             table.reported_clearances[item] = table.begun_at[item]
         world.other_entries.send_now = True
         world.log_decision(
             "suspects",
             "Quarantine ended or narrowed.",
-            suspects=quarantine.name,
-            cleared=name_suspects(frozenset(cleared)),
+            suspects=name,
+            cleared=name_suspects(cleared),
         )
         left = quarantine.suspects - cleared
         if left:
-            _add_quarantine(
-                world, Quarantine(left, quarantine.convicted_at, quarantine.term_s)
-            )
+            narrowed.append(evolve(quarantine, suspects=left))
+    # Not added within the loop: what is left of one may replace others that it visits.
+    for quarantine in sorted(narrowed, key=lambda item: item.over_at):
+        _add_quarantine(world, quarantine)
 
 
 def apply_quarantine_record(
--- a/src/magnoliahold/core/serving/systems/trials.py
+++ b/src/magnoliahold/core/serving/systems/trials.py
@@ -54,8 +54,7 @@
         quarantine.name, world.identity.name, world.other_entries.by_name
     )
     turn_s = min(rank, policy.max_trial_turns) * policy.trial_turn_s
-    over_at = quarantine.convicted_at + quarantine.term_s
-    return world.read_shared_time() >= over_at + turn_s
+    return world.read_shared_time() >= quarantine.over_at + turn_s
 
 
 def _is_tried(
