Keep serving after an unexpected error in what only refuses requests

Cause: an error of any system ends the process. That is right where a table decides about answers, and not where requests are served all the same without it.

Now an error in gathering evidence, in evaluating, applying or rewriting quarantines empties the table of suspicions; it is logged with its traceback under `invariant:`, counted as `systems_failed`, and the process goes on. All other systems end the process as before. Tests raise such errors (World.raises_errors).

--- a/src/magnoliahold/core/effects.py
+++ b/src/magnoliahold/core/effects.py
@@ -222,6 +222,14 @@
     fields: Mapping[str, FieldValue] = field(factory=dict)
 
 
+@frozen
+class ReportError:
+    """Logs an unexpected error of a system whose table was emptied."""
+
+    system: str
+    error: Exception
+
+
 @frozen
 class CountMetric:
     """Adds to a counter."""
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -32,6 +32,7 @@
     upstream_health,
     upstream_signals,
 )
+from magnoliahold.core.ticks import contain_errors
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.world import ServingWorld
@@ -61,10 +62,10 @@
     proof_relay.apply_proofs,
     prefix_lookups.apply_prompt_lists,
     copies.handle_copy_results,
-    crashes.gather_evidence,
-    quarantine.update_quarantines,
+    contain_errors(crashes.gather_evidence, quarantine.forget_suspicions),
+    contain_errors(quarantine.update_quarantines, quarantine.forget_suspicions),
     quarantine_stops.stop_quarantined,
-    quarantine.rewrite_quarantines,
+    contain_errors(quarantine.rewrite_quarantines, quarantine.forget_suspicions),
     canary_analysis.evaluate_versions,
     moves.advance_moves,
     stalls.watch_attempts,
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -47,6 +47,7 @@
 )
 from magnoliahold.core.serving.systems.quarantine import (
     apply_quarantine_record,
+    forget_suspicions,
     schedule_unlisted_quarantines,
 )
 from magnoliahold.core.serving.systems.registrations import (
@@ -55,6 +56,7 @@
     remove_upstream,
 )
 from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.core.ticks import run_contained
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -304,7 +306,12 @@
     __: FeedRow,
     ___: _ReadContext,
 ) -> None:
-    apply_quarantine_record(world, value, listed=True)
+    run_contained(
+        world,
+        "apply_quarantine_record",
+        lambda: apply_quarantine_record(world, value, listed=True),
+        forget_suspicions,
+    )
 
 
 @_apply_value.register(NoneType)
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -30,6 +30,7 @@
 from magnoliahold.core.serving.suspicions import (
     NAME_SEPARATOR,
     Quarantine,
+    SuspicionTable,
     name_suspects,
 )
 from magnoliahold.core.serving.systems.trials import is_free_to_try, is_on_trial
@@ -68,6 +69,11 @@
     )
 
 
+def forget_suspicions(world: ServingWorld) -> None:
+    """Forgets all evidence and all quarantines; requests are then refused too late."""
+    world.suspicions = SuspicionTable()
+
+
 def update_quarantines(world: ServingWorld, now: float) -> None:
     """Applies quarantines of other entries, and evaluates new evidence."""
     for received in world.inbox.read_events(NoticeReceived):
--- a/src/magnoliahold/core/worlds.py
+++ b/src/magnoliahold/core/worlds.py
@@ -42,7 +42,7 @@
     `reported_violations` describes invariants that a system found broken. `idle_since`
     is set while a leaving process has nothing in flight, and `stopping` once its stop
     was requested. With `checks_all_rows` each tick checks all rows, not only those that
-    it touched.
+    it touched. With `raises_errors`, as in tests, no error of a system is contained.
     """
 
     identity: Identity
@@ -59,6 +59,7 @@
     wall_clock: Callable[[float], float] = float
     reported_violations: list[str] = field(factory=list)
     checks_all_rows: bool = False
+    raises_errors: bool = False
     next_full_check_at: float = -math.inf
 
     def emit(self, effect: object) -> None:
--- a/src/magnoliahold/measure/fakes/fleet.py
+++ b/src/magnoliahold/measure/fakes/fleet.py
@@ -288,6 +288,7 @@
         self.platform.instances[name] = Instance(name, role, address, centre)
         node.raise_violations = True
         node.world.checks_all_rows = True
+        node.world.raises_errors = True
         node.start_ticks()
 
     def _add_to_peers(self, name: str) -> None:
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -267,6 +267,15 @@
     node.ports.journal.record_metric(effect)
 
 
+@perform_effect.register(effects.ReportError)
+def _report_error(effect: effects.ReportError, node: Node) -> None:
+    logger.critical(
+        "invariant: System failed, its table was emptied. %s",
+        effect.system,
+        exc_info=effect.error,
+    )
+
+
 @perform_effect.register(effects.StopProcess)
 def _stop_process(effect: effects.StopProcess, node: Node) -> None:
     node.ports.stop(effect.reason)
--- a/tests/core/serving/harness.py
+++ b/tests/core/serving/harness.py
@@ -123,6 +123,7 @@
             boot_clock=lambda: self.now + self.suspended_s,
         )
         self.world.checks_all_rows = True
+        self.world.raises_errors = True
         self.post()
         self.world.started_at = self.now - 100.0
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,11 +5,13 @@
 import unittest
 from random import Random
 from typing import TYPE_CHECKING, Any
+from unittest.mock import Mock
 
 from twisted.internet.task import Clock
 
 from magnoliahold.core.effects import RefuseRequest
 from magnoliahold.core.identity import Identity
+from magnoliahold.core.ticks import contain_errors
 from magnoliahold.core.worlds import EntryWorld
 from magnoliahold.entry import performers
 from magnoliahold.node import BROKEN_TABLES, Node, Ports
@@ -68,6 +70,25 @@
                 self.assertEqual(stops, [BROKEN_TABLES])
                 self.assertFalse(node.running)
 
+    def test_contained_error_is_logged_and_the_process_goes_on(self) -> None:
+        resets: list[Any] = []
+        journal = Mock()
+        ports: Any = Ports(None, None, None, journal, print)  # type: ignore[arg-type]
+        world = EntryWorld(Identity("entry-1", "entry-1.a", "entry", "dc-1"), Random(1))
+        system = contain_errors(raise_key_error, resets.append)
+        node = Node(Clock(), world, (system,), ports)
+        with self.assertLogs("magnoliahold.node", "CRITICAL") as logs:
+            node.start_ticks()
+        self.assertIn("raise_key_error", logs.output[0])
+        self.assertIn("missing row", logs.output[0])
+        self.assertEqual(resets, [world])
+        (metric,) = journal.count_metric.call_args.args
+        self.assertEqual(
+            (metric.name, metric.labels),
+            ("systems_failed", {"system": "raise_key_error"}),
+        )
+        self.assertTrue(node.running)
+
     def test_failed_effect_does_not_prevent_the_others(self) -> None:
         callers = FailingCallers()
         ports: Any = Ports(None, None, None, None, print, callers=callers)  # type: ignore[arg-type]
