Take only answers with the id of a request as a proof that it has not run

Cause: an answer without a request id was accepted as a rejection of whichever request waited, if it said "not executed". A faulty engine sends its refusal of a probe, which has no id, once more on the kept connection. The connection then went back to the pool, where the request's own answer met the next request.

Now an answer counts for a request only by its id. A foreign one ends its connection, without reading its body. A repeat at an upstream that has had the request before takes a new connection, since an earlier refusal sent once more has the right id there.

--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -22,7 +22,9 @@
     """Sends a caller's request to an upstream.
 
     The upstream has `deadline_s` to answer. `fresh_connection` excludes connections
-    that were idle for long, since the upstream may be about to close them. `copy_to` is
+    that were idle for long, since the upstream may be about to close them, and
+    `new_connection` all: the upstream has had the request before, and may send its
+    earlier answer once more. `copy_to` is
     the address to which the upstream copies the KV cache of the request, `copy_source`
     the copy from which it resumes, and `resume_after` the number of the last piece that
     is not to be sent again.
@@ -30,12 +32,14 @@
 
     attempt: int
     handle: int
+    request_id: str
     upstream: UpstreamRecord
     workspace: str
     deadline_s: float
     connect_timeout_s: float
     priority: int
     fresh_connection: bool = False
+    new_connection: bool = False
     resume_after: int | None = None
     copy_to: tuple[str, int] | None = None
     copy_source: CopyReference | None = None
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -132,10 +132,9 @@
 def answers_other_request(head: AnswerHead, attempt: Attempt) -> bool:
     """Checks whether an answer belongs to a request other than the attempt's.
 
-    An answer without a request id counts as such, unless it is a rejection.
+    Upstreams repeat the id in each answer, also in rejections. One without an id
+    answers a probe: it says nothing about whether the attempt has run.
     """
-    if not head.request_id:
-        return not head.not_run
     return head.request_id != attempt.request.id
 
 
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -88,6 +88,7 @@
 
     attempt: int
     upstream: UpstreamRecord
+    request_id: str = ""
     connection: UpstreamConnection | None = None
     connector: Any = None
     aborted: bool = False
@@ -160,11 +161,12 @@
     def send(self, effect: SendAttempt, content: RequestContent) -> None:
         """Sends a request on a pooled connection, or on a new one."""
         record = effect.upstream
-        exchange = Exchange(effect.attempt, record, last_piece=effect.resume_after)
+        exchange = Exchange(
+            effect.attempt, record, effect.request_id, last_piece=effect.resume_after
+        )
         pool_key = exchange.pool_key
         self._exchanges[effect.attempt] = exchange
-        max_idle_s = FRESH_MAX_IDLE_S if effect.fresh_connection else MAX_IDLE_S
-        pooled = self.pool.acquire(pool_key, max_idle_s)
+        pooled = self._acquire(pool_key, effect)
         if pooled is not None:
             self._send_on(exchange, pooled, effect, content)
             return
@@ -177,6 +179,15 @@
             record.address, record.port, factory, timeout=effect.connect_timeout_s
         )
 
+    def _acquire(
+        self, pool_key: PoolKey, effect: SendAttempt
+    ) -> UpstreamConnection | None:
+        """Takes a connection that suits the attempt out of the pool, if any does."""
+        if effect.new_connection:
+            return None
+        max_idle_s = FRESH_MAX_IDLE_S if effect.fresh_connection else MAX_IDLE_S
+        return self.pool.acquire(pool_key, max_idle_s)
+
     def _report_not_sent(self, exchange: Exchange, reason: Failure) -> None:
         if exchange.aborted:
             return
@@ -215,6 +226,9 @@
             return
         if exchange.aborted:
             return
+        if head.request_id != exchange.request_id:
+            self._end_with_foreign_answer(exchange, head, response)
+            return
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
             self.post(StreamOpened(exchange.attempt, head))
@@ -224,6 +238,19 @@
             exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
             response.deliverBody(_BodyReader(self, exchange))
 
+    def _end_with_foreign_answer(
+        self, exchange: Exchange, head: AnswerHead, response: Any
+    ) -> None:
+        """Reports an answer to another request without reading its body.
+
+        The connection is reset: the attempt's own answer may still come on it.
+        """
+        exchange.finished = True
+        response.deliverBody(Protocol())
+        if exchange.connection is not None:
+            exchange.connection.reset_now()
+        self.post(AnswerReceived(exchange.attempt, head))
+
     def _read_head(self, exchange: Exchange, response: Any) -> AnswerHead:
         """Reads the head of an answer; raises ValueError if it isn't text."""
         self.report_signal(exchange.upstream, response)
--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -626,7 +626,7 @@
             return
         entry.events.append(AttemptSent(effect.attempt))
         if engine.record.id != effect.upstream.id:
-            head = AnswerHead(421, "", not_run=True, misdirected=True)
+            head = AnswerHead(421, effect.request_id, not_run=True, misdirected=True)
             self._post(entry, AnswerReceived(effect.attempt, head))
             return
         if asked.deadly and self._find_deadly(asked):
@@ -634,7 +634,7 @@
         run = Run(entry, effect, asked, engine)
         source = effect.copy_source
         if source is not None and source.key not in engine.copies:
-            head = AnswerHead(503, "", not_run=True)
+            head = AnswerHead(503, effect.request_id, not_run=True)
             self._post(entry, AnswerReceived(effect.attempt, head))
             return
         entry.runs[effect.attempt] = run
--- a/tests/core/serving/test_calls.py
+++ b/tests/core/serving/test_calls.py
@@ -37,15 +37,35 @@
     ("429 that may have run", {"status": 429}, AGAIN, BAD_GATEWAY),
     (
         "rejected",
-        {"status": 503, "not_run": True, "request_id": "", "signed": False},
+        {"status": 503, "not_run": True, "signed": False},
         AGAIN,
         AGAIN,
     ),
     (
         "another upstream",
-        {"status": 421, "not_run": True, "misdirected": True, "request_id": ""},
+        {"status": 421, "not_run": True, "misdirected": True},
+        AGAIN,
+        AGAIN,
+    ),
+    # Failure: an earlier refusal that was sent once more on a kept connection told
+    # callers "not run" for what an engine had run (review case 1).
+    (
+        "rejection without an id",
+        {"status": 400, "not_run": True, "request_id": "", "signed": False},
+        AGAIN,
+        BAD_GATEWAY,
+    ),
+    (
+        "rejection of another request",
+        {"status": 503, "not_run": True, "request_id": "x", "signed": False},
         AGAIN,
+        BAD_GATEWAY,
+    ),
+    (
+        "another upstream, without an id",
+        {"status": 421, "not_run": True, "misdirected": True, "request_id": ""},
         AGAIN,
+        BAD_GATEWAY,
     ),
 )
 
@@ -116,13 +136,24 @@
         harness = ServingHarness()
         harness.start()
         caller = harness.request(ONCE)
-        harness.answer(harness.send(), caller, 503, not_run=True, request_id="")
-        harness.answer(harness.send(), caller, 503, not_run=True, request_id="")
+        harness.answer(harness.send(), caller, 503, not_run=True)
+        harness.answer(harness.send(), caller, 503, not_run=True)
         refusal = harness.pop_effect(RefuseCaller)
         self.assertEqual(refusal.status, UNAVAILABLE)
         self.assertTrue(refusal.not_run)
         self.assertGreater(refusal.retry_after_s or 0, 0)
 
+    def test_repeat_at_the_same_upstream_takes_a_new_connection(self) -> None:
+        """Its earlier refusal may come once more on a connection that it used."""
+        harness = ServingHarness()
+        harness.start(upstreams=(make_upstream(1, CALLS),))
+        caller = harness.request(ONCE)
+        first = harness.send()
+        self.assertFalse(first.new_connection)
+        harness.answer(first, caller, 503, not_run=True)
+        harness.advance(1.0)
+        self.assertTrue(harness.pop_effect(SendAttempt).new_connection)
+
     def test_silent_call_is_retried_only_if_idempotent(self) -> None:
         for kind, retries in ((IDEMPOTENT, 1), (ONCE, 0)):
             with self.subTest(kind=kind.value):
--- a/tests/core/serving/test_random.py
+++ b/tests/core/serving/test_random.py
@@ -147,7 +147,8 @@
             yield AttemptInterrupted(number, "connection lost", True)
         elif chance < 0.06 and not run.opened:
             del self.runs[number]
-            yield AnswerReceived(number, AnswerHead(503, "", not_run=True))
+            name = run.request.request_id
+            yield AnswerReceived(number, AnswerHead(503, name, not_run=True))
         elif self.kinds[run.request.handle] is RouteKind.STREAM:
             yield from self.draw_stream(run)
         elif chance > 0.7:
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -208,7 +208,7 @@
         self.harness.produce(self.first, 7)
         self.harness.interrupt(self.first)
         second = self.harness.send()
-        self.harness.answer(second, self.caller, 503, not_run=True, request_id="")
+        self.harness.answer(second, self.caller, 503, not_run=True)
         third = self.harness.pop_effect(SendAttempt)
         self.assertIsNone(third.copy_source)
         self.assertEqual(third.resume_after, 7)
@@ -239,7 +239,7 @@
                 self.assertEqual(len(harness.pop_effects(expected)), 1)
 
     def test_rejected_first_attempt_has_no_copy(self) -> None:
-        self.harness.answer(self.first, self.caller, 503, not_run=True, request_id="")
+        self.harness.answer(self.first, self.caller, 503, not_run=True)
         self.assertIsNone(self.harness.pop_effect(SendAttempt).copy_source)
 
     def test_stream_of_another_request_is_never_passed_on(self) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -51,6 +51,7 @@
     values: dict[str, Any] = {
         "attempt": 1,
         "handle": 1,
+        "request_id": "r-1",
         "upstream": RECORD,
         "workspace": "w-1",
         "deadline_s": 1.5,
--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -27,18 +27,22 @@
         """Makes the registration of a server on a port."""
         return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
 
-    def send(self, port: int, *, fresh: bool = False, body: bytes = b"") -> int:
+    def send(
+        self, port: int, *, fresh: bool = False, new: bool = False, body: bytes = b""
+    ) -> int:
         """Sends an attempt and returns its number."""
         self.attempt += 1
         effect = SendAttempt(
             attempt=self.attempt,
             handle=1,
+            request_id="abc",
             upstream=self.make_record(port),
             workspace="w",
             deadline_s=1.0,
             connect_timeout_s=0.5,
             priority=5,
             fresh_connection=fresh,
+            new_connection=new,
         )
         headers = Headers({"Host": ["h"], "Request-Id": ["abc"]})
         self.exchanges.send(effect, RequestContent(b"POST", b"/a", headers, body))
