--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -9,6 +9,7 @@
 
 CLOSE = object()
 RESET = object()
+PROBE_START = b"GET /-/report "
 HEAD_END = b"\r\n\r\n"
 RESET_DELAY_S = 0.02
 
@@ -22,12 +23,14 @@
 class ScriptedServer:
     """Answers the n-th request with the n-th script; the last one is repeated.
 
-    The steps of a script are bytes to send, `CLOSE` or `RESET`. `requests` holds the
+    The steps of a script are bytes to send, `CLOSE` or `RESET`. With a `probe_script`,
+    probes are answered with that, and don't count as requests. `requests` holds the
     request line and headers of each request, `connections` the number of accepted
     connections and `ended` the number of closed ones.
     """
 
     scripts: list[list[Any]]
+    probe_script: list[Any] | None = None
     requests: list[bytes] = field(factory=list)
     connections: int = 0
     ended: int = 0
@@ -66,6 +69,9 @@
         self.received += data
         while HEAD_END in self.received:
             head, _, self.received = self.received.partition(HEAD_END)
+            if self.server.probe_script and head.startswith(PROBE_START):
+                self.play(self.server.probe_script)
+                continue
             self.server.requests.append(head)
             number = min(len(self.server.requests), len(self.server.scripts))
             self.play(self.server.scripts[number - 1])
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -13,11 +13,17 @@
     start_request,
 )
 from tests.loopback import LoopbackTestCase, on_loopback
+from tests.serving.scripted import CLOSE, ScriptedServer
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
 
 SILENT_PATH = "/silent"
+CUT_HEADS = (
+    b"HTTP/1.1 200 OK\r\nX-Seen: a\r\nContent-Length: 2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+)
 
 
 class Echo(Resource):
@@ -75,6 +81,23 @@
                 self.assertIn(reason, caught.exception.reason)
                 await self.wait_until(lambda: not self.listener.count_connections())
 
+    # Failure elsewhere: an engine stopped in the middle of its answer's head and closed;
+    # clients got a 200 with an empty or short body.
+    @on_loopback
+    async def test_head_that_is_cut_at_any_byte_is_no_answer(self) -> None:
+        server = ScriptedServer([[]])
+        listening = server.listen(self.reactor)
+        listening.close = listening.stopListening
+        self.listeners.append(listening)
+        client = HttpClient(self.reactor, f"http://127.0.0.1:{server.port}")
+        for head in CUT_HEADS:
+            for size in range(len(head)):
+                with self.subTest(head=head, size=size):
+                    server.scripts = [[head[:size], CLOSE]]
+                    with self.assertRaises(HttpExchangeError) as caught:
+                        await client.send("GET", "/a")
+                    self.assertTrue(caught.exception.sent)
+
     @on_loopback
     async def test_abort_before_connecting_prevents_the_request(self) -> None:
         connector = DirectConnector(self.reactor)
