Write narrowed quarantines to the store, for entries that start later

Callers of other requests with the deadly part would see their streams broken: an entry that starts over 90 s after a quarantine was narrowed knew only what it had been before, {P, S1} and {P, S2}, and let P through with any third part until S1 or S2 began there.

Cause: only convictions and renewals were written. Now what is left of a quarantine counts as missing in the store, and the entries write it in their turns, as after a restore: the first writes, the others read the table once and find it.

--- a/src/magnoliahold/core/serving/suspicions.py
+++ b/src/magnoliahold/core/serving/suspicions.py
@@ -117,7 +117,8 @@
 
     After that they are on trial: each entry sends one at a time, until one has begun
     or crashed its upstream. `convicted_at` is on the store's clock, in seconds, and
-    `unlisted_since` on the process clock; that is set while a restored store lacks it.
+    `unlisted_since` on the process clock; that is set while the store lacks it, after a
+    restore or since it was narrowed.
     """
 
     suspects: frozenset[str]
--- a/src/magnoliahold/core/serving/systems/quarantine.py
+++ b/src/magnoliahold/core/serving/systems/quarantine.py
@@ -86,14 +86,14 @@
     if table.evaluation_at is not None and now >= table.evaluation_at:
         table.evaluation_at = None
         table.unevaluated.clear()
-        _evaluate(world)
+        _evaluate(world, now)
 
 
-def _evaluate(world: ServingWorld) -> None:
+def _evaluate(world: ServingWorld, now: float) -> None:
     table = world.suspicions
     policy = world.serving_policy.suspicion
     crashes = gather_crashes(table.reports.values(), table.begun_at, policy)
-    _end_cleared_quarantines(world)
+    _end_cleared_quarantines(world, now)
     _renew_quarantines(world, crashes)
     convictions = find_convictions(crashes, table.begun_at, policy)
     _withdraw_quarantines(world, crashes, convictions)
@@ -247,10 +247,11 @@
         world.log_decision("suspects", "Quarantine withdrawn.", suspects=name)
 
 
-def _end_cleared_quarantines(world: ServingWorld) -> None:
+def _end_cleared_quarantines(world: ServingWorld, now: float) -> None:
     """Takes suspects that have begun since out of quarantines.
 
-    What is left of a quarantine is to blame alone; if nothing is, it ends.
+    What is left of a quarantine is to blame alone, and is written to the store for
+    entries that start later; if nothing is, it ends.
     """
     table = world.suspicions
     narrowed = []
@@ -270,7 +271,7 @@
         )
         left = quarantine.suspects - cleared
         if left:
-            narrowed.append(evolve(quarantine, suspects=left))
+            narrowed.append(evolve(quarantine, suspects=left, unlisted_since=now))
     # Not added within the loop: what is left of one may replace others that it visits.
     for quarantine in sorted(narrowed, key=lambda item: item.over_at):
         _add_quarantine(world, quarantine)
--- a/tests/core/serving/test_overlapping_quarantines.py
+++ b/tests/core/serving/test_overlapping_quarantines.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from itertools import permutations
 from random import Random
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.serving.effects import WriteQuarantine
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.suspicions import (
     Clearance,
@@ -99,6 +101,19 @@
                 begin(harness, "p2", "p3")
                 self.assertEqual(list_names(harness), ["p1"])
 
+    # Failure: entries that started later read the quarantines as they had been before,
+    # and let through what they had been narrowed to.
+    def test_narrowed_quarantine_is_in_force_at_entries_that_start_later(self) -> None:
+        stored = [make_record("p1", "p2"), make_record("p1", "p3")]
+        harness = start_entry(*stored)
+        harness.pop_effects(WriteQuarantine)
+        begin(harness, "p2", "p3")
+        written = [item.record for item in harness.pop_effects(WriteQuarantine)]
+        self.assertEqual(written, [make_record("p1")])
+        for rows in permutations((*stored, *written)):
+            with self.subTest(first=rows[0].fingerprint):
+                self.assertEqual(list_names(start_entry(*rows)), ["p1"])
+
 
 class RandomQuarantineTests(unittest.TestCase):
     def test_no_order_of_crashes_clearances_and_records_ends_the_process(self) -> None:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -81,8 +81,8 @@
                 self.assertIn(reason, caught.exception.reason)
                 await self.wait_until(lambda: not self.listener.count_connections())
 
-    # Failure elsewhere: an engine stopped in the middle of its answer's head and closed;
-    # clients got a 200 with an empty or short body.
+    # Failure elsewhere: an engine stopped in the middle of its head and closed; clients
+    # got a 200 with an empty or short body.
     @on_loopback
     async def test_head_that_is_cut_at_any_byte_is_no_answer(self) -> None:
         server = ScriptedServer([[]])
