Await at a start what a restored store may lack of the configuration

Cause: after a rise of the store's epoch an entry waits for the configuration that it knew. One that knows none waited for nothing, and took its first read as a proof, whether it saw the epoch rise before it had read or found the store in a later epoch.

Now such an entry takes no read as a proof until restore_grace_s after it first saw the epoch, or until another entry tells in its notice that it has a proof in that epoch. In the first epoch, or without one, nothing changes.

--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -59,6 +59,7 @@
     outcomes.handle_broken_attempts,
     upstream_health.handle_probe_results,
     peer_notices.apply_notices,
+    store_epochs.accept_settled_epoch,
     proof_relay.apply_proofs,
     prefix_lookups.apply_prompt_lists,
     copies.handle_copy_results,
--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -56,7 +56,8 @@
     crash upstreams, and `trials` names the suspects of which the sender has an open
     request. `leaving` lists the upstreams that have said that they are leaving, and
     `limits` what upstreams have said last about limits. `paces` are samples since the
-    notice that last had some, and `queues` tells what waits for room.
+    notice that last had some, and `queues` tells what waits for room. `settled_epoch`
+    is the store's epoch if the sender has proved its configuration in it.
     """
 
     sender: str
@@ -76,6 +77,7 @@
     limits: tuple[LimitReport, ...] = ()
     paces: tuple[PaceSample, ...] = ()
     queues: tuple[QueueReport, ...] = ()
+    settled_epoch: int | None = None
 
 
 @define(eq=False)
--- a/src/magnoliahold/core/serving/systems/configurations.py
+++ b/src/magnoliahold/core/serving/systems/configurations.py
@@ -55,6 +55,8 @@
 
     `sent_at` is when the read was sent, on the boot clock.
     """
+    if sent_at < world.store_epoch.proves_from_s:
+        return
     if world.awaited_configuration is not None:
         if not _is_newest_listed(world, sent_at):
             return
--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -36,7 +36,10 @@
     list_paces,
     record_sent_paces,
 )
-from magnoliahold.core.serving.systems.proof_relay import record_sent_notice
+from magnoliahold.core.serving.systems.proof_relay import (
+    find_settled_epoch,
+    record_sent_notice,
+)
 from magnoliahold.core.serving.systems.quarantine import list_quarantines
 from magnoliahold.core.serving.systems.queues import list_queues
 from magnoliahold.core.serving.systems.trials import list_trials
@@ -301,6 +304,7 @@
         limits=list_limits(world),
         paces=list_paces(world, now),
         queues=list_queues(world, now),
+        settled_epoch=find_settled_epoch(world),
     )
 
 
--- a/src/magnoliahold/core/serving/systems/proof_relay.py
+++ b/src/magnoliahold/core/serving/systems/proof_relay.py
@@ -22,6 +22,7 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 RANKED_ROW = "configuration"
+JOINING_WAIT_S = 0.2
 
 
 def apply_proofs(world: ServingWorld, now: float) -> None:
@@ -41,7 +42,7 @@
     sent_at_s = world.proofs.find_sent_at(proof.serial)
     if proof.version > configuration.version:
         world.feeds[Feed.CONFIGURATION].outdated = True
-        _read_soon(world, "another entry knows a newer configuration", now)
+        read_soon(world, "another entry knows a newer configuration", now)
     elif (
         proof.version == configuration.version
         and sent_at_s is not None
@@ -62,10 +63,18 @@
     if age_s is not None and age_s <= world.serving_policy.relay.max_age_s:
         return
     state.relayed_at = None
-    _read_soon(world, "no proof was passed on", now)
+    read_soon(world, "no proof was passed on", now)
 
 
-def _read_soon(world: ServingWorld, reason: str, now: float) -> None:
+def find_settled_epoch(world: ServingWorld) -> int | None:
+    """Returns the store's epoch if this entry has a proof in it, for notices."""
+    proved_at = world.feeds[Feed.CONFIGURATION].proved_at
+    if world.awaited_configuration is not None or proved_at is None:
+        return None
+    return world.store_epoch.number
+
+
+def read_soon(world: ServingWorld, reason: str, now: float) -> None:
     """Gives up a long poll of the configuration, and asks anew without delay.
 
     A read that doesn't wait for a change goes on: where it takes longer than the time
@@ -90,14 +99,19 @@
     """Chooses how long the next poll of the configuration waits for a change.
 
     After a restore of the store it waits no longer than until what the restore lost is
-    back, and the first one after that doesn't wait, since it may be the proof.
+    back, and the first one after that doesn't wait, since it may be the proof. A
+    process that has just started polls often, since another entry may tell of a proof.
     """
     state = world.feeds[Feed.CONFIGURATION]
     if state.answer_at_once:
         return 0.0
     wait_s = _choose_steady_wait_s(world)
     risen_at = world.store_epoch.risen_at
-    if world.awaited_configuration is None or risen_at is None:
+    if risen_at is None:
+        return wait_s
+    if state.proved_at is None:
+        return JOINING_WAIT_S if _is_joining(world) else 0.0
+    if world.awaited_configuration is None:
         return wait_s
     back_at = risen_at + world.serving_policy.feeds.restore_grace_s
     if state.called_at >= back_at:
@@ -105,6 +119,11 @@
     return min(wait_s, max(0.0, back_at - now))
 
 
+def _is_joining(world: ServingWorld) -> bool:
+    """Tells whether this process has started in an epoch that may be new."""
+    return world.boot_clock() < world.store_epoch.proves_from_s
+
+
 def _choose_steady_wait_s(world: ServingWorld) -> float:
     policy = world.serving_policy
     if is_reader(world):
--- a/src/magnoliahold/core/serving/systems/store_epochs.py
+++ b/src/magnoliahold/core/serving/systems/store_epochs.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.epochs import FIRST_EPOCH
 from magnoliahold.core.serving.events import (
     EntryRegistered,
     FeedChanged,
@@ -16,10 +17,12 @@
     FeedHistoryGone,
     FeedRead,
     MoveWritten,
+    NoticeReceived,
 )
 from magnoliahold.core.serving.systems.configurations import await_configuration
 from magnoliahold.core.serving.systems.moves import forget_row_versions
 from magnoliahold.core.serving.systems.peer_notices import forget_peer_versions
+from magnoliahold.core.serving.systems.proof_relay import read_soon
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.world import ServingWorld
@@ -59,18 +62,55 @@
     has_read = any(state.version is not None for state in world.feeds.values())
     if before is not None or has_read:
         _start_epoch(world, before, now)
+    elif newest > FIRST_EPOCH:
+        _record_rise(world, now)
+        _distrust_reads(world)
+
+
+def accept_settled_epoch(world: ServingWorld, now: float) -> None:
+    """Trusts reads from now on if another entry has a proof in the same epoch.
+
+    What the store had lost of the configuration is then there again.
+    """
+    epoch = world.store_epoch
+    for received in world.inbox.read_events(NoticeReceived):
+        settled = received.notice.settled_epoch
+        if world.boot_clock() < epoch.proves_from_s and settled == epoch.number:
+            epoch.proves_from_s = world.boot_clock()
+            read_soon(world, "another entry has a proof in this epoch", now)
+
+
+def _distrust_reads(world: ServingWorld) -> None:
+    """Trusts reads only once what the store may have lost is there again.
+
+    This process has just started, and doesn't know what configuration to await.
+    """
+    grace_s = world.serving_policy.feeds.restore_grace_s
+    world.store_epoch.proves_from_s = world.boot_clock() + grace_s
+    world.log_decision(
+        "store",
+        "The store may lack the newest configuration.",
+        epoch=world.store_epoch.number,
+        grace_s=grace_s,
+    )
+
+
+def _record_rise(world: ServingWorld, now: float) -> None:
+    world.store_epoch.risen_at = now
+    world.store_epoch.risen_at_boot_s = world.boot_clock()
 
 
 def _start_epoch(world: ServingWorld, before: int | None, now: float) -> None:
     epoch = world.store_epoch
-    epoch.risen_at = now
-    epoch.risen_at_boot_s = world.boot_clock()
+    _record_rise(world, now)
     for state in world.feeds.values():
         state.restored = state.restored or state.version is not None
         state.version = None
         state.call = 0
         state.next_call_at = now + READ_SPREAD_S * world.random.random()
     await_configuration(world)
+    if world.awaited_configuration is None:
+        _distrust_reads(world)
     forget_row_versions(world)
     forget_peer_versions(world)
     world.emit(CountMetric("store_restores"))
