Bound the memory that the incomplete answers of an entry take together

Cause: each answer that is no stream was bounded by itself, at 16 MB until its deadline, and kept though it had no signature and could never be passed on.

Now the body of an unsigned answer or of a rejection isn't kept; beyond 64 KB it is given up. All other incomplete bodies take 24 MB together: beyond that only the oldest of the long ones is read on, by back pressure, until it is passed on or given up.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -33,6 +33,7 @@
     ConnectionFactory,
     UpstreamConnection,
 )
+from magnoliahold.serving.memory import AnswerMemory
 from magnoliahold.serving.pieces import (
     MAX_PIECE_BYTES,
     PieceSplitter,
@@ -56,6 +57,8 @@
 # Longest idle time of a connection for attempts that need a fresh one.
 FRESH_MAX_IDLE_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Of a body that can't be passed on so much is read, so that the connection can be kept.
+MAX_DISCARDED_BYTES = 64 * 1024
 # The framing of a body may take as many bytes as its content.
 MAX_BODY_WIRE_BYTES = 2 * MAX_ANSWER_BYTES
 # Pieces are taken when they arrive; this bounds those that nobody takes.
@@ -80,10 +83,10 @@
 
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
     and `last_piece` is the highest number so far; else `body` holds the chunks of the
-    answer. `size` counts the bytes of either. `aborted` is set when its result is no
-    longer wanted, `finished` when its answer is complete and `interrupted` when it was
-    reported as a failure. `reader` reads the pieces of a stream; `paused` is set while
-    it doesn't.
+    answer, unless it `discards_body`. `size` counts the bytes of either. `aborted` is
+    set when its result is no longer wanted, `finished` when its answer is complete and
+    `interrupted` when it was reported as a failure. `reader` reads the body; `paused`
+    is set while it doesn't.
     """
 
     attempt: int
@@ -99,10 +102,11 @@
     head: AnswerHead | None = None
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: list[bytes] = field(factory=list)
+    discards_body: bool = False
     size: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
-    reader: _PieceReader | None = None
+    reader: _PieceReader | _BodyReader | None = None
     paused: bool = False
 
     @property
@@ -128,13 +132,13 @@
         return pieces
 
     def pause_reading(self) -> None:
-        """Reads no more of a stream, so that its upstream has to wait."""
+        """Reads no more of a body, so that its upstream has to wait."""
         if self.reader is not None and not self.paused and not self.finished:
             self.paused = True
             self.reader.pause()
 
     def resume_reading(self) -> None:
-        """Reads a stream on."""
+        """Reads a body on."""
         if self.reader is not None and self.paused:
             self.paused = False
             self.reader.resume()
@@ -156,6 +160,7 @@
     reactor: Reactor
     post: Callable[[object], None]
     pool: ConnectionPool
+    memory: AnswerMemory = field(factory=AnswerMemory)
     _exchanges: dict[int, Exchange] = field(factory=dict)
 
     def send(self, effect: SendAttempt, content: RequestContent) -> None:
@@ -236,7 +241,9 @@
             response.deliverBody(exchange.reader)
         else:
             exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
-            response.deliverBody(_BodyReader(self, exchange))
+            exchange.discards_body = head.not_run or not head.signed
+            exchange.reader = _BodyReader(self, exchange)
+            response.deliverBody(exchange.reader)
 
     def _end_with_foreign_answer(
         self, exchange: Exchange, head: AnswerHead, response: Any
@@ -269,12 +276,19 @@
             self.post(signal)
 
     def add_body_bytes(self, exchange: Exchange, data: bytes) -> None:
-        """Adds bytes to the body of an answer; one that is too long is a failure."""
+        """Adds bytes to the body of an answer; one that is too long is a failure.
+
+        What can't be passed on isn't kept.
+        """
+        if exchange.aborted or exchange.interrupted:
+            return
         exchange.size += len(data)
-        if exchange.size > MAX_ANSWER_BYTES:
+        limit = MAX_DISCARDED_BYTES if exchange.discards_body else MAX_ANSWER_BYTES
+        if exchange.size > limit:
             self._interrupt(exchange, "the answer is too long", False)
-        else:
+        elif not exchange.discards_body:
             exchange.body.append(data)
+            self.memory.add(exchange, len(data))
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
         """Adds complete pieces of a stream and reports those that are new."""
@@ -338,6 +352,7 @@
         if exchange.aborted or exchange.finished or exchange.interrupted:
             return
         exchange.interrupted = True
+        self._free_body(exchange)
         if exchange.connection is not None:
             exchange.connection.reset_now()
         self.post(AttemptInterrupted(exchange.attempt, reason, reset))
@@ -348,6 +363,7 @@
         if exchange is None or exchange.aborted:
             return
         exchange.aborted = True
+        self._free_body(exchange)
         if exchange.finished:
             return
         if exchange.connection is not None:
@@ -362,7 +378,15 @@
 
     def remove(self, attempt: int) -> Exchange | None:
         """Removes and returns an exchange whose answer is complete."""
-        return self._exchanges.pop(attempt, None)
+        exchange = self._exchanges.pop(attempt, None)
+        if exchange is not None:
+            self.memory.release(exchange)
+        return exchange
+
+    def _free_body(self, exchange: Exchange) -> None:
+        """Frees what was held of an answer that isn't passed on."""
+        exchange.body.clear()
+        self.memory.release(exchange)
 
     def probe(self, record: UpstreamRecord, timeout_s: float) -> None:
         """Probes an upstream on a new connection.
@@ -386,6 +410,16 @@
         self._exchanges = exchanges
         self._exchange = exchange
 
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+        transport: Any = self.transport
+        transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+        transport: Any = self.transport
+        transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._exchanges.add_body_bytes(self._exchange, data)
 
--- /dev/null
+++ b/src/magnoliahold/serving/memory.py
@@ -0,0 +1,69 @@
+"""Bounds the memory that the incomplete answers of an entry take together."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import define, field
+
+from magnoliahold.logs import make_part_logger
+
+# Beside that, the oldest answer may take as much as a single one may. An entry needs
+# twice an answer while it is passed on; the smallest instances have 128 MB.
+MAX_HELD_BYTES = 24 * 1024 * 1024
+# Short answers are always read to their end.
+SHORT_BYTES = 64 * 1024
+
+logger = make_part_logger("upstreams")
+
+
+class PausableAnswer(Protocol):
+    """An answer whose reading can be paused, so that its upstream has to wait."""
+
+    def pause_reading(self) -> None:
+        """Reads no more of it."""
+
+    def resume_reading(self) -> None:
+        """Reads on."""
+
+
+@define(eq=False)
+class AnswerMemory:
+    """The bytes of all bodies that are held until they are complete.
+
+    Beyond `limit_bytes`, of those longer than `SHORT_BYTES` only the oldest is read on:
+    it is passed on or given up sooner or later, which frees what it held.
+    """
+
+    limit_bytes: int = MAX_HELD_BYTES
+    held_bytes: int = 0
+    _bytes_by_answer: dict[PausableAnswer, int] = field(factory=dict)
+
+    def add(self, answer: PausableAnswer, count: int) -> None:
+        """Adds bytes to a body; pauses it if all together take too much."""
+        self.held_bytes += count
+        size = self._bytes_by_answer.get(answer, 0) + count
+        self._bytes_by_answer[answer] = size
+        if self.held_bytes <= self.limit_bytes or size <= SHORT_BYTES:
+            return
+        if answer is not self._find_oldest():
+            answer.pause_reading()
+            logger.warning(
+                "Answer is not read on for now; all together take too much memory.",
+                held_bytes=self.held_bytes,
+                answers=len(self._bytes_by_answer),
+            )
+
+    def release(self, answer: PausableAnswer) -> None:
+        """Removes a body that was passed on or given up, and lets others go on."""
+        self.held_bytes -= self._bytes_by_answer.pop(answer, 0)
+        if self.held_bytes <= self.limit_bytes:
+            for other in list(self._bytes_by_answer):
+                other.resume_reading()
+            return
+        oldest = self._find_oldest()
+        if oldest is not None:
+            oldest.resume_reading()
+
+    def _find_oldest(self) -> PausableAnswer | None:
+        return next(iter(self._bytes_by_answer), None)
--- /dev/null
+++ b/tests/serving/test_memory.py
@@ -0,0 +1,154 @@
+"""Tests that answers without end don't fill the memory of an entry."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from attrs import define
+
+from magnoliahold.core.serving.events import AnswerReceived, AttemptInterrupted
+from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES, MAX_DISCARDED_BYTES
+from magnoliahold.serving.memory import SHORT_BYTES, AnswerMemory
+from tests.flooding import MIB, FloodingServer
+from tests.loopback import on_loopback
+from tests.serving.exchanging import ExchangeTestCase
+from tests.serving.scripted import ScriptedServer
+from tests.serving.test_exchanges import HEAD
+
+UNSIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\n"
+REJECTED = b"HTTP/1.1 503 Full\r\nRequest-Id: abc\r\nNot-Executed: 1\r\n"
+FLOODS = 6
+LIMIT_BYTES = 4 * MIB
+READ_BYTES = 64 * 1024
+LONG = 10 * SHORT_BYTES
+
+
+@define(eq=False)
+class Answer:
+    """An answer that may be paused."""
+
+    paused: bool = False
+
+    def pause_reading(self) -> None:
+        """Reads no more."""
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        """Reads on."""
+        self.paused = False
+
+
+class AnswerMemoryTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.memory = AnswerMemory(limit_bytes=2 * LONG)
+        self.answers = [Answer() for _ in range(4)]
+
+    def find_paused(self) -> list[int]:
+        """Returns the numbers of the answers that are paused."""
+        return [number for number, item in enumerate(self.answers) if item.paused]
+
+    def test_only_the_oldest_long_answer_is_read_beyond_the_limit(self) -> None:
+        for answer in self.answers[:3]:
+            self.memory.add(answer, LONG)
+        self.assertEqual(self.find_paused(), [2])
+        self.memory.add(self.answers[1], 1)
+        self.memory.add(self.answers[0], LONG)
+        self.memory.add(self.answers[3], SHORT_BYTES)
+        self.assertEqual(self.find_paused(), [1, 2])
+
+    def test_answers_are_read_on_once_there_is_room(self) -> None:
+        for answer in self.answers[:3]:
+            self.memory.add(answer, LONG + 1)
+        self.memory.add(self.answers[1], 1)
+        self.assertEqual(self.find_paused(), [1, 2])
+        self.memory.release(self.answers[2])
+        self.assertEqual(self.find_paused(), [1, 2])
+        self.memory.release(self.answers[0])
+        self.assertEqual(self.find_paused(), [2], "it was released itself")
+        self.memory.release(self.answers[1])
+        self.assertEqual(self.memory.held_bytes, 0)
+
+    def test_next_oldest_is_read_on_beyond_the_limit(self) -> None:
+        for answer in self.answers:
+            self.memory.add(answer, LONG + 1)
+        self.memory.add(self.answers[1], 1)
+        self.assertEqual(self.find_paused(), [1, 2, 3])
+        self.memory.release(self.answers[0])
+        self.assertEqual(self.find_paused(), [2, 3])
+
+
+class EndlessAnswerTests(ExchangeTestCase):
+    def flood(self, start: bytes) -> FloodingServer:
+        """Starts a server that sends a body without end."""
+        server = FloodingServer(start + b"\r\n", b"x" * 1000)
+        self.listeners.append(server.listen(self.reactor))
+        return server
+
+    # Failure: answers without end, each within its bound, filled the memory of an entry
+    # until the platform killed it (review case 4).
+    @on_loopback
+    async def test_body_that_can_not_be_passed_on_is_not_kept(self) -> None:
+        for head in (UNSIGNED, REJECTED):
+            with self.subTest(head):
+                self.events.clear()
+                server = self.flood(head)
+                attempt = self.send(server.port)
+                await self.wait_until(lambda: len(self.events) == 2)
+                self.assertIsInstance(self.events[1], AttemptInterrupted)
+                exchange: Any = self.exchanges.find(attempt)
+                self.assertLess(exchange.size, MAX_DISCARDED_BYTES + READ_BYTES + 1)
+                self.assertEqual(exchange.body, [])
+                self.assertEqual(self.exchanges.memory.held_bytes, 0)
+
+    @on_loopback
+    async def test_short_rejection_keeps_its_connection(self) -> None:
+        server = ScriptedServer([[REJECTED + b"Content-Length: 4\r\n\r\nfull"]])
+        listener = server.listen(self.reactor)
+        listener.close = listener.stopListening
+        self.listeners.append(listener)
+        for _ in range(2):
+            self.events.clear()
+            self.send(server.port)
+            await self.wait_until(lambda: len(self.events) == 2)
+            self.assertIsInstance(self.events[1], AnswerReceived)
+        self.assertEqual(server.connections, 1)
+
+    @on_loopback
+    async def test_bodies_without_end_take_bounded_memory_together(self) -> None:
+        memory = self.exchanges.memory = AnswerMemory(LIMIT_BYTES)
+        attempts = [self.send(self.flood(HEAD).port) for _ in range(FLOODS)]
+        most = 0
+        while self.count_interrupted() < 2:
+            await self.sleep(0.0)
+            most = max(most, memory.held_bytes)
+        # Each may have read once more when the limit was reached.
+        bound = LIMIT_BYTES + MAX_ANSWER_BYTES + FLOODS * READ_BYTES
+        self.assertLessEqual(most, bound)
+        for attempt in attempts:
+            self.exchanges.abort(attempt)
+        self.assertEqual(memory.held_bytes, 0)
+
+    def count_interrupted(self) -> int:
+        """Counts the attempts that were given up."""
+        return sum(isinstance(item, AttemptInterrupted) for item in self.events)
+
+    @on_loopback
+    async def test_sound_answers_are_read_beside_bodies_without_end(self) -> None:
+        self.exchanges.memory = AnswerMemory(0)
+        floods = [self.flood(HEAD) for _ in range(FLOODS)]
+        for server in floods:
+            self.send(server.port)
+        await self.wait_until(lambda: all(server.sent for server in floods))
+        sound = ScriptedServer([[HEAD + b"Content-Length: 9\r\n\r\n", b"x" * 9]])
+        listener = sound.listen(self.reactor)
+        listener.close = listener.stopListening
+        self.listeners.append(listener)
+        self.send(sound.port)
+        await self.wait_until(
+            lambda: any(isinstance(item, AnswerReceived) for item in self.events)
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
