Count parts of long pieces in the memory for answers, and split the readers off

A stream may then be paused for its caller and for the memory; it goes on once neither holds. Complete answers are freed when they are complete, not a tick later.

--- a/src/magnoliahold/serving/backpressure.py
+++ b/src/magnoliahold/serving/backpressure.py
@@ -8,6 +8,8 @@
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
+from magnoliahold.serving.memory import PauseReason
+
 if TYPE_CHECKING:
     from magnoliahold.serving.callerconnections import CallerChannel, CallerExchange
     from magnoliahold.serving.exchanges import Exchange
@@ -33,12 +35,12 @@
         if self.exchange is None:
             return
         if self.channel.unwritten_bytes > MAX_UNWRITTEN_BYTES:
-            self.exchange.pause_reading()
+            self.exchange.pause_reading(PauseReason.CALLER)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Reads on, since the caller has taken all that was written."""
         if self.exchange is not None:
-            self.exchange.resume_reading()
+            self.exchange.resume_reading(PauseReason.CALLER)
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing: the lost connection closes the attempt."""
--- /dev/null
+++ b/src/magnoliahold/serving/bodies.py
@@ -0,0 +1,81 @@
+"""Reads the bodies of answers from their connections, and pauses that."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import Protocol
+
+from magnoliahold.core.serving.events import ReadingChanged
+from magnoliahold.serving.memory import SHORT_BYTES
+from magnoliahold.serving.pieces import PieceSplitter, PieceTooLongError
+
+if TYPE_CHECKING:
+    from magnoliahold.serving.exchanges import Exchange, UpstreamExchanges
+
+
+class BodyReader(Protocol):
+    """Reads the body of an answer that is not a stream."""
+
+    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
+        self._exchanges = exchanges
+        self._exchange = exchange
+
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+        transport: Any = self.transport
+        transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+        transport: Any = self.transport
+        transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._exchanges.add_body_bytes(self._exchange, data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._exchanges.finish_body(self._exchange, reason, True)
+
+
+class PieceReader(Protocol):
+    """Splits the body of a stream into pieces."""
+
+    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
+        self._exchanges = exchanges
+        self._exchange = exchange
+        self._splitter = PieceSplitter()
+        self._held_bytes = 0
+
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+        transport: Any = self.transport
+        transport.pauseProducing()
+        self._exchanges.post(ReadingChanged(self._exchange.attempt, True))
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+        transport: Any = self.transport
+        transport.resumeProducing()
+        self._exchanges.post(ReadingChanged(self._exchange.attempt, False))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        try:
+            pieces = self._splitter.add_bytes(data)
+        except PieceTooLongError as error:
+            self._exchanges.interrupt(self._exchange, str(error))
+            return
+        self._exchanges.add_pieces(self._exchange, pieces)
+        self._hold_rest()
+
+    def _hold_rest(self) -> None:
+        """Counts the bytes of a piece that isn't complete yet, if they are many."""
+        buffered = self._splitter.buffered_bytes
+        held = buffered if buffered > SHORT_BYTES else 0
+        if held or self._held_bytes:
+            self._held_bytes = held
+            self._exchanges.hold_part_of_piece(self._exchange, held)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        at_piece_boundary = self._splitter.is_at_piece_boundary
+        self._exchanges.finish_body(self._exchange, reason, at_piece_boundary)
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -16,7 +16,6 @@
     AttemptNotSent,
     AttemptSent,
     PiecesReceived,
-    ReadingChanged,
     StreamEnded,
     StreamOpened,
 )
@@ -28,6 +27,7 @@
     read_answer_head,
     read_signal,
 )
+from magnoliahold.serving.bodies import BodyReader, PieceReader
 from magnoliahold.serving.connections import (
     MAX_IDLE_S,
     ConnectionFactory,
@@ -36,8 +36,6 @@
 from magnoliahold.serving.memory import AnswerMemory
 from magnoliahold.serving.pieces import (
     MAX_PIECE_BYTES,
-    PieceSplitter,
-    PieceTooLongError,
 )
 from magnoliahold.serving.probes import Probe
 
@@ -52,6 +50,7 @@
     from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.runtime import Reactor
     from magnoliahold.serving.connections import ConnectionPool, PoolKey
+    from magnoliahold.serving.memory import PauseReason
     from magnoliahold.serving.pieces import Piece
 
 # Longest idle time of a connection for attempts that need a fresh one.
@@ -85,8 +84,8 @@
     and `last_piece` is the highest number so far; else `body` holds the chunks of the
     answer, unless it `discards_body`. `size` counts the bytes of either. `aborted` is
     set when its result is no longer wanted, `finished` when its answer is complete and
-    `interrupted` when it was reported as a failure. `reader` reads the body; `paused`
-    is set while it doesn't.
+    `interrupted` when it was reported as a failure. `reader` reads the body, unless
+    it is `paused_by` something.
     """
 
     attempt: int
@@ -106,8 +105,8 @@
     size: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
-    reader: _PieceReader | _BodyReader | None = None
-    paused: bool = False
+    reader: PieceReader | BodyReader | None = None
+    paused_by: set[PauseReason] = field(factory=set)
 
     @property
     def pool_key(self) -> PoolKey:
@@ -131,16 +130,20 @@
         self.size = 0
         return pieces
 
-    def pause_reading(self) -> None:
+    def pause_reading(self, reason: PauseReason) -> None:
         """Reads no more of a body, so that its upstream has to wait."""
-        if self.reader is not None and not self.paused and not self.finished:
-            self.paused = True
+        if self.reader is None or self.finished:
+            return
+        if not self.paused_by:
             self.reader.pause()
+        self.paused_by.add(reason)
 
-    def resume_reading(self) -> None:
-        """Reads a body on."""
-        if self.reader is not None and self.paused:
-            self.paused = False
+    def resume_reading(self, reason: PauseReason) -> None:
+        """Reads a body on, unless it is paused for another reason, too."""
+        if self.reader is None or reason not in self.paused_by:
+            return
+        self.paused_by.remove(reason)
+        if not self.paused_by:
             self.reader.resume()
 
     def drop_repeated(self, pieces: list[Piece]) -> list[Piece]:
@@ -237,12 +240,12 @@
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
             self.post(StreamOpened(exchange.attempt, head))
-            exchange.reader = _PieceReader(self, exchange)
+            exchange.reader = PieceReader(self, exchange)
             response.deliverBody(exchange.reader)
         else:
             exchange.allow_bytes(MAX_BODY_WIRE_BYTES)
             exchange.discards_body = head.not_run or not head.signed
-            exchange.reader = _BodyReader(self, exchange)
+            exchange.reader = BodyReader(self, exchange)
             response.deliverBody(exchange.reader)
 
     def _end_with_foreign_answer(
@@ -288,7 +291,7 @@
             self._interrupt(exchange, "the answer is too long", False)
         elif not exchange.discards_body:
             exchange.body.append(data)
-            self.memory.add(exchange, len(data))
+            self.memory.hold(exchange, exchange.size)
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
         """Adds complete pieces of a stream and reports those that are new."""
@@ -306,6 +309,15 @@
         exchange.size += size
         self.post(PiecesReceived(exchange.attempt, new[-1].number, len(new)))
 
+    def hold_part_of_piece(self, exchange: Exchange, size: int) -> None:
+        """Sets how much is held of a piece that isn't complete yet."""
+        if not exchange.aborted and not exchange.interrupted:
+            self.memory.hold(exchange, size)
+
+    def interrupt(self, exchange: Exchange, reason: str) -> None:
+        """Reports an attempt as failed by what its upstream sent."""
+        self._interrupt(exchange, reason, False)
+
     def finish_body(
         self, exchange: Exchange, reason: Failure, at_piece_boundary: bool
     ) -> None:
@@ -321,6 +333,7 @@
             self._report_interrupted(exchange, reason)
         else:
             exchange.finished = True
+            self.memory.release(exchange)
             if exchange.is_stream:
                 self.post(StreamEnded(exchange.attempt))
             elif exchange.head is not None:
@@ -378,10 +391,7 @@
 
     def remove(self, attempt: int) -> Exchange | None:
         """Removes and returns an exchange whose answer is complete."""
-        exchange = self._exchanges.pop(attempt, None)
-        if exchange is not None:
-            self.memory.release(exchange)
-        return exchange
+        return self._exchanges.pop(attempt, None)
 
     def _free_body(self, exchange: Exchange) -> None:
         """Frees what was held of an answer that isn't passed on."""
@@ -401,60 +411,3 @@
 def make_pool_key(record: UpstreamRecord) -> PoolKey:
     """Makes the key of an upstream's connections in the pool."""
     return (record.id, record.address, record.port)
-
-
-class _BodyReader(Protocol):
-    """Reads the body of an answer that is not a stream."""
-
-    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
-        self._exchanges = exchanges
-        self._exchange = exchange
-
-    def pause(self) -> None:
-        """Stops reading from the connection."""
-        transport: Any = self.transport
-        transport.pauseProducing()
-
-    def resume(self) -> None:
-        """Reads from the connection again."""
-        transport: Any = self.transport
-        transport.resumeProducing()
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self._exchanges.add_body_bytes(self._exchange, data)
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        self._exchanges.finish_body(self._exchange, reason, True)
-
-
-class _PieceReader(Protocol):
-    """Splits the body of a stream into pieces."""
-
-    def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
-        self._exchanges = exchanges
-        self._exchange = exchange
-        self._splitter = PieceSplitter()
-
-    def pause(self) -> None:
-        """Stops reading from the connection."""
-        transport: Any = self.transport
-        transport.pauseProducing()
-        self._exchanges.post(ReadingChanged(self._exchange.attempt, True))
-
-    def resume(self) -> None:
-        """Reads from the connection again."""
-        transport: Any = self.transport
-        transport.resumeProducing()
-        self._exchanges.post(ReadingChanged(self._exchange.attempt, False))
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        try:
-            pieces = self._splitter.add_bytes(data)
-        except PieceTooLongError as error:
-            self._exchanges._interrupt(self._exchange, str(error), False)
-            return
-        self._exchanges.add_pieces(self._exchange, pieces)
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        at_piece_boundary = self._splitter.is_at_piece_boundary
-        self._exchanges.finish_body(self._exchange, reason, at_piece_boundary)
--- a/src/magnoliahold/serving/memory.py
+++ b/src/magnoliahold/serving/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Protocol
 
 from attrs import define, field
@@ -17,19 +18,29 @@
 logger = make_part_logger("upstreams")
 
 
+class PauseReason(Enum):
+    """Why an answer isn't read on.
+
+    CALLER has not taken yet what was written, or the MEMORY for all answers is full.
+    """
+
+    CALLER = "caller"
+    MEMORY = "memory"
+
+
 class PausableAnswer(Protocol):
     """An answer whose reading can be paused, so that its upstream has to wait."""
 
-    def pause_reading(self) -> None:
+    def pause_reading(self, reason: PauseReason) -> None:
         """Reads no more of it."""
 
-    def resume_reading(self) -> None:
-        """Reads on."""
+    def resume_reading(self, reason: PauseReason) -> None:
+        """Reads on, unless it is paused for another reason."""
 
 
 @define(eq=False)
 class AnswerMemory:
-    """The bytes of all bodies that are held until they are complete.
+    """The bytes of all bodies, and pieces of streams, that are held until complete.
 
     Beyond `limit_bytes`, of those longer than `SHORT_BYTES` only the oldest is read on:
     it is passed on or given up sooner or later, which frees what it held.
@@ -39,15 +50,17 @@
     held_bytes: int = 0
     _bytes_by_answer: dict[PausableAnswer, int] = field(factory=dict)
 
-    def add(self, answer: PausableAnswer, count: int) -> None:
-        """Adds bytes to a body; pauses it if all together take too much."""
-        self.held_bytes += count
-        size = self._bytes_by_answer.get(answer, 0) + count
+    def hold(self, answer: PausableAnswer, size: int) -> None:
+        """Sets how much of an answer is held; pauses it if all take too much."""
+        if not size:
+            self.release(answer)
+            return
+        self.held_bytes += size - self._bytes_by_answer.get(answer, 0)
         self._bytes_by_answer[answer] = size
         if self.held_bytes <= self.limit_bytes or size <= SHORT_BYTES:
             return
         if answer is not self._find_oldest():
-            answer.pause_reading()
+            answer.pause_reading(PauseReason.MEMORY)
             logger.warning(
                 "Answer is not read on for now; all together take too much memory.",
                 held_bytes=self.held_bytes,
@@ -55,15 +68,16 @@
             )
 
     def release(self, answer: PausableAnswer) -> None:
-        """Removes a body that was passed on or given up, and lets others go on."""
+        """Removes what was passed on or given up, and lets others go on."""
         self.held_bytes -= self._bytes_by_answer.pop(answer, 0)
+        answer.resume_reading(PauseReason.MEMORY)
         if self.held_bytes <= self.limit_bytes:
             for other in list(self._bytes_by_answer):
-                other.resume_reading()
+                other.resume_reading(PauseReason.MEMORY)
             return
         oldest = self._find_oldest()
         if oldest is not None:
-            oldest.resume_reading()
+            oldest.resume_reading(PauseReason.MEMORY)
 
     def _find_oldest(self) -> PausableAnswer | None:
         return next(iter(self._bytes_by_answer), None)
--- a/src/magnoliahold/serving/pieces.py
+++ b/src/magnoliahold/serving/pieces.py
@@ -69,6 +69,11 @@
         self._search_start = max(self._event_start, unsearched)
         return pieces
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of the piece that isn't complete yet."""
+        return len(self._buffer)
+
     @property
     def is_at_piece_boundary(self) -> bool:
         """Whether all bytes so far belong to complete events."""
--- a/tests/serving/test_memory.py
+++ b/tests/serving/test_memory.py
@@ -9,7 +9,8 @@
 
 from magnoliahold.core.serving.events import AnswerReceived, AttemptInterrupted
 from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES, MAX_DISCARDED_BYTES
-from magnoliahold.serving.memory import SHORT_BYTES, AnswerMemory
+from magnoliahold.serving.memory import SHORT_BYTES, AnswerMemory, PauseReason
+from magnoliahold.serving.pieces import MAX_PIECE_BYTES
 from tests.flooding import MIB, FloodingServer
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
@@ -17,6 +18,7 @@
 from tests.serving.test_exchanges import HEAD
 
 UNSIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\n"
+EVENTS = HEAD + b"Content-Type: text/event-stream\r\n"
 REJECTED = b"HTTP/1.1 503 Full\r\nRequest-Id: abc\r\nNot-Executed: 1\r\n"
 FLOODS = 6
 LIMIT_BYTES = 4 * MIB
@@ -30,11 +32,11 @@
 
     paused: bool = False
 
-    def pause_reading(self) -> None:
+    def pause_reading(self, reason: PauseReason) -> None:
         """Reads no more."""
-        self.paused = True
+        self.paused = reason is PauseReason.MEMORY
 
-    def resume_reading(self) -> None:
+    def resume_reading(self, reason: PauseReason) -> None:
         """Reads on."""
         self.paused = False
 
@@ -48,31 +50,40 @@
         """Returns the numbers of the answers that are paused."""
         return [number for number, item in enumerate(self.answers) if item.paused]
 
+    def hold(self, number: int, size: int) -> None:
+        """Holds so many bytes of an answer."""
+        self.memory.hold(self.answers[number], size)
+
     def test_only_the_oldest_long_answer_is_read_beyond_the_limit(self) -> None:
-        for answer in self.answers[:3]:
-            self.memory.add(answer, LONG)
+        for number in range(3):
+            self.hold(number, LONG)
         self.assertEqual(self.find_paused(), [2])
-        self.memory.add(self.answers[1], 1)
-        self.memory.add(self.answers[0], LONG)
-        self.memory.add(self.answers[3], SHORT_BYTES)
+        self.hold(1, LONG + 1)
+        self.hold(0, 2 * LONG)
+        self.hold(3, SHORT_BYTES)
         self.assertEqual(self.find_paused(), [1, 2])
 
     def test_answers_are_read_on_once_there_is_room(self) -> None:
-        for answer in self.answers[:3]:
-            self.memory.add(answer, LONG + 1)
-        self.memory.add(self.answers[1], 1)
+        for number in range(3):
+            self.hold(number, LONG + 1)
         self.assertEqual(self.find_paused(), [1, 2])
         self.memory.release(self.answers[2])
-        self.assertEqual(self.find_paused(), [1, 2])
+        self.assertEqual(self.find_paused(), [1])
         self.memory.release(self.answers[0])
-        self.assertEqual(self.find_paused(), [2], "it was released itself")
-        self.memory.release(self.answers[1])
+        self.assertEqual(self.find_paused(), [])
+        self.hold(1, 0)
         self.assertEqual(self.memory.held_bytes, 0)
 
+    def test_answer_that_is_complete_is_not_paused_any_more(self) -> None:
+        """A piece of a stream that came whole is followed by others."""
+        for number in range(4):
+            self.hold(number, LONG + 1)
+        self.hold(3, 0)
+        self.assertEqual(self.find_paused(), [1, 2])
+
     def test_next_oldest_is_read_on_beyond_the_limit(self) -> None:
-        for answer in self.answers:
-            self.memory.add(answer, LONG + 1)
-        self.memory.add(self.answers[1], 1)
+        for number in range(4):
+            self.hold(number, LONG + 1)
         self.assertEqual(self.find_paused(), [1, 2, 3])
         self.memory.release(self.answers[0])
         self.assertEqual(self.find_paused(), [2, 3])
@@ -129,6 +140,20 @@
             self.exchanges.abort(attempt)
         self.assertEqual(memory.held_bytes, 0)
 
+    @on_loopback
+    async def test_pieces_without_end_take_bounded_memory_together(self) -> None:
+        memory = self.exchanges.memory = AnswerMemory(LIMIT_BYTES // 4)
+        servers = [self.flood(EVENTS) for _ in range(FLOODS)]
+        for server in servers:
+            self.send(server.port)
+        most = 0
+        while self.count_interrupted() < FLOODS:
+            await self.sleep(0.0)
+            most = max(most, memory.held_bytes)
+        bound = memory.limit_bytes + MAX_PIECE_BYTES + FLOODS * READ_BYTES
+        self.assertLessEqual(most, bound)
+        self.assertEqual(memory.held_bytes, 0)
+
     def count_interrupted(self) -> int:
         """Counts the attempts that were given up."""
         return sum(isinstance(item, AttemptInterrupted) for item in self.events)
