Keep entries of the own deployment alive after an error in their quarantine

The six systems that only decide what is refused are contained now, as those of entries of the users' platform; the time of the next read is kept.

--- a/src/magnoliahold/core/entry.py
+++ b/src/magnoliahold/core/entry.py
@@ -26,11 +26,18 @@
     routing,
     takeover,
 )
+from magnoliahold.core.ticks import contain_errors
 
 if TYPE_CHECKING:
     from magnoliahold.core.ticks import System
     from magnoliahold.core.worlds import EntryWorld
 
+
+def _contain(system: System[EntryWorld]) -> System[EntryWorld]:
+    """Contains the errors of a system that only decides what is refused."""
+    return contain_errors(system, quarantine.forget_suspicions)
+
+
 ENTRY_SYSTEMS: tuple[System[EntryWorld], ...] = (
     heartbeats.receive_heartbeats,
     membership.list_instances,
@@ -48,13 +55,13 @@
     operators.answer_operators,
     drain.start_leaving,
     drain.refuse_arrivals,
-    quarantine.apply_notices,
-    quarantine.send_quarantines_to_new_entries,
-    quarantine.read_quarantines,
-    quarantine.record_deaths,
+    _contain(quarantine.apply_notices),
+    _contain(quarantine.send_quarantines_to_new_entries),
+    _contain(quarantine.read_quarantines),
+    _contain(quarantine.record_deaths),
     takeover.take_over_streams,
     relay.relay_tokens,
-    quarantine.clear_suspects,
+    _contain(quarantine.clear_suspects),
     relay.handle_caller_events,
     resumption.resume_failed_attempts,
     resumption.resume_lost_attempts,
@@ -75,7 +82,7 @@
     calls.route_calls,
     calls.watch_calls,
     claim_results.write_results,
-    quarantine.expire_suspicions,
+    _contain(quarantine.expire_suspicions),
     drain.stop_when_idle,
     heartbeats.send_heartbeats,
 )
--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -40,6 +40,12 @@
 
 __all__ = ["SERVING_SYSTEMS", "checks"]
 
+
+def _contain(system: System[ServingWorld]) -> System[ServingWorld]:
+    """Contains the errors of a system that only decides what is refused."""
+    return contain_errors(system, quarantine.forget_suspicions)
+
+
 SERVING_SYSTEMS: tuple[System[ServingWorld], ...] = (
     pauses.detect_pause,
     store_epochs.detect_epoch_rise,
@@ -63,10 +69,10 @@
     proof_relay.apply_proofs,
     prefix_lookups.apply_prompt_lists,
     copies.handle_copy_results,
-    contain_errors(crashes.gather_evidence, quarantine.forget_suspicions),
-    contain_errors(quarantine.update_quarantines, quarantine.forget_suspicions),
+    _contain(crashes.gather_evidence),
+    _contain(quarantine.update_quarantines),
     quarantine_stops.stop_quarantined,
-    contain_errors(quarantine.rewrite_quarantines, quarantine.forget_suspicions),
+    _contain(quarantine.rewrite_quarantines),
     canary_analysis.evaluate_versions,
     moves.advance_moves,
     stalls.watch_attempts,
--- a/src/magnoliahold/core/systems/quarantine.py
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -15,6 +15,7 @@
     QUARANTINE_TABLE,
     Death,
     QuarantineRow,
+    SuspicionTable,
     decode_quarantine,
     encode_quarantine,
 )
@@ -35,6 +36,12 @@
     from magnoliahold.core.worlds import EntryWorld
 
 
+def forget_suspicions(world: EntryWorld) -> None:
+    """Forgets all evidence and quarantines until the stored ones are read again."""
+    table = world.suspicions
+    world.suspicions = SuspicionTable(next_scan_at=table.next_scan_at)
+
+
 def record_deaths(world: EntryWorld, now: float) -> None:
     """Records each reported death as evidence against the requests in flight."""
     for received in world.inbox.read_messages(EngineDied):
