Poll the store seldom in a start that meets two restores

Found on reading the diff: an entry that had no proof yet and waited for a configuration, as after a second restore within 2.2 s of its start, polled without a pause until that was back. It polls every 0.2 s now. test_entry_that_waits_does_not_flood_the_store counts the calls; no such start was seen.

--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -24,10 +24,9 @@
     The upstream has `deadline_s` to answer. `fresh_connection` excludes connections
     that were idle for long, since the upstream may be about to close them, and
     `new_connection` all: the upstream has had the request before, and may send its
-    earlier answer once more. `copy_to` is
-    the address to which the upstream copies the KV cache of the request, `copy_source`
-    the copy from which it resumes, and `resume_after` the number of the last piece that
-    is not to be sent again.
+    earlier answer once more. `copy_to` is the address to which the upstream copies the
+    KV cache of the request, `copy_source` the copy from which it resumes, and
+    `resume_after` the number of the last piece that is not to be sent again.
     """
 
     attempt: int
--- a/src/magnoliahold/core/serving/systems/proof_relay.py
+++ b/src/magnoliahold/core/serving/systems/proof_relay.py
@@ -22,6 +22,7 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 RANKED_ROW = "configuration"
+# How long a poll waits in a process that has just started after a restore.
 JOINING_WAIT_S = 0.2
 
 
@@ -109,9 +110,10 @@
     risen_at = world.store_epoch.risen_at
     if risen_at is None:
         return wait_s
+    awaits = world.awaited_configuration is not None
     if state.proved_at is None:
-        return JOINING_WAIT_S if _is_joining(world) else 0.0
-    if world.awaited_configuration is None:
+        return JOINING_WAIT_S if awaits or _is_joining(world) else 0.0
+    if not awaits:
         return wait_s
     back_at = risen_at + world.serving_policy.feeds.restore_grace_s
     if state.called_at >= back_at:
--- a/tests/core/serving/test_start_after_restore.py
+++ b/tests/core/serving/test_start_after_restore.py
@@ -8,7 +8,7 @@
 from attrs import evolve
 
 from magnoliahold.core.serving.configuration import RouteKind, Workspace
-from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
+from magnoliahold.core.serving.effects import LongPollFeed, RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import FeedFailed, FeedRead, NoticeReceived
 from magnoliahold.core.serving.feeds import Feed, FeedRow
 from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
@@ -108,6 +108,22 @@
             harness.advance(0.1)
         self.assertEqual(self.find_outcome(harness), 200)
 
+    def test_entry_that_waits_does_not_flood_the_store(self) -> None:
+        harness = self.start(2)
+        harness.pop_effects(LongPollFeed)
+        self.read(harness, Feed.PEERS, {PEER.name: PEER}, 3)
+        calls = 0
+        while harness.now < 103.0:
+            harness.advance(0.02)
+            if harness.world.feeds[Feed.CONFIGURATION].call:
+                calls += 1
+                polls = harness.pop_effects(LongPollFeed)
+                waits = [item.wait_s for item in polls]
+                harness.advance(max(waits, default=0.0))
+                self.read(harness, Feed.CONFIGURATION, {"config": OLD}, 3)
+        self.assertLess(calls, 25)
+        self.assertEqual(self.find_outcome(harness), 200)
+
     def test_entry_that_knows_more_ends_the_wait(self) -> None:
         for settled, expected in ((2, 200), (1, NO_PROOF), (None, NO_PROOF)):
             with self.subTest(settled=settled):
