--- a/tests/core/serving/crashing_calls.py
+++ b/tests/core/serving/crashing_calls.py
@@ -12,18 +12,14 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.events import AnswerHead, AnswerReceived
 from magnoliahold.core.serving.requests import PromptPart
-from tests.core.serving.crashing_parts import (
-    CrashingFleet,
-    Day,
-    DeadlyPart,
-    Span,
-    count_late,
-)
+from tests.core.serving.crashing_day import Day, DeadlyPart, Span
+from tests.core.serving.crashing_parts import CrashingFleet
+from tests.core.serving.crashing_scores import count_late
 from tests.core.serving.harness import CALLS
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import CallerRequest
-    from tests.core.serving.crashing_parts import Asked, Engine, Run
+    from tests.core.serving.crashing_day import Asked, Engine, Run
 
 DEADLY_CALL = "deadly-call"
 REPEAT_S = 0.01
--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -10,14 +10,12 @@
 
 import heapq
 import itertools
-import math
-from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgspec
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
@@ -60,7 +58,7 @@
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
-from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
 from magnoliahold.core.serving.requests import (
     CallerRequest,
@@ -68,9 +66,21 @@
     PromptPart,
 )
 from magnoliahold.serving.notices import encode_notice
+from tests.core.serving.crashing_day import (
+    ANSWER_S,
+    EPOCH_S,
+    STABLE_WINDOW_S,
+    Asked,
+    Crash,
+    Engine,
+    Entry,
+    Run,
+    Sent,
+    Span,
+    Table,
+)
 from tests.core.serving.harness import (
     CREDENTIAL,
-    ENGINES,
     ServingHarness,
     make_configuration,
     make_upstream,
@@ -79,13 +89,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-STEP_S = 0.05
-EPOCH_S = 100.0
+    from tests.core.serving.crashing_day import (
+        Day,
+        DeadlyPart,
+        EngineLoss,
+    )
+
 WARM_UP_S = 3.0
 STORE_CLOCK_OFFSET_S = 1000.0
-STABLE_WINDOW_S = 3.0
-ANSWER_S = 0.01
-
 PROMPT_TOKENS = 8_200
 READ_TOKENS_PER_S = 8_000.0
 PIECES = 150
@@ -94,12 +105,7 @@
 COPY_LAG_PIECES = 8
 RESUME_S = 0.06
 DATA_CENTRES = 4
-CALLER_TIMEOUT_S = 25.0
 CONNECT_AGAIN_S = 0.5
-GOAL_S = 4.5
-# The rule judges parts of prompts from this crash on.
-COUNTED_CRASHES = 5
-
 FIRST_PART = PromptPart("first", 200)
 POPULAR_PART = PromptPart("popular", 1_500)
 MIDDLE_PARTS = tuple(PromptPart(f"middle-{number}", 1_200) for number in range(6))
@@ -108,228 +114,9 @@
 OPEN_SESSIONS = 6
 SESSION_ENDS = 0.25
 SESSION_TOKENS = 2_000
-
 _decoder = msgspec.msgpack.Decoder(LoadNotice)
 
 
-@frozen
-class Span:
-    """A period of the day, in seconds."""
-
-    start_s: float
-    end_s: float
-
-    def covers(self, seconds: float) -> bool:
-        """Tells whether the period includes a time."""
-        return self.start_s <= seconds < self.end_s
-
-
-@frozen
-class DeadlyPart:
-    """A part that crashes engines, and the requests that hold it.
-
-    It is in requests that arrive within `requested`, `rate_per_s` on average, and is
-    deadly within `deadly`. With `first` it is the first part of the prompt. With `tail`
-    it comes after the middle parts, without it before them. `companions` are parts that
-    each of the requests holds too, and `extra_middle` more that are drawn for each.
-    The first request arrives at the start of `requested`.
-    """
-
-    id: str
-    rate_per_s: float
-    requested: Span = Span(4.0, 26.0)
-    deadly: Span = Span(0.0, 1_000.0)
-    first: bool = False
-    tail: bool = True
-    companions: tuple[PromptPart, ...] = ()
-    extra_middle: int = 1
-
-
-@frozen
-class EngineLoss:
-    """Engines that end without a deadly part: one, or all of a data centre.
-
-    With `silent` their connections don't break but fall silent.
-    """
-
-    at_s: float
-    data_centre: bool = False
-    silent: bool = False
-
-
-@frozen
-class EntryStop:
-    """An entry that is killed and starts again; `start_s` 0 is a first start."""
-
-    entry: int
-    start_s: float
-    end_s: float
-
-
-@frozen
-class Day:
-    """What happens in the run of a fleet; times are in seconds.
-
-    From `sound_from_s` on, `sound_per_s` requests arrive without a deadly part, each
-    with `middle` of the shared middle parts, and with the popular part in
-    `popular_share` of them.
-    A third of those that arrive within `companion_span` hold `held_companions` too.
-    With `sessions` each holds the part of a session that a few others share, too.
-    `resets` are when all connections of one engine are reset while it lives on.
-    `head_share` is how often an engine sends the head of its answer before it crashes.
-    Entries learn up to `reset_delay_s` late that a connection was reset, and engines
-    are back after a time within `restart`. Callers repeat a request `repeats` times.
-    Callers wait for `caller_timeout_s`. The clock advances by `step_s`, and the engines
-    are of `service`.
-    """
-
-    deadly: tuple[DeadlyPart, ...] = ()
-    sound_per_s: float = 2.3
-    sound_from_s: float = 0.0
-    length_s: float = 30.0
-    entries: int = 4
-    engines: int = 9
-    middle: int = 1
-    popular_share: float = 0.33
-    held_companions: tuple[PromptPart, ...] = ()
-    companion_span: Span = Span(0.0, 0.0)
-    sessions: bool = False
-    losses: tuple[EngineLoss, ...] = ()
-    resets: tuple[float, ...] = ()
-    stops: tuple[EntryStop, ...] = ()
-    notice_loss: float = 0.02
-    store_outage: Span = Span(0.0, 0.0)
-    has_keys: bool = True
-    cut_entry: int = 0
-    cut: Span = Span(0.0, 0.0)
-    head_share: float = 0.0
-    reset_delay_s: float = ANSWER_S
-    restart: Span = Span(1.5, 4.0)
-    repeats: int = 1
-    caller_timeout_s: float = CALLER_TIMEOUT_S
-    step_s: float = STEP_S
-    service: str = ENGINES
-
-
-@define(eq=False)
-class Asked:
-    """One request as its caller sees it; `repeat` counts those before it, if any.
-
-    `deadly` is the id of the deadly part that it holds, or empty. `refused_at` and
-    `retry_after_s` are set if it was refused as not run, `reason` says why, and
-    `engines_up` is how many engines ran then.
-    """
-
-    id: str
-    parts: tuple[PromptPart, ...]
-    arrived_at: float
-    deadline_at: float
-    deadly: str = ""
-    repeat: int = 0
-    resume_after: int | None = None
-    last_piece: int | None = None
-    began_at: float | None = None
-    refused_at: float | None = None
-    retry_after_s: float | None = None
-    reason: str = ""
-    engines_up: int = 0
-    ended_at: float | None = None
-    completed: bool = False
-    origin: Asked | None = None
-
-    @property
-    def first(self) -> bool:
-        """Whether this is no repeat."""
-        return self.origin is None
-
-    @property
-    def wait_s(self) -> float:
-        """The seconds until it began, infinite if it didn't."""
-        return math.inf if self.began_at is None else self.began_at - self.arrived_at
-
-    @property
-    def root(self) -> Asked:
-        """The caller's first request, of which this is a repeat or itself."""
-        return self.origin or self
-
-
-@define(eq=False)
-class Engine:
-    """One start of an engine's process; nothing comes from a `silent` one."""
-
-    record: Any
-    up: bool = True
-    silent: bool = False
-    runs: list[Run] = field(factory=list)
-    copies: dict[str, int] = field(factory=dict)
-    cached: set[str] = field(factory=set)
-    read_until: float = 0.0
-
-
-@define(eq=False)
-class Run:
-    """A request at an engine; `last` is the number of the last piece made."""
-
-    entry: Entry
-    send: SendAttempt
-    asked: Asked
-    engine: Engine
-    last: int = 0
-    ended: bool = False
-
-
-@define(eq=False)
-class Entry:
-    """A process of an entry; `polls` are its reads that wait at the store."""
-
-    number: int
-    harness: ServingHarness
-    started_at: float
-    asked: dict[int, Asked] = field(factory=dict)
-    runs: dict[int, Run] = field(factory=dict)
-    events: list[object] = field(factory=list)
-    polls: list[tuple[float, LongPollFeed]] = field(factory=list)
-    alive: bool = True
-    next_handle: int = 1
-
-    @property
-    def name(self) -> str:
-        """The name that the process has in all its starts."""
-        return self.harness.name
-
-
-@frozen
-class Crash:
-    """An engine that ended, and the deadly part that ended it, or an empty text."""
-
-    at_s: float
-    part: str
-
-
-@frozen
-class Sent:
-    """A request with a deadly part that reached an engine."""
-
-    at_s: float
-    part: str
-    in_touch: bool
-
-
-@define
-class Table:
-    """A table of the store: keys with the version and the value of their row."""
-
-    rows: dict[str, tuple[int, Any]] = field(factory=dict)
-
-    def list_rows(self, after: int = 0) -> tuple[FeedRow, ...]:
-        """Lists rows that changed after a version; removed ones too unless it is 0."""
-        return tuple(
-            FeedRow(key, version, value)
-            for key, (version, value) in self.rows.items()
-            if version > after and (after or value is not None)
-        )
-
-
 @define
 class CrashingFleet:
     """Entries, engines, callers and a store, and what happened to requests."""
@@ -916,76 +703,3 @@
     SendNotice: "_deliver_notice",
     WriteQuarantine: "_write_quarantine",
 }
-
-
-@frozen
-class Score:
-    """What a day counts for the rules.
-
-    `late` counts, by deadly part, the requests with it that reached engines later than
-    the stable window after its fifth crash. `judged` is how many sound requests arrived
-    in the time in which the rule counts them, and of these `begun` began at the first
-    attempt and `refused` were refused as not run. `served` of all `sound` requests were
-    completed, repeats included.
-    """
-
-    late: dict[str, int]
-    ended: int
-    judged: int
-    begun: int
-    on_time: int
-    refused: int
-    sound: int
-    served: int
-    reasons: dict[str, int]
-
-
-def find_judged_span(fleet: CrashingFleet) -> Span:
-    """Finds the time in which sound requests must begin at their first attempt."""
-    spans = []
-    for part in fleet.day.deadly:
-        times = [crash.at_s for crash in fleet.crashes if crash.part == part.id]
-        if times:
-            at_s = times[min(4, len(times) - 1)]
-            spans.append(Span(at_s + 2 * STABLE_WINDOW_S, part.requested.end_s))
-    if not spans:
-        return Span(0.0, fleet.day.length_s)
-    starts = max(span.start_s for span in spans)
-    return Span(starts, max(span.end_s for span in spans))
-
-
-def score(fleet: CrashingFleet) -> Score:
-    """Counts what the rules count."""
-    span = find_judged_span(fleet)
-    sound = [item for item in fleet.requests if item.first and not item.deadly]
-    refused = [
-        item
-        for item in sound
-        if item.refused_at is not None and 2 * item.engines_up >= fleet.day.engines
-    ]
-    judged = [item for item in sound if span.covers(item.arrived_at - EPOCH_S)]
-    return Score(
-        late={part.id: count_late(fleet, part.id) for part in fleet.day.deadly},
-        ended=len(fleet.crashes),
-        judged=len(judged),
-        begun=sum(item.began_at is not None for item in judged),
-        on_time=sum(item.wait_s <= GOAL_S for item in judged),
-        refused=len(refused),
-        sound=len(sound),
-        served=sum(item.completed for item in sound),
-        reasons=dict(Counter(item.reason for item in refused)),
-    )
-
-
-def count_late(
-    fleet: CrashingFleet, part: str, counted_crashes: int = COUNTED_CRASHES
-) -> int:
-    """Counts sends by entries in touch after the window of a part's counted crash."""
-    times = [crash.at_s for crash in fleet.crashes if crash.part == part]
-    if len(times) < counted_crashes:
-        return 0
-    limit_s = times[counted_crashes - 1] + STABLE_WINDOW_S
-    return sum(
-        sent.part == part and sent.in_touch and sent.at_s > limit_s
-        for sent in fleet.sent
-    )
--- a/tests/core/serving/limited_calls.py
+++ b/tests/core/serving/limited_calls.py
@@ -16,11 +16,11 @@
     UpstreamSignalled,
 )
 from tests.core.serving.crashing_calls import CallDay, CrashingCallFleet
-from tests.core.serving.crashing_parts import STABLE_WINDOW_S, Span
+from tests.core.serving.crashing_day import STABLE_WINDOW_S, Span
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.effects import ProbeServingUpstream, SendAttempt
-    from tests.core.serving.crashing_parts import DeadlyPart, Entry, Run
+    from tests.core.serving.crashing_day import DeadlyPart, Entry, Run
 
 WINDOW_S = 4.0
 TOLD_S = 0.5
--- a/tests/core/serving/test_crash_review.py
+++ b/tests/core/serving/test_crash_review.py
@@ -30,13 +30,9 @@
     name_suspects,
 )
 from magnoliahold.core.serving.systems.crashes import add_report
-from tests.core.serving.crashing_parts import (
-    CrashingFleet,
-    Day,
-    DeadlyPart,
-    Span,
-    score,
-)
+from tests.core.serving.crashing_day import Day, DeadlyPart, Span
+from tests.core.serving.crashing_parts import CrashingFleet
+from tests.core.serving.crashing_scores import score
 from tests.core.serving.harness import (
     ENGINES,
     ServingHarness,
--- a/tests/core/serving/test_crashing_calls.py
+++ b/tests/core/serving/test_crashing_calls.py
@@ -18,13 +18,13 @@
     CrashingCallFleet,
     count_late_calls,
 )
-from tests.core.serving.crashing_parts import DeadlyPart, EntryStop, Span
+from tests.core.serving.crashing_day import DeadlyPart, EntryStop, Span
 from tests.core.serving.test_crashing_parts import MAX_LATE, SEEDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from tests.core.serving.crashing_parts import Crash
+    from tests.core.serving.crashing_day import Crash
 
 FEW = DeadlyPart(DEADLY_CALL, 0.8)
 SOME = DeadlyPart(DEADLY_CALL, 8.0)
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -22,19 +22,20 @@
     UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.requests import PromptPart
-from tests.core.serving.crashing_parts import (
+from tests.core.serving.crashing_day import (
     EPOCH_S,
-    POPULAR_PART,
-    STORE_CLOCK_OFFSET_S,
-    CrashingFleet,
     Day,
     DeadlyPart,
     EngineLoss,
     EntryStop,
     Span,
-    find_judged_span,
-    score,
 )
+from tests.core.serving.crashing_parts import (
+    POPULAR_PART,
+    STORE_CLOCK_OFFSET_S,
+    CrashingFleet,
+)
+from tests.core.serving.crashing_scores import find_judged_span, score
 from tests.core.serving.harness import (
     ENGINES,
     ServingHarness,
@@ -46,7 +47,7 @@
     from collections.abc import Callable
 
     from magnoliahold.core.serving.requests import CallerRequest
-    from tests.core.serving.crashing_parts import Score
+    from tests.core.serving.crashing_scores import Score
 
 FIRST_SEED = int(os.environ.get("MAGNOLIAHOLD_SEED", "1"))
 EXAMPLES = int(os.environ.get("MAGNOLIAHOLD_EXAMPLES", "2"))
--- a/tests/core/serving/test_limits.py
+++ b/tests/core/serving/test_limits.py
@@ -13,7 +13,7 @@
 from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.core.serving.limits import LimitReport, RateLimit, find_share
 from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
-from tests.core.serving.crashing_parts import EntryStop, Span
+from tests.core.serving.crashing_day import EntryStop, Span
 from tests.core.serving.harness import CALLS, ServingHarness
 from tests.core.serving.limited_calls import Limit, LimitDay, LimitedFleet
 from tests.core.serving.test_crashing_parts import SEEDS
