--- a/tests/core/serving/test_evidence_review.py
+++ b/tests/core/serving/test_evidence_review.py
@@ -54,9 +54,9 @@
             add_report(world, beside, at)
             if number < 5:
                 add_report(world, deadly, at)
-            _evaluate(world)
+            _evaluate(world, 0.0)
         add_report(world, deadly, at)
-        _evaluate(world)
+        _evaluate(world, 0.0)
         blamed = [sorted(item.suspects) for item in table.quarantines.values()]
         self.assertNotIn(["pfirst"], blamed)
         self.assertEqual(blamed, [["pdeadly", "pfirst"]])
@@ -69,7 +69,7 @@
             suspects = ("pdeadly", "psubject", f"f{number}")
             at = 95.0 + number
             add_report(world, CrashReport(f"u-{number}", 1, "r", suspects, at), at)
-        _evaluate(world)
+        _evaluate(world, 0.0)
         self.assertIn("pdeadly", world.suspicions.quarantines)
 
 
