--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -11,6 +11,7 @@
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
 from tests.loopback import LoopbackTestCase
+from tests.serving.scripted import ScriptedServer
 
 
 class ExchangeTestCase(LoopbackTestCase):
@@ -27,6 +28,12 @@
         """Makes the registration of a server on a port."""
         return UpstreamRecord("i-1", "s-1", "127.0.0.1", port, "z-1", born_ms=5)
 
+    def listen(self, *scripts: list[Any]) -> ScriptedServer:
+        """Starts a server that answers with scripts."""
+        server = ScriptedServer(list(scripts))
+        self.listeners.append(server.listen(self.reactor))
+        return server
+
     def send(
         self, port: int, *, fresh: bool = False, new: bool = False, body: bytes = b""
     ) -> int:
--- a/tests/serving/scripted.py
+++ b/tests/serving/scripted.py
@@ -48,7 +48,8 @@
         factory = ServerFactory()
         factory.noisy = False
         factory.buildProtocol = lambda _: _Connection(self)  # type: ignore
-        listener = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        listener: Any = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        listener.close = listener.stopListening
         self.port = listener.getHost().port
         return listener
 
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -11,7 +11,7 @@
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
-from tests.serving.scripted import CLOSE, RESET, ScriptedServer
+from tests.serving.scripted import CLOSE, RESET
 from tests.serving.test_callers import connect_client
 from tests.serving.test_daemon import DaemonTestCase
 from tests.serving.test_exchanges import (
@@ -82,10 +82,7 @@
     # got a 200 with an empty or short body, framed as whole.
     @on_loopback
     async def test_head_that_is_cut_at_any_byte_is_no_answer(self) -> None:
-        server = ScriptedServer([[]])
-        listener = server.listen(self.reactor)
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
+        server = self.listen([])
         for name, head in HEADS:
             for size in range(len(head)):
                 with self.subTest(name, size=size):
--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -147,9 +147,7 @@
         for number, script in enumerate(scripts):
             flooding = isinstance(script, FloodingServer)
             server: Any = script if flooding else ScriptedServer([script])
-            listening = server.listen(self.reactor)
-            listening.close = listening.stopListening
-            self.listeners.append(listening)
+            self.listeners.append(server.listen(self.reactor))
             self.servers.append(server)
             record = {
                 "service": "s-1",
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -122,14 +122,6 @@
 
 
 class ExchangeTests(ExchangeTestCase):
-    def listen(self, *scripts: list[Any]) -> ScriptedServer:
-        """Starts a server that answers with scripts."""
-        server = ScriptedServer(list(scripts))
-        listener = server.listen(self.reactor)
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
-        return server
-
     async def wait_for(self, count: int) -> list[type]:
         """Waits for `count` events, then 20 ms for surplus ones; lists their types."""
         await self.wait_until(lambda: len(self.events) >= count)
--- a/tests/serving/test_foreign_answers.py
+++ b/tests/serving/test_foreign_answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from magnoliahold.core.serving.events import (
     AnswerReceived,
@@ -11,7 +11,7 @@
 )
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
-from tests.serving.scripted import CLOSE, ScriptedServer
+from tests.serving.scripted import CLOSE
 from tests.serving.test_daemon import DaemonTestCase
 from tests.serving.test_exchanges import STREAM, WHOLE
 
@@ -81,14 +81,6 @@
 
 
 class ForeignAnswerTests(ExchangeTestCase):
-    def listen(self, *scripts: list[Any]) -> ScriptedServer:
-        """Starts a server that answers with scripts."""
-        server = ScriptedServer(list(scripts))
-        listener = server.listen(self.reactor)
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
-        return server
-
     @on_loopback
     async def test_foreign_answer_ends_its_connection(self) -> None:
         for name, answer in FOREIGN_ANSWERS:
--- a/tests/serving/test_memory.py
+++ b/tests/serving/test_memory.py
@@ -14,7 +14,6 @@
 from tests.flooding import MIB, FloodingServer
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
-from tests.serving.scripted import ScriptedServer
 from tests.serving.test_exchanges import HEAD
 
 UNSIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\n"
@@ -114,10 +113,7 @@
 
     @on_loopback
     async def test_short_rejection_keeps_its_connection(self) -> None:
-        server = ScriptedServer([[REJECTED + b"Content-Length: 4\r\n\r\nfull"]])
-        listener = server.listen(self.reactor)
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
+        server = self.listen([REJECTED + b"Content-Length: 4\r\n\r\nfull"])
         for _ in range(2):
             self.events.clear()
             self.send(server.port)
@@ -165,10 +161,7 @@
         for server in floods:
             self.send(server.port)
         await self.wait_until(lambda: all(server.sent for server in floods))
-        sound = ScriptedServer([[HEAD + b"Content-Length: 9\r\n\r\n", b"x" * 9]])
-        listener = sound.listen(self.reactor)
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
+        sound = self.listen([HEAD + b"Content-Length: 9\r\n\r\n", b"x" * 9])
         self.send(sound.port)
         await self.wait_until(
             lambda: any(isinstance(item, AnswerReceived) for item in self.events)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -86,9 +86,7 @@
     @on_loopback
     async def test_head_that_is_cut_at_any_byte_is_no_answer(self) -> None:
         server = ScriptedServer([[]])
-        listening = server.listen(self.reactor)
-        listening.close = listening.stopListening
-        self.listeners.append(listening)
+        self.listeners.append(server.listen(self.reactor))
         client = HttpClient(self.reactor, f"http://127.0.0.1:{server.port}")
         for head in CUT_HEADS:
             for size in range(len(head)):
