Let a row of the store decide over itself alone

What callers saw: while one row among the upstreams nested some thousand levels deep, in a field that nobody reads, entries followed no further change of that list: a new upstream got no request, one that had left was called on, and an entry that started later was never ready and answered 503.

Cause: each reader of a document named the errors that it expects of its decoder. RecursionError was not among them, so that it failed the whole answer of the store, again at each retry. The same holds for every table and for any other error that nobody named.

Rows are now read one by one in platform/rows.py. Whatever error one of them raises, it is left out and logged with its key and reason; also a row whose own form is odd, since the envelope leaves rows undecoded. An invalid registration of an upstream still counts as removed, and every other row keeps its earlier value. A row that stands or is written again is logged once until its reason changes. What can't be read of the envelope fails that read, as before, and a page without any key is read again.

The store of the daemon tests answers a long poll at once if something has changed since the version that it names, as the platform's does; before, changes between two polls were lost.

--- /dev/null
+++ b/src/magnoliahold/decoding.py
@@ -0,0 +1,31 @@
+"""Contains the errors of decoders, which read what others wrote.
+
+A decoder may raise more than it tells: deep nesting is a RecursionError, a number that
+is too large an OverflowError. None of them may decide over more than what was read.
+"""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+# What can't be read is quoted in some errors, and may be long.
+MAX_REASON_LENGTH = 200
+
+
+def describe_error(error: BaseException) -> str:
+    """Describes in one short line why something can't be read."""
+    description = f"{type(error).__name__}: {error}"
+    return " ".join(description[:MAX_REASON_LENGTH].split())
+
+
+@contextmanager
+def translate_errors(make_error: Callable[[str], Exception]) -> Iterator[None]:
+    """Raises what `make_error` makes of the reason, whatever error a decoder raises."""
+    try:
+        yield
+    except Exception as error:
+        raise make_error(describe_error(error)) from error
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -21,6 +21,7 @@
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.suspicions import QuarantineRecord
 from magnoliahold.core.serving.upstreams import UpstreamRecord
+from magnoliahold.decoding import translate_errors
 from magnoliahold.endpoints import parse_endpoint
 
 MS_PER_S = 1000.0
@@ -132,7 +133,7 @@
 
 def read_configuration(document: bytes) -> Configuration:
     """Reads a configuration; raises DocumentError when it is invalid."""
-    try:
+    with translate_errors(DocumentError):
         raw = _configuration_decoder.decode(document)
         return Configuration(
             version=raw.version,
@@ -144,8 +145,6 @@
             ),
             limits=_make_limits(raw.limits),
         )
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
-        raise DocumentError(str(error)) from error
 
 
 def _make_route(raw: _Route) -> Route:
@@ -153,7 +152,7 @@
     if not shares and raw.service is not None:
         shares = [_Share(raw.service, 1.0)]
     if not shares:
-        raise DocumentError(f"route {raw.name} names no service")
+        raise ValueError(f"route {raw.name} names no service")
     return Route(
         name=raw.name,
         host=raw.hostname.lower(),
@@ -194,12 +193,10 @@
 
 def read_upstream(upstream_id: str, document: bytes) -> UpstreamRecord:
     """Reads an upstream's registration; raises DocumentError if it is invalid."""
-    try:
+    with translate_errors(DocumentError):
         raw = _server_decoder.decode(document)
         endpoint = parse_endpoint(raw.address)
         leaving = LEAVING_BY_STATE[raw.state]
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
-        raise DocumentError(str(error)) from error
     return UpstreamRecord(
         id=upstream_id,
         service=raw.service,
@@ -214,10 +211,8 @@
 
 def read_peer(document: bytes) -> PeerRecord:
     """Reads an entry's registration; raises DocumentError if it is invalid."""
-    try:
+    with translate_errors(DocumentError):
         return _peer_decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise DocumentError(str(error)) from error
 
 
 def write_peer(record: PeerRecord) -> bytes:
@@ -230,19 +225,15 @@
 
     Raises DocumentError if it is invalid.
     """
-    try:
+    with translate_errors(DocumentError):
         raw = _order_decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise DocumentError(str(error)) from error
     return MoveOrder(raw.service, raw.to, raw.over_s, row_version)
 
 
 def read_move_record(document: bytes) -> MoveRecord:
     """Reads the record of a move's progress; raises DocumentError if it is invalid."""
-    try:
+    with translate_errors(DocumentError):
         return _record_decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise DocumentError(str(error)) from error
 
 
 def write_move_record(record: MoveRecord) -> bytes:
@@ -263,10 +254,8 @@
 
 def read_quarantine(document: bytes) -> QuarantineRecord:
     """Reads a quarantine record; raises DocumentError if it is invalid."""
-    try:
+    with translate_errors(DocumentError):
         return _quarantine_decoder.decode(document)
-    except msgspec.MsgspecError as error:
-        raise DocumentError(str(error)) from error
 
 
 def write_quarantine(record: QuarantineRecord) -> bytes:
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
+from base64 import b64encode
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -19,33 +18,33 @@
     FeedRead,
     MoveWritten,
 )
-from magnoliahold.core.serving.feeds import Feed, FeedRow
+from magnoliahold.core.serving.feeds import Feed
 from magnoliahold.httpclient import HttpClient, HttpExchangeError
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
-    DocumentError,
-    read_configuration,
-    read_move_order,
-    read_move_record,
-    read_peer,
-    read_quarantine,
-    read_upstream,
     write_move_record,
     write_move_status,
     write_peer,
     write_quarantine,
 )
+from magnoliahold.platform.rows import (
+    MS_PER_S,
+    ORDER_PREFIX,
+    RowReader,
+    StoreAnswerError,
+    decode_page,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from twisted.internet.defer import Deferred
 
-    from magnoliahold.core.serving.feeds import FeedValue
     from magnoliahold.core.serving.moves import MoveRecord
     from magnoliahold.core.serving.peers import PeerRecord
     from magnoliahold.core.serving.suspicions import QuarantineRecord
     from magnoliahold.httpclient import HttpAnswer
+    from magnoliahold.platform.rows import Page
     from magnoliahold.runtime import Reactor
 
 TABLES = {
@@ -55,43 +54,19 @@
     Feed.MOVES: "magnoliahold-moves",
     Feed.QUARANTINE: "magnoliahold-quarantine",
 }
-CONFIGURATION_KEY = "config"
-ORDER_PREFIX = "rollout/"
 STATUS_TABLE = "status"
 PAGE_ROWS = 500
 OK = 200
 GONE = 410
-MS_PER_S = 1000.0
 EPOCH_HEADER = "store-era"
 
 logger = make_part_logger("store")
 
 
-class _Row(msgspec.Struct):
-    key: str
-    ver: int
-    value: str | None = None
-    removed: bool = False
-
-
-class _Rows(msgspec.Struct):
-    rows: list[_Row]
-    ver: int
-    # The store's monotonic clock.
-    now_ms: float | None = None
-    has_more: bool = False
-
-    @property
-    def time_s(self) -> float | None:
-        """The store's clock in seconds."""
-        return None if self.now_ms is None else self.now_ms / MS_PER_S
-
-
 class _Written(msgspec.Struct):
     ver: int
 
 
-_rows_decoder = msgspec.json.Decoder(_Rows)
 _written_decoder = msgspec.json.Decoder(_Written)
 
 
@@ -108,6 +83,7 @@
     boot_clock: Callable[[], float]
     _clients: dict[Feed, HttpClient] = field(factory=dict)
     _epoch: int | None = None
+    _reader: RowReader = field(factory=RowReader)
 
     def set_base_url(self, base_url: str) -> None:
         """Changes the address of the store for later calls."""
@@ -145,8 +121,8 @@
             if answer.status == GONE:
                 self.post(FeedHistoryGone(feed, call, epoch))
                 return
-            page = _decode_page(answer)
-            rows = _read_rows(feed, page.rows)
+            page = _read_page(answer)
+            rows = self._reader.read_rows(feed, page.rows)
             event = FeedChanged(feed, call, rows, page.ver, sent_at, page.time_s, epoch)
             self.post(event)
 
@@ -290,13 +266,12 @@
         path = _make_path("rows-get", table_read.feed, query)
 
         def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
-            page = _decode_page(answer)
-            table_read.add_page(page, epoch)
-            if page.has_more and page.rows:
+            table_read.add_page(page := _read_page(answer), epoch)
+            if page.has_more and table_read.last_key is not None:
                 # The smallest key above the last one read.
-                self._read_page(table_read, page.rows[-1].key + "\0")
+                self._read_page(table_read, table_read.last_key + "\0")
                 return
-            rows = _read_rows(table_read.feed, table_read.rows)
+            rows = self._reader.read_rows(table_read.feed, table_read.rows)
             version = table_read.version or 0
             sent_at = table_read.sent_at
             event = FeedRead(
@@ -343,10 +318,6 @@
         sending.addCallback(handle_any_answer).addErrback(handle_failure)
 
 
-class StoreAnswerError(Exception):
-    """The store answered with an error or a malformed body."""
-
-
 @define(eq=False)
 class _TableRead:
     """A table that is read page by page.
@@ -360,16 +331,22 @@
     call: int
     timeout_s: float
     sent_at: float
-    rows: list[_Row] = field(factory=list)
+    rows: list[msgspec.Raw] = field(factory=list)
+    last_key: str | None = None
     version: int | None = None
     epoch: int | None = None
 
-    def add_page(self, page: _Rows, epoch: int | None) -> None:
+    def add_page(self, page: Page, epoch: int | None) -> None:
         """Adds the rows of a page; raises StoreAnswerError if it doesn't follow."""
         if self.version is not None and epoch != self.epoch:
             raise StoreAnswerError("the store was restored between two pages")
-        if self.rows and page.rows and page.rows[0].key <= self.rows[-1].key:
-            raise StoreAnswerError("a page doesn't begin behind the one before")
+        first_key = page.find_first_key()
+        if page.rows and first_key is None:
+            raise StoreAnswerError("no row of a page names its key")
+        if first_key is not None:
+            if self.last_key is not None and first_key <= self.last_key:
+                raise StoreAnswerError("a page doesn't begin behind the one before")
+            self.last_key = page.find_last_key()
         self.epoch = epoch
         self.rows.extend(page.rows)
         if self.version is None or page.ver < self.version:
@@ -403,55 +380,7 @@
     return None
 
 
-def _decode_page(answer: HttpAnswer) -> _Rows:
+def _read_page(answer: HttpAnswer) -> Page:
     if answer.status != OK:
         raise StoreAnswerError(f"the store answered {answer.status}")
-    try:
-        return _rows_decoder.decode(answer.body)
-    except msgspec.MsgspecError as error:
-        raise StoreAnswerError(f"the store's answer can't be read: {error}") from error
-
-
-def _read_rows(feed: Feed, rows: list[_Row]) -> tuple[FeedRow, ...]:
-    """Decodes rows; invalid ones are logged and left out.
-
-    A row that changes to an invalid value thus keeps its previous value in use. An
-    invalid registration of an upstream counts as removed.
-    """
-    found = []
-    for row in rows:
-        try:
-            found.append(FeedRow(row.key, row.ver, _read_value(feed, row)))
-        except DocumentError as error:
-            logger.warning(
-                "Row is invalid and is left out.",
-                feed=feed.value,
-                key=row.key,
-                version=row.ver,
-                reason=str(error),
-            )
-            if feed is Feed.UPSTREAMS:
-                found.append(FeedRow(row.key, row.ver, None))
-    return tuple(found)
-
-
-def _read_value(feed: Feed, row: _Row) -> FeedValue | None:
-    if row.removed or row.value is None:
-        return None
-    try:
-        document = b64decode(row.value, validate=True)
-    except (Base64Error, ValueError) as error:
-        raise DocumentError(str(error)) from error
-    if feed is Feed.UPSTREAMS:
-        return read_upstream(row.key, document)
-    if feed is Feed.PEERS:
-        return read_peer(document)
-    if feed is Feed.MOVES:
-        return read_move_record(document)
-    if feed is Feed.QUARANTINE:
-        return read_quarantine(document)
-    if row.key == CONFIGURATION_KEY:
-        return read_configuration(document)
-    if row.key.startswith(ORDER_PREFIX):
-        return read_move_order(row.ver, document)
-    return None
+    return decode_page(answer.body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -62,15 +62,19 @@
         return body if isinstance(body, bytes) else json.dumps(body).encode()
 
 
-class StoreTests(LoopbackTestCase):
+class StoreTestCase(LoopbackTestCase):
+    """A test case with a client of a fake store, and the events that it posts."""
+
     def setUp(self) -> None:
         super().setUp()
         self.store = FakeStore()
-        listener = self.serve(self.store)
+        self.address = self.serve(self.store).address
         self.events: list[Any] = []
-        self.client = StoreClient(
-            self.reactor, listener.address, self.events.append, lambda: 50.0
-        )
+        self.client = self.make_client()
+
+    def make_client(self) -> StoreClient:
+        """Makes a client of the store."""
+        return StoreClient(self.reactor, self.address, self.events.append, lambda: 50.0)
 
     async def read(self, *answers: Any, feed: Feed = Feed.UPSTREAMS) -> Any:
         """Reads a whole table and returns the event."""
@@ -86,6 +90,8 @@
         await self.wait_until(lambda: bool(self.events))
         return self.events.pop()
 
+
+class StoreTests(StoreTestCase):
     @on_loopback
     async def test_table_is_read_page_by_page(self) -> None:
         first = {"rows": [make_row("a", 3, SERVER)], "ver": 9, "has_more": True}
--- a/tests/serving/test_daemon.py
+++ b/tests/serving/test_daemon.py
@@ -51,10 +51,14 @@
         self.registered: list[str] = []
 
     def put(self, table: str, key: str, value: object) -> None:
-        """Writes a row and answers the open long polls of its table."""
+        """Writes a row and answers the open long polls of its table.
+
+        The value is a document, or bytes that needn't be one.
+        """
         self.version += 1
-        content = b64encode(json.dumps(value).encode()).decode()
-        row = {"key": key, "ver": self.version, "value": content}
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        encoded = b64encode(content).decode()
+        row = {"key": key, "ver": self.version, "value": encoded}
         self.rows.setdefault(table, {})[key] = row
         waiting, self.polls = self.polls, []
         for polled, request in waiting:
@@ -69,9 +73,14 @@
         return json.dumps({"rows": rows, "ver": self.version}).encode()
 
     def render_GET(self, request: Any) -> Any:  # noqa: N802
-        """Answers reads and holds long polls open."""
+        """Answers reads, and long polls once something has changed."""
         table = request.args[b"table"][0].decode()
         if request.path == b"/-/rows-feed":
+            after = int(request.args[b"after"][0])
+            rows = self.rows.get(table, {}).values()
+            changed = [row for row in rows if row["ver"] > after]
+            if changed:
+                return self.describe(changed)
             request.notifyFinish().addErrback(lambda _: None)
             self.polls.append((table, request))
             return NOT_DONE_YET
