Take only IP addresses for upstreams and entries in the store

What was seen: rows of another writer whose address names a host were taken for upstreams. They were looked up, tried and probed; "a..b:80" and a label of 64 letters ended in "Unhandled error in Deferred" at each try, and the try only in its timeout. An address with a scope ("fe80::1%x") failed the effect that sent the request, whose attempt then had no result.

Cause: an address is IP:PORT, but only the port was checked. The unhandled Deferred belongs to Twisted's resolver: the look-up in its thread raises UnicodeError for a name that can't be encoded, and the resolver handles only the error of a failed look-up. No errback of ours is in that chain, and none can be; a name mustn't get there.

Registrations of upstreams, and of entries, whose host isn't an IP address without a scope, or whose port is out of range or not in ASCII, are now invalid rows: left out and logged.

--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -22,7 +22,12 @@
 from magnoliahold.core.serving.suspicions import QuarantineRecord
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.decoding import translate_errors
-from magnoliahold.endpoints import parse_endpoint
+from magnoliahold.endpoints import (
+    Endpoint,
+    check_ip_address,
+    check_port,
+    parse_endpoint,
+)
 
 MS_PER_S = 1000.0
 ROUTE_KINDS = {
@@ -196,6 +201,7 @@
     with translate_errors(DocumentError):
         raw = _server_decoder.decode(document)
         endpoint = parse_endpoint(raw.address)
+        check_ip_address(endpoint)
         leaving = LEAVING_BY_STATE[raw.state]
     return UpstreamRecord(
         id=upstream_id,
@@ -212,7 +218,11 @@
 def read_peer(document: bytes) -> PeerRecord:
     """Reads an entry's registration; raises DocumentError if it is invalid."""
     with translate_errors(DocumentError):
-        return _peer_decoder.decode(document)
+        record = _peer_decoder.decode(document)
+        endpoint = Endpoint(record.address, record.port)
+        check_ip_address(endpoint)
+        check_port(endpoint)
+        return record
 
 
 def write_peer(record: PeerRecord) -> bytes:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -53,6 +53,12 @@
     ("address", "10.0.0.1"),
     ("address", "10.0.0.1:0"),
     ("address", "10.0.0.1:x"),
+    ("address", "10.0.0.1:65536"),
+    ("address", "10.0.0.1:\u0661"),
+    ("address", "host.example:80"),
+    ("address", "a..b:80"),
+    ("address", "10.0.0.256:80"),
+    ("address", "fe80::1%eth0:80"),
     ("state", "dancing"),
     ("zone", []),
     ("born", 1.5),
@@ -167,6 +173,28 @@
         with self.assertRaises(DocumentError):
             read_peer(b"{}")
 
+    def test_entry_that_no_datagram_reaches_is_rejected(self) -> None:
+        for address, port in (
+            ("", 7340),
+            ("localhost", 7340),
+            ("10.0.0.256", 7340),
+            ("fe80::1%eth0", 7340),
+            ("10.0.0.9", 0),
+            ("10.0.0.9", 65_536),
+            ("10.0.0.9", 2**64),
+        ):
+            record = {
+                "name": "entry-1",
+                "incarnation": "entry-1.a",
+                "address": address,
+                "port": port,
+            }
+            with (
+                self.subTest(address=address, port=port),
+                self.assertRaises(DocumentError),
+            ):
+                read_peer(encode(record))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/serving/test_foreign_rows.py
+++ b/tests/serving/test_foreign_rows.py
@@ -21,6 +21,39 @@
     "zone": "z-9",
     "state": "ready",
 }
+# What isn't IP:PORT: an upstream has no other address.
+ODD_ADDRESSES = (
+    "",
+    ":",
+    ":80",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:-1",
+    "127.0.0.1:+1",
+    "127.0.0.1: 1",
+    "127.0.0.1:\u0661",
+    "127.0.0.1:1:1",
+    "127.1:80",
+    "127.0.0.01:80",
+    "300.0.0.1:80",
+    "localhost:80",
+    "a..b:80",
+    f"{'a' * 64}:80",
+    f"{'a' * 300}:80",
+    "\ud800:80",
+    "\u00fc.example:80",
+    "a\0b:80",
+    "127.0.0.1\0:80",
+    " :80",
+    "127.0.0.1/x:80",
+    "x@127.0.0.1:80",
+    "[::1]:80",
+    "fe80::1%nothing:80",
+    "::1%0:80",
+)
 
 
 class ForeignUpstreamTests(DaemonTestCase):
@@ -69,3 +102,26 @@
         self.assertEqual(keys, ["odd-0", "odd-1"] * 2)
         self.assertEqual((await self.send_request("calls")).status, 200)
         self.assertEqual(self.stopped, [])
+
+    # Failure: hosts that can't be names were taken for upstreams, and the resolver of
+    # names ended in errors that nobody handled.
+    @on_loopback
+    async def test_row_whose_address_is_not_ip_and_port_is_left_out(self) -> None:
+        daemon = await self.start([WHOLE])
+        names = [f"odd-{number}" for number in range(len(ODD_ADDRESSES))]
+        with self.assertLogs("magnoliahold.store", "WARNING") as logged:
+            for name, address in zip(names, ODD_ADDRESSES, strict=True):
+                self.store.put("servers", name, {**SERVER, "address": address})
+            await self.put_sound_upstream("i-1")
+            known = daemon.node.world.upstreams.by_id
+            await self.wait_until(lambda: "i-1" in known)
+            for _ in range(5):
+                self.assertEqual((await self.send_request("calls")).status, 200)
+            for upstream in list(known.values()):
+                daemon.node.ports.upstreams.probe(upstream.record, 0.5)
+            await self.sleep(0.2)
+        self.assertEqual(set(known), {"i-0", "i-1"})
+        fields: list[Any] = [item.fields for item in logged.records]  # type: ignore
+        self.assertEqual([item["key"] for item in fields], names)
+        for item in fields:
+            self.assertLessEqual(len(item["reason"]), 200)
