Let a datagram decide over itself alone, whatever it holds

What was seen: a datagram that nests deeply raised RecursionError in the receiver of notices, which expected errors of msgspec only. Twisted logged it as its own error, without the sender; the process went on. An error of sending to one entry other than three named ones kept the notice from all entries after it, and failed the effect.

Each datagram is now decoded and checked by itself, and each one sent by itself: whatever error one raises, it is logged with its reason, and with the sender or the receiver.

That one odd value in a notice or a proof ends a tick wasn't found: each value of a notice with all fields and of a proof is replaced by 19 odd ones (not finite, at the bounds of 64 bits, negative, of another type) or left out, and the entry goes on serving. This holds on the code before, too.

--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -15,8 +15,9 @@
 from magnoliahold.core.serving.events import NoticeReceived, ProofReceived
 from magnoliahold.core.serving.peers import LoadNotice
 from magnoliahold.core.serving.proofs import ConfigurationProof
+from magnoliahold.decoding import describe_error
 from magnoliahold.logs import make_part_logger
-from magnoliahold.serving.noticechecks import NoticeRangeError, check_numbers
+from magnoliahold.serving.noticechecks import check_numbers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,9 +27,6 @@
 MAX_ITEMS = 40
 # The first byte of a proof; the encoding of a notice never begins with it.
 PROOF_TAG = b"\xc1"
-# What a transport raises for a peer that can't be reached, or whose registered address
-# is no IP address or has no valid port.
-UNSENDABLE = (OSError, ValueError, OverflowError)
 
 logger = make_part_logger("peers")
 _encoder = msgspec.msgpack.Encoder()
@@ -84,11 +82,16 @@
             return
         try:
             self.transport.write(content, (peer.address, peer.port))
-        except UNSENDABLE as error:
-            logger.warning("Sending notice failed.", peer=peer.name, reason=str(error))
+        except Exception as error:
+            # The notices to the other entries must go out all the same.
+            reason = describe_error(error)
+            logger.warning("Sending notice failed.", peer=peer.name, reason=reason)
 
-    def handle_datagram(self, content: bytes) -> None:
-        """Posts what was received; what can't be used is logged and dropped."""
+    def handle_datagram(self, content: bytes, address: str = "") -> None:
+        """Posts what was received; what can't be used is logged and dropped.
+
+        `address` is that of the sender.
+        """
         try:
             event: NoticeReceived | ProofReceived
             if content.startswith(PROOF_TAG):
@@ -96,8 +99,9 @@
             else:
                 event = NoticeReceived(_decoder.decode(content))
                 check_numbers(event.notice)
-        except (msgspec.MsgspecError, NoticeRangeError) as error:
-            logger.warning("Notice can't be decoded.", reason=str(error))
+        except Exception as error:
+            reason = describe_error(error)
+            logger.warning("Notice can't be decoded.", address=address, reason=reason)
             return
         self.post(event)
 
@@ -116,4 +120,4 @@
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Passes on a datagram."""
-        self._port.handle_datagram(datagram)
+        self._port.handle_datagram(datagram, addr[0])
