End the read of a table at an empty page, also after other pages

Since rows are read one by one, a page that claims to have more but holds no row would have been asked for again without end, and a last page whose rows name no key would have failed the whole read. An empty page ends the read again, as it did before that, and a page without keys fails it only if others follow, which can't be found without a key.

--- a/src/magnoliahold/endpoints.py
+++ b/src/magnoliahold/endpoints.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from ipaddress import ip_address
+from socket import AF_INET, AF_INET6, inet_pton
 
 from attrs import frozen
 
 HIGHEST_PORT = 65_535
-SCOPE_SEPARATOR = "%"
 
 
 @frozen
@@ -37,8 +36,10 @@
 def check_ip_address(endpoint: Endpoint) -> None:
     """Raises ValueError unless the host is an IP address that needs no look-up.
 
-    The scope of an IPv6 address is valid on one instance only.
+    An address with a scope isn't one: it is valid on one instance only.
     """
-    if SCOPE_SEPARATOR in endpoint.host:
-        raise ValueError(f"{endpoint.host!r} has a scope")
-    ip_address(endpoint.host)
+    family = AF_INET6 if ":" in endpoint.host else AF_INET
+    try:
+        inet_pton(family, endpoint.host)
+    except OSError as error:
+        raise ValueError(f"{endpoint.host!r} is no IP address") from error
--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -63,13 +63,10 @@
         """The store's clock in seconds."""
         return None if self.now_ms is None else self.now_ms / MS_PER_S
 
-    def find_first_key(self) -> str | None:
-        """Returns the key of the first row that names one."""
-        return _find_first_key(self.rows)
-
-    def find_last_key(self) -> str | None:
-        """Returns the key of the last row that names one."""
-        return _find_first_key(reversed(self.rows))
+    def list_keys(self) -> list[str]:
+        """Lists the keys of the rows that name one."""
+        keys = map(_find_key, self.rows)
+        return [key for key in keys if key is not None]
 
 
 _page_decoder = msgspec.json.Decoder(Page)
@@ -87,10 +84,6 @@
     return StoreAnswerError(f"the store's answer can't be read: {reason}")
 
 
-def _find_first_key(rows: Iterable[msgspec.Raw]) -> str | None:
-    return next((key for row in rows if (key := _find_key(row)) is not None), None)
-
-
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Returns the key of a row; None if not even that can be read."""
     try:
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -267,9 +267,9 @@
 
         def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
             table_read.add_page(page := _read_page(answer), epoch)
-            if page.has_more and table_read.last_key is not None:
+            if page.has_more and page.rows:
                 # The smallest key above the last one read.
-                self._read_page(table_read, table_read.last_key + "\0")
+                self._read_page(table_read, f"{table_read.last_key}\0")
                 return
             rows = self._reader.read_rows(table_read.feed, table_read.rows)
             version = table_read.version or 0
@@ -340,13 +340,12 @@
         """Adds the rows of a page; raises StoreAnswerError if it doesn't follow."""
         if self.version is not None and epoch != self.epoch:
             raise StoreAnswerError("the store was restored between two pages")
-        first_key = page.find_first_key()
-        if page.rows and first_key is None:
+        keys = page.list_keys()
+        if page.has_more and page.rows and not keys:
             raise StoreAnswerError("no row of a page names its key")
-        if first_key is not None:
-            if self.last_key is not None and first_key <= self.last_key:
-                raise StoreAnswerError("a page doesn't begin behind the one before")
-            self.last_key = page.find_last_key()
+        if keys and self.last_key is not None and keys[0] <= self.last_key:
+            raise StoreAnswerError("a page doesn't begin behind the one before")
+        self.last_key = keys[-1] if keys else self.last_key
         self.epoch = epoch
         self.rows.extend(page.rows)
         if self.version is None or page.ver < self.version:
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -211,6 +211,15 @@
     async def test_page_without_a_key_is_read_again(self) -> None:
         page = {"rows": [{"ver": 4}], "ver": 9, "has_more": True}
         self.assertIsInstance(await self.read((200, page)), FeedFailed)
+        last = {"rows": [{"ver": 4}], "ver": 9}
+        self.assertIsInstance(await self.read((200, last)), FeedRead)
+
+    @on_loopback
+    async def test_empty_page_is_the_last_one(self) -> None:
+        first = {"rows": [make_row("a", 3, SERVER)], "ver": 9, "has_more": True}
+        empty = {"rows": [], "ver": 9, "has_more": True}
+        event = await self.read((200, first), (200, empty))
+        self.assertEqual([row.key for row in event.rows], ["a"])
 
     @on_loopback
     async def test_answer_that_cannot_be_read_fails_that_read_alone(self) -> None:
