Deliver a whole answer also if headers about its upstream are odd

What callers saw: an answer that was whole was thrown away, and its request sent once more or answered 502, if Retry-After, Server-Limit or Server-Leaving was no text, or the timeout in Keep-Alive had more than 4300 digits. An answer whose handling raised anything but ValueError left its attempt without a result until a time limit, and "Unhandled error in Deferred" in the log; the same for a probe, and for the answer to the order to free a copy.

Cause: these headers were decoded together with those that the answer needs, and each place named the errors it expects; the chains had no errback behind what handles the answer.

What an upstream says about itself is now read from bytes; what can't be read is logged and ignored. Whatever error the handling of an answer raises ends its own attempt, probe or call, with the reason in the event that the core logs, or in a line of its own.

--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -22,8 +22,9 @@
 COPY_PATH = "/-/kv-move"
 MISDIRECTED = 421
 UNAVAILABLE = 503
-LEAVING_VALUE = "1"
+LEAVING_VALUE = b"1"
 LIMIT_HEADER = "Server-Limit"
+MAX_LOGGED_LENGTH = 100
 MIN_DEADLINE_MS = 1
 MS_PER_S = 1000.0
 
@@ -174,11 +175,13 @@
 ) -> UpstreamSignalled | None:
     """Reads what an upstream says about itself in the headers of an answer.
 
-    None if it says nothing, or if the answer is from another upstream.
+    None if it says nothing, or if the answer is from another upstream. What can't be
+    read is ignored, since the answer holds all the same.
     """
     if status == MISDIRECTED:
         return None
-    leaving = _read_header(headers, "Server-Leaving") == LEAVING_VALUE
+    said = headers.getRawHeaders(b"Server-Leaving", [b""])
+    leaving = said[0].strip() == LEAVING_VALUE
     backoff_s = None
     if status == UNAVAILABLE:
         backoff_s = next(iter(_read_numbers(record, headers, "Retry-After")), None)
@@ -201,7 +204,8 @@
 def _read_numbers(record: UpstreamRecord, headers: Headers, name: str) -> list[float]:
     """Reads numbers from 0 on; malformed ones are logged and ignored."""
     numbers = []
-    for value in headers.getRawHeaders(name, []):
+    # The values needn't be text.
+    for value in headers.getRawHeaders(name.encode(), []):
         try:
             number = float(value)
         except ValueError:
@@ -210,7 +214,9 @@
             numbers.append(number)
         elif value.strip():
             logger.warning(
-                f"{name} can't be read and is ignored.", upstream=record.id, value=value
+                f"{name} can't be read and is ignored.",
+                upstream=record.id,
+                value=value[:MAX_LOGGED_LENGTH].decode("ascii", "backslashreplace"),
             )
     return numbers
 
--- a/src/magnoliahold/serving/bodies.py
+++ b/src/magnoliahold/serving/bodies.py
@@ -7,8 +7,9 @@
 from twisted.internet.protocol import Protocol
 
 from magnoliahold.core.serving.events import ReadingChanged
+from magnoliahold.decoding import describe_error
 from magnoliahold.serving.memory import SHORT_BYTES
-from magnoliahold.serving.pieces import PieceSplitter, PieceTooLongError
+from magnoliahold.serving.pieces import PieceSplitter
 
 if TYPE_CHECKING:
     from magnoliahold.serving.exchanges import Exchange, UpstreamExchanges
@@ -62,8 +63,8 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         try:
             pieces = self._splitter.add_bytes(data)
-        except PieceTooLongError as error:
-            self._exchanges.interrupt(self._exchange, str(error))
+        except Exception as error:
+            self._exchanges.interrupt(self._exchange, describe_error(error))
             return
         self._exchanges.add_pieces(self._exchange, pieces)
         self._hold_rest()
--- a/src/magnoliahold/serving/connections.py
+++ b/src/magnoliahold/serving/connections.py
@@ -56,7 +56,7 @@
         for parameter in b",".join(values).split(b","):
             name, _, value = parameter.strip().partition(b"=")
             if name.lower() == b"timeout" and value.strip().isdigit():
-                limit_s = int(value) - KEEP_ALIVE_MARGIN_S
+                limit_s = float(value) - KEEP_ALIVE_MARGIN_S
                 self.idle_limit_s = min(MAX_IDLE_S, limit_s)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
--- a/src/magnoliahold/serving/copies.py
+++ b/src/magnoliahold/serving/copies.py
@@ -79,6 +79,5 @@
 
         path = make_free_path(reference.key)
         sending = client.send("DELETE", path, timeout_s=effect.timeout_s)
-        sending.addCallbacks(
-            check_answer, lambda failure: log_failure(str(failure.value))
-        )
+        sending.addCallback(check_answer)
+        sending.addErrback(lambda failure: log_failure(str(failure.value)))
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -19,6 +19,7 @@
     StreamEnded,
     StreamOpened,
 )
+from magnoliahold.decoding import describe_error
 from magnoliahold.httpconnections import BytesProducer, describe_failure, is_timeout
 from magnoliahold.platform.upstreams import (
     is_event_stream,
@@ -34,9 +35,7 @@
     UpstreamConnection,
 )
 from magnoliahold.serving.memory import AnswerMemory
-from magnoliahold.serving.pieces import (
-    MAX_PIECE_BYTES,
-)
+from magnoliahold.serving.pieces import MAX_PIECE_BYTES
 from magnoliahold.serving.probes import Probe
 
 if TYPE_CHECKING:
@@ -224,13 +223,16 @@
             lambda response: self._handle_head(exchange, response),
             lambda failure: self._report_interrupted(exchange, failure),
         )
+        # What handles the head may fail, too.
+        answer.addErrback(lambda failure: self._report_interrupted(exchange, failure))
 
     def _handle_head(self, exchange: Exchange, response: Any) -> None:
         try:
             exchange.head = head = self._read_head(exchange, response)
-        except ValueError as error:
+        except Exception as error:
             response.deliverBody(Protocol())
-            self._interrupt(exchange, f"the head can't be read: {error}", False)
+            reason = f"the head can't be read: {describe_error(error)}"
+            self._interrupt(exchange, reason, False)
             return
         if exchange.aborted:
             return
@@ -262,7 +264,7 @@
         self.post(AnswerReceived(exchange.attempt, head))
 
     def _read_head(self, exchange: Exchange, response: Any) -> AnswerHead:
-        """Reads the head of an answer; raises ValueError if it isn't text."""
+        """Reads the head of an answer, which needn't be text."""
         self.report_signal(exchange.upstream, response)
         connection = exchange.connection
         if connection is not None:
--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -9,6 +9,7 @@
 from twisted.web._newclient import Request
 
 from magnoliahold.core.serving.events import UpstreamAnsweredProbe, UpstreamFailedProbe
+from magnoliahold.decoding import describe_error
 from magnoliahold.httpconnections import describe_failure, is_timeout
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.upstreams import (
@@ -19,6 +20,8 @@
 from magnoliahold.serving.connections import ConnectionFactory
 
 if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
     from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.serving.connections import UpstreamConnection
     from magnoliahold.serving.exchanges import UpstreamExchanges
@@ -63,6 +66,7 @@
         answer.addCallbacks(
             self._succeed, lambda failure: self._fail(describe_failure(failure))
         )
+        answer.addErrback(self._handle_error)
 
     def _succeed(self, response: Any) -> None:
         self.connection.allow_bytes(MAX_PROBE_WIRE_BYTES)
@@ -79,13 +83,21 @@
         try:
             self.exchanges.report_signal(self.record, response)
             return read_answer_head(response.code, response.headers).misdirected
-        except ValueError as error:
-            upstream = self.record.id
+        except Exception as error:
             logger.warning(
-                "Answer to a probe can't be read.", upstream=upstream, reason=str(error)
+                "Answer to a probe can't be read.",
+                upstream=self.record.id,
+                reason=describe_error(error),
             )
             return False
 
+    def _handle_error(self, failure: Failure) -> None:
+        """Ends a probe whose answer could not be handled."""
+        reason = describe_failure(failure)
+        logger.error("Probe failed.", upstream=self.record.id, reason=reason)
+        self.connection.reset_now()
+        self._fail(reason)
+
     def _time_out(self) -> None:
         self._fail("no answer to a probe", silent=True)
         if not self.finished:
