Refuse a request that can't be read, whatever error its reader raises

What callers would see: a request whose reader raised anything but ValueError or ArithmeticError ended without an answer. No such request is known: odd headers and numbers raise ValueError, which is tested. The class is that of odd rows: a reader of what others sent names the errors it expects.

Evidence: on the code before, 20 of 28 subtests of serving/test_odd_requests end without an answer (10 kinds of error from two readers); all get 400 now, which is true: no attempt began.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -11,6 +11,7 @@
 
 from magnoliahold.core.serving.configuration import MAX_NUMBER, CallerLimits
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
+from magnoliahold.decoding import describe_error
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.callers import (
     BadRequest,
@@ -117,8 +118,9 @@
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
             return
-        except (ValueError, ArithmeticError) as error:
-            logger.warning("Request can't be read and is refused.", reason=str(error))
+        except Exception as error:
+            reason = describe_error(error)
+            logger.warning("Request can't be read and is refused.", reason=reason)
             self._reject(exchange, BAD_REQUEST, "send headers that can be read")
             return
         self._open_requests[exchange.handle] = exchange
