--- a/src/magnoliahold/serving/backpressure.py
+++ b/src/magnoliahold/serving/backpressure.py
@@ -11,7 +11,8 @@
 from magnoliahold.serving.memory import PauseReason
 
 if TYPE_CHECKING:
-    from magnoliahold.serving.callerconnections import CallerChannel, CallerExchange
+    from magnoliahold.serving.callerconnections import CallerChannel
+    from magnoliahold.serving.callerexchanges import CallerExchange
     from magnoliahold.serving.exchanges import Exchange
 
 # How much of a stream may wait to be written before its upstream is read no further.
--- /dev/null
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -0,0 +1,110 @@
+"""Requests of callers and the answers that are written to them."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.http import Request
+
+if TYPE_CHECKING:
+    from magnoliahold.serving.callers import Callers
+
+
+class CallerExchange(Request):
+    """One request of a caller and its answer.
+
+    `ended` is set once the answer is complete or aborted, or the connection is closed.
+    """
+
+    handle = 0
+    body_bytes = 0
+    body_limit = 0
+    ended = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Buffers the body in memory: its size is limited, and there is no disk.
+
+        A later limit doesn't apply: it could let a body pass that was cut.
+        """
+        self.body_limit = self._callers.limits.body_bytes
+        self.content = BytesIO()
+
+    def parseCookies(self) -> None:  # noqa: N802
+        """Doesn't parse cookies; the upstream does."""
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Adds to the body; bytes beyond the size limit are discarded."""
+        self.body_bytes += len(data)
+        if self.body_bytes <= self.body_limit:
+            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Passes on a request that has been read completely."""
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self._callers.handle_request(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Reports a caller that disconnected before its answer was complete."""
+        callers = self._callers
+        ended = self.ended
+        self.ended = True
+        channel: Any = self.channel
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+        if not ended:
+            callers.record_unanswered(self, channel, reason)
+            callers.handle_disconnect(self)
+
+    @property
+    def _callers(self) -> Callers:
+        channel: Any = self.channel
+        callers: Callers = channel.factory.callers
+        return callers
+
+    def close_connection_after(self) -> None:
+        """Makes the connection close after this answer."""
+        channel: Any = self.channel
+        channel.persistent = False
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+
+    def close_connection_unless_used(self) -> None:
+        """Does the same, unless the caller has already sent a next request.
+
+        That one is answered too; the connection closes after the last.
+        """
+        channel: Any = self.channel
+        if not channel.has_next_request:
+            self.close_connection_after()
+
+    def start_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Sets status and headers; they are sent with the first bytes of the body."""
+        self.setResponseCode(status)
+        for name, value in headers:
+            self.responseHeaders.addRawHeader(name, value)
+
+    def finish_answer(self) -> None:
+        """Ends the answer as complete."""
+        self.ended = True
+        self.finish()  # type: ignore[no-untyped-call]
+
+    def write_complete_answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Writes an answer with a known length and ends it."""
+        self.start_answer(status, headers)
+        length = str(len(body)).encode()
+        self.responseHeaders.setRawHeaders(b"Content-Length", [length])
+        self.write(body)  # type: ignore[no-untyped-call]
+        self.finish_answer()
+
+    def abort_answer(self) -> None:
+        """Aborts the connection, so that the answer doesn't look complete."""
+        self.ended = True
+        channel: Any = self.channel
+        if channel is not None:
+            channel.closed_because = "its answer was cut"
+            channel.transport.abortConnection()
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -31,7 +31,7 @@
 
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.runtime import Clock
-    from magnoliahold.serving.callerconnections import CallerExchange
+    from magnoliahold.serving.callerexchanges import CallerExchange
     from magnoliahold.serving.exchanges import Exchange
 
 BAD_GATEWAY = 502
