Count every way in which a caller's connection ends, by cause

Lines of callers: told apart three of the ways from a request that was read to the end of its connection, and bytes that were discarded behind an answer weren't counted at all: a report of a whole request with neither answer nor refusal couldn't be traced. The end of the process was taken for a caller that left.

Each end now has one cause of EndCause, one line with the id of the request (debug if no answer was lost), and counts in the gauge connections_ended by cause. Discarded bytes are counted, and a whole request among them is a cause of its own that counts as unanswered. A connection that had both an open request and unwritten bytes counted twice in requests_unanswered; it counts once.

BY_ENTRY moved with the causes; the import of a test follows.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -10,13 +10,15 @@
 from magnoliahold.logs import make_part_logger
 from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 from magnoliahold.serving.callerexchanges import CallerExchange
+from magnoliahold.serving.connectionends import (
+    REJECTION_STATUS,
+    DiscardedBytes,
+    EndCause,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
 
-BAD_REQUEST = 400
-REQUEST_TIMEOUT = 408
-HEADERS_TOO_LARGE = 431
 LINE_MARGIN_BYTES = 1024
 # How long the end of an answer may be on its way before its connection is closed.
 LINGER_S = 1.0
@@ -29,18 +31,20 @@
 class CallerChannel(HTTPChannel):
     """A caller's connection.
 
-    A request is read within the limits in force when it begins. `closed_because` says
-    why this entry closes the connection; it is empty if it doesn't.
+    A request is read within the limits in force when it begins. `end_cause` says why
+    this entry closes the connection; it is None if it doesn't.
     """
 
     requestFactory = CallerExchange  # noqa: N815
-    closed_because = ""
+    end_cause: EndCause | None = None
 
     def __init__(self, callers: Callers) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self._callers = callers
         self._header_timer: Any = None
         self._linger_timer: Any = None
+        self.discarded = DiscardedBytes()
+        self._last_request_id = ""
         self._opened_at = callers.clock.seconds()
         self._was_used = False
         self._idle_since = 0.0
@@ -101,6 +105,29 @@
         answered = self._handlingRequest or self._linger_timer is not None
         return bool(begun and not answered)
 
+    @property
+    def has_read_request(self) -> bool:
+        """Whether a request was read to its end and has no complete answer."""
+        return bool(self.requests) and self._handlingRequest
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether a part of an answer was written."""
+        return any(request.startedWriting for request in self.requests)
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request has no answer, or the caller hasn't taken all of it."""
+        waiting = any(not request.ended for request in self.requests)
+        return waiting or self.unwritten_bytes > 0
+
+    def find_request_id(self) -> str:
+        """Finds the id of the request that is open, or of the last one."""
+        if not self.requests:
+            return self._last_request_id
+        ids = self.requests[0].requestHeaders.getRawHeaders(b"Request-Id") or [b""]
+        return str(ids[0].decode("ascii", "replace"))
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes of the caller wait in the socket."""
@@ -121,6 +148,7 @@
         Bytes that come after the last answer are discarded.
         """
         if self._linger_timer is not None:
+            self.discarded.add(data)
             return
         self._was_used = True
         self._idle_since = self._callers.clock.seconds()
@@ -136,13 +164,13 @@
         if self._linger_timer is not None:
             return
         if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
-            self.reject(HEADERS_TOO_LARGE)
+            self.reject(EndCause.HEADERS_TOO_LARGE)
             return
         super().lineReceived(line)  # type: ignore[no-untyped-call]
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Rejects a line that is longer than all headers together may be."""
-        self.reject(HEADERS_TOO_LARGE)
+        self.reject(EndCause.HEADERS_TOO_LARGE)
 
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Cancels the timeout for request headers."""
@@ -151,6 +179,9 @@
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Applies the limits in force to the next request."""
+        self._last_request_id = self.find_request_id()
+        if not self.persistent:
+            self.end_cause = request.end_cause
         self._apply_limits()
         self._unwritten_before = 0
         self._savedTimeOut = self.timeOut
@@ -180,23 +211,29 @@
             self.dataReceived(b"")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Cancels the timeouts and unregisters the connection."""
+        """Cancels the timeouts, records the end and unregisters the connection."""
         self._stop_header_timer()
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
         self._callers.channels.discard(self)
-        if self.unwritten_bytes:
-            self._callers.record_unwritten(self, reason)
+        self._callers.record_end(self, reason)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
-    def reject(self, status: int) -> None:
-        """Answers a request that can't be parsed and closes the connection."""
+    def reject(self, cause: EndCause) -> None:
+        """Answers a request that isn't read to its end and closes the connection."""
         if self._linger_timer is not None:
             return
         self._stop_header_timer()
         for request in self.requests:
             request.ended = True
-        logger.info("Request rejected.", status=status)
+        self.end_cause = cause
+        status = REJECTION_STATUS[cause]
+        logger.info(
+            "Request rejected.",
+            request=self.find_request_id(),
+            status=status,
+            cause=cause.name.lower(),
+        )
         transport: Any = self.transport
         head = f"HTTP/1.1 {status} Rejected\r\nConnection: close\r\n"
         transport.write(f"{head}Content-Length: 0\r\n\r\n".encode())
@@ -211,6 +248,7 @@
         if self._linger_timer is not None:
             return
         self._linger_timer = self._callers.clock.callLater(LINGER_S, self._end_linger)
+        self.discarded.add(b"".join(self._dataBuffer))
         self.setTimeout(None)  # type: ignore[no-untyped-call]
         transport: Any = self.transport
         transport.unregisterProducer()
@@ -225,22 +263,22 @@
             return
         self._end_connection()
 
-    def close_now(self, reason: str) -> None:
+    def close_now(self, cause: EndCause) -> None:
         """Closes a connection without an answer that the caller still takes."""
-        self.closed_because = reason
+        self.end_cause = cause
         self._end_connection()
 
     def _end_connection(self) -> None:
         transport: Any = self.transport
         transport.unregisterProducer()
         if self.unwritten_bytes:
-            self.closed_because = self.closed_because or "the caller takes nothing"
+            self.end_cause = EndCause.NOT_TAKEN
             transport.abortConnection()
         else:
             transport.loseConnection()
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
-        self.reject(BAD_REQUEST)
+        self.reject(EndCause.MALFORMED)
 
     def timeoutConnection(self) -> None:  # noqa: N802
         """Closes a connection that was idle for too long, by the limits in force.
@@ -259,10 +297,12 @@
         if left_s > 0:
             self.setTimeout(left_s)  # type: ignore[no-untyped-call]
             return
-        if self.is_reading:
-            self.reject(REQUEST_TIMEOUT)
+        if self._header_timer is not None:
+            self.reject(EndCause.HEADERS_LATE)
+        elif self.is_reading:
+            self.reject(EndCause.BODY_LATE)
         else:
-            self.close_now("it was idle for too long")
+            self.close_now(EndCause.IDLE)
 
     def _reject_unless_unread(self) -> None:
         """Rejects a slow request, after one more read if bytes of it wait."""
@@ -273,7 +313,7 @@
 
     def _reject_slow(self) -> None:
         self._header_timer = None
-        self.reject(REQUEST_TIMEOUT)
+        self.reject(EndCause.HEADERS_LATE)
 
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None and self._header_timer.active():
--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -7,6 +7,8 @@
 
 from twisted.web.http import Request
 
+from magnoliahold.serving.connectionends import EndCause
+
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
 
@@ -15,12 +17,14 @@
     """One request of a caller and its answer.
 
     `ended` is set once the answer is complete or aborted, or the connection is closed.
+    `end_cause` is why the connection ends if it closes after this answer.
     """
 
     handle = 0
     body_bytes = 0
     body_limit = 0
     ended = False
+    end_cause = EndCause.ANSWERED
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Buffers the body in memory: its size is limited, and there is no disk.
@@ -53,10 +57,8 @@
         callers = self._callers
         ended = self.ended
         self.ended = True
-        channel: Any = self.channel
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
         if not ended:
-            callers.record_unanswered(self, channel, reason)
             callers.handle_disconnect(self)
 
     @property
@@ -101,10 +103,10 @@
         self.write(body)  # type: ignore[no-untyped-call]
         self.finish_answer()
 
-    def abort_answer(self) -> None:
+    def abort_answer(self, cause: EndCause) -> None:
         """Aborts the connection, so that the answer doesn't look complete."""
         self.ended = True
         channel: Any = self.channel
         if channel is not None:
-            channel.closed_because = "its answer was cut"
+            channel.end_cause = cause
             channel.transport.abortConnection()
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
-from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import ServerFactory
 
 from magnoliahold.core.serving.configuration import MAX_NUMBER, CallerLimits
@@ -17,10 +16,12 @@
     make_refusal_headers,
     read_caller_request,
 )
-from magnoliahold.serving.callerconnections import (
-    BAD_REQUEST,
-    REQUEST_TIMEOUT,
-    CallerChannel,
+from magnoliahold.serving.callerconnections import CallerChannel
+from magnoliahold.serving.connectionends import (
+    EndCause,
+    find_end_cause,
+    find_ender,
+    log_end,
 )
 from magnoliahold.serving.exchanges import RequestContent
 
@@ -34,11 +35,10 @@
     from magnoliahold.serving.callerexchanges import CallerExchange
     from magnoliahold.serving.exchanges import Exchange
 
+BAD_REQUEST = 400
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 CONTENT_TOO_LARGE = 413
-BY_CALLER = "caller"
-BY_ENTRY = "entry"
 
 logger = make_part_logger("callers")
 
@@ -61,12 +61,6 @@
         """Writes no access log: the end of each request is logged as a decision."""
 
 
-def find_ender(channel: CallerChannel, reason: Failure) -> str:
-    """Tells whether the caller or this entry ended a connection."""
-    closed = reason.check(ConnectionDone, ConnectionLost) is not None
-    return BY_CALLER if closed and not channel.closed_because else BY_ENTRY
-
-
 def check_numbers(caller: CallerRequest) -> None:
     """Raises BadRequest if a number is too large to reckon with."""
     numbers = [part.tokens for part in caller.prompt]
@@ -80,7 +74,8 @@
 
     `refusing_because` is why all requests are refused; it is empty if they aren't.
     `unanswered` counts the requests whose connection ended before their answer, by who
-    ended it.
+    ended it; `ends` counts all connections that ended. `is_stopping` is set when the
+    process stops, which ends all connections.
     """
 
     clock: Clock
@@ -88,6 +83,8 @@
     limits: CallerLimits = field(factory=CallerLimits)
     channels: set[CallerChannel] = field(factory=set)
     unanswered: Counter[str] = field(factory=Counter)
+    ends: Counter[EndCause] = field(factory=Counter)
+    is_stopping: bool = False
     refusing_because: str = ""
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
@@ -136,31 +133,13 @@
         if self._remove(exchange.handle) is not None:
             self.post(CallerDisconnected(exchange.handle))
 
-    def record_unanswered(
-        self, exchange: CallerExchange, channel: CallerChannel, reason: Failure
-    ) -> None:
-        """Logs and counts a request whose connection ended before its answer."""
-        ended_by = find_ender(channel, reason)
-        self.unanswered[ended_by] += 1
-        request_ids = exchange.requestHeaders.getRawHeaders(b"Request-Id") or [b""]
-        logger.info(
-            "Connection ended before the answer.",
-            request=request_ids[0].decode("ascii", "replace"),
-            read=exchange.handle in self._open_requests,
-            ended_by=ended_by,
-            reason=channel.closed_because or reason.getErrorMessage(),
-        )
-
-    def record_unwritten(self, channel: CallerChannel, reason: Failure) -> None:
-        """Logs and counts an answer whose end the caller never took."""
-        ended_by = find_ender(channel, reason)
-        self.unanswered[ended_by] += 1
-        logger.info(
-            "Connection ended before the answer was written.",
-            bytes=channel.unwritten_bytes,
-            ended_by=ended_by,
-            reason=channel.closed_because or reason.getErrorMessage(),
-        )
+    def record_end(self, channel: CallerChannel, reason: Failure) -> None:
+        """Counts and logs the end of a connection."""
+        cause = find_end_cause(channel, reason, self.is_stopping)
+        self.ends[cause] += 1
+        if channel.is_unanswered or cause is EndCause.DISCARDED:
+            self.unanswered[find_ender(cause)] += 1
+        log_end(channel, cause, reason)
 
     def find_open(self, handle: int) -> CallerExchange | None:
         """Finds an open request; None when it has ended."""
@@ -232,13 +211,14 @@
         request_id = exchange.getHeader(b"Request-Id")
         if request_id:
             headers.append((b"Request-Id", request_id))
+        exchange.end_cause = EndCause.REFUSED
         exchange.write_complete_answer(status, headers, f"{reason}\n".encode())
 
-    def abort(self, handle: int) -> None:
+    def abort(self, handle: int, cause: EndCause = EndCause.ANSWER_CUT) -> None:
         """Aborts a caller's answer."""
         exchange = self._remove(handle)
         if exchange is not None:
-            exchange.abort_answer()
+            exchange.abort_answer(cause)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request is open or may still come."""
@@ -248,14 +228,14 @@
             if channel.unwritten_bytes:
                 channel.loseConnection()
             else:
-                channel.close_now("the entry stops")
+                channel.close_now(EndCause.IDLE_AT_STOP)
 
     def fail_open_requests(self, reason: str) -> None:
         """Ends all open requests, of which any may have run, and refuses later ones."""
         self.refusing_because = reason
         for handle, exchange in list(self._open_requests.items()):
             if exchange.startedWriting:
-                self.abort(handle)
+                self.abort(handle, EndCause.FAILED_TICK)
             else:
                 self.refuse(handle, BAD_GATEWAY, reason, None, closing=True)
 
@@ -263,7 +243,7 @@
         """Rejects the requests that have not been read to their end."""
         for channel in list(self.channels):
             if channel.is_reading:
-                channel.reject(REQUEST_TIMEOUT)
+                channel.reject(EndCause.UNFINISHED_AT_STOP)
 
     def _remove(self, handle: int) -> CallerExchange | None:
         self._contents.pop(handle, None)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -157,6 +157,7 @@
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         self.close_listener()
+        self.node.ports.callers.is_stopping = True
         for listener in self.auxiliary_listeners:
             listener.stopListening()
         self.auxiliary_listeners.clear()
@@ -171,6 +172,9 @@
         self.metrics.set_gauge("longest_tick_seconds", self.node.longest_tick_s)
         for ended_by, count in self.node.ports.callers.unanswered.items():
             self.metrics.set_gauge("requests_unanswered", count, ended_by=ended_by)
+        for cause, count in self.node.ports.callers.ends.items():
+            label = cause.name.lower()
+            self.metrics.set_gauge("connections_ended", count, cause=label)
         age_s = self.node.world.measure_proof_age()
         if age_s is not None:
             self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
--- a/tests/serving/test_back_pressure.py
+++ b/tests/serving/test_back_pressure.py
@@ -7,7 +7,7 @@
 from attrs import evolve
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from magnoliahold.serving.callers import BY_ENTRY
+from magnoliahold.serving.connectionends import BY_ENTRY
 from tests.flooding import MIB, SOCKET_BYTES, FloodingServer, make_chunk
 from tests.loopback import on_loopback
 from tests.serving.scripted import CLOSE
