Keep a connection open behind a stream whose headers left before the stop

Callers saw their connection closed, or sent a next request that got neither an answer nor a refusal: in a stop, a stream that ended was to announce the close in headers that had left long before. The connection was half closed all the same, and what came was read and discarded for 1 s.

A close that can't be announced any more is no close: the connection stays open, the next request is answered with Connection: close, and a connection without one is closed as idle 0.5 s later, with nothing unread. That a request which comes late has its 408 alone is shown by a test that held before.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -22,7 +22,7 @@
 LINE_MARGIN_BYTES = 1024
 # How long the end of an answer may be on its way before its connection is closed.
 LINGER_S = 1.0
-# How long the first request of a connection may be on its way.
+# How long a request may be on its way to a connection that is ready for it.
 FRESH_S = 0.5
 
 logger = make_part_logger("callers")
@@ -45,8 +45,7 @@
         self._linger_timer: Any = None
         self.discarded = DiscardedBytes()
         self._last_request_id = ""
-        self._opened_at = callers.clock.seconds()
-        self._was_used = False
+        self._fresh_until = callers.clock.seconds() + FRESH_S
         self._idle_since = 0.0
         self._unwritten_before = 0
         self._taken_at = 0.0
@@ -94,9 +93,12 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Whether its first request may still be on its way."""
-        age_s = self._callers.clock.seconds() - self._opened_at
-        return not self._was_used and age_s < FRESH_S
+        """Whether its first or next request may still be on its way."""
+        return self._callers.clock.seconds() < self._fresh_until
+
+    def expect_request(self) -> None:
+        """Lets the next request have the time to arrive before a stop."""
+        self._fresh_until = self._callers.clock.seconds() + FRESH_S
 
     @property
     def is_reading(self) -> bool:
@@ -150,7 +152,7 @@
         if self._linger_timer is not None:
             self.discarded.add(data)
             return
-        self._was_used = True
+        self._fresh_until = 0.0
         self._idle_since = self._callers.clock.seconds()
         if self.is_idle and not self.paused:
             self._apply_limits()
--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -74,12 +74,15 @@
         self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
     def close_connection_unless_used(self) -> None:
-        """Does the same, unless the caller has already sent a next request.
+        """Does the same, unless the caller has already sent or may send a next request.
 
-        That one is answered too; the connection closes after the last.
+        A close that the headers of this answer didn't announce is no close to a caller.
+        The next request is answered too; the connection closes after the last.
         """
         channel: Any = self.channel
-        if not channel.has_next_request:
+        if self.startedWriting:
+            channel.expect_request()
+        elif not channel.has_next_request:
             self.close_connection_after()
 
     def start_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -269,7 +269,9 @@
         self.assertEqual(len(self.events), 1)
 
 
-class StoppingTests(DaemonTestCase):
+class StoppingTestCase(DaemonTestCase):
+    """A test case with an entry that stops, and its callers."""
+
     async def start_leaving(self, *scripts: list[Any]) -> ServingDaemon:
         """Starts an entry that stops as its process does, with short times."""
         daemon = await self.start(*scripts)
@@ -292,6 +294,8 @@
         _, _, port = self.settings["callers"].partition(":")
         return await connect_client(self.reactor, int(port), content)
 
+
+class StoppingTests(StoppingTestCase):
     @on_loopback
     async def test_answer_on_a_slow_link_outlives_the_stop(self) -> None:
         answer = (
