Close no connection on which an answer is still on its way in a stop

A caller that takes an answer while the entry stops sent its next request with the last byte, and got neither answer nor refusal: idle connections with unwritten bytes were half closed without an announcement, and what came was discarded.

Evidence: test_request_behind_an_answer_on_its_way_in_a_stop_is_answered failed with "the request was discarded".

Such a connection stays open.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -221,13 +221,16 @@
             exchange.abort_answer(cause)
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request is open or may still come."""
+        """Closes the connections on which no request is open or may still come.
+
+        Those whose callers still take an answer follow at a later call.
+        """
         for channel in list(self.channels):
-            if not channel.is_idle or channel.is_fresh or channel.has_unread:
+            if not channel.is_idle or channel.has_unread:
                 continue
             if channel.unwritten_bytes:
-                channel.loseConnection()
-            else:
+                channel.expect_request()
+            elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
 
     def fail_open_requests(self, reason: str) -> None:
--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -78,6 +78,22 @@
                 self.callers.close_idle()
                 await self.expect_answer(client)
 
+    @on_loopback
+    async def test_request_behind_an_answer_on_its_way_in_a_stop_is_answered(
+        self,
+    ) -> None:
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.pauseProducing()
+        send_when_answered(client, b"xx", REQUEST)
+        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY + b"y" * 9 + b"xx"])
+        self.callers.answer(handle, answer, closing=False)
+        await self.sleep(0.1)
+        self.callers.close_idle()
+        client.received = b"-"
+        transport.resumeProducing()
+        await self.expect_answer(client)
+
     @on_loopback
     async def test_connection_behind_a_stream_closes_once_no_request_came(self) -> None:
         client, handle = await self.send_request(REQUEST)
