Announce the close to callers that speak HTTP/1.0

The connection closes behind each answer to a request of HTTP/1.0. One that asked to keep it alive wasn't told, so that its next request would have been discarded.

Evidence: test_close_that_a_request_asks_for_is_announced failed for HTTP/1.0 with and without keep-alive, "0 != 1"; for HTTP/1.1 it held before.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -179,6 +179,13 @@
         self._stop_header_timer()
         super().allHeadersReceived()  # type: ignore[no-untyped-call]
 
+    def checkPersistence(self, request: Any, version: bytes) -> bool:  # noqa: N802
+        """Announces the close that a request asks for, also to HTTP/1.0."""
+        persistent: bool = super().checkPersistence(request, version)  # type: ignore[no-untyped-call]
+        if not persistent:
+            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+        return persistent
+
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Applies the limits in force to the next request."""
         self._last_request_id = self.find_request_id()
--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -28,6 +28,16 @@
     ("a stream without pieces", ()),
     ("a stream that its caller takes slowly", (LARGE_BODY,)),
 )
+HTTP_1_0 = REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0")
+# Requests that ask for a close, or whose version does.
+CLOSING_REQUESTS = (
+    ("asked for", REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")),
+    ("HTTP/1.0", HTTP_1_0),
+    (
+        "HTTP/1.0 kept alive",
+        HTTP_1_0.replace(b"\r\n\r\n", b"\r\nConnection: keep-alive\r\n\r\n"),
+    ),
+)
 
 
 def send_when_answered(client: Client, end: bytes, content: bytes) -> None:
@@ -108,6 +118,16 @@
         await self.wait_until(lambda: client.closed)
         self.assertEqual(self.callers.ends, {EndCause.IDLE_AT_STOP: 1})
 
+    @on_loopback
+    async def test_close_that_a_request_asks_for_is_announced(self) -> None:
+        for name, content in CLOSING_REQUESTS:
+            with self.subTest(name):
+                client, handle = await self.send_request(content)
+                answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
+                self.callers.answer(handle, answer, closing=False)
+                await self.wait_until(lambda client=client: client.closed)
+                self.assertEqual(client.received.count(b"Connection: close"), 1)
+
     @on_loopback
     async def test_request_that_comes_late_has_its_rejection_alone(self) -> None:
         self.callers.limits = LIMITS
