Refuse at arrival what a leaving entry would cut at its limit

Operators of systems like this one report that requests which came late in a planned stop were taken and passed on, and were cut at the end of the grace, among them requests that may not be repeated. The same could happen here: until its limit a leaving entry admitted every plain request, however long such requests take, and any stream of a service of which none had ended before. At the limit a plain request got 502 though it may have run, and a stream that had begun was aborted.

Cause: only streams were compared with the time left, by their mean, which half of them exceed. Plain requests had no measured duration by service.

Now each service and kind has the mean and the longest recent duration from arrival to end, those of requests that reached their deadline included. While the listener is open, that is by the mean, as before for streams; what arrives later came on an old connection and is taken by the longest.

Two tests of streams read the mean from the new table.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -278,13 +278,14 @@
 
 @frozen
 class LeavePolicy:
-    """Graceful stops: requests are accepted for `accept_s`, and all end by `limit_s`.
-
-    The registration is removed once no request is open, but not before `settle_s` after
-    the listener was closed, and at the latest `farewell_s` before `limit_s`. The entry
-    stops `farewell_s` after the removal, once callers have taken their answers, but at
-    the latest `flush_s` after `limit_s`. A stream is accepted only if `stream_margin`
-    times the mean duration of streams is left.
+    """Graceful stops: new connections are accepted at first, and all ends by `limit_s`.
+
+    The listener and idle connections are closed after `accept_s`. The registration is
+    removed once no request is open, but not before `settle_s` later, and at the latest
+    `farewell_s` before `limit_s`. The entry stops `farewell_s` after that, once callers
+    have taken their answers, but at the latest `flush_s` after `limit_s`. What arrives
+    while the listener is open is accepted if `stream_margin` times the mean duration of
+    such requests is left, and what arrives later if that is left for the longest.
     """
 
     accept_s: float = _positive(2.3)
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
-from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.requests import ServedRequest
@@ -25,6 +24,7 @@
     NO_ROOM,
     find_queue_refusal,
 )
+from magnoliahold.core.serving.systems.stop_refusals import find_stop_rejection
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.configuration import (
@@ -70,7 +70,7 @@
         return
     request = _make_request(world, caller, route, workspace, now)
     needs_lookup = needs_prefix_lookup(world, request, now)
-    rejection_reason = _find_shutdown_rejection(world, request, now)
+    rejection_reason = find_stop_rejection(world, request, now)
     if not needs_lookup:
         rejection_reason = rejection_reason or find_deadline_rejection(
             world, request, now
@@ -119,20 +119,6 @@
     )
 
 
-def _find_shutdown_rejection(
-    world: ServingWorld, request: ServedRequest, now: float
-) -> str:
-    """Returns why a stream can't finish before this entry stops, or an empty string."""
-    if request.route.kind is not RouteKind.STREAM or world.leaving_since is None:
-        return ""
-    policy = world.serving_policy.leave
-    left_s = world.leaving_since + policy.limit_s - now
-    duration_s = world.mean_duration_by_service.get(request.service, 0.0)
-    if left_s < duration_s * policy.stream_margin:
-        return "the entry stops before the stream could end"
-    return ""
-
-
 def _choose_service(world: ServingWorld, route: Route) -> str:
     services = [share.service for share in route.shares]
     weights = [share.weight for share in route.shares]
--- a/src/magnoliahold/core/serving/systems/deadlines.py
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -17,6 +17,8 @@
         return
     for request in list(world.requests.by_handle.values()):
         if now >= request.deadline_at:
+            duration_s = now - request.arrived_at
+            world.durations.add(request.service, request.route.kind, duration_s)
             refuse(world, request, "the deadline has passed", now)
     for request in list(world.requests.waiting.values()):
         since = max(request.last_failure_at or request.arrived_at, request.held_at)
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -112,7 +112,7 @@
         fail_sent_attempt(world, attempt, f"the upstream failed, {head.status}", now)
         return
     if not failed:
-        _record_duration(world, attempt, now)
+        _record_durations(world, attempt, now)
     if _shows_begin(attempt, head):
         record_begin(world, attempt, now)
     world.requests.end_attempt(attempt)
@@ -170,13 +170,16 @@
     return max(full_s, estimate_run_s(world, request) / streams)
 
 
-def _record_duration(world: ServingWorld, attempt: Attempt, now: float) -> None:
+def _record_durations(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.sent_at is not None:
         upstream = attempt.upstream
         count_latency(world, attempt, now - attempt.sent_at)
         upstream.opening_s = update_moving_average(
             upstream.opening_s, now - attempt.sent_at
         )
+    request = attempt.request
+    duration_s = now - request.arrived_at
+    world.durations.add(request.service, request.route.kind, duration_s)
 
 
 def handle_broken_attempts(world: ServingWorld, now: float) -> None:
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -115,9 +115,7 @@
 def _record_stream_duration(world: ServingWorld, attempt: Attempt, now: float) -> None:
     service = attempt.request.service
     duration_s = now - attempt.request.arrived_at - attempt.paused_s
-    world.mean_duration_by_service[service] = update_moving_average(
-        world.mean_duration_by_service.get(service), duration_s
-    )
+    world.durations.add(service, attempt.request.route.kind, duration_s)
     if attempt.request.send_count == 1:
         run_s = now - attempt.started_at - attempt.paused_s
         world.mean_run_by_service[service] = update_moving_average(
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.budget import RetryBudget
+from magnoliahold.core.serving.durations import DurationTable
 from magnoliahold.core.serving.epochs import StoreEpoch
 from magnoliahold.core.serving.feeds import Feed, FeedState
 from magnoliahold.core.serving.limits import LimitTable
@@ -47,11 +48,11 @@
     is the one that the store listed last, and `awaited_configuration` the one that it
     has to list again after a restore. `lookups` holds the
     last prompt lookup of each service. `openings` estimates the seconds to the first
-    piece of streams by service, and `mean_duration_by_service` is a moving average of
-    the seconds to their end; `mean_run_by_service` is that from their start at an
-    upstream. `queues` are those of services whose routes differ in rank, and
-    `pace_comparisons` the last comparison of each service. `started_at`
-    is the time of the first tick. `scan_due` is set in the ticks in which systems check
+    piece of streams by service, and `durations` has those to the end of requests;
+    `mean_run_by_service` is a moving average of the seconds from the start of streams
+    at an upstream to their end. `queues` are those of services whose routes differ in
+    rank, and `pace_comparisons` the last comparison of each service. `started_at` is
+    the time of the first tick. `scan_due` is set in the ticks in which systems check
     all rows. `deregistered_at` is when the entry removed its registration to stop.
     """
 
@@ -72,7 +73,7 @@
     budgets: dict[str, RetryBudget] = field(factory=dict)
     lookups: dict[str, PromptLookup] = field(factory=dict)
     openings: dict[str, OpeningModel] = field(factory=dict)
-    mean_duration_by_service: dict[str, float] = field(factory=dict)
+    durations: DurationTable = field(factory=DurationTable)
     mean_run_by_service: dict[str, float] = field(factory=dict)
     queues: dict[str, ServiceQueue] = field(factory=dict)
     pace_comparisons: dict[str, PaceComparison] = field(factory=dict)
--- a/tests/core/serving/test_leaving.py
+++ b/tests/core/serving/test_leaving.py
@@ -59,7 +59,7 @@
         self.harness.pop_effect(StopProcess)
 
     def test_stream_that_could_not_end_in_time_is_refused(self) -> None:
-        self.harness.world.mean_duration_by_service[ENGINES] = 6.0
+        self.harness.world.durations.add(ENGINES, RouteKind.STREAM, 6.0)
         self.harness.post(LeaveRequested("SIGTERM"))
         self.harness.request(RouteKind.STREAM)
         self.harness.send()
--- a/tests/core/serving/test_streams.py
+++ b/tests/core/serving/test_streams.py
@@ -201,7 +201,9 @@
         harness.post(ReadingChanged(self.first.attempt, False))
         harness.produce(self.first, 2)
         harness.finish(self.first)
-        self.assertLess(harness.world.mean_duration_by_service[ENGINES], 1.0)
+        durations = harness.world.durations.find(ENGINES, RouteKind.STREAM)
+        assert durations is not None
+        self.assertLess(durations.mean_s, 1.0)
 
     def test_stream_without_its_copy_falls_back_to_another_upstream(self) -> None:
         self.harness.open(self.first, self.caller)
