Survive a stored row that can't be read, in entries of the own deployment

What was seen in tests: a row of the tables of workspaces, of their changes or of placements that can't be read raised its decoder's error in a tick. Any error did it, not only that of nesting; so did a row whose template is damaged, also one that another entry passed on.

Such a row is now left out and logged with its table, key and reason, and what was in force before stays. A change that can't be read is a gap in the log of changes, after which all rows are read again.

What remains: a commit to a workspace whose stored row is damaged conflicts with that row until somebody removes it.

--- a/src/magnoliahold/core/systems/configuration.py
+++ b/src/magnoliahold/core/systems/configuration.py
@@ -27,6 +27,7 @@
 from magnoliahold.core.events import RowsRead, TransactionFinished
 from magnoliahold.core.moves import plan_moves
 from magnoliahold.core.systems.propagation import install_row, push_row
+from magnoliahold.core.systems.stored_rows import decode_stored
 from magnoliahold.errors import SettingsError
 from magnoliahold.wire.messages import ApplyNote, WorkspaceRow
 
@@ -282,7 +283,9 @@
 def install_conflicting_row(world: EntryWorld, row: Row, now: float) -> None:
     """Installs a stored row that differs from this entry's copy."""
     if row.table == WORKSPACES_TABLE:
-        install_row(world, decode_workspace_row(row), now)
+        stored = decode_stored(world, row, decode_workspace_row)
+        if stored is not None:
+            install_row(world, stored, now)
     elif row.table == HEAD_TABLE and row.key == HEAD_KEY:
         table = world.configuration
         table.store_head = max(table.store_head, row.version)
--- a/src/magnoliahold/core/systems/placement.py
+++ b/src/magnoliahold/core/systems/placement.py
@@ -13,6 +13,7 @@
     get_needs,
 )
 from magnoliahold.core.systems.moves import compute_staggered_delay_s
+from magnoliahold.core.systems.stored_rows import decode_stored
 from magnoliahold.storage.interfaces import Condition, Write
 from magnoliahold.wire.messages import PlacementPush
 
@@ -39,8 +40,11 @@
                 fencing=written.fencing,
             )
         for row in finished.outcome.conflicts:
-            if row.table == PLACEMENTS_TABLE:
-                _update_known_placement(world, decode_placement(row))
+            if row.table != PLACEMENTS_TABLE:
+                continue
+            placement = decode_stored(world, row, decode_placement)
+            if placement is not None:
+                _update_known_placement(world, placement)
 
 
 def _update_known_placement(world: EntryWorld, placement: PlacementPush) -> None:
--- a/src/magnoliahold/core/systems/propagation.py
+++ b/src/magnoliahold/core/systems/propagation.py
@@ -16,6 +16,8 @@
 from magnoliahold.core.effects import CountMetric, ReadRow, ScanRows, SendMessage
 from magnoliahold.core.events import RowsRead
 from magnoliahold.core.moves import update_active_moves
+from magnoliahold.core.systems.stored_rows import decode_stored
+from magnoliahold.decoding import describe_error
 from magnoliahold.wire.messages import (
     ConfigurationPull,
     ConfigurationPush,
@@ -24,12 +26,16 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.peers import Peer
+    from magnoliahold.core.workspaces import Workspace
     from magnoliahold.core.worlds import EntryWorld, SidecarWorld
     from magnoliahold.wire.messages import WorkspaceRow
 
 
 def install_row(world: EntryWorld, row: WorkspaceRow, now: float) -> bool:
-    """Puts a row in force unless a newer one is; returns whether it was installed."""
+    """Puts a row in force unless a newer one is; returns whether it was installed.
+
+    If its template is damaged, the row before it stays in force.
+    """
     table = world.workspaces
     configuration = world.configuration
     configuration.store_head = max(configuration.store_head, row.change)
@@ -40,6 +46,10 @@
     if known is not None and known.change >= row.change:
         table.advance_head(table.head)
         return False
+    workspace = _compile(world, row)
+    if workspace is None:
+        table.advance_head(table.head)
+        return False
     if known is None or known.version != row.version:
         table.in_force_since[row.workspace] = now
     change, version = table.highest_seen.get(row.workspace, (0, 0))
@@ -49,12 +59,26 @@
     )
     table.changed_in_tick.add(row.workspace)
     table.rows[row.workspace] = row
-    table.workspaces[row.workspace] = compile_workspace(row)
+    table.workspaces[row.workspace] = workspace
     update_active_moves(world, row, now)
     table.advance_head(table.head)
     return True
 
 
+def _compile(world: EntryWorld, row: WorkspaceRow) -> Workspace | None:
+    try:
+        return compile_workspace(row)
+    except Exception as error:
+        world.log_decision(
+            "configuration",
+            "Template can't be read and is left out.",
+            key=row.workspace,
+            version=row.version,
+            reason=describe_error(error),
+        )
+        return None
+
+
 def push_row(world: EntryWorld, row: WorkspaceRow) -> None:
     """Sends a row that was just committed to every entry."""
     push = ConfigurationPush((row,), row.change, row.change - 1)
@@ -206,21 +230,28 @@
     if read.rows is None:
         world.configuration.store_failed_at = now
         return
-    rows = [decode_workspace_row(row) for row in read.rows]
+    decoded = (decode_stored(world, row, decode_workspace_row) for row in read.rows)
+    rows = [row for row in decoded if row is not None]
     if world.configuration.scan_table == CHANGES_TABLE:
-        _apply_changes(world, rows, now)
+        is_complete = len(rows) == len(read.rows)
+        _apply_changes(world, rows, is_complete, now)
         return
     for row in rows:
         install_row(world, row, now)
-    if len(rows) < world.policy.configuration.scan_rows:
+    if len(read.rows) < world.policy.configuration.scan_rows:
         _finish_load(world)
     else:
         _start_scan(world, WORKSPACES_TABLE, read.rows[-1].key)
 
 
-def _apply_changes(world: EntryWorld, rows: list[WorkspaceRow], now: float) -> None:
-    """Applies the next changes of the log, or reloads all rows after a gap in it."""
-    if rows and rows[0].change > world.workspaces.head + 1:
+def _apply_changes(
+    world: EntryWorld, rows: list[WorkspaceRow], is_complete: bool, now: float
+) -> None:
+    """Applies the next changes of the log, or reloads all rows after a gap in it.
+
+    A change that can't be read is a gap, too.
+    """
+    if not is_complete or (rows and rows[0].change > world.workspaces.head + 1):
         world.emit(CountMetric("change_log_gaps"))
         world.configuration.load_head = world.configuration.store_head
         _start_scan(world, WORKSPACES_TABLE, "")
