Contain the errors of decoders in one way

All use decoding.translate_errors, or decode_or_none where damage is answered by the caller, so that no reader has to know what its decoder may raise. The reader of YAML settings keeps its own handling, which tells a different remedy for deep nesting.

Reasons now begin with the name of the error. Answers of the platform and of engines, and stored templates, that nest deeply count as malformed: test_decoding raises RecursionError on the code before.

--- a/src/magnoliahold/core/claims.py
+++ b/src/magnoliahold/core/claims.py
@@ -10,6 +10,8 @@
 import msgspec
 from attrs import define, evolve, field, frozen
 
+from magnoliahold.decoding import decode_or_none
+
 if TYPE_CHECKING:
     from magnoliahold.core.calls import Call
     from magnoliahold.core.events import CallArrived
@@ -134,10 +136,7 @@
 
 def decode_claim(value: bytes) -> ClaimRow | None:
     """Decodes the value of a claim row, or returns None when it is malformed."""
-    try:
-        return _decoder.decode(value)
-    except (msgspec.DecodeError, ValueError, RecursionError):
-        return None
+    return decode_or_none(_decoder.decode, value)
 
 
 def make_claim(request: CallArrived, now: float) -> Claim:
--- a/src/magnoliahold/core/quarantine.py
+++ b/src/magnoliahold/core/quarantine.py
@@ -7,6 +7,8 @@
 import msgspec
 from attrs import define, field, frozen
 
+from magnoliahold.decoding import decode_or_none
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -97,7 +99,4 @@
 
 def decode_quarantine(value: bytes) -> QuarantineRow | None:
     """Decodes the value of a quarantine row, or returns None when it is malformed."""
-    try:
-        return _decoder.decode(value)
-    except (msgspec.DecodeError, ValueError, RecursionError):
-        return None
+    return decode_or_none(_decoder.decode, value)
--- a/src/magnoliahold/decoding.py
+++ b/src/magnoliahold/decoding.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+T = TypeVar("T")
+
 # What can't be read is quoted in some errors, and may be long.
 MAX_REASON_LENGTH = 200
 
@@ -29,3 +31,11 @@
         yield
     except Exception as error:
         raise make_error(describe_error(error)) from error
+
+
+def decode_or_none(decode: Callable[[bytes], T], content: bytes) -> T | None:
+    """Decodes what may be damaged; returns None, which the caller reports, if it is."""
+    try:
+        return decode(content)
+    except Exception:
+        return None
--- a/src/magnoliahold/entry/answers.py
+++ b/src/magnoliahold/entry/answers.py
@@ -43,6 +43,11 @@
         self.code = code
 
 
+def make_malformed_rejection(reason: str) -> RequestRejected:
+    """Makes the rejection of a request whose body can't be read."""
+    return RequestRejected(400, "malformed_request", reason)
+
+
 @frozen
 class ErrorDocument:
     """The error document of a request; `ran` says whether a call ran."""
--- a/src/magnoliahold/entry/operators.py
+++ b/src/magnoliahold/entry/operators.py
@@ -18,7 +18,12 @@
     TemplateApplied,
     UpstreamsRequested,
 )
-from magnoliahold.entry.answers import JSON_TYPE, RequestRejected
+from magnoliahold.decoding import translate_errors
+from magnoliahold.entry.answers import (
+    JSON_TYPE,
+    RequestRejected,
+    make_malformed_rejection,
+)
 from magnoliahold.entry.requests import read_body, read_credential
 from magnoliahold.errors import SettingsError
 from magnoliahold.templates import encode_template, parse_template
@@ -152,10 +157,8 @@
 
 def _read_apply(request: BoundedRequest) -> ApplyBody:
     content = read_body(request)
-    try:
+    with translate_errors(make_malformed_rejection):
         return msgspec.json.decode(content, type=ApplyBody)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise RequestRejected(400, "malformed_request", str(error)) from error
 
 
 def list_faults(faults: ExceptionGroup[Exception]) -> str:
--- a/src/magnoliahold/entry/requests.py
+++ b/src/magnoliahold/entry/requests.py
@@ -9,7 +9,8 @@
 from attrs import frozen
 from twisted.web.server import Request, Site
 
-from magnoliahold.entry.answers import RequestRejected
+from magnoliahold.decoding import translate_errors
+from magnoliahold.entry.answers import RequestRejected, make_malformed_rejection
 
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
@@ -76,10 +77,8 @@
 def read_completion(request: BoundedRequest) -> CompletionBody:
     """Parses a completion request; raises RequestRejected when it is malformed."""
     content = read_body(request)
-    try:
+    with translate_errors(make_malformed_rejection):
         body = _completion_decoder.decode(content)
-    except (msgspec.DecodeError, RecursionError, ValueError) as error:
-        raise RequestRejected(400, "malformed_request", str(error)) from error
     if not 1 <= body.max_tokens <= MAX_TOKENS_LIMIT:
         message = f"max_tokens must be from 1 to {MAX_TOKENS_LIMIT}"
         raise RequestRejected(400, "malformed_request", message)
--- a/src/magnoliahold/sidecar/engine_client.py
+++ b/src/magnoliahold/sidecar/engine_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnoliahold.decoding import translate_errors
 from magnoliahold.httpclient import HttpClient
 from magnoliahold.sidecar.engine_protocol import (
     JSON_HEADERS,
@@ -152,10 +153,12 @@
 def _decode_answer(answer: HttpAnswer, kind: Any) -> Any:
     if answer.status != 200:
         raise EngineUnavailable(f"engine answered with status {answer.status}")
-    try:
+    with translate_errors(_make_malformed_error):
         return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise EngineUnavailable(f"engine sent a malformed answer: {error}") from error
+
+
+def _make_malformed_error(reason: str) -> EngineUnavailable:
+    return EngineUnavailable(f"engine sent a malformed answer: {reason}")
 
 
 def _classify_order_answer(answer: HttpAnswer) -> OrderOutcome:
--- a/src/magnoliahold/sidecar/engine_stream.py
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 from twisted.internet.protocol import Protocol
 
+from magnoliahold.decoding import describe_error
 from magnoliahold.httpbounds import AnswerTooLongError
 from magnoliahold.httpconnections import (
     DirectConnector,
@@ -125,8 +126,8 @@
             return
         try:
             parsed = msgspec.json.decode(line, type=_StreamLine)
-        except msgspec.MsgspecError as error:
-            self._end(EndKind.BROKEN, f"malformed line: {error}")
+        except Exception as error:
+            self._end(EndKind.BROKEN, f"malformed line: {describe_error(error)}")
             return
         if parsed.finished:
             self._end(_classify_finish(parsed.finished), parsed.finished)
--- a/src/magnoliahold/storage/exchange.py
+++ b/src/magnoliahold/storage/exchange.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnoliahold.decoding import translate_errors
 from magnoliahold.httpclient import HttpClient
 from magnoliahold.storage.interfaces import PlatformUnavailable
 
@@ -49,10 +50,12 @@
 
 def decode_answer(answer: HttpAnswer, kind: Any) -> Any:
     """Decodes a JSON answer; raises `PlatformUnavailable` when it is malformed."""
-    try:
+    with translate_errors(_make_malformed_error):
         return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise PlatformUnavailable(f"malformed answer: {error}") from error
+
+
+def _make_malformed_error(reason: str) -> PlatformUnavailable:
+    return PlatformUnavailable(f"malformed answer: {reason}")
 
 
 def _check_status(answer: HttpAnswer, accepted: Collection[int]) -> HttpAnswer:
--- a/src/magnoliahold/templates/parsing.py
+++ b/src/magnoliahold/templates/parsing.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from magnoliahold.decoding import translate_errors
 from magnoliahold.errors import SettingsError
 from magnoliahold.settings.checks import MAX_NAME_LENGTH, FieldError, require_name
 from magnoliahold.settings.documents import parse_document
@@ -146,9 +147,9 @@
 
     Raises `SettingsError` when the content is not an encoded template.
     """
-    try:
+    with translate_errors(_make_row_error):
         return DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            "template row", str(error), "apply the workspace's template again"
-        ) from None
+
+
+def _make_row_error(reason: str) -> SettingsError:
+    return SettingsError("template row", reason, "apply the workspace's template again")
--- a/src/magnoliahold/wire/codec.py
+++ b/src/magnoliahold/wire/codec.py
@@ -8,6 +8,7 @@
 import msgspec
 from attrs import frozen
 
+from magnoliahold.decoding import translate_errors
 from magnoliahold.wire.messages import Message
 
 if TYPE_CHECKING:
@@ -69,10 +70,8 @@
     decoder = _decoders.get(bytes(kind))
     if decoder is None:
         raise MalformedMessageError("unknown message kind")
-    try:
+    with translate_errors(MalformedMessageError):
         return Envelope(_decode_header(bytes(header)), decoder.decode(body))
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise MalformedMessageError(str(error)) from error
 
 
 @lru_cache(maxsize=HEADER_CACHE_SIZE)
