--- a/tests/core/serving/test_odd_rows.py
+++ b/tests/core/serving/test_odd_rows.py
@@ -26,6 +26,10 @@
 
 ODD_VALUES = (0, -1, -0.5, 1e-300, 1e300, 10**18, -(10**18), "", "+", "x" * 300, [])
 LEFT_OUT = object()
+# Stands for what json.dumps can't encode.
+PLACE = "place-of-an-odd-value"
+LEVELS = 100_000
+NESTED = (b"[" * LEVELS + b"]" * LEVELS, b'{"a":' * LEVELS + b"1" + b"}" * LEVELS)
 ROUTE = {
     "name": "r-1",
     "hostname": "host.example",
@@ -136,6 +140,21 @@
                     with self.subTest(feed=feed.value, path=path, value=str(value)):
                         self.run_entry(feed, key, row)
 
+    # Failure: a document that nests deeply raised an error that no reader told, and
+    # entries followed no further change of its table.
+    def test_each_reader_rejects_what_nests_deeply(self) -> None:
+        for feed, key, document, read in ROWS:
+            unknown = {**document, "unknown": None}
+            for path in list_paths(unknown):
+                odd = json.dumps(replace_value(unknown, path, PLACE)).encode()
+                for nested in NESTED:
+                    content = odd.replace(f'"{PLACE}"'.encode(), nested)
+                    with (
+                        self.subTest(feed=feed.value, key=key, path=path),
+                        self.assertRaises(DocumentError),
+                    ):
+                        read(content)
+
     def run_entry(self, feed: Feed, key: str, row: object) -> None:
         """Starts an entry that reads a row, and lets it work for a while."""
         upstreams = tuple(make_upstream(n, "engines", version="v1") for n in (1, 2))
