--- a/src/magnoliahold/cli/soak.py
+++ b/src/magnoliahold/cli/soak.py
@@ -12,7 +12,12 @@
 
 
 def soak(
-    *, seed: int = 1, seconds: float = 20.0, processes: int = 3, restores: int = 0
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    processes: int = 3,
+    restores: int = 0,
+    odd_rows: int = 0,
 ) -> int:
     """Runs entries as processes, injects random faults and checks guarantees.
 
@@ -24,6 +29,7 @@
         seconds: How long faults are injected; startup and recovery take extra time.
         processes: The number of entries.
         restores: How often the store is restored from an older copy.
+        odd_rows: How many rows that can't be read another writer leaves in the store.
 
     Returns:
         0, 1 if a guarantee was violated, or 130 if it was interrupted.
@@ -40,7 +46,9 @@
 
     async def run() -> None:
         try:
-            report = await run_soak(reactor, seed, seconds, processes, folder, restores)
+            report = await run_soak(
+                reactor, seed, seconds, processes, folder, restores, odd_rows
+            )
             results.append(report)
         except Exception as error:
             failures.append(error)
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -13,6 +13,7 @@
 
 from magnoliahold.soak.deployment import Deployment
 from magnoliahold.soak.faults import draw_faults, inject
+from magnoliahold.soak.odd_rows import add_odd_rows
 
 FAULTS_PER_S = 1.0
 START_TIMEOUT_S = 15.0
@@ -64,6 +65,7 @@
     entries: int,
     folder: Path,
     restores: int = 0,
+    odd_rows: int = 0,
 ) -> SoakReport:
     """Runs one soak and stops everything that it started."""
     random = Random(seed)
@@ -76,7 +78,9 @@
         deployment.start_callers()
         await deferLater(reactor, 1.0)
         count = round(seconds * FAULTS_PER_S)
-        for fault in draw_faults(random, count, restores):
+        faults = draw_faults(random, count, restores)
+        add_odd_rows(random, faults, odd_rows)
+        for fault in faults:
             report.faults[type(fault).__name__] += 1
             inject(fault, deployment)
             await deferLater(reactor, random.uniform(0, 2.0) / FAULTS_PER_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 LIMIT_S = 90.0
 SEED = 1
 RESTORE_SEED = 21
+ODD_ROWS_SEED = 31
 SEEDS_FILE = Path(__file__).with_name("seeds.txt")
 
 
@@ -33,13 +34,14 @@
 
 
 class SoakTests(unittest.TestCase):
-    def run_soak(self, seed: int, restores: int) -> str:
+    def run_soak(self, seed: int, restores: int, odd_rows: int = 0) -> str:
         """Runs a soak that violates no guarantee, and returns its report."""
         soak = subprocess.run(
             [
                 *(sys.executable, "-m", "magnoliahold", "soak"),
                 *("--seed", str(seed), "--seconds", str(SECONDS)),
                 *("--restores", str(restores)),
+                *("--odd-rows", str(odd_rows)),
             ],
             capture_output=True,
             text=True,
@@ -59,6 +61,11 @@
         report = self.run_soak(RESTORE_SEED, 2)
         self.assertIn("RestoreStore 2", report)
 
+    # Failure: entries stopped following the upstreams beside a row that nests deeply.
+    def test_no_guarantee_is_violated_by_odd_rows(self) -> None:
+        report = self.run_soak(ODD_ROWS_SEED, 0, 8)
+        self.assertIn("LeaveOddRow 8", report)
+
     def test_interrupted_soak_leaves_no_process(self) -> None:
         soak = subprocess.Popen(
             [sys.executable, "-m", "magnoliahold", "soak", "--seconds", "60"],
