Close an idle connection in the moment of the last look for a request

A request could arrive between the look at the socket and the close, which came in the next pass of the reactor, behind all that the tick and other connections had to do; it was closed unread.

Evidence: the caller's end of an idle connection wasn't closed after the look of a stop and of an idle timeout, in test_idle_connection_closes_in_the_moment_of_the_last_look (BlockingIOError before).

Look and close are one step now. What comes behind it finds a closed connection, and its caller was told so as early as can be.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.main import CONNECTION_DONE
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 
 from magnoliahold.logs import make_part_logger
@@ -265,6 +267,10 @@
         self._end_connection()
 
     def _end_connection(self) -> None:
+        """Closes the connection at once.
+
+        A request that comes between the last look for one and the close is never read.
+        """
         transport: Any = self.transport
         transport.unregisterProducer()
         if self.untaken_bytes:
@@ -272,7 +278,7 @@
         if self.unwritten_bytes:
             transport.abortConnection()
         else:
-            transport.loseConnection()
+            transport.connectionLost(Failure(CONNECTION_DONE))
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.reject(EndCause.MALFORMED)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -338,6 +338,23 @@
                     self.advance(step_s)
                 await self.expect_next_request(client, think_s)
 
+    @on_loopback
+    async def test_idle_connection_closes_in_the_moment_of_the_last_look(self) -> None:
+        def stop() -> None:
+            self.callers.close_idle()
+
+        def wait() -> None:
+            self.clock.advance(LIMITS.idle_timeout_s)
+
+        for close in (stop, wait):
+            with self.subTest(close.__name__):
+                client = self.connect_socket()
+                await self.wait_until(lambda: bool(self.callers.channels))
+                self.clock.advance(FRESH_S)
+                close()
+                self.assertEqual(client.recv(1), b"")
+                self.assertFalse(self.callers.channels)
+
 
 class StoppingTestCase(DaemonTestCase):
     """A test case with an entry that stops, and its callers."""
