Keep idle connections by the limit that their callers may know

Beside a change that lowers idle_timeout_ms, callers found connections closed that they could use by the limit they knew: they reuse one that was idle for up to four fifths of it.

Cause: the limit in force when a timer ran decided alone. A connection whose idle time began just after the change had the new limit at once, though the caller may hear of it later; one that waited through several changes had whichever was in force at the look.

A limit that is raised held before and holds.

The longest limit in force since idle time began, or replaced within 3 s before, now decides. Limits that no waiting caller may know are forgotten.

Tests that lower a limit to see a connection close set it as if it had always been in force.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -310,11 +310,11 @@
 
     def _find_time_left(self, now: float, untaken_bytes: int) -> float:
         timeouts = STALLED_TIMEOUTS if untaken_bytes else 1
-        limit_s = timeouts * self._callers.limits.idle_timeout_s
-        return self._idle.since + limit_s - now
+        since = self._idle.since
+        return since + timeouts * self._callers.find_idle_timeout(since) - now
 
     def _find_look_interval(self) -> float:
-        return self._callers.limits.idle_timeout_s / LOOKS_PER_TIMEOUT
+        return self._callers.find_idle_timeout(self._idle.since) / LOOKS_PER_TIMEOUT
 
     def _reject_unless_unread(self) -> None:
         """Rejects a slow request, after one more read if bytes of it wait."""
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -17,6 +17,10 @@
     read_caller_request,
 )
 from magnoliahold.serving.callerconnections import CallerChannel
+from magnoliahold.serving.callerlimits import (
+    LimitHistory,
+    read_idle_timeout,
+)
 from magnoliahold.serving.connectionends import (
     LOST_CAUSES,
     EndCause,
@@ -81,7 +85,7 @@
 
     clock: Clock
     post: Callable[[object], None]
-    limits: CallerLimits = field(factory=CallerLimits)
+    first_limits: CallerLimits = field(factory=CallerLimits)
     channels: set[CallerChannel] = field(factory=set)
     unanswered: Counter[str] = field(factory=Counter)
     ends: Counter[EndCause] = field(factory=Counter)
@@ -90,6 +94,24 @@
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
+    _limits: LimitHistory = field(init=False)
+
+    @_limits.default
+    def _make_limits(self) -> LimitHistory:
+        return LimitHistory(self.first_limits)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits in force."""
+        return self._limits.current
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        self._limits.replace(limits, self.clock.seconds())
+
+    def find_idle_timeout(self, since: float) -> float:
+        """Finds how long a connection that is idle since then may be idle."""
+        return self._limits.find_timeout(read_idle_timeout, since)
 
     def handle_request(self, exchange: CallerExchange) -> None:
         """Posts RequestArrived for a complete request, or rejects the request."""
--- a/tests/serving/test_back_pressure.py
+++ b/tests/serving/test_back_pressure.py
@@ -11,6 +11,7 @@
 from tests.flooding import MIB, SOCKET_BYTES, FloodingServer, make_chunk
 from tests.loopback import on_loopback
 from tests.serving.scripted import CLOSE
+from tests.serving.test_callers import set_limits
 from tests.serving.test_daemon import DaemonTestCase
 from tests.serving.test_exchanges import HEAD, LAST_CHUNK, OPEN_STREAM, STREAM
 
@@ -199,7 +200,7 @@
     async def test_requests_that_wait_keep_no_idle_connection_open(self) -> None:
         daemon = await self.start_with_large_answers()
         callers = daemon.node.ports.callers
-        callers.limits = evolve(callers.limits, idle_timeout_s=0.5)
+        set_limits(callers, evolve(callers.limits, idle_timeout_s=0.5))
         self.call(CALL * MANY_CALLS)
         await self.wait_until(lambda: len(callers.channels) == 1)
         await self.wait_until(lambda: not callers.channels)
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -12,6 +12,7 @@
 from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callerlimits import LimitHistory
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
@@ -79,6 +80,11 @@
     return client
 
 
+def set_limits(callers: Callers, limits: CallerLimits) -> None:
+    """Sets limits as if they had been in force all along."""
+    callers._limits = LimitHistory(limits)
+
+
 class CallerTestCase(LoopbackTestCase):
     """A test case with a listening server for callers; `events` are those it posts."""
 
--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -13,7 +13,13 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import LIMITS, REQUEST, UPSTREAM, CallerTestCase
+from tests.serving.test_callers import (
+    LIMITS,
+    REQUEST,
+    UPSTREAM,
+    CallerTestCase,
+    set_limits,
+)
 from tests.serving.test_exchanges import LAST_CHUNK, STREAM, WHOLE, make_chunk
 from tests.serving.test_lost_requests import CALL, LARGE_BODY, StoppingTestCase
 
@@ -130,7 +136,7 @@
 
     @on_loopback
     async def test_request_that_comes_late_has_its_rejection_alone(self) -> None:
-        self.callers.limits = LIMITS
+        set_limits(self.callers, LIMITS)
         for part in (REQUEST[:-1], REQUEST[:40]):
             with self.subTest(part):
                 client = await self.connect(part)
