Give request headers the timeout that their caller may know

A caller that began a request just before header_timeout_ms was raised, or just after it was lowered, got 408 though it kept to the limit that it knew.

Cause: the timer was set once, by the limit in force when the request began.

Evidence: two of seven rows of test_headers_may_take_as_long_as_their_caller_may_know failed, "raised while it is read" and "lowered a moment before".

The timer looks again when it ends, and goes by the longest timeout in force since the request began, or replaced within 3 s before.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -146,9 +146,8 @@
         self._idle.restart(self._callers.clock.seconds())
         if self.is_idle and not self.paused:
             self._apply_limits()
-            self._header_timer = self._callers.clock.callLater(
-                self._callers.limits.header_timeout_s, self._reject_unless_unread
-            )
+            now = self._callers.clock.seconds()
+            self._start_header_timer(self._callers.find_header_timeout(now), now)
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
@@ -316,13 +315,26 @@
     def _find_look_interval(self) -> float:
         return self._callers.find_idle_timeout(self._idle.since) / LOOKS_PER_TIMEOUT
 
-    def _reject_unless_unread(self) -> None:
-        """Rejects a slow request, after one more read if bytes of it wait."""
-        if self.has_unread:
-            self._header_timer = self._callers.clock.callLater(0, self._reject_slow)
+    def _reject_unless_unread(self, begun_at: float) -> None:
+        """Rejects a slow request, after one more read if bytes of it wait.
+
+        The timeout may have been raised since it began.
+        """
+        clock = self._callers.clock
+        limit_s = self._callers.find_header_timeout(begun_at)
+        left_s = begun_at + limit_s - clock.seconds()
+        if left_s > 0:
+            self._start_header_timer(left_s, begun_at)
+        elif self.has_unread:
+            self._header_timer = clock.callLater(0, self._reject_slow)
         else:
             self._reject_slow()
 
+    def _start_header_timer(self, left_s: float, begun_at: float) -> None:
+        self._header_timer = self._callers.clock.callLater(
+            left_s, self._reject_unless_unread, begun_at
+        )
+
     def _reject_slow(self) -> None:
         self._header_timer = None
         self.reject(EndCause.HEADERS_LATE)
--- a/src/magnoliahold/serving/callerlimits.py
+++ b/src/magnoliahold/serving/callerlimits.py
@@ -63,3 +63,8 @@
 def read_idle_timeout(limits: CallerLimits) -> float:
     """Reads how long a connection may be idle."""
     return limits.idle_timeout_s
+
+
+def read_header_timeout(limits: CallerLimits) -> float:
+    """Reads how long the headers of a request may take."""
+    return limits.header_timeout_s
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -19,6 +19,7 @@
 from magnoliahold.serving.callerconnections import CallerChannel
 from magnoliahold.serving.callerlimits import (
     LimitHistory,
+    read_header_timeout,
     read_idle_timeout,
 )
 from magnoliahold.serving.connectionends import (
@@ -113,6 +114,10 @@
         """Finds how long a connection that is idle since then may be idle."""
         return self._limits.find_timeout(read_idle_timeout, since)
 
+    def find_header_timeout(self, since: float) -> float:
+        """Finds how long the headers of a request that began then may take."""
+        return self._limits.find_timeout(read_header_timeout, since)
+
     def handle_request(self, exchange: CallerExchange) -> None:
         """Posts RequestArrived for a complete request, or rejects the request."""
         exchange.handle = self._next_handle
--- a/tests/serving/test_changed_limits.py
+++ b/tests/serving/test_changed_limits.py
@@ -8,7 +8,7 @@
 
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import LIMITS, REQUEST, UPSTREAM
+from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM
 from tests.serving.test_lost_requests import SETTLED_S, PausedCallerTestCase
 
 # The limit at first, later ones with the moment of their change, the moment of the next
@@ -33,6 +33,17 @@
     ("changed again and again, too late", 2.0, ((0.5, 5.0), (1.0, 2.0)), 6.0, False),
 )
 
+# The same for the header timeout: the rest of the request comes at that moment.
+HEADER_CHANGES = (
+    ("no change", 2.0, (), 1.5, True),
+    ("no change, too late", 2.0, (), 2.5, False),
+    ("raised while it is read", 2.0, ((1.0, 6.0),), 5.0, True),
+    ("raised while it is read, too late", 2.0, ((1.0, 6.0),), 6.5, False),
+    ("lowered while it is read", 6.0, ((1.0, 2.0),), 5.0, True),
+    ("lowered a moment before", 6.0, ((-1.0, 2.0),), 5.0, True),
+    ("lowered long before", 6.0, ((-4.0, 2.0),), 2.5, False),
+)
+
 
 class ChangedLimitTests(PausedCallerTestCase):
     def advance_to(self, moment: float) -> None:
@@ -102,6 +113,22 @@
     ) -> None:
         await self.check_idle(is_used=True)
 
+    @on_loopback
+    async def test_headers_may_take_as_long_as_their_caller_may_know(self) -> None:
+        for name, first_s, changes, next_at, is_read in HEADER_CHANGES:
+            with self.subTest(name):
+                self.start_case("header_timeout_s", first_s, changes)
+                client = self.connect_socket()
+                client.sendall(HEAD)
+                await self.sleep(SETTLED_S)
+                self.change("header_timeout_s", changes, before=False)
+                self.advance_to(next_at)
+                rest = REQUEST.removeprefix(HEAD)
+                self.assertEqual(await self.is_read(client, rest), is_read)
+                client.close()
+                self.clock.advance(10.0)
+                await self.wait_until(lambda: not self.callers.channels)
+
     @on_loopback
     async def test_limits_that_were_replaced_are_forgotten(self) -> None:
         for number in range(1000):
