Refuse a request whose reading fails with an unforeseen error

A caller whose whole request ran into an error that nobody had foreseen saw its connection closed without a byte: the request was known, but only two kinds of errors were caught. No request that raises another one is known.

Evidence: test_failed_requests, KeyError, RecursionError and TypeError while the request is read or passed on; no byte came in each case.

The error is logged with the request's id, and the request gets 503.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -120,8 +120,7 @@
         """Finds the id of the request that is open, or of the last one."""
         if not self.requests:
             return self._last_request_id
-        ids = self.requests[0].requestHeaders.getRawHeaders(b"Request-Id") or [b""]
-        return str(ids[0].decode("ascii", "replace"))
+        return str(self.requests[0].find_id())
 
     @property
     def has_unread(self) -> bool:
--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -67,6 +67,11 @@
         callers: Callers = channel.factory.callers
         return callers
 
+    def find_id(self) -> str:
+        """Finds the id that the caller gave the request; it may be empty."""
+        ids = self.requestHeaders.getRawHeaders(b"Request-Id") or [b""]
+        return str(ids[0].decode("ascii", "replace"))
+
     def close_connection_after(self) -> None:
         """Makes the connection close after this answer."""
         channel: Any = self.channel
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -119,9 +119,24 @@
         return self._limits.find_timeout(read_header_timeout, since)
 
     def handle_request(self, exchange: CallerExchange) -> None:
-        """Posts RequestArrived for a complete request, or rejects the request."""
+        """Posts RequestArrived for a complete request, or rejects the request.
+
+        An error must not leave it without an answer.
+        """
         exchange.handle = self._next_handle
         self._next_handle += 1
+        try:
+            self._admit(exchange)
+        except Exception:
+            if exchange.startedWriting:
+                raise
+            logger.exception(
+                "Request is refused after an error.", request=exchange.find_id()
+            )
+            self._remove(exchange.handle)
+            self._reject(exchange, UNAVAILABLE, "an error in this entry")
+
+    def _admit(self, exchange: CallerExchange) -> None:
         if self.refusing_because:
             self._reject(exchange, UNAVAILABLE, self.refusing_because)
             return
