Answer a request that fails while it is read

An unforeseen error in the code that reads headers and bodies closed the connection without a byte; no request that raises one is known.

Evidence: test_error_while_headers_are_read_has_an_answer; no byte came.

The error is logged with the request's id, and the request gets 500, which promises nothing. If an earlier request is still open, its connection is cut as before, so that no bytes come in the middle of an answer.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -147,7 +147,20 @@
             self._apply_limits()
             now = self._callers.clock.seconds()
             self._start_header_timer(self._callers.find_header_timeout(now), now)
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        try:
+            super().dataReceived(data)  # type: ignore[no-untyped-call]
+        except Exception:
+            self._end_after_error()
+
+    def _end_after_error(self) -> None:
+        """Rejects the request that is being read, or cuts the answer to one before."""
+        logger.exception("Reading a request failed.", request=self.find_request_id())
+        if self.has_read_request:
+            self.end_cause = EndCause.PROTOCOL_ERROR
+            transport: Any = self.transport
+            transport.abortConnection()
+        else:
+            self.reject(EndCause.PROTOCOL_ERROR)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Reads a header line; rejects the request when its headers are too large."""
--- a/src/magnoliahold/serving/connectionends.py
+++ b/src/magnoliahold/serving/connectionends.py
@@ -74,6 +74,7 @@
     EndCause.HEADERS_LATE: 408,
     EndCause.BODY_LATE: 408,
     EndCause.UNFINISHED_AT_STOP: 408,
+    EndCause.PROTOCOL_ERROR: 500,
 }
 
 
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
 from unittest import mock
 
 from magnoliahold.serving import callers as callers_module
 from magnoliahold.serving.connectionends import EndCause
+from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import REQUEST, CallerTestCase
+from tests.serving.test_callers import HEAD, REQUEST, UPSTREAM, CallerTestCase
 
 ERRORS = (KeyError("a fault"), RecursionError("a fault"), TypeError("a fault"))
 
@@ -39,3 +41,33 @@
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.split()[1:2], [b"503"])
         self.assertEqual(self.callers._open_requests, {})
+
+    @on_loopback
+    async def test_error_while_headers_are_read_has_an_answer(self) -> None:
+        client = await self.connect(HEAD)
+        await self.wait_until(lambda: bool(self.callers.channels))
+        (channel,) = self.callers.channels
+        transport: Any = client.transport
+        with (
+            mock.patch.object(channel, "headerReceived", side_effect=KeyError("x")),
+            self.assertLogs("magnoliahold", "ERROR"),
+        ):
+            transport.write(REQUEST.removeprefix(HEAD))
+            await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"500"])
+        self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
+
+    @on_loopback
+    async def test_error_behind_a_stream_cuts_it(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        self.callers.open_answer(handle, Exchange(1, UPSTREAM, status=200))
+        (channel,) = self.callers.channels
+        transport: Any = client.transport
+        with (
+            mock.patch.object(channel, "rawDataReceived", side_effect=KeyError("x")),
+            self.assertLogs("magnoliahold", "ERROR"),
+        ):
+            transport.write(REQUEST)
+            await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
