Refuse a request that is cut before its answer has begun

A caller saw its connection reset without a byte if its answer was cut before the headers were written. The decision to cut rests on the tables; whether headers were written is known only here, and the two differ when the upstream's answer is gone by then.

Such a request gets 502, which promises nothing, and the connection stays.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -258,10 +258,14 @@
         exchange.write_complete_answer(status, headers, f"{reason}\n".encode())
 
     def abort(self, handle: int, cause: EndCause = EndCause.ANSWER_CUT) -> None:
-        """Aborts a caller's answer."""
+        """Aborts a caller's answer, or refuses the request if none has begun."""
         exchange = self._remove(handle)
-        if exchange is not None:
+        if exchange is None:
+            return
+        if exchange.startedWriting:
             exchange.abort_answer(cause)
+        else:
+            self._write_own_answer(exchange, BAD_GATEWAY, cause.value, None)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request is open or may still come.
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -71,3 +71,10 @@
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.count(b"HTTP/1.1"), 1)
         self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
+
+    @on_loopback
+    async def test_request_that_is_cut_before_its_answer_began_is_refused(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        self.callers.abort(handle)
+        await self.wait_until(lambda: bool(client.received) or client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"502"])
