--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -18,7 +18,13 @@
     read_caller_request,
 )
 from magnoliahold.serving.callerconnections import CallerChannel
+from magnoliahold.serving.callerlimits import (
+    LimitHistory,
+    read_header_timeout,
+    read_idle_timeout,
+)
 from magnoliahold.serving.connectionends import (
+    LOST_CAUSES,
     EndCause,
     find_end_cause,
     find_ender,
@@ -81,7 +87,7 @@
 
     clock: Clock
     post: Callable[[object], None]
-    limits: CallerLimits = field(factory=CallerLimits)
+    first_limits: CallerLimits = field(factory=CallerLimits)
     channels: set[CallerChannel] = field(factory=set)
     unanswered: Counter[str] = field(factory=Counter)
     ends: Counter[EndCause] = field(factory=Counter)
@@ -90,11 +96,48 @@
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
+    _limits: LimitHistory = field(init=False)
+
+    @_limits.default
+    def _make_limits(self) -> LimitHistory:
+        return LimitHistory(self.first_limits)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits in force."""
+        return self._limits.current
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        self._limits.replace(limits, self.clock.seconds())
+
+    def find_idle_timeout(self, since: float) -> float:
+        """Finds how long a connection that is idle since then may be idle."""
+        return self._limits.find_timeout(read_idle_timeout, since)
+
+    def find_header_timeout(self, since: float) -> float:
+        """Finds how long the headers of a request that began then may take."""
+        return self._limits.find_timeout(read_header_timeout, since)
 
     def handle_request(self, exchange: CallerExchange) -> None:
-        """Posts RequestArrived for a complete request, or rejects the request."""
+        """Posts RequestArrived for a complete request, or rejects the request.
+
+        An error must not leave it without an answer.
+        """
         exchange.handle = self._next_handle
         self._next_handle += 1
+        try:
+            self._admit(exchange)
+        except Exception:
+            if exchange.startedWriting:
+                raise
+            logger.exception(
+                "Request is refused after an error.", request=exchange.find_id()
+            )
+            self._remove(exchange.handle)
+            self._reject(exchange, UNAVAILABLE, "an error in this entry")
+
+    def _admit(self, exchange: CallerExchange) -> None:
         if self.refusing_because:
             self._reject(exchange, UNAVAILABLE, self.refusing_because)
             return
@@ -139,7 +182,7 @@
         """Counts and logs the end of a connection."""
         cause = find_end_cause(channel, reason, self.is_stopping)
         self.ends[cause] += 1
-        if channel.is_unanswered or cause is EndCause.DISCARDED:
+        if channel.is_unanswered or cause in LOST_CAUSES:
             self.unanswered[find_ender(cause)] += 1
         log_end(channel, cause, reason)
 
@@ -217,10 +260,14 @@
         exchange.write_complete_answer(status, headers, f"{reason}\n".encode())
 
     def abort(self, handle: int, cause: EndCause = EndCause.ANSWER_CUT) -> None:
-        """Aborts a caller's answer."""
+        """Aborts a caller's answer, or refuses the request if none has begun."""
         exchange = self._remove(handle)
-        if exchange is not None:
+        if exchange is None:
+            return
+        if exchange.startedWriting:
             exchange.abort_answer(cause)
+        else:
+            self._write_own_answer(exchange, BAD_GATEWAY, cause.value, None)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request is open or may still come.
@@ -230,7 +277,7 @@
         for channel in list(self.channels):
             if not channel.is_idle or channel.has_unread:
                 continue
-            if channel.unwritten_bytes:
+            if channel.untaken_bytes:
                 channel.expect_request()
             elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
