Close connections that stay unused while an entry leaves

A caller's new connection whose first request may be on its way is spared when a leaving entry closes its listener and the idle connections. That was done once: one that stayed unused was kept for as long as any request ran, until the limit, and a request that its caller sent in the last moment was read and passed on. It is the one way by which a request that isn't behind another one, or half read, could come late in a planned stop.

Idle connections are closed again every 0.6 s, so that such a connection lives for 0.6 s at most after the listener was closed.

Evidence: the test of the unused connection failed before (it was open until the stop), and so did the test of decisions.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -280,15 +280,18 @@
 class LeavePolicy:
     """Graceful stops: new connections are accepted at first, and all ends by `limit_s`.
 
-    The listener and idle connections are closed after `accept_s`. The registration is
-    removed once no request is open, but not before `settle_s` later, and at the latest
-    `farewell_s` before `limit_s`. The entry stops `farewell_s` after that, once callers
-    have taken their answers, but at the latest `flush_s` after `limit_s`. What arrives
-    while the listener is open is accepted if `stream_margin` times the mean duration of
-    such requests is left, and what arrives later if that is left for the longest.
+    The listener and idle connections are closed after `accept_s`, and every `sweep_s`
+    from then on connections that were spared since a first request might be on its way.
+    The registration is removed once no request is open, but not before `settle_s`
+    later, and at the latest `farewell_s` before `limit_s`. The entry stops `farewell_s`
+    after that, once callers have taken their answers, but at the latest `flush_s` after
+    `limit_s`. What arrives while the listener is open is accepted if `stream_margin`
+    times the mean duration of such requests is left, and what arrives later if that is
+    left for the longest.
     """
 
     accept_s: float = _positive(2.3)
+    sweep_s: float = _positive(0.6)
     settle_s: float = _positive(0.3)
     limit_s: float = _positive(7.4)
     farewell_s: float = _positive(0.15)
--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -41,6 +41,8 @@
     if not world.listener_closed:
         world.listener_closed = True
         world.emit(CloseListener())
+    if now >= world.next_sweep_at:
+        world.next_sweep_at = now + policy.sweep_s
         world.emit(CloseIdleConnections())
     if now - since >= policy.limit_s:
         for request in list(world.requests.by_handle.values()):
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -53,7 +53,8 @@
     at an upstream to their end. `queues` are those of services whose routes differ in
     rank, and `pace_comparisons` the last comparison of each service. `started_at` is
     the time of the first tick. `scan_due` is set in the ticks in which systems check
-    all rows. `deregistered_at` is when the entry removed its registration to stop.
+    all rows. A leaving entry closes idle connections at `next_sweep_at`;
+    `deregistered_at` is when it removed its registration to stop.
     """
 
     boot_clock: Callable[[], float]
@@ -84,6 +85,7 @@
     next_scan_at: float = 0.0
     scan_due: bool = False
     listener_closed: bool = False
+    next_sweep_at: float = 0.0
     deregistered_at: float | None = None
 
     def find_budget(self, service: str) -> RetryBudget:
--- a/tests/core/serving/test_late_requests.py
+++ b/tests/core/serving/test_late_requests.py
@@ -4,10 +4,12 @@
 
 import unittest
 
+from magnoliahold.core.effects import StopProcess
 from magnoliahold.core.events import LeaveRequested
 from magnoliahold.core.serving.configuration import RouteKind, Service
 from magnoliahold.core.serving.effects import (
     AbortAnswer,
+    CloseIdleConnections,
     DeliverAnswer,
     RefuseCaller,
     SendAttempt,
@@ -145,6 +147,15 @@
         refused = self.harness.pop_effects(RefuseCaller)
         self.assertEqual(sum(item.not_run for item in refused), 6)
 
+    def test_idle_connections_are_closed_again_while_a_request_runs(self) -> None:
+        self.start()
+        self.harness.request(ONCE, timeout_s=TIMEOUT_S)
+        self.harness.send()
+        self.harness.post(LeaveRequested("SIGTERM"))
+        self.harness.advance(6.0)
+        self.assertGreater(len(self.harness.pop_effects(CloseIdleConnections)), 2)
+        self.assertFalse(self.harness.pop_effects(StopProcess))
+
     def test_running_request_is_not_cut_before_the_limit(self) -> None:
         self.start()
         self.harness.request(ONCE, timeout_s=TIMEOUT_S)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -4,17 +4,16 @@
 
 import socket
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from attrs import evolve
-from twisted.internet.error import ConnectionLost
-from twisted.python.failure import Failure
 
 from magnoliahold.core.serving.effects import DeliverAnswer
 from magnoliahold.node import perform_effect
 from magnoliahold.serving.callerconnections import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_callers import (
     GET,
     HEAD,
@@ -22,16 +21,10 @@
     REQUEST,
     UPSTREAM,
     CallerTestCase,
-    connect_client,
 )
-from tests.serving.test_daemon import DaemonTestCase
 from tests.serving.test_exchanges import HEAD as ANSWER_HEAD
 from tests.serving.test_exchanges import LAST_CHUNK, STREAM, WHOLE, make_chunk
 
-if TYPE_CHECKING:
-    from magnoliahold.serving.daemon import ServingDaemon
-    from tests.serving.test_callers import Client
-
 ODD_NUMBER = b"9" * 5000
 
 # Headers that no caller should send; each such request still gets an answer.
@@ -269,29 +262,7 @@
         self.assertEqual(len(self.events), 1)
 
 
-class StoppingTests(DaemonTestCase):
-    async def start_leaving(self, *scripts: list[Any]) -> ServingDaemon:
-        """Starts an entry that stops as its process does, with short times."""
-        daemon = await self.start(*scripts)
-        daemon.on_stopped = self.exit_process
-        world = daemon.node.world
-        leave = evolve(world.serving_policy.leave, accept_s=0.2, settle_s=0.1)
-        world.serving_policy = evolve(world.serving_policy, leave=leave)
-        self.channels = daemon.node.ports.callers.channels
-        return daemon
-
-    def exit_process(self, reason: str) -> None:
-        """Does to the connections of callers what the reactor does when it stops."""
-        self.stopped.append(reason)
-        for channel in list(self.channels):
-            transport: Any = channel.transport
-            transport.connectionLost(Failure(ConnectionLost()))
-
-    async def connect(self, content: bytes) -> Client:
-        """Connects as a caller and sends bytes."""
-        _, _, port = self.settings["callers"].partition(":")
-        return await connect_client(self.reactor, int(port), content)
-
+class StoppingTests(StoppingTestCase):
     @on_loopback
     async def test_answer_on_a_slow_link_outlives_the_stop(self) -> None:
         answer = (
