Let a second SIGTERM change nothing

Callers of an entry that was being stopped saw their connections closed with no answer, requests that may not be repeated among them, when its process got SIGTERM once more: a second order to stop ended the process at once. Orders may well come twice, from an operator and from what replaces the instance, or when stops come in series; whoever wants no drain has SIGKILL. An entry or sidecar that was told to drain from afar was ended by its first SIGTERM, too.

A SIGTERM behind another signal is ignored.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -163,10 +163,13 @@
 
 
 def run_until_stopped(reactor: Any, start: Callable[[], Sequence[Drainable]]) -> None:
-    """Runs daemons until SIGTERM or SIGINT; a second signal stops without draining.
+    """Runs daemons until SIGTERM or SIGINT; a later SIGINT stops without draining.
 
-    The first signal drains the daemons. Raises any exception that `start` raised, and
-    ProcessBrokenError when a daemon stopped because its tables were inconsistent.
+    The first signal drains the daemons. A later SIGTERM changes nothing: orders to stop
+    may come from several sides, and whoever wants no drain sends SIGKILL.
+
+    Raises any exception that `start` raised, and ProcessBrokenError when a daemon
+    stopped because its tables were inconsistent.
     """
     daemons: list[Drainable] = []
     failures: list[Exception] = []
@@ -178,7 +181,8 @@
             early_signals.append(name)
             return
         if any(item.node.world.leaving_since is not None for item in daemons):
-            reactor.callFromThread(reactor.stop)
+            if number == signal.SIGINT:
+                reactor.callFromThread(reactor.stop)
             return
         for item in daemons:
             reactor.callFromThread(item.leave, name)
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
-from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 from magnoliahold.core.serving.events import RequestArrived
 from magnoliahold.serving.callerconnections import FRESH_S
@@ -14,6 +12,7 @@
 from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_exchanges import HEAD as ANSWER_HEAD
 from tests.serving.test_lost_requests import CALL
+from tests.serving.working import WorkingUpstream
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
@@ -28,37 +27,6 @@
 STATES = (KEPT, UNUSED, IN_HEAD, IN_BODY)
 
 
-class WorkingUpstream(Resource):
-    """Answers each request after the seconds that its path names."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, reactor: Any) -> None:
-        super().__init__()
-        self.reactor = reactor
-        self.begun: set[bytes] = set()
-
-    def render(self, request: Any) -> Any:
-        """Begins to work on a request."""
-        if request.path.startswith(b"/-/"):
-            return b""
-        self.begun.add(request.getHeader(b"Request-Id"))
-        request.notifyFinish().addErrback(lambda _: None)
-        duration_s = float(request.path.rpartition(b"/")[2])
-        self.reactor.callLater(duration_s, self.answer, request)
-        return NOT_DONE_YET
-
-    def answer(self, request: Any) -> None:
-        """Answers a request whose connection is still open."""
-        if request._disconnected:
-            return
-        request.setHeader(b"Request-Id", request.getHeader(b"Request-Id"))
-        request.setHeader(b"Response-Signature", b"s")
-        request.setHeader(b"Content-Length", b"2")
-        request.write(b"ok")
-        request.finish()
-
-
 @define(eq=False)
 class LateCaller:
     """A caller that sends the end of its request some time after the order to stop."""
