Report a tick that fails at the end of a stop

An entry whose tick failed while it only waited for its callers to take their answers went on with two looks at whether it may stop. The first one that found no connection open ended the process as in a regular stop, so that it exited with code 0 and without the error. Callers were answered all the same: open requests with 502, later ones with 503.

A failed tick now takes the place of the pending look.

Evidence: the test failed before, with "nothing is in flight" in place of "tables are inconsistent".

--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -119,8 +119,10 @@
     def finish(self, reason: str) -> None:
         """Stops once callers have taken their answers, or when the time is up.
 
-        Ticks go on meanwhile: a request that was being read is still served.
+        Ticks go on meanwhile: a request that was being read is still served. When one
+        fails, that becomes the reason.
         """
+        self._cancel_finishing()
         self.close_listener()
         callers = self.node.ports.callers
         if reason == BROKEN_TABLES:
@@ -152,8 +154,7 @@
     def stop(self, reason: str) -> None:
         """Stops ticks, listeners and metrics, and calls `on_stopped`."""
         logger.info("Process is stopping.", reason=reason)
-        if self.finishing is not None and self.finishing.active():
-            self.finishing.cancel()
+        self._cancel_finishing()
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         self.close_listener()
@@ -163,6 +164,10 @@
         self.metrics.shut_down()
         self.on_stopped(reason)
 
+    def _cancel_finishing(self) -> None:
+        if self.finishing is not None and self.finishing.active():
+            self.finishing.cancel()
+
     def _read_readiness(self) -> tuple[int, bytes]:
         reason = find_unready_reason(self.node.world)
         return (503, f"{reason}\n".encode()) if reason else (200, b"ready\n")
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from magnoliahold.core.serving.events import RequestArrived
+from magnoliahold.node import BROKEN_TABLES
 from magnoliahold.serving.callerconnections import FRESH_S
 from tests.loopback import on_loopback
 from tests.serving.stopping import StoppingTestCase
@@ -133,3 +134,25 @@
         await self.sleep(FRESH_S + 0.5)
         self.assertTrue(unused.closed)
         self.assertFalse(running.closed)
+
+    @on_loopback
+    async def test_failed_tick_at_the_end_of_a_stop_is_reported_once(self) -> None:
+        daemon = await self.start_leaving([ANSWER_HEAD])
+        client = await self.connect(CALL[:-1])
+        await self.wait_until(lambda: len(self.channels) == 1)
+        daemon.leave("SIGTERM")
+        await self.wait_until(lambda: daemon.finishing is not None)
+
+        def fail(world: Any, now: float) -> None:
+            raise KeyError("a fault")
+
+        with self.assertLogs("magnoliahold", "ERROR"):
+            daemon.node.systems = (*daemon.node.systems, fail)
+            await self.wait_until(lambda: not daemon.node.running)
+        transport: Any = client.transport
+        transport.write(CALL[-1:])
+        await self.wait_until(lambda: bool(self.stopped))
+        await self.sleep(0.1)
+        self.assertEqual(client.received.split()[1:2], [b"503"])
+        self.assertEqual(self.stopped, [BROKEN_TABLES])
+        self.assertTrue(daemon.broken)
