--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -13,6 +13,7 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_callers import (
     LIMITS,
     REQUEST,
@@ -21,7 +22,7 @@
     set_limits,
 )
 from tests.serving.test_exchanges import LAST_CHUNK, STREAM, WHOLE, make_chunk
-from tests.serving.test_lost_requests import CALL, LARGE_BODY, StoppingTestCase
+from tests.serving.test_lost_requests import CALL, LARGE_BODY
 
 if TYPE_CHECKING:
     from magnoliahold.serving.daemon import ServingDaemon
