Report an attempt and a probe whose connection can't even be tried

What was seen: an address with a scope raised an error where the connection is opened, in place of reporting it later. The effect failed with a line under `node:`, and the attempt had no result until its time limit.

--- a/src/magnoliahold/serving/connections.py
+++ b/src/magnoliahold/serving/connections.py
@@ -7,14 +7,14 @@
 from attrs import define, field
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
 
 from magnoliahold.httpbounds import BoundedClientProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.python.failure import Failure
-
+    from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.runtime import Reactor
 
 MAX_IDLE_S = 8.0
@@ -148,3 +148,15 @@
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
         """Reports that the connection could not be opened."""
         self._on_failed(reason)
+
+    def connect(
+        self, reactor: Reactor, record: UpstreamRecord, timeout_s: float
+    ) -> Any:
+        """Opens the connection; reports also that it can't even be tried."""
+        try:
+            return reactor.connectTCP(
+                record.address, record.port, self, timeout=timeout_s
+            )
+        except Exception:
+            self._on_failed(Failure())
+            return None
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -182,8 +182,8 @@
             lambda reason: self._report_not_sent(exchange, reason),
             lambda opened: self._send_on(exchange, opened, effect, content),
         )
-        exchange.connector = self.reactor.connectTCP(
-            record.address, record.port, factory, timeout=effect.connect_timeout_s
+        exchange.connector = factory.connect(
+            self.reactor, record, effect.connect_timeout_s
         )
 
     def _acquire(
--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -54,9 +54,7 @@
             lambda reason: self._fail(describe_failure(reason), is_timeout(reason)),
             self._send_request,
         )
-        self.connector = reactor.connectTCP(
-            self.record.address, self.record.port, factory, timeout=self.timeout_s
-        )
+        self.connector = factory.connect(reactor, self.record, self.timeout_s)
         reactor.callLater(self.timeout_s, self._time_out)
 
     def _send_request(self, connection: UpstreamConnection) -> None:
@@ -107,7 +105,8 @@
         if self.done:
             return
         self.done = True
-        self.connector.disconnect()
+        if self.connector is not None:
+            self.connector.disconnect()
         record = self.record
         failed = UpstreamFailedProbe(record.id, record.born_ms, reason, silent)
         self.exchanges.post(failed)
--- a/tests/serving/test_odd_answers.py
+++ b/tests/serving/test_odd_answers.py
@@ -9,12 +9,14 @@
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
+    AttemptNotSent,
     AttemptSent,
     CopyFailed,
     PiecesReceived,
     PromptListFailed,
     StreamOpened,
     UpstreamAnsweredProbe,
+    UpstreamFailedProbe,
 )
 from magnoliahold.core.serving.requests import CopyReference
 from magnoliahold.core.serving.upstreams import UpstreamRecord
@@ -112,6 +114,24 @@
                 if name == "read_answer_head":
                     self.assertIsInstance(self.events[0], UpstreamAnsweredProbe)
 
+    # Failure: an attempt to an address with a scope had no result.
+    @on_loopback
+    async def test_attempt_and_probe_end_whatever_error_connecting_raises(self) -> None:
+        for error in ERRORS:
+            self.events.clear()
+            with (
+                self.subTest(error=error.__name__),
+                patch.object(self.reactor, "connectTCP", side_effect=error("odd")),
+            ):
+                self.send(1)
+                self.exchanges.probe(self.make_record(1), 0.1)
+                unsent, failed = self.events
+                self.assertIsInstance(unsent, AttemptNotSent)
+                self.assertIsInstance(failed, UpstreamFailedProbe)
+                self.assertIn("odd", unsent.reason)
+                self.exchanges.abort(self.attempt)
+        await self.sleep(0.2)
+
     @on_loopback
     async def test_stream_with_an_odd_number_is_interrupted(self) -> None:
         odd = make_chunk(b"id: %s\ndata: x\n\n" % DIGITS)
