Leave a silent upstream only for one that can take its request

What callers saw: while the upstreams of a service were silent for a second, their streams and calls were closed at one silent upstream and sent to the next one, or to the same one again, in each tick. That used up the attempts and the retry budget; the last attempt was then often rejected by an upstream still busy with the earlier ones, and the stream was cut or the call got 502.

Cause: an attempt at a silent or down upstream was given up whenever a retry was left, without a look at who would get it. With no healthy one left the request went to another down upstream, from which it was taken away in the next tick; where all others leave, back off or are gone, a stream waited 1.5 s for nobody and was cut.

The attempt now goes on until a healthy upstream may get its request; one that only seemed to have failed then goes on itself. An upstream that really broke off ends its attempt as before.

--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -83,18 +83,18 @@
 
     One whose registration is missing may be gone, and counts as suspected.
     """
-    healthy = [
-        item
-        for item in upstreams
-        if item.health is UpstreamHealth.HEALTHY and item.missing_since is None
-    ]
     return (
-        healthy
+        [item for item in upstreams if is_healthy(item)]
         or [i for i in upstreams if i.health is not UpstreamHealth.DOWN]
         or upstreams
     )
 
 
+def is_healthy(upstream: Upstream) -> bool:
+    """Tells whether nothing speaks against an upstream's health and registration."""
+    return upstream.health is UpstreamHealth.HEALTHY and upstream.missing_since is None
+
+
 def _exclude_avoided(
     candidates: list[Upstream], avoided: set[str], world: ServingWorld
 ) -> list[Upstream]:
@@ -206,6 +206,15 @@
     return lowest <= share * measure_load(world, attempt.upstream)
 
 
+def has_healthy_alternative(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Checks whether a healthy upstream other than the attempt's would be chosen."""
+    request = attempt.request
+    available = list_available(world, request.service, now)
+    others = [item for item in available if item is not attempt.upstream]
+    chosen = filter_by_health(filter_by_version(world, request, others, now))
+    return any(is_healthy(item) for item in chosen)
+
+
 def _choose_by_prefix_cache(
     world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
 ) -> Upstream | None:
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -8,7 +8,10 @@
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
 from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
-from magnoliahold.core.serving.systems.selection import has_less_loaded_alternative
+from magnoliahold.core.serving.systems.selection import (
+    has_healthy_alternative,
+    has_less_loaded_alternative,
+)
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected, probe
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
@@ -41,13 +44,14 @@
 ) -> bool:
     """Retries an attempt elsewhere if a retry is left that no waiting request takes.
 
-    Otherwise it goes on: its upstream may only be silent, and still at work on it.
+    Without one, or without a healthy upstream to take it, it goes on: its own upstream
+    may only be silent, and still at work on it.
     """
     service = attempt.request.service
     waiting = world.requests.waiting.values()
     promised = sum(item.service == service and item.send_count > 0 for item in waiting)
     left = world.find_budget(service).count_remaining(now, world.count_entries())
-    if left < promised + 1:
+    if left < promised + 1 or not has_healthy_alternative(world, attempt, now):
         return False
     retry_elsewhere(world, attempt, reason, now)
     return True
