Let a rejected request return to upstreams that have had it

What callers saw: a stream left an upstream that had fallen silent, was rejected by the next one, which had no room, and was cut although its upstream went on a moment later; a call got 502 seconds before its deadline.

Cause: rejections count as attempts. With max_attempts 2, one silence and one rejection end a request that may have run, for which there is no truthful refusal.

Evidence: the test failed before in both kinds (AbortAnswer, and RefuseCaller with 502).

Such a request may now be sent again to upstreams that have had it already, not at once where it was rejected, and at most 10 rejections long. So it reaches no more upstreams than max_attempts, and runs at no more than that; each send takes a retry from the budget.

--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -136,12 +136,13 @@
 
     `may_have_run` is set once an attempt has ended that may have run. `send_count` is
     the number of attempts that were sent to upstreams, of which `misdirected`
-    reached another one with its address. `answer_started` is set once the
-    head of the answer was sent to the caller, and `last_piece` is the number of the
-    last piece sent. `first_piece_late` is set once the request left an upstream because
-    its first piece took too long. `last_failure_at` is when the last attempt failed, 0
-    if none has. `prefers_new_version` tells whether the request goes to the version
-    that its service moves to; it is None until a version is chosen. While
+    reached another one with its address, and `rejected` were not run by the chosen one.
+    `answer_started` is set once the head of the answer was sent to the caller, and
+    `last_piece` is the number of the last piece sent. `first_piece_late` is set once
+    the request left an upstream because its first piece took too long.
+    `last_failure_at` is when the last attempt failed, 0 if none has.
+    `prefers_new_version` tells whether the request goes to the version that its
+    service moves to; it is None until a version is chosen. While
     `awaiting_lookup` is set, the request waits to learn which upstream has its prompt
     in its prefix cache. `held_at` is when it last waited for room, 0 if it never did.
     `prompt_tokens` is the number of tokens of the prompt, and
@@ -159,6 +160,7 @@
     attempt: Attempt | None = None
     send_count: int = 0
     misdirected: int = 0
+    rejected: int = 0
     tried_upstreams: set[str] = field(factory=set)
     may_have_run: bool = False
     answer_started: bool = False
@@ -191,6 +193,10 @@
         """The id of the request."""
         return self.caller.request_id
 
+    def has_used_attempts(self) -> bool:
+        """Tells whether it was sent to as many upstreams as its route allows."""
+        return self.send_count - self.misdirected >= self.route.max_attempts
+
 
 @define
 class RequestTable:
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -151,6 +151,8 @@
     if head.misdirected:
         mark_down(world, upstream, "another upstream has its address", now)
         attempt.request.misdirected += 1
+    else:
+        attempt.request.rejected += 1
     attempt.state = AttemptState.CONNECTING
     retry_or_refuse(world, attempt, f"rejected, status {head.status}", now)
 
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -17,6 +17,8 @@
 
 # Misdirected attempts after which a request isn't sent again.
 MAX_MISDIRECTED = 10
+# Rejected attempts after which it isn't sent to the same upstreams again.
+MAX_REJECTED = 10
 
 
 def retry_elsewhere(
@@ -93,14 +95,20 @@
 
 
 def _has_attempts_left(request: ServedRequest) -> bool:
-    """Tells whether a request may be sent to one more upstream.
+    """Tells whether a request may be sent once more.
 
     Attempts that reached another upstream than the chosen one don't count, but many in
-    a row end it all the same.
+    a row end it all the same. A request that may have run can't be refused truthfully:
+    where some of its upstreams rejected it, one that had it before may get it again.
     """
     if request.misdirected >= MAX_MISDIRECTED:
         return False
-    return request.send_count - request.misdirected < request.route.max_attempts
+    if not request.has_used_attempts():
+        return True
+    if not request.may_have_run or request.rejected >= MAX_REJECTED:
+        return False
+    run_count = request.send_count - request.misdirected - request.rejected
+    return run_count < request.route.max_attempts
 
 
 def _may_have_run(request: ServedRequest) -> bool:
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -26,12 +26,27 @@
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
     """Finds the preferred upstreams for a request."""
-    available = list_available(world, request.service, now)
+    available = _list_allowed(world, request, now)
     return filter_preferred(
         world, request, filter_by_version(world, request, available, now), now
     )
 
 
+def _list_allowed(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Lists the upstreams that may get a request now.
+
+    One that has used its attempts only returns to upstreams that have had it, and not
+    at once where it was rejected.
+    """
+    available = list_available(world, request.service, now)
+    if not request.has_used_attempts():
+        return available
+    tried = request.tried_upstreams
+    return [i for i in available if i.id in tried and i.full_until <= now]
+
+
 def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
     """Lists the upstreams of a service that may get requests now."""
     return [
@@ -209,8 +224,8 @@
 def has_healthy_alternative(world: ServingWorld, attempt: Attempt, now: float) -> bool:
     """Checks whether a healthy upstream other than the attempt's would be chosen."""
     request = attempt.request
-    available = list_available(world, request.service, now)
-    others = [item for item in available if item is not attempt.upstream]
+    allowed = _list_allowed(world, request, now)
+    others = [item for item in allowed if item is not attempt.upstream]
     chosen = filter_by_health(filter_by_version(world, request, others, now))
     return any(is_healthy(item) for item in chosen)
 
--- /dev/null
+++ b/tests/core/serving/test_rejected_retries.py
@@ -0,0 +1,84 @@
+"""Tests of requests that left a silent upstream and are rejected by the next."""
+
+from __future__ import annotations
+
+import unittest
+
+from attrs import evolve
+
+from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.effects import AbortAnswer, RefuseCaller, SendAttempt
+from magnoliahold.core.serving.events import AttemptSent
+from tests.core.serving.harness import (
+    CALLS,
+    ENGINES,
+    ServingHarness,
+    make_configuration,
+    make_upstream,
+)
+
+MAX_ATTEMPTS = 2
+KINDS = (
+    (RouteKind.STREAM, ENGINES),
+    (RouteKind.IDEMPOTENT, CALLS),
+)
+
+
+class RejectedRetryTests(unittest.TestCase):
+    def start(self, kind: RouteKind, service: str) -> ServingHarness:
+        """Starts a request, whose upstream then is silent until it is given up."""
+        whole = make_configuration()
+        routes = tuple(
+            evolve(item, max_attempts=MAX_ATTEMPTS, timeout_s=25.0)
+            for item in whole.routes
+        )
+        harness = ServingHarness()
+        harness.start(
+            evolve(whole, routes=routes),
+            tuple(make_upstream(number, service) for number in range(1, 5)),
+        )
+        caller = harness.request(kind, timeout_s=25.0)
+        harness.report_no_prompts()
+        first = harness.send()
+        if kind is RouteKind.STREAM:
+            harness.open(first, caller)
+            harness.produce(first, 1)
+        return harness
+
+    def play(self, harness: ServingHarness, rejections: int) -> list[str]:
+        """Rejects the next attempts; returns where they were sent."""
+        caller = next(iter(harness.world.requests.by_handle.values())).caller
+        sent = []
+        for _ in range(150):
+            harness.advance(0.02)
+            for send in harness.pop_effects(SendAttempt):
+                sent.append(send.upstream.id)
+                harness.post(AttemptSent(send.attempt))
+                if len(sent) <= rejections:
+                    harness.answer(send, caller, 503, not_run=True)
+        return sent
+
+    def test_rejection_after_silence_ends_no_answer(self) -> None:
+        for kind, service in KINDS:
+            with self.subTest(kind=kind):
+                harness = self.start(kind, service)
+                (first,) = harness.world.requests.attempts.values()
+                second, *later = self.play(harness, 1)
+                self.assertEqual(harness.pop_effects(AbortAnswer), [])
+                self.assertEqual(harness.pop_effects(RefuseCaller), [])
+                self.assertLessEqual(set(later), {first.upstream.id, second})
+                self.assertEqual(len(later), 1)
+
+    def test_rejections_without_end_end_an_answer(self) -> None:
+        for kind, service in KINDS:
+            with self.subTest(kind=kind):
+                harness = self.start(kind, service)
+                (first,) = harness.world.requests.attempts.values()
+                sent = self.play(harness, 1000)
+                self.assertLessEqual(len(set(sent) | {first.upstream.id}), MAX_ATTEMPTS)
+                self.assertLessEqual(len(sent), 10)
+                self.assertEqual(harness.world.requests.by_handle, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
