--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -26,12 +26,27 @@
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
     """Finds the preferred upstreams for a request."""
-    available = list_available(world, request.service, now)
+    available = _list_allowed(world, request, now)
     return filter_preferred(
         world, request, filter_by_version(world, request, available, now), now
     )
 
 
+def _list_allowed(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Lists the upstreams that may get a request now.
+
+    One that has used its attempts only returns to upstreams that have had it, and not
+    at once where it was rejected.
+    """
+    available = list_available(world, request.service, now)
+    if not request.has_used_attempts():
+        return available
+    tried = request.tried_upstreams
+    return [i for i in available if i.id in tried and i.full_until <= now]
+
+
 def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
     """Lists the upstreams of a service that may get requests now."""
     return [
@@ -83,18 +98,18 @@
 
     One whose registration is missing may be gone, and counts as suspected.
     """
-    healthy = [
-        item
-        for item in upstreams
-        if item.health is UpstreamHealth.HEALTHY and item.missing_since is None
-    ]
     return (
-        healthy
+        [item for item in upstreams if is_healthy(item)]
         or [i for i in upstreams if i.health is not UpstreamHealth.DOWN]
         or upstreams
     )
 
 
+def is_healthy(upstream: Upstream) -> bool:
+    """Tells whether nothing speaks against an upstream's health and registration."""
+    return upstream.health is UpstreamHealth.HEALTHY and upstream.missing_since is None
+
+
 def _exclude_avoided(
     candidates: list[Upstream], avoided: set[str], world: ServingWorld
 ) -> list[Upstream]:
@@ -206,6 +221,15 @@
     return lowest <= share * measure_load(world, attempt.upstream)
 
 
+def has_healthy_alternative(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Checks whether a healthy upstream other than the attempt's would be chosen."""
+    request = attempt.request
+    allowed = _list_allowed(world, request, now)
+    others = [item for item in allowed if item is not attempt.upstream]
+    chosen = filter_by_health(filter_by_version(world, request, others, now))
+    return any(is_healthy(item) for item in chosen)
+
+
 def _choose_by_prefix_cache(
     world: ServingWorld, request: ServedRequest, candidates: list[Upstream]
 ) -> Upstream | None:
