Answer 503 where reading a request fails by a fault of this entry

What callers would see: 400 for a proper request in which the entry itself fails, which no caller sends again.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -158,7 +158,7 @@
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
             return
-        except Exception as error:
+        except (ValueError, ArithmeticError) as error:
             reason = describe_error(error)
             logger.warning("Request can't be read and is refused.", reason=reason)
             self._reject(exchange, BAD_REQUEST, "send headers that can be read")
