--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -266,7 +266,8 @@
         path = _make_path("rows-get", table_read.feed, query)
 
         def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
-            table_read.add_page(page := _read_page(answer), epoch)
+            page = _read_page(answer)
+            table_read.add_page(page, epoch)
             if page.has_more and page.rows:
                 # The smallest key above the last one read.
                 self._read_page(table_read, f"{table_read.last_key}\0")
