Keep an order and an entry whose row can't be read in a full read

What was seen in tests: an order of a move, or the registration of another entry, that became invalid kept its earlier value if the row came among changes, as the reader of rows says, but counted as gone if the whole table was read, such as after an outage: the move ended, and the other entry got no notices.

A full read now names the keys of rows that it lists and can't read. They are kept as they were; only this entry's own registration is written again, as before, and so are quarantines.

--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -195,7 +195,8 @@
     `epoch` is the store's epoch that the answer named, here and in the other results of
     calls to the store; None if it named none, or if there was no answer. `sent_at` is
     when the read was sent, on the boot clock, and `store_time` the time of the store's
-    clock when it answered, in seconds.
+    clock when it answered, in seconds. `left_out` holds the keys of rows that are
+    listed but can't be read.
     """
 
     feed: Feed
@@ -205,6 +206,7 @@
     sent_at: float
     store_time: float | None = None
     epoch: int | None = None
+    left_out: frozenset[str] = frozenset()
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -149,15 +149,20 @@
 def _apply_missing_rows(
     world: ServingWorld, read: FeedRead, context: _ReadContext
 ) -> None:
-    """Removes what a full read doesn't list, or has it written again."""
+    """Removes what a full read doesn't list, or has it written again.
+
+    What it lists but can't be read is kept as it was; only what this entry writes is
+    written again.
+    """
     listed = {row.key for row in read.rows}
+    kept = listed | (read.left_out - {world.identity.name})
     if read.feed is Feed.UPSTREAMS:
         world.upstreams.loaded = True
         remove_unlisted_upstreams(world, listed, context.may_have_lapsed, context.now)
     elif read.feed is Feed.PEERS:
-        remove_unlisted_peers(world, listed, context.from_copy, context.now)
+        remove_unlisted_peers(world, kept, context.from_copy, context.now)
     elif read.feed is Feed.CONFIGURATION:
-        remove_unlisted_orders(world, listed)
+        remove_unlisted_orders(world, kept)
     elif read.feed is Feed.MOVES:
         submit_unlisted_records(world)
     elif read.feed is Feed.QUARANTINE and context.from_copy:
--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.feeds import Feed, FeedRow
-from magnoliahold.decoding import describe_error, translate_errors
+from magnoliahold.decoding import decode_or_none, describe_error, translate_errors
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
     read_configuration,
@@ -86,11 +86,8 @@
 
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Returns the key of a row; None if not even that can be read."""
-    try:
-        return _key_decoder.decode(raw).key
-    except Exception:
-        # The row is logged when it is read.
-        return None
+    found = decode_or_none(_key_decoder.decode, raw)
+    return found.key if found is not None else None
 
 
 @define(eq=False)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -270,7 +270,7 @@
             table_read.add_page(page, epoch)
             if page.has_more and page.rows:
                 # The smallest key above the last one read.
-                self._read_page(table_read, f"{table_read.last_key}\0")
+                self._read_page(table_read, table_read.keys[-1] + "\0")
                 return
             rows = self._reader.read_rows(table_read.feed, table_read.rows)
             version = table_read.version or 0
@@ -283,6 +283,7 @@
                 sent_at,
                 page.time_s,
                 epoch,
+                frozenset(table_read.keys) - {row.key for row in rows},
             )
             self.post(event)
 
@@ -333,7 +334,7 @@
     timeout_s: float
     sent_at: float
     rows: list[msgspec.Raw] = field(factory=list)
-    last_key: str | None = None
+    keys: list[str] = field(factory=list)
     version: int | None = None
     epoch: int | None = None
 
@@ -344,11 +345,11 @@
         keys = page.list_keys()
         if page.has_more and page.rows and not keys:
             raise StoreAnswerError("no row of a page names its key")
-        if keys and self.last_key is not None and keys[0] <= self.last_key:
+        if self.keys and keys and keys[0] <= self.keys[-1]:
             raise StoreAnswerError("a page doesn't begin behind the one before")
-        self.last_key = keys[-1] if keys else self.last_key
         self.epoch = epoch
         self.rows.extend(page.rows)
+        self.keys.extend(keys)
         if self.version is None or page.ver < self.version:
             self.version = page.ver
 
--- a/tests/core/serving/harness.py
+++ b/tests/core/serving/harness.py
@@ -175,11 +175,19 @@
         self.read(Feed.CONFIGURATION, {"config": configuration or make_configuration()})
         self.read(Feed.UPSTREAMS, {record.id: record for record in upstreams})
 
-    def read(self, feed: Feed, values: dict[str, Any], version: int = 10) -> None:
+    def read(
+        self,
+        feed: Feed,
+        values: dict[str, Any],
+        version: int = 10,
+        left_out: frozenset[str] = frozenset(),
+    ) -> None:
         """Answers a full read of a feed."""
         rows = tuple(FeedRow(key, version, value) for key, value in values.items())
         call = self.find_call(feed)
-        self.post(FeedRead(feed, call, rows, version, self.now + self.suspended_s))
+        sent_at = self.now + self.suspended_s
+        read = FeedRead(feed, call, rows, version, sent_at, left_out=left_out)
+        self.post(read)
         self.pop_effects(ReadFeed)
 
     def change(self, feed: Feed, values: dict[str, Any], version: int = 11) -> None:
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -95,6 +95,8 @@
             for key in good:
                 self.assertIsNotNone(values[key])
             self.assertIsNone(values.get(odd))
+            if expected is FeedRead:
+                self.assertEqual(event.left_out, {odd} - set(values))
             # An upstream whose registration is invalid is used no more.
             self.assertEqual(odd in values, feed is Feed.UPSTREAMS)
 
