Take no version of the store that can't be sent back to it

A version of more than 53 bits, of a row or of a whole answer, was taken as it came. It would fail each write that expects it, whose result is then never known, and each later answer as an older one. It makes its row invalid, or its answer unreadable, which is tried again. The store isn't known to give such versions.

--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -12,6 +12,7 @@
 from magnoliahold.decoding import decode_or_none, describe_error, translate_errors
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
+    BoundedInteger,  # noqa: TC001
     read_configuration,
     read_move_order,
     read_move_record,
@@ -40,7 +41,7 @@
 
 class _Row(msgspec.Struct):
     key: str
-    ver: int
+    ver: BoundedInteger
     value: str | None = None
     removed: bool = False
 
@@ -53,7 +54,7 @@
     """The body of an answer that holds rows, each of them not decoded yet."""
 
     rows: list[msgspec.Raw]
-    ver: int
+    ver: BoundedInteger
     # The store's monotonic clock.
     now_ms: float | None = None
     has_more: bool = False
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -22,6 +22,7 @@
 from magnoliahold.httpclient import HttpClient, HttpExchangeError
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
+    BoundedInteger,  # noqa: TC001
     write_move_record,
     write_move_status,
     write_peer,
@@ -64,7 +65,7 @@
 
 
 class _Written(msgspec.Struct):
-    ver: int
+    ver: BoundedInteger
 
 
 _written_decoder = msgspec.json.Decoder(_Written)
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -44,6 +44,7 @@
     ("version is a text", {"ver": "x"}),
     ("version is a fraction", {"ver": 0.5}),
     ("version is missing", {"ver": None}),
+    ("version is too large", {"ver": 2**70}),
     ("removed is a text", {"removed": "x"}),
 )
 ERRORS = (
@@ -231,6 +232,7 @@
             ("nested field", b'{"ver": 9, "rows": [], "x": %s}' % NESTED_OBJECT),
             ("nested answer", NESTED_OBJECT),
             ("version too large", b'{"ver": 1e400, "rows": []}'),
+            ("version of 71 bits", b'{"ver": %d, "rows": []}' % (2**70)),
             ("clock too large", b'{"ver": 9, "rows": [], "now_ms": 1e400}'),
             ("no text", b'{"ver": 9, "rows": ["\xff]}'),
         ):
