--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -9,9 +9,10 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.feeds import Feed, FeedRow
-from magnoliahold.decoding import describe_error, translate_errors
+from magnoliahold.decoding import decode_or_none, describe_error, translate_errors
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
+    BoundedInteger,  # noqa: TC001
     read_configuration,
     read_move_order,
     read_move_record,
@@ -40,7 +41,7 @@
 
 class _Row(msgspec.Struct):
     key: str
-    ver: int
+    ver: BoundedInteger
     value: str | None = None
     removed: bool = False
 
@@ -53,7 +54,7 @@
     """The body of an answer that holds rows, each of them not decoded yet."""
 
     rows: list[msgspec.Raw]
-    ver: int
+    ver: BoundedInteger
     # The store's monotonic clock.
     now_ms: float | None = None
     has_more: bool = False
@@ -86,11 +87,8 @@
 
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Returns the key of a row; None if not even that can be read."""
-    try:
-        return _key_decoder.decode(raw).key
-    except Exception:
-        # The row is logged when it is read.
-        return None
+    found = decode_or_none(_key_decoder.decode, raw)
+    return found.key if found is not None else None
 
 
 @define(eq=False)
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -22,6 +22,7 @@
 from magnoliahold.httpclient import HttpClient, HttpExchangeError
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
+    BoundedInteger,  # noqa: TC001
     write_move_record,
     write_move_status,
     write_peer,
@@ -64,7 +65,7 @@
 
 
 class _Written(msgspec.Struct):
-    ver: int
+    ver: BoundedInteger
 
 
 _written_decoder = msgspec.json.Decoder(_Written)
@@ -266,10 +267,11 @@
         path = _make_path("rows-get", table_read.feed, query)
 
         def handle_answer(answer: HttpAnswer, epoch: int | None) -> None:
-            table_read.add_page(page := _read_page(answer), epoch)
+            page = _read_page(answer)
+            table_read.add_page(page, epoch)
             if page.has_more and page.rows:
                 # The smallest key above the last one read.
-                self._read_page(table_read, f"{table_read.last_key}\0")
+                self._read_page(table_read, table_read.keys[-1] + "\0")
                 return
             rows = self._reader.read_rows(table_read.feed, table_read.rows)
             version = table_read.version or 0
@@ -282,6 +284,7 @@
                 sent_at,
                 page.time_s,
                 epoch,
+                frozenset(table_read.keys) - {row.key for row in rows},
             )
             self.post(event)
 
@@ -332,7 +335,7 @@
     timeout_s: float
     sent_at: float
     rows: list[msgspec.Raw] = field(factory=list)
-    last_key: str | None = None
+    keys: list[str] = field(factory=list)
     version: int | None = None
     epoch: int | None = None
 
@@ -343,11 +346,11 @@
         keys = page.list_keys()
         if page.has_more and page.rows and not keys:
             raise StoreAnswerError("no row of a page names its key")
-        if keys and self.last_key is not None and keys[0] <= self.last_key:
+        if self.keys and keys and keys[0] <= self.keys[-1]:
             raise StoreAnswerError("a page doesn't begin behind the one before")
-        self.last_key = keys[-1] if keys else self.last_key
         self.epoch = epoch
         self.rows.extend(page.rows)
+        self.keys.extend(keys)
         if self.version is None or page.ver < self.version:
             self.version = page.ver
 
