Take no stream for a success that was never opened

Had the upstream's answer gone before its headers were passed on, the caller would have got an empty or unsigned 200: pieces and the end of a stream were written all the same, with headers of the HTTP library.

Evidence: test_stream_that_was_never_opened_is_no_success; the status was 200 in both rows.

Pieces are written only behind headers, and a stream without any gets 502 and a line.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -200,19 +200,23 @@
             exchange.write(b"")  # type: ignore[no-untyped-call]
 
     def write_pieces(self, handle: int, content: bytes) -> None:
-        """Writes pieces of a stream."""
+        """Writes pieces of a stream; none if its headers weren't written."""
         exchange = self._open_requests.get(handle)
-        if exchange is not None and content:
+        if exchange is not None and exchange.startedWriting and content:
             exchange.write(content)  # type: ignore[no-untyped-call]
 
     def finish_stream(self, handle: int, closing: bool) -> None:
-        """Ends a stream as complete."""
+        """Ends a stream as complete; without headers it can't be."""
         exchange = self._remove(handle)
         if exchange is None:
             return
         if closing:
             exchange.close_connection_unless_used()
-        exchange.finish_answer()
+        if exchange.startedWriting:
+            exchange.finish_answer()
+        else:
+            logger.error("Stream was never opened.", request=exchange.find_id())
+            self._write_own_answer(exchange, BAD_GATEWAY, "the answer is gone", None)
 
     def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
         """Answers a caller with an upstream's complete answer."""
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -78,3 +78,14 @@
         self.callers.abort(handle)
         await self.wait_until(lambda: bool(client.received) or client.closed)
         self.assertEqual(client.received.split()[1:2], [b"502"])
+
+    @on_loopback
+    async def test_stream_that_was_never_opened_is_no_success(self) -> None:
+        for content in (b"", b"id: 1\n\n"):
+            with self.subTest(content):
+                client, handle = await self.send_request(REQUEST)
+                self.callers.write_pieces(handle, content)
+                self.callers.finish_stream(handle, closing=False)
+                await self.wait_until(lambda client=client: bool(client.received))
+                self.assertEqual(client.received.split()[1:2], [b"502"])
+                self.assertNotIn(b"id: 1", client.received)
