Wait in a stop only for callers that still take their answers

Since bytes in the kernel's send queue count as untaken, a caller that is gone with a part of its answer there held up the stop of the entry until its limit.

What is in the queue is still delivered behind the close.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -84,6 +84,19 @@
         transport: Any = self.transport
         return self.unwritten_bytes + count_undelivered(transport.getHandle())
 
+    @property
+    def is_taking(self) -> bool:
+        """Whether the caller may still take an answer.
+
+        The kernel delivers the rest of one behind a close. A caller that takes none of
+        that for a while may be gone.
+        """
+        now = self._callers.clock.seconds()
+        untaken = self.untaken_bytes
+        self._idle.note_untaken(untaken, now)
+        stalled = now - self._idle.since >= LINGER_S
+        return self.unwritten_bytes > 0 or (untaken > 0 and not stalled)
+
     @property
     def is_fresh(self) -> bool:
         """Whether its first or next request may still be on its way."""
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -279,7 +279,7 @@
         for channel in list(self.channels):
             if not channel.is_idle or channel.has_unread:
                 continue
-            if channel.untaken_bytes:
+            if channel.is_taking:
                 channel.expect_request()
             elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -14,7 +14,8 @@
 
 from magnoliahold.core.serving.effects import DeliverAnswer
 from magnoliahold.node import perform_effect
-from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callerconnections import FRESH_S, LINGER_S
+from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.test_callers import (
@@ -58,6 +59,8 @@
 )
 LARGE_BODY = b"x" * 6_000_000
 LARGE_END = b"y"
+# All of it goes into the queues of the kernel.
+KERNEL_BODY = b"x" * 1_000_000
 CLOCK_STEP_S = 0.05
 # Small, so that what the caller hasn't taken waits at the entry, as on a slow link.
 RECEIVE_BUFFER_BYTES = 64 * 1024
@@ -279,12 +282,12 @@
 
 
 class IdleTimeTests(PausedCallerTestCase):
-    async def answer_largely(self, client: Any) -> None:
-        """Sends a request, and answers it with more than the kernel's queue holds."""
+    async def answer_largely(self, client: Any, body: bytes = LARGE_BODY) -> None:
+        """Sends a request, and answers it with more than the caller's socket holds."""
         client.sendall(REQUEST)
         count = len(self.events)
         await self.wait_until(lambda: len(self.events) > count)
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY, LARGE_END])
+        answer = Exchange(1, UPSTREAM, status=200, body=[body, LARGE_END])
         self.callers.answer(self.events[-1].caller.handle, answer, closing=False)
         await self.sleep(SETTLED_S)
 
@@ -338,6 +341,42 @@
                     self.advance(step_s)
                 await self.expect_next_request(client, think_s)
 
+    async def start_stop(self) -> Any:
+        """Answers a request, of which a part waits in the kernel when a stop begins."""
+        self.callers.limits = evolve(LIMITS, idle_timeout_s=30.0)
+        client = self.connect_socket()
+        await self.answer_largely(client, KERNEL_BODY)
+        (channel,) = self.callers.channels
+        self.assertEqual(channel.unwritten_bytes, 0)
+        self.assertGreater(channel.untaken_bytes, 0)
+        return client
+
+    def stop_until_closed(self) -> float:
+        """Looks for idle connections as a stop does; returns how long that took."""
+        begun_at = self.clock.seconds()
+        while self.callers.channels:
+            self.callers.close_idle()
+            self.advance(CLOCK_STEP_S)
+        return self.clock.seconds() - begun_at
+
+    @on_loopback
+    async def test_caller_that_is_gone_does_not_hold_up_a_stop(self) -> None:
+        await self.start_stop()
+        limit_s = LINGER_S + FRESH_S + 2 * CLOCK_STEP_S
+        self.assertLessEqual(self.stop_until_closed(), limit_s)
+        self.assertEqual(self.callers.ends, {EndCause.NOT_TAKEN: 1})
+
+    @on_loopback
+    async def test_caller_that_takes_slowly_has_its_answer_in_a_stop(self) -> None:
+        client = await self.start_stop()
+        begun_at = self.clock.seconds()
+        while not await self.take(client, 20_000):
+            self.callers.close_idle()
+            self.advance(CLOCK_STEP_S)
+        self.assertGreater(self.clock.seconds() - begun_at, LINGER_S)
+        self.assertGreaterEqual(self.stop_until_closed(), FRESH_S - CLOCK_STEP_S)
+        self.assertEqual(self.callers.ends, {EndCause.IDLE_AT_STOP: 1})
+
     @on_loopback
     async def test_idle_connection_closes_in_the_moment_of_the_last_look(self) -> None:
         def stop() -> None:
