--- a/tests/serving/test_changed_limits.py
+++ b/tests/serving/test_changed_limits.py
@@ -9,7 +9,7 @@
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM
-from tests.serving.test_lost_requests import SETTLED_S, PausedCallerTestCase
+from tests.serving.test_idle_times import SETTLED_S, PausedCallerTestCase
 
 # The limit at first, later ones with the moment of their change, the moment of the next
 # request, and whether that is read. Idle time begins at 0.
