Disconnect a caller that takes nothing while a request of it waits

A connection stayed open for ever if its caller took none of its answers and sent another request meanwhile: the request that waits in the socket counted as a sign of life, though nothing is read until the answers are written.

Evidence: test_caller_that_takes_nothing_and_sends_more_is_disconnected; the connection was open when the test timed out.

A request that waits counts only if it can be read.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -317,7 +317,7 @@
         now = self._callers.clock.seconds()
         untaken = self.untaken_bytes
         self._idle.note_untaken(untaken, now)
-        if self.has_unread and not self.paused:
+        if self.has_unread and not self._waitingForTransport:
             self._idle.restart(now)
         left_s = self._find_time_left(now, untaken)
         if left_s > 0:
--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -12,6 +12,7 @@
 from attrs import evolve
 from twisted.internet.task import Clock
 
+from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 from magnoliahold.serving.callerconnections import FRESH_S, LINGER_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
@@ -25,6 +26,7 @@
 CLOCK_STEP_S = 0.05
 # Small, so that what the caller hasn't taken waits at the entry, as on a slow link.
 RECEIVE_BUFFER_BYTES = 64 * 1024
+SEND_BUFFER_BYTES = 400 * 1024
 # Real time in which loopback has passed on what it takes without a reader.
 SETTLED_S = 0.1
 
@@ -164,3 +166,21 @@
                 close()
                 self.assertEqual(client.recv(1), b"")
                 self.assertFalse(self.callers.channels)
+
+    @on_loopback
+    async def test_caller_that_takes_nothing_and_sends_more_is_disconnected(
+        self,
+    ) -> None:
+        client = self.connect_socket()
+        await self.wait_until(lambda: bool(self.callers.channels))
+        (channel,) = self.callers.channels
+        connection = channel.transport.getHandle()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        for _ in range(2):
+            await self.answer_largely(client, KERNEL_BODY[: MAX_UNWRITTEN_BYTES // 2])
+        self.assertGreater(channel.unwritten_bytes, 0)
+        self.assertFalse(channel.paused)
+        client.sendall(REQUEST)
+        self.advance(3 * LIMITS.idle_timeout_s)
+        await self.wait_until(lambda: bool(self.callers.ends))
+        self.assertEqual(self.callers.ends, {EndCause.NOT_TAKEN: 1})
