--- a/src/magnoliahold/serving/bodies.py
+++ b/src/magnoliahold/serving/bodies.py
@@ -14,8 +14,8 @@
     from magnoliahold.serving.exchanges import Exchange, UpstreamExchanges
 
 
-class BodyReader(Protocol):
-    """Reads the body of an answer that is not a stream."""
+class AnswerReader(Protocol):
+    """Reads an answer from its connection, unless that is paused."""
 
     def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
         self._exchanges = exchanges
@@ -31,6 +31,10 @@
         transport: Any = self.transport
         transport.resumeProducing()
 
+
+class BodyReader(AnswerReader):
+    """Reads the body of an answer that is not a stream."""
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._exchanges.add_body_bytes(self._exchange, data)
 
@@ -38,25 +42,22 @@
         self._exchanges.finish_body(self._exchange, reason, True)
 
 
-class PieceReader(Protocol):
+class PieceReader(AnswerReader):
     """Splits the body of a stream into pieces."""
 
     def __init__(self, exchanges: UpstreamExchanges, exchange: Exchange) -> None:
-        self._exchanges = exchanges
-        self._exchange = exchange
+        super().__init__(exchanges, exchange)
         self._splitter = PieceSplitter()
         self._held_bytes = 0
 
     def pause(self) -> None:
-        """Stops reading from the connection."""
-        transport: Any = self.transport
-        transport.pauseProducing()
+        """Stops reading, and reports that: the upstream isn't silent."""
+        super().pause()
         self._exchanges.post(ReadingChanged(self._exchange.attempt, True))
 
     def resume(self) -> None:
-        """Reads from the connection again."""
-        transport: Any = self.transport
-        transport.resumeProducing()
+        """Reads on, and reports that."""
+        super().resume()
         self._exchanges.post(ReadingChanged(self._exchange.attempt, False))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -49,6 +49,7 @@
     from magnoliahold.core.serving.events import AnswerHead
     from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.runtime import Reactor
+    from magnoliahold.serving.bodies import AnswerReader
     from magnoliahold.serving.connections import ConnectionPool, PoolKey
     from magnoliahold.serving.memory import PauseReason
     from magnoliahold.serving.pieces import Piece
@@ -105,7 +106,7 @@
     size: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
-    reader: PieceReader | BodyReader | None = None
+    reader: AnswerReader | None = None
     paused_by: set[PauseReason] = field(factory=set)
 
     @property
