--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -202,19 +202,23 @@
             exchange.write(b"")  # type: ignore[no-untyped-call]
 
     def write_pieces(self, handle: int, content: bytes) -> None:
-        """Writes pieces of a stream."""
+        """Writes pieces of a stream; none if its headers weren't written."""
         exchange = self._open_requests.get(handle)
-        if exchange is not None and content:
+        if exchange is not None and exchange.startedWriting and content:
             exchange.write(content)  # type: ignore[no-untyped-call]
 
     def finish_stream(self, handle: int, closing: bool) -> None:
-        """Ends a stream as complete."""
+        """Ends a stream as complete; without headers it can't be."""
         exchange = self._remove(handle)
         if exchange is None:
             return
         if closing:
             exchange.close_connection_unless_used()
-        exchange.finish_answer()
+        if exchange.startedWriting:
+            exchange.finish_answer()
+        else:
+            logger.error("Stream was never opened.", request=exchange.find_id())
+            self._write_own_answer(exchange, BAD_GATEWAY, "the answer is gone", None)
 
     def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
         """Answers a caller with an upstream's complete answer."""
@@ -277,7 +281,7 @@
         for channel in list(self.channels):
             if not channel.is_idle or channel.has_unread:
                 continue
-            if channel.untaken_bytes:
+            if channel.is_taking:
                 channel.expect_request()
             elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
--- a/tests/serving/test_odd_requests.py
+++ b/tests/serving/test_odd_requests.py
@@ -9,7 +9,7 @@
 from tests.platform.test_foreign_rows import ERRORS
 from tests.serving.test_callers import GET, CallerTestCase
 
-# What odd headers raise; any other error is this entry's, and another one may do better.
+# What odd headers raise; any other error is a fault of this entry.
 CALLER_ERRORS = (ValueError, ArithmeticError)
 
 
