Keep modules out of full garbage collections

What callers saw: now and then an entry stood still for 35 to 45 ms, mostly while it read a new configuration: its many small objects make a full collection due.

Cause: a full collection walks all objects, and most of them belong to modules: 69,352 objects and 37 ms in a process that has only imported an entry's modules.

What is loaded before the reactor runs stays to the end of the process, so nothing is kept that would otherwise be freed.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 from secrets import token_hex
 from typing import TYPE_CHECKING, Any, Protocol
@@ -197,6 +198,7 @@
     signal.signal(signal.SIGTERM, handle_signal)
     signal.signal(signal.SIGINT, handle_signal)
     reactor.callWhenRunning(start_daemons)
+    exclude_modules_from_collection()
     reactor.run(installSignalHandlers=False)
     if failures:
         raise failures[0]
@@ -204,6 +206,16 @@
         raise ProcessBrokenError
 
 
+def exclude_modules_from_collection() -> None:
+    """Spares the garbage collector what was loaded so far, which stays to the end.
+
+    A full collection stops the process, longer than most decisions take, and the
+    modules are most of what it would look at.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def stop_reactor(reactor: Any) -> None:
     """Stops the reactor if it is running."""
     if reactor.running:
