Add a soak of planned work in which each request counts

The soak stopped entries among other faults, so that a request without an answer proved nothing; its calls took 0.03 s, its callers chose an entry anew for each request, and no signal came to a process that was stopping.

Callers stay on their connection until it closes; calls take 0.03 to 6 s, streams up to 6 s, and a quarter of the calls pauses for up to 7 s before its last byte. A request that an engine got, or that ends later than 0.2 s after its last byte, must have its answer; a cut is allowed for what was sent up to 3 s after the order, and only in the last sixth of the grace. Too few answers count as a violation, too.

--- a/src/magnoliahold/cli/soak.py
+++ b/src/magnoliahold/cli/soak.py
@@ -12,7 +12,12 @@
 
 
 def soak(
-    *, seed: int = 1, seconds: float = 20.0, processes: int = 3, restores: int = 0
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    processes: int = 3,
+    restores: int = 0,
+    planned: bool = False,
 ) -> int:
     """Runs entries as processes, injects random faults and checks guarantees.
 
@@ -24,6 +29,7 @@
         seconds: How long faults are injected; startup and recovery take extra time.
         processes: The number of entries.
         restores: How often the store is restored from an older copy.
+        planned: Stops, reloads and changes only; each request must be answered.
 
     Returns:
         0, 1 if a guarantee was violated, or 130 if it was interrupted.
@@ -31,6 +37,7 @@
     from twisted.internet import reactor as installed
     from twisted.internet.defer import ensureDeferred
 
+    from magnoliahold.soak.planned import run_planned_soak
     from magnoliahold.soak.run import make_log_folder, run_soak
 
     reactor: Any = installed
@@ -40,8 +47,9 @@
 
     async def run() -> None:
         try:
-            report = await run_soak(reactor, seed, seconds, processes, folder, restores)
-            results.append(report)
+            run = reactor, seed, seconds, processes, folder
+            soaking = run_planned_soak(*run) if planned else run_soak(*run, restores)
+            results.append(await soaking)
         except Exception as error:
             failures.append(error)
         finally:
--- a/src/magnoliahold/soak/callers.py
+++ b/src/magnoliahold/soak/callers.py
@@ -85,7 +85,8 @@
 class Caller:
     """One simulated caller.
 
-    `choose_entry` returns the port of an entry that is in rotation.
+    `choose_entry` returns the port of an entry that is in rotation. `was_connected` is
+    false if there was no connection for the last request, so that it wasn't sent.
     """
 
     reactor: Any
@@ -97,6 +98,7 @@
     stopped: bool = False
     serial: int = 0
     name: str = ""
+    was_connected: bool = True
     _agents: dict[int, Agent] = field(factory=dict)
 
     def _get_agent(self, port: int) -> Agent:
@@ -122,6 +124,10 @@
             pause_s = MAX_PAUSE_AFTER_DENIAL_S if denied else MAX_PAUSE_S
             await deferLater(self.reactor, pause_s * self.random.random())
 
+    def _choose_port(self) -> int:
+        """Chooses the entry for the next request."""
+        return self.choose_entry()
+
     def _make_id(self) -> str:
         self.serial += 1
         return f"{self.name}-{self.serial}"
@@ -171,7 +177,7 @@
         """Requests a stream, and retries or resumes it up to twice."""
         pieces = self.random.randint(MIN_PIECES, MAX_PIECES)
         subject = self._make_id()
-        received = _ReceivedStream(self.checker, subject, pieces)
+        received = ReceivedStream(self.checker, subject, pieces)
         deadline = self.reactor.seconds() + STREAM_TIMEOUT_S
         status = 0
         for _ in range(3):
@@ -184,7 +190,7 @@
         self.outcomes.append(Outcome("stream", now, received.complete, status))
 
     async def _try_stream(
-        self, received: _ReceivedStream, remaining_s: float
+        self, received: ReceivedStream, remaining_s: float
     ) -> tuple[int, float]:
         request_id = self._make_id()
         path = f"{STREAM_PREFIX}{received.subject}/{received.pieces}"
@@ -214,15 +220,21 @@
         return status, 0.0
 
     async def _send(
-        self, path: str, headers: CallerHeaders, timeout_s: float
+        self, path: str, headers: CallerHeaders, timeout_s: float, body: Any = None
     ) -> Any | None:
-        port = self.choose_entry()
+        port = self._choose_port()
         url = f"http://{LOOPBACK}:{port}{path}".encode()
-        pending: Any = self._get_agent(port).request(b"POST", url, headers.build())
+        pending: Any = self._get_agent(port).request(
+            b"POST", url, headers.build(), body
+        )
         timer = self.reactor.callLater(timeout_s, pending.cancel)
+        self.was_connected = True
         try:
             return await pending
-        except (ConnectError, ResponseFailed, ResponseNeverReceived):
+        except ConnectError:
+            self.was_connected = False
+            return None
+        except (ResponseFailed, ResponseNeverReceived):
             return None
         except Exception as error:
             self.checker.checked[f"caller: {type(error).__name__}"] += 1
@@ -247,7 +259,7 @@
 
 
 @define(eq=False)
-class _ReceivedStream:
+class ReceivedStream:
     """The pieces of a stream received so far; each must follow the one before."""
 
     checker: GuaranteeChecker
--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -154,7 +154,7 @@
                 self.reactor,
                 Random(self.random.random()),
                 self.checker,
-                self._choose_entry,
+                self.choose_entry,
                 f"credential-{number % CREDENTIAL_COUNT}",
                 self.outcomes,
                 name=f"caller-{number}",
@@ -162,7 +162,7 @@
             self.callers.append(caller)
             ensureDeferred(caller.run())
 
-    def _choose_entry(self) -> int:
+    def choose_entry(self) -> int:
         """Returns the port of an entry in rotation, or of any entry if none is."""
         ready = [
             item
--- a/src/magnoliahold/soak/faults.py
+++ b/src/magnoliahold/soak/faults.py
@@ -246,10 +246,11 @@
     if entry is not None:
         entry.stop_requested_at = deployment.reactor.seconds()
         entry.send_signal(signal.SIGTERM)
-        _await_stop(entry, deployment)
+        watch_stop(entry, deployment)
 
 
-def _await_stop(entry: EntryProcess, deployment: Deployment) -> None:
+def watch_stop(entry: EntryProcess, deployment: Deployment) -> None:
+    """Starts an entry anew once it has ended, which it must within its grace."""
     stop_requested_at = entry.stop_requested_at
     if stop_requested_at is None:
         return
@@ -263,17 +264,17 @@
         entry.kill()
         entry.start()
     else:
-        deployment.reactor.callLater(0.1, _await_stop, entry, deployment)
+        deployment.reactor.callLater(0.1, watch_stop, entry, deployment)
 
 
 @inject.register
 def _reload_entry(fault: ReloadEntry, deployment: Deployment) -> None:
     entry = _pick_entry(deployment)
-    if entry is not None and _has_started(entry):
+    if entry is not None and has_started(entry):
         entry.send_signal(signal.SIGHUP)
 
 
-def _has_started(entry: EntryProcess) -> bool:
+def has_started(entry: EntryProcess) -> bool:
     """Returns whether the process handles signals yet.
 
     Before that, SIGHUP would terminate it.
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -72,7 +72,7 @@
     reactor.addSystemEventTrigger("before", "shutdown", deployment.kill_processes)
     try:
         deployment.start()
-        await _wait_until_ready(reactor, deployment)
+        await wait_until_ready(reactor, deployment)
         deployment.start_callers()
         await deferLater(reactor, 1.0)
         count = round(seconds * FAULTS_PER_S)
@@ -82,7 +82,7 @@
             await deferLater(reactor, random.uniform(0, 2.0) / FAULTS_PER_S)
         await deferLater(reactor, RECOVERY_WAIT_S)
         _check_recovery(reactor, deployment)
-        _fill_report(report, deployment)
+        fill_report(report, deployment)
     finally:
         await deferLater(reactor, 0.0)
         closing = deployment.close()
@@ -91,7 +91,8 @@
     return report
 
 
-async def _wait_until_ready(reactor: Any, deployment: Deployment) -> None:
+async def wait_until_ready(reactor: Any, deployment: Deployment) -> None:
+    """Waits until all entries are in rotation."""
     deadline = reactor.seconds() + START_TIMEOUT_S
     while deployment.count_ready() < len(deployment.entries):
         if reactor.seconds() > deadline:
@@ -115,7 +116,8 @@
         deployment.checker.record_violation("recovery", text)
 
 
-def _fill_report(report: SoakReport, deployment: Deployment) -> None:
+def fill_report(report: SoakReport, deployment: Deployment) -> None:
+    """Adds what callers and upstreams observed."""
     report.broken = deployment.checker.broken
     report.checked = deployment.checker.checked
     for outcome in deployment.outcomes:
--- a/src/magnoliahold/standins/users/upstreams.py
+++ b/src/magnoliahold/standins/users/upstreams.py
@@ -141,7 +141,8 @@
 
     def _start_call(self, request: Any, path: str) -> None:
         active = self._start_request(request, path)
-        active.timer = self.clock.callLater(CALL_DURATION_S, self._finish_call, active)
+        duration_s = read_duration(path)
+        active.timer = self.clock.callLater(duration_s, self._finish_call, active)
 
     def _finish_call(self, active: _ActiveRequest) -> None:
         active.end()
@@ -243,6 +244,12 @@
         request.finish()
 
 
+def read_duration(path: str) -> float:
+    """Parses how long a call takes, behind the request id in its path."""
+    parts = path.strip("/").split("/")
+    return float(parts[2]) if len(parts) > 2 else CALL_DURATION_S
+
+
 def read_subject(path: str) -> tuple[str, int]:
     """Parses the subject of a stream and its number of pieces from a path."""
     subject, _, pieces = path.removeprefix(STREAM_PREFIX).partition("/")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -59,6 +59,20 @@
         report = self.run_soak(RESTORE_SEED, 2)
         self.assertIn("RestoreStore 2", report)
 
+    def test_no_request_is_lost_in_planned_work(self) -> None:
+        soak = subprocess.run(
+            [
+                *(sys.executable, "-m", "magnoliahold", "soak", "--planned"),
+                *("--seed", str(SEED), "--seconds", str(SECONDS)),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+        )
+        self.assertEqual(soak.returncode, 0, soak.stdout + soak.stderr)
+        self.assertIn("0 guarantees violated", soak.stdout)
+        self.assertIn("planned stops", soak.stdout)
+
     def test_interrupted_soak_leaves_no_process(self) -> None:
         soak = subprocess.Popen(
             [sys.executable, "-m", "magnoliahold", "soak", "--seconds", "60"],
