Take no late request on the strength of a few durations

An entry that stops soon after its start has measured a few requests only, and the long ones last: late calls that may not be repeated were still taken and got 502 at the limit.

What arrives after the listener was closed is now taken by the longest duration only once 100 were measured, and before that if its own deadline is over in time. Calls that may be repeated are taken as before.

The test of decisions has the case.

--- a/src/magnoliahold/core/serving/durations.py
+++ b/src/magnoliahold/core/serving/durations.py
@@ -19,14 +19,17 @@
 class Durations:
     """Seconds from the arrival of requests to their end.
 
-    `mean_s` is a moving average, and `longest_s` the longest of the last few hundred.
+    `mean_s` is a moving average, and `longest_s` the longest of the last few hundred;
+    `count` is the number of all.
     """
 
     mean_s: float
     longest_s: float
+    count: int = 1
 
     def add(self, duration_s: float) -> None:
         """Adds a request that has ended."""
+        self.count += 1
         self.mean_s = update_moving_average(self.mean_s, duration_s)
         self.longest_s = max(duration_s, self.longest_s * LONGEST_KEPT)
 
--- a/src/magnoliahold/core/serving/systems/stop_refusals.py
+++ b/src/magnoliahold/core/serving/systems/stop_refusals.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.systems.completion import refuse
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.requests import ServedRequest
     from magnoliahold.core.serving.world import ServingWorld
 
+# So many durations are needed before the longest of them tells how long one may be.
+MIN_DURATIONS = 100
 STOPS_TOO_EARLY = "the entry stops before the request could end"
 
 
@@ -31,16 +35,19 @@
 
     What arrives after the listener was closed comes on an old connection, and its
     caller reaches another entry with the next one: only what rarely takes longer is
-    taken.
+    taken. A few durations don't tell that, since the long ones are measured last.
     """
     policy = world.serving_policy.leave
     durations = world.durations.find(request.service, request.route.kind)
+    count = durations.count if durations is not None else 0
+    is_late = request.arrived_at - since >= policy.accept_s
+    is_call = request.route.kind is RouteKind.IDEMPOTENT
+    if is_late and not is_call and count < MIN_DURATIONS:
+        return math.inf
     if durations is None:
         expected_s = request.route.goal_s
-    elif request.arrived_at - since < policy.accept_s:
-        expected_s = durations.mean_s
     else:
-        expected_s = durations.longest_s
+        expected_s = durations.longest_s if is_late else durations.mean_s
     return expected_s * policy.stream_margin
 
 
--- a/tests/core/serving/test_late_requests.py
+++ b/tests/core/serving/test_late_requests.py
@@ -14,6 +14,8 @@
     RefuseCaller,
     SendAttempt,
 )
+from magnoliahold.settings.loading import parse_serving_settings
+from magnoliahold.settings.serving import make_serving_policy
 from tests.core.serving.harness import (
     CALLS,
     ENGINES,
@@ -22,11 +24,19 @@
     make_route,
 )
 
+SETTINGS = {
+    "name": "entry-1",
+    "data_centre": "data-centre-1",
+    "callers": "127.0.0.1:1",
+    "store": "127.0.0.1:2",
+}
 ONCE = RouteKind.NOT_REPEATABLE
 CALL = RouteKind.IDEMPOTENT
 STREAM = RouteKind.STREAM
 TIMEOUT_S = 10.0
 LIMIT_S = 7.4
+# How long a process takes to exit on a small core.
+EXIT_TIME_S = 0.25
 
 # Kind of a request, how long those before it took, its caller's timeout, how long after
 # the order to stop it arrives, and whether it is taken.
@@ -34,16 +44,18 @@
     ("early, and short", ONCE, (0.3, 0.3), TIMEOUT_S, 1.0, True),
     ("early, and mostly short", ONCE, (5.9, *[0.1] * 60), TIMEOUT_S, 2.0, True),
     ("early, and mostly too long", ONCE, (6.0, 6.0), TIMEOUT_S, 2.0, False),
-    ("late, and short", ONCE, (0.3, 0.3), TIMEOUT_S, 6.0, True),
-    ("late, and sometimes too long", ONCE, (2.0, 0.1, 0.1), TIMEOUT_S, 6.5, False),
-    ("late, and always too long", ONCE, (2.0, 2.0), TIMEOUT_S, 6.5, False),
+    ("late, and short", ONCE, (0.3,) * 100, TIMEOUT_S, 6.0, True),
+    ("late, and only few were measured", ONCE, (0.3,) * 20, TIMEOUT_S, 4.0, False),
+    ("a repeatable call, and nothing was measured", CALL, (), TIMEOUT_S, 6.0, True),
+    ("late, and sometimes too long", ONCE, (2.0, *[0.1] * 99), TIMEOUT_S, 6.0, False),
+    ("late, and always too long", ONCE, (2.0,) * 100, TIMEOUT_S, 6.5, False),
     ("late, but its caller waits no longer", ONCE, (2.0, 2.0), 0.5, 6.5, True),
     ("late, and nothing was measured", ONCE, (), TIMEOUT_S, 7.3, False),
-    ("in the last tick", ONCE, (0.01, 0.01), TIMEOUT_S, 7.39, False),
-    ("after the limit", ONCE, (0.01, 0.01), TIMEOUT_S, 7.45, False),
+    ("in the last tick", ONCE, (0.01,) * 100, TIMEOUT_S, 7.39, False),
+    ("after the limit", ONCE, (0.01,) * 100, TIMEOUT_S, 7.45, False),
     ("a repeatable call", CALL, (2.0, 2.0), TIMEOUT_S, 6.5, False),
-    ("a stream, sometimes too long", STREAM, (4.0, *[1.0] * 12), 25.0, 4.5, False),
-    ("a stream, short", STREAM, (1.0, 1.0), 25.0, 4.5, True),
+    ("a stream, sometimes too long", STREAM, (4.0, *[0.5] * 99), 25.0, 4.5, False),
+    ("a stream, short", STREAM, (1.0,) * 100, 25.0, 4.5, True),
     ("a stream, nothing was measured", STREAM, (), 25.0, 6.0, False),
 )
 
@@ -156,6 +168,27 @@
         self.assertGreater(len(self.harness.pop_effects(CloseIdleConnections)), 2)
         self.assertFalse(self.harness.pop_effects(StopProcess))
 
+    def test_stop_ends_within_each_grace(self) -> None:
+        for grace_s in (1.0, 2.0, 3.0, 5.0, 8.0, 30.0):
+            for busy in (False, True):
+                with self.subTest(grace_s=grace_s, busy=busy):
+                    self.start()
+                    settings = parse_serving_settings(
+                        {**SETTINGS, "bounds": {"stop_grace_s": grace_s}}
+                    )
+                    self.harness.world.serving_policy = make_serving_policy(settings)
+                    if busy:
+                        self.harness.request(STREAM, timeout_s=None)
+                        self.harness.send()
+                    self.harness.post(LeaveRequested("SIGTERM"))
+                    leave = self.harness.world.serving_policy.leave
+                    self.harness.advance(leave.limit_s + leave.flush_s)
+                    self.harness.pop_effect(StopProcess)
+                    end_s = leave.limit_s + leave.flush_s
+                    self.assertLessEqual(end_s, grace_s - EXIT_TIME_S)
+                    self.harness.request(ONCE, timeout_s=TIMEOUT_S)
+                    self.assertFalse(self.harness.pop_effects(SendAttempt))
+
     def test_running_request_is_not_cut_before_the_limit(self) -> None:
         self.start()
         self.harness.request(ONCE, timeout_s=TIMEOUT_S)
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.events import RequestArrived
 from magnoliahold.node import BROKEN_TABLES
 from magnoliahold.serving.callerconnections import FRESH_S
@@ -97,6 +98,9 @@
         record = {"service": "s-1", "address": address, "zone": "z", "state": "ready"}
         self.store.put("servers", "i-1", record)
         await self.wait_until(lambda: bool(daemon.node.world.upstreams.by_id))
+        for duration_s in DURATIONS_S * 40:
+            durations = daemon.node.world.durations
+            durations.add("s-1", RouteKind.NOT_REPEATABLE, duration_s)
         read = record_read(daemon.node.ports.callers)
         numbers = range(round(LAST_MOMENT_S / STEP_S))
         callers = [
