Exit without a search for garbage

Their logs say "Process is stopping." 7.05 to 7.5 s after it, or a pause of the process of 1.2 s; the rest went by in the exit of the interpreter. Callers lost nothing, as their connections were closed before, but the process was killed and its successor came late.

Cause: at its exit the interpreter looks for garbage among all objects, 0.17 to 0.18 s of processor time, and as much more as the core is shared. Objects that are frozen before are left out: 0.016 to 0.018 s.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 from secrets import token_hex
 from typing import TYPE_CHECKING, Any, Protocol
@@ -202,6 +203,8 @@
     signal.signal(signal.SIGINT, handle_signal)
     reactor.callWhenRunning(start_daemons)
     reactor.run(installSignalHandlers=False)
+    # Else the interpreter looks for garbage at exit, which takes longer than the rest.
+    gc.freeze()
     if failures:
         raise failures[0]
     if any(item.broken for item in daemons):
