Bound headers by their own timeout alone

A caller whose headers came within header_timeout_ms, but with a pause longer than idle_timeout_ms, got 408 from the idle timeout: a change of the configuration can make one shorter than the other.

A connection isn't idle while headers come; their timeout ends them. Bodies, which have no timeout of their own, keep the idle timeout.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -310,14 +310,16 @@
     def timeoutConnection(self) -> None:  # noqa: N802
         """Closes a connection that was idle for too long, by the limits in force.
 
-        It isn't idle while a request waits to be read, or its caller takes an answer. A
-        request of which only a part came is rejected. One that is held back for a
-        caller who takes nothing keeps no connection open.
+        It isn't idle while a request waits to be read, while headers come (they have a
+        timeout of their own), or while its caller takes an answer. A body of which only
+        a part came is rejected. A request that is held back for a caller who takes
+        nothing keeps no connection open.
         """
         now = self._callers.clock.seconds()
         untaken = self.untaken_bytes
         self._idle.note_untaken(untaken, now)
-        if self.has_unread and not self._waitingForTransport:
+        can_read = self.has_unread and not self._waitingForTransport
+        if can_read or self._header_timer is not None:
             self._idle.restart(now)
         left_s = self._find_time_left(now, untaken)
         if left_s > 0:
@@ -325,9 +327,7 @@
                 left_s = min(left_s, self._find_look_interval())
             self.setTimeout(left_s)  # type: ignore[no-untyped-call]
             return
-        if self._header_timer is not None:
-            self.reject(EndCause.HEADERS_LATE)
-        elif self.is_reading:
+        if self.is_reading:
             self.reject(EndCause.BODY_LATE)
         else:
             self.close_now(EndCause.IDLE)
--- a/tests/serving/test_changed_limits.py
+++ b/tests/serving/test_changed_limits.py
@@ -8,7 +8,7 @@
 
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
-from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM
+from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM, set_limits
 from tests.serving.test_idle_times import SETTLED_S, PausedCallerTestCase
 
 # The limit at first, later ones with the moment of their change, the moment of the next
@@ -129,6 +129,19 @@
                 self.clock.advance(10.0)
                 await self.wait_until(lambda: not self.callers.channels)
 
+    @on_loopback
+    async def test_headers_may_take_longer_than_a_connection_may_be_idle(self) -> None:
+        limits = evolve(LIMITS, idle_timeout_s=1.0, header_timeout_s=3.0)
+        set_limits(self.callers, limits)
+        for moment, is_read in ((0.9, True), (2.5, True), (3.5, False)):
+            with self.subTest(moment=moment):
+                client = self.connect_socket()
+                client.sendall(HEAD)
+                await self.sleep(SETTLED_S)
+                self.advance(moment)
+                rest = REQUEST.removeprefix(HEAD)
+                self.assertEqual(await self.is_read(client, rest), is_read)
+
     @on_loopback
     async def test_limits_that_were_replaced_are_forgotten(self) -> None:
         for number in range(1000):
