Keep a stream at its silent engine where it would only queue elsewhere

What callers saw: a stream that had not begun left its engine, which was silent for a second, for a queue, and got 502 there at once or later: "no room at the engines before it could be served". Its engine went on a moment later.

Cause: an attempt was given up without a look at whether the others have room.

Evidence: the test failed before (CloseAttempt of the second attempt).

--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -221,13 +221,16 @@
     return lowest <= share * measure_load(world, attempt.upstream)
 
 
-def has_healthy_alternative(world: ServingWorld, attempt: Attempt, now: float) -> bool:
-    """Checks whether a healthy upstream other than the attempt's would be chosen."""
+def list_healthy_alternatives(
+    world: ServingWorld, attempt: Attempt, now: float
+) -> list[Upstream]:
+    """Lists the healthy upstreams other than the attempt's that could be chosen."""
     request = attempt.request
     allowed = _list_allowed(world, request, now)
     others = [item for item in allowed if item is not attempt.upstream]
-    chosen = filter_by_health(filter_by_version(world, request, others, now))
-    return any(is_healthy(item) for item in chosen)
+    chosen = filter_by_version(world, request, others, now)
+    preferred = filter_preferred(world, request, chosen, now)
+    return [item for item in preferred if is_healthy(item)]
 
 
 def _choose_by_prefix_cache(
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -7,10 +7,11 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
+from magnoliahold.core.serving.systems.queues import filter_by_room
 from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
 from magnoliahold.core.serving.systems.selection import (
-    has_healthy_alternative,
     has_less_loaded_alternative,
+    list_healthy_alternatives,
 )
 from magnoliahold.core.serving.systems.upstream_health import mark_suspected, probe
 from magnoliahold.core.serving.upstreams import UpstreamHealth
@@ -44,19 +45,34 @@
 ) -> bool:
     """Retries an attempt elsewhere if a retry is left that no waiting request takes.
 
-    Without one, or without a healthy upstream to take it, it goes on: its own upstream
-    may only be silent, and still at work on it.
+    Without one, or without an upstream to take it, it goes on: its own upstream may
+    only be silent, and still at work on it.
     """
     service = attempt.request.service
     waiting = world.requests.waiting.values()
     promised = sum(item.service == service and item.send_count > 0 for item in waiting)
     left = world.find_budget(service).count_remaining(now, world.count_entries())
-    if left < promised + 1 or not has_healthy_alternative(world, attempt, now):
+    if left < promised + 1 or not _can_move(world, attempt, now):
         return False
     retry_elsewhere(world, attempt, reason, now)
     return True
 
 
+def _can_move(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether another upstream can take an attempt's request.
+
+    Where it would have to queue for room, it first waits for as long as an upstream
+    may be silent.
+    """
+    others = list_healthy_alternatives(world, attempt, now)
+    if not others:
+        return False
+    silent_s = now - attempt.upstream.last_received_at
+    if silent_s >= world.serving_policy.watch.gap_without_copy_s:
+        return True
+    return bool(filter_by_room(world, attempt.request, others, now))
+
+
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.paused_at is not None:
         return
--- a/tests/core/serving/test_sole_upstreams.py
+++ b/tests/core/serving/test_sole_upstreams.py
@@ -5,10 +5,13 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
     AbortAnswer,
     CloseAttempt,
+    FinishAnswer,
     ProbeServingUpstream,
     RefuseCaller,
 )
@@ -17,7 +20,14 @@
     UpstreamSignalled,
 )
 from magnoliahold.core.serving.feeds import Feed
-from tests.core.serving.harness import CALLS, ENGINES, ServingHarness, make_upstream
+from tests.core.serving.harness import (
+    CALLS,
+    ENGINES,
+    ServingHarness,
+    make_configuration,
+    make_route,
+    make_upstream,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.upstreams import UpstreamRecord
@@ -66,6 +76,35 @@
                 self.assertEqual(harness.pop_effects(ended), [])
         self.assertEqual(list(harness.world.requests.by_handle), [caller.handle])
 
+    def test_stream_leaves_no_silent_engine_for_a_queue(self) -> None:
+        urgent = make_route(
+            RouteKind.STREAM, ENGINES, name="urgent", prefix="/u/", priority=1
+        )
+        whole = make_configuration()
+        engines = evolve(whole.services[0], slots=1, keeps_copies=False)
+        configuration = evolve(
+            whole, routes=(*whole.routes, urgent), services=(engines,)
+        )
+        harness = ServingHarness()
+        records = tuple(make_upstream(number, ENGINES) for number in (1, 2))
+        harness.start(configuration, records)
+        running = harness.request(RouteKind.STREAM)
+        busy = harness.send()
+        harness.open(busy, running)
+        caller = harness.request(RouteKind.STREAM)
+        silent = harness.send()
+        for piece in range(1, round(SILENT_S / 0.1)):
+            harness.produce(busy, piece)
+            harness.advance(0.1)
+            for probe in harness.pop_effects(ProbeServingUpstream):
+                if probe.upstream == silent.upstream:
+                    harness.post(make_failed_probe(probe.upstream))
+        self.assertEqual(harness.pop_effects(CloseAttempt), [])
+        harness.open(silent, caller)
+        harness.produce(silent, 1)
+        harness.finish(silent)
+        self.assertEqual(harness.pop_effect(FinishAnswer).handle, caller.handle)
+
 
 def take_away(
     harness: ServingHarness, records: list[UpstreamRecord], state: str
