Count the known entries while their list is read again

What callers saw: after a restore of the store, or once its change history was gone, no retries were left for the time of one read or longer. A stream that was rejected after a silence was cut, a call that had lost its upstream got 502.

Cause: without a version of the list an entry assumed 30 entries, as after its start, though it still knew them. Its part of the budget's extra fell to a thirtieth.

The number is now assumed only until a full list was read once. What a restore may lack of the list, the entry keeps apart already.

--- a/src/magnoliahold/core/serving/peers.py
+++ b/src/magnoliahold/core/serving/peers.py
@@ -139,13 +139,15 @@
 class PeerTable:
     """The other entries by name, and the last notice that was sent to them.
 
-    `loads` sums the loads in the others' notices by upstream. `prefix_locations` maps
-    the id of a prompt's last part to the upstream that has cached the prompt, and to
-    the time of the last report. `send_now` is set if the next notice must not wait for
-    the minimum interval. `pace_samples` are those not yet reported.
+    `loaded` is set once a full list was read. `loads` sums the loads in the others'
+    notices by upstream. `prefix_locations` maps the id of a prompt's last part to the
+    upstream that has cached the prompt, and to the time of the last report. `send_now`
+    is set if the next notice must not wait for the minimum interval.
+    `pace_samples` are those not yet reported.
     """
 
     by_name: dict[str, Peer] = field(factory=dict)
+    loaded: bool = False
     loads: dict[str, UpstreamLoad] = field(factory=dict)
     prefix_locations: dict[str, tuple[str, float]] = field(factory=dict)
     last_sent_notice: LoadNotice | None = None
--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -155,6 +155,7 @@
         world.upstreams.loaded = True
         remove_unlisted_upstreams(world, listed, context.may_have_lapsed, context.now)
     elif read.feed is Feed.PEERS:
+        world.other_entries.loaded = True
         remove_unlisted_peers(world, listed, context.from_copy, context.now)
     elif read.feed is Feed.CONFIGURATION:
         remove_unlisted_orders(world, listed)
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -96,7 +96,7 @@
 
     def count_entries(self) -> int:
         """Counts the entries that share retry budgets, including this one."""
-        if self.feeds[Feed.PEERS].version is None:
+        if not self.other_entries.loaded:
             return self.serving_policy.budget.unknown_entries
         return len(self.other_entries.by_name) + 1
 
