Survive an odd entry of the instance list, in the own deployment

An instance with another type in a field, or without one, failed the whole list, so that no process followed it any more.

The membership parsed the port with int() in a tick, and the client decoded the list in one piece.

Each instance is now decoded and checked by itself; an odd one is left out and logged, and a peer that is known keeps what is known of it.

What remains: a list in which an instance nests beyond what the decoder can skip (some thousand levels, in a field that nobody reads) can't be read and is tried again, as before.

--- a/src/magnoliahold/core/systems/membership.py
+++ b/src/magnoliahold/core/systems/membership.py
@@ -12,11 +12,14 @@
 from magnoliahold.core.events import InstancesListed
 from magnoliahold.core.peers import Peer
 from magnoliahold.core.systems.subsets import choose_subset
+from magnoliahold.decoding import describe_error
+from magnoliahold.endpoints import parse_endpoint
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from magnoliahold.core.worlds import World
+    from magnoliahold.endpoints import Endpoint
     from magnoliahold.storage.interfaces import Instance
 
 
@@ -70,14 +73,16 @@
 
 
 def _update_peer(world: World, instance: Instance, now: float) -> None:
-    address, _, port = instance.address.rpartition(":")
+    endpoint = _read_endpoint(world, instance)
+    if endpoint is None:
+        return
     known = world.peers.peers.get(instance.name)
-    if known is None or (known.lost and known.address != address):
+    if known is None or (known.lost and known.address != endpoint.host):
         peer = Peer(
             name=instance.name,
             role=instance.role,
-            address=address,
-            port=int(port),
+            address=endpoint.host,
+            port=endpoint.port,
             data_centre=instance.data_centre,
         )
         add_peer(world, peer, now)
@@ -87,6 +92,23 @@
     update_leaving_since(known, now)
 
 
+def _read_endpoint(world: World, instance: Instance) -> Endpoint | None:
+    """Reads the address of an instance; returns None if it is odd, and logs it.
+
+    An error in a tick would end the process, and each later start of it.
+    """
+    try:
+        return parse_endpoint(instance.address)
+    except ValueError as error:
+        world.log_decision(
+            "membership",
+            "Instance is invalid and is left out.",
+            name=instance.name,
+            reason=describe_error(error),
+        )
+        return None
+
+
 def mark_leaving(peer: Peer, now: float) -> None:
     """Marks a process as leaving for the rest of its incarnation."""
     peer.leaving = True
--- a/src/magnoliahold/storage/instances.py
+++ b/src/magnoliahold/storage/instances.py
@@ -7,18 +7,29 @@
 
 import msgspec
 
+from magnoliahold.decoding import describe_error
+from magnoliahold.logs import make_part_logger
 from magnoliahold.storage.exchange import (
     DEFAULT_TIMEOUT_S,
     PlatformExchange,
     decode_answer,
 )
-from magnoliahold.storage.interfaces import InstanceList
+from magnoliahold.storage.interfaces import Instance, InstanceList
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
+    from magnoliahold.httpclient import HttpAnswer
     from magnoliahold.runtime import Reactor
-    from magnoliahold.storage.interfaces import Instance
+
+logger = make_part_logger("membership")
+
+
+class _UndecodedList(msgspec.Struct):
+    instances: list[msgspec.Raw]
+
+
+_instance_decoder = msgspec.json.Decoder(Instance)
 
 
 class InstanceClient:
@@ -28,9 +39,9 @@
         self._exchange = exchange
 
     def list_instances(self) -> Deferred[InstanceList]:
-        """Reads the current list."""
+        """Reads the current list, without the instances that can't be read."""
         answer = self._exchange.call("GET", "/instances")
-        return answer.addCallback(decode_answer, InstanceList)
+        return answer.addCallback(_decode_list)
 
     def put_instance(self, instance: Instance) -> Deferred[None]:
         """Registers an instance, or marks it as leaving."""
@@ -39,6 +50,23 @@
         return answer.addCallback(lambda _answer: None)
 
 
+def _decode_list(answer: HttpAnswer) -> InstanceList:
+    undecoded: _UndecodedList = decode_answer(answer, _UndecodedList)
+    decoded = (_decode_instance(raw) for raw in undecoded.instances)
+    return InstanceList(tuple(item for item in decoded if item is not None))
+
+
+def _decode_instance(raw: msgspec.Raw) -> Instance | None:
+    """Decodes an instance; one that can't be read doesn't decide over the others."""
+    try:
+        return _instance_decoder.decode(raw)
+    except Exception as error:
+        logger.warning(
+            "Instance is invalid and is left out.", reason=describe_error(error)
+        )
+        return None
+
+
 def make_instance_client(
     reactor: Reactor, base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S
 ) -> InstanceClient:
