Pass on no request without its host

What callers saw: after some requests of another caller with two Host headers, or with Connection: Host, sound upstreams were avoided for seconds as if they failed, since such a request can't be sent to any; it got 502 itself, after all its attempts. With Connection: Request-Id the answer belonged to no request.

Cause: HTTP clients refuse to write a request without exactly one Host, and its attempt counted as failed by the upstream. The class is that of odd rows: what one caller sends decides over the requests of others.

Several hosts get 400, as HTTP asks for. Host and Request-Id are no connection options: they are meant for the upstream.

--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -46,6 +46,8 @@
         "upgrade",
     )
 )
+# Headers that each request needs, whatever the Connection header says.
+NEEDED_HEADERS = frozenset(("host", "request-id"))
 # Headers that only this system may set; those that a caller sends are removed.
 RESERVED_HEADERS = frozenset(
     (
@@ -112,7 +114,7 @@
     """
     values = headers.getRawHeaders(b"Connection", [])
     options = b",".join(values).decode("ascii", errors="replace").split(",")
-    return {option.strip().lower() for option in options}
+    return {option.strip().lower() for option in options} - NEEDED_HEADERS
 
 
 class _PromptList(msgspec.Struct):
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -36,6 +36,7 @@
     from collections.abc import Callable
 
     from twisted.python.failure import Failure
+    from twisted.web.http_headers import Headers
 
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.runtime import Clock
@@ -75,6 +76,12 @@
         raise BadRequest(f"send no number above {MAX_NUMBER}")
 
 
+def check_host(headers: Headers) -> None:
+    """Raises BadRequest if there are several hosts, of which none can be passed on."""
+    if len(headers.getRawHeaders("Host", [])) > 1:
+        raise BadRequest("send one Host")
+
+
 @define(eq=False)
 class Callers:
     """The callers' connections and their open requests by handle.
@@ -147,6 +154,7 @@
         content: Any = exchange.content
         body = content.getvalue()
         try:
+            check_host(exchange.requestHeaders)
             caller = read_caller_request(
                 exchange.handle,
                 exchange.method.decode("ascii", "replace"),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -126,6 +126,12 @@
         names = [name for name, _ in list_answer_headers(received)]
         self.assertEqual(names, [b"X-Other"])
 
+    def test_host_and_id_are_no_connection_options(self) -> None:
+        for name in ("Host", "Request-Id"):
+            with self.subTest(name):
+                headers = self.build(make_send(), Connection=f"close, {name}")
+                self.assertEqual(headers.getRawHeaders(name), [RECEIVED[name]])
+
     def test_remaining_time_is_sent_in_milliseconds(self) -> None:
         headers = self.build(make_send(deadline_s=0.4204))
         self.assertEqual(headers.getRawHeaders("Deadline-Ms"), ["420"])
