End an attempt whose request can't be made

What callers would see: a request whose headers for the upstream can't be made waited until its deadline: the error was nobody's ("Unhandled Error", or a failed effect), and the attempt had no result.

The attempt now ends as interrupted, with the reason, like one whose answer can't be read.

--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -213,11 +213,12 @@
             connection.reset_now()
             return
         exchange.connection = connection
-        headers = make_upstream_headers(content.headers, effect)
-        body = BytesProducer(content.body) if content.body else None
-        request = Request._construct(
-            content.method, content.target, headers, body, persistent=True
-        )
+        try:
+            request = make_request(effect, content)
+        except Exception as error:
+            reason = f"the request can't be made: {describe_error(error)}"
+            self._interrupt(exchange, reason, False)
+            return
         self.post(AttemptSent(exchange.attempt))
         answer: Any = connection.request(request)
         answer.addCallbacks(
@@ -411,6 +412,15 @@
         Probe(self, record, connection, timeout_s).start()
 
 
+def make_request(effect: SendAttempt, content: RequestContent) -> Any:
+    """Makes the request that an upstream gets for a caller's."""
+    headers = make_upstream_headers(content.headers, effect)
+    body = BytesProducer(content.body) if content.body else None
+    return Request._construct(
+        content.method, content.target, headers, body, persistent=True
+    )
+
+
 def make_pool_key(record: UpstreamRecord) -> PoolKey:
     """Makes the key of an upstream's connections in the pool."""
     return (record.id, record.address, record.port)
--- a/tests/serving/test_odd_answers.py
+++ b/tests/serving/test_odd_answers.py
@@ -132,6 +132,27 @@
                 self.exchanges.abort(self.attempt)
         await self.sleep(0.2)
 
+    # Failure: the attempt had no result until the deadline of its request.
+    @on_loopback
+    async def test_attempt_ends_whatever_error_making_its_request_raises(self) -> None:
+        for error in ERRORS:
+            for pooled in (False, True):
+                server = self.listen([WHOLE])
+                if pooled:
+                    await self.send_and_wait(server)
+                self.events.clear()
+                failing = Mock(side_effect=error("odd"))
+                with (
+                    self.subTest(pooled=pooled, error=error.__name__),
+                    patch.object(exchanges, "make_upstream_headers", failing),
+                ):
+                    self.send(server.port)
+                    await self.sleep(0.1)
+                    (event,) = self.events
+                    self.assertIsInstance(event, AttemptInterrupted)
+                    self.assertIn("odd", event.reason)
+                    self.assertFalse(event.reset)
+
     @on_loopback
     async def test_stream_with_an_odd_number_is_interrupted(self) -> None:
         odd = make_chunk(b"id: %s\ndata: x\n\n" % DIGITS)
