End a request whose answer can't be written

What callers would see: a connection that stays open without an answer, until the entry stops: an error while an answer is written left the request forgotten and its connection waiting. No answer that raises one is known.

The error is logged with the request's id, and the connection is cut: parts of the answer may have been written, and a cut promises nothing.

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -229,14 +229,21 @@
             self._write_own_answer(exchange, BAD_GATEWAY, "the answer is gone", None)
 
     def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
-        """Answers a caller with an upstream's complete answer."""
+        """Answers a caller with an upstream's complete answer.
+
+        An answer that can't be written ends its connection, since parts of it may be.
+        """
         exchange = self._remove(handle)
         if exchange is None:
             return
         if closing:
             exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
-        exchange.write_complete_answer(upstream.status, upstream.headers, body)
+        try:
+            exchange.write_complete_answer(upstream.status, upstream.headers, body)
+        except Exception:
+            logger.exception("Answer can't be written.", request=exchange.find_id())
+            exchange.abort_answer(EndCause.PROTOCOL_ERROR)
 
     def refuse(
         self,
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from magnoliahold.serving import callers as callers_module
+from magnoliahold.serving.callerexchanges import CallerExchange
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
@@ -89,3 +90,20 @@
                 await self.wait_until(lambda client=client: bool(client.received))
                 self.assertEqual(client.received.split()[1:2], [b"502"])
                 self.assertNotIn(b"id: 1", client.received)
+
+    # Failure: the request was forgotten, and its connection stayed open.
+    @on_loopback
+    async def test_request_whose_answer_can_not_be_written_ends(self) -> None:
+        headers = [(b"Response-Signature", b"s")]
+        upstream = Exchange(1, UPSTREAM, status=200, headers=headers, body=[b"x"])
+        for error in ERRORS:
+            client, handle = await self.send_request(REQUEST)
+            writing = mock.patch.object(CallerExchange, "write", side_effect=error)
+            with (
+                self.subTest(type(error).__name__),
+                self.assertLogs("magnoliahold", "ERROR"),
+            ):
+                with writing:
+                    self.callers.answer(handle, upstream, closing=False)
+                await self.wait_until(lambda client=client: client.closed)
+                self.assertEqual(client.received, b"")
