Leave a dead upstream also while all registrations are missing

What was seen in tests: a request at an upstream that had died waited there until its deadline, or until the 2.2 s for lapsed registrations were over, if the store had just lost the registrations of the others: they counted as no healthy alternative, though each new request goes to them.

An upstream whose registration is missing will do if nothing else speaks against it. One that is really gone refuses the connection, and that attempt doesn't count.

Evidence: test_missing_upstreams fails in both kinds without it, and holds on.

--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -222,12 +222,15 @@
 
 
 def has_healthy_alternative(world: ServingWorld, attempt: Attempt, now: float) -> bool:
-    """Checks whether a healthy upstream other than the attempt's would be chosen."""
+    """Checks whether a healthy upstream other than the attempt's would be chosen.
+
+    One whose registration is missing will do where all are, as for other requests.
+    """
     request = attempt.request
     allowed = _list_allowed(world, request, now)
     others = [item for item in allowed if item is not attempt.upstream]
     chosen = filter_by_health(filter_by_version(world, request, others, now))
-    return any(is_healthy(item) for item in chosen)
+    return any(item.health is UpstreamHealth.HEALTHY for item in chosen)
 
 
 def _choose_by_prefix_cache(
