Send no request back to an upstream that refuses connections

What was seen in tests: since a rejected request may return to upstreams that have had it, an entry opened connections to one whose process had ended, in each tick until the deadline of the request, 988 in 20 s: a failed connection begins its wait anew. Before, the request ended at the rejection.

A request that has used its attempts doesn't return to an upstream that is down and has refused a connection, or is another one. Without any to return to, the request ends after the usual wait.

--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -133,6 +133,11 @@
         """Whether it is leaving; that ends only with its next start."""
         return self.signals.leaving
 
+    @property
+    def refuses(self) -> bool:
+        """Whether it is down and answered that it is, so that trying again is vain."""
+        return self.health is UpstreamHealth.DOWN and not self.silent
+
     def is_available(self, now: float) -> bool:
         """Tells whether it may get requests: it takes some and is not leaving."""
         if self.signals.leaving or self.awaits_sign:
--- a/tests/core/serving/test_rejected_retries.py
+++ b/tests/core/serving/test_rejected_retries.py
@@ -8,7 +8,7 @@
 
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import AbortAnswer, RefuseCaller, SendAttempt
-from magnoliahold.core.serving.events import AttemptSent
+from magnoliahold.core.serving.events import AttemptNotSent, AttemptSent
 from tests.core.serving.harness import (
     CALLS,
     ENGINES,
@@ -18,6 +18,8 @@
 )
 
 MAX_ATTEMPTS = 2
+# For how long an upstream that rejects a request has no room.
+FULL_S = 3.0
 KINDS = (
     (RouteKind.STREAM, ENGINES),
     (RouteKind.IDEMPOTENT, CALLS),
@@ -79,6 +81,28 @@
                 self.assertLessEqual(len(sent), 10)
                 self.assertEqual(harness.world.requests.by_handle, {})
 
+    # Failure: an entry opened connections to a dead upstream without a pause.
+    def test_refused_connections_end_an_answer_that_is_rejected(self) -> None:
+        for kind, service in KINDS:
+            with self.subTest(kind=kind):
+                harness = self.start(kind, service)
+                (request,) = harness.world.requests.by_handle.values()
+                (first,) = harness.world.requests.attempts.values()
+                sent = 0
+                for _ in range(round(FULL_S / 0.02)):
+                    harness.advance(0.02)
+                    for send in harness.pop_effects(SendAttempt):
+                        sent += 1
+                        if send.upstream.id == first.upstream.id:
+                            harness.post(AttemptNotSent(send.attempt, "refused", False))
+                            continue
+                        harness.post(AttemptSent(send.attempt))
+                        harness.answer(send, request.caller, 503, not_run=True)
+                        table = harness.world.upstreams.by_id
+                        table[send.upstream.id].full_until = harness.now + FULL_S
+                self.assertLessEqual(sent, 3)
+                self.assertEqual(harness.world.requests.by_handle, {})
+
 
 if __name__ == "__main__":
     unittest.main()
