--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -37,14 +37,14 @@
 ) -> list[Upstream]:
     """Lists the upstreams that may get a request now.
 
-    One that has used its attempts only returns to upstreams that have had it, and not
-    at once where it was rejected.
+    One that has used its attempts only returns to upstreams that it was meant for, and
+    not at once where it was rejected or the connection was refused.
     """
     available = list_available(world, request.service, now)
     if not request.has_used_attempts():
         return available
-    tried = request.tried_upstreams
-    return [i for i in available if i.id in tried and i.full_until <= now]
+    tried = [item for item in available if item.id in request.tried_upstreams]
+    return [item for item in tried if item.full_until <= now and not item.refuses]
 
 
 def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
@@ -99,13 +99,13 @@
     One whose registration is missing may be gone, and counts as suspected.
     """
     return (
-        [item for item in upstreams if is_healthy(item)]
+        [item for item in upstreams if _is_healthy(item)]
         or [i for i in upstreams if i.health is not UpstreamHealth.DOWN]
         or upstreams
     )
 
 
-def is_healthy(upstream: Upstream) -> bool:
+def _is_healthy(upstream: Upstream) -> bool:
     """Tells whether nothing speaks against an upstream's health and registration."""
     return upstream.health is UpstreamHealth.HEALTHY and upstream.missing_since is None
 
@@ -224,13 +224,16 @@
 def list_healthy_alternatives(
     world: ServingWorld, attempt: Attempt, now: float
 ) -> list[Upstream]:
-    """Lists the healthy upstreams other than the attempt's that could be chosen."""
+    """Lists the healthy upstreams other than the attempt's that could be chosen.
+
+    One whose registration is missing will do where all are, as for other requests.
+    """
     request = attempt.request
     allowed = _list_allowed(world, request, now)
     others = [item for item in allowed if item is not attempt.upstream]
     chosen = filter_by_version(world, request, others, now)
     preferred = filter_preferred(world, request, chosen, now)
-    return [item for item in preferred if is_healthy(item)]
+    return [item for item in preferred if item.health is UpstreamHealth.HEALTHY]
 
 
 def _choose_by_prefix_cache(
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -36,6 +36,7 @@
     from collections.abc import Callable
 
     from twisted.python.failure import Failure
+    from twisted.web.http_headers import Headers
 
     from magnoliahold.core.serving.requests import CallerRequest
     from magnoliahold.runtime import Clock
@@ -75,6 +76,12 @@
         raise BadRequest(f"send no number above {MAX_NUMBER}")
 
 
+def check_host(headers: Headers) -> None:
+    """Raises BadRequest if there are several hosts, of which none can be passed on."""
+    if len(headers.getRawHeaders("Host", [])) > 1:
+        raise BadRequest("send one Host")
+
+
 @define(eq=False)
 class Callers:
     """The callers' connections and their open requests by handle.
@@ -147,6 +154,7 @@
         content: Any = exchange.content
         body = content.getvalue()
         try:
+            check_host(exchange.requestHeaders)
             caller = read_caller_request(
                 exchange.handle,
                 exchange.method.decode("ascii", "replace"),
@@ -221,14 +229,21 @@
             self._write_own_answer(exchange, BAD_GATEWAY, "the answer is gone", None)
 
     def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
-        """Answers a caller with an upstream's complete answer."""
+        """Answers a caller with an upstream's complete answer.
+
+        An answer that can't be written ends its connection, since parts of it may be.
+        """
         exchange = self._remove(handle)
         if exchange is None:
             return
         if closing:
             exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
-        exchange.write_complete_answer(upstream.status, upstream.headers, body)
+        try:
+            exchange.write_complete_answer(upstream.status, upstream.headers, body)
+        except Exception:
+            logger.exception("Answer can't be written.", request=exchange.find_id())
+            exchange.abort_answer(EndCause.PROTOCOL_ERROR)
 
     def refuse(
         self,
