--- a/src/magnoliahold/core/serving/systems/stop_refusals.py
+++ b/src/magnoliahold/core/serving/systems/stop_refusals.py
@@ -14,7 +14,8 @@
 
 # So many durations are needed before the longest of them tells how long one may be.
 MIN_DURATIONS = 100
-STOPS_TOO_EARLY = "the entry stops before the request could end"
+STREAM_REASON = "the entry stops before the stream could end"
+CALL_REASON = "the entry stops before the request could end"
 
 
 def find_stop_rejection(world: ServingWorld, request: ServedRequest, now: float) -> str:
@@ -25,7 +26,9 @@
     policy = world.serving_policy.leave
     left_s = since + policy.limit_s - policy.farewell_s - now
     needed_s = min(request.deadline_at - now, _estimate_needed_s(world, request, since))
-    return STOPS_TOO_EARLY if needed_s >= left_s else ""
+    if needed_s < left_s:
+        return ""
+    return STREAM_REASON if request.route.kind is RouteKind.STREAM else CALL_REASON
 
 
 def _estimate_needed_s(
