Read the requests behind a rejected one

Callers that send several requests behind one another had no answer to those behind one that was rejected though it was read to its end: without a request id, with a body that is too large, or with headers that can't be read. They were read and discarded.

Where the framing is sound, the connection closes behind the last request, as behind any other answer; bytes that wait in the line buffer count as a next request.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -69,7 +69,7 @@
     @property
     def has_next_request(self) -> bool:
         """Whether bytes came behind the request that is being answered."""
-        return any(self._dataBuffer) or self.has_unread
+        return any(self._dataBuffer) or bool(self._buffer) or self.has_unread
 
     @property
     def unwritten_bytes(self) -> int:
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -168,7 +168,7 @@
         self.post(RequestArrived(caller))
 
     def _reject(self, exchange: CallerExchange, status: int, reason: str) -> None:
-        exchange.close_connection_after()
+        exchange.close_connection_unless_used()
         self._write_own_answer(exchange, status, reason, None)
 
     def handle_disconnect(self, exchange: CallerExchange) -> None:
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -54,6 +54,12 @@
     ("a bad chunk", HEAD + b"Transfer-Encoding: chunked\r\n\r\nxx\r\n", 400),
     ("no version", b"POST /a\r\n\r\n", 400),
 )
+# Requests that are read to their end and then rejected.
+UNREADABLE_REQUESTS = (
+    ("no request id, no body", b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"),
+    ("no request id", REQUEST.replace(b"Request-Id: abc\r\n", b"")),
+    ("a large body", HEAD + b"Content-Length: 200\r\n\r\n" + b"x" * 200),
+)
 LARGE_BODY = b"x" * 6_000_000
 CALL = (
     b"POST /calls/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: abc\r\n"
@@ -235,6 +241,25 @@
         self.assertEqual(client.received.count(b"HTTP/1.1"), 3)
         self.assertEqual(client.received.count(b"Connection: close"), 1)
 
+    @on_loopback
+    async def test_requests_behind_a_rejected_one_are_read(self) -> None:
+        for name, content in UNREADABLE_REQUESTS:
+            with self.subTest(name):
+                self.events.clear()
+                client = await self.connect(content + REQUEST)
+                await self.wait_until(
+                    lambda client=client: client.closed or self.events
+                )
+                self.assertEqual(len(self.events), 1)
+                handle = self.events[0].caller.handle
+                self.callers.refuse(handle, 503, "leaving", 0.25, closing=True)
+                await self.wait_until(lambda client=client: client.closed)
+                statuses = [
+                    part[:3] for part in client.received.split(b"HTTP/1.1 ")[1:]
+                ]
+                self.assertEqual(statuses[1:], [b"503"])
+                self.assertEqual(client.received.count(b"Connection: close"), 1)
+
     @on_loopback
     async def test_requests_behind_a_failed_tick_are_refused(self) -> None:
         client, _ = await self.send_request(REQUEST + REQUEST)
