Count callers that leave within the first line of a request as such

They counted as callers that closed an idle connection: the timer that tells the two apart was cancelled before the end was recorded. A row of test_connection_ends failed.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -229,12 +229,12 @@
             self.dataReceived(b"")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Cancels the timeouts, records the end and unregisters the connection."""
+        """Records the end, cancels the timeouts and unregisters the connection."""
+        self._callers.record_end(self, reason)
         self._stop_header_timer()
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
         self._callers.channels.discard(self)
-        self._callers.record_end(self, reason)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
     def reject(self, cause: EndCause) -> None:
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -174,6 +174,9 @@
     async def end_reading_headers_by_caller(self) -> None:
         await self.leave_after(HEAD)
 
+    async def end_reading_first_line_by_caller(self) -> None:
+        await self.leave_after(HEAD[:10])
+
     async def end_waiting_by_caller(self) -> None:
         await self.leave_after(REQUEST)
 
@@ -219,6 +222,7 @@
                 EndCause.CALLER_LEFT_READING,
                 "caller",
             ),
+            (self.end_reading_first_line_by_caller, EndCause.CALLER_LEFT_READING, ""),
             (self.end_waiting_by_caller, EndCause.CALLER_LEFT_WAITING, "caller"),
             (self.end_answer_by_caller, EndCause.CALLER_LEFT_ANSWER, "caller"),
             (self.end_unwritten_by_caller, EndCause.CALLER_LEFT_ANSWER, "caller"),
