--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -31,6 +31,7 @@
                 self.assertIn(b"Request-Id: abc", client.received)
                 self.assertEqual(logs.records[0].__dict__["fields"]["request"], "abc")
         self.assertEqual(self.events, [])
+        await self.wait_until(lambda: not self.callers.channels)
         self.assertEqual(self.callers.ends, {EndCause.REFUSED: len(ERRORS)})
 
     @on_loopback
@@ -55,6 +56,7 @@
             transport.write(REQUEST.removeprefix(HEAD))
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.split()[1:2], [b"500"])
+        await self.wait_until(lambda: not self.callers.channels)
         self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
 
     @on_loopback
@@ -70,6 +72,7 @@
             transport.write(REQUEST)
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.count(b"HTTP/1.1"), 1)
+        await self.wait_until(lambda: not self.callers.channels)
         self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
 
     @on_loopback
