--- a/tests/core/serving/test_random.py
+++ b/tests/core/serving/test_random.py
@@ -63,6 +63,8 @@
 STEPS = 500
 SETTLE_S = 26.0
 STREAM_PIECES = 8
+# Requests past their deadline are looked for in some ticks only.
+SLACK_S = 0.1
 FINAL = (DeliverAnswer, FinishAnswer, RefuseCaller, AbortAnswer)
 
 
@@ -258,6 +260,21 @@
                 self.case.assertTrue(effect.not_run)
                 self.case.assertIsNotNone(effect.retry_after_s)
 
+    def check_open_requests(self) -> None:
+        """Checks that each request without a final answer is known, and not overdue."""
+        open_requests = self.harness.world.requests.by_handle
+        limit_s = self.harness.world.serving_policy.leave.limit_s
+        leaving_since = self.harness.world.leaving_since
+        for handle in self.requests:
+            if handle in self.final or handle in self.disconnected:
+                continue
+            self.case.assertIn(handle, open_requests, "it is lost")
+            late_s = self.harness.now - open_requests[handle].deadline_at
+            self.case.assertLess(late_s, SLACK_S, "it is overdue")
+            if leaving_since is not None:
+                late_s = self.harness.now - leaving_since - limit_s
+                self.case.assertLess(late_s, SLACK_S, "it outlives the stop")
+
     def answer_probe(self, effect: ProbeServingUpstream) -> None:
         """Answers a probe, or lets it fail."""
         record = effect.upstream
--- a/tests/core/serving/test_random_changes.py
+++ b/tests/core/serving/test_random_changes.py
@@ -25,8 +25,6 @@
     from magnoliahold.core.serving.configuration import Configuration
 
 NOWHERE = "nowhere"
-# Requests past their deadline are looked for in some ticks only.
-SLACK_S = 0.1
 LEAVING_CHANCE = 0.0005
 
 
@@ -66,21 +64,6 @@
         self.kinds[handle] = kind
         self.harness.world.inbox.add_event(RequestArrived(caller))
 
-    def check_open_requests(self) -> None:
-        """Checks that each request without a final answer is known, and not overdue."""
-        open_requests = self.harness.world.requests.by_handle
-        limit_s = self.harness.world.serving_policy.leave.limit_s
-        leaving_since = self.harness.world.leaving_since
-        for handle in self.requests:
-            if handle in self.final or handle in self.disconnected:
-                continue
-            self.case.assertIn(handle, open_requests, "it is lost")
-            late_s = self.harness.now - open_requests[handle].deadline_at
-            self.case.assertLess(late_s, SLACK_S, "it is overdue")
-            if leaving_since is not None:
-                late_s = self.harness.now - leaving_since - limit_s
-                self.case.assertLess(late_s, SLACK_S, "it outlives the stop")
-
     def draw_feed(self, feed: Feed) -> Any:
         """Draws an answer of the store; some hold a new configuration."""
         call = self.harness.world.feeds[feed].call
