Refuse at once what waits for a work that a template removes

What callers saw: a generation that waited when a new template removed its work waited on, up to half of its deadline where it is no interactive one, and was then refused as "overloaded".

Cause: a queued generation whose work is unknown is passed over in each tick, and only its latest start ends it.

Evidence: the test failed before: none of more than 10 waiting generations was refused within a second of the apply.

In a tick in which a workspace changes, those whose work is gone are refused as without an upstream, truthfully not run. What runs already goes on to its end, as before.

--- a/src/magnoliahold/core/systems/admission.py
+++ b/src/magnoliahold/core/systems/admission.py
@@ -150,6 +150,8 @@
 
 def admit_generations(world: EntryWorld, now: float) -> None:
     """Starts queued generations while slots are free, and refuses late ones."""
+    if world.workspaces.changed_in_tick:
+        refuse_removed_works(world)
     changed = world.admission.slots_freed or bool(world.inbox.read_messages(Heartbeat))
     world.admission.slots_freed = False
     for key, pool in list(world.admission.pools.items()):
@@ -162,6 +164,14 @@
         start_queued_generations(world, pool, now)
 
 
+def refuse_removed_works(world: EntryWorld) -> None:
+    """Refuses what is queued for works that a new template has removed."""
+    for generation in world.generations.list_in_state(GenerationState.QUEUED):
+        if world.workspaces.find_work(*generation.key) is None:
+            grace_s = world.policy.admission.unserved_grace_s
+            refuse_generation(world, generation, "no_upstream", grace_s)
+
+
 def _check_pool(world: EntryWorld, key: PoolKey, pool: PoolQueue, now: float) -> None:
     if not pool.is_empty():
         expire_late_generations(world, pool, now)
