Let the planned soak allow answers at a deadline

A request whose own deadline was reached may end without its answer, by the rule that the check stands for, and a 504 then is what callers are promised. An earlier 504 still counts.

--- a/src/magnoliahold/soak/planned.py
+++ b/src/magnoliahold/soak/planned.py
@@ -41,6 +41,7 @@
 
     from magnoliahold.soak.processes import EntryProcess
 
+TIMED_OUT_UPSTREAM = 504
 CALLER_COUNT = 24
 MIN_WORK_S, MAX_WORK_S = 0.03, 6.0
 MIN_PIECES, MAX_PIECES = 10, 200
@@ -216,6 +217,9 @@
         if not status and not passed_on and ended_at - sent_at <= CROSSING_S:
             self.checker.checked["crossed a close"] += 1
             return
+        if status == TIMED_OUT_UPSTREAM and ended_at - sent_at >= TIMEOUT_S:
+            self.checker.checked["deadline reached"] += 1
+            return
         stops = [stop.at for stop in self.stops if stop.port == port]
         stopped_at = max((at for at in stops if at <= ended_at), default=None)
         if stopped_at is not None:
