Keep the times of a stop that has begun

SIGHUP with a shorter grace beside a planned stop moved the limit of the stop, even into the past: its open requests got 502 at once, or were cut midway. They had been taken, and a longer one may be refused, by the time that was left before.

The settings for leaving stay as they were when the entry began to leave; all others apply.

--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from twisted.internet.main import CONNECTION_DONE
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
@@ -285,7 +285,10 @@
 def reload_settings(
     path: Path, load: Callable[[Path], ServingSettings], daemon: ServingDaemon
 ) -> None:
-    """Applies the settings that may change at run time; none if the file is invalid."""
+    """Applies the settings that may change at run time; none if the file is invalid.
+
+    A stop that has begun keeps its times: requests were taken by what is left of them.
+    """
     try:
         settings = load(path)
     except Exception as error:
@@ -294,6 +297,10 @@
         )
         return
     daemon.settings = settings
-    daemon.node.world.serving_policy = make_serving_policy(settings)
+    world = daemon.node.world
+    policy = make_serving_policy(settings)
+    if world.leaving_since is not None:
+        policy = evolve(policy, leave=world.serving_policy.leave)
+    world.serving_policy = policy
     daemon.node.ports.store.set_base_url(f"http://{settings.store}")
     logger.info("Settings reloaded.", name=settings.name)
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
@@ -10,6 +11,8 @@
 from magnoliahold.core.serving.events import RequestArrived
 from magnoliahold.node import BROKEN_TABLES
 from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.daemon import reload_settings
+from magnoliahold.settings.loading import parse_serving_settings
 from tests.loopback import on_loopback
 from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_exchanges import HEAD as ANSWER_HEAD
@@ -139,6 +142,21 @@
         self.assertTrue(unused.closed)
         self.assertFalse(running.closed)
 
+    @on_loopback
+    async def test_new_settings_do_not_cut_a_stop_that_has_begun(self) -> None:
+        daemon = await self.start_leaving([ANSWER_HEAD + b"Content-Length: 2\r\n\r\n"])
+        client = await self.connect(CALL.replace(b"calls", b"bookings"))
+        await self.wait_until(lambda: bool(self.servers[0].requests))
+        daemon.leave("SIGTERM")
+        await self.sleep(0.1)
+        changed = {**self.settings, "bounds": {"stop_grace_s": 1, "drain_ms": 1000}}
+        reload_settings(Path(), lambda _: parse_serving_settings(changed), daemon)
+        await self.sleep(1.0)
+        self.servers[0].finish(b"ok")
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"200"])
+        self.assertEqual(daemon.settings.bounds.drain_ms, 1000)
+
     @on_loopback
     async def test_failed_tick_at_the_end_of_a_stop_is_reported_once(self) -> None:
         daemon = await self.start_leaving([ANSWER_HEAD])
