--- a/tests/core/serving/test_rejected_retries.py
+++ b/tests/core/serving/test_rejected_retries.py
@@ -25,17 +25,19 @@
 
 
 class RejectedRetryTests(unittest.TestCase):
-    def start(self, kind: RouteKind, service: str) -> ServingHarness:
+    def start(
+        self, kind: RouteKind, service: str, max_attempts: int = MAX_ATTEMPTS
+    ) -> ServingHarness:
         """Starts a request, whose upstream then is silent until it is given up."""
         whole = make_configuration()
         routes = tuple(
-            evolve(item, max_attempts=MAX_ATTEMPTS, timeout_s=25.0)
+            evolve(item, max_attempts=max_attempts, timeout_s=25.0)
             for item in whole.routes
         )
         harness = ServingHarness()
         harness.start(
             evolve(whole, routes=routes),
-            tuple(make_upstream(number, service) for number in range(1, 5)),
+            tuple(make_upstream(number, service) for number in range(1, 7)),
         )
         caller = harness.request(kind, timeout_s=25.0)
         harness.report_no_prompts()
@@ -56,6 +58,9 @@
                 harness.post(AttemptSent(send.attempt))
                 if len(sent) <= rejections:
                     harness.answer(send, caller, 503, not_run=True)
+                elif caller.path.startswith("/stream/"):
+                    harness.open(send, caller)
+                    harness.produce(send, len(sent))
         return sent
 
     def test_rejection_after_silence_ends_no_answer(self) -> None:
@@ -79,6 +84,16 @@
                 self.assertLessEqual(len(sent), 10)
                 self.assertEqual(harness.world.requests.by_handle, {})
 
+    def test_stream_that_returns_reaches_no_more_upstreams_than_allowed(self) -> None:
+        for max_attempts in (3, 4):
+            with self.subTest(max_attempts=max_attempts):
+                harness = self.start(RouteKind.STREAM, ENGINES, max_attempts)
+                (first,) = harness.world.requests.attempts.values()
+                sent = self.play(harness, max_attempts - 1)
+                reached = set(sent) | {first.upstream.id}
+                self.assertLessEqual(len(reached), max_attempts)
+                self.assertGreater(len(sent), max_attempts)
+
 
 if __name__ == "__main__":
     unittest.main()
