--- a/tests/core/serving/test_rejected_retries.py
+++ b/tests/core/serving/test_rejected_retries.py
@@ -9,6 +9,7 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import AbortAnswer, RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import AttemptNotSent, AttemptSent
+from magnoliahold.core.serving.upstreams import UpstreamHealth
 from tests.core.serving.harness import (
     CALLS,
     ENGINES,
@@ -16,6 +17,7 @@
     make_configuration,
     make_upstream,
 )
+from tests.core.serving.test_sole_upstreams import make_failed_probe
 
 MAX_ATTEMPTS = 2
 # For how long an upstream that rejects a request has no room.
@@ -81,6 +83,26 @@
                 self.assertLessEqual(len(sent), 10)
                 self.assertEqual(harness.world.requests.by_handle, {})
 
+    def test_silent_upstream_gets_back_a_request_that_is_rejected(self) -> None:
+        for kind, service in KINDS:
+            with self.subTest(kind=kind):
+                harness = self.start(kind, service)
+                (first,) = harness.world.requests.attempts.values()
+                while first.number in harness.world.requests.attempts:
+                    harness.advance(0.02)
+                harness.post(make_failed_probe(first.upstream.record))
+                self.assertIs(first.upstream.health, UpstreamHealth.DOWN)
+                (request,) = harness.world.requests.by_handle.values()
+                for other in harness.world.upstreams.by_id.values():
+                    if other is not first.upstream:
+                        other.full_until = harness.now + FULL_S
+                (second,) = harness.pop_effects(SendAttempt)
+                harness.post(AttemptSent(second.attempt))
+                harness.answer(second, request.caller, 503, not_run=True)
+                harness.advance(0.02)
+                (third,) = harness.pop_effects(SendAttempt)
+                self.assertEqual(third.upstream, first.upstream.record)
+
     # Failure: an entry opened connections to a dead upstream without a pause.
     def test_refused_connections_end_an_answer_that_is_rejected(self) -> None:
         for kind, service in KINDS:
