--- a/tests/core/serving/test_late_retries.py
+++ b/tests/core/serving/test_late_retries.py
@@ -42,6 +42,14 @@
         self.harness.request(CALL, timeout_s=TIMEOUT_S)
         self.assertEqual(self.harness.pop_effect(RefuseCaller).status, 503)
 
+    def test_early_request_is_taken_by_the_mean_duration(self) -> None:
+        for duration_s in (6.5, *[0.1] * 60):
+            self.harness.world.durations.add(CALLS, CALL, duration_s)
+        self.harness.post(LeaveRequested("SIGTERM"))
+        self.harness.advance(2.0)
+        self.harness.request(CALL, timeout_s=TIMEOUT_S)
+        self.harness.send()
+
     def test_request_that_reached_its_deadline_counts_as_long(self) -> None:
         self.harness.request(CALL, timeout_s=TIMEOUT_S)
         self.harness.send()
