Pause before connecting again to an upstream that refuses

What callers saw: while the process of a service's only upstream was gone, one stream that had begun there kept the entry busy, so that all other requests there waited: each refused connection was followed by the next at once, until the deadline of the stream.

Cause: a request whose connection was refused was routed again in the next tick, which runs at once, and while all upstreams are down the same one is chosen again.

An upstream that has just refused a connection gets no other one for 50 ms, unless it has shown by then that it is up. It still counts where versions are compared, so that no request goes to a suspended version meanwhile.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -121,7 +121,8 @@
     Prompts fill at most `memory_part` of an upstream's KV cache, since outputs need
     space too. A stream whose deadline leaves less than `opening_part` of the mean time
     to the first piece is refused. An upstream that rejected a request is avoided for
-    `full_s`. Upstreams have `lookup_s` to list the prompts that they have cached; the
+    `full_s`, and one that refused a connection gets no other for `reconnect_s` while it
+    is down. Upstreams have `lookup_s` to list the prompts that they have cached; the
     lists are not requested again for `lookup_kept_s`. Refused callers may retry after
     `retry_after_s` on average.
     """
@@ -133,6 +134,7 @@
     hold_share: float = _non_negative(0.125)
     hold_stream_s: float = _positive(1.5)
     full_s: float = _positive(0.1)
+    reconnect_s: float = _positive(0.05)
     place_extra_load: float = _non_negative(4.0)
     memory_part: float = _non_negative(0.85)
     opening_part: float = _non_negative(0.6)
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -57,6 +57,8 @@
         if attempt is None:
             continue
         mark_down(world, attempt.upstream, unsent.reason, now, unsent.silent)
+        if not unsent.silent:
+            attempt.upstream.refused_at = now
         attempt.request.send_count -= 1
         if attempt.request.send_count:
             world.find_budget(attempt.request.service).return_retry()
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -25,11 +25,19 @@
 def find_candidates(
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
-    """Finds the preferred upstreams for a request."""
-    available = _list_allowed(world, request, now)
-    return filter_preferred(
-        world, request, filter_by_version(world, request, available, now), now
-    )
+    """Finds the preferred upstreams for a request.
+
+    None of them has just refused a connection and is still down.
+    """
+    allowed = _list_allowed(world, request, now)
+    of_version = filter_by_version(world, request, allowed, now)
+    refused_since = now - world.serving_policy.attempts.reconnect_s
+    open_to_try = [
+        item
+        for item in of_version
+        if not (item.refuses and item.refused_at > refused_since)
+    ]
+    return filter_preferred(world, request, open_to_try, now)
 
 
 def _list_allowed(
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -86,10 +86,11 @@
     are moving averages of the time between pieces and of the time to the first piece.
     `missing_since` is set while its registration is missing after an outage of the
     store. While `awaits_sign` is set it gets no request, since it may have ended long
-    ago. `silent` is set while it is down and doesn't answer at all. `copies` counts the
-    streams whose KV cache it keeps a copy of, and `copied_tokens` the tokens of their
-    prompts. `pace` is learned from the streams of all entries. `no_load` is the load of
-    an entry that runs nothing there.
+    ago. `silent` is set while it is down and doesn't answer at all; `refused_at` is
+    when it last refused a connection. `copies` counts the streams whose KV cache it
+    keeps a copy of, and `copied_tokens` the tokens of their prompts. `pace` is learned
+    from the streams of all entries. `no_load` is the load of an entry that runs nothing
+    there.
     """
 
     record: UpstreamRecord
@@ -105,6 +106,7 @@
     attempts: dict[int, Attempt] = field(factory=dict)
     copies: int = 0
     copied_tokens: int = 0
+    refused_at: float = -math.inf
     answers: float = 0.0
     failures: float = 0.0
     decayed_at: float = 0.0
