--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -84,9 +84,8 @@
         transport: Any = self.transport
         return self.unwritten_bytes + count_undelivered(transport.getHandle())
 
-    @property
-    def is_taking(self) -> bool:
-        """Whether the caller may still take an answer.
+    def look_for_taking(self) -> bool:
+        """Looks whether the caller may still take an answer, and notes what it took.
 
         The kernel delivers the rest of one behind a close. A caller that takes none of
         that for a while may be gone.
@@ -169,11 +168,11 @@
         """Rejects the request that is being read, or cuts the answer to one before."""
         logger.exception("Reading a request failed.", request=self.find_request_id())
         if self.has_read_request:
-            self.end_cause = EndCause.PROTOCOL_ERROR
+            self.end_cause = EndCause.UNHANDLED_ERROR
             transport: Any = self.transport
             transport.abortConnection()
         else:
-            self.reject(EndCause.PROTOCOL_ERROR)
+            self.reject(EndCause.UNHANDLED_ERROR)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Reads a header line; rejects the request when its headers are too large."""
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -243,7 +243,7 @@
             exchange.write_complete_answer(upstream.status, upstream.headers, body)
         except Exception:
             logger.exception("Answer can't be written.", request=exchange.find_id())
-            exchange.abort_answer(EndCause.PROTOCOL_ERROR)
+            exchange.abort_answer(EndCause.UNHANDLED_ERROR)
 
     def refuse(
         self,
@@ -296,7 +296,7 @@
         for channel in list(self.channels):
             if not channel.is_idle or channel.has_unread:
                 continue
-            if channel.is_taking:
+            if channel.look_for_taking():
                 channel.expect_request()
             elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
--- a/src/magnoliahold/serving/connectionends.py
+++ b/src/magnoliahold/serving/connectionends.py
@@ -46,7 +46,7 @@
     IDLE = "it was idle for too long"
     IDLE_AT_STOP = "it was idle when the entry stopped"
     PROCESS_STOPPED = "the process stopped"
-    PROTOCOL_ERROR = "an unhandled error"
+    UNHANDLED_ERROR = "an unhandled error"
     CALLER_LEFT_IDLE = "the caller closed it idle"
     CALLER_LEFT_READING = "the caller left before its request was read"
     CALLER_LEFT_WAITING = "the caller left before its answer began"
@@ -74,7 +74,7 @@
     EndCause.HEADERS_LATE: 408,
     EndCause.BODY_LATE: 408,
     EndCause.UNFINISHED_AT_STOP: 408,
-    EndCause.PROTOCOL_ERROR: 500,
+    EndCause.UNHANDLED_ERROR: 500,
 }
 
 
@@ -119,7 +119,7 @@
     if own is not None and not (own in ANNOUNCED_CAUSES and channel.unwritten_bytes):
         return own
     if reason.check(ConnectionDone, ConnectionLost) is None:
-        return EndCause.PROTOCOL_ERROR
+        return EndCause.UNHANDLED_ERROR
     if is_stopping:
         return find_stop_cause(channel)
     return find_caller_cause(channel)
@@ -162,7 +162,7 @@
     }
     if channel.is_unanswered or cause in LOST_CAUSES | CUT_CAUSES:
         logger.info("Connection ended before the answer.", **fields)
-    elif cause is EndCause.PROTOCOL_ERROR:
+    elif cause is EndCause.UNHANDLED_ERROR:
         logger.error("Connection ended by an error.", **fields)
     else:
         logger.debug("Connection ended.", **fields)
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -159,7 +159,7 @@
         await self.wait_until(lambda: bool(self.callers.channels))
         await self.stop_process()
 
-    async def end_by_protocol_error(self) -> None:
+    async def end_by_unhandled_error(self) -> None:
         await self.send_request(REQUEST)
         (channel,) = self.callers.channels
         transport: Any = channel.transport
@@ -214,7 +214,7 @@
             (self.end_idle_at_stop, EndCause.IDLE_AT_STOP, ""),
             (self.end_with_process, EndCause.PROCESS_STOPPED, "entry"),
             (self.end_idle_with_process, EndCause.IDLE_AT_STOP, ""),
-            (self.end_by_protocol_error, EndCause.PROTOCOL_ERROR, "entry"),
+            (self.end_by_unhandled_error, EndCause.UNHANDLED_ERROR, "entry"),
             (self.end_idle_by_caller, EndCause.CALLER_LEFT_IDLE, ""),
             (self.end_reading_by_caller, EndCause.CALLER_LEFT_READING, "caller"),
             (
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -58,7 +58,7 @@
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.split()[1:2], [b"500"])
         await self.wait_until(lambda: not self.callers.channels)
-        self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
+        self.assertEqual(self.callers.ends, {EndCause.UNHANDLED_ERROR: 1})
 
     @on_loopback
     async def test_error_behind_a_stream_cuts_it(self) -> None:
@@ -74,7 +74,7 @@
             await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.count(b"HTTP/1.1"), 1)
         await self.wait_until(lambda: not self.callers.channels)
-        self.assertEqual(self.callers.ends, {EndCause.PROTOCOL_ERROR: 1})
+        self.assertEqual(self.callers.ends, {EndCause.UNHANDLED_ERROR: 1})
 
     @on_loopback
     async def test_request_that_is_cut_before_its_answer_began_is_refused(self) -> None:
