Count an engine's silence from the start of the attempt there

What callers saw: a stream left an engine that had been idle, and was silent for only 0.04 s of the stream, for a queue, where it got 502: "no room at the engines before it could be served".

Cause: the wait before a stream leaves for a queue was counted from the last byte of the engine, which may be long before the stream was sent there.

The silence counts from the last byte, or from the sending of the attempt if that was later.

--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -67,8 +67,8 @@
     others = list_healthy_alternatives(world, attempt, now)
     if not others:
         return False
-    silent_s = now - attempt.upstream.last_received_at
-    if silent_s >= world.serving_policy.watch.gap_without_copy_s:
+    heard_at = max(attempt.upstream.last_received_at, attempt.last_received_at)
+    if now - heard_at >= world.serving_policy.watch.gap_without_copy_s:
         return True
     return bool(filter_by_room(world, attempt.request, others, now))
 
--- a/tests/core/serving/test_sole_upstreams.py
+++ b/tests/core/serving/test_sole_upstreams.py
@@ -77,6 +77,12 @@
         self.assertEqual(list(harness.world.requests.by_handle), [caller.handle])
 
     def test_stream_leaves_no_silent_engine_for_a_queue(self) -> None:
+        for name, idle_s in (("used lately", 0.0), ("idle before", 3.0)):
+            with self.subTest(name):
+                self.play_full(idle_s)
+
+    def play_full(self, idle_s: float) -> None:
+        """Lets an engine fall silent, after an idle time, while the other is full."""
         urgent = make_route(
             RouteKind.STREAM, ENGINES, name="urgent", prefix="/u/", priority=1
         )
@@ -88,6 +94,7 @@
         harness = ServingHarness()
         records = tuple(make_upstream(number, ENGINES) for number in (1, 2))
         harness.start(configuration, records)
+        harness.advance(idle_s)
         running = harness.request(RouteKind.STREAM)
         busy = harness.send()
         harness.open(busy, running)
