--- a/tests/serving/test_back_pressure.py
+++ b/tests/serving/test_back_pressure.py
@@ -65,9 +65,18 @@
 class BackPressureTests(DaemonTestCase):
     timeout_ms = 5000
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.slow_callers: list[SlowCaller] = []
+
     def call(self, request: bytes = REQUEST) -> SlowCaller:
-        """Connects a caller that is slow."""
+        """Connects a caller that is slow.
+
+        It is kept, since the reactor doesn't keep a connection that neither reads nor
+        writes.
+        """
         caller = SlowCaller(request)
+        self.slow_callers.append(caller)
         factory = ClientFactory()
         factory.noisy = False
         factory.buildProtocol = lambda _: caller  # type: ignore
