Give the test of waiting requests in a stop a proof that lasts

Cause, traced: the store of the test proves the configuration once, at the start; where the machine lets the entry run so seldom that six answers of 8 MiB take over 4.4 s, the sixth request is refused with 503 and 'credentials can't be checked', truthfully, and the test waits for its answer until its limit.

--- a/tests/serving/test_back_pressure.py
+++ b/tests/serving/test_back_pressure.py
@@ -197,6 +197,8 @@
 
     @on_loopback
     async def test_requests_that_wait_are_answered_in_a_stop(self) -> None:
+        # The store of the test proves the configuration once only.
+        self.settings["bounds"] = {"revocation_ms": 60_000}
         daemon = await self.start_with_large_answers()
         caller = self.call(CALL * CALLS)
         await self.watch(daemon, caller, 0.5)
