Name repeatable requests as such in the refusals of a stop

Cause: is_call meant 'may be repeated', and CALL_REASON stands for all requests but streams. Change: local names, a constant and a comment; no behaviour.

--- a/src/magnoliahold/core/serving/systems/stop_refusals.py
+++ b/src/magnoliahold/core/serving/systems/stop_refusals.py
@@ -15,7 +15,7 @@
 # So many durations are needed before the longest of them tells how long one may be.
 MIN_DURATIONS = 100
 STREAM_REASON = "the entry stops before the stream could end"
-CALL_REASON = "the entry stops before the request could end"
+REQUEST_REASON = "the entry stops before the request could end"
 
 
 def find_stop_rejection(world: ServingWorld, request: ServedRequest, now: float) -> str:
@@ -28,7 +28,7 @@
     needed_s = min(request.deadline_at - now, _estimate_needed_s(world, request, since))
     if needed_s < left_s:
         return ""
-    return STREAM_REASON if request.route.kind is RouteKind.STREAM else CALL_REASON
+    return STREAM_REASON if request.route.kind is RouteKind.STREAM else REQUEST_REASON
 
 
 def _estimate_needed_s(
@@ -38,14 +38,14 @@
 
     What arrives after the listener was closed comes on an old connection, and its
     caller reaches another entry with the next one: only what rarely takes longer is
-    taken. A few durations don't tell that, since the long ones are measured last.
+    taken. A few durations don't tell that, since the long ones end last.
     """
     policy = world.serving_policy.leave
     durations = world.durations.find(request.service, request.route.kind)
     count = durations.count if durations is not None else 0
     is_late = request.arrived_at - since >= policy.accept_s
-    is_call = request.route.kind is RouteKind.IDEMPOTENT
-    if is_late and not is_call and count < MIN_DURATIONS:
+    is_repeatable = request.route.kind is RouteKind.IDEMPOTENT
+    if is_late and not is_repeatable and count < MIN_DURATIONS:
         return math.inf
     if durations is None:
         expected_s = request.route.goal_s
