--- a/src/magnoliahold/serving/bodies.py
+++ b/src/magnoliahold/serving/bodies.py
@@ -12,7 +12,8 @@
 from magnoliahold.serving.pieces import PieceSplitter
 
 if TYPE_CHECKING:
-    from magnoliahold.serving.exchanges import Exchange, UpstreamExchanges
+    from magnoliahold.serving.exchanges import Exchange
+    from magnoliahold.serving.upstreamexchanges import UpstreamExchanges
 
 
 class AnswerReader(Protocol):
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -33,10 +33,10 @@
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.copies import KvCacheCopier
-from magnoliahold.serving.exchanges import UpstreamExchanges
 from magnoliahold.serving.notices import NoticePort, NoticeProtocol
 from magnoliahold.serving.performers import ServingPorts
 from magnoliahold.serving.prompts import PromptListClient
+from magnoliahold.serving.upstreamexchanges import UpstreamExchanges
 from magnoliahold.settings.serving import make_serving_policy
 
 if TYPE_CHECKING:
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -25,9 +25,9 @@
     from magnoliahold.platform.store import StoreClient
     from magnoliahold.serving.callers import Callers
     from magnoliahold.serving.copies import KvCacheCopier
-    from magnoliahold.serving.exchanges import UpstreamExchanges
     from magnoliahold.serving.notices import NoticePort
     from magnoliahold.serving.prompts import PromptListClient
+    from magnoliahold.serving.upstreamexchanges import UpstreamExchanges
 
 logger = make_part_logger("callers")
 
--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -24,7 +24,7 @@
 
     from magnoliahold.core.serving.upstreams import UpstreamRecord
     from magnoliahold.serving.connections import UpstreamConnection
-    from magnoliahold.serving.exchanges import UpstreamExchanges
+    from magnoliahold.serving.upstreamexchanges import UpstreamExchanges
 
 MAX_PROBE_WIRE_BYTES = 256 * 1024
 
--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -9,7 +9,8 @@
 from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.connections import ConnectionPool
-from magnoliahold.serving.exchanges import RequestContent, UpstreamExchanges
+from magnoliahold.serving.exchanges import RequestContent
+from magnoliahold.serving.upstreamexchanges import UpstreamExchanges
 from tests.loopback import LoopbackTestCase
 from tests.serving.scripted import ScriptedServer
 
--- a/tests/serving/test_exchanges.py
+++ b/tests/serving/test_exchanges.py
@@ -19,7 +19,7 @@
     UpstreamFailedProbe,
     UpstreamSignalled,
 )
-from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES
+from magnoliahold.serving.upstreamexchanges import MAX_ANSWER_BYTES
 from tests.flooding import CHUNKED, make_chunk
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
--- a/tests/serving/test_memory.py
+++ b/tests/serving/test_memory.py
@@ -8,9 +8,9 @@
 from attrs import define
 
 from magnoliahold.core.serving.events import AnswerReceived, AttemptInterrupted
-from magnoliahold.serving.exchanges import MAX_ANSWER_BYTES, MAX_DISCARDED_BYTES
 from magnoliahold.serving.memory import SHORT_BYTES, AnswerMemory, PauseReason
 from magnoliahold.serving.pieces import MAX_PIECE_BYTES
+from magnoliahold.serving.upstreamexchanges import MAX_ANSWER_BYTES, MAX_DISCARDED_BYTES
 from tests.flooding import MIB, FloodingServer
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
--- a/tests/serving/test_odd_answers.py
+++ b/tests/serving/test_odd_answers.py
@@ -20,7 +20,7 @@
 )
 from magnoliahold.core.serving.requests import CopyReference
 from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving import copies, exchanges, probes
+from magnoliahold.serving import copies, exchanges, probes, upstreamexchanges
 from magnoliahold.serving.copies import KvCacheCopier
 from magnoliahold.serving.prompts import PromptListClient
 from tests.flooding import make_chunk
@@ -91,7 +91,7 @@
                 failing = Mock(side_effect=error("odd"))
                 with (
                     self.subTest(name, error=error.__name__),
-                    patch.object(exchanges, name, failing),
+                    patch.object(upstreamexchanges, name, failing),
                 ):
                     kinds = await self.send_and_wait(self.listen([WHOLE]))
                     self.assertEqual(kinds, [AttemptSent, AttemptInterrupted])
