Give a new version enough requests to be judged by

The share of the new version was 0.25 at most, whatever the traffic.

The share now grows, up to 0.5, so that the version gets 35 requests until the end; what a bad version may get bounds it as before.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -188,13 +188,14 @@
     Of all requests since an order, a bad version may get `exposure_share` and
     `exposure_extra` more; only `allowed_part` of that is used. The new version starts
     with `canary_share` of the requests and gets `grown_share` after `answers_to_grow`
-    answers, or after `late_part` of the time; with evidence against it only up to
-    `exposure_in_doubt` requests. A move ends `decide_before_s` before its deadline, and
-    ends as done only after `answers_to_end` answers and with less evidence against the
-    new version than `doubt_limits`. A version that has just appeared gets no requests
-    for `hold_s`, since an order about it may still arrive. An entry delays a due step
-    by `turn_s` for each entry ranked before it, at most by `turn_max_s`, so that two
-    rarely write the same step.
+    answers, or after `late_part` of the time; more than that, up to `largest_share`, if
+    it would else have fewer than `requests_to_judge` by the end. With evidence against
+    it that holds only up to `exposure_in_doubt` requests. A move ends `decide_before_s`
+    before its deadline, and ends as done only after `answers_to_end` answers and with
+    less evidence against the new version than `doubt_limits`. A version that has just
+    appeared gets no requests for `hold_s`, since an order about it may still arrive. An
+    entry delays a due step by `turn_s` for each entry ranked before it, at most by
+    `turn_max_s`, so that two rarely write the same step.
     """
 
     exposure_share: float = _non_negative(0.1)
@@ -202,6 +203,8 @@
     allowed_part: float = _non_negative(0.7)
     canary_share: float = _non_negative(0.1)
     grown_share: float = _non_negative(0.25)
+    largest_share: float = _non_negative(0.5)
+    requests_to_judge: int = _positive_int(35)
     answers_to_grow: int = _positive_int(6)
     exposure_in_doubt: int = _positive_int(25)
     late_part: float = _non_negative(0.35)
--- a/src/magnoliahold/core/serving/systems/version_routing.py
+++ b/src/magnoliahold/core/serving/systems/version_routing.py
@@ -10,7 +10,7 @@
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
-    from magnoliahold.core.serving.moves import VersionMove
+    from magnoliahold.core.serving.moves import Exposure, VersionMove
     from magnoliahold.core.serving.requests import Attempt, ServedRequest
     from magnoliahold.core.serving.upstreams import Upstream
     from magnoliahold.core.serving.world import ServingWorld
@@ -67,20 +67,41 @@
     if in_doubt and exposure.sent_new >= policy.exposure_in_doubt:
         return policy.canary_share
     enough_answers = analysis.answered >= policy.answers_to_grow
-    return (
-        policy.grown_share
-        if enough_answers or _is_late(world, move)
-        else policy.canary_share
-    )
+    if enough_answers or _is_late(world, move):
+        return _find_grown_share(world, move, exposure)
+    return policy.canary_share
+
+
+def _find_grown_share(
+    world: ServingWorld, move: VersionMove, exposure: Exposure
+) -> float:
+    """Finds the share with which a grown version gets enough requests to be judged.
+
+    With few requests that takes a larger share of those until the end of the move.
+    """
+    policy = world.serving_policy.moves
+    elapsed_s = _measure_elapsed(world, move)
+    left_s = move.order.over_s - policy.decide_before_s - elapsed_s
+    missing = policy.requests_to_judge - exposure.sent_new
+    sent = exposure.sent_old + exposure.sent_new
+    if elapsed_s <= 0 or left_s <= 0 or not sent:
+        return policy.grown_share
+    expected = sent / elapsed_s * left_s
+    return min(policy.largest_share, max(policy.grown_share, missing / expected))
 
 
 def _is_late(world: ServingWorld, move: VersionMove) -> bool:
     """Checks whether too little time is left to gather results at the canary share."""
+    late_s = world.serving_policy.moves.late_part * move.order.over_s
+    return _measure_elapsed(world, move) >= late_s
+
+
+def _measure_elapsed(world: ServingWorld, move: VersionMove) -> float:
+    """Measures the seconds since a move began; 0 while that isn't known."""
     store_time = world.read_store_time()
     if store_time is None or move.record is None:
-        return False
-    elapsed_s = store_time - move.record.began_at
-    return elapsed_s >= world.serving_policy.moves.late_part * move.order.over_s
+        return 0.0
+    return store_time - move.record.began_at
 
 
 def filter_by_version(
