Cut nothing before the last sixth of a short grace

Callers of an entry whose grace is below 3.6 s saw requests end with 502, and streams cut, at 0.6 s before its end: at 0.4 s of a grace of 1 s. The rule lets a request that runs long be cut in the last sixth of the grace only.

Cause: the limit was the grace less a fixed margin, and the parts of the stop had fixed lengths: with a grace of 1 s the listener's time, the registration's and the farewell together took longer than the limit. Change: the margin is at most a sixth of the grace, and the other parts are at most shares of it.

--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from attrs import evolve, field, frozen
 
 from magnoliahold.core.serving.policy import ServingPolicy
@@ -14,6 +16,9 @@
 )
 from magnoliahold.settings.model import LogSettings
 
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.policy import LeavePolicy
+
 MS_PER_S = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
 # Share of an instance's link that notices between entries may use.
@@ -27,6 +32,14 @@
 ACCEPT_MARGIN_S = 5.0
 # The process itself takes up to a quarter of a second to exit on a small core.
 LIMIT_MARGIN_S = 0.6
+# What still runs may be cut in the last sixth of the grace, not before.
+LIMIT_MARGIN_SHARE = 1 / 6
+# Shares of the grace that the other parts of a stop take at most.
+ACCEPT_SHARE = 0.1
+SWEEP_SHARE = 0.2
+SETTLE_SHARE = 0.1
+FAREWELL_SHARE = 0.05
+FLUSH_SHARE = 0.04
 MIN_LIMIT_S = 0.1
 
 
@@ -115,9 +128,6 @@
         policy.relay,
         max_age_s=min(policy.relay.max_age_s, feeds.ready_age_s * RELAY_AGE_SHARE),
     )
-    limit_s = max(MIN_LIMIT_S, bounds.stop_grace_s - LIMIT_MARGIN_S)
-    accept_s = min(policy.leave.accept_s, max(MIN_LIMIT_S, limit_s - ACCEPT_MARGIN_S))
-    leave = evolve(policy.leave, accept_s=accept_s, limit_s=limit_s)
     moves = evolve(
         policy.moves,
         exposure_share=bounds.exposure_share,
@@ -137,9 +147,28 @@
         policy,
         feeds=feeds,
         relay=relay,
-        leave=leave,
+        leave=make_leave_policy(policy.leave, bounds.stop_grace_s),
         moves=moves,
         budget=budget,
         peers=peers,
         load=evolve(policy.load, by_pace=settings.load.by_pace),
     )
+
+
+def make_leave_policy(leave: LeavePolicy, grace_s: float) -> LeavePolicy:
+    """Derives the times of a stop from the seconds that it may take.
+
+    Requests are cut in the last sixth of them only. What a stop does before and after
+    that takes less time with a short grace.
+    """
+    limit_s = grace_s - min(LIMIT_MARGIN_S, grace_s * LIMIT_MARGIN_SHARE)
+    accept_s = max(limit_s - ACCEPT_MARGIN_S, grace_s * ACCEPT_SHARE)
+    return evolve(
+        leave,
+        accept_s=min(leave.accept_s, accept_s),
+        sweep_s=min(leave.sweep_s, grace_s * SWEEP_SHARE),
+        settle_s=min(leave.settle_s, grace_s * SETTLE_SHARE),
+        limit_s=limit_s,
+        farewell_s=min(leave.farewell_s, grace_s * FAREWELL_SHARE),
+        flush_s=min(leave.flush_s, grace_s * FLUSH_SHARE),
+    )
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from magnoliahold.serving.daemon import TICK_S
 from magnoliahold.settings.documents import parse_document
 from magnoliahold.settings.loading import parse_serving_settings
 from magnoliahold.settings.serving import make_serving_policy
@@ -33,6 +34,10 @@
 }
 # Time from the last log line of a process to its exit, on a small core.
 EXIT_TIME_S = 0.5
+# Requests may be cut in this last share of the grace.
+CUT_SHARE = 1 / 6
+GRACES_S = (1.0, 1.2, 1.5, 1.9, 2.0, 2.5, 3.0, 3.5, 3.6, 3.7, 4.0, 5.0, 6.0, 7.0, 8.0)
+GRACES_S += tuple(range(9, 61))
 VALID = {
     "name": "entry-1",
     "data_centre": "data-centre-1",
@@ -97,6 +102,21 @@
                 self.assertLessEqual(policy.leave.limit_s, grace_s - EXIT_TIME_S)
                 self.assertLess(policy.leave.accept_s, policy.leave.limit_s)
 
+    def test_parts_of_a_stop_fit_each_grace(self) -> None:
+        for grace_s in GRACES_S:
+            with self.subTest(grace_s=grace_s):
+                bounds = {"stop_grace_s": grace_s}
+                settings = parse_serving_settings({**VALID, "bounds": bounds})
+                leave = make_serving_policy(settings).leave
+                self.assertGreaterEqual(leave.limit_s, grace_s * (1 - CUT_SHARE))
+                exit_s = grace_s - leave.limit_s - leave.flush_s
+                self.assertGreaterEqual(exit_s, min(0.25, grace_s / 8))
+                self.assertGreaterEqual(leave.flush_s, 2 * TICK_S)
+                self.assertGreaterEqual(leave.farewell_s, 2 * TICK_S)
+                ready_s = leave.accept_s + leave.settle_s + leave.farewell_s
+                self.assertLess(ready_s, leave.limit_s / 2)
+                self.assertLess(leave.accept_s + leave.sweep_s, leave.limit_s / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
