Refuse at once what is read behind the limit of a stop

Callers that send many requests behind one another got answers to a part of them when they came at the limit of a stop: of 100, 9 were answered with ticks of 10 ms and four callers at once, and the rest ended with the process.

Cause: each request took a tick of its own, and 0.2 s are left behind the limit. A request of which a part had been read was rejected there with 408 though the rest of it waited in the socket, and what came behind it was discarded. Change: from the limit on, requests are refused as they are read, all that is buffered in one pass, with 503, Retry-After, and a close that the last of them announces. A request is rejected as unfinished only if no byte waits in the socket.

--- a/src/magnoliahold/core/serving/systems/leaving.py
+++ b/src/magnoliahold/core/serving/systems/leaving.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from magnoliahold.core.serving.world import ServingWorld
 
+STOP_REASON = "the entry stops"
+
 
 def start_leaving(world: ServingWorld, now: float) -> None:
     """Starts leaving; callers are still served while the readiness check fails."""
@@ -46,7 +48,7 @@
         world.emit(CloseIdleConnections())
     if now - since >= policy.limit_s:
         for request in list(world.requests.by_handle.values()):
-            refuse(world, request, "the entry stops", now)
+            refuse(world, request, STOP_REASON, now)
     if not world.stopping:
         _stop_when_idle(world, now - since, now)
 
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -87,6 +87,7 @@
     """The callers' connections and their open requests by handle.
 
     `refusing_because` is why all requests are refused; it is empty if they aren't.
+    Their callers may retry after `refused_for_s`, if that is known.
     `unanswered` counts the requests whose connection ended before their answer, by who
     ended it; `ends` counts all connections that ended. `is_stopping` is set when the
     process stops, which ends all connections.
@@ -100,6 +101,7 @@
     ends: Counter[EndCause] = field(factory=Counter)
     is_stopping: bool = False
     refusing_because: str = ""
+    refused_for_s: float | None = None
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
@@ -146,7 +148,8 @@
 
     def _admit(self, exchange: CallerExchange) -> None:
         if self.refusing_because:
-            self._reject(exchange, UNAVAILABLE, self.refusing_because)
+            reason = self.refusing_because
+            self._reject(exchange, UNAVAILABLE, reason, self.refused_for_s)
             return
         if exchange.body_bytes > exchange.body_limit:
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
@@ -177,9 +180,15 @@
         )
         self.post(RequestArrived(caller))
 
-    def _reject(self, exchange: CallerExchange, status: int, reason: str) -> None:
+    def _reject(
+        self,
+        exchange: CallerExchange,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         exchange.close_connection_unless_used()
-        self._write_own_answer(exchange, status, reason, None)
+        self._write_own_answer(exchange, status, reason, retry_after_s)
 
     def handle_disconnect(self, exchange: CallerExchange) -> None:
         """Posts CallerDisconnected if the request is still open."""
@@ -310,10 +319,22 @@
             else:
                 self.refuse(handle, BAD_GATEWAY, reason, None, closing=True)
 
+    def refuse_later_requests(self, reason: str, retry_after_s: float) -> None:
+        """Refuses each request as soon as it is read from now on, as not run.
+
+        Many that a caller sent behind one another need no tick each.
+        """
+        if not self.refusing_because:
+            self.refusing_because = reason
+            self.refused_for_s = retry_after_s
+
     def reject_unfinished(self) -> None:
-        """Rejects the requests that have not been read to their end."""
+        """Rejects the requests that have not been read to their end.
+
+        Those whose next bytes wait in the socket are read first.
+        """
         for channel in list(self.channels):
-            if channel.is_reading:
+            if channel.is_reading and not channel.has_unread:
                 channel.reject(EndCause.UNFINISHED_AT_STOP)
 
     def _remove(self, handle: int) -> CallerExchange | None:
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -18,7 +18,8 @@
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
-from magnoliahold.core.serving.systems.leaving import find_unready_reason
+from magnoliahold.core.serving.systems.completion import choose_retry_after
+from magnoliahold.core.serving.systems.leaving import STOP_REASON, find_unready_reason
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import parse_endpoint
@@ -119,17 +120,19 @@
     def finish(self, reason: str) -> None:
         """Stops once callers have taken their answers, or when the time is up.
 
-        Ticks go on meanwhile: a request that was being read is still served. When one
-        fails, that becomes the reason.
+        Ticks go on meanwhile: a request that was being read is still served, until the
+        limit, and refused behind it. When a tick fails, that becomes the reason.
         """
+        callers = self.node.ports.callers
         self._cancel_finishing()
         self.close_listener()
-        callers = self.node.ports.callers
         if reason == BROKEN_TABLES:
             callers.fail_open_requests(reason)
         callers.close_idle()
         left_s = self._find_finish_limit(reason) - self.reactor.seconds()
         if left_s <= 0:
+            retry_after_s = choose_retry_after(self.node.world)
+            callers.refuse_later_requests(STOP_REASON, retry_after_s)
             callers.reject_unfinished()
         flush_s = self.node.world.serving_policy.leave.flush_s
         if callers.channels and left_s > -flush_s:
