Answer at the last look of a stop what was read or waits

A request that was read in the same pass of the reactor as the last look of a stop, or waited in its socket then, ended without an answer.

Cause: the stop ended ticks and the reactor in that pass, so that a posted request was never admitted, and answers that were only buffered were never written. A process that was held up until behind the last look lost what had come meanwhile. Change: the last look runs a tick, which refuses what is open as not run, or with 502 if it was passed on; reads what waits in the sockets, for as long as the flush takes at most; rejects what isn't whole; and writes all answers. Nothing is read behind it. If that tick fails, the open requests get 502, and the process counts as broken.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -140,6 +140,28 @@
         transport: Any = self.transport
         return has_unread_bytes(transport.getHandle())
 
+    @property
+    def has_readable(self) -> bool:
+        """Whether bytes wait in the socket, and nothing holds them back there."""
+        held = self.paused or self._waitingForTransport
+        return not held and self in self._callers.channels and self.has_unread
+
+    def read_waiting(self) -> None:
+        """Reads bytes that wait in the socket, without waiting for the reactor."""
+        transport: Any = self.transport
+        transport.doRead()
+
+    def write_answers(self) -> None:
+        """Writes what the kernel takes of the answers, without waiting for the reactor.
+
+        Requests that were held back behind them are read and answered then.
+        """
+        transport: Any = self.transport
+        before = 0
+        while self.unwritten_bytes not in (0, before):
+            before = self.unwritten_bytes
+            transport.doWrite()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection."""
         super().connectionMade()  # type: ignore[no-untyped-call]
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -328,13 +328,25 @@
             self.refusing_because = reason
             self.refused_for_s = retry_after_s
 
-    def reject_unfinished(self) -> None:
+    def read_waiting(self, until: float) -> None:
+        """Reads what callers have sent, as long as the time isn't past `until`."""
+        for channel in list(self.channels):
+            while self.clock.seconds() < until and channel.has_readable:
+                channel.read_waiting()
+
+    def write_answers(self) -> None:
+        """Writes what callers' kernels take of the answers."""
+        for channel in list(self.channels):
+            channel.write_answers()
+
+    def reject_unfinished(self, at_exit: bool = False) -> None:
         """Rejects the requests that have not been read to their end.
 
-        Those whose next bytes wait in the socket are read first.
+        Those whose next bytes wait in the socket are read first, unless there is no
+        time for that `at_exit`.
         """
         for channel in list(self.channels):
-            if channel.is_reading and not channel.has_unread:
+            if channel.is_reading and (at_exit or not channel.has_unread):
                 channel.reject(EndCause.UNFINISHED_AT_STOP)
 
     def _remove(self, handle: int) -> CallerExchange | None:
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -124,6 +124,8 @@
         limit, and refused behind it. When a tick fails, that becomes the reason.
         """
         callers = self.node.ports.callers
+        if callers.is_stopping:
+            return
         self._cancel_finishing()
         self.close_listener()
         if reason == BROKEN_TABLES:
@@ -139,10 +141,27 @@
             self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
             return
         if callers.channels:
+            self._answer_rest(flush_s)
             logger.warning(
                 "Connections were open at the stop.", connections=len(callers.channels)
             )
-        self.stop(reason)
+        self.stop(reason if self.node.running else BROKEN_TABLES)
+
+    def _answer_rest(self, read_s: float) -> None:
+        """Answers the requests that were read or wait to be read, without a pause.
+
+        The reactor neither reads nor writes any more before it stops. Reading takes
+        `read_s` seconds at most; what is left then is not read at all.
+        """
+        callers = self.node.ports.callers
+        if self.node.running:
+            self.node.world.next_scan_at = 0.0
+            self.node.run_tick()
+        if not self.node.running:
+            callers.fail_open_requests(BROKEN_TABLES)
+        callers.read_waiting(self.reactor.seconds() + read_s)
+        callers.reject_unfinished(at_exit=True)
+        callers.write_answers()
 
     def _find_finish_limit(self, reason: str) -> float:
         """Returns when callers must have sent their requests; no ticks, no service."""
