Keep the times of a stop from settings that come beside its order

With a SIGHUP right behind SIGTERM, whose settings shorten the grace, requests that had been admitted got 502 at the new limit.

Cause: a stop counted as begun with the tick after its order, and settings that were reloaded before that tick still replaced its times. Change: the order itself marks the entry as leaving. Result: a request that takes 1.2 s gets its answer though the grace becomes 1 s in the pass of the order; with 502 before the change.

--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -60,6 +60,7 @@
 
     `on_stopped` is called with the reason when it has stopped; `finishing` is the next
     look at whether it may, and `finish_limit` when requests must have been read.
+    `is_leaving` is set by the order to stop, a tick before that is decided upon.
     `broken` is set when it stopped because its tables were inconsistent.
     """
 
@@ -69,6 +70,7 @@
     metrics: Metrics
     on_stopped: Callable[[str], None]
     broken: bool = False
+    is_leaving: bool = False
     finishing: Any = None
     finish_limit: float | None = None
     listeners: list[Any] = field(factory=list)
@@ -115,6 +117,7 @@
 
     def leave(self, reason: str) -> None:
         """Starts draining; `on_stopped` is called when nothing is in flight."""
+        self.is_leaving = True
         self.node.post_event(LeaveRequested(reason))
 
     def finish(self, reason: str) -> None:
@@ -325,7 +328,7 @@
     daemon.settings = settings
     world = daemon.node.world
     policy = make_serving_policy(settings)
-    if world.leaving_since is not None:
+    if daemon.is_leaving:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
     daemon.node.ports.store.set_base_url(f"http://{settings.store}")
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
+    from magnoliahold.serving.daemon import ServingDaemon
     from tests.serving.test_callers import Client
 
 # Times of the stop, in seconds.
@@ -149,14 +150,32 @@
         await self.wait_until(lambda: bool(self.servers[0].requests))
         daemon.leave("SIGTERM")
         await self.sleep(0.1)
-        changed = {**self.settings, "bounds": {"stop_grace_s": 1, "drain_ms": 1000}}
-        reload_settings(Path(), lambda _: parse_serving_settings(changed), daemon)
+        self.reload_with_short_grace(daemon)
         await self.sleep(1.0)
         self.servers[0].finish(b"ok")
         await self.wait_until(lambda: client.closed)
         self.assertEqual(client.received.split()[1:2], [b"200"])
         self.assertEqual(daemon.settings.bounds.drain_ms, 1000)
 
+    @on_loopback
+    async def test_new_settings_in_the_pass_of_the_order_to_stop_cut_nothing(
+        self,
+    ) -> None:
+        daemon = await self.start_leaving([ANSWER_HEAD + b"Content-Length: 2\r\n\r\n"])
+        client = await self.connect(CALL.replace(b"calls", b"bookings"))
+        await self.wait_until(lambda: bool(self.servers[0].requests))
+        daemon.leave("SIGTERM")
+        self.reload_with_short_grace(daemon)
+        await self.sleep(1.2)
+        self.servers[0].finish(b"ok")
+        await self.wait_until(lambda: client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"200"])
+
+    def reload_with_short_grace(self, daemon: ServingDaemon) -> None:
+        """Applies settings with a grace of 1 s, as SIGHUP does."""
+        changed = {**self.settings, "bounds": {"stop_grace_s": 1, "drain_ms": 1000}}
+        reload_settings(Path(), lambda _: parse_serving_settings(changed), daemon)
+
     @on_loopback
     async def test_failed_tick_at_the_end_of_a_stop_is_reported_once(self) -> None:
         daemon = await self.start_leaving([ANSWER_HEAD])
