Test signals in each phase of a stop, and more changes beside it

SIGTERM and SIGHUP with a grace of 1 s every 0.15 s until the process ends, a revoked credential, and the only upstream that leaves: calls, bookings and streams of 2.8 s get their whole answers. No fault was found.

--- a/tests/serving/test_stopping_processes.py
+++ b/tests/serving/test_stopping_processes.py
@@ -37,6 +37,7 @@
 TIMEOUT_MS = 6000
 # How long after SIGTERM a process ends at the latest.
 GRACE_S = 8.0
+SIGNAL_S = 0.15
 
 
 @define(eq=False)
@@ -48,12 +49,29 @@
     settings_path: Path
     store: FakeStore
     store_listener: Listener
+    upstream: str
 
     def remove_routes(self) -> None:
         """Writes a configuration without routes."""
         document = make_document(9, timeout_ms=TIMEOUT_MS)
         self.store.put("op", "config", {**document, "routes": []})
 
+    def revoke_credentials(self) -> None:
+        """Writes a configuration that knows another credential only."""
+        document = make_document(9, keys=("key-2",), timeout_ms=TIMEOUT_MS)
+        self.store.put("op", "config", document)
+
+    def remove_upstream(self) -> None:
+        """Writes that the only upstream is leaving."""
+        record = {"service": "s-1", "address": self.upstream, "zone": "z"}
+        self.store.put("servers", "i-1", {**record, "state": "draining"})
+
+    def shorten_grace(self) -> None:
+        """Sends SIGHUP with settings of a shorter grace."""
+        settings = {**self.settings, "bounds": {"stop_grace_s": 1}}
+        self.settings_path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        self.process.send_signal(signal.SIGHUP)
+
     def shorten_timeouts(self) -> None:
         """Writes a configuration with short timeouts."""
         self.store.put("op", "config", make_document(9, timeout_ms=200))
@@ -85,6 +103,8 @@
     ("a store that answers nothing", lambda e: e.store_listener.silence_connections()),
     ("a store that is away", lambda e: e.store_listener.refuse_connections()),
     ("routes that are removed", StoppingEntry.remove_routes),
+    ("credentials that are revoked", StoppingEntry.revoke_credentials),
+    ("an upstream that leaves", StoppingEntry.remove_upstream),
     ("timeouts that become short", StoppingEntry.shorten_timeouts),
 )
 
@@ -124,7 +144,7 @@
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
-        return StoppingEntry(process, settings, path, store, listener)
+        return StoppingEntry(process, settings, path, store, listener, self.address)
 
     async def is_ready(self, entry: StoppingEntry) -> bool:
         """Tells whether an entry is ready for callers."""
@@ -176,6 +196,18 @@
     async def test_signals_during_a_stop_cut_nothing(self) -> None:
         await self.check_overlaps(SIGNALS)
 
+    def signal_in_each_phase(self, entry: StoppingEntry) -> None:
+        """Sends SIGTERM and SIGHUP until the process ends."""
+        if entry.process.poll() is not None:
+            return
+        entry.process.send_signal(signal.SIGTERM)
+        self.reactor.callLater(SIGNAL_S / 2, entry.shorten_grace)
+        self.reactor.callLater(SIGNAL_S, self.signal_in_each_phase, entry)
+
+    @on_loopback
+    async def test_signals_in_each_phase_of_a_stop_cut_nothing(self) -> None:
+        await self.check_overlaps((("each phase", self.signal_in_each_phase),))
+
     @on_loopback
     async def test_interrupt_during_a_stop_ends_the_process(self) -> None:
         entry = self.start_process("interrupted")
