Run both soaks in one frame, and judge losses in a module of their own

run_planned_soak repeated the start, the readiness and the end of run_soak. Both hand their work to run_deployment now. The timeouts are set once the entries are ready, 1 s before the callers start. No rule of a check changes.

--- a/src/magnoliahold/soak/planned.py
+++ b/src/magnoliahold/soak/planned.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 from twisted.web.iweb import IBodyProducer
@@ -26,8 +26,9 @@
 from magnoliahold.soak.deployment import CREDENTIAL_COUNT, Deployment
 from magnoliahold.soak.faults import has_started, watch_stop
 from magnoliahold.soak.guarantees import ONCE_PREFIX
+from magnoliahold.soak.losses import Loss, LossJudge, Stop
 from magnoliahold.soak.processes import STOP_GRACE_S
-from magnoliahold.soak.run import SoakReport, fill_report, wait_until_ready
+from magnoliahold.soak.run import SoakReport, run_deployment
 from magnoliahold.standins.users.callers import CallerHeaders, read_signature
 from magnoliahold.standins.users.upstreams import (
     STREAM_PREFIX,
@@ -41,8 +42,9 @@
 
     from magnoliahold.soak.processes import EntryProcess
 
-TIMED_OUT_UPSTREAM = 504
 CALLER_COUNT = 24
+# How long a change takes to reach all entries.
+SPREAD_S = 1.0
 MIN_WORK_S, MAX_WORK_S = 0.03, 6.0
 MIN_PIECES, MAX_PIECES = 10, 200
 MAX_PAUSE_S = 0.4
@@ -52,25 +54,9 @@
 MAX_HESITATION_S = 7.0
 SEND_TIMEOUT_S = TIMEOUT_S + MAX_HESITATION_S
 MIN_WAIT_S, MAX_WAIT_S = 0.2, 1.5
-# A request that crosses a close, and isn't passed on, ends within this time.
-CROSSING_S = 0.2
-# How long after a request has ended its run is recorded at the latest.
-RECORDING_S = 0.3
-# A request that was sent this soon after the order to stop may be cut if it still runs
-# in the last part of the grace.
-CUTTABLE_S = 3.0
-CUT_PART = 1 / 6
 MIN_SERVED_PER_S = 2.0
 
 
-@frozen
-class Stop:
-    """An order to stop an entry."""
-
-    port: int
-    at: float
-
-
 @implementer(IBodyProducer)
 class SlowBody:
     """The body of a request, of which the last byte comes after a pause.
@@ -114,12 +100,9 @@
 
 @define(eq=False)
 class PlannedCaller(Caller):
-    """A caller that uses its connection to an entry until that closes it.
-
-    `stops` are the orders to stop of all entries.
-    """
+    """A caller that uses its connection to an entry until that closes it."""
 
-    stops: list[Stop] = field(factory=list)
+    judge: LossJudge = field(kw_only=True)
     port: int = 0
 
     async def run(self) -> None:
@@ -157,7 +140,7 @@
             if b"".join(content) != make_call_body(request_id):
                 self.checker.record_violation("whole answer", f"{request_id}")
         else:
-            self._examine_lost(request_id, status, body.sent_at)
+            self._examine_lost(request_id, status, TIMEOUT_S, body.sent_at)
 
     def _draw_pause_s(self) -> float:
         """Draws how long the caller stops in the middle of its request."""
@@ -186,54 +169,21 @@
         if status in NOT_RUN_STATUSES:
             self.port = 0
         elif not received.complete:
-            self._examine_lost(request_id, 0, sent_at)
+            self._examine_lost(request_id, 0, timeout_s, sent_at)
 
     def _add_outcome(self, kind: str, status: int) -> None:
         now = self.reactor.seconds()
         self.outcomes.append(Outcome(kind, now, status == OK, status))
 
-    def _examine_lost(self, request_id: str, status: int, sent_at: float) -> None:
-        """Records a violation if a request ended without its answer, and may not."""
-        port, self.port = self.port, 0
-        if not self.was_connected or self.stopped:
-            return
-        if math.isinf(sent_at):
-            self.checker.checked["ended midway"] += 1
-            return
-        ended_at = self.reactor.seconds()
-        self.reactor.callLater(
-            RECORDING_S, self._judge_lost, request_id, status, sent_at, ended_at, port
-        )
-
-    def _judge_lost(
-        self,
-        request_id: str,
-        status: int,
-        sent_at: float,
-        ended_at: float,
-        port: int,
+    def _examine_lost(
+        self, request_id: str, status: int, timeout_s: float, sent_at: float
     ) -> None:
-        passed_on = request_id in self.checker.runs
-        if not status and not passed_on and ended_at - sent_at <= CROSSING_S:
-            self.checker.checked["crossed a close"] += 1
-            return
-        if status == TIMED_OUT_UPSTREAM and ended_at - sent_at >= TIMEOUT_S:
-            self.checker.checked["deadline reached"] += 1
-            return
-        stops = [stop.at for stop in self.stops if stop.port == port]
-        stopped_at = max((at for at in stops if at <= ended_at), default=None)
-        if stopped_at is not None:
-            is_early = sent_at - stopped_at <= CUTTABLE_S
-            cut_from_s = STOP_GRACE_S * (1 - CUT_PART)
-            if is_early and passed_on and ended_at - stopped_at >= cut_from_s:
-                self.checker.checked["cut at the end of a grace"] += 1
-                return
-        since = "no stop" if stopped_at is None else f"{sent_at - stopped_at:.2f} s"
-        text = (
-            f"{request_id} got {status or 'no answer'} after {ended_at - sent_at:.2f} s"
-            f", passed on: {passed_on}, sent after the order to stop: {since}"
-        )
-        self.checker.record_violation("answer lost", text)
+        """Has a request judged that ended without its answer."""
+        port, self.port = self.port, 0
+        if self.was_connected and not self.stopped:
+            now = self.reactor.seconds()
+            loss = Loss(request_id, status, timeout_s, sent_at, now, port)
+            self.judge.examine(loss)
 
 
 def _discard(_: bytes) -> None:
@@ -321,23 +271,18 @@
     report = SoakReport(seed, seconds)
     deployment = Deployment(reactor, random, folder, entries)
     deployment.behaviours = dict.fromkeys(deployment.behaviours, Behaviour())
-    reactor.addSystemEventTrigger("before", "shutdown", deployment.kill_processes)
-    work = PlannedWork(reactor, random, deployment)
-    try:
-        deployment.start()
+    planned = PlannedWork(reactor, random, deployment)
+
+    async def work() -> None:
         set_timeouts(deployment, 1.0)
-        await wait_until_ready(reactor, deployment)
-        _start_callers(reactor, random, deployment, work.stops)
+        await deferLater(reactor, SPREAD_S)
+        start_planned_callers(deployment, planned.stops)
         await deferLater(reactor, 1.0)
-        await work.run(seconds)
-        report.faults.update(work.done)
+        await planned.run(seconds)
+        report.faults.update(planned.done)
         _check_served(deployment, seconds)
-        fill_report(report, deployment)
-    finally:
-        await deferLater(reactor, 0.0)
-        closing = deployment.close()
-        if closing is not None:
-            await closing
+
+    await run_deployment(deployment, report, work)
     return report
 
 
@@ -348,19 +293,25 @@
         deployment.checker.record_violation("served", f"{served} requests only")
 
 
-def _start_callers(
-    reactor: Any, random: Random, deployment: Deployment, stops: list[Stop]
-) -> None:
+def start_planned_callers(deployment: Deployment, stops: list[Stop]) -> None:
+    """Starts the callers."""
+    judge = LossJudge(deployment.reactor, deployment.checker, stops)
     for number in range(CALLER_COUNT):
-        caller = PlannedCaller(
-            reactor,
-            Random(random.random()),
-            deployment.checker,
-            deployment.choose_entry,
-            f"credential-{number % CREDENTIAL_COUNT}",
-            deployment.outcomes,
-            name=f"caller-{number}",
-            stops=stops,
-        )
+        caller = _make_caller(deployment, judge, number)
         deployment.callers.append(caller)
         ensureDeferred(caller.run())
+
+
+def _make_caller(
+    deployment: Deployment, judge: LossJudge, number: int
+) -> PlannedCaller:
+    return PlannedCaller(
+        deployment.reactor,
+        Random(deployment.random.random()),
+        deployment.checker,
+        deployment.choose_entry,
+        f"credential-{number % CREDENTIAL_COUNT}",
+        deployment.outcomes,
+        name=f"caller-{number}",
+        judge=judge,
+    )
--- a/src/magnoliahold/soak/run.py
+++ b/src/magnoliahold/soak/run.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 from twisted.internet.task import deferLater
@@ -15,6 +15,9 @@
 from magnoliahold.soak.faults import draw_faults, inject
 from magnoliahold.soak.odd_rows import add_odd_rows
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 FAULTS_PER_S = 1.0
 START_TIMEOUT_S = 15.0
 RECOVERY_WAIT_S = 9.0
@@ -71,10 +74,8 @@
     random = Random(seed)
     report = SoakReport(seed, seconds)
     deployment = Deployment(reactor, random, folder, entries)
-    reactor.addSystemEventTrigger("before", "shutdown", deployment.kill_processes)
-    try:
-        deployment.start()
-        await wait_until_ready(reactor, deployment)
+
+    async def work() -> None:
         deployment.start_callers()
         await deferLater(reactor, 1.0)
         count = round(seconds * FAULTS_PER_S)
@@ -86,13 +87,30 @@
             await deferLater(reactor, random.uniform(0, 2.0) / FAULTS_PER_S)
         await deferLater(reactor, RECOVERY_WAIT_S)
         _check_recovery(reactor, deployment)
+
+    await run_deployment(deployment, report, work)
+    return report
+
+
+async def run_deployment(
+    deployment: Deployment, report: SoakReport, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Starts a deployment, awaits work on it, reports, and stops all that it started.
+
+    The work begins once all entries are ready.
+    """
+    reactor = deployment.reactor
+    reactor.addSystemEventTrigger("before", "shutdown", deployment.kill_processes)
+    try:
+        deployment.start()
+        await wait_until_ready(reactor, deployment)
+        await work()
         fill_report(report, deployment)
     finally:
         await deferLater(reactor, 0.0)
         closing = deployment.close()
         if closing is not None:
             await closing
-    return report
 
 
 async def wait_until_ready(reactor: Any, deployment: Deployment) -> None:
