Send requests behind one another and in pieces in the planned soak

The callers of the planned soak waited between requests, and sent heads whole. Eight more write HTTP by themselves: the next request leaves with the last byte of an answer, up to four are in one write, and heads and bodies come in up to six pieces. Each answer is compared with its request, each request without one is judged.

--- a/src/magnoliahold/soak/deployment.py
+++ b/src/magnoliahold/soak/deployment.py
@@ -34,6 +34,7 @@
     from twisted.internet.defer import Deferred
 
     from magnoliahold.soak.callers import Outcome
+    from magnoliahold.soak.pipelining import PipeliningCaller
     from magnoliahold.standins.server import Listener
 
 
@@ -97,7 +98,7 @@
     entries: list[EntryProcess] = field(factory=list)
     store_proxies: dict[str, Proxy] = field(factory=dict)
     slots: list[UpstreamSlot] = field(factory=list)
-    callers: list[Caller] = field(factory=list)
+    callers: list[Caller | PipeliningCaller] = field(factory=list)
     outcomes: list[Outcome] = field(factory=list)
     behaviours: dict[str, Behaviour] = field(factory=dict)
     configuration: dict[str, Any] = field(factory=dict)
--- a/src/magnoliahold/soak/planned.py
+++ b/src/magnoliahold/soak/planned.py
@@ -27,6 +27,7 @@
 from magnoliahold.soak.faults import has_started, watch_stop
 from magnoliahold.soak.guarantees import ONCE_PREFIX
 from magnoliahold.soak.losses import Loss, LossJudge, Stop
+from magnoliahold.soak.pipelining import PipeliningCaller
 from magnoliahold.soak.processes import STOP_GRACE_S
 from magnoliahold.soak.run import SoakReport, run_deployment
 from magnoliahold.standins.users.callers import CallerHeaders, read_signature
@@ -43,6 +44,7 @@
     from magnoliahold.soak.processes import EntryProcess
 
 CALLER_COUNT = 24
+PIPELINING_COUNT = 8
 # How long a change takes to reach all entries.
 SPREAD_S = 1.0
 MIN_WORK_S, MAX_WORK_S = 0.03, 6.0
@@ -294,10 +296,13 @@
 
 
 def start_planned_callers(deployment: Deployment, stops: list[Stop]) -> None:
-    """Starts the callers."""
+    """Starts callers that wait for each answer, and callers that don't wait."""
     judge = LossJudge(deployment.reactor, deployment.checker, stops)
-    for number in range(CALLER_COUNT):
-        caller = _make_caller(deployment, judge, number)
+    callers: list[PlannedCaller | PipeliningCaller] = [
+        *(_make_caller(deployment, judge, number) for number in range(CALLER_COUNT)),
+        *(_make_pipelining(deployment, judge, n) for n in range(PIPELINING_COUNT)),
+    ]
+    for caller in callers:
         deployment.callers.append(caller)
         ensureDeferred(caller.run())
 
@@ -315,3 +320,18 @@
         name=f"caller-{number}",
         judge=judge,
     )
+
+
+def _make_pipelining(
+    deployment: Deployment, judge: LossJudge, number: int
+) -> PipeliningCaller:
+    return PipeliningCaller(
+        deployment.reactor,
+        Random(deployment.random.random()),
+        deployment.checker,
+        deployment.choose_entry,
+        f"credential-{number % CREDENTIAL_COUNT}",
+        deployment.outcomes,
+        judge,
+        f"pipelining-{number}",
+    )
