--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -18,7 +18,8 @@
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
-from magnoliahold.core.serving.systems.leaving import find_unready_reason
+from magnoliahold.core.serving.systems.completion import choose_retry_after
+from magnoliahold.core.serving.systems.leaving import STOP_REASON, find_unready_reason
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import parse_endpoint
@@ -59,6 +60,7 @@
 
     `on_stopped` is called with the reason when it has stopped; `finishing` is the next
     look at whether it may, and `finish_limit` when requests must have been read.
+    `is_leaving` is set by the order to stop, a tick before that is decided upon.
     `broken` is set when it stopped because its tables were inconsistent.
     """
 
@@ -68,6 +70,7 @@
     metrics: Metrics
     on_stopped: Callable[[str], None]
     broken: bool = False
+    is_leaving: bool = False
     finishing: Any = None
     finish_limit: float | None = None
     listeners: list[Any] = field(factory=list)
@@ -114,32 +117,54 @@
 
     def leave(self, reason: str) -> None:
         """Starts draining; `on_stopped` is called when nothing is in flight."""
+        self.is_leaving = True
         self.node.post_event(LeaveRequested(reason))
 
     def finish(self, reason: str) -> None:
         """Stops once callers have taken their answers, or when the time is up.
 
-        Ticks go on meanwhile: a request that was being read is still served. When one
-        fails, that becomes the reason.
+        Ticks go on meanwhile: a request that was being read is still served, until the
+        limit, and refused behind it. When a tick fails, that becomes the reason.
         """
+        callers = self.node.ports.callers
+        if callers.is_stopping:
+            return
         self._cancel_finishing()
         self.close_listener()
-        callers = self.node.ports.callers
         if reason == BROKEN_TABLES:
             callers.fail_open_requests(reason)
         callers.close_idle()
         left_s = self._find_finish_limit(reason) - self.reactor.seconds()
         if left_s <= 0:
+            retry_after_s = choose_retry_after(self.node.world)
+            callers.refuse_later_requests(STOP_REASON, retry_after_s)
             callers.reject_unfinished()
         flush_s = self.node.world.serving_policy.leave.flush_s
         if callers.channels and left_s > -flush_s:
             self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
             return
         if callers.channels:
+            self._answer_rest(flush_s)
             logger.warning(
                 "Connections were open at the stop.", connections=len(callers.channels)
             )
-        self.stop(reason)
+        self.stop(reason if self.node.running else BROKEN_TABLES)
+
+    def _answer_rest(self, read_s: float) -> None:
+        """Answers the requests that were read or wait to be read, without a pause.
+
+        The reactor neither reads nor writes any more before it stops. Reading takes
+        `read_s` seconds at most; what is left then is not read at all.
+        """
+        callers = self.node.ports.callers
+        if self.node.running:
+            self.node.world.next_scan_at = 0.0
+            self.node.run_tick()
+        if not self.node.running:
+            callers.fail_open_requests(BROKEN_TABLES)
+        callers.read_waiting(self.reactor.seconds() + read_s)
+        callers.reject_unfinished(at_exit=True)
+        callers.write_answers()
 
     def _find_finish_limit(self, reason: str) -> float:
         """Returns when callers must have sent their requests; no ticks, no service."""
@@ -303,7 +328,7 @@
     daemon.settings = settings
     world = daemon.node.world
     policy = make_serving_policy(settings)
-    if world.leaving_since is not None:
+    if daemon.is_leaving:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
     daemon.node.ports.store.set_base_url(f"http://{settings.store}")
