Let a row that is odd outside its value decide over itself alone

What callers would have seen: while one row of a table nested deeply outside its value, or wasn't JSON, no entry could read that table, or the changes of it: new upstreams got no requests, and entries that started weren't ready. By the users' page the store writes the form of rows, so that this needs a fault of the store.

Cause: the whole answer was decoded in one piece, and the decoder gives all of it up with a RecursionError or a syntax error anywhere in it.

An answer that can't be decoded in one piece is now split by the bounds of its members and rows, without recursion, and each row is decoded by itself. If a key can still be found, the row is logged and left out under it, and an upstream counts as removed. Answers that can be decoded take the way they took before.

The case "nested rows" of test_answer_that_cannot_be_read_fails_that_read_alone, a list of rows with one nested list, is a row of another form now, which is left out alone; it went to test_row_that_is_no_object_decides_over_itself_alone, which asks for the same and for its neighbours.

--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -10,6 +10,7 @@
 
 from magnoliahold.core.serving.feeds import Feed, FeedRow
 from magnoliahold.decoding import decode_or_none, describe_error, translate_errors
+from magnoliahold.jsonmembers import split_members
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
     BoundedInteger,  # noqa: TC001
@@ -31,6 +32,8 @@
 MS_PER_S = 1000.0
 MAX_REPORTED_ROWS = 1000
 UNKNOWN_VERSION = 0
+ROWS_MEMBER = b'"rows"'
+KEY_MEMBER = b'"key"'
 
 logger = make_part_logger("store")
 
@@ -76,9 +79,36 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decodes an answer; raises StoreAnswerError if it holds no rows."""
+    """Decodes an answer; raises StoreAnswerError if it holds no rows.
+
+    A row that makes the whole answer unreadable, for example since it nests deeply,
+    remains one row among the others.
+    """
+    page = decode_or_none(_page_decoder.decode, body)
+    if page is not None:
+        return page
     with translate_errors(_make_answer_error):
-        return _page_decoder.decode(body)
+        return _decode_page_in_pieces(body)
+
+
+def _decode_page_in_pieces(body: bytes) -> Page:
+    """Decodes an answer after its rows have been taken out of it."""
+    rows: list[bytes] = []
+    others = []
+    for member in split_members(body):
+        name, _, value = member.partition(b":")
+        if name.strip() == ROWS_MEMBER and value.strip().startswith(b"["):
+            rows = split_members(value)
+            others.append(ROWS_MEMBER + b":[]")
+        else:
+            others.append(member)
+    page = _page_decoder.decode(_join_members(others))
+    page.rows = [msgspec.Raw(row) for row in rows]
+    return page
+
+
+def _join_members(members: Iterable[bytes]) -> bytes:
+    return b"{" + b",".join(members) + b"}"
 
 
 def _make_answer_error(reason: str) -> StoreAnswerError:
@@ -88,9 +118,18 @@
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Returns the key of a row; None if not even that can be read."""
     found = decode_or_none(_key_decoder.decode, raw)
+    if found is None:
+        found = decode_or_none(_decode_key_alone, bytes(raw))
     return found.key if found is not None else None
 
 
+def _decode_key_alone(row: bytes) -> _RowKey:
+    """Decodes the key of a row of which other members can't be read."""
+    members = split_members(row)
+    keys = [member for member in members if member.startswith(KEY_MEMBER)]
+    return _key_decoder.decode(_join_members(keys))
+
+
 @define(eq=False)
 class RowReader:
     """Decodes rows, of which none decides over the others.
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -16,6 +16,7 @@
 
 # The levels at which decoders give up are fewer.
 LEVELS = 100_000
+FEW_LEVELS = 5_000
 NESTED_LIST = b"[" * LEVELS + b"]" * LEVELS
 NESTED_OBJECT = b'{"a":' * LEVELS + b"1" + b"}" * LEVELS
 # How a document becomes one that another writer may have left.
@@ -47,6 +48,21 @@
     ("version is too large", {"ver": 2**70}),
     ("removed is a text", {"removed": "x"}),
 )
+# Members of a row that make an answer unreadable for a decoder of whole answers.
+LISTS = b"[" * FEW_LEVELS + b"]" * FEW_LEVELS
+OBJECTS = b'{"a":' * FEW_LEVELS + b"1" + b"}" * FEW_LEVELS
+ODD_ROWS = (
+    ("nested unknown member", b'"ver": 4, "unknown": ' + LISTS),
+    ("nested objects", b'"ver": 4, "value": "", "unknown": ' + OBJECTS),
+    ("nested version", b'"ver": ' + LISTS),
+    ("nested value", b'"ver": 4, "value": ' + OBJECTS),
+    ("nested removal", b'"ver": 4, "removed": ' + LISTS),
+    ("version is NaN", b'"ver": NaN'),
+    ("version is no JSON", b'"ver": 4 5'),
+    ("brackets in a text", b'"ver": 4, "value": "]}\\"]}", "unknown": ' + LISTS),
+    ("a member without a name", b'"ver": 4, 5'),
+    ("a comma too many", b'"ver": 4,, "value": ""'),
+)
 ERRORS = (
     AttributeError,
     IndexError,
@@ -84,7 +100,17 @@
         self, feed: Feed, rows: list[dict[str, Any]], odd: str, good: set[str]
     ) -> None:
         """Reads rows as a table and as changes; the good ones hold."""
-        answer = (200, {"rows": rows, "ver": 9})
+        body = json.dumps({"rows": rows, "ver": 9}).encode()
+        await self.check_encoded_rows(feed, body, odd, good)
+
+    async def check_encoded_rows(
+        self, feed: Feed, body: bytes, odd: str | None, good: set[str]
+    ) -> None:
+        """Reads an answer as a table and as changes; the good rows hold.
+
+        `odd` is the key of the odd row; None if it names none.
+        """
+        answer = (200, body)
         for expected in (FeedRead, FeedChanged):
             event: Any
             if expected is FeedRead:
@@ -95,6 +121,9 @@
             values = {row.key: row.value for row in event.rows}
             for key in good:
                 self.assertIsNotNone(values[key])
+            if odd is None:
+                self.assertEqual(set(values), good)
+                continue
             self.assertIsNone(values.get(odd))
             if expected is FeedRead:
                 self.assertEqual(event.left_out, {odd} - set(values))
@@ -191,6 +220,51 @@
                     fields: Any = logged.records[0].fields  # type: ignore[attr-defined]
                     self.assertEqual((len(logged.records), fields["key"]), (1, key))
 
+    # Failure: a row that nested deeply outside its value, or wasn't JSON, made the
+    # whole answer unreadable.
+    @on_loopback
+    async def test_row_that_is_odd_outside_its_value_decides_over_itself_alone(
+        self,
+    ) -> None:
+        for feed, key, document, _ in ROWS:
+            good = [
+                row
+                for row in self.make_rows(feed, key, document, b"")
+                if row["key"] != key
+            ]
+            known = {row["key"] for row in good}
+            before, after = (json.dumps(good[place]).encode() for place in (0, -1))
+            for name, odd in ODD_ROWS:
+                row = b'{"key": "%s", %s}' % (key.encode(), odd)
+                body = b'{"rows": [%s, %s , %s], "ver": 9}' % (before, row, after)
+                with self.subTest(feed=feed.value, key=key, name=name):
+                    self.client = self.make_client()
+                    with self.assertLogs("magnoliahold.store", "WARNING") as logged:
+                        await self.check_encoded_rows(feed, body, key, known)
+                    fields: Any = logged.records[0].fields  # type: ignore[attr-defined]
+                    self.assertEqual((len(logged.records), fields["key"]), (1, key))
+
+    @on_loopback
+    async def test_row_that_is_no_object_decides_over_itself_alone(self) -> None:
+        before, after = (
+            json.dumps(make_row(key, 3, SERVER)).encode() for key in ("a", "z")
+        )
+        for name, odd in (
+            ("nested lists", NESTED_LIST),
+            ("nested objects", NESTED_OBJECT),
+            ("nothing", b""),
+            ("no JSON", b"odd"),
+            ("no text", b'"\xff"'),
+        ):
+            body = b'{"ver": 9, "rows": [%s,%s,%s]}' % (before, odd, after)
+            with self.subTest(name):
+                self.client = self.make_client()
+                with self.assertLogs("magnoliahold.store", "WARNING") as logged:
+                    await self.check_encoded_rows(
+                        Feed.UPSTREAMS, body, None, {"a", "z"}
+                    )
+                self.assertEqual(len(logged.records), 1)
+
     @on_loopback
     async def test_row_without_a_key_decides_over_itself_alone(self) -> None:
         row = {"ver": 4, "value": "", "key": 5}
@@ -228,7 +302,11 @@
     async def test_answer_that_cannot_be_read_fails_that_read_alone(self) -> None:
         good = (200, {"rows": [make_row("a", 3, SERVER)], "ver": 9})
         for name, body in (
-            ("nested rows", b'{"ver": 9, "rows": [%s]}' % NESTED_LIST),
+            ("rows without end", b'{"ver": 9, "rows": [%s]}' % (b"[" * LEVELS)),
+            ("rows that aren't closed", b'{"ver": 9, "rows": [{"key": "a"}'),
+            ("rows are an object", b'{"ver": 9, "rows": %s}' % NESTED_OBJECT),
+            ("no rows", b'{"ver": 9}'),
+            ("a list", b'["rows", []]'),
             ("nested field", b'{"ver": 9, "rows": [], "x": %s}' % NESTED_OBJECT),
             ("nested answer", NESTED_OBJECT),
             ("version too large", b'{"ver": 1e400, "rows": []}'),
