Leave a silent upstream only for room that nothing else counts on

Callers saw: where several streams of a silent engine found one free place elsewhere, all of them left it in one tick. One got the place; the others waited for room, and were refused with 502 once their engine's silence was long over. Begun streams all went on to the engine with one place, which rejects them, and each rejection takes a retry. Calls did the same before a rate limit: what the limit didn't let through was sent anew to the silent upstream it had left.

Cause: filter_by_room was asked for each attempt by itself. A request that is taken from its attempt waits until routing, later in the tick, and takes no place until then. Requests that lost their upstream or arrived in the same tick weren't counted either, nor requests within a limit; room wasn't asked about for begun streams.

What waits in a service whose upstreams it would need goes first now: a running request leaves only if there is room beside all that. Attempts are looked at in the order in which routing serves their requests, so that a less urgent one isn't promised what a more urgent one takes in the same tick.

--- a/src/magnoliahold/core/serving/limits.py
+++ b/src/magnoliahold/core/serving/limits.py
@@ -64,6 +64,14 @@
         reserve_s = max(0.0, RESERVE_S - 1.0 / self.share_per_s)
         return self.next_at - reserve_s
 
+    def count_sendable(self, now: float) -> float:
+        """Counts the requests that may be sent now, one after another."""
+        reserve_s = now - self.find_free_at()
+        if reserve_s < 0:
+            return 0
+        left_s = min(reserve_s, max(0.0, RESERVE_S - 1.0 / self.share_per_s))
+        return 1 + math.floor(left_s * self.share_per_s)
+
     def record_send(self, now: float) -> None:
         """Records a request that is sent, also one that may not wait."""
         if self.share_per_s:
--- a/src/magnoliahold/core/serving/systems/queues.py
+++ b/src/magnoliahold/core/serving/systems/queues.py
@@ -55,16 +55,18 @@
     request: ServedRequest,
     candidates: list[Upstream],
     now: float,
+    promised: int = 0,
 ) -> list[Upstream]:
     """Keeps the upstreams where a request may start now.
 
-    None is left while more urgent work needs the room, or none has any.
+    None is left while more urgent work needs the room, or none has any. `promised` of
+    the places, wherever they are, count as taken.
     """
     if not is_queued(world, request):
         return candidates
     queue = find_queue(world, request.service)
     places = {item.id: count_places(world, request, item, now) for item in candidates}
-    free = sum(places.values())
+    free = sum(places.values()) - promised
     if free <= _count_reserved_places(world, queue, request, free, now):
         return []
     waiting = _count_rivals(world, request)
@@ -77,7 +79,7 @@
     return [
         item
         for item in candidates
-        if may_take_place(item.id, own, waiting, places[item.id], time_s)
+        if may_take_place(item.id, own, waiting, places[item.id] - promised, time_s)
     ]
 
 
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -7,7 +7,7 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
-from magnoliahold.core.serving.systems.queues import filter_by_room
+from magnoliahold.core.serving.systems.promises import can_start_beside_waiting
 from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
 from magnoliahold.core.serving.systems.selection import (
     has_less_loaded_alternative,
@@ -25,7 +25,7 @@
     """Retries attempts of silent upstreams elsewhere and probes suspicious ones."""
     if not world.scan_due:
         return
-    for attempt in list(world.requests.attempts.values()):
+    for attempt in _order_by_urgency(world):
         if attempt.state is AttemptState.CONNECTING:
             continue
         if not may_retry(world, attempt.request, now):
@@ -40,6 +40,14 @@
             _watch_call(world, attempt, now)
 
 
+def _order_by_urgency(world: ServingWorld) -> list[Attempt]:
+    """Orders attempts as routing serves their requests, so that none is overtaken."""
+    return sorted(
+        world.requests.attempts.values(),
+        key=lambda item: (not item.request.answer_started, item.request.priority),
+    )
+
+
 def _retry_if_free(
     world: ServingWorld, attempt: Attempt, reason: str, now: float
 ) -> bool:
@@ -70,7 +78,17 @@
     heard_at = max(attempt.upstream.last_received_at, attempt.last_received_at)
     if now - heard_at >= world.serving_policy.watch.gap_without_copy_s:
         return True
-    return bool(filter_by_room(world, attempt.request, others, now))
+    if _has_copy(attempt) and attempt.copy_holder in others:
+        return True
+    return can_start_beside_waiting(world, attempt.request, others, now)
+
+
+def _has_copy(attempt: Attempt) -> bool:
+    """Tells whether a healthy upstream holds a copy, which has a place there."""
+    holder = attempt.copy_holder
+    if holder is None or not attempt.pieces:
+        return False
+    return holder.health is UpstreamHealth.HEALTHY
 
 
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
@@ -80,9 +98,7 @@
     silent_s = now - attempt.last_received_at
     if silent_s < _find_gap_limit_s(world, attempt):
         return
-    holder = attempt.copy_holder
-    has_copy = holder is not None and holder.health is UpstreamHealth.HEALTHY
-    if has_copy or silent_s >= policy.gap_without_copy_s:
+    if _has_copy(attempt) or silent_s >= policy.gap_without_copy_s:
         mark_suspected(world, attempt.upstream, "a stream is silent", now)
         _retry_if_free(world, attempt, f"no piece for {silent_s:.2f} s", now)
     elif not attempt.upstream_suspected:
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -153,6 +153,13 @@
             return self.signals.backoff_until
         return max(self.signals.backoff_until, limit.find_free_at())
 
+    def count_sendable(self, now: float) -> float:
+        """Counts the requests that it may get now; infinite if it names no limit."""
+        if not self.is_available(now):
+            return 0
+        limit = self.signals.limit
+        return math.inf if limit is None else limit.count_sendable(now)
+
     def record_send(self, now: float) -> None:
         """Records a request to it, which counts for its limit."""
         if self.signals.limit is not None:
