Let streams that may have run wait for room while they can still end

Callers saw: an engine was silent for 1.5 s while the others of its ranked service were full. Its streams that had not begun left it to wait for room, and got 502 "no room at the engines before it could be served" in the same tick, with 20 s left to their deadlines. Their engine had not broken off; silence is no reason to end an answer.

Cause: the review of queues refuses what is expected to be served too late. For a request that has not run that is a 503, with which it goes elsewhere at once. One that may have run gets 502, which promises nothing, and loses what it had.

A request that may have run is refused there only once it could not end by its deadline even if it got room at once; until then it may get room, or its own engine may be heard again. Waiting retries before a stop are treated alike already.

--- a/src/magnoliahold/core/serving/systems/queue_refusals.py
+++ b/src/magnoliahold/core/serving/systems/queue_refusals.py
@@ -68,7 +68,11 @@
 
 
 def review_queues(world: ServingWorld, now: float) -> None:
-    """Forgets requests that wait no more, and refuses those that can't be served."""
+    """Forgets requests that wait no more, and refuses those that can't be served.
+
+    One that may have run waits on while it could still end in time: it can't be refused
+    as one that has not run, and its own engine may be heard again.
+    """
     if not world.scan_due:
         return
     for service, queue in world.queues.items():
@@ -98,6 +102,8 @@
         ahead = (urgent, before[rank] * (1 + equal / equal_here))
         before[rank] += 1
         request = by_handle[waiter.key]
+        if request.may_have_run and now <= waiter.start_by:
+            continue
         retry_after_s = _find_refusal(world, queue, request, ahead, now)
         if retry_after_s is not None:
             del queue.held[request.handle]
--- a/tests/core/serving/test_promised_room.py
+++ b/tests/core/serving/test_promised_room.py
@@ -18,6 +18,7 @@
 from magnoliahold.core.serving.events import (
     AttemptInterrupted,
     AttemptSent,
+    PiecesReceived,
     UpstreamAnsweredProbe,
     UpstreamSignalled,
 )
@@ -55,11 +56,14 @@
 class RankedEntry:
     """An entry of a ranked service: an engine with streams, and a busy one.
 
-    `streams` are the attempts at the first engine.
+    `streams` are the attempts at the first engine, `busy` those at the second, and
+    `piece` is the last one of these.
     """
 
     harness: ServingHarness = field(factory=ServingHarness)
     streams: list[tuple[Send, CallerRequest]] = field(factory=list)
+    busy: list[Send] = field(factory=list)
+    piece: int = 1
 
     def start(self, streams: int, begun: bool, places: int) -> None:
         """Starts streams at one engine, and others at a second one until it is busy."""
@@ -76,9 +80,15 @@
         second = make_upstream(2, ENGINES)
         self.harness.change(Feed.UPSTREAMS, {second.id: second})
         for _ in range(SLOTS - places):
-            self.run_stream(True)
+            self.busy.append(self.run_stream(True)[0])
         self.harness.emitted.clear()
 
+    def write_pieces(self) -> None:
+        """Lets the busy engine write the next piece of each of its streams."""
+        self.piece += 1
+        pieces = (PiecesReceived(send.attempt, self.piece, 1) for send in self.busy)
+        self.harness.post(*pieces)
+
     def run_stream(
         self, begun: bool, path: str = "/stream/x"
     ) -> tuple[Send, CallerRequest]:
