Send retries that wait for room back to a healthy engine that has it

Callers saw: streams that had left a silent engine waited on for room at full engines after their own was healthy again and idle, until their deadline or a 502.

Cause: routing looked for room only at the preferred upstreams, and upstreams that have had a request, or failed lately, are not preferred while there are others.

Where no preferred upstream has room for a request that was sent before, any healthy one that has room now takes it; a wait costs such a request more than a second try at the same engine.

test_streams_return_to_their_engine_once_it_is_heard_again failed before: nothing was sent within 3 s; now all 4 streams are.

--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -26,6 +26,7 @@
     choose_upstream,
     find_available_at,
     find_candidates,
+    find_healthy_candidates,
     find_prefix_location,
 )
 from magnoliahold.core.serving.systems.trials import (
@@ -73,6 +74,9 @@
         _refuse_without_upstream(world, request, now)
         return
     roomy = filter_by_room(world, request, candidates, now)
+    if not roomy and request.tried_upstreams:
+        others = find_healthy_candidates(world, request, now)
+        roomy = filter_by_room(world, request, others, now)
     if roomy:
         upstream = choose_upstream(world, request, roomy, now)
         _start_attempt(world, request, upstream, None, now)
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -25,19 +25,32 @@
 def find_candidates(
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
-    """Finds the preferred upstreams for a request.
+    """Finds the preferred upstreams for a request."""
+    return filter_preferred(world, request, _list_open(world, request, now), now)
+
+
+def find_healthy_candidates(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Finds all healthy upstreams that a request may go to, preferred or not."""
+    return filter_by_health(_list_open(world, request, now))
+
+
+def _list_open(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Lists the upstreams of its version that may get a request now.
 
     None of them has just refused a connection and is still down.
     """
     allowed = _list_allowed(world, request, now)
     of_version = filter_by_version(world, request, allowed, now)
     refused_since = now - world.serving_policy.attempts.reconnect_s
-    open_to_try = [
+    return [
         item
         for item in of_version
         if not (item.refuses and item.refused_at > refused_since)
     ]
-    return filter_preferred(world, request, open_to_try, now)
 
 
 def _list_allowed(
--- a/tests/core/serving/test_held_retries.py
+++ b/tests/core/serving/test_held_retries.py
@@ -63,6 +63,16 @@
         self.assertEqual(entry.harness.pop_effects(RefuseCaller), [])
         self.assertEqual(len(entry.harness.world.requests.waiting), SLOTS)
 
+    # Failure: streams that had left a silent engine waited for room at others though
+    # their engine was healthy again and idle.
+    def test_streams_return_to_their_engine_once_it_is_heard_again(self) -> None:
+        entry, sends = self.start()
+        self.assertEqual(sends, [])
+        sends = self.play(entry, 3.0, answers=True)
+        self.assertEqual({send.upstream.id for send in sends}, {f"{ENGINES}-1"})
+        self.assertEqual(len(sends), SLOTS)
+        self.assertEqual(entry.harness.pop_effects(RefuseCaller), [])
+
 
 if __name__ == "__main__":
     unittest.main()
