Discard an engine's failure only for a retry that is left

Callers saw: several idempotent calls failed with 500 in one tick, and the budget had one retry left. One was retried. The answers of the others were discarded for the same retry; they waited 25 ms for it and got 502 instead of their answer.

Cause: a failed answer was given up if the budget had a retry, without regard to the requests that wait to take it. Streams of silent upstreams are treated rightly already; they and failed answers use the same test now.

--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -24,6 +24,7 @@
 from magnoliahold.core.serving.systems.retries import (
     count_outcome,
     fail_sent_attempt,
+    has_free_retry,
     may_retry,
     retry_or_refuse,
 )
@@ -36,7 +37,7 @@
 
 if TYPE_CHECKING:
     from magnoliahold.core.serving.events import AnswerHead
-    from magnoliahold.core.serving.requests import Attempt
+    from magnoliahold.core.serving.requests import Attempt, ServedRequest
     from magnoliahold.core.serving.world import ServingWorld
 
 MIN_ERROR_STATUS = 400
@@ -110,7 +111,7 @@
     if not head.signed or head.status in NOT_RUN_STATUSES:
         fail_sent_attempt(world, attempt, f"unusable answer, status {head.status}", now)
         return
-    if (failed and may_retry(world, request, now)) or request.answer_started:
+    if request.answer_started or (failed and _can_retry_failure(world, request, now)):
         fail_sent_attempt(world, attempt, f"the upstream failed, {head.status}", now)
         return
     if not failed:
@@ -121,6 +122,13 @@
     deliver_answer(world, request, attempt.number, head.status, now)
 
 
+def _can_retry_failure(world: ServingWorld, request: ServedRequest, now: float) -> bool:
+    """Tells whether a failed request is retried; otherwise its answer is used."""
+    if not may_retry(world, request, now):
+        return False
+    return has_free_retry(world, request.service, now)
+
+
 def _shows_begin(attempt: Attempt, head: AnswerHead) -> bool:
     """Tells whether an answer shows that its upstream lives on after the request.
 
--- a/src/magnoliahold/core/serving/systems/retries.py
+++ b/src/magnoliahold/core/serving/systems/retries.py
@@ -94,6 +94,17 @@
     return budget.count_remaining(now, world.count_entries()) >= 1
 
 
+def has_free_retry(world: ServingWorld, service: str, now: float) -> bool:
+    """Tells whether the budget of a service has a retry that no waiting request takes.
+
+    Only then may a request give up what it has for a retry.
+    """
+    waiting = world.requests.waiting.values()
+    promised = sum(item.service == service and item.send_count > 0 for item in waiting)
+    left = world.find_budget(service).count_remaining(now, world.count_entries())
+    return left >= promised + 1
+
+
 def _has_attempts_left(request: ServedRequest) -> bool:
     """Tells whether a request may be sent once more.
 
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -8,7 +8,11 @@
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
 from magnoliahold.core.serving.systems.promises import can_start_beside_waiting
-from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
+from magnoliahold.core.serving.systems.retries import (
+    has_free_retry,
+    may_retry,
+    retry_elsewhere,
+)
 from magnoliahold.core.serving.systems.selection import (
     has_less_loaded_alternative,
     list_healthy_alternatives,
@@ -56,11 +60,9 @@
     Without one, or without an upstream to take it, it goes on: its own upstream may
     only be silent, and still at work on it.
     """
-    service = attempt.request.service
-    waiting = world.requests.waiting.values()
-    promised = sum(item.service == service and item.send_count > 0 for item in waiting)
-    left = world.find_budget(service).count_remaining(now, world.count_entries())
-    if left < promised + 1 or not _can_move(world, attempt, now):
+    if not has_free_retry(world, attempt.request.service, now):
+        return False
+    if not _can_move(world, attempt, now):
         return False
     retry_elsewhere(world, attempt, reason, now)
     return True
