Refuse nothing in a late tick before what came meanwhile is read

Callers saw, after a garbage collection, a long tick or a stop of the process: - streams that waited for room got 503 "no upstream is usable" after an eighth of their goal, though they had waited in a queue all the time, and 502 if they had run; - streams got 503 "no room at the engines before it could be served", though room had come free meanwhile; - calls whose upstreams were down got 503 in the tick that knew of a healthy one; - calls got 504 although their answer had arrived before their deadline.

Cause: the limits were compared with the time of the tick, before routing, and what had arrived since the last tick was read only after it. A wait for room is noted by routing, once a tick, so that one late tick made it look ended.

A tick knows by how much it is late. Waits for an upstream are limited after routing has looked for one. A request that waits at its deadline is still refused at once.

--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -81,6 +81,7 @@
     copies.maintain_copies,
     stop_refusals.refuse_before_stop,
     routing.route_waiting,
+    deadlines.refuse_stranded_requests,
     queue_refusals.review_queues,
     upstream_health.probe_unhealthy,
     peer_notices.register_entry,
--- a/src/magnoliahold/core/serving/systems/deadlines.py
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -12,17 +12,32 @@
 
 
 def refuse_overdue_requests(world: ServingWorld, now: float) -> None:
-    """Refuses requests past their deadline, and those without a usable upstream."""
+    """Refuses requests past their deadline.
+
+    After a late tick, the answer of one that runs may only have to be read.
+    """
     if not world.scan_due:
         return
+    read_until = world.find_read_until(now)
     for request in list(world.requests.by_handle.values()):
-        if now >= request.deadline_at:
+        ends_at = now if request.attempt is None else read_until
+        if ends_at >= request.deadline_at:
             duration_s = now - request.arrived_at
             world.durations.add(request.service, request.route.kind, duration_s)
             refuse(world, request, "the deadline has passed", now)
+
+
+def refuse_stranded_requests(world: ServingWorld, now: float) -> None:
+    """Refuses requests that have waited too long for a usable upstream.
+
+    Routing has looked for one in this tick, and after a late tick does so once more.
+    """
+    if not world.scan_due:
+        return
+    read_until = world.find_read_until(now)
     for request in list(world.requests.waiting.values()):
         since = max(request.last_failure_at or request.arrived_at, request.held_at)
-        if now - since >= find_wait_limit_s(world, request):
+        if read_until - since >= find_wait_limit_s(world, request):
             reason = request.failure_reason or "no upstream is usable"
             refuse(world, request, reason, now)
 
--- a/src/magnoliahold/core/serving/systems/pauses.py
+++ b/src/magnoliahold/core/serving/systems/pauses.py
@@ -1,4 +1,4 @@
-"""Detects pauses of this process, which must not count as upstream silence."""
+"""Detects late ticks and pauses of this process: they must not count as silence."""
 
 from __future__ import annotations
 
@@ -9,7 +9,10 @@
 
 
 def detect_pause(world: ServingWorld, now: float) -> None:
-    """Resets all silence timers after a pause of this process; schedules scans."""
+    """Records by how much the tick is late; schedules scans.
+
+    Resets all silence timers after a pause of this process.
+    """
     before = world.last_tick_at
     world.last_tick_at = now
     world.scan_due = now >= world.next_scan_at
@@ -18,10 +21,10 @@
     if before is None:
         world.started_at = now
         return
-    pause_s = now - before - world.policy.tick_s
-    if pause_s <= world.serving_policy.watch.pause_s:
+    world.late_s = max(0.0, now - before - world.policy.tick_s)
+    if world.late_s <= world.serving_policy.watch.pause_s:
         return
     for attempt in world.requests.attempts.values():
         attempt.last_received_at = now
         attempt.upstream.last_received_at = now
-    world.log_decision("pause", "Process was paused.", seconds=round(pause_s, 3))
+    world.log_decision("pause", "Process was paused.", seconds=round(world.late_s, 3))
--- a/src/magnoliahold/core/serving/systems/queue_refusals.py
+++ b/src/magnoliahold/core/serving/systems/queue_refusals.py
@@ -61,7 +61,8 @@
     if not flow.served_per_s:
         return None
     waiter = make_waiter(world, request, now)
-    if can_be_served(flow, now, waiter.on_time_until, waiter.start_by, margin):
+    read_until = world.find_read_until(now)
+    if can_be_served(flow, read_until, waiter.on_time_until, waiter.start_by, margin):
         return None
     per_s = flow.served_per_s / world.count_entries()
     return queue.returns.choose_retry_after_s(now, flow.wait_s, per_s)
@@ -71,7 +72,8 @@
     """Forgets requests that wait no more, and refuses those that can't be served.
 
     One that may have run waits on while it could still end in time: it can't be refused
-    as one that has not run, and its own engine may be heard again.
+    as one that has not run, and its own engine may be heard again. After a late tick,
+    room may have come free that is not known yet.
     """
     if not world.scan_due:
         return
@@ -102,7 +104,7 @@
         ahead = (urgent, before[rank] * (1 + equal / equal_here))
         before[rank] += 1
         request = by_handle[waiter.key]
-        if request.may_have_run and now <= waiter.start_by:
+        if request.may_have_run and world.find_read_until(now) <= waiter.start_by:
             continue
         retry_after_s = _find_refusal(world, queue, request, ahead, now)
         if retry_after_s is not None:
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -52,7 +52,8 @@
     `mean_run_by_service` is a moving average of the seconds from the start of streams
     at an upstream to their end. `queues` are those of services whose routes differ in
     rank, and `pace_comparisons` the last comparison of each service. `started_at` is
-    the time of the first tick. `scan_due` is set in the ticks in which systems check
+    the time of the first tick, and `late_s` is by how much the current one is late.
+    `scan_due` is set in the ticks in which systems check
     all rows. A leaving entry closes idle connections at `next_sweep_at`;
     `deregistered_at` is when it removed its registration to stop.
     """
@@ -82,6 +83,7 @@
     started_at: float = 0.0
     next_call: int = 1
     last_tick_at: float | None = None
+    late_s: float = 0.0
     next_scan_at: float = 0.0
     scan_due: bool = False
     listener_closed: bool = False
@@ -108,6 +110,15 @@
         model = self.openings.get(request.service)
         return model.estimate_s(request.prompt_tokens) if model else unknown_s
 
+    def find_read_until(self, now: float) -> float:
+        """Returns the time up to which all that arrived has surely been read.
+
+        A late tick may run before what arrived meanwhile is read. Who would give up
+        something for want of an answer compares with this time, so that it looks once
+        more.
+        """
+        return now - self.late_s
+
     def read_store_time(self) -> float | None:
         """Returns the store's time, in seconds; None before its first answer."""
         if self.store_offset_s is None:
