Don't take a late tick for the silence of upstreams

Callers saw: in a tick that was late by 50 to 150 ms, calls were sent anew although their answer had arrived, and streams with a copy left engines that were writing. Each took a retry and work at an engine; a stream that finds no retry later is cut.

Cause: silence was counted up to the time of the tick, and only a delay of more than pause_s, 150 ms, was taken out. What had arrived was read after the tick.

Silence counts up to the time at which arrivals have surely been read. The reset after a pause stays: after a longer one, packets may have to be sent anew.

Of test_late_ticks two tests failed before, with a tick late by 120 ms.

--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -78,7 +78,10 @@
     if not others:
         return False
     heard_at = max(attempt.upstream.last_received_at, attempt.last_received_at)
-    if now - heard_at >= world.serving_policy.watch.gap_without_copy_s:
+    if (
+        world.find_read_until(now) - heard_at
+        >= world.serving_policy.watch.gap_without_copy_s
+    ):
         return True
     if _has_copy(attempt) and attempt.copy_holder in others:
         return True
@@ -97,7 +100,7 @@
     if attempt.paused_at is not None:
         return
     policy = world.serving_policy.watch
-    silent_s = now - attempt.last_received_at
+    silent_s = world.find_read_until(now) - attempt.last_received_at
     if silent_s < _find_gap_limit_s(world, attempt):
         return
     if _has_copy(attempt) or silent_s >= policy.gap_without_copy_s:
@@ -155,6 +158,7 @@
 
 
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
-    waited_s = now - (attempt.sent_at or attempt.started_at)
+    sent_at = attempt.sent_at or attempt.started_at
+    waited_s = world.find_read_until(now) - sent_at
     if waited_s >= world.serving_policy.attempts.repeat_after_s:
         _retry_if_free(world, attempt, f"no answer for {waited_s:.2f} s", now)
--- a/tests/core/serving/test_late_ticks.py
+++ b/tests/core/serving/test_late_ticks.py
@@ -11,11 +11,13 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import (
     AbortAnswer,
+    CloseAttempt,
     DeliverAnswer,
     RefuseCaller,
     SendAttempt,
 )
 from magnoliahold.core.serving.events import (
+    AttemptSent,
     StreamEnded,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
@@ -123,6 +125,41 @@
         harness.advance(TICK_S * 2)
         self.assertEqual(harness.pop_effect(RefuseCaller).status, 504)
 
+    # Failure: a late tick sent calls anew whose answers had arrived.
+    def test_late_tick_sends_no_call_that_was_answered_anew(self) -> None:
+        for late_s in LATE_S[:2]:
+            with self.subTest(late_s=late_s):
+                harness = ServingHarness()
+                harness.start()
+                caller = harness.request(RouteKind.IDEMPOTENT)
+                send = harness.send()
+                harness.advance(0.3)
+                harness.now += late_s
+                harness.post()
+                self.assertEqual(harness.pop_effects(CloseAttempt), [])
+                harness.now += TICK_S
+                harness.answer(send, caller, 200)
+                self.assertEqual(len(harness.pop_effects(DeliverAnswer)), 1)
+
+    # Failure: a late tick took streams with copies from engines that were writing.
+    def test_late_tick_takes_no_stream_from_an_engine_that_writes(self) -> None:
+        for late_s in LATE_S[:2]:
+            with self.subTest(late_s=late_s):
+                harness = ServingHarness()
+                harness.start()
+                caller = harness.request(RouteKind.STREAM)
+                harness.report_no_prompts()
+                send = harness.send()
+                harness.post(AttemptSent(send.attempt))
+                harness.open(send, caller)
+                harness.produce(send, 1)
+                harness.advance(0.2)
+                harness.now += late_s
+                harness.post()
+                harness.now += TICK_S
+                harness.produce(send, 2)
+                self.assertEqual(harness.pop_effects(CloseAttempt), [])
+
 
 if __name__ == "__main__":
     unittest.main()
