Forget no entry and no upstream in a late tick before news of it is read

Operators and callers saw: an entry that had stood still for 40 s removed the registrations of all other entries; after 2.5 s it forgot their loads, and sent streams to engines that were full; a late tick removed upstreams whose registration had come back meanwhile, and refused their requests.

Cause: the terms were compared with the time of the tick, before the notices and rows that had arrived were read.

They are compared with the time up to which arrivals have been read.

Three tests of test_late_ticks failed before.

--- a/src/magnoliahold/core/serving/systems/peer_notices.py
+++ b/src/magnoliahold/core/serving/systems/peer_notices.py
@@ -170,13 +170,14 @@
     if not world.scan_due or now < table.next_removal_at:
         return
     table.next_removal_at = now + policy.registration_retry_s
+    read_until = world.find_read_until(now)
     for peer in table.by_name.values():
         if peer.row_version is None:
             continue
         last_received_at = (
             peer.known_since if peer.last_received_at is None else peer.last_received_at
         )
-        if now - last_received_at >= policy.removed_after_s:
+        if read_until - last_received_at >= policy.removed_after_s:
             peer.last_received_at = now
             name = peer.record.name
             timeout_s = policy.registration_timeout_s
@@ -193,8 +194,9 @@
         return
     table = world.other_entries
     retention_s = world.serving_policy.peers.notice_kept_s
+    read_until = world.find_read_until(now)
     for peer in table.by_name.values():
-        if peer.notice and now - (peer.last_received_at or 0.0) > retention_s:
+        if peer.notice and read_until - (peer.last_received_at or 0.0) > retention_s:
             table.set_notice(peer, None)
     _expire_prefix_locations(world, now)
 
--- a/src/magnoliahold/core/serving/systems/registrations.py
+++ b/src/magnoliahold/core/serving/systems/registrations.py
@@ -103,7 +103,8 @@
     if not world.scan_due:
         return
     grace_s = world.serving_policy.feeds.lapse_grace_s
+    read_until = world.find_read_until(now)
     for upstream in list(world.upstreams.by_id.values()):
         missing_since = upstream.missing_since
-        if missing_since is not None and now - missing_since >= grace_s:
+        if missing_since is not None and read_until - missing_since >= grace_s:
             remove_upstream(world, upstream.id, False, now)
--- a/tests/core/serving/test_late_ticks.py
+++ b/tests/core/serving/test_late_ticks.py
@@ -14,14 +14,18 @@
     CloseAttempt,
     DeliverAnswer,
     RefuseCaller,
+    RemoveEntry,
     SendAttempt,
 )
 from magnoliahold.core.serving.events import (
     AttemptSent,
+    NoticeReceived,
     StreamEnded,
     UpstreamAnsweredProbe,
     UpstreamFailedProbe,
 )
+from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
 from tests.core.serving.harness import CALLS, ENGINES, ServingHarness, make_upstream
 from tests.core.serving.test_promised_room import SLOTS, RankedEntry
 
@@ -160,6 +164,48 @@
                 harness.produce(send, 2)
                 self.assertEqual(harness.pop_effects(CloseAttempt), [])
 
+    # Failure: an entry that had stood still removed the registrations of all others.
+    def test_entry_that_stood_still_removes_no_other_one(self) -> None:
+        harness = ServingHarness()
+        harness.start()
+        peer = PeerRecord("entry-2", "entry-2.a", "10.0.9.1", 9000)
+        harness.change(Feed.PEERS, {peer.name: peer})
+        harness.post(NoticeReceived(LoadNotice(peer.name, peer.incarnation, 1)))
+        harness.advance(1.0)
+        harness.now += harness.world.serving_policy.peers.removed_after_s + 1.0
+        harness.post()
+        harness.now += TICK_S
+        harness.post(NoticeReceived(LoadNotice(peer.name, peer.incarnation, 2)))
+        harness.advance(2.0)
+        self.assertEqual(harness.pop_effects(RemoveEntry), [])
+
+    # Failure: a late tick forgot the loads of all other entries.
+    def test_late_tick_forgets_no_entry_that_is_heard_again(self) -> None:
+        harness = ServingHarness()
+        harness.start()
+        peer = PeerRecord("entry-2", "entry-2.a", "10.0.9.1", 9000)
+        harness.change(Feed.PEERS, {peer.name: peer})
+        harness.post(NoticeReceived(LoadNotice(peer.name, peer.incarnation, 1)))
+        harness.advance(1.0)
+        harness.now += harness.world.serving_policy.peers.notice_kept_s
+        harness.post()
+        self.assertIsNotNone(harness.world.other_entries.by_name[peer.name].notice)
+        harness.advance(TICK_S * 2)
+        self.assertIsNone(harness.world.other_entries.by_name[peer.name].notice)
+
+    # Failure: a late tick removed upstreams whose new registration had arrived.
+    def test_late_tick_removes_no_upstream_that_registered_again(self) -> None:
+        harness = ServingHarness()
+        record = make_upstream(1, ENGINES)
+        harness.start(upstreams=(record,))
+        upstream = harness.world.upstreams.by_id[record.id]
+        upstream.missing_since = harness.now
+        harness.advance(2.0)
+        harness.now += 1.0
+        harness.post()
+        harness.now += TICK_S
+        self.assertIn(record.id, harness.world.upstreams.by_id)
+
 
 if __name__ == "__main__":
     unittest.main()
