Say how long begun streams wait whose upstreams refuse connections

hold_stream_s was said to bound the wait of all begun streams. It bounds it only while there is no upstream to try: each refused connection begins the wait anew, as does each connection that times out. That is right for callers. The service is down, not lost; an upstream that starts anew goes on with the stream, and what an abort would leave to the caller is to begin again. The deadline bounds the wait, and reconnect_s the number of connections.

The policy says so now.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -116,14 +116,17 @@
     `opening_margin` times the mean time to the first piece, but no longer once less
     than that mean is left. Requests without a usable upstream are refused after
     `hold_share` of their goal; streams that have begun are aborted after
-    `hold_stream_s`. A stream goes to the upstream that has its prompt in its prefix
-    cache unless the load there is more than `place_extra_load` above the lowest.
-    Prompts fill at most `memory_part` of an upstream's KV cache, since outputs need
-    space too. A stream whose deadline leaves less than `opening_part` of the mean time
-    to the first piece is refused. An upstream that rejected a request is avoided for
-    `full_s`, and one that refused a connection gets no other for `reconnect_s` while it
-    is down. Upstreams have `lookup_s` to list the prompts that they have cached; the
-    lists are not requested again for `lookup_kept_s`. Refused callers may retry after
+    `hold_stream_s` without an upstream to try. While upstreams refuse connections or
+    don't answer, begun streams are tried again until their deadline: an upstream that
+    starts anew goes on with them, and an abort would lose what their callers have. A
+    stream goes to the upstream that has its prompt in its prefix cache unless the load
+    there is more than `place_extra_load` above the lowest. Prompts fill at most
+    `memory_part` of an upstream's KV cache, since outputs need space too. A stream
+    whose deadline leaves less than `opening_part` of the mean time to the first piece
+    is refused. An upstream that rejected a request is avoided for `full_s`, and one
+    that refused a connection gets no other for `reconnect_s` while it is down.
+    Upstreams have `lookup_s` to list the prompts that they have cached; the lists are
+    not requested again for `lookup_kept_s`. Refused callers may retry after
     `retry_after_s` on average.
     """
 
