--- a/tests/core/serving/test_overlapping_changes.py
+++ b/tests/core/serving/test_overlapping_changes.py
@@ -17,32 +17,33 @@
 LAST_STEPS = 5
 
 
-class OverlappingChangeTests(unittest.TestCase):
-    def play(self, kind: type[SoundEnvironment], seed: int) -> None:
-        """Plays one seed until all requests have ended."""
-        environment = kind(self, Random(seed))
-        environment.harness.world.random.seed(seed)
-        environment.start()
-        for _ in range(STEPS):
-            environment.step()
-        environment.quiet = True
-        for _ in range(round(SETTLE_S / STEP_S)):
-            environment.step()
-            if not environment.harness.world.requests.by_handle:
-                break
-        for _ in range(LAST_STEPS):
-            environment.step()
-        environment.check_end()
+def play(case: unittest.TestCase, kind: type[SoundEnvironment], seed: int) -> None:
+    """Plays one seed until all requests have ended."""
+    environment = kind(case, Random(seed))
+    environment.harness.world.random.seed(seed)
+    environment.start()
+    for _ in range(STEPS):
+        environment.step()
+    environment.quiet = True
+    for _ in range(round(SETTLE_S / STEP_S)):
+        environment.step()
+        if not environment.harness.world.requests.by_handle:
+            break
+    for _ in range(LAST_STEPS):
+        environment.step()
+    environment.check_end()
+
 
+class OverlappingChangeTests(unittest.TestCase):
     def test_sound_upstreams_answer_whatever_changes(self) -> None:
         for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
             with self.subTest(seed=seed):
-                self.play(SoundEnvironment, seed)
+                play(self, SoundEnvironment, seed)
 
     def test_only_failed_streams_are_cut(self) -> None:
         for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
             with self.subTest(seed=seed):
-                self.play(BreakingEnvironment, seed)
+                play(self, BreakingEnvironment, seed)
 
 
 if __name__ == "__main__":
