--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -7,8 +7,12 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
-from magnoliahold.core.serving.systems.queues import filter_by_room
-from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
+from magnoliahold.core.serving.systems.promises import can_start_beside_waiting
+from magnoliahold.core.serving.systems.retries import (
+    has_free_retry,
+    may_retry,
+    retry_elsewhere,
+)
 from magnoliahold.core.serving.systems.selection import (
     has_less_loaded_alternative,
     list_healthy_alternatives,
@@ -25,7 +29,7 @@
     """Retries attempts of silent upstreams elsewhere and probes suspicious ones."""
     if not world.scan_due:
         return
-    for attempt in list(world.requests.attempts.values()):
+    for attempt in _order_by_urgency(world):
         if attempt.state is AttemptState.CONNECTING:
             continue
         if not may_retry(world, attempt.request, now):
@@ -40,6 +44,14 @@
             _watch_call(world, attempt, now)
 
 
+def _order_by_urgency(world: ServingWorld) -> list[Attempt]:
+    """Orders attempts as routing serves their requests, so that none is overtaken."""
+    return sorted(
+        world.requests.attempts.values(),
+        key=lambda item: (not item.request.answer_started, item.request.priority),
+    )
+
+
 def _retry_if_free(
     world: ServingWorld, attempt: Attempt, reason: str, now: float
 ) -> bool:
@@ -48,11 +60,9 @@
     Without one, or without an upstream to take it, it goes on: its own upstream may
     only be silent, and still at work on it.
     """
-    service = attempt.request.service
-    waiting = world.requests.waiting.values()
-    promised = sum(item.service == service and item.send_count > 0 for item in waiting)
-    left = world.find_budget(service).count_remaining(now, world.count_entries())
-    if left < promised + 1 or not _can_move(world, attempt, now):
+    if not has_free_retry(world, attempt.request.service, now):
+        return False
+    if not _can_move(world, attempt, now):
         return False
     retry_elsewhere(world, attempt, reason, now)
     return True
@@ -68,21 +78,32 @@
     if not others:
         return False
     heard_at = max(attempt.upstream.last_received_at, attempt.last_received_at)
-    if now - heard_at >= world.serving_policy.watch.gap_without_copy_s:
+    if (
+        world.find_read_until(now) - heard_at
+        >= world.serving_policy.watch.gap_without_copy_s
+    ):
+        return True
+    if _has_copy(attempt) and attempt.copy_holder in others:
         return True
-    return bool(filter_by_room(world, attempt.request, others, now))
+    return can_start_beside_waiting(world, attempt.request, others, now)
+
+
+def _has_copy(attempt: Attempt) -> bool:
+    """Tells whether a healthy upstream holds a copy, which has a place there."""
+    holder = attempt.copy_holder
+    if holder is None or not attempt.pieces:
+        return False
+    return holder.health is UpstreamHealth.HEALTHY
 
 
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.paused_at is not None:
         return
     policy = world.serving_policy.watch
-    silent_s = now - attempt.last_received_at
+    silent_s = world.find_read_until(now) - attempt.last_received_at
     if silent_s < _find_gap_limit_s(world, attempt):
         return
-    holder = attempt.copy_holder
-    has_copy = holder is not None and holder.health is UpstreamHealth.HEALTHY
-    if has_copy or silent_s >= policy.gap_without_copy_s:
+    if _has_copy(attempt) or silent_s >= policy.gap_without_copy_s:
         mark_suspected(world, attempt.upstream, "a stream is silent", now)
         _retry_if_free(world, attempt, f"no piece for {silent_s:.2f} s", now)
     elif not attempt.upstream_suspected:
@@ -137,6 +158,7 @@
 
 
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
-    waited_s = now - (attempt.sent_at or attempt.started_at)
+    sent_at = attempt.sent_at or attempt.started_at
+    waited_s = world.find_read_until(now) - sent_at
     if waited_s >= world.serving_policy.attempts.repeat_after_s:
         _retry_if_free(world, attempt, f"no answer for {waited_s:.2f} s", now)
