Give retry budgets in use the limits of reloaded settings

Callers of a service that was in use before SIGHUP were served by the old `retry_ratio`, `retry_extra` and `retry_window_s` until the entry's next start: with a lowered budget the entries together sent more retries than the deployment allows, with a raised one requests ended with 502 or a cut though retries were left.

Cause: a budget keeps the limits with which it was created, and a reload replaces only `serving_policy`.

A budget gets the limits in force each time it is looked up. Requests and retries that were counted go on counting, so that a reload gives no second budget. A longer window reaches back to retries that the shorter one has discarded; then the extra is given as after a start.

--- a/src/magnoliahold/core/serving/budget.py
+++ b/src/magnoliahold/core/serving/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -19,12 +20,25 @@
     retry a part of the requests that it received itself, and has an equal part of the
     fixed extra. An entry that has just started gets most of its extra in its second
     window, since it may have used its extra shortly before it restarted.
+    `last_discarded_at` is when the newest retry was sent that has left the window.
+    Times are on the process clock.
     """
 
     policy: BudgetPolicy
     started_at: float
     requests: deque[float] = field(factory=deque)
     retries: deque[float] = field(factory=deque)
+    last_discarded_at: float = -math.inf
+
+    def apply_policy(self, policy: BudgetPolicy) -> None:
+        """Puts other limits in force; what was counted so far counts for them.
+
+        A longer window may reach back to retries that are no longer counted. Then the
+        extra is given as after a start.
+        """
+        if policy.window_s > self.policy.window_s:
+            self.started_at = max(self.started_at, self.last_discarded_at)
+        self.policy = policy
 
     def add_request(self, now: float) -> None:
         """Records a request that arrived for the service."""
@@ -57,6 +71,8 @@
         return policy.used_part * total - len(self.retries)
 
     def _discard_expired(self, now: float) -> None:
-        for times in (self.requests, self.retries):
-            while times and times[0] <= now - self.policy.window_s:
-                times.popleft()
+        start = now - self.policy.window_s
+        while self.requests and self.requests[0] <= start:
+            self.requests.popleft()
+        while self.retries and self.retries[0] <= start:
+            self.last_discarded_at = self.retries.popleft()
--- a/src/magnoliahold/core/serving/world.py
+++ b/src/magnoliahold/core/serving/world.py
@@ -89,12 +89,16 @@
     deregistered_at: float | None = None
 
     def find_budget(self, service: str) -> RetryBudget:
-        """Returns the retry budget of a service; creates it if there is none."""
+        """Returns the retry budget of a service, with the limits that are in force.
+
+        Creates it if there is none.
+        """
+        policy = self.serving_policy.budget
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = RetryBudget(
-                self.serving_policy.budget, self.started_at
-            )
+            budget = self.budgets[service] = RetryBudget(policy, self.started_at)
+        elif budget.policy is not policy:
+            budget.apply_policy(policy)
         return budget
 
     def count_entries(self) -> int:
