Follow the store at its new address as soon as settings are reloaded

After SIGHUP with another `store`, registrations of upstreams that leave went unseen for up to 3.8 s, those of entries for up to 20.8 s, if nobody answered at the former address: longer than `bounds.drain_ms`, so that requests could still go to engines that had left.

Cause: the address is used for later calls only, and the long polls in progress wait on at the former one, though the page of settings says that `store` takes effect at once.

`test_new_address_of_the_store_is_followed_at_once` failed before: 0.8 s after the reload there was no poll at the new address.

A reload that changes the address gives up the calls in progress, and the next tick reads each feed anew. Their results are discarded by number. With the same address they go on.

--- a/src/magnoliahold/core/serving/systems/feeds.py
+++ b/src/magnoliahold/core/serving/systems/feeds.py
@@ -346,6 +346,16 @@
         world.emit(_make_call(state, wait_s, world))
 
 
+def restart_feed_calls(world: ServingWorld) -> None:
+    """Gives up the calls in progress; the next tick reads each feed anew.
+
+    The store has another address, and nobody may answer at the former one.
+    """
+    for state in world.feeds.values():
+        state.call = 0
+        state.next_call_at = 0.0
+
+
 def _choose_wait_s(world: ServingWorld, feed: Feed, now: float) -> float:
     """Chooses how long the next poll of a feed waits for a change."""
     if feed is Feed.CONFIGURATION:
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -18,6 +18,7 @@
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.systems.feeds import restart_feed_calls
 from magnoliahold.core.serving.systems.leaving import find_unready_reason
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
@@ -300,11 +301,13 @@
             "Reloading settings failed, the old ones stay.", reason=str(error)
         )
         return
-    daemon.settings = settings
     world = daemon.node.world
+    if settings.store != daemon.settings.store:
+        daemon.node.ports.store.set_base_url(f"http://{settings.store}")
+        restart_feed_calls(world)
+    daemon.settings = settings
     policy = make_serving_policy(settings)
     if world.leaving_since is not None:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
-    daemon.node.ports.store.set_base_url(f"http://{settings.store}")
     logger.info("Settings reloaded.", name=settings.name)
