Apply a reloaded log level at once

Operators who lowered `log.level` and sent SIGHUP to see what an entry decides saw nothing more until its next start.

Cause: the level is set with the log handler, once at the start. `test_new_log_level_takes_effect_at_once` failed before: the level stayed as it was.

--- a/src/magnoliahold/logs.py
+++ b/src/magnoliahold/logs.py
@@ -173,6 +173,11 @@
     twisted_events_forwarded = False
 
 
+def set_log_level(level: str) -> None:
+    """Sets the level from which this process logs messages of its own."""
+    logging.getLogger(ROOT_NAME).setLevel(level.upper())
+
+
 def configure_logging(
     process_name: str, level: str = "info", stream: TextIO | None = None
 ) -> logging.Handler:
@@ -188,7 +193,7 @@
         root.removeHandler(old)
     root.addHandler(handler)
     root.setLevel(logging.WARNING)
-    logging.getLogger(ROOT_NAME).setLevel(level.upper())
+    set_log_level(level)
     forward_twisted_events()
     return handler
 
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -25,7 +25,7 @@
 from magnoliahold.endpoints import parse_endpoint
 from magnoliahold.health import TextResource
 from magnoliahold.journal import MetricsJournal
-from magnoliahold.logs import configure_logging, make_part_logger
+from magnoliahold.logs import configure_logging, make_part_logger, set_log_level
 from magnoliahold.logwriting import NonBlockingStream, RateFilter
 from magnoliahold.metrics import make_metrics
 from magnoliahold.node import BROKEN_TABLES, Node
@@ -305,6 +305,8 @@
     if settings.store != daemon.settings.store:
         daemon.node.ports.store.set_base_url(f"http://{settings.store}")
         restart_feed_calls(world)
+    if settings.log != daemon.settings.log:
+        set_log_level(settings.log.level)
     daemon.settings = settings
     policy = make_serving_policy(settings)
     if world.leaving_since is not None:
--- a/tests/serving/test_reloaded_settings.py
+++ b/tests/serving/test_reloaded_settings.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import logging
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from magnoliahold.logs import ROOT_NAME
 from magnoliahold.serving.daemon import reload_settings
 from magnoliahold.settings.loading import parse_serving_settings
 from tests.loopback import on_loopback
@@ -48,3 +50,12 @@
         calls = [state.call for state in feeds]
         self.reload(daemon, bounds={"retry_ratio": 0.1})
         self.assertEqual([state.call for state in feeds], calls)
+
+    @on_loopback
+    async def test_new_log_level_takes_effect_at_once(self) -> None:
+        daemon = await self.start([WHOLE])
+        root = logging.getLogger(ROOT_NAME)
+        self.addCleanup(root.setLevel, root.level)
+        for level in ("debug", "error"):
+            self.reload(daemon, log={"level": level})
+            self.assertEqual(root.level, getattr(logging, level.upper()))
