Tell in one place where a request without attempts may go

Which upstreams a request with no attempts left may reach stood in the selection of upstreams and again in the choice of its copy. Both ask the request now. No behaviour changes: the tests of copies, streams, rejected retries and sole upstreams hold as they are.

--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -197,6 +197,13 @@
         """Tells whether it was sent to as many upstreams as its route allows."""
         return self.send_count - self.misdirected >= self.route.max_attempts
 
+    def may_reach(self, upstream: Upstream) -> bool:
+        """Tells whether its attempts allow that it is sent to an upstream.
+
+        Once they are used, it only returns to those that it was meant for.
+        """
+        return not self.has_used_attempts() or upstream.id in self.tried_upstreams
+
 
 @define
 class RequestTable:
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -113,7 +113,7 @@
         return None
     if copy.holder.id not in world.upstreams.by_id or copy.holder.leaving:
         return None
-    if request.has_used_attempts() and copy.holder.id not in request.tried_upstreams:
+    if not request.may_reach(copy.holder):
         return None
     return None if is_version_suspended(world, copy.holder) else copy
 
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -45,14 +45,14 @@
 ) -> list[Upstream]:
     """Lists the upstreams that may get a request now.
 
-    One that has used its attempts only returns to upstreams that it was meant for, and
-    not at once where it was rejected or the connection was refused.
+    One that has used its attempts doesn't return at once to where it was rejected or
+    the connection was refused.
     """
     available = list_available(world, request.service, now)
+    reachable = [item for item in available if request.may_reach(item)]
     if not request.has_used_attempts():
-        return available
-    tried = [item for item in available if item.id in request.tried_upstreams]
-    return [item for item in tried if item.full_until <= now and not item.refuses]
+        return reachable
+    return [item for item in reachable if item.full_until <= now and not item.refuses]
 
 
 def list_available(world: ServingWorld, service: str, now: float) -> list[Upstream]:
