Leave out what can't be decoded in one place

Compiling a workspace and decoding a stored row caught and told errors in the same steps, with another log prefix. Both pass what they log to one function. No behaviour changes: the tests of damaged rows hold as they are.

--- a/src/magnoliahold/core/systems/propagation.py
+++ b/src/magnoliahold/core/systems/propagation.py
@@ -17,7 +17,7 @@
 from magnoliahold.core.events import RowsRead
 from magnoliahold.core.moves import update_active_moves
 from magnoliahold.core.systems.stored_rows import decode_stored
-from magnoliahold.decoding import describe_error
+from magnoliahold.decoding import decode_or_report
 from magnoliahold.wire.messages import (
     ConfigurationPull,
     ConfigurationPush,
@@ -66,17 +66,16 @@
 
 
 def _compile(world: EntryWorld, row: WorkspaceRow) -> Workspace | None:
-    try:
-        return compile_workspace(row)
-    except Exception as error:
+    def log_damage(reason: str) -> None:
         world.log_decision(
             "configuration",
             "Template can't be read and is left out.",
             key=row.workspace,
             version=row.version,
-            reason=describe_error(error),
+            reason=reason,
         )
-        return None
+
+    return decode_or_report(compile_workspace, row, log_damage)
 
 
 def push_row(world: EntryWorld, row: WorkspaceRow) -> None:
--- a/src/magnoliahold/core/systems/stored_rows.py
+++ b/src/magnoliahold/core/systems/stored_rows.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
-from magnoliahold.decoding import describe_error
+from magnoliahold.decoding import decode_or_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,18 +16,15 @@
 
 
 def decode_stored(world: World, row: Row, decode: Callable[[Row], T]) -> T | None:
-    """Decodes a row; returns None for one that can't be read, and logs it.
+    """Decodes a row; returns None for one that can't be read, and logs it."""
 
-    An error in a tick would end the process, and each later start of it.
-    """
-    try:
-        return decode(row)
-    except Exception as error:
+    def log_damage(reason: str) -> None:
         world.log_decision(
             "store",
             "Row can't be read and is left out.",
             table=row.table,
             key=row.key,
-            reason=describe_error(error),
+            reason=reason,
         )
-        return None
+
+    return decode_or_report(decode, row, log_damage)
--- a/src/magnoliahold/decoding.py
+++ b/src/magnoliahold/decoding.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+S = TypeVar("S")
 T = TypeVar("T")
 
 # What can't be read is quoted in some errors, and may be long.
@@ -39,3 +40,17 @@
         return decode(content)
     except Exception:
         return None
+
+
+def decode_or_report(
+    decode: Callable[[S], T], source: S, report: Callable[[str], None]
+) -> T | None:
+    """Decodes what may be damaged; if it is, reports the reason and returns None.
+
+    An error in a tick would end the process, and each later start of it.
+    """
+    try:
+        return decode(source)
+    except Exception as error:
+        report(describe_error(error))
+        return None
