Send requests on from a lost upstream to one that may only be silent

While all upstreams of a service were silent, a request at one that had ended waited until another one answered a probe, which is asked every 0.5 s to 2 s: a call of 1.5 s got 504 though a silent upstream went on after 0.8 s, and a stream was cut.

Cause: an attempt leaves its upstream only for a healthy one. That is right where its own may be at work on it; one is lost, not silent, once it is down and refuses connections without leaving, or its registration is gone or that of a later start.

An answer now comes as soon as one of them goes on.

From a lost upstream a request is sent on to the silent one heard of last, a stream to the holder of its copy first, within its attempts and retries. Each silent one gets it once; a suspected one is left to its probe. After that it waits for a healthy one until its deadline, as it did before: 25 ms of waiting would end a call with 502 where none can be reached. From an upstream that is only silent, or leaves, it isn't taken. A call's upstream whose registration is gone is probed.

--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -144,9 +144,10 @@
     `prefers_new_version` tells whether the request goes to the version that its
     service moves to; it is None until a version is chosen. While
     `awaiting_lookup` is set, the request waits to learn which upstream has its prompt
-    in its prefix cache. `held_at` is when it last waited for room, 0 if it never did.
-    `prompt_tokens` is the number of tokens of the prompt, and
-    `suspects` what the request may have in common with others that crash upstreams.
+    in its prefix cache. `left_lost_upstream` is set once it left an upstream that was
+    lost for one that was silent. `held_at` is when it last waited for room, 0 if it
+    never did. `prompt_tokens` is the number of tokens of the prompt, and `suspects`
+    what the request may have in common with others that crash upstreams.
     """
 
     caller: CallerRequest
@@ -171,6 +172,7 @@
     first_piece_late: bool = False
     awaiting_lookup: bool = False
     prefers_new_version: bool | None = None
+    left_lost_upstream: bool = False
     held_at: float = 0.0
     prompt_tokens: int = field(init=False)
     suspects: frozenset[str] = field(init=False)
--- a/src/magnoliahold/core/serving/systems/deadlines.py
+++ b/src/magnoliahold/core/serving/systems/deadlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.serving.systems.completion import refuse
@@ -28,7 +29,12 @@
 
 
 def find_wait_limit_s(world: ServingWorld, request: ServedRequest) -> float:
-    """Returns how long a request may wait for a usable upstream, in seconds."""
+    """Returns how long a request may wait for a usable upstream, in seconds.
+
+    One that left a lost upstream waits until its deadline, as it would have there.
+    """
+    if request.left_lost_upstream:
+        return math.inf
     policy = world.serving_policy.attempts
     if request.answer_started:
         return policy.hold_stream_s
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -23,10 +23,12 @@
     record_start,
 )
 from magnoliahold.core.serving.systems.selection import (
+    are_all_down,
     choose_upstream,
     find_available_at,
     find_candidates,
     find_prefix_location,
+    list_silent,
 )
 from magnoliahold.core.serving.systems.trials import (
     announce_trial,
@@ -61,7 +63,7 @@
 
 def _route_request(world: ServingWorld, request: ServedRequest, now: float) -> None:
     choose_version(world, request)
-    copy = _find_usable_copy(world, request)
+    copy = _find_usable_copy(world, request, now)
     if copy is not None:
         if _is_worth_awaiting(world, copy.holder, now):
             return
@@ -106,10 +108,10 @@
 
 
 def _find_usable_copy(
-    world: ServingWorld, request: ServedRequest
+    world: ServingWorld, request: ServedRequest, now: float
 ) -> KvCacheCopy | None:
     copy = request.copy
-    if copy is None or copy.holder.health is not UpstreamHealth.HEALTHY:
+    if copy is None or not _may_hold(world, request, copy.holder, now):
         return None
     if copy.holder.id not in world.upstreams.by_id or copy.holder.leaving:
         return None
@@ -118,6 +120,20 @@
     return None if is_version_suspended(world, copy.holder) else copy
 
 
+def _may_hold(
+    world: ServingWorld, request: ServedRequest, holder: Upstream, now: float
+) -> bool:
+    """Tells whether a holder may still have its copy.
+
+    A silent one will do where the stream is sent to a silent one in any case.
+    """
+    if holder.health is UpstreamHealth.HEALTHY:
+        return True
+    if not request.left_lost_upstream or not list_silent(request, [holder]):
+        return False
+    return are_all_down(find_candidates(world, request, now))
+
+
 def _start_attempt(
     world: ServingWorld,
     request: ServedRequest,
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -37,9 +37,30 @@
         for item in of_version
         if not (item.refuses and item.refused_at > refused_since)
     ]
+    if request.left_lost_upstream:
+        open_to_try = _filter_hopeful(request, open_to_try)
     return filter_preferred(world, request, open_to_try, now)
 
 
+def _filter_hopeful(
+    request: ServedRequest, upstreams: list[Upstream]
+) -> list[Upstream]:
+    """Keeps the upstreams that are not down, or else those that may only be silent."""
+    up = [item for item in upstreams if item.health is not UpstreamHealth.DOWN]
+    return up or list_silent(request, upstreams)
+
+
+def list_silent(request: ServedRequest, upstreams: list[Upstream]) -> list[Upstream]:
+    """Lists the upstreams that are down but may live, and have not had a request."""
+    return [
+        item
+        for item in upstreams
+        if item.health is UpstreamHealth.DOWN
+        and not item.refuses
+        and item.id not in request.tried_upstreams
+    ]
+
+
 def _list_allowed(
     world: ServingWorld, request: ServedRequest, now: float
 ) -> list[Upstream]:
@@ -196,9 +217,12 @@
 ) -> Upstream:
     """Chooses the upstream that has cached the prompt, or the one that is done first.
 
+    Of silent ones it is the one heard of last, which most likely lives.
     Ties are broken at random: requests that share a prompt often arrive at several
     entries at once, and would otherwise all queue for the prefill at one upstream.
     """
+    if request.left_lost_upstream and are_all_down(candidates):
+        return max(candidates, key=lambda item: item.last_received_at)
     cached = _choose_by_prefix_cache(world, request, candidates)
     if cached is not None:
         return cached
@@ -210,6 +234,11 @@
     return min(candidates, key=rank)
 
 
+def are_all_down(upstreams: list[Upstream]) -> bool:
+    """Tells whether none of some upstreams is known to be up."""
+    return all(item.health is UpstreamHealth.DOWN for item in upstreams)
+
+
 def has_less_loaded_alternative(
     world: ServingWorld, attempt: Attempt, now: float
 ) -> bool:
@@ -229,6 +258,17 @@
     return lowest <= share * measure_load(world, attempt.upstream)
 
 
+def list_alternatives(
+    world: ServingWorld, attempt: Attempt, now: float
+) -> list[Upstream]:
+    """Lists the upstreams other than the attempt's that would be chosen from."""
+    request = attempt.request
+    allowed = _list_allowed(world, request, now)
+    others = [item for item in allowed if item is not attempt.upstream]
+    chosen = filter_by_version(world, request, others, now)
+    return filter_preferred(world, request, chosen, now)
+
+
 def list_healthy_alternatives(
     world: ServingWorld, attempt: Attempt, now: float
 ) -> list[Upstream]:
@@ -236,12 +276,8 @@
 
     One whose registration is missing will do where all are, as for other requests.
     """
-    request = attempt.request
-    allowed = _list_allowed(world, request, now)
-    others = [item for item in allowed if item is not attempt.upstream]
-    chosen = filter_by_version(world, request, others, now)
-    preferred = filter_preferred(world, request, chosen, now)
-    return [item for item in preferred if item.health is UpstreamHealth.HEALTHY]
+    others = list_alternatives(world, attempt, now)
+    return [item for item in others if item.health is UpstreamHealth.HEALTHY]
 
 
 def _choose_by_prefix_cache(
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -11,9 +11,15 @@
 from magnoliahold.core.serving.systems.retries import may_retry, retry_elsewhere
 from magnoliahold.core.serving.systems.selection import (
     has_less_loaded_alternative,
+    list_alternatives,
     list_healthy_alternatives,
+    list_silent,
+)
+from magnoliahold.core.serving.systems.upstream_health import (
+    is_lost,
+    mark_suspected,
+    probe,
 )
-from magnoliahold.core.serving.systems.upstream_health import mark_suspected, probe
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -52,8 +58,12 @@
     waiting = world.requests.waiting.values()
     promised = sum(item.service == service and item.send_count > 0 for item in waiting)
     left = world.find_budget(service).count_remaining(now, world.count_entries())
-    if left < promised + 1 or not _can_move(world, attempt, now):
+    if left < promised + 1:
         return False
+    if not _can_move(world, attempt, now):
+        if not _can_leave_lost(world, attempt, now):
+            return False
+        attempt.request.left_lost_upstream = True
     retry_elsewhere(world, attempt, reason, now)
     return True
 
@@ -73,6 +83,18 @@
     return bool(filter_by_room(world, attempt.request, others, now))
 
 
+def _can_leave_lost(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether an attempt's upstream is lost, and another may only be silent.
+
+    A suspected one isn't left for: its probe tells soon whether it is healthy.
+    """
+    if not is_lost(world, attempt.upstream):
+        return False
+    others = list_alternatives(world, attempt, now)
+    silent = list_silent(attempt.request, others)
+    return bool(filter_by_room(world, attempt.request, silent, now))
+
+
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.paused_at is not None:
         return
@@ -138,5 +160,9 @@
 
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
     waited_s = now - (attempt.sent_at or attempt.started_at)
-    if waited_s >= world.serving_policy.attempts.repeat_after_s:
-        _retry_if_free(world, attempt, f"no answer for {waited_s:.2f} s", now)
+    if waited_s < world.serving_policy.attempts.repeat_after_s:
+        return
+    reason = f"no answer for {waited_s:.2f} s"
+    moved = _retry_if_free(world, attempt, reason, now)
+    if not moved and not world.upstreams.is_registered(attempt.upstream):
+        probe(world, attempt.upstream, "its registration is gone", now)
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -97,6 +97,19 @@
     upstream.next_probe_at = now + min(delay_s, policy.down_probe_max_s)
 
 
+def is_lost(world: ServingWorld, upstream: Upstream) -> bool:
+    """Tells whether an upstream that is down has ended, and isn't only silent.
+
+    Then its registration is gone or that of another start, or it refuses connections.
+    One that is leaving may refuse them while it ends what it has.
+    """
+    if upstream.health is not UpstreamHealth.DOWN:
+        return False
+    if not world.upstreams.is_registered(upstream):
+        return True
+    return upstream.refuses and not upstream.leaving
+
+
 def await_sign_of_life(
     world: ServingWorld, upstream: Upstream, reason: str, now: float
 ) -> None:
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -219,6 +219,10 @@
             self.by_service.get(upstream.record.service, {}).pop(upstream_id, None)
         return upstream
 
+    def is_registered(self, upstream: Upstream) -> bool:
+        """Tells whether the registration of an upstream is there, of the same start."""
+        return self.by_id.get(upstream.id) is upstream
+
     def find_signals(self, start: UpstreamStart, now: float) -> UpstreamSignals:
         """Returns the signals of a start; creates them if there are none."""
         return self.signals.setdefault(start, UpstreamSignals(changed_at=now))
