Keep the copy of a stream whose upstream isn't healthy

A stream whose upstream was lost while all others were silent began anew with its whole prompt, though the holder of its copy went on.

Cause: the holder was down as well, and was replaced by none while the stream's own upstream was only suspected. An upstream that isn't healthy makes no other copy, so that the one there is was forgotten.

`test_stream_goes_to_the_holder_of_its_copy_first` failed before with two upstreams: the stream was sent on without its copy. Holders are replaced only while the stream's upstream is healthy.

--- a/src/magnoliahold/core/serving/systems/copies.py
+++ b/src/magnoliahold/core/serving/systems/copies.py
@@ -111,12 +111,17 @@
 
 
 def maintain_copies(world: ServingWorld, now: float) -> None:
-    """Orders copies for streams that lost their copy holder, and renews such copies."""
+    """Orders copies for streams that lost their copy holder, and renews such copies.
+
+    An upstream that isn't healthy makes none: what its stream's holder has is the last.
+    """
     if not world.scan_due:
         return
     for attempt in world.requests.attempts.values():
         if not attempt.pieces or attempt.upstream.backs_off(now):
             continue
+        if attempt.upstream.health is not UpstreamHealth.HEALTHY:
+            continue
         if _is_holder_lost(world, attempt.copy_holder):
             _replace_holder(world, attempt, now)
         elif attempt.copy_order is not None:
--- a/tests/core/serving/test_lost_upstreams.py
+++ b/tests/core/serving/test_lost_upstreams.py
@@ -318,7 +318,7 @@
                 self.assertEqual(service.sent, [others[0].id])
 
     def test_stream_goes_to_the_holder_of_its_copy_first(self) -> None:
-        for own, upstreams in product(LOST, (4,)):
+        for own, upstreams in product(LOST, (2, 4)):
             with self.subTest(own=own, upstreams=upstreams):
                 service = SilentService(STREAM, own, FROZEN, EARLY_S, upstreams)
                 service.start(leave_copy=True)
