--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -15,9 +15,15 @@
 )
 from magnoliahold.core.serving.systems.selection import (
     has_less_loaded_alternative,
+    list_alternatives,
     list_healthy_alternatives,
+    list_silent,
+)
+from magnoliahold.core.serving.systems.upstream_health import (
+    is_lost,
+    mark_suspected,
+    probe,
 )
-from magnoliahold.core.serving.systems.upstream_health import mark_suspected, probe
 from magnoliahold.core.serving.upstreams import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -63,7 +69,9 @@
     if not has_free_retry(world, attempt.request.service, now):
         return False
     if not _can_move(world, attempt, now):
-        return False
+        if not _can_leave_lost(world, attempt, now):
+            return False
+        attempt.request.left_lost_upstream = True
     retry_elsewhere(world, attempt, reason, now)
     return True
 
@@ -96,6 +104,18 @@
     return holder.health is UpstreamHealth.HEALTHY
 
 
+def _can_leave_lost(world: ServingWorld, attempt: Attempt, now: float) -> bool:
+    """Tells whether an attempt's upstream is lost, and another may only be silent.
+
+    A suspected one isn't left for: its probe tells soon whether it is healthy.
+    """
+    if not is_lost(world, attempt.upstream):
+        return False
+    others = list_alternatives(world, attempt, now)
+    silent = list_silent(attempt.request, others)
+    return can_start_beside_waiting(world, attempt.request, silent, now)
+
+
 def _watch_gap(world: ServingWorld, attempt: Attempt, now: float) -> None:
     if attempt.paused_at is not None:
         return
@@ -160,5 +180,9 @@
 def _watch_call(world: ServingWorld, attempt: Attempt, now: float) -> None:
     sent_at = attempt.sent_at or attempt.started_at
     waited_s = world.find_read_until(now) - sent_at
-    if waited_s >= world.serving_policy.attempts.repeat_after_s:
-        _retry_if_free(world, attempt, f"no answer for {waited_s:.2f} s", now)
+    if waited_s < world.serving_policy.attempts.repeat_after_s:
+        return
+    reason = f"no answer for {waited_s:.2f} s"
+    moved = _retry_if_free(world, attempt, reason, now)
+    if not moved and not world.upstreams.is_registered(attempt.upstream):
+        probe(world, attempt.upstream, "its registration is gone", now)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -19,13 +19,14 @@
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
 from magnoliahold.core.serving.systems.completion import choose_retry_after
+from magnoliahold.core.serving.systems.feeds import restart_feed_calls
 from magnoliahold.core.serving.systems.leaving import STOP_REASON, find_unready_reason
 from magnoliahold.core.serving.world import ServingWorld
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import parse_endpoint
 from magnoliahold.health import TextResource
 from magnoliahold.journal import MetricsJournal
-from magnoliahold.logs import configure_logging, make_part_logger
+from magnoliahold.logs import configure_logging, make_part_logger, set_log_level
 from magnoliahold.logwriting import NonBlockingStream, RateFilter
 from magnoliahold.metrics import make_metrics
 from magnoliahold.node import BROKEN_TABLES, Node
@@ -325,11 +326,15 @@
             "Reloading settings failed, the old ones stay.", reason=str(error)
         )
         return
-    daemon.settings = settings
     world = daemon.node.world
+    if settings.store != daemon.settings.store:
+        daemon.node.ports.store.set_base_url(f"http://{settings.store}")
+        restart_feed_calls(world)
+    if settings.log != daemon.settings.log:
+        set_log_level(settings.log.level)
+    daemon.settings = settings
     policy = make_serving_policy(settings)
     if daemon.is_leaving:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
-    daemon.node.ports.store.set_base_url(f"http://{settings.store}")
     logger.info("Settings reloaded.", name=settings.name)
