Answer callers that close only their writing side

Callers that sent a whole request and then FIN got no byte: the entry took the FIN for the end of the connection. HTTP lets them read on, and a FIN can't be told from a full close. So the work still ends at once, but each request that was read gets a final answer before the connection closes.

Cause: CallerChannel wasn't an IHalfCloseableProtocol, so the reactor ended the connection with the FIN, and cancel_request sent no answer.

- The channel posts CallerHalfClosed.
A system that runs behind the results of attempts and before routing ends the request: 503 only where no upstream can have run it, else 502, 504 behind its deadline; a stream that has begun is aborted.
A call that may not be repeated and is at an engine ends by itself, and isn't sent again.
- Answers that wait to be written come first.
Whole requests read behind get 503 and aren't passed on; what was read in part is dropped, as before.
- The connection closes once the caller's kernel has acknowledged the answers, which is looked for every 50 ms.
A reset, which a full close answers with, is the caller's end.
One that takes nothing times out as untaken, as before.
The linger behind an announced close still ends with the peer's FIN, but no longer with bytes unwritten.
- connections_ended has the cause caller_half_closed: the caller got all its answers, and isn't in requests_unanswered.
A full close keeps its causes.

Changed tests: test_caller_disconnect_is_reported_once expects CallerDisconnected after a reset and CallerHalfClosed after a FIN, each once. test_changed_limits ends connections with a reset, since behind a FIN an open request waits for the decision, which that test doesn't make; the play of test_random_callers refuses what is open at its end for the same reason. Callers of both random tests now close their writing sides, too, by draws of their own.

--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -80,6 +80,7 @@
     deadlines.refuse_overdue_requests,
     copies.maintain_copies,
     stop_refusals.refuse_before_stop,
+    admission.handle_half_closed_callers,
     routing.route_waiting,
     queue_refusals.review_queues,
     upstream_health.probe_unhealthy,
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -28,6 +28,16 @@
     handle: int
 
 
+@frozen
+class CallerHalfClosed:
+    """A caller closed its writing side behind its request; it may still read.
+
+    That can't be told from a caller that has closed its connection altogether.
+    """
+
+    handle: int
+
+
 @frozen
 class AttemptSent:
     """The request was passed to a connection: from now on it may run."""
--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -200,10 +200,14 @@
 
 @define
 class RequestTable:
-    """Open requests by handle and running attempts by number."""
+    """Open requests by handle and running attempts by number.
+
+    `half_closed` are the requests whose callers have closed their writing side.
+    """
 
     by_handle: dict[int, ServedRequest] = field(factory=dict)
     waiting: dict[int, ServedRequest] = field(factory=dict)
+    half_closed: dict[int, ServedRequest] = field(factory=dict)
     attempts: dict[int, Attempt] = field(factory=dict)
     next_attempt: int = 1
 
@@ -250,3 +254,4 @@
         request.state = RequestState.ENDED
         self.by_handle.pop(request.handle, None)
         self.waiting.pop(request.handle, None)
+        self.half_closed.pop(request.handle, None)
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -5,13 +5,19 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import CountMetric
+from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller
-from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
-from magnoliahold.core.serving.requests import ServedRequest
+from magnoliahold.core.serving.events import (
+    CallerDisconnected,
+    CallerHalfClosed,
+    RequestArrived,
+)
+from magnoliahold.core.serving.requests import AttemptState, ServedRequest
 from magnoliahold.core.serving.suspicions import find_suspects
 from magnoliahold.core.serving.systems.completion import (
     cancel_request,
     choose_retry_after,
+    end_half_closed,
     find_deadline_rejection,
 )
 from magnoliahold.core.serving.systems.prefix_lookups import (
@@ -180,3 +186,29 @@
         request = world.requests.by_handle.get(disconnected.handle)
         if request is not None:
             cancel_request(world, request, now)
+
+
+def handle_half_closed_callers(world: ServingWorld, now: float) -> None:
+    """Ends the requests of callers that have closed their writing side.
+
+    This runs once what was sent and answered is known: a refusal must not say "not run"
+    of a request that is on its way, and what is rejected must not be sent again.
+    """
+    requests = world.requests
+    for half_closed in world.inbox.read_events(CallerHalfClosed):
+        request = requests.by_handle.get(half_closed.handle)
+        if request is not None:
+            requests.half_closed[request.handle] = request
+    for request in list(requests.half_closed.values()):
+        if not _runs_once(request):
+            end_half_closed(world, request, now)
+
+
+def _runs_once(request: ServedRequest) -> bool:
+    """Tells whether a request is at an upstream and may not be repeated.
+
+    Breaking it off would leave its caller without knowing whether it has run.
+    """
+    if request.attempt is None or request.route.kind is not RouteKind.NOT_REPEATABLE:
+        return False
+    return request.attempt.state is not AttemptState.CONNECTING
--- a/src/magnoliahold/core/serving/systems/completion.py
+++ b/src/magnoliahold/core/serving/systems/completion.py
@@ -26,6 +26,8 @@
 GATEWAY_TIMEOUT = 504
 # Over which share of a wait the returns of callers are spread after it.
 RETURN_SPREAD = 0.25
+CALLER_LEFT = "caller left"
+HALF_CLOSED = "the caller closed its writing side"
 SUCCESSFUL_OUTCOMES = frozenset(("answered", "completed"))
 
 
@@ -56,13 +58,30 @@
     The refusal says "not run" only if no upstream can have run the request. Only then
     the caller is told to retry, after `retry_after_s` if that is given.
     """
-    if request.attempt is not None:
-        free_copy(world, request.attempt, now)
-        close_attempt(world, request.attempt, now)
+    _break_off(world, request, now)
     if request.answer_started:
         world.emit(AbortAnswer(request.handle))
         _end_request(world, request, "cut", now, reason=reason)
         return
+    status = _emit_refusal(world, request, reason, now, retry_after_s)
+    _end_request(world, request, "refused", now, status=status, reason=reason)
+
+
+def _break_off(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Closes the attempt of a request, if one is running."""
+    if request.attempt is not None:
+        free_copy(world, request.attempt, now)
+        close_attempt(world, request.attempt, now)
+
+
+def _emit_refusal(
+    world: ServingWorld,
+    request: ServedRequest,
+    reason: str,
+    now: float,
+    retry_after_s: float | None = None,
+) -> int:
+    """Emits the refusal of a request that has no attempt; returns its status."""
     if request.may_have_run:
         late = now >= request.deadline_at
         status = GATEWAY_TIMEOUT if late else BAD_GATEWAY
@@ -79,7 +98,7 @@
         world.leaving_since is not None,
     )
     world.emit(effect)
-    _end_request(world, request, "refused", now, status=status, reason=reason)
+    return status
 
 
 def find_deadline_rejection(
@@ -123,10 +142,22 @@
 
 def cancel_request(world: ServingWorld, request: ServedRequest, now: float) -> None:
     """Cancels the request of a caller that has disconnected."""
-    if request.attempt is not None:
-        free_copy(world, request.attempt, now)
-        close_attempt(world, request.attempt, now)
-    _end_request(world, request, "caller left", now)
+    _break_off(world, request, now)
+    _end_request(world, request, CALLER_LEFT, now)
+
+
+def end_half_closed(world: ServingWorld, request: ServedRequest, now: float) -> None:
+    """Ends a request whose caller has closed its writing side, with a final answer.
+
+    An answer that has begun is aborted: it must not look complete.
+    """
+    _break_off(world, request, now)
+    status = None
+    if request.answer_started:
+        world.emit(AbortAnswer(request.handle))
+    else:
+        status = _emit_refusal(world, request, HALF_CLOSED, now)
+    _end_request(world, request, CALLER_LEFT, now, status=status, reason=HALF_CLOSED)
 
 
 def _end_request(
--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -4,20 +4,28 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.main import CONNECTION_DONE
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
+from zope.interface import implementer
 
 from magnoliahold.logs import make_part_logger
 from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 from magnoliahold.serving.callerexchanges import CallerExchange
 from magnoliahold.serving.connectionends import (
+    OPEN_CAUSES,
     REJECTION_STATUS,
     DiscardedBytes,
     EndCause,
+    find_left_cause,
 )
 from magnoliahold.serving.idletimes import LOOKS_PER_TIMEOUT, STALLED_TIMEOUTS, IdleTime
-from magnoliahold.serving.sockets import count_undelivered, has_unread_bytes
+from magnoliahold.serving.sockets import (
+    count_undelivered,
+    has_unread_bytes,
+    is_reset,
+)
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
@@ -25,21 +33,29 @@
 LINE_MARGIN_BYTES = 1024
 # How long the end of an answer may be on its way before its connection is closed.
 LINGER_S = 1.0
+# How often to look whether a half-closed caller has its last answer.
+HALF_CLOSED_LOOK_S = 0.05
 # How long a request may be on its way to a connection that is ready for it.
 FRESH_S = 0.5
 
 logger = make_part_logger("callers")
 
 
+@implementer(IHalfCloseableProtocol)
 class CallerChannel(HTTPChannel):
     """A caller's connection.
 
     A request is read within the limits in force when it begins. `end_cause` says why
-    this entry closes the connection; it is None if it doesn't.
+    this entry closes the connection; it is None if it doesn't. `left_cause` says how
+    far a request had come when the caller closed its writing side, None before that;
+    such a caller may still read. `has_taken_all` is set once it has all its answers.
     """
 
     requestFactory = CallerExchange  # noqa: N815
     end_cause: EndCause | None = None
+    left_cause: EndCause | None = None
+    has_taken_all = False
+    _peer_has_ended = False
 
     def __init__(self, callers: Callers) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
@@ -126,7 +142,8 @@
     def is_unanswered(self) -> bool:
         """Whether a request has no answer, or the caller hasn't taken all of it."""
         waiting = any(not request.ended for request in self.requests)
-        return waiting or self.unwritten_bytes > 0
+        left = self.left_cause in OPEN_CAUSES and not self.has_taken_all
+        return waiting or left or self.unwritten_bytes > 0
 
     def find_request_id(self) -> str:
         """Finds the id of the request that is open, or of the last one."""
@@ -163,6 +180,40 @@
             super().dataReceived(data)  # type: ignore[no-untyped-call]
         except Exception:
             self._end_after_error()
+        self._close_once_answered()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Ends the requests of a caller that has closed its writing side, or all.
+
+        One that still reads gets the answers that are ready, and a final one to each
+        request that was read. The reactor may report this again after each resumption.
+        """
+        if self._linger_timer is not None:
+            self._end_linger_early()
+            return
+        if self.left_cause is None:
+            self.left_cause = find_left_cause(self)
+        if self.has_read_request:
+            self._callers.handle_half_close(self.requests[0])
+        elif self.untaken_bytes:
+            self._close_once_answered()
+        else:
+            self._end_taken()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Does nothing: this entry has closed its writing side itself."""
+
+    def _close_once_answered(self) -> None:
+        """Closes a half-closed connection behind the answers to what was read.
+
+        A request that was read in part can't become whole.
+        """
+        is_held = self.paused and self._buffer
+        if self.left_cause is None or self._busyReceiving or is_held:
+            return
+        if not self.has_read_request:
+            self._stop_header_timer()
+            self.loseConnection()
 
     def _end_after_error(self) -> None:
         """Rejects the request that is being read, or cuts the answer to one before."""
@@ -208,6 +259,7 @@
         self._savedTimeOut = self._find_look_interval()
         self._hold_next_request()
         super().requestDone(request)  # type: ignore[no-untyped-call]
+        self._close_once_answered()
 
     def _hold_next_request(self) -> None:
         """Reads no further request while too much of earlier answers waits.
@@ -264,7 +316,7 @@
         """
         if self._linger_timer is not None:
             return
-        self._linger_timer = self._callers.clock.callLater(LINGER_S, self._end_linger)
+        self._start_linger_timer()
         self._idle.restart(self._callers.clock.seconds())
         self.discarded.add(b"".join(self._dataBuffer))
         self.setTimeout(None)  # type: ignore[no-untyped-call]
@@ -273,14 +325,52 @@
         transport.resumeProducing()
         transport.loseWriteConnection()
 
+    def _start_linger_timer(self) -> None:
+        is_half_closed = self.left_cause is not None or self._peer_has_ended
+        look_s = HALF_CLOSED_LOOK_S if is_half_closed else LINGER_S
+        self._linger_timer = self._callers.clock.callLater(look_s, self._end_linger)
+
+    def _end_linger_early(self) -> None:
+        """Ends the connection with its caller's end, which nothing can come behind."""
+        if self.left_cause is not None or self._peer_has_ended:
+            return
+        if self.unwritten_bytes:
+            self._peer_has_ended = True
+            self._linger_timer.cancel()
+            self._start_linger_timer()
+        else:
+            self._end_taken()
+
+    def _end_taken(self) -> None:
+        """Closes a connection whose caller has ended, with nothing left to write."""
+        transport: Any = self.transport
+        transport.connectionLost(Failure(CONNECTION_DONE))
+
     def _end_linger(self) -> None:
+        """Ends the linger, unless the caller is still taking its answer."""
+        if self.left_cause is not None:
+            self._end_half_closed()
+        elif self._peer_has_ended and not self.unwritten_bytes:
+            self._end_taken()
+        else:
+            self._end_linger_unless_taking()
+
+    def _end_half_closed(self) -> None:
+        transport: Any = self.transport
+        if is_reset(transport.getHandle()):
+            transport.connectionLost(Failure(CONNECTION_LOST))
+        elif self.untaken_bytes:
+            self._end_linger_unless_taking()
+        else:
+            self.has_taken_all = True
+            self._end_taken()
+
+    def _end_linger_unless_taking(self) -> None:
         now = self._callers.clock.seconds()
         untaken = self.untaken_bytes
         has_taken = self._idle.note_untaken(untaken, now)
         if (untaken or has_taken) and self._find_time_left(now, untaken) > 0:
-            self._linger_timer = self._callers.clock.callLater(
-                LINGER_S, self._end_linger
-            )
+            self._start_linger_timer()
             return
         self._end_connection()
 
--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -72,6 +72,12 @@
         ids = self.requestHeaders.getRawHeaders(b"Request-Id") or [b""]
         return str(ids[0].decode("ascii", "replace"))
 
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the caller has closed its writing side."""
+        channel: Any = self.channel
+        return channel is not None and channel.left_cause is not None
+
     def close_connection_after(self) -> None:
         """Makes the connection close after this answer."""
         channel: Any = self.channel
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -9,7 +9,12 @@
 from twisted.internet.protocol import ServerFactory
 
 from magnoliahold.core.serving.configuration import MAX_NUMBER, CallerLimits
-from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
+from magnoliahold.core.serving.events import (
+    CallerDisconnected,
+    CallerHalfClosed,
+    RequestArrived,
+)
+from magnoliahold.core.serving.systems.completion import HALF_CLOSED
 from magnoliahold.decoding import describe_error
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.callers import (
@@ -148,6 +153,15 @@
         if self.refusing_because:
             self._reject(exchange, UNAVAILABLE, self.refusing_because)
             return
+        if exchange.is_half_closed:
+            logger.info(
+                "Request refused.",
+                request=exchange.find_id(),
+                status=UNAVAILABLE,
+                reason=HALF_CLOSED,
+            )
+            self._reject(exchange, UNAVAILABLE, HALF_CLOSED)
+            return
         if exchange.body_bytes > exchange.body_limit:
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
             return
@@ -186,6 +200,11 @@
         if self._remove(exchange.handle) is not None:
             self.post(CallerDisconnected(exchange.handle))
 
+    def handle_half_close(self, exchange: CallerExchange) -> None:
+        """Posts CallerHalfClosed if the request is still open."""
+        if exchange.handle in self._open_requests:
+            self.post(CallerHalfClosed(exchange.handle))
+
     def record_end(self, channel: CallerChannel, reason: Failure) -> None:
         """Counts and logs the end of a connection."""
         cause = find_end_cause(channel, reason, self.is_stopping)
@@ -220,7 +239,7 @@
         exchange = self._remove(handle)
         if exchange is None:
             return
-        if closing:
+        if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         if exchange.startedWriting:
             exchange.finish_answer()
@@ -236,7 +255,7 @@
         exchange = self._remove(handle)
         if exchange is None:
             return
-        if closing:
+        if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
         try:
@@ -257,7 +276,7 @@
         exchange = self._remove(handle)
         if exchange is None:
             return
-        if closing:
+        if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         self._write_own_answer(exchange, status, reason, retry_after_s)
 
--- a/src/magnoliahold/serving/connectionends.py
+++ b/src/magnoliahold/serving/connectionends.py
@@ -51,6 +51,7 @@
     CALLER_LEFT_READING = "the caller left before its request was read"
     CALLER_LEFT_WAITING = "the caller left before its answer began"
     CALLER_LEFT_ANSWER = "the caller left during its answer"
+    CALLER_HALF_CLOSED = "the caller closed its writing side and took its answers"
 
 
 CALLER_CAUSES = frozenset(
@@ -59,12 +60,19 @@
         EndCause.CALLER_LEFT_READING,
         EndCause.CALLER_LEFT_WAITING,
         EndCause.CALLER_LEFT_ANSWER,
+        EndCause.CALLER_HALF_CLOSED,
     }
 )
 # Ends behind an answer that announced them; they are complete once it was written.
 ANNOUNCED_CAUSES = frozenset({EndCause.ANSWERED, EndCause.REFUSED})
 # Ends that leave a request without its answer, whatever the connection shows.
 LOST_CAUSES = frozenset({EndCause.DISCARDED, EndCause.NOT_TAKEN})
+# Rejections of what was read behind another request.
+REJECTION_CAUSES = frozenset({EndCause.MALFORMED, EndCause.HEADERS_TOO_LARGE})
+# Ends that may follow from a caller that had closed its writing side.
+HALF_CLOSED_CAUSES = ANNOUNCED_CAUSES | REJECTION_CAUSES | {EndCause.ANSWER_CUT}
+# How far requests had come whose callers had closed their writing side.
+OPEN_CAUSES = frozenset({EndCause.CALLER_LEFT_WAITING, EndCause.CALLER_LEFT_ANSWER})
 # Ends whose reason the line of the request tells.
 CUT_CAUSES = frozenset({EndCause.ANSWER_CUT, EndCause.FAILED_TICK})
 # The answers that this entry writes to requests which it doesn't read to their end.
@@ -116,15 +124,36 @@
     own = channel.end_cause
     if own in ANNOUNCED_CAUSES and channel.discarded.hold_request:
         return EndCause.DISCARDED
+    if own in HALF_CLOSED_CAUSES and channel.left_cause is not None:
+        return find_half_closed_cause(channel, channel.left_cause)
     if own is not None and not (own in ANNOUNCED_CAUSES and channel.unwritten_bytes):
         return own
     if reason.check(ConnectionDone, ConnectionLost) is None:
         return EndCause.UNHANDLED_ERROR
     if is_stopping:
         return find_stop_cause(channel)
+    if channel.left_cause is not None:
+        return find_half_closed_cause(channel, channel.left_cause)
     return find_caller_cause(channel)
 
 
+def find_left_cause(channel: CallerChannel) -> EndCause:
+    """Finds how far a request had come when its caller closed its writing side."""
+    cause = find_caller_cause(channel)
+    if cause is EndCause.CALLER_LEFT_IDLE and channel.untaken_bytes:
+        return EndCause.CALLER_LEFT_ANSWER
+    return cause
+
+
+def find_half_closed_cause(channel: CallerChannel, left_cause: EndCause) -> EndCause:
+    """Finds what became of a caller that had closed its writing side."""
+    if not channel.has_taken_all:
+        return left_cause
+    if channel.end_cause in REJECTION_CAUSES:
+        return channel.end_cause
+    return EndCause.CALLER_HALF_CLOSED if left_cause in OPEN_CAUSES else left_cause
+
+
 def find_stop_cause(channel: CallerChannel) -> EndCause:
     """Finds what the end of the process did to a connection."""
     if channel.requests or channel.unwritten_bytes:
--- a/src/magnoliahold/serving/sockets.py
+++ b/src/magnoliahold/serving/sockets.py
@@ -4,7 +4,7 @@
 
 import struct
 from fcntl import ioctl
-from socket import MSG_PEEK
+from socket import MSG_PEEK, SO_ERROR, SOL_SOCKET
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
@@ -26,3 +26,11 @@
     """Counts the bytes in the send queue that the peer hasn't acknowledged."""
     found = ioctl(connection, TIOCOUTQ, bytes(COUNT.size))
     return int(COUNT.unpack(found)[0])
+
+
+def is_reset(connection: socket) -> bool:
+    """Tells whether the peer has reset a connection; it tells so only once.
+
+    Behind a peer's FIN reads don't show a reset.
+    """
+    return connection.getsockopt(SOL_SOCKET, SO_ERROR) != 0
--- a/tests/core/serving/test_random.py
+++ b/tests/core/serving/test_random.py
@@ -38,6 +38,7 @@
     AttemptNotSent,
     AttemptSent,
     CallerDisconnected,
+    CallerHalfClosed,
     CopyFailed,
     FeedChanged,
     FeedFailed,
@@ -82,7 +83,10 @@
 
 @define
 class Environment:
-    """Simulated callers, upstreams and store, and the checks of what they observe."""
+    """Simulated callers, upstreams and store, and the checks of what they observe.
+
+    `half_closing` draws which callers close their writing side, and when.
+    """
 
     case: unittest.TestCase
     random: Random
@@ -94,6 +98,8 @@
     delivered: dict[int, int] = field(factory=dict)
     final: dict[int, object] = field(factory=dict)
     disconnected: set[int] = field(factory=set)
+    half_closed: set[int] = field(factory=set)
+    half_closing: Random = field(factory=Random)
 
     def start(self) -> None:
         """Starts the entry with six engines and three plain services."""
@@ -125,9 +131,18 @@
             if handle not in self.final:
                 self.disconnected.add(handle)
                 yield CallerDisconnected(handle)
+        yield from self.draw_half_close()
         for feed in Feed:
             yield from self.draw_feed(feed)
 
+    def draw_half_close(self) -> Any:
+        """Draws a caller that closes its writing side; it still gets its answer."""
+        waiting = set(self.requests) - set(self.final) - self.disconnected
+        if waiting and self.half_closing.random() < 0.01:
+            handle = self.half_closing.choice(sorted(waiting))
+            self.half_closed.add(handle)
+            yield CallerHalfClosed(handle)
+
     def draw_run(self, run: Run) -> Any:
         """Draws what an upstream does with one attempt."""
         number = run.send.attempt
@@ -231,6 +246,7 @@
         self.case.assertEqual(others, [], "two attempts of one request")
         self.case.assertNotIn(handle, self.final)
         self.case.assertNotIn(handle, self.disconnected)
+        self.case.assertNotIn(handle, self.half_closed)
         if self.kinds[handle] is RouteKind.NOT_REPEATABLE:
             self.case.assertEqual(self.may_have_run.get(handle, 0), 0, "it runs twice")
         self.case.assertGreater(effect.deadline_s, 0)
@@ -315,7 +331,8 @@
     def test_guarantees_hold_under_random_faults(self) -> None:
         for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
             with self.subTest(seed=seed):
-                environment = Environment(self, Random(seed))
+                half_closing = Random(f"half-closing-{seed}")
+                environment = Environment(self, Random(seed), half_closing=half_closing)
                 environment.harness.world.random.seed(seed)
                 environment.start()
                 for _ in range(STEPS):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -30,13 +30,14 @@
 class LoopbackTestCase(unittest.TestCase):
     """A test case with a reactor, which `on_loopback` runs during a test.
 
-    `timeout_s` bounds a test.
+    `timeout_s` bounds a test, and `make_reactor` makes its reactor.
     """
 
     timeout_s = TEST_TIMEOUT_S
+    make_reactor: Callable[[], Any] = SelectReactor
 
     def setUp(self) -> None:
-        self.reactor: Any = SelectReactor()
+        self.reactor: Any = self.make_reactor()
         self.random = Random(1)
         self.listeners: list[Listener] = []
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -9,7 +9,11 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from magnoliahold.core.serving.configuration import CallerLimits
-from magnoliahold.core.serving.events import CallerDisconnected, RequestArrived
+from magnoliahold.core.serving.events import (
+    CallerDisconnected,
+    CallerHalfClosed,
+    RequestArrived,
+)
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.callerconnections import FRESH_S
 from magnoliahold.serving.callerlimits import LimitHistory
@@ -167,14 +171,21 @@
 
     @on_loopback
     async def test_caller_disconnect_is_reported_once(self) -> None:
-        client, handle = await self.send_request(REQUEST)
-        assert client.transport is not None
-        client.transport.loseConnection()
-        await self.wait_until(lambda: len(self.events) == 2)
-        self.assertEqual(self.events[1], CallerDisconnected(handle))
-        upstream = Exchange(1, UPSTREAM, status=200, body=[b"late"])
-        self.callers.answer(handle, upstream, closing=False)
-        self.callers.abort(handle)
+        for end, expected in (
+            ("abortConnection", CallerDisconnected),
+            ("loseConnection", CallerHalfClosed),
+        ):
+            with self.subTest(end):
+                self.events.clear()
+                client, handle = await self.send_request(REQUEST)
+                getattr(client.transport, end)()
+                await self.wait_until(lambda: len(self.events) == 2)
+                self.assertEqual(self.events[1], expected(handle))
+                upstream = Exchange(1, UPSTREAM, status=200, body=[b"late"])
+                self.callers.answer(handle, upstream, closing=False)
+                self.callers.abort(handle)
+                await self.wait_until(lambda: not self.callers.channels)
+                self.assertEqual(len(self.events), 2)
 
     @on_loopback
     async def test_idle_connections_close_on_timeout_or_on_request(self) -> None:
--- a/tests/serving/test_changed_limits.py
+++ b/tests/serving/test_changed_limits.py
@@ -98,7 +98,7 @@
                 self.change("idle_timeout_s", changes, before=False)
                 self.advance_to(next_at)
                 self.assertEqual(await self.is_read(client, REQUEST), is_read)
-                client.close()
+                self.reset(client)
                 await self.wait_until(lambda: not self.callers.channels)
 
     @on_loopback
@@ -125,7 +125,7 @@
                 self.advance_to(next_at)
                 rest = REQUEST.removeprefix(HEAD)
                 self.assertEqual(await self.is_read(client, rest), is_read)
-                client.close()
+                self.reset(client)
                 self.clock.advance(10.0)
                 await self.wait_until(lambda: not self.callers.channels)
 
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -193,6 +193,53 @@
         await self.sleep(0.05)
         self.disconnect(client)
 
+    async def half_close(self, client: Client, handle: int) -> None:
+        """Closes a caller's writing side, and refuses its request."""
+        transport: Any = client.transport
+        transport.loseWriteConnection()
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.callers.refuse(handle, 502, "half closed", None, closing=False)
+
+    async def end_half_closed_by_caller(self) -> None:
+        await self.half_close(*await self.send_request(REQUEST))
+
+    async def end_unwritten_by_half_closed_caller(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.pauseProducing()
+        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        self.callers.answer(handle, answer, closing=False)
+        await self.sleep(0.05)
+        transport.loseWriteConnection()
+        await self.sleep(0.05)
+        transport.resumeProducing()
+
+    async def end_waiting_by_full_close(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.loseConnection()
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.callers.refuse(handle, 502, "half closed", None, closing=False)
+
+    async def end_answer_by_full_close(self) -> None:
+        client, handle = await self.start_stream()
+        transport: Any = client.transport
+        transport.loseConnection()
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.callers.abort(handle)
+
+    async def end_reading_by_full_close(self) -> None:
+        client = await self.connect(REQUEST[:-1])
+        await self.sleep(0.05)
+        transport: Any = client.transport
+        transport.loseConnection()
+
+    async def end_idle_by_full_close(self) -> None:
+        client = await self.connect(b"")
+        await self.sleep(0.05)
+        transport: Any = client.transport
+        transport.loseConnection()
+
     def list_ends(
         self,
     ) -> tuple[tuple[Callable[[], Awaitable[None]], EndCause, str], ...]:
@@ -226,6 +273,16 @@
             (self.end_waiting_by_caller, EndCause.CALLER_LEFT_WAITING, "caller"),
             (self.end_answer_by_caller, EndCause.CALLER_LEFT_ANSWER, "caller"),
             (self.end_unwritten_by_caller, EndCause.CALLER_LEFT_ANSWER, "caller"),
+            (self.end_half_closed_by_caller, EndCause.CALLER_HALF_CLOSED, ""),
+            (
+                self.end_unwritten_by_half_closed_caller,
+                EndCause.CALLER_HALF_CLOSED,
+                "",
+            ),
+            (self.end_waiting_by_full_close, EndCause.CALLER_LEFT_WAITING, "caller"),
+            (self.end_answer_by_full_close, EndCause.CALLER_LEFT_ANSWER, "caller"),
+            (self.end_reading_by_full_close, EndCause.CALLER_LEFT_READING, "caller"),
+            (self.end_idle_by_full_close, EndCause.CALLER_LEFT_IDLE, ""),
         )
 
     @on_loopback
--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from contextlib import suppress
 from typing import Any
 
@@ -27,6 +28,7 @@
 # Small, so that what the caller hasn't taken waits at the entry, as on a slow link.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 400 * 1024
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 # Real time in which loopback has passed on what it takes without a reader.
 SETTLED_S = 0.1
 
@@ -48,6 +50,11 @@
         client.setblocking(False)
         return client
 
+    def reset(self, client: Any) -> None:
+        """Ends a connection, which is certain to its entry; a FIN alone isn't."""
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        client.close()
+
     def advance(self, seconds: float) -> None:
         """Lets time pass in short steps."""
         steps = round(seconds / CLOCK_STEP_S)
--- a/tests/serving/test_random_callers.py
+++ b/tests/serving/test_random_callers.py
@@ -16,6 +16,7 @@
 
 from attrs import define, evolve, field
 
+from magnoliahold.serving.callerconnections import HALF_CLOSED_LOOK_S
 from magnoliahold.serving.callerlimits import REPLACED_LIMIT_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
@@ -28,6 +29,7 @@
 STEPS = 250
 CALLERS = 6
 LEAVING_CHANCE = 0.004
+HALF_CLOSE_CHANCE = 0.1
 CHANGE_CHANCE = 0.05
 STEP_LIMIT_S = 0.1
 # Callers use a connection again, and take for headers, this part of what they may.
@@ -50,13 +52,15 @@
 class Caller:
     """A caller with a kept connection and at most one request on it.
 
-    `unsent` is the rest of a request of which a part was sent.
+    `unsent` is the rest of a request of which a part was sent. `is_half_closed` is set
+    once it has closed its writing side behind a request.
     """
 
     connection: Any
     next_at: float
     request_id: bytes = b""
     unsent: bytes = b""
+    is_half_closed: bool = False
     received: bytearray = field(factory=bytearray)
 
     def has_answer(self) -> bool:
@@ -74,12 +78,15 @@
     def start(self, seed: int) -> None:
         """Begins the play of a seed."""
         self.random = Random(seed)
+        # Of its own, so that the other draws of a seed stay the same.
+        self.half_closing = Random(f"half-closing-{seed}")
         self.leaving = False
         self.changes: list[tuple[float, Any]] = [(-100.0, LIMITS)]
         set_limits(self.callers, LIMITS)
         self.events.clear()
         self.callers.ends.clear()
         self.callers.unanswered.clear()
+        self.callers.refusing_because = ""
         self.open: list[tuple[int, bool]] = []
         self.read: set[bytes] = set()
         self.answered = 0
@@ -132,6 +139,9 @@
                 content, caller.unsent = content[:cut], content[cut:]
                 caller.next_at = self.clock.seconds() + used_s * self.random.random()
         caller.connection.sendall(content)
+        if not caller.unsent and self.half_closing.random() < HALF_CLOSE_CHANCE:
+            caller.connection.shutdown(socket.SHUT_WR)
+            caller.is_half_closed = True
 
     def take(self, caller: Caller) -> bool:
         """Takes some of an answer; tells whether the connection is still open."""
@@ -166,7 +176,7 @@
             return self.replace(caller)
         still_open = self.take(caller)
         if caller.request_id and caller.has_answer():
-            still_open = self.end_request(caller)
+            still_open = self.end_request(caller) and not caller.is_half_closed
         if still_open:
             return caller
         is_lost = caller.request_id and not self.leaving
@@ -250,5 +260,10 @@
         unanswered = self.callers.unanswered.copy()
         for caller in callers:
             caller.connection.close()
-        await self.wait_until(lambda: not self.callers.channels)
+        await self.settle()
+        # A request whose caller has closed its connection ends with an answer, too.
+        self.callers.fail_open_requests("the play ends")
+        while self.callers.channels:
+            await self.settle()
+            self.clock.advance(HALF_CLOSED_LOOK_S)
         self.callers.unanswered = unanswered
