Test requests that cross the close of an idle connection

HTTP/1.1 has no better end: an answer that nobody asked for yet, as a 408 before the close, could be taken for that of the next request.

--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -174,6 +174,44 @@
                 self.assertEqual(client.recv(1), b"")
                 self.assertFalse(self.callers.channels)
 
+    @on_loopback
+    async def test_request_that_crosses_an_idle_close_is_not_passed_on(self) -> None:
+        """One that came a moment before is read, in part or as a whole, and answered.
+
+        An answer behind the close can't be had in HTTP/1.1: its caller would take what
+        comes without a request for the answer to the next one.
+        """
+
+        def stop() -> None:
+            self.callers.close_idle()
+
+        def wait() -> None:
+            self.clock.advance(LIMITS.idle_timeout_s)
+
+        for close in (stop, wait):
+            for content in (REQUEST, REQUEST[:40], REQUEST[:-1]):
+                for before in (True, False):
+                    with self.subTest(close.__name__, part=content, before=before):
+                        self.events.clear()
+                        client = self.connect_socket()
+                        await self.wait_until(lambda: bool(self.callers.channels))
+                        self.clock.advance(FRESH_S)
+                        if before:
+                            client.sendall(content)
+                        close()
+                        if not before:
+                            client.sendall(content)
+                        await self.sleep(SETTLED_S)
+                        self.assertEqual(len(self.callers.channels), int(before))
+                        expected = int(before and content == REQUEST)
+                        self.assertEqual(len(self.events), expected)
+                        if not before:
+                            with suppress(ConnectionResetError):
+                                self.assertEqual(client.recv(1000), b"")
+                        self.reset(client)
+                        await self.wait_until(lambda: not self.callers.channels)
+        self.assertEqual(self.callers.unanswered.get("entry", 0), 0)
+
     @on_loopback
     async def test_caller_that_takes_nothing_and_sends_more_is_disconnected(
         self,
