--- a/src/magnoliahold/core/serving/entry.py
+++ b/src/magnoliahold/core/serving/entry.py
@@ -80,6 +80,7 @@
     deadlines.refuse_overdue_requests,
     copies.maintain_copies,
     stop_refusals.refuse_before_stop,
+    admission.handle_half_closed_callers,
     routing.route_waiting,
     deadlines.refuse_stranded_requests,
     queue_refusals.review_queues,
--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from contextlib import suppress
 from typing import Any
 
@@ -27,6 +28,7 @@
 # Small, so that what the caller hasn't taken waits at the entry, as on a slow link.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 400 * 1024
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 # Real time in which loopback has passed on what it takes without a reader.
 SETTLED_S = 0.1
 
@@ -48,6 +50,11 @@
         client.setblocking(False)
         return client
 
+    def reset(self, client: Any) -> None:
+        """Ends a connection, which is certain to its entry; a FIN alone isn't."""
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        client.close()
+
     def advance(self, seconds: float) -> None:
         """Lets time pass in short steps."""
         steps = round(seconds / CLOCK_STEP_S)
@@ -167,6 +174,44 @@
                 self.assertEqual(client.recv(1), b"")
                 self.assertFalse(self.callers.channels)
 
+    @on_loopback
+    async def test_request_that_crosses_an_idle_close_is_not_passed_on(self) -> None:
+        """One that came a moment before is read, in part or as a whole, and answered.
+
+        An answer behind the close can't be had in HTTP/1.1: its caller would take what
+        comes without a request for the answer to the next one.
+        """
+
+        def stop() -> None:
+            self.callers.close_idle()
+
+        def wait() -> None:
+            self.clock.advance(LIMITS.idle_timeout_s)
+
+        for close in (stop, wait):
+            for content in (REQUEST, REQUEST[:40], REQUEST[:-1]):
+                for before in (True, False):
+                    with self.subTest(close.__name__, part=content, before=before):
+                        self.events.clear()
+                        client = self.connect_socket()
+                        await self.wait_until(lambda: bool(self.callers.channels))
+                        self.clock.advance(FRESH_S)
+                        if before:
+                            client.sendall(content)
+                        close()
+                        if not before:
+                            client.sendall(content)
+                        await self.sleep(SETTLED_S)
+                        self.assertEqual(len(self.callers.channels), int(before))
+                        expected = int(before and content == REQUEST)
+                        self.assertEqual(len(self.events), expected)
+                        if not before:
+                            with suppress(ConnectionResetError):
+                                self.assertEqual(client.recv(1000), b"")
+                        self.reset(client)
+                        await self.wait_until(lambda: not self.callers.channels)
+        self.assertEqual(self.callers.unanswered.get("entry", 0), 0)
+
     @on_loopback
     async def test_caller_that_takes_nothing_and_sends_more_is_disconnected(
         self,
