--- a/src/magnoliahold/jsonmembers.py
+++ b/src/magnoliahold/jsonmembers.py
@@ -9,10 +9,16 @@
 
 import re
 from itertools import pairwise
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from magnoliahold.decoding import decode_or_none
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterable, Iterator
+
+T = TypeVar("T")
 
 # Texts are matched so that what they hold isn't taken for structure, brackets in runs,
 # since a document may consist of little else.
@@ -27,6 +33,58 @@
     """A document is neither a list nor an object, or isn't closed."""
 
 
+def decode_with_items(decode: Callable[[bytes], T], document: bytes, name: str) -> T:
+    """Decodes an object with a list `name`, whose items are of type msgspec.Raw.
+
+    An item that makes the whole document unreadable remains one among the others.
+    """
+    decoded = decode_or_none(decode, document)
+    if decoded is not None:
+        return decoded
+    items: list[bytes] = []
+    others = []
+    for member in split_members(document):
+        value = _find_value(member, name)
+        if value.startswith(b"["):
+            items = split_members(value)
+            member = _encode_name(name) + b":[]"
+        others.append(member)
+    decoded = decode(_join_members(others))
+    setattr(decoded, name, [msgspec.Raw(item) for item in items])
+    return decoded
+
+
+def decode_member(decode: Callable[[bytes], T], document: bytes, name: str) -> T | None:
+    """Decodes an object of which the member `name` is needed, alone if it must be.
+
+    Returns None if not even that can be read.
+    """
+    decoded = decode_or_none(decode, document)
+    if decoded is not None:
+        return decoded
+    return decode_or_none(lambda found: decode(_pick_member(found, name)), document)
+
+
+def _pick_member(document: bytes, name: str) -> bytes:
+    """Returns an object without its members but one."""
+    members = split_members(document)
+    return _join_members(member for member in members if _find_value(member, name))
+
+
+def _find_value(member: bytes, name: str) -> bytes:
+    """Returns the value of a member if it has a name, or nothing."""
+    found, _, value = member.partition(b":")
+    return value.strip() if found.strip() == _encode_name(name) else b""
+
+
+def _encode_name(name: str) -> bytes:
+    return b'"' + name.encode() + b'"'
+
+
+def _join_members(members: Iterable[bytes]) -> bytes:
+    return b"{" + b",".join(members) + b"}"
+
+
 def split_members(document: bytes) -> list[bytes]:
     """Returns the items of a JSON list, or the members `"name": value` of an object.
 
--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -9,8 +9,8 @@
 from attrs import define, field
 
 from magnoliahold.core.serving.feeds import Feed, FeedRow
-from magnoliahold.decoding import decode_or_none, describe_error, translate_errors
-from magnoliahold.jsonmembers import split_members
+from magnoliahold.decoding import describe_error, translate_errors
+from magnoliahold.jsonmembers import decode_member, decode_with_items
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.documents import (
     BoundedInteger,  # noqa: TC001
@@ -32,8 +32,6 @@
 MS_PER_S = 1000.0
 MAX_REPORTED_ROWS = 1000
 UNKNOWN_VERSION = 0
-ROWS_MEMBER = b'"rows"'
-KEY_MEMBER = b'"key"'
 
 logger = make_part_logger("store")
 
@@ -79,36 +77,9 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decodes an answer; raises StoreAnswerError if it holds no rows.
-
-    A row that makes the whole answer unreadable, for example since it nests deeply,
-    remains one row among the others.
-    """
-    page = decode_or_none(_page_decoder.decode, body)
-    if page is not None:
-        return page
+    """Decodes an answer; raises StoreAnswerError if it holds no rows."""
     with translate_errors(_make_answer_error):
-        return _decode_page_in_pieces(body)
-
-
-def _decode_page_in_pieces(body: bytes) -> Page:
-    """Decodes an answer after its rows have been taken out of it."""
-    rows: list[bytes] = []
-    others = []
-    for member in split_members(body):
-        name, _, value = member.partition(b":")
-        if name.strip() == ROWS_MEMBER and value.strip().startswith(b"["):
-            rows = split_members(value)
-            others.append(ROWS_MEMBER + b":[]")
-        else:
-            others.append(member)
-    page = _page_decoder.decode(_join_members(others))
-    page.rows = [msgspec.Raw(row) for row in rows]
-    return page
-
-
-def _join_members(members: Iterable[bytes]) -> bytes:
-    return b"{" + b",".join(members) + b"}"
+        return decode_with_items(_page_decoder.decode, body, "rows")
 
 
 def _make_answer_error(reason: str) -> StoreAnswerError:
@@ -117,19 +88,10 @@
 
 def _find_key(raw: msgspec.Raw) -> str | None:
     """Returns the key of a row; None if not even that can be read."""
-    found = decode_or_none(_key_decoder.decode, raw)
-    if found is None:
-        found = decode_or_none(_decode_key_alone, bytes(raw))
+    found = decode_member(_key_decoder.decode, bytes(raw), "key")
     return found.key if found is not None else None
 
 
-def _decode_key_alone(row: bytes) -> _RowKey:
-    """Decodes the key of a row of which other members can't be read."""
-    members = split_members(row)
-    keys = [member for member in members if member.startswith(KEY_MEMBER)]
-    return _key_decoder.decode(_join_members(keys))
-
-
 @define(eq=False)
 class RowReader:
     """Decodes rows, of which none decides over the others.
