Let an operator's template replace a damaged row

What operators saw: an apply to a workspace whose stored row can't be read got 503 once its time was up, and so did each later one, until somebody removed the row. A quarantine that can't be read was deleted without a line.

Cause: a commit is conditional on the version of the workspace's row as this entry knows it. A damaged row is never installed, so that the version stayed the old one, or 0.

A commit now notes the version of a conflicting row that can't be put in force, for want of its form or of its template, and an apply is sent again on the condition of that version; so it replaces what was read and nothing newer. It is told in a line. A step of a move doesn't replace the row: a newer release may have written it.

Damaged quarantines are deleted with a line, which has their key, version and reason, on the condition that they are unchanged. Else a valid one that was written since is lost.

Evidence: test_apply_replaces_a_damaged_row_at_its_version (18 cases), test_apply_replaces_a_damaged_row_no_later_than_it_changes and test_damaged_quarantine_is_deleted_with_a_line (6 cases) failed before, and pass now. tests/core/systems, tests/core/test_*, tests/storage: 110 tests, none failed.

--- a/src/magnoliahold/core/configuration.py
+++ b/src/magnoliahold/core/configuration.py
@@ -115,12 +115,25 @@
     after: MoveRow
 
 
+@frozen
+class DamagedRow:
+    """A workspace's stored row that can't be put in force.
+
+    `stored_version` is its version in the table service, and `template_version` that
+    of its template, 0 if not even that can be read.
+    """
+
+    stored_version: int
+    template_version: int = 0
+
+
 @define
 class Commit:
     """A write to one workspace's row that is queued or in progress.
 
     Either `applied` or `step` is set. `unsettled` is set when an attempt got no answer,
     so that it may have been committed. `row` is what the current attempt writes.
+    `damaged` is the stored row if it can't be put in force; an apply replaces it.
     """
 
     workspace: str
@@ -133,6 +146,7 @@
     attempts: int = 0
     retry_at: float = 0.0
     row: WorkspaceRow | None = None
+    damaged: DamagedRow | None = None
 
 
 @define
--- a/src/magnoliahold/core/quarantine.py
+++ b/src/magnoliahold/core/quarantine.py
@@ -7,7 +7,7 @@
 import msgspec
 from attrs import define, field, frozen
 
-from magnoliahold.decoding import decode_or_none
+from magnoliahold.decoding import decode_or_none, explain_error
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -100,3 +100,8 @@
 def decode_quarantine(value: bytes) -> QuarantineRow | None:
     """Decodes the value of a quarantine row, or returns None when it is malformed."""
     return decode_or_none(_decoder.decode, value)
+
+
+def explain_quarantine(value: bytes) -> str:
+    """Tells why the value of a quarantine row is no use."""
+    return explain_error(_decoder.decode, value) or "its end is no time"
--- a/src/magnoliahold/core/systems/configuration.py
+++ b/src/magnoliahold/core/systems/configuration.py
@@ -18,6 +18,7 @@
     HEAD_TABLE,
     WORKSPACES_TABLE,
     Commit,
+    DamagedRow,
     compile_workspace,
     decode_workspace_row,
     make_conditions,
@@ -99,7 +100,7 @@
 def _needs_reading(world: EntryWorld, commit: Commit) -> bool:
     """Tells whether the stored row must be read before the next attempt."""
     known = commit.workspace in world.workspaces.rows or world.configuration.loaded
-    return commit.unsettled or not known
+    return commit.unsettled or not (known or commit.damaged)
 
 
 def _read_stored_row(world: EntryWorld, commit: Commit) -> None:
@@ -161,13 +162,17 @@
     if expected != current:
         _answer_conflict(world, applied, current)
         return None
-    version = current + 1
+    damaged = commit.damaged
+    version = max(current, damaged.template_version if damaged else 0) + 1
+    revision = max(
+        base.revision if base else 0, damaged.stored_version if damaged else 0
+    )
     row = WorkspaceRow(
         workspace=applied.workspace,
         version=version,
         change=change,
         template=applied.template,
-        revision=base.revision + 1 if base else 1,
+        revision=revision + 1,
     )
     before = base.moves if base else ()
     moves = plan_moves(compile_workspace(row), before, world.wall_clock(now))
@@ -257,8 +262,7 @@
     if outcome.committed:
         _finish(world, commit, now)
         return
-    for row in outcome.conflicts:
-        install_conflicting_row(world, row, now)
+    _handle_stored_rows(world, commit, outcome.conflicts, now)
     policy = world.policy.configuration
     limit = min(policy.retry_max_s, policy.retry_min_s * 2**commit.attempts)
     commit.retry_at = now + world.random.uniform(0, limit)
@@ -274,12 +278,38 @@
         return
     world.configuration.store_failed_at = None
     commit.unsettled = False
-    for row in read.rows:
-        install_conflicting_row(world, row, now)
+    _handle_stored_rows(world, commit, read.rows, now)
     if not read.rows and commit.workspace not in world.workspaces.rows:
         world.configuration.loaded = True
 
 
+def _handle_stored_rows(
+    world: EntryWorld, commit: Commit, rows: tuple[Row, ...], now: float
+) -> None:
+    """Installs stored rows, and notes whether the commit's own is damaged.
+
+    No row at all shows that it doesn't exist any more.
+    """
+    if not rows:
+        commit.damaged = None
+    for row in rows:
+        install_conflicting_row(world, row, now)
+        if row.table == WORKSPACES_TABLE and row.key == commit.workspace:
+            commit.damaged = _find_damage(world, row)
+
+
+def _find_damage(world: EntryWorld, row: Row) -> DamagedRow | None:
+    """Returns a stored row that could not be put in force, None if it could."""
+    known = world.workspaces.rows.get(row.key)
+    if known is not None and known.revision >= row.version:
+        return None
+    try:
+        return DamagedRow(row.version, decode_workspace_row(row).version)
+    except Exception:
+        # Its reason is logged where it is installed.
+        return DamagedRow(row.version)
+
+
 def install_conflicting_row(world: EntryWorld, row: Row, now: float) -> None:
     """Installs a stored row that differs from this entry's copy."""
     if row.table == WORKSPACES_TABLE:
@@ -299,12 +329,23 @@
         return
     install_row(world, row, now)
     push_row(world, row)
+    if commit.damaged is not None:
+        _log_replacement(world, commit.workspace, commit.damaged)
     if commit.applied is not None:
         _answer_accepted(world, commit.applied, row.applies[-1])
     elif commit.step is not None:
         _log_step(world, commit.step)
 
 
+def _log_replacement(world: EntryWorld, workspace: str, damaged: DamagedRow) -> None:
+    world.log_decision(
+        "configuration",
+        "Damaged row replaced by a template of an operator.",
+        workspace=workspace,
+        row_version=damaged.stored_version,
+    )
+
+
 def _log_step(world: EntryWorld, step: MoveStep) -> None:
     after = step.after
     world.log_decision(
--- a/src/magnoliahold/core/systems/quarantine.py
+++ b/src/magnoliahold/core/systems/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isnan
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import (
@@ -18,6 +19,7 @@
     SuspicionTable,
     decode_quarantine,
     encode_quarantine,
+    explain_quarantine,
 )
 from magnoliahold.core.systems.answers import end_call
 from magnoliahold.core.systems.routing import end_attempt
@@ -27,13 +29,14 @@
     make_notice,
     refuse_quarantined,
 )
-from magnoliahold.storage.interfaces import Write
+from magnoliahold.storage.interfaces import Condition, Write
 from magnoliahold.wire.messages import CancelStream, EngineDied, SuspicionNotice
 
 if TYPE_CHECKING:
     from magnoliahold.core.generations import Generation
     from magnoliahold.core.quarantine import Suspicion
     from magnoliahold.core.worlds import EntryWorld
+    from magnoliahold.storage.interfaces import Row
 
 
 def forget_suspicions(world: EntryWorld) -> None:
@@ -282,7 +285,7 @@
     for read in world.inbox.read_events(RowsRead):
         if read.token == table.scan_token and read.rows is not None:
             for row in read.rows:
-                _apply_row(world, row.key, decode_quarantine(row.value), now)
+                _apply_row(world, row, now)
     if now >= table.next_scan_at:
         interval_s = world.policy.quarantine.scan_interval_s
         table.next_scan_at = now + interval_s * world.random.uniform(0.8, 1.2)
@@ -290,13 +293,23 @@
         world.emit(ScanRows(table.scan_token, QUARANTINE_TABLE))
 
 
-def _apply_row(
-    world: EntryWorld, fingerprint: str, row: QuarantineRow | None, now: float
-) -> None:
+def _apply_row(world: EntryWorld, stored: Row, now: float) -> None:
+    """Applies a stored quarantine; one that is over or damaged is deleted."""
+    row = decode_quarantine(stored.value)
     left_s = row.until - world.wall_clock(now) if row else 0.0
     if left_s > 0:
         limit_s = world.policy.quarantine.quarantine_s
-        _apply_quarantine(world, fingerprint, now + min(left_s, limit_s))
-    else:
-        delete = Write(QUARANTINE_TABLE, fingerprint, None)
-        world.emit(Transact(world.make_id("quarantine"), (), (delete,)))
+        _apply_quarantine(world, stored.key, now + min(left_s, limit_s))
+        return
+    if row is None or isnan(row.until):
+        world.log_decision(
+            "quarantine",
+            "Row can't be read and is deleted.",
+            table=stored.table,
+            key=stored.key,
+            version=stored.version,
+            reason=explain_quarantine(stored.value),
+        )
+    unchanged = Condition(QUARANTINE_TABLE, stored.key, stored.version)
+    delete = Write(QUARANTINE_TABLE, stored.key, None)
+    world.emit(Transact(world.make_id("quarantine"), (unchanged,), (delete,)))
--- a/src/magnoliahold/decoding.py
+++ b/src/magnoliahold/decoding.py
@@ -39,3 +39,12 @@
         return decode(content)
     except Exception:
         return None
+
+
+def explain_error(decode: Callable[[bytes], object], content: bytes) -> str:
+    """Tells why something can't be read; returns an empty text if it can."""
+    try:
+        decode(content)
+    except Exception as error:
+        return describe_error(error)
+    return ""
--- a/tests/core/systems/test_damaged_rows.py
+++ b/tests/core/systems/test_damaged_rows.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from math import nan
 from random import Random
 
+from attrs import evolve
+
+from magnoliahold.core.administration import AnswerOperator, TemplateApplied
 from magnoliahold.core.configuration import (
     CHANGES_TABLE,
     HEAD_KEY,
@@ -13,14 +17,19 @@
     encode_workspace_row,
     make_change_key,
 )
-from magnoliahold.core.effects import LogDecision, ScanRows
+from magnoliahold.core.effects import LogDecision, ScanRows, Transact
 from magnoliahold.core.entry import ENTRY_SYSTEMS
 from magnoliahold.core.events import Received, RowsRead, TransactionFinished
 from magnoliahold.core.identity import Identity, Sender
 from magnoliahold.core.placement import PLACEMENTS_TABLE, encode_placement
+from magnoliahold.core.quarantine import (
+    QUARANTINE_TABLE,
+    QuarantineRow,
+    encode_quarantine,
+)
 from magnoliahold.core.ticks import run_systems
 from magnoliahold.core.worlds import EntryWorld
-from magnoliahold.storage.interfaces import Row, TransactionOutcome
+from magnoliahold.storage.interfaces import Condition, Row, TransactionOutcome
 from magnoliahold.templates import (
     VersionShare,
     Work,
@@ -37,6 +46,8 @@
 SHARES = (VersionShare("v1", ("counter",), 1.0),)
 PLACEMENT = PlacementPush("engine-1", ("v1",), (), "", 3)
 
+NO_TIME = QuarantineRow(nan)
+
 
 def make_row(name: str, change: int) -> WorkspaceRow:
     """Makes an accepted row."""
@@ -67,6 +78,8 @@
         self.now = 0.0
         self.logged: list[LogDecision] = []
         self.scans: list[ScanRows] = []
+        self.transactions: list[Transact] = []
+        self.answers: list[AnswerOperator] = []
 
     def start(self) -> EntryWorld:
         """Starts an entry."""
@@ -79,6 +92,8 @@
         self.now += 0.02
         self.logged.clear()
         self.scans.clear()
+        self.transactions.clear()
+        self.answers.clear()
         for event in events:
             world.inbox.add_event(event)
         for effect in run_systems(world, ENTRY_SYSTEMS, self.now):
@@ -86,6 +101,10 @@
                 self.logged.append(effect)
             if isinstance(effect, ScanRows):
                 self.scans.append(effect)
+            if isinstance(effect, Transact):
+                self.transactions.append(effect)
+            if isinstance(effect, AnswerOperator):
+                self.answers.append(effect)
 
     def read_head(self, world: EntryWorld, head: int) -> None:
         """Answers the read of the head, once it is due."""
@@ -164,6 +183,84 @@
         self.assertEqual(set(world.workspaces.workspaces), {"a", "b"})
         self.assertEqual(world.workspaces.head, 3)
 
+    def apply(self, world: EntryWorld, version: int | None = None) -> None:
+        """Lets an operator apply a template to the damaged workspace."""
+        template = encode_template(
+            WorkspaceTemplate("bad", works={"tickets": Work(SHARES)})
+        )
+        applied = TemplateApplied("request-1", "bad", template, "apply-1", version)
+        self.run_tick(world, applied)
+
+    def find_commit(self, world: EntryWorld) -> Transact:
+        """Waits for the next attempt of the commit."""
+        while not self.transactions:
+            self.run_tick(world)
+            self.assertLess(self.now, 60.0)
+        return self.transactions[-1]
+
+    def answer_commit(self, world: EntryWorld, *conflicts: Row) -> None:
+        """Answers the attempt, which is committed unless rows conflict with it."""
+        token = self.find_commit(world).token
+        outcome = TransactionOutcome(not conflicts, conflicts)
+        self.run_tick(world, TransactionFinished(token, outcome))
+
+    # Failure: an apply to a workspace whose stored row was damaged conflicted with that
+    # row until it was given up, and the operator got 503.
+    def test_apply_replaces_a_damaged_row_at_its_version(self) -> None:
+        for name, value in DAMAGED:
+            for known in (False, True):
+                with self.subTest(name, known=known):
+                    self.now = 0.0
+                    world = self.start()
+                    self.read_head(world, 3)
+                    good = encode_workspace_row(make_row("bad", 1))
+                    rows = (good,) if known else (value,)
+                    self.answer_scan(world, WORKSPACES_TABLE, *rows)
+                    self.apply(world)
+                    damaged = Row(WORKSPACES_TABLE, "bad", 7, value)
+                    self.answer_commit(world, damaged)
+                    sent = self.find_commit(world)
+                    condition = Condition(WORKSPACES_TABLE, "bad", 7)
+                    self.assertIn(condition, sent.conditions)
+                    self.answer_commit(world)
+                    (answer,) = self.answers
+                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(world.workspaces.rows["bad"].revision, 8)
+                    messages = [item.message for item in self.logged]
+                    self.assertTrue(any("Damaged row replaced" in i for i in messages))
+
+    def test_apply_replaces_a_damaged_row_no_later_than_it_changes(self) -> None:
+        world = self.start()
+        self.read_head(world, 3)
+        self.answer_scan(world, WORKSPACES_TABLE, b"\xff")
+        self.apply(world)
+        for version in (7, 9):
+            self.answer_commit(world, Row(WORKSPACES_TABLE, "bad", version, b"\xff"))
+            condition = Condition(WORKSPACES_TABLE, "bad", version)
+            self.assertIn(condition, self.find_commit(world).conditions)
+        mended = evolve(make_row("bad", 4), revision=10)
+        row = Row(WORKSPACES_TABLE, "bad", 10, encode_workspace_row(mended))
+        self.answer_commit(world, row)
+        while not self.answers:
+            self.run_tick(world)
+        self.assertEqual([item.status for item in self.answers], [409])
+        self.assertEqual(world.workspaces.rows["bad"], mended)
+
+    def test_damaged_quarantine_is_deleted_with_a_line(self) -> None:
+        for name, value in (*DAMAGED[:5], ("no time", encode_quarantine(NO_TIME))):
+            with self.subTest(name):
+                world = self.start()
+                token = world.suspicions.scan_token
+                rows = (Row(QUARANTINE_TABLE, "f1", 4, value),)
+                self.run_tick(world, RowsRead(token, rows))
+                self.check_logged("f1")
+                (line,) = [i for i in self.logged if "can't be read" in i.message]
+                self.assertTrue(dict(line.fields)["reason"])
+                self.assertEqual(
+                    self.transactions[-1].conditions,
+                    (Condition(QUARANTINE_TABLE, "f1", 4),),
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
