--- a/src/magnoliahold/decoding.py
+++ b/src/magnoliahold/decoding.py
@@ -54,3 +54,12 @@
     except Exception as error:
         report(describe_error(error))
         return None
+
+
+def explain_error(decode: Callable[[bytes], object], content: bytes) -> str:
+    """Tells why something can't be read; returns an empty text if it can."""
+    try:
+        decode(content)
+    except Exception as error:
+        return describe_error(error)
+    return ""
