Pass on no requests behind a FIN that waits unread

Requests that waited behind a large answer, or behind more pipelined bytes than are read ahead, were passed on to engines though their caller had closed its writing side long before: reading was paused, so the FIN was seen only behind them. Of three calls the second reached an engine and got 502.

Now the socket is looked at before buffered requests are read; they get 503.

test_requests_behind_which_reading_pauses_are_not_passed_on and the stricter test_requests_held_behind_a_large_answer_are_answered (before, it let any status pass behind the first) failed without the change, with both reactors.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -23,6 +23,7 @@
 from magnoliahold.serving.idletimes import LOOKS_PER_TIMEOUT, STALLED_TIMEOUTS, IdleTime
 from magnoliahold.serving.sockets import (
     count_undelivered,
+    has_ended,
     has_unread_bytes,
     is_reset,
 )
@@ -258,6 +259,8 @@
         self._apply_limits()
         self._savedTimeOut = self._find_look_interval()
         self._hold_next_request()
+        if self._dataBuffer:
+            self._note_end()
         super().requestDone(request)  # type: ignore[no-untyped-call]
         self._close_once_answered()
 
@@ -277,8 +280,18 @@
         self.paused = False
         super().resumeProducing()  # type: ignore[no-untyped-call]
         if self._buffer:
+            self._note_end()
             self.dataReceived(b"")
 
+    def _note_end(self) -> None:
+        """Notes a FIN that came while reading was paused.
+
+        The requests behind which it came must not be passed on.
+        """
+        transport: Any = self.transport
+        if self.left_cause is None and has_ended(transport.getHandle()):
+            self.left_cause = find_left_cause(self)
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Records the end, cancels the timeouts and unregisters the connection."""
         self._callers.record_end(self, reason)
--- a/src/magnoliahold/serving/sockets.py
+++ b/src/magnoliahold/serving/sockets.py
@@ -22,6 +22,14 @@
         return False
 
 
+def has_ended(connection: socket) -> bool:
+    """Tells whether the peer's FIN came, with all bytes before it read."""
+    try:
+        return not connection.recv(1, MSG_PEEK)
+    except OSError:
+        return False
+
+
 def count_undelivered(connection: socket) -> int:
     """Counts the bytes in the send queue that the peer hasn't acknowledged."""
     found = ioctl(connection, TIOCOUTQ, bytes(COUNT.size))
--- a/tests/serving/test_half_closed_callers.py
+++ b/tests/serving/test_half_closed_callers.py
@@ -39,6 +39,8 @@
 READY_STREAM = STREAM + make_chunk(PIECE) + LAST_CHUNK
 # More than may wait, so that what is pipelined behind it isn't read.
 LARGE_BODY = b"x" * 6_000_000
+# More bytes than are read ahead, and less than one read takes.
+MANY_REQUESTS = 300
 # How long engines may go on with what nobody waits for.
 GONE_S = 0.5
 REQUEST_HEAD = (
@@ -295,9 +297,8 @@
         await self.sleep(0.1)
         transport.resumeProducing()
         await self.wait_until(lambda: client.closed)
-        statuses = read_statuses(client.received)
-        self.assertEqual(statuses[0], 200)
-        self.assertEqual(len(statuses), 3)
+        self.assertEqual(read_statuses(client.received), [200, 503, 503])
+        self.assertEqual(len(self.servers[0].requests), 1)
         self.assertEqual(daemon.node.ports.callers.unanswered, {})
 
 
@@ -349,6 +350,23 @@
                 self.assertEqual(client.received.count(b"Connection: close"), 1)
                 self.assertEqual(len(self.events), 2)
 
+    @on_loopback
+    async def test_requests_behind_which_reading_pauses_are_not_passed_on(self) -> None:
+        """The FIN waits unread behind more bytes than are read ahead."""
+        client, handle = await self.send_request(REQUEST)
+        transport: Any = client.transport
+        transport.write(REQUEST * (MANY_REQUESTS - 1))
+        half_close(client)
+        await self.sleep(0.05)
+        self.assertEqual(len(self.events), 1)
+        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+        self.callers.answer(handle, answer, closing=False)
+        await self.wait_for_end(client)
+        statuses = read_statuses(client.received)
+        self.assertEqual(statuses, [200] + [503] * (MANY_REQUESTS - 1))
+        self.assertEqual(len(self.events), 1)
+        self.assertEqual(self.callers.ends, {EndCause.CALLER_HALF_CLOSED: 1})
+
     @on_loopback
     async def test_part_of_a_request_is_dropped_behind_its_answers(self) -> None:
         for count, part in (
