Ignore signals while the interpreter exits

An order that is repeated at the very end looks like a crash to whoever started it.

Cause: the interpreter restores the defaults of handled signals before its end. Change: they are ignored from the end of the reactor on, which it leaves as it is.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -204,6 +204,7 @@
     reactor.callWhenRunning(start_daemons)
     exclude_modules_from_collection()
     reactor.run(installSignalHandlers=False)
+    ignore_signals()
     # Else the interpreter looks for garbage at exit, which takes longer than the rest.
     gc.freeze()
     if failures:
@@ -212,6 +213,16 @@
         raise ProcessBrokenError
 
 
+def ignore_signals() -> None:
+    """Ignores orders that come while the interpreter exits.
+
+    It restores the defaults of handled signals before its end, by which one more order
+    would end the process as if it had failed.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def exclude_modules_from_collection() -> None:
     """Spares the garbage collector what was loaded so far, which stays to the end.
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,6 +4,8 @@
 
 import gc
 import signal
+import subprocess
+import sys
 import unittest
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +17,22 @@
     from collections.abc import Callable, Sequence
 
 MAX_OBJECTS = 2000
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+# A process that is sent signals while its interpreter ends.
+SIGNALLED_AT_EXIT = """
+import os, signal, sys
+from magnoliahold.daemon import run_until_stopped
+from tests.test_daemon import SIGNALS, EndingReactor
+
+class Last:
+    def __del__(self, kill=os.kill, process_id=os.getpid(), numbers=SIGNALS):
+        for number in numbers:
+            kill(process_id, number)
+
+sys.last = Last()
+signal.signal(signal.SIGHUP, lambda *_: None)
+run_until_stopped(EndingReactor(), tuple)
+"""
 
 
 class EndingReactor:
@@ -36,7 +54,7 @@
 
 class CollectionTests(unittest.TestCase):
     def setUp(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SIGNALS:
             self.addCleanup(signal.signal, number, signal.getsignal(number))
         self.addCleanup(gc.unfreeze)
 
@@ -54,7 +72,7 @@
 class EndOfProcessTests(unittest.TestCase):
     def setUp(self) -> None:
         self.addCleanup(gc.unfreeze)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SIGNALS:
             self.addCleanup(signal.signal, number, signal.getsignal(number))
 
     def test_interpreter_searches_no_garbage_when_a_process_ends(self) -> None:
@@ -72,6 +90,13 @@
         # Some of what was there at the start has been freed since.
         self.assertGreater(gc.get_freeze_count(), frozen[0] + len(made) // 2)
 
+    # Failure: a process that had answered all ended by SIGHUP in place of code 0.
+    def test_signals_do_not_end_the_interpreter_while_it_exits(self) -> None:
+        ended = subprocess.run(
+            [sys.executable, "-c", SIGNALLED_AT_EXIT], capture_output=True, text=True
+        )
+        self.assertEqual((ended.returncode, ended.stderr), (0, ""))
+
 
 if __name__ == "__main__":
     unittest.main()
