Gather log lines about what strangers send

What operators saw: a flood of datagrams that are no notices took all 400 lines of a second, and the lines about requests were left out.

Cause: each datagram, row, answer or message that can't be read, and each malformed request, has a line of its own, and anybody may send them in any number.

PartLogger.gather writes the first line of a kind at once and then at most one a second, with the newest fields and the number of lines that it stands for in `count`; what is left is written at the stop. Processes gather, tests and tools write each line. Gathered are: notices, rows, instances, messages on links, headers of answers and probes, the store's epoch, bytes behind answers, notices that can't be sent, requests that are rejected before they are read to their end (by cause) or can't be read, and connections that callers end within a request. Other ends of connections keep a line each, with their request's id. Where many rows are odd at once, only the first and the last one of a second are named.

test_malformed_messages_are_discarded_and_counted names the logger magnoliahold.links instead of magnoliahold.wire.links, since that line goes through a PartLogger like all others; its text is the same, and it has its reason in a field.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -14,6 +14,7 @@
 from magnoliahold.core.peers import Peer
 from magnoliahold.core.systems.membership import add_peer
 from magnoliahold.errors import ProcessBrokenError
+from magnoliahold.gatheredlines import LINES
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import make_part_logger
 from magnoliahold.metrics import make_metrics
@@ -203,7 +204,9 @@
     signal.signal(signal.SIGINT, handle_signal)
     reactor.callWhenRunning(start_daemons)
     exclude_modules_from_collection()
+    LINES.clock = reactor
     reactor.run(installSignalHandlers=False)
+    LINES.stop()
     # Else the interpreter looks for garbage at exit, which takes longer than the rest.
     gc.freeze()
     if failures:
--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING, Any
 
@@ -92,8 +93,9 @@
     def _reset_dirty(self) -> None:
         transport: Any = self.transport
         peer = transport.getPeer()
-        logger.info(
+        logger.gather(
             "Connection reset, bytes belong to no answer.",
+            level=logging.INFO,
             address=f"{peer.host}:{peer.port}",
         )
         self.reset_now()
--- a/src/magnoliahold/logs.py
+++ b/src/magnoliahold/logs.py
@@ -12,6 +12,8 @@
 from pythonjsonlogger.json import JsonFormatter
 from twisted.logger import STDLibLogObserver, globalLogBeginner
 
+from magnoliahold.gatheredlines import LINES
+
 if TYPE_CHECKING:
     from pythonjsonlogger.core import LogData
     from twisted.logger import ILogObserver
@@ -144,6 +146,25 @@
         """Logs a failure with the traceback of the exception being handled."""
         self._log(logging.ERROR, sentence, fields, with_exception=True)
 
+    def gather(
+        self,
+        sentence: str,
+        /,
+        kind: str = "",
+        level: int = logging.WARNING,
+        **fields: object,
+    ) -> None:
+        """Logs what strangers cause, which may come in any number.
+
+        Of each sentence and `kind` at most one line a second is written, with the
+        number of those that it stands for in the field `count`.
+        """
+        LINES.write(
+            (self.prefix, sentence, kind),
+            lambda gathered: self._log(level, sentence, gathered),
+            fields,
+        )
+
     def _log(
         self,
         level: int,
--- a/src/magnoliahold/platform/rows.py
+++ b/src/magnoliahold/platform/rows.py
@@ -133,7 +133,7 @@
         if len(self._reported) >= MAX_REPORTED_ROWS:
             self._reported.clear()
         self._reported[feed, key] = reason
-        logger.warning(
+        logger.gather(
             "Row is invalid and is left out.",
             feed=feed.value,
             key=key,
--- a/src/magnoliahold/platform/store.py
+++ b/src/magnoliahold/platform/store.py
@@ -378,7 +378,7 @@
         epoch = None
     if epoch is not None and abs(epoch) <= MAX_NUMBER:
         return epoch
-    logger.warning("The store's epoch can't be read.", value=values[0])
+    logger.gather("The store's epoch can't be read.", value=values[0])
     return None
 
 
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -215,7 +215,7 @@
         if math.isfinite(number) and number >= 0:
             numbers.append(number)
         elif value.strip():
-            logger.warning(
+            logger.gather(
                 f"{name} can't be read and is ignored.",
                 upstream=record.id,
                 value=value[:MAX_LOGGED_LENGTH].decode("ascii", "backslashreplace"),
--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.main import CONNECTION_DONE
@@ -245,8 +246,10 @@
             request.ended = True
         self.end_cause = cause
         status = REJECTION_STATUS[cause]
-        logger.info(
+        logger.gather(
             "Request rejected.",
+            kind=cause.name,
+            level=logging.INFO,
             request=self.find_request_id(),
             status=status,
             cause=cause.name.lower(),
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -168,7 +168,7 @@
             return
         except (ValueError, ArithmeticError) as error:
             reason = describe_error(error)
-            logger.warning("Request can't be read and is refused.", reason=reason)
+            logger.gather("Request can't be read and is refused.", reason=reason)
             self._reject(exchange, BAD_REQUEST, "send headers that can be read")
             return
         self._open_requests[exchange.handle] = exchange
--- a/src/magnoliahold/serving/connectionends.py
+++ b/src/magnoliahold/serving/connectionends.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -150,7 +151,7 @@
 
 def log_end(channel: CallerChannel, cause: EndCause, reason: Failure) -> None:
     """Logs the end of a connection."""
-    fields = {
+    fields: dict[str, Any] = {
         "request": channel.find_request_id(),
         "read": channel.has_read_request,
         "ended_by": find_ender(cause),
@@ -161,8 +162,17 @@
         "discarded_bytes": channel.discarded.count,
     }
     if channel.is_unanswered or cause in LOST_CAUSES | CUT_CAUSES:
-        logger.info("Connection ended before the answer.", **fields)
+        _log_unanswered(cause, fields)
     elif cause is EndCause.UNHANDLED_ERROR:
         logger.error("Connection ended by an error.", **fields)
     else:
         logger.debug("Connection ended.", **fields)
+
+
+def _log_unanswered(cause: EndCause, fields: dict[str, Any]) -> None:
+    sentence = "Connection ended before the answer."
+    if cause is EndCause.CALLER_LEFT_READING:
+        # Anybody may begin requests in any number.
+        logger.gather(sentence, level=logging.INFO, **fields)
+    else:
+        logger.info(sentence, **fields)
--- a/src/magnoliahold/serving/notices.py
+++ b/src/magnoliahold/serving/notices.py
@@ -85,7 +85,7 @@
         except Exception as error:
             # The notices to the other entries must go out all the same.
             reason = describe_error(error)
-            logger.warning("Sending notice failed.", peer=peer.name, reason=reason)
+            logger.gather("Sending notice failed.", peer=peer.name, reason=reason)
 
     def handle_datagram(self, content: bytes, address: str = "") -> None:
         """Posts what was received; what can't be used is logged and dropped.
@@ -101,7 +101,7 @@
                 check_numbers(event.notice)
         except Exception as error:
             reason = describe_error(error)
-            logger.warning("Notice can't be decoded.", address=address, reason=reason)
+            logger.gather("Notice can't be decoded.", address=address, reason=reason)
             return
         self.post(event)
 
--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -82,7 +82,7 @@
             self.exchanges.report_signal(self.record, response)
             return read_answer_head(response.code, response.headers).misdirected
         except Exception as error:
-            logger.warning(
+            logger.gather(
                 "Answer to a probe can't be read.",
                 upstream=self.record.id,
                 reason=describe_error(error),
--- a/src/magnoliahold/storage/instances.py
+++ b/src/magnoliahold/storage/instances.py
@@ -61,7 +61,7 @@
     try:
         return _instance_decoder.decode(raw)
     except Exception as error:
-        logger.warning(
+        logger.gather(
             "Instance is invalid and is left out.", reason=describe_error(error)
         )
         return None
--- a/src/magnoliahold/wire/links.py
+++ b/src/magnoliahold/wire/links.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-from logging import getLogger
 from typing import TYPE_CHECKING, Any
 
 import zmq
 from attrs import define, evolve, field, frozen
 from zmq.utils.monitor import parse_monitor_message
 
+from magnoliahold.logs import make_part_logger
 from magnoliahold.wire.codec import (
     Envelope,
     MalformedMessageError,
@@ -30,7 +30,7 @@
     from magnoliahold.wire.codec import Header
     from magnoliahold.wire.messages import Message
 
-logger = getLogger(__name__)
+logger = make_part_logger("links")
 
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 MAX_QUEUED_MESSAGES = 1_000
@@ -307,7 +307,7 @@
             return decode_envelope(frames)
         except MalformedMessageError as error:
             self.broken_messages += 1
-            logger.warning("links: Malformed message discarded. %s", error)
+            logger.gather("Malformed message discarded.", reason=str(error))
             return None
 
     def _record_route(self, header: Header, identity: bytes) -> None:
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -127,7 +127,7 @@
         stranger.send_multipart([b"StreamTokens", b"junk", b"junk"])
         stranger.send(b"junk")
         links = self.server.links
-        with self.assertLogs("magnoliahold.wire.links", "WARNING"):
+        with self.assertLogs("magnoliahold.links", "WARNING"):
             self.assertTrue(self.run_until(lambda: links.broken_messages == 2))
         self.client.send("server", CancelStream("after", 1))
         self.assertTrue(self.run_until(lambda: bool(self.server.received)))
