Let a stop of an own entry wait until callers have their answers

What callers saw: an entry of the own deployment that stopped cut the answers which slow callers had not taken yet. Its requests were over, but megabytes still waited in the process.

Cause: a stop waited for what is in flight in the tables, and 0.5 s more; nothing looked at the connections.

Ticks go on meanwhile; after a failed one it waits for nobody.

--- a/src/magnoliahold/core/policy.py
+++ b/src/magnoliahold/core/policy.py
@@ -215,13 +215,15 @@
     """Graceful shutdown.
 
     New work is accepted for `announce_s` after the announcement, while the load
-    balancer still sends it; the process stops when it has been idle for `settle_s`.
+    balancer still sends it; the process stops when it has been idle for `settle_s`,
+    and waits up to `take_limit_s` until callers have taken their answers.
     After `drain_limit_s` a sidecar returns its remaining streams to their entries,
     which resume them elsewhere.
     """
 
     announce_s: float = _seconds(1.0)
     settle_s: float = _seconds(0.5)
+    take_limit_s: float = _seconds(10.0)
     drain_limit_s: float = _seconds(900.0)
     retry_after_s: float = _seconds(0.5)
 
--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
+    from magnoliahold.entry.untaken import UntakenAnswers
     from magnoliahold.metrics import Metrics
     from magnoliahold.node import Node
     from magnoliahold.settings.model import (
@@ -39,6 +40,8 @@
     from magnoliahold.wire.messages import Message
 
 INCARNATION_BYTES = 4
+# How often a stop looks whether callers have taken their answers.
+LOOK_S = 0.02
 
 logger = make_part_logger("daemon")
 
@@ -48,7 +51,8 @@
     """One entry or sidecar process running on a reactor.
 
     `on_stopped` is called with the reason once the daemon has stopped. `broken` is
-    set when it stopped because a failed tick left its tables inconsistent.
+    set when it stopped because a failed tick left its tables inconsistent. `untaken`
+    are the answers that a stop waits for, until `finish_limit` on the reactor's clock.
     """
 
     reactor: Any
@@ -60,6 +64,9 @@
     broken: bool = False
     listeners: list[Any] = field(factory=list)
     link_port: int = 0
+    untaken: list[UntakenAnswers] = field(factory=list)
+    finish_limit: float | None = None
+    _finishing: Any = None
 
     def add_listener(self, site: Any, address: str, port: int) -> int:
         """Serves a site and returns its port; port 0 selects a free port."""
@@ -100,9 +107,35 @@
         logger.info("Process is draining.", reason=reason)
         self.node.post_event(LeaveRequested(reason))
 
+    def finish(self, reason: str) -> None:
+        """Stops once callers have taken their answers, or when the time is up.
+
+        Ticks go on meanwhile. When one fails, the stop waits no longer.
+        """
+        self._cancel_finishing()
+        if reason != BROKEN_TABLES and self._awaits_callers():
+            self._finishing = self.reactor.callLater(LOOK_S, self.finish, reason)
+        else:
+            self.stop(reason)
+
+    def _awaits_callers(self) -> bool:
+        now = self.reactor.seconds()
+        if self.finish_limit is None:
+            self.finish_limit = now + self.node.world.policy.drain.take_limit_s
+        if now < self.finish_limit:
+            looks = [answers.is_any_taken() for answers in self.untaken]
+            return any(looks)
+        logger.warning("Callers had answers to take at the stop.")
+        return False
+
+    def _cancel_finishing(self) -> None:
+        if self._finishing is not None and self._finishing.active():
+            self._finishing.cancel()
+
     def stop(self, reason: str) -> None:
         """Stops the ticks, closes all sockets and calls `on_stopped`."""
         logger.info("Process is stopping.", reason=reason)
+        self._cancel_finishing()
         self.broken = reason == BROKEN_TABLES
         self.node.stop_ticks()
         for listener in self.listeners:
@@ -134,7 +167,7 @@
         daemon.node.post_event(LinkBroke(peer))
 
     def stop_later(reason: str) -> None:
-        reactor.callLater(0, daemon.stop, reason)
+        reactor.callLater(0, daemon.finish, reason)
 
     metrics = make_metrics(identity.name)
     links = make_links(reactor, identity, receive_message, handle_broken_link)
--- a/src/magnoliahold/entry/daemon.py
+++ b/src/magnoliahold/entry/daemon.py
@@ -79,6 +79,7 @@
     resource = make_caller_resource(caller_site)
     max_bytes = settings.limits.max_body_bytes
     site = BoundedSite(resource, max_bytes, daemon.reactor)
+    daemon.untaken.append(site.untaken)
     daemon.add_listener(site, settings.address, settings.caller_port)
 
 
@@ -98,6 +99,7 @@
         root, daemon.render_metrics, lambda: find_unready_reason(world)
     )
     site = BoundedSite(root, settings.limits.max_body_bytes, daemon.reactor)
+    daemon.untaken.append(site.untaken)
     daemon.add_listener(site, settings.address, settings.operator_port)
 
 
--- a/src/magnoliahold/entry/requests.py
+++ b/src/magnoliahold/entry/requests.py
@@ -11,6 +11,7 @@
 
 from magnoliahold.decoding import translate_errors
 from magnoliahold.entry.answers import RequestRejected, make_malformed_rejection
+from magnoliahold.entry.untaken import UntakenAnswers
 
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
@@ -42,7 +43,10 @@
 
 
 class BoundedSite(Site):
-    """A site whose requests have bounded bodies."""
+    """A site whose requests have bounded bodies.
+
+    `untaken` tells what its callers still have to take.
+    """
 
     def __init__(self, resource: Resource, max_body_bytes: int, reactor: Any) -> None:
         super().__init__(  # type: ignore[no-untyped-call]
@@ -53,6 +57,13 @@
         )
         self.max_body_bytes = max_body_bytes
         self.noisy = False
+        self.untaken = UntakenAnswers(reactor)
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Makes a connection."""
+        protocol: Any = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
+        self.untaken.add_connection(protocol._channel)
+        return protocol
 
 
 @frozen
