Run no two ticks without a read between them

A posted tick and the periodic one could be due in the same pass of the reactor, as behind a handler that took long. The second counted as hardly late, and compared with a time up to which nothing had been read.

--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -97,8 +97,9 @@
     """The world of one process with its clock and ports.
 
     Events that arrive in the same iteration of the clock are applied together in one
-    tick. With `raise_violations`, as in tests, failed ticks and effects raise their
-    exceptions.
+    tick. Between two ticks the clock reads what has arrived: never two run in the same
+    iteration, of which the second would take what waits unread for silence. With
+    `raise_violations`, as in tests, failed ticks and effects raise their exceptions.
     """
 
     clock: Clock
@@ -179,10 +180,16 @@
 
     def _run_posted_tick(self) -> None:
         self._tick_call = None
-        if self.running:
-            self.run_tick()
+        if not self.running:
+            return
+        if self._periodic_call.getTime() <= self.clock.seconds():
+            self._periodic_call.reset(self.world.policy.tick_s)
+        self.run_tick()
 
     def _run_periodic_tick(self) -> None:
+        if self._tick_call is not None:
+            self._tick_call.cancel()
+            self._tick_call = None
         interval = self.world.policy.tick_s
         self._periodic_call = self.clock.callLater(interval, self._run_periodic_tick)
         self.run_tick()
