--- /dev/null
+++ b/tests/serving/test_failed_refusals.py
@@ -0,0 +1,44 @@
+"""Tests that an error while a refusal is written leaves no caller waiting."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from magnoliahold.serving.callerexchanges import CallerExchange
+from tests.loopback import on_loopback
+from tests.serving.test_callers import REQUEST, CallerTestCase
+
+UNAVAILABLE = 503
+WAIT_S = 1.0
+
+
+class FailedRefusalTests(CallerTestCase):
+    # Failure: the request had left the tables, and its connection stayed open.
+    @on_loopback
+    async def test_request_whose_refusal_can_not_be_written_ends(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        failing = mock.patch.object(CallerExchange, "write", side_effect=KeyError("x"))
+        with failing:
+            try:
+                self.callers.refuse(handle, UNAVAILABLE, "full", None, closing=False)
+            except KeyError:
+                pass
+        until = self.reactor.seconds() + WAIT_S
+        await self.wait_until(
+            lambda: client.closed or self.reactor.seconds() > until
+        )
+        self.assertTrue(client.closed)
+
+    # Failure: a reason that isn't text in UTF-8 ended the refusal.
+    @on_loopback
+    async def test_refusal_is_written_whatever_its_reason_holds(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        try:
+            self.callers.refuse(handle, UNAVAILABLE, "odd \ud800", None, closing=True)
+        except UnicodeEncodeError:
+            pass
+        until = self.reactor.seconds() + WAIT_S
+        await self.wait_until(
+            lambda: client.closed or self.reactor.seconds() > until
+        )
+        self.assertEqual(client.received.split()[1:2], [b"503"])
