--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -285,7 +285,12 @@
         if request_id:
             headers.append((b"Request-Id", request_id))
         exchange.end_cause = EndCause.REFUSED
-        exchange.write_complete_answer(status, headers, f"{reason}\n".encode())
+        body = f"{reason}\n".encode(errors="replace")
+        try:
+            exchange.write_complete_answer(status, headers, body)
+        except Exception:
+            logger.exception("Refusal can't be written.", request=exchange.find_id())
+            exchange.abort_answer(EndCause.UNHANDLED_ERROR)
 
     def abort(self, handle: int, cause: EndCause = EndCause.ANSWER_CUT) -> None:
         """Aborts a caller's answer, or refuses the request if none has begun."""
