--- a/src/magnoliahold/serving/probes.py
+++ b/src/magnoliahold/serving/probes.py
@@ -55,7 +55,7 @@
             self._send_request,
         )
         self.connector = factory.connect(reactor, self.record, self.timeout_s)
-        reactor.callLater(self.timeout_s, self._time_out)
+        reactor.callLater(self.timeout_s, self._read_once_more)
 
     def _send_request(self, connection: UpstreamConnection) -> None:
         headers = make_probe_headers(self.record)
@@ -96,6 +96,10 @@
         self.connection.reset_now()
         self._fail(reason)
 
+    def _read_once_more(self) -> None:
+        """Ends in the next pass: after a pause, the answer may wait to be read."""
+        self.exchanges.reactor.callLater(0, self._time_out)
+
     def _time_out(self) -> None:
         self._fail("no answer to a probe", silent=True)
         if not self.finished:
