Let an error at a look of a stop decide over one connection alone

An unforeseen error at one connection while an entry stops ended the looks of the stop: nobody was answered any more and the process stayed until it was killed. The order to stop is given once, and each look asks for the next one only at its end.

Each step of the stop is tried on its own now and an error in it is logged; of the connections each is handled alone, and one that fails gets an answer or is aborted.

--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -203,7 +203,7 @@
         try:
             super().dataReceived(data)  # type: ignore[no-untyped-call]
         except Exception:
-            self._end_after_error()
+            self.end_after_error("Reading a request failed.")
         self._close_once_answered()
 
     def readConnectionLost(self) -> None:  # noqa: N802
@@ -239,9 +239,9 @@
             self._stop_header_timer()
             self.loseConnection()
 
-    def _end_after_error(self) -> None:
+    def end_after_error(self, sentence: str) -> None:
         """Rejects the request that is being read, or cuts the answer to one before."""
-        logger.exception("Reading a request failed.", request=self.find_request_id())
+        logger.exception(sentence, request=self.find_request_id())
         if self.has_read_request:
             self.end_cause = EndCause.UNHANDLED_ERROR
             transport: Any = self.transport
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -326,14 +326,25 @@
 
         Those whose callers still take an answer follow at a later call.
         """
-        for channel in list(self.channels):
+
+        def close(channel: CallerChannel) -> None:
             if not channel.is_idle or channel.has_unread:
-                continue
+                return
             if channel.look_for_taking():
                 channel.expect_request()
             elif not channel.is_fresh:
                 channel.close_now(EndCause.IDLE_AT_STOP)
 
+        self._visit_channels(close)
+
+    def _visit_channels(self, visit: Callable[[CallerChannel], None]) -> None:
+        """Visits each connection; an error at one decides over that one alone."""
+        for channel in list(self.channels):
+            try:
+                visit(channel)
+            except Exception:
+                channel.end_after_error("A connection failed in a stop.")
+
     def fail_open_requests(self, reason: str) -> None:
         """Ends all open requests, of which any may have run, and refuses later ones."""
         self.refusing_because = reason
@@ -354,14 +365,16 @@
 
     def read_waiting(self, until: float) -> None:
         """Reads what callers have sent, as long as the time isn't past `until`."""
-        for channel in list(self.channels):
+
+        def read(channel: CallerChannel) -> None:
             while self.clock.seconds() < until and channel.has_readable:
                 channel.read_waiting()
 
+        self._visit_channels(read)
+
     def write_answers(self) -> None:
         """Writes what callers' kernels take of the answers."""
-        for channel in list(self.channels):
-            channel.write_answers()
+        self._visit_channels(CallerChannel.write_answers)
 
     def reject_unfinished(self, at_exit: bool = False) -> None:
         """Rejects the requests that have not been read to their end.
@@ -369,10 +382,13 @@
         Those whose next bytes wait in the socket are read first, unless there is no
         time for that `at_exit`.
         """
-        for channel in list(self.channels):
+
+        def reject(channel: CallerChannel) -> None:
             if channel.is_reading and (at_exit or not channel.has_unread):
                 channel.reject(EndCause.UNFINISHED_AT_STOP)
 
+        self._visit_channels(reject)
+
     def _remove(self, handle: int) -> CallerExchange | None:
         self._contents.pop(handle, None)
         return self._open_requests.pop(handle, None)
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -131,26 +131,38 @@
         if callers.is_stopping:
             return
         self._cancel_finishing()
-        self.close_listener()
-        if reason == BROKEN_TABLES:
-            callers.fail_open_requests(reason)
-        callers.close_idle()
         left_s = self._find_finish_limit(reason) - self.reactor.seconds()
-        if left_s <= 0:
-            retry_after_s = choose_retry_after(self.node.world)
-            callers.refuse_later_requests(STOP_REASON, retry_after_s)
-            callers.reject_unfinished()
+        self._try_step(self._look_at_callers, reason, left_s)
         flush_s = self.node.world.serving_policy.leave.flush_s
         if callers.channels and left_s > -flush_s:
             self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
             return
         if callers.channels:
-            self._answer_rest(flush_s)
+            self._try_step(self._answer_rest, flush_s)
             logger.warning(
                 "Connections were open at the stop.", connections=len(callers.channels)
             )
         self.stop(reason if self.node.running else BROKEN_TABLES)
 
+    def _try_step(self, step: Callable[..., None], *arguments: object) -> None:
+        """Does a step of a stop; an error in it must not make the process stay."""
+        try:
+            step(*arguments)
+        except Exception:
+            logger.exception("A step of the stop failed.", step=step.__name__)
+
+    def _look_at_callers(self, reason: str, left_s: float) -> None:
+        """Ends what can be ended; behind the limit, refuses what comes."""
+        self.close_listener()
+        callers = self.node.ports.callers
+        if reason == BROKEN_TABLES:
+            callers.fail_open_requests(reason)
+        callers.close_idle()
+        if left_s <= 0:
+            retry_after_s = choose_retry_after(self.node.world)
+            callers.refuse_later_requests(STOP_REASON, retry_after_s)
+            callers.reject_unfinished()
+
     def _answer_rest(self, read_s: float) -> None:
         """Answers the requests that were read or wait to be read, without a pause.
 
