Send streams that wait for long to an avoided engine that is idle

Callers saw: of a ranked service, the engines that were preferred were full, and one that had been slow or had failed lately was idle. A stream waited for room until its deadline, 25 s, and got 503.

Cause: routing looked for room only at preferred engines. The review of queues counts the room of all healthy ones, so that it expected the stream to start at once and didn't refuse it either. An idle engine has no new paces or results that would end its avoidance; how slow it was is never forgotten.

Once streams of a service have waited for an eighth of the goal, the next one in the order of the queue takes an avoided engine that is idle.

--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -16,6 +16,7 @@
 from magnoliahold.core.serving.systems.paces import find_uneven
 from magnoliahold.core.serving.systems.quarantine import is_refused
 from magnoliahold.core.serving.systems.quarantine_stops import refuse_quarantined
+from magnoliahold.core.serving.systems.queue_flows import find_queue
 from magnoliahold.core.serving.systems.queues import (
     filter_by_room,
     hold_request,
@@ -74,9 +75,8 @@
         _refuse_without_upstream(world, request, now)
         return
     roomy = filter_by_room(world, request, candidates, now)
-    if not roomy and request.tried_upstreams:
-        others = find_healthy_candidates(world, request, now)
-        roomy = filter_by_room(world, request, others, now)
+    if not roomy and (avoided := _list_avoided(world, request, now)):
+        roomy = filter_by_room(world, request, avoided, now)
     if roomy:
         upstream = choose_upstream(world, request, roomy, now)
         _start_attempt(world, request, upstream, None, now)
@@ -84,6 +84,23 @@
         hold_request(world, request, now)
 
 
+def _list_avoided(
+    world: ServingWorld, request: ServedRequest, now: float
+) -> list[Upstream]:
+    """Lists healthy upstreams that a request takes rather than wait on for room.
+
+    One that was sent before takes any. Others take an idle one once some of them have
+    waited for long: nothing else would show that it is slow or fails no longer.
+    """
+    if request.tried_upstreams:
+        return find_healthy_candidates(world, request, now)
+    held_since = find_queue(world, request.service).held.values()
+    if now - min(held_since, default=now) < find_wait_limit_s(world, request):
+        return []
+    healthy = find_healthy_candidates(world, request, now)
+    return [item for item in healthy if not measure_load(world, item)]
+
+
 def _is_worth_awaiting(world: ServingWorld, holder: Upstream, now: float) -> bool:
     """Tells whether a backoff or limit lets it through sooner than a new prefill."""
     left_s = holder.find_free_at() - now
