Read the rows of an own table one by one

What callers would have seen: while one row of the table service could not be read in its form, no entry could read that table, and none that started had a configuration. The values of rows were contained before; their form was not.

Cause: a scan was decoded in one piece.

If that fails, each row is decoded by its bounds, as in the answers of the users' store. One that can't be read is passed on under its key without a value, which its readers leave out and log as damaged, so that scans go on behind it and changes are read again.

--- a/src/magnoliahold/jsonmembers.py
+++ b/src/magnoliahold/jsonmembers.py
@@ -62,10 +62,10 @@
     decoded = decode_or_none(decode, document)
     if decoded is not None:
         return decoded
-    return decode_or_none(lambda found: decode(_pick_member(found, name)), document)
+    return decode_or_none(lambda found: decode(pick_member(found, name)), document)
 
 
-def _pick_member(document: bytes, name: str) -> bytes:
+def pick_member(document: bytes, name: str) -> bytes:
     """Returns an object without its members but one."""
     members = split_members(document)
     return _join_members(member for member in members if _find_value(member, name))
--- a/src/magnoliahold/storage/exchange.py
+++ b/src/magnoliahold/storage/exchange.py
@@ -50,11 +50,12 @@
 
 def decode_answer(answer: HttpAnswer, kind: Any) -> Any:
     """Decodes a JSON answer; raises `PlatformUnavailable` when it is malformed."""
-    with translate_errors(_make_malformed_error):
+    with translate_errors(make_malformed_error):
         return msgspec.json.decode(answer.body, type=kind)
 
 
-def _make_malformed_error(reason: str) -> PlatformUnavailable:
+def make_malformed_error(reason: str) -> PlatformUnavailable:
+    """Makes the error of an answer that can't be read."""
     return PlatformUnavailable(f"malformed answer: {reason}")
 
 
--- a/src/magnoliahold/storage/tables.py
+++ b/src/magnoliahold/storage/tables.py
@@ -7,10 +7,14 @@
 
 import msgspec
 
+from magnoliahold.decoding import decode_or_none, explain_error, translate_errors
+from magnoliahold.jsonmembers import pick_member, split_members
+from magnoliahold.logs import make_part_logger
 from magnoliahold.storage.exchange import (
     DEFAULT_TIMEOUT_S,
     PlatformExchange,
     decode_answer,
+    make_malformed_error,
 )
 from magnoliahold.storage.interfaces import Row, TransactionOutcome
 
@@ -23,6 +27,20 @@
     from magnoliahold.runtime import Reactor
     from magnoliahold.storage.interfaces import Condition, Write
 
+# No stored row has this version.
+UNKNOWN_VERSION = 0
+
+logger = make_part_logger("store")
+
+
+class _RowKey(msgspec.Struct):
+    key: str
+
+
+_rows_decoder = msgspec.json.Decoder(tuple[Row, ...])
+_row_decoder = msgspec.json.Decoder(Row)
+_key_decoder = msgspec.json.Decoder(_RowKey)
+
 
 class TableClient:
     """Reads and writes rows over HTTP; a failed write may have taken effect."""
@@ -42,7 +60,7 @@
         """Reads rows in key order whose key is greater than `after`."""
         query = urlencode({"after": after, "limit": limit})
         answer = self._exchange.call("GET", f"/tables/{quote(table, safe='')}?{query}")
-        return answer.addCallback(decode_answer, tuple[Row, ...])
+        return answer.addCallback(_decode_rows, table)
 
     def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -55,6 +73,30 @@
         return answer.addCallback(decode_answer, TransactionOutcome)
 
 
+def _decode_rows(answer: HttpAnswer, table: str) -> tuple[Row, ...]:
+    """Decodes rows, each by itself if not all can be read."""
+    rows = decode_or_none(_rows_decoder.decode, answer.body)
+    if rows is not None:
+        return rows
+    with translate_errors(make_malformed_error):
+        return tuple(_decode_item(item, table) for item in split_members(answer.body))
+
+
+def _decode_item(item: bytes, table: str) -> Row:
+    """Decodes one row; one that can't be read is returned as damaged.
+
+    A damaged row has no value and UNKNOWN_VERSION. Whoever scans goes on behind its
+    key, without which the whole answer can't be read.
+    """
+    row = decode_or_none(_row_decoder.decode, item)
+    if row is not None:
+        return row
+    key = _key_decoder.decode(pick_member(item, "key")).key
+    reason = explain_error(_row_decoder.decode, item)
+    logger.gather("Row can't be read.", table=table, key=key, reason=reason)
+    return Row(table, key, UNKNOWN_VERSION, b"")
+
+
 def _decode_row(answer: HttpAnswer) -> Row | None:
     if answer.status == 404:
         return None
