Send a request that met silence to an upstream that has answered

What callers would have seen: beside valid registrations with addresses where nothing answers, a call waited 0.25 s at one of them after the other; calls of 1.5 s took up to 1.36 s, and some were refused for their deadline. The refusals were truthful: 503, not run.

Cause: a connection that times out makes its upstream down, but the next choice falls on any other healthy one, and one that this entry has never heard of counts as healthy.

A request that lost time at such an address now goes to an upstream that has answered this entry before, if one is left by health and by earlier attempts. Refused connections cost a millisecond, and change nothing.

--- a/src/magnoliahold/core/serving/requests.py
+++ b/src/magnoliahold/core/serving/requests.py
@@ -140,7 +140,8 @@
     `answer_started` is set once the head of the answer was sent to the caller, and
     `last_piece` is the number of the last piece sent. `first_piece_late` is set once
     the request left an upstream because its first piece took too long.
-    `last_failure_at` is when the last attempt failed, 0 if none has.
+    `last_failure_at` is when the last attempt failed, 0 if none has. `met_silence` is
+    set once it has lost time at an address where nothing answered.
     `prefers_new_version` tells whether the request goes to the version that its
     service moves to; it is None until a version is chosen. While
     `awaiting_lookup` is set, the request waits to learn which upstream has its prompt
@@ -167,6 +168,7 @@
     last_piece: int | None = None
     copy: KvCacheCopy | None = None
     last_failure_at: float = 0.0
+    met_silence: bool = False
     failure_reason: str = ""
     first_piece_late: bool = False
     awaiting_lookup: bool = False
--- a/src/magnoliahold/core/serving/systems/outcomes.py
+++ b/src/magnoliahold/core/serving/systems/outcomes.py
@@ -57,7 +57,9 @@
         if attempt is None:
             continue
         mark_down(world, attempt.upstream, unsent.reason, now, unsent.silent)
-        if not unsent.silent:
+        if unsent.silent:
+            attempt.request.met_silence = True
+        else:
             attempt.upstream.refused_at = now
         attempt.request.send_count -= 1
         if attempt.request.send_count:
--- a/src/magnoliahold/core/serving/systems/selection.py
+++ b/src/magnoliahold/core/serving/systems/selection.py
@@ -87,8 +87,9 @@
     untried = [
         item for item in healthy if item.id not in request.tried_upstreams
     ] or healthy
+    reachable = _prefer_answering(request, untried)
     unaffected = _exclude_avoided(
-        untried, find_needing_probe(world, untried, now), world
+        reachable, find_needing_probe(world, reachable, now), world
     )
     staying = [
         item for item in unaffected if not item.signals.leaving_reported
@@ -118,6 +119,18 @@
     return upstream.health is UpstreamHealth.HEALTHY and upstream.missing_since is None
 
 
+def _prefer_answering(
+    request: ServedRequest, upstreams: list[Upstream]
+) -> list[Upstream]:
+    """Keeps upstreams that have answered, for a request that lost time at a silent one.
+
+    Of the others only the registrations are known, which may be wrong alike.
+    """
+    if not request.met_silence:
+        return upstreams
+    return [item for item in upstreams if item.has_answered] or upstreams
+
+
 def _exclude_avoided(
     candidates: list[Upstream], avoided: set[str], world: ServingWorld
 ) -> list[Upstream]:
--- a/src/magnoliahold/core/serving/systems/upstream_health.py
+++ b/src/magnoliahold/core/serving/systems/upstream_health.py
@@ -156,6 +156,7 @@
 def mark_healthy(world: ServingWorld, upstream: Upstream, now: float) -> None:
     """Records a response of an upstream's process, which makes it healthy."""
     upstream.last_received_at = now
+    upstream.has_answered = True
     upstream.awaits_sign = False
     if upstream.health is UpstreamHealth.HEALTHY:
         return
--- a/src/magnoliahold/core/serving/upstreams.py
+++ b/src/magnoliahold/core/serving/upstreams.py
@@ -82,21 +82,22 @@
     """One upstream, and the attempts that this entry runs there.
 
     Times are on the process clock. `last_received_at` is when any byte was last
-    received from it. `failures` and `answers` decay with time; `gap_s` and `opening_s`
-    are moving averages of the time between pieces and of the time to the first piece.
-    `missing_since` is set while its registration is missing after an outage of the
-    store. While `awaits_sign` is set it gets no request, since it may have ended long
-    ago. `silent` is set while it is down and doesn't answer at all; `refused_at` is
-    when it last refused a connection. `copies` counts the streams whose KV cache it
-    keeps a copy of, and `copied_tokens` the tokens of their prompts. `pace` is learned
-    from the streams of all entries. `no_load` is the load of an entry that runs nothing
-    there.
+    received from it, and `has_answered` whether anything was. `failures` and `answers`
+    decay with time; `gap_s` and `opening_s` are moving averages of the time between
+    pieces and of the time to the first piece. `missing_since` is set while its
+    registration is missing after an outage of the store. While `awaits_sign` is set it
+    gets no request, since it may have ended long ago. `silent` is set while it is down
+    and doesn't answer at all; `refused_at` is when it last refused a connection.
+    `copies` counts the streams whose KV cache it keeps a copy of, and `copied_tokens`
+    the tokens of their prompts. `pace` is learned from the streams of all entries.
+    `no_load` is the load of an entry that runs nothing there.
     """
 
     record: UpstreamRecord
     signals: UpstreamSignals = field(factory=UpstreamSignals)
     health: UpstreamHealth = UpstreamHealth.HEALTHY
     last_received_at: float = 0.0
+    has_answered: bool = False
     probe_sent_at: float | None = None
     next_probe_at: float = 0.0
     failed_probes: int = 0
