Test requests behind one that is cut at the exit of a process

400 calls wait behind a booking that is cut at the limit of a grace of 2 s; more of them than the entry buffers, so that the rest waits in the socket.

--- a/tests/serving/test_stopping_processes.py
+++ b/tests/serving/test_stopping_processes.py
@@ -38,6 +38,10 @@
 # How long after SIGTERM a process ends at the latest.
 GRACE_S = 8.0
 SIGNAL_S = 0.15
+SHORT_GRACE_S = 2.0
+# The signal and the end of the process are seen late on cores that others use, too.
+EXIT_MARGIN_S = 0.5
+MANY = 400
 
 
 @define(eq=False)
@@ -121,7 +125,7 @@
         self.addCleanup(directory.cleanup)
         self.directory = Path(directory.name)
 
-    def start_process(self, name: str) -> StoppingEntry:
+    def start_process(self, name: str, grace_s: float = GRACE_S) -> StoppingEntry:
         """Starts the process of an entry with a store of its own."""
         store = FakeStore()
         listener = self.serve(store)
@@ -134,7 +138,7 @@
             "store": listener.address.removeprefix("http://"),
             "callers": f"127.0.0.1:{self.reserve_port()}",
             "readiness": f"127.0.0.1:{self.reserve_port()}",
-            "bounds": {"stop_grace_s": GRACE_S},
+            "bounds": {"stop_grace_s": grace_s},
         }
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
@@ -208,6 +212,29 @@
     async def test_signals_in_each_phase_of_a_stop_cut_nothing(self) -> None:
         await self.check_overlaps((("each phase", self.signal_in_each_phase),))
 
+    @on_loopback
+    async def test_requests_behind_one_that_is_cut_are_answered_at_the_exit(
+        self,
+    ) -> None:
+        entry = self.start_process("short", SHORT_GRACE_S)
+        while not await self.is_ready(entry):
+            await self.sleep(0.05)
+        client = await self.call(entry, "bookings")
+        await self.wait_until(lambda: bool(self.upstream.begun))
+        transport: Any = client.transport
+        transport.write(CALL * MANY)
+        await self.sleep(0.1)
+        entry.process.send_signal(signal.SIGTERM)
+        ordered_at = self.reactor.seconds()
+        await self.wait_until(lambda: entry.process.poll() is not None)
+        lasted_s = self.reactor.seconds() - ordered_at
+        await self.wait_until(lambda: client.closed)
+        answers = client.received.split(b"HTTP/1.1 ")[1:]
+        statuses = [answer[:3] for answer in answers]
+        self.assertEqual(statuses, [b"502", *[b"503"] * MANY])
+        self.assertIn(b"Connection: close", answers[-1])
+        self.assertLess(lasted_s, SHORT_GRACE_S + EXIT_MARGIN_S)
+
     @on_loopback
     async def test_interrupt_during_a_stop_ends_the_process(self) -> None:
         entry = self.start_process("interrupted")
