--- a/src/magnoliahold/cli/soak.py
+++ b/src/magnoliahold/cli/soak.py
@@ -19,6 +19,7 @@
     restores: int = 0,
     odd_rows: int = 0,
     planned: bool = False,
+    half_closing: int = 0,
 ) -> int:
     """Runs entries as processes, injects random faults and checks guarantees.
 
@@ -32,6 +33,8 @@
         restores: How often the store is restored from an older copy.
         odd_rows: How many rows that can't be read another writer leaves in the store.
         planned: Stops, reloads and changes only; each request must be answered.
+        half_closing: With planned work, how many callers close their writing side
+            behind their requests and wait for the answers.
 
     Returns:
         0, 1 if a guarantee was violated, or 130 if it was interrupted.
@@ -51,7 +54,7 @@
         try:
             run = reactor, seed, seconds, processes, folder
             soaking = (
-                run_planned_soak(*run)
+                run_planned_soak(*run, half_closing)
                 if planned
                 else run_soak(*run, restores, odd_rows)
             )
--- a/src/magnoliahold/soak/pipelining.py
+++ b/src/magnoliahold/soak/pipelining.py
@@ -1,7 +1,8 @@
 """Callers that write HTTP by themselves, as fast as it allows.
 
 They send the next request with the last byte of an answer, several in one write, and
-heads and bodies in pieces.
+heads and bodies in pieces. Some close their writing side behind a whole request, and
+wait for the answer.
 """
 
 from __future__ import annotations
@@ -190,6 +191,8 @@
             self._timer = self._caller.reactor.callLater(
                 pause_s, self._write_parts, content, end, cuts[1:]
             )
+        elif self._caller.half_closes:
+            transport.loseWriteConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Takes the answers; sends the next request with the last byte of the last."""
@@ -207,7 +210,7 @@
             self.waiting[0].first_at = caller.reactor.seconds()
         if answer.closing or (not self.waiting and answer.status != OK):
             self.close()
-        elif not self.waiting:
+        elif not self.waiting and not caller.half_closes:
             self._send_next()
 
     def close(self) -> None:
@@ -224,8 +227,10 @@
         """Has the requests judged that got no answer."""
         self.ended = True
         self._stop_sending()
+        has_begun = self._answers.has_begun
         for request in self.waiting:
-            self._caller.judge_unanswered(request, self.port)
+            self._caller.judge_unanswered(request, has_begun, self.port)
+            has_begun = False
 
     def end_if_overdue(self) -> None:
         """Ends the connection if the next answer is long overdue."""
@@ -240,7 +245,11 @@
 
 @define(eq=False)
 class PipeliningCaller:
-    """A caller that uses one connection after the other, each until it closes."""
+    """A caller that uses one connection after the other, each until it closes.
+
+    One that `half_closes` does so behind its first requests, and takes any final
+    answer, or for a stream that has begun, its cut.
+    """
 
     reactor: Any
     random: Random
@@ -250,6 +259,7 @@
     outcomes: list[Outcome]
     judge: LossJudge
     name: str
+    half_closes: bool = False
     stopped: bool = False
     serial: int = 0
 
@@ -306,7 +316,7 @@
             self._check_body(request, answer)
         elif answer.status in NOT_RUN_STATUSES and not answer.signature:
             self.checker.record_refusal(request.id, request.path, answer.status)
-        else:
+        elif not self.half_closes:
             self._report(request, answer.status, port)
 
     def _check_body(self, request: SentRequest, answer: Answer) -> None:
@@ -320,9 +330,13 @@
         elif answer.body != make_call_body(request.id):
             self.checker.record_violation("whole answer", f"{request.id}")
 
-    def judge_unanswered(self, request: SentRequest, port: int) -> None:
+    def judge_unanswered(
+        self, request: SentRequest, has_begun: bool, port: int
+    ) -> None:
         """Has a request judged whose connection ended before its answer did."""
-        if not self.stopped:
+        if self.half_closes and has_begun and request.pieces:
+            self.checker.checked["half closed: stream cut"] += 1
+        elif not self.stopped:
             self._report(request, 0, port)
 
     def _report(self, request: SentRequest, status: int, port: int) -> None:
--- a/src/magnoliahold/soak/planned.py
+++ b/src/magnoliahold/soak/planned.py
@@ -266,9 +266,17 @@
 
 
 async def run_planned_soak(
-    reactor: Any, seed: int, seconds: float, entries: int, folder: Path
+    reactor: Any,
+    seed: int,
+    seconds: float,
+    entries: int,
+    folder: Path,
+    half_closing: int = 0,
 ) -> SoakReport:
-    """Runs one soak of planned work and stops everything that it started."""
+    """Runs one soak of planned work and stops everything that it started.
+
+    So many callers, `half_closing`, close their writing side behind their requests.
+    """
     random = Random(seed)
     report = SoakReport(seed, seconds)
     deployment = Deployment(reactor, random, folder, entries)
@@ -278,7 +286,7 @@
     async def work() -> None:
         set_timeouts(deployment, 1.0)
         await deferLater(reactor, SPREAD_S)
-        start_planned_callers(deployment, planned.stops)
+        start_planned_callers(deployment, planned.stops, half_closing)
         await deferLater(reactor, 1.0)
         await planned.run(seconds)
         report.faults.update(planned.done)
@@ -295,12 +303,15 @@
         deployment.checker.record_violation("served", f"{served} requests only")
 
 
-def start_planned_callers(deployment: Deployment, stops: list[Stop]) -> None:
+def start_planned_callers(
+    deployment: Deployment, stops: list[Stop], half_closing: int
+) -> None:
     """Starts callers that wait for each answer, and callers that don't wait."""
     judge = LossJudge(deployment.reactor, deployment.checker, stops)
     callers: list[PlannedCaller | PipeliningCaller] = [
         *(_make_caller(deployment, judge, number) for number in range(CALLER_COUNT)),
         *(_make_pipelining(deployment, judge, n) for n in range(PIPELINING_COUNT)),
+        *(_make_half_closing(deployment, judge, n) for n in range(half_closing)),
     ]
     for caller in callers:
         deployment.callers.append(caller)
@@ -335,3 +346,12 @@
         judge,
         f"pipelining-{number}",
     )
+
+
+def _make_half_closing(
+    deployment: Deployment, judge: LossJudge, number: int
+) -> PipeliningCaller:
+    caller = _make_pipelining(deployment, judge, number)
+    caller.name = f"half-closing-{number}"
+    caller.half_closes = True
+    return caller
--- a/tests/soak/test_pipelining.py
+++ b/tests/soak/test_pipelining.py
@@ -23,10 +23,20 @@
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nResponse-Signature: s\r\n\r\n"
     b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
 )
+FAILED = b"HTTP/1.1 502 No\r\nContent-Length: 2\r\n\r\nno"
 SEEDS = range(30)
 PORT = 1
 
 
+class HalfClosableTransport(StringTransport):
+    """A transport that notes the close of its writing side."""
+
+    is_half_closed = False
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.is_half_closed = True
+
+
 def answer(request: Any) -> bytes:
     """Answers a request as its upstream does."""
     head = f"HTTP/1.1 200 OK\r\nResponse-Signature: {sign(request.id)}\r\n".encode()
@@ -40,7 +50,7 @@
 
 
 class PipeliningTests(unittest.TestCase):
-    def connect(self, seed: int) -> PipeliningConnection:
+    def connect(self, seed: int, half_closes: bool = False) -> PipeliningConnection:
         """Connects a caller; nobody answers yet."""
         self.clock = Clock()
         self.checker = GuaranteeChecker(self.clock, lambda _: True)
@@ -54,8 +64,9 @@
             [],
             judge,
             "p",
+            half_closes,
         )
-        self.transport = StringTransport()
+        self.transport = HalfClosableTransport()
         connection = PipeliningConnection(self.caller, PORT)
         connection.makeConnection(self.transport)
         return connection
@@ -97,6 +108,34 @@
                 self.clock.advance(RECORDING_S)
                 self.assertEqual(len(self.checker.broken), count)
 
+    def test_half_closing_caller_sends_once_and_takes_any_final_answer(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                connection = self.connect(seed, half_closes=True)
+                self.clock.pump([0.1] * 60)
+                self.assertTrue(self.transport.is_half_closed)
+                self.transport.clear()
+                for _ in list(connection.waiting):
+                    connection.dataReceived(FAILED)
+                self.assertFalse(self.transport.value())
+                connection.connectionLost()
+                self.clock.advance(RECORDING_S)
+                self.assertEqual(self.checker.broken, [])
+
+    def test_half_closing_caller_accepts_the_cut_of_a_begun_stream_only(self) -> None:
+        for seed in SEEDS:
+            for part in (b"", CHUNKED[:-1]):
+                with self.subTest(seed=seed, part=part):
+                    connection = self.connect(seed, half_closes=True)
+                    self.clock.pump([0.1] * 60)
+                    lost = len(connection.waiting)
+                    if part and connection.waiting[0].pieces:
+                        lost -= 1
+                    connection.dataReceived(part)
+                    connection.connectionLost()
+                    self.clock.advance(RECORDING_S)
+                    self.assertEqual(len(self.checker.broken), lost)
+
     def test_wrong_answer_is_a_violation(self) -> None:
         connection = self.connect(1)
         self.clock.pump([0.1] * 60)
