--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -127,10 +127,25 @@
         Ticks go on meanwhile: a request that was being read is still served, until the
         limit, and refused behind it. When a tick fails, that becomes the reason.
         """
-        callers = self.node.ports.callers
-        if callers.is_stopping:
+        if self.node.ports.callers.is_stopping:
             return
         self._cancel_finishing()
+        try:
+            self._look_at_callers(reason)
+        except Exception:
+            logger.exception("A look at the callers failed in a stop.")
+            self._look_again_or_stop(reason)
+
+    def _look_again_or_stop(self, reason: str) -> None:
+        """Goes on after a look that failed; nothing else would end the process."""
+        left_s = self._find_finish_limit(reason) - self.reactor.seconds()
+        if left_s > -self.node.world.serving_policy.leave.flush_s:
+            self.finishing = self.reactor.callLater(TICK_S, self.finish, reason)
+        else:
+            self.stop(reason)
+
+    def _look_at_callers(self, reason: str) -> None:
+        callers = self.node.ports.callers
         self.close_listener()
         if reason == BROKEN_TABLES:
             callers.fail_open_requests(reason)
