--- a/src/magnoliahold/core/serving/systems/promises.py
+++ b/src/magnoliahold/core/serving/systems/promises.py
@@ -15,6 +15,17 @@
     from magnoliahold.core.serving.world import ServingWorld
 
 
+def can_send_beside_waiting(
+    world: ServingWorld, request: ServedRequest, upstreams: list[Upstream], now: float
+) -> bool:
+    """Tells whether limits let a running request go beside what resumes before it."""
+    waiting = sum(
+        item.service == request.service and item.send_count > 0
+        for item in world.requests.waiting.values()
+    )
+    return sum(item.count_sendable(now) for item in upstreams) > waiting
+
+
 def can_start_beside_waiting(
     world: ServingWorld, request: ServedRequest, upstreams: list[Upstream], now: float
 ) -> bool:
--- a/src/magnoliahold/core/serving/systems/stalls.py
+++ b/src/magnoliahold/core/serving/systems/stalls.py
@@ -7,7 +7,10 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.systems.loads import estimate_opening_s
-from magnoliahold.core.serving.systems.promises import can_start_beside_waiting
+from magnoliahold.core.serving.systems.promises import (
+    can_send_beside_waiting,
+    can_start_beside_waiting,
+)
 from magnoliahold.core.serving.systems.retries import (
     has_free_retry,
     may_retry,
@@ -83,7 +86,7 @@
     may be silent.
     """
     others = list_healthy_alternatives(world, attempt, now)
-    if not others:
+    if not others or not can_send_beside_waiting(world, attempt.request, others, now):
         return False
     heard_at = max(attempt.upstream.last_received_at, attempt.last_received_at)
     if (
