--- a/tests/serving/test_failed_refusals.py
+++ b/tests/serving/test_failed_refusals.py
@@ -18,7 +18,7 @@
     async def test_request_whose_refusal_can_not_be_written_ends(self) -> None:
         client, handle = await self.send_request(REQUEST)
         failing = mock.patch.object(CallerExchange, "write", side_effect=KeyError("x"))
-        with failing:
+        with failing, self.assertLogs("magnoliahold", "ERROR"):
             self.callers.refuse(handle, UNAVAILABLE, "full", None, closing=False)
         until = self.reactor.seconds() + WAIT_S
         await self.wait_until(lambda: client.closed or self.reactor.seconds() > until)
