Cut a stream whose end can't be written, and apply settings as a whole

By the review: an error while the end of a stream is written left its caller waiting on an open connection, since the stream had left the tables; whole answers and refusals were contained alike in two places. One piece of code serves all three now. Shown by an injected error only; test_stream_whose_end_can_not_be_written_is_cut failed before. Settings whose policy can't be made are left out as a whole; before, store and log level were applied first (by reading).

--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -251,27 +251,34 @@
         if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         if exchange.startedWriting:
-            exchange.finish_answer()
+            self._write_or_abort(exchange, exchange.finish_answer)
         else:
             logger.error("Stream was never opened.", request=exchange.find_id())
             self._write_own_answer(exchange, BAD_GATEWAY, "the answer is gone", None)
 
-    def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
-        """Answers a caller with an upstream's complete answer.
+    def _write_or_abort(
+        self, exchange: CallerExchange, write: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Writes the end of an answer, or ends the connection.
 
-        An answer that can't be written ends its connection, since parts of it may be.
+        Parts of an answer that can't be written may have been.
         """
+        try:
+            write(*arguments)
+        except Exception:
+            logger.exception("Answer can't be written.", request=exchange.find_id())
+            exchange.abort_answer(EndCause.UNHANDLED_ERROR)
+
+    def answer(self, handle: int, upstream: Exchange, closing: bool) -> None:
+        """Answers a caller with an upstream's complete answer."""
         exchange = self._remove(handle)
         if exchange is None:
             return
         if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
-        try:
-            exchange.write_complete_answer(upstream.status, upstream.headers, body)
-        except Exception:
-            logger.exception("Answer can't be written.", request=exchange.find_id())
-            exchange.abort_answer(EndCause.UNHANDLED_ERROR)
+        head = (upstream.status, upstream.headers)
+        self._write_or_abort(exchange, exchange.write_complete_answer, *head, body)
 
     def refuse(
         self,
@@ -305,11 +312,8 @@
             headers.append((b"Request-Id", request_id))
         exchange.end_cause = EndCause.REFUSED
         body = f"{reason}\n".encode(errors="replace")
-        try:
-            exchange.write_complete_answer(status, headers, body)
-        except Exception:
-            logger.exception("Refusal can't be written.", request=exchange.find_id())
-            exchange.abort_answer(EndCause.UNHANDLED_ERROR)
+        write = exchange.write_complete_answer
+        self._write_or_abort(exchange, write, status, headers, body)
 
     def abort(self, handle: int, cause: EndCause = EndCause.ANSWER_CUT) -> None:
         """Aborts a caller's answer, or refuses the request if none has begun."""
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -333,6 +333,7 @@
     """
     try:
         settings = load(path)
+        policy = make_serving_policy(settings)
     except Exception as error:
         logger.exception(
             "Reloading settings failed, the old ones stay.", reason=str(error)
@@ -345,7 +346,6 @@
     if settings.log != daemon.settings.log:
         set_log_level(settings.log.level)
     daemon.settings = settings
-    policy = make_serving_policy(settings)
     if daemon.is_leaving:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
