Excuse only what wasn't passed on behind a cut stream in the planned soak

No answer can follow a cut one in HTTP/1.1, and a stream can't be carried on for a caller that may be gone. Such a request is excused only if no upstream got it, nothing was answered, and the stream before it had begun; the table of test_losses has the cases that aren't.

--- a/src/magnoliahold/soak/losses.py
+++ b/src/magnoliahold/soak/losses.py
@@ -36,7 +36,8 @@
     """A request that ended without the answer to it.
 
     `status` is that of the answer that came instead, 0 if none did. `sent_at` is when
-    its last byte was sent, infinite if it wasn't.
+    its last byte was sent, infinite if it wasn't. `behind_cut` is set if it was sent
+    behind a stream of a half-closed caller that was cut: no answer can follow that.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     sent_at: float
     ended_at: float
     port: int
+    behind_cut: bool = False
 
 
 @define(eq=False)
@@ -77,6 +79,8 @@
         lasted_s = loss.ended_at - loss.sent_at
         if not loss.status and not passed_on and lasted_s <= CROSSING_S:
             return "crossed a close"
+        if loss.behind_cut and not loss.status and not passed_on:
+            return "behind a cut stream"
         if loss.status == TIMED_OUT_UPSTREAM and lasted_s >= loss.timeout_s:
             return "deadline reached"
         stopped_at = self._find_stop(loss)
--- a/src/magnoliahold/soak/pipelining.py
+++ b/src/magnoliahold/soak/pipelining.py
@@ -227,10 +227,14 @@
         """Has the requests judged that got no answer."""
         self.ended = True
         self._stop_sending()
+        if not self.waiting:
+            return
+        first, *others = self.waiting
         has_begun = self._answers.has_begun
-        for request in self.waiting:
-            self._caller.judge_unanswered(request, has_begun, self.port)
-            has_begun = False
+        self._caller.judge_unanswered(first, has_begun, self.port)
+        behind_cut = self._caller.half_closes and has_begun and first.pieces > 0
+        for request in others:
+            self._caller.judge_unanswered(request, False, self.port, behind_cut)
 
     def end_if_overdue(self) -> None:
         """Ends the connection if the next answer is long overdue."""
@@ -331,17 +335,24 @@
             self.checker.record_violation("whole answer", f"{request.id}")
 
     def judge_unanswered(
-        self, request: SentRequest, has_begun: bool, port: int
+        self,
+        request: SentRequest,
+        has_begun: bool,
+        port: int,
+        behind_cut: bool = False,
     ) -> None:
         """Has a request judged whose connection ended before its answer did."""
         if self.half_closes and has_begun and request.pieces:
             self.checker.checked["half closed: stream cut"] += 1
         elif not self.stopped:
-            self._report(request, 0, port)
+            self._report(request, 0, port, behind_cut)
 
-    def _report(self, request: SentRequest, status: int, port: int) -> None:
+    def _report(
+        self, request: SentRequest, status: int, port: int, behind_cut: bool = False
+    ) -> None:
         now = self.reactor.seconds()
-        loss = Loss(request.id, status, TIMEOUT_S, request.sent_at, now, port)
+        sent_at = request.sent_at
+        loss = Loss(request.id, status, TIMEOUT_S, sent_at, now, port, behind_cut)
         self.judge.examine(loss)
 
 
--- a/tests/soak/test_losses.py
+++ b/tests/soak/test_losses.py
@@ -30,6 +30,14 @@
     ("cut before the stop", True, 0, 90.0, 91.0, ""),
 )
 
+# Whether it was sent behind a cut stream, whether an upstream got it, and its status.
+BEHIND_CUT: tuple[tuple[bool, bool, int, str], ...] = (
+    (True, False, 0, "behind a cut stream"),
+    (True, True, 0, ""),
+    (True, False, 502, ""),
+    (False, False, 0, ""),
+)
+
 
 class LossTests(unittest.TestCase):
     def test_only_planned_ends_are_excused(self) -> None:
@@ -46,6 +54,21 @@
                 self.assertEqual(len(checker.broken), 0 if excuse else 1)
                 self.assertEqual(checker.checked[excuse], 1 if excuse else 0)
 
+    def test_only_what_was_not_passed_on_is_excused_behind_a_cut_stream(self) -> None:
+        for behind_cut, is_run, status, excuse in BEHIND_CUT:
+            with self.subTest(behind_cut=behind_cut, is_run=is_run, status=status):
+                clock = Clock()
+                checker = GuaranteeChecker(clock, lambda _: True)
+                judge = LossJudge(clock, checker, [])
+                if is_run:
+                    run = Run("r-1", "/once/r-1", "u-1", "v1", "w-1", 0.0)
+                    checker.record_run(run)
+                loss = Loss("r-1", status, 8.0, 101.0, 101.5, PORT, behind_cut)
+                judge.examine(loss)
+                clock.advance(RECORDING_S)
+                self.assertEqual(len(checker.broken), 0 if excuse else 1)
+                self.assertEqual(checker.checked[excuse], 1 if excuse else 0)
+
 
 if __name__ == "__main__":
     unittest.main()
