Let a half-closed caller see a stream that is cut as it begins

What waits to be written is written, and the connection closes without a last chunk, which is incomplete in HTTP/1.1. A stream of which all was written is reset as before. test_stream_that_is_cut_as_it_begins_is_seen failed before; the 42 tests of its file hold.

--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -121,14 +121,17 @@
         """Ends the connection, so that the answer doesn't look complete.
 
         A reset would destroy an answer before this one that its caller hasn't taken
-        yet. Behind that, chunks without a last one are an incomplete answer as well.
+        yet, and what a half-closed caller would get of this one. Chunks without a last
+        one are an incomplete answer as well.
         """
         self.ended = True
         channel: Any = self.channel
         if channel is None:
             return
         channel.end_cause = cause
-        if self.chunked and channel.owes_answer_before(self.sentLength):
+        has_begun_unseen = self.is_half_closed and channel.unwritten_bytes
+        is_owed = has_begun_unseen or channel.owes_answer_before(self.sentLength)
+        if self.chunked and is_owed:
             channel.loseConnection()
         else:
             channel.transport.abortConnection()
--- a/tests/serving/test_half_closed_callers.py
+++ b/tests/serving/test_half_closed_callers.py
@@ -335,6 +335,19 @@
         self.assertEqual(self.callers.ends, {EndCause.CALLER_HALF_CLOSED: 1})
         self.assertEqual(self.callers.unanswered, {})
 
+    # Failure: the reset of a stream that was cut as it began left its caller no byte.
+    @on_loopback
+    async def test_stream_that_is_cut_as_it_begins_is_seen(self) -> None:
+        client, handle = await self.send_request(REQUEST)
+        half_close(client)
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.callers.open_answer(handle, Exchange(1, UPSTREAM, status=200))
+        self.callers.write_pieces(handle, PIECE)
+        self.callers.abort(handle)
+        await self.wait_for_end(client)
+        self.assertIn(PIECE, client.received)
+        self.assertNotIn(LAST_CHUNK, client.received)
+
     @on_loopback
     async def test_requests_read_behind_it_are_not_passed_on(self) -> None:
         for count in (2, 5):
