--- a/src/magnoliahold/core/serving/systems/pauses.py
+++ b/src/magnoliahold/core/serving/systems/pauses.py
@@ -11,7 +11,6 @@
 def detect_pause(world: ServingWorld, now: float) -> None:
     """Records by how much the tick is late; schedules scans.
 
-    What arrived during the tick before, however long that took, has been read since.
     Resets all silence timers after a pause of this process.
     """
     before = world.last_tick_at
@@ -22,8 +21,7 @@
     if before is None:
         world.started_at = now
         return
-    late_s = now - max(before + world.policy.tick_s, world.last_tick_ended_at)
-    world.late_s = max(0.0, late_s)
+    world.late_s = max(0.0, now - before - world.policy.tick_s)
     if world.late_s <= world.serving_policy.watch.pause_s:
         return
     for attempt in world.requests.attempts.values():
--- a/src/magnoliahold/node.py
+++ b/src/magnoliahold/node.py
@@ -97,9 +97,8 @@
     """The world of one process with its clock and ports.
 
     Events that arrive in the same iteration of the clock are applied together in one
-    tick. Between two ticks the clock reads what has arrived: never two run in the same
-    iteration, of which the second would take what waits unread for silence. With
-    `raise_violations`, as in tests, failed ticks and effects raise their exceptions.
+    tick. With `raise_violations`, as in tests, failed ticks and effects raise their
+    exceptions.
     """
 
     clock: Clock
@@ -157,13 +156,13 @@
             return
         for effect in pending:
             self._perform_isolated(effect)
-        self.world.last_tick_ended_at = ended = self.clock.seconds()
-        self.longest_tick_s = max(self.longest_tick_s, ended - started)
+        self.longest_tick_s = max(self.longest_tick_s, self.clock.seconds() - started)
 
     def run_pending_tick(self) -> None:
         """Runs the tick that posted events wait for, if there is one."""
-        if self.running and self._tick_call is not None:
-            self._tick_call.cancel()
+        call = self._tick_call
+        if self.running and call is not None and call.active():
+            call.cancel()
             self._tick_call = None
             self.run_tick()
 
@@ -188,16 +187,10 @@
 
     def _run_posted_tick(self) -> None:
         self._tick_call = None
-        if not self.running:
-            return
-        if self._periodic_call.getTime() <= self.clock.seconds():
-            self._periodic_call.reset(self.world.policy.tick_s)
-        self.run_tick()
+        if self.running:
+            self.run_tick()
 
     def _run_periodic_tick(self) -> None:
-        if self._tick_call is not None:
-            self._tick_call.cancel()
-            self._tick_call = None
         interval = self.world.policy.tick_s
         self._periodic_call = self.clock.callLater(interval, self._run_periodic_tick)
         self.run_tick()
