--- a/src/magnoliahold/entry/untaken.py
+++ b/src/magnoliahold/entry/untaken.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from magnoliahold.serving.sockets import count_undelivered
+from magnoliahold.serving.sockets import count_undelivered, count_unwritten
 
 if TYPE_CHECKING:
     from magnoliahold.runtime import Clock
@@ -54,5 +54,4 @@
     """Counts the bytes that a caller hasn't received, in the kernel's queue too."""
     if transport is None or not transport.connected:
         return 0
-    unwritten = len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-    return int(unwritten) + count_undelivered(transport.getHandle())
+    return count_unwritten(transport) + count_undelivered(transport.getHandle())
--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -24,6 +24,7 @@
 from magnoliahold.serving.idletimes import LOOKS_PER_TIMEOUT, STALLED_TIMEOUTS, IdleTime
 from magnoliahold.serving.sockets import (
     count_undelivered,
+    count_unwritten,
     has_ended,
     has_unread_bytes,
     is_reset,
@@ -93,9 +94,7 @@
     @property
     def unwritten_bytes(self) -> int:
         """How much of answers still waits to be written to the socket."""
-        transport: Any = self.transport
-        in_buffer = len(transport.dataBuffer) - transport.offset
-        return int(in_buffer + transport._tempDataLen)
+        return count_unwritten(self.transport)
 
     @property
     def untaken_bytes(self) -> int:
--- a/src/magnoliahold/serving/sockets.py
+++ b/src/magnoliahold/serving/sockets.py
@@ -6,7 +6,7 @@
 from fcntl import ioctl
 from socket import MSG_PEEK, SO_ERROR, SOL_SOCKET
 from termios import TIOCOUTQ
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from socket import socket
@@ -30,6 +30,12 @@
         return False
 
 
+def count_unwritten(transport: Any) -> int:
+    """Counts the bytes that a connection still has to write to its socket."""
+    in_buffer = len(transport.dataBuffer) - transport.offset
+    return int(in_buffer + transport._tempDataLen)
+
+
 def count_undelivered(connection: socket) -> int:
     """Counts the bytes in the send queue that the peer hasn't acknowledged."""
     found = ioctl(connection, TIOCOUTQ, bytes(COUNT.size))
