--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -258,12 +258,13 @@
     def _start_sidecar(self, upstream: str, kind: str) -> None:
         name = f"sidecar-{upstream}"
         link_port = find_free_port()
+        self.ports[f"{name}.operator"] = find_free_port()
         settings = {
             "name": name,
             "data_centre": "dc-1",
             "address": LOOPBACK,
             "link_port": link_port,
-            "operator_port": find_free_port(),
+            "operator_port": self.ports[f"{name}.operator"],
             "platform": {"base_url": self._make_url("platform")},
             "upstream": {
                 "kind": kind,
