Hold a body once: write it upstream in pieces, count an answer until it is passed on

Of a crowd's 40 whole bodies of 4 MiB the entry held each twice (398 MB at the peak): the body itself, and its copy in the buffer of the upstream's connection. Answers were counted until they were complete, and held uncounted from there to the tick that passes them on.

A body is written in pieces of 64 KiB, as fast as its upstream reads it. An answer that begins before its request is written whole is passed on at once, and its connection is not used again; one that is too long resets it and counts as no crash.

--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -21,6 +21,9 @@
 # How long a connection that is being closed may wait for the rest of its request.
 CLOSE_TIMEOUT_S = 0.5
 
+# The state of a connection whose request isn't written whole.
+TRANSMITTING = "TRANSMITTING"
+
 logger = make_part_logger("http")
 
 
@@ -52,8 +55,22 @@
         """Sends a request; bounds the head of its answer."""
         self.allow_bytes(MAX_HEAD_BYTES)
         answer: Any = super().request(request)
+        if self.state == TRANSMITTING and self._responseDeferred is not None:
+            self._responseDeferred.addCallback(self._begin_early_answer)
         return answer.addCallback(self._begin_body)
 
+    def _begin_early_answer(self, response: Any) -> Any:
+        """Passes on an answer that begins before its request is written whole.
+
+        Nothing else may follow that request on the connection.
+        """
+        if self.state == TRANSMITTING:
+            self.dirty = True
+            self._state = "WAITING"
+            finished: Any = self._finishedRequest
+            finished.callback(response)
+        return response
+
     def allow_bytes(self, count: float) -> None:
         """Sets how many more bytes of the current answer may arrive."""
         self._allowed_bytes = count
@@ -113,7 +130,9 @@
             return
         self.rejection = reason
         self.reset_now()
-        self._disconnectParser(reason)  # type: ignore[no-untyped-call]
+        # A request that is still being written fails with its connection.
+        if self.state != TRANSMITTING:
+            self._disconnectParser(reason)  # type: ignore[no-untyped-call]
 
 
 class BoundedClientFactory(Factory):
--- a/src/magnoliahold/httpconnections.py
+++ b/src/magnoliahold/httpconnections.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from attrs import frozen
-from twisted.internet.defer import maybeDeferred, succeed
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.endpoints import (
     HostnameEndpoint,
     TCP4ClientEndpoint,
@@ -26,7 +26,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
     from twisted.web.client import URI
 
@@ -39,6 +38,10 @@
 # The longest body is half of this; its framing may take as many bytes.
 MAX_BODY_WIRE_BYTES = 32 * 1024 * 1024
 
+# How much of a body is written at once, and how much of it may wait to be sent.
+PIECE_BYTES = 64 * 1024
+MAX_UNSENT_BYTES = 2 * PIECE_BYTES
+
 HeaderPairs = tuple[tuple[str, str], ...]
 
 
@@ -155,24 +158,44 @@
 
 @implementer(IBodyProducer)
 class BytesProducer:
-    """Writes a body of known length in one piece."""
+    """Writes a body of known length, a long one as fast as the server reads it."""
 
     def __init__(self, body: bytes) -> None:
         self._body = body
         self.length = len(body)
+        self._sent = 0
+        self._paused = False
+        self._consumer: Any = None
+        self._finished: Deferred[None] = Deferred()
 
     def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
-        consumer.write(self._body)
-        return succeed(None)
+        """Begins to write; the Deferred fires when all is written."""
+        self._consumer = consumer
+        self._write()
+        return self._finished
 
     def pauseProducing(self) -> None:  # noqa: N802
-        pass
+        """Writes no more for now: too much of it waits to be sent."""
+        self._paused = True
 
     def resumeProducing(self) -> None:  # noqa: N802
-        pass
+        """Writes on."""
+        self._paused = False
+        self._write()
 
     def stopProducing(self) -> None:  # noqa: N802
-        pass
+        """Writes no more: the connection is lost, or the request was given up."""
+        self._paused = True
+        self._body = b""
+
+    def _write(self) -> None:
+        while self._sent < self.length and not self._paused:
+            piece = self._body[self._sent : self._sent + PIECE_BYTES]
+            self._sent += len(piece)
+            self._consumer.write(piece)
+        if self._sent >= self.length and not self._finished.called:
+            self._body = b""
+            self._finished.callback(None)
 
 
 def read_headers(response: Any) -> HeaderPairs:
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -244,8 +244,8 @@
             self._report_interrupted(exchange, reason)
         else:
             exchange.finished = True
-            self.memory.release(exchange)
             if exchange.is_stream:
+                self.memory.release(exchange)
                 self.post(StreamEnded(exchange.attempt))
             elif exchange.head is not None:
                 self.post(AnswerReceived(exchange.attempt, exchange.head))
@@ -269,6 +269,7 @@
             return
         connection = exchange.connection
         lost = connection is not None and connection.close_reason is not None
+        lost = lost and exchange.rejection is None
         self._interrupt(exchange, describe_failure(failure), lost)
 
     def _interrupt(self, exchange: Exchange, reason: str, reset: bool) -> None:
@@ -301,8 +302,14 @@
         return self._exchanges.get(attempt)
 
     def remove(self, attempt: int) -> Exchange | None:
-        """Removes and returns an exchange whose answer is complete."""
-        return self._exchanges.pop(attempt, None)
+        """Removes and returns an exchange whose answer is complete.
+
+        Until then the answer is held.
+        """
+        exchange = self._exchanges.pop(attempt, None)
+        if exchange is not None:
+            self.memory.release(exchange)
+        return exchange
 
     def _free_body(self, exchange: Exchange) -> None:
         """Frees what was held of an answer that isn't passed on."""
