--- a/src/magnoliahold/core/serving/systems/crashes.py
+++ b/src/magnoliahold/core/serving/systems/crashes.py
@@ -13,6 +13,7 @@
 
 from magnoliahold.core.serving.convictions import gather_crashes, group_by_suspect
 from magnoliahold.core.serving.events import NoticeReceived
+from magnoliahold.core.serving.names import bound_name
 from magnoliahold.core.serving.requests import AttemptState
 from magnoliahold.core.serving.suspicions import (
     NAME_SEPARATOR,
@@ -91,7 +92,7 @@
     report = CrashReport(
         record.id,
         record.born_ms,
-        request.id,
+        bound_name(request.id),
         tuple(sorted(request.suspects)),
         round(at, 3),
         round(at - sent_s, 3),
--- a/src/magnoliahold/logs.py
+++ b/src/magnoliahold/logs.py
@@ -23,6 +23,8 @@
 MAX_LINEAR_SEARCH_SECRETS = 100
 MIN_SECRET_LENGTH = SECRET_PREFIX_LENGTH
 ROOT_NAME = "magnoliahold"
+MAX_FIELD_LENGTH = 1000
+MAX_FIELD_ITEMS = 100
 FIELDS = "fields"
 EXCLUDED_ATTRIBUTES = frozenset((*RESERVED_ATTRS, FIELDS))
 
@@ -103,7 +105,8 @@
         log_data["process"] = self.process_name
         log_data["message"] = record.getMessage()
         merge_record_extra(record, log_data, EXCLUDED_ATTRIBUTES)
-        log_data.update(getattr(record, FIELDS, {}))
+        fields = getattr(record, FIELDS, {})
+        log_data.update({name: shorten(value) for name, value in fields.items()})
         if record.exc_info:
             log_data["exception"] = self.formatException(record.exc_info)
 
@@ -119,6 +122,20 @@
         return REDACTOR.redact(super().serialize_log_record(log_data))
 
 
+def shorten(value: object) -> object:
+    """Returns the value of a field, cut if it is a long text or list.
+
+    Callers choose some of them, and pay less for their bytes than a log line costs.
+    """
+    if isinstance(value, str) and len(value) > MAX_FIELD_LENGTH:
+        # A secret that is cut couldn't be found any more.
+        start = REDACTOR.redact(value)[:MAX_FIELD_LENGTH]
+        return f"{start}... ({len(value)} characters)"
+    if isinstance(value, (list, tuple)):
+        return [shorten(item) for item in value[:MAX_FIELD_ITEMS]]
+    return value
+
+
 class PartLogger:
     """Logs the messages of one component under its prefix, with ids as fields."""
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,6 +11,8 @@
 from twisted.logger import Logger
 
 from magnoliahold.logs import (
+    MAX_FIELD_ITEMS,
+    MAX_FIELD_LENGTH,
     MAX_LINEAR_SEARCH_SECRETS,
     REDACTED,
     Redactor,
@@ -66,6 +68,19 @@
         (line,) = self.read_lines()
         self.assertIn("Lost a connection", line["message"])
 
+    # Failure: callers filled the log with the ids that they chose.
+    def test_long_fields_are_cut_and_show_no_part_of_a_secret(self) -> None:
+        secret = "s" * 30
+        register_secret(secret)
+        text = "x" * (MAX_FIELD_LENGTH - 10) + secret + "x" * 16_000
+        items = ["y" * 16_000] * (MAX_FIELD_ITEMS + 1)
+        make_part_logger("callers").info("Refused.", request=text, items=items)
+        (line,) = self.read_lines()
+        self.assertLess(len(line["request"]), 2 * MAX_FIELD_LENGTH)
+        self.assertNotIn("sss", line["request"])
+        self.assertEqual(len(line["items"]), MAX_FIELD_ITEMS)
+        self.assertLess(max(map(len, line["items"])), 2 * MAX_FIELD_LENGTH)
+
     def test_no_line_shows_a_registered_secret(self) -> None:
         register_secret(SECRET)
         logger = make_part_logger("caller")
