Bound what callers make an entry hold or compute, each and together

Each request had a bound, all of them together none, and a body was stored before anybody looked at its key.

All connections of a process now count in one sum (inbound/): buffers, heads, bodies, answers until their last byte is written. Beyond 15% of the instance's memory those are given up that make no progress, then those that hold most: a request that isn't whole gets 503 and Retry-After, an untaken answer is cut, requests behind one that runs are dropped. What runs is never given up; long requests run within half of the sum. The largest holder alone doesn't count, so that one request of the limit is always served. A body far over the limit is refused by its head or as soon as it is too long, and a long one by its key or route. Connections at an address are bounded by memory and descriptors; the least used one makes room. Chunks, header lines and requests are read in turns, some at a pass. Aborted connections free their buffers at once, since the collector may take long for that. Addresses for readiness and metrics take no bodies and 64 connections.

CallerChannel is split by what it decides: states, closing, timeouts, reading. Two tests of reading patch the module that it moved to.

--- a/src/magnoliahold/core/serving/policy.py
+++ b/src/magnoliahold/core/serving/policy.py
@@ -6,6 +6,7 @@
 from attrs.validators import ge, gt
 
 from magnoliahold.core.canary_analysis import DoubtLimits
+from magnoliahold.inbound.limits import IntakePolicy
 
 
 def _positive(default: float) -> float:
@@ -338,3 +339,4 @@
     peers: PeerPolicy = field(factory=PeerPolicy)
     leave: LeavePolicy = field(factory=LeavePolicy)
     load: LoadPolicy = field(factory=LoadPolicy)
+    intake: IntakePolicy = field(factory=IntakePolicy)
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
 from magnoliahold.core.effects import CountMetric
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import RefuseCaller
@@ -44,6 +46,16 @@
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 UNAVAILABLE = 503
+NO_ROUTE = "no route matches"
+UNKNOWN_CREDENTIAL = "the credential is unknown"
+
+
+@frozen
+class HeadRefusal:
+    """The answer to a request that is refused before its body is read."""
+
+    status: int
+    reason: str
 
 
 def admit_requests(world: ServingWorld, now: float) -> None:
@@ -59,7 +71,7 @@
         return
     route = configuration.find_route(caller.host, caller.path)
     if route is None:
-        _refuse(world, caller, NOT_FOUND, "no route matches")
+        _refuse(world, caller, NOT_FOUND, NO_ROUTE)
         return
     workspace = None
     if configuration.workspaces and not route.public:
@@ -68,7 +80,7 @@
             return
         workspace = configuration.workspaces_by_credential.get(caller.credential or "")
         if workspace is None:
-            _refuse(world, caller, UNAUTHORIZED, "the credential is unknown")
+            _refuse(world, caller, UNAUTHORIZED, UNKNOWN_CREDENTIAL)
             return
     if world.suspicions.quarantines and is_refused(world, find_suspects(caller)):
         retry_after_s = world.serving_policy.suspicion.retry_after_s
@@ -95,6 +107,24 @@
     _log_admission(world, request, configuration)
 
 
+def find_head_refusal(world: ServingWorld, caller: CallerRequest) -> HeadRefusal | None:
+    """Finds why a request can't be served, whatever its body holds; None if it may be.
+
+    What isn't known now may be known once the body has come.
+    """
+    configuration = world.configuration
+    if configuration is None:
+        return None
+    route = configuration.find_route(caller.host, caller.path)
+    if route is None:
+        return HeadRefusal(NOT_FOUND, NO_ROUTE)
+    if not configuration.workspaces or route.public or not _is_proof_fresh(world):
+        return None
+    if caller.credential not in configuration.workspaces_by_credential:
+        return HeadRefusal(UNAUTHORIZED, UNKNOWN_CREDENTIAL)
+    return None
+
+
 def _is_proof_fresh(world: ServingWorld) -> bool:
     age_s = world.measure_proof_age()
     return age_s is not None and age_s <= world.serving_policy.feeds.proof_max_age_s
--- /dev/null
+++ b/src/magnoliahold/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what those who connect can make a process hold or compute."""
--- a/src/magnoliahold/serving/sockets.py
+++ b/src/magnoliahold/inbound/sockets.py
@@ -36,6 +36,11 @@
     return int(in_buffer + transport._tempDataLen)
 
 
+def count_write_buffer(transport: Any) -> int:
+    """Counts the bytes that a connection holds until the last of them is written."""
+    return int(len(transport.dataBuffer) + transport._tempDataLen)
+
+
 def count_undelivered(connection: socket) -> int:
     """Counts the bytes in the send queue that the peer hasn't acknowledged."""
     found = ioctl(connection, TIOCOUTQ, bytes(COUNT.size))
--- a/src/magnoliahold/serving/callerexchanges.py
+++ b/src/magnoliahold/serving/callerexchanges.py
@@ -7,6 +7,7 @@
 
 from twisted.web.http import Request
 
+from magnoliahold.httpconnections import MAX_UNSENT_BYTES
 from magnoliahold.serving.connectionends import EndCause
 
 if TYPE_CHECKING:
@@ -21,9 +22,11 @@
     """
 
     handle = 0
+    head_bytes = 0
     body_bytes = 0
     body_limit = 0
     ended = False
+    _is_head_checked = False
     end_cause = EndCause.ANSWERED
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
@@ -33,16 +36,54 @@
         """
         self.body_limit = self._callers.limits.body_bytes
         self.content = BytesIO()
+        if length is not None:
+            self._check_length(length)
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the body is larger than a body may be, as far as it was read."""
+        return self.body_bytes > self.body_limit
+
+    def _check_length(self, length: int) -> None:
+        """Rejects the request if a body of this length isn't to be read to its end.
+
+        Only a caller who may be served can make the entry hold a long one. What is a
+        little too large is discarded, so that requests behind it can be answered.
+        """
+        channel: Any = self.channel
+        short_bytes = channel.intake.policy.short_bytes
+        if length > self.body_limit + short_bytes:
+            channel.reject(EndCause.BODY_TOO_LARGE)
+        elif length > short_bytes and not self._is_head_checked:
+            self._is_head_checked = True
+            self._callers.check_head(self)
 
     def parseCookies(self) -> None:  # noqa: N802
         """Doesn't parse cookies; the upstream does."""
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Adds to the body; bytes beyond the size limit are discarded."""
+        """Adds to the body, of which nothing is kept once it is too large."""
+        if self.ended:
+            return
         self.body_bytes += len(data)
-        if self.body_bytes <= self.body_limit:
+        self._check_length(self.body_bytes)
+        if self.is_too_large:
+            self.content = BytesIO()
+        elif not self.ended:
             super().handleContentChunk(data)  # type: ignore[no-untyped-call]
 
+    def count_held(self) -> int:
+        """Counts the bytes that the request takes, and its copy on the way upstream."""
+        if self.is_too_large:
+            return self.head_bytes
+        copied_bytes = min(self.body_bytes, MAX_UNSENT_BYTES)
+        return self.head_bytes + self.body_bytes + copied_bytes
+
+    def drop_body(self) -> None:
+        """Frees the body of a request that is rejected."""
+        self.head_bytes = self.body_bytes = 0
+        self.content = BytesIO()
+
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
@@ -84,6 +125,11 @@
         channel.persistent = False
         self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
+    def close_connection_unless_begun(self) -> None:
+        """Does the same, unless the head of this answer was written without it."""
+        if not self.startedWriting:
+            self.close_connection_after()
+
     def close_connection_unless_used(self) -> None:
         """Does the same, unless the caller has already sent or may send a next request.
 
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -8,26 +8,24 @@
 from attrs import define, field
 from twisted.internet.protocol import ServerFactory
 
-from magnoliahold.core.serving.configuration import MAX_NUMBER, CallerLimits
+from magnoliahold.core.serving.configuration import CallerLimits
 from magnoliahold.core.serving.events import (
     CallerDisconnected,
     CallerHalfClosed,
     RequestArrived,
 )
+from magnoliahold.core.serving.systems.admission import HeadRefusal
 from magnoliahold.core.serving.systems.completion import HALF_CLOSED
-from magnoliahold.decoding import describe_error
+from magnoliahold.inbound.intake import make_intake
 from magnoliahold.logs import make_part_logger
-from magnoliahold.platform.callers import (
-    BadRequest,
-    make_refusal_headers,
-    read_caller_request,
-)
+from magnoliahold.platform.callers import BadRequest, make_refusal_headers
 from magnoliahold.serving.callerconnections import CallerChannel
 from magnoliahold.serving.callerlimits import (
     LimitHistory,
     read_header_timeout,
     read_idle_timeout,
 )
+from magnoliahold.serving.callerrequests import read_request
 from magnoliahold.serving.connectionends import (
     LOST_CAUSES,
     EndCause,
@@ -41,9 +39,10 @@
     from collections.abc import Callable
 
     from twisted.python.failure import Failure
-    from twisted.web.http_headers import Headers
 
     from magnoliahold.core.serving.requests import CallerRequest
+    from magnoliahold.inbound.connections import ConnectionTable
+    from magnoliahold.inbound.intake import Intake
     from magnoliahold.runtime import Clock
     from magnoliahold.serving.callerexchanges import CallerExchange
     from magnoliahold.serving.exchanges import Exchange
@@ -52,6 +51,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 CONTENT_TOO_LARGE = 413
+# Why a whole request is refused that isn't short, though it could be served.
+MEMORY_FULL = "the requests that run hold too much"
 
 logger = make_part_logger("callers")
 
@@ -74,25 +75,14 @@
         """Writes no access log: the end of each request is logged as a decision."""
 
 
-def check_numbers(caller: CallerRequest) -> None:
-    """Raises BadRequest if a number is too large to reckon with."""
-    numbers = [part.tokens for part in caller.prompt]
-    if max(*numbers, caller.resume_after or 0, 0) > MAX_NUMBER:
-        raise BadRequest(f"send no number above {MAX_NUMBER}")
-
-
-def check_host(headers: Headers) -> None:
-    """Raises BadRequest if there are several hosts, of which none can be passed on."""
-    if len(headers.getRawHeaders("Host", [])) > 1:
-        raise BadRequest("send one Host")
-
-
 @define(eq=False)
 class Callers:
     """The callers' connections and their open requests by handle.
 
-    `refusing_because` is why all requests are refused; it is empty if they aren't.
-    Their callers may retry after `refused_for_s`, if that is known.
+    `intake` bounds what all connections hold together. `find_head_refusal` decides by
+    a request's head alone whether it is refused. `refusing_because` is why all requests
+    are refused; it is empty if they aren't. Their callers may retry after
+    `refused_for_s`, if that is known.
     `unanswered` counts the requests whose connection ended before their answer, by who
     ended it; `ends` counts all connections that ended. `is_stopping` is set when the
     process stops, which ends all connections.
@@ -101,7 +91,10 @@
     clock: Clock
     post: Callable[[object], None]
     first_limits: CallerLimits = field(factory=CallerLimits)
-    channels: set[CallerChannel] = field(factory=set)
+    intake: Intake = field()
+    find_head_refusal: Callable[[CallerRequest], HeadRefusal | None] = field(
+        default=lambda _: None
+    )
     unanswered: Counter[str] = field(factory=Counter)
     ends: Counter[EndCause] = field(factory=Counter)
     is_stopping: bool = False
@@ -110,12 +103,26 @@
     _open_requests: dict[int, CallerExchange] = field(factory=dict)
     _contents: dict[int, RequestContent] = field(factory=dict)
     _next_handle: int = 1
+    connections: ConnectionTable = field(init=False)
     _limits: LimitHistory = field(init=False)
 
+    @intake.default
+    def _make_intake(self) -> Intake:
+        return make_intake(self.clock)
+
+    @connections.default
+    def _make_connections(self) -> ConnectionTable:
+        return self.intake.add_callers()
+
     @_limits.default
     def _make_limits(self) -> LimitHistory:
         return LimitHistory(self.first_limits)
 
+    @property
+    def channels(self) -> set[CallerChannel]:
+        """The open connections."""
+        return self.connections.channels
+
     @property
     def limits(self) -> CallerLimits:
         """The limits in force."""
@@ -165,35 +172,44 @@
             )
             self._reject(exchange, UNAVAILABLE, HALF_CLOSED)
             return
-        if exchange.body_bytes > exchange.body_limit:
+        if exchange.is_too_large:
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
             return
+        channel: Any = exchange.channel
+        if not self.intake.memory.admits_whole(channel, exchange.body_bytes):
+            logger.gather("Request refused.", status=UNAVAILABLE, reason=MEMORY_FULL)
+            retry_after_s = self.intake.policy.retry_after_s
+            self._reject(exchange, UNAVAILABLE, MEMORY_FULL, retry_after_s)
+            return
         content: Any = exchange.content
         body = content.getvalue()
+        head = (exchange.method, exchange.uri, exchange.requestHeaders)
         try:
-            check_host(exchange.requestHeaders)
-            caller = read_caller_request(
-                exchange.handle,
-                exchange.method.decode("ascii", "replace"),
-                exchange.uri.decode("ascii", "replace"),
-                exchange.requestHeaders,
-                body,
-            )
-            check_numbers(caller)
+            caller = read_request(exchange.handle, *head, body)
         except BadRequest as error:
             self._reject(exchange, BAD_REQUEST, str(error))
             return
-        except (ValueError, ArithmeticError) as error:
-            reason = describe_error(error)
-            logger.gather("Request can't be read and is refused.", reason=reason)
-            self._reject(exchange, BAD_REQUEST, "send headers that can be read")
-            return
         self._open_requests[exchange.handle] = exchange
-        self._contents[exchange.handle] = RequestContent(
-            exchange.method, exchange.uri, exchange.requestHeaders, body
-        )
+        self._contents[exchange.handle] = RequestContent(*head, body)
         self.post(RequestArrived(caller))
 
+    def check_head(self, exchange: CallerExchange) -> None:
+        """Rejects a request that its head alone refuses, before its body is read."""
+        channel: Any = exchange.channel
+        head = (channel._command, channel._path, exchange.requestHeaders)
+        try:
+            refusal = self.find_head_refusal(read_request(0, *head))
+        except BadRequest as error:
+            refusal = HeadRefusal(BAD_REQUEST, str(error))
+        if refusal is not None:
+            logger.gather(
+                "Request rejected by its head.",
+                request=exchange.find_id(),
+                status=refusal.status,
+                reason=refusal.reason,
+            )
+            channel.reject(EndCause.REFUSED_BY_HEAD, refusal.status)
+
     def _reject(
         self,
         exchange: CallerExchange,
@@ -277,6 +293,7 @@
         if closing or exchange.is_half_closed:
             exchange.close_connection_unless_used()
         body = b"".join(upstream.body)
+        upstream.body.clear()
         head = (upstream.status, upstream.headers)
         self._write_or_abort(exchange, exchange.write_complete_answer, *head, body)
 
@@ -370,9 +387,16 @@
     def read_waiting(self, until: float) -> None:
         """Reads what callers have sent, as long as the time isn't past `until`."""
 
+        self.intake.turns.are_lifted = True
+
         def read(channel: CallerChannel) -> None:
-            while self.clock.seconds() < until and channel.has_readable:
-                channel.read_waiting()
+            while self.clock.seconds() < until:
+                if channel.waits_for_turn:
+                    channel.take_turn()
+                elif channel.has_readable:
+                    channel.read_waiting()
+                else:
+                    return
 
         self._visit_channels(read)
 
--- a/src/magnoliahold/serving/connectionends.py
+++ b/src/magnoliahold/serving/connectionends.py
@@ -48,6 +48,10 @@
     IDLE_AT_STOP = "it was idle when the entry stopped"
     PROCESS_STOPPED = "the process stopped"
     UNHANDLED_ERROR = "an unhandled error"
+    BODY_TOO_LARGE = "the body of its request is too large"
+    REFUSED_BY_HEAD = "the head of its request was refused"
+    MEMORY_FULL = "all requests together hold too much"
+    NO_ROOM = "it was closed to make room for other connections"
     CALLER_LEFT_IDLE = "the caller closed it idle"
     CALLER_LEFT_READING = "the caller left before its request was read"
     CALLER_LEFT_WAITING = "the caller left before its answer began"
@@ -69,7 +73,14 @@
 # Ends that leave a request without its answer, whatever the connection shows.
 LOST_CAUSES = frozenset({EndCause.DISCARDED, EndCause.NOT_TAKEN})
 # Rejections of what was read behind another request.
-REJECTION_CAUSES = frozenset({EndCause.MALFORMED, EndCause.HEADERS_TOO_LARGE})
+REJECTION_CAUSES = frozenset(
+    {
+        EndCause.MALFORMED,
+        EndCause.HEADERS_TOO_LARGE,
+        EndCause.BODY_TOO_LARGE,
+        EndCause.REFUSED_BY_HEAD,
+    }
+)
 # Ends that may follow from a caller that had closed its writing side.
 HALF_CLOSED_CAUSES = ANNOUNCED_CAUSES | REJECTION_CAUSES | {EndCause.ANSWER_CUT}
 # How far requests had come whose callers had closed their writing side.
@@ -84,6 +95,8 @@
     EndCause.BODY_LATE: 408,
     EndCause.UNFINISHED_AT_STOP: 408,
     EndCause.UNHANDLED_ERROR: 500,
+    EndCause.BODY_TOO_LARGE: 413,
+    EndCause.MEMORY_FULL: 503,
 }
 
 
@@ -99,6 +112,11 @@
         self.count += len(data)
         self._kept += data[: KEPT_BYTES - len(self._kept)]
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many of them are kept."""
+        return len(self._kept)
+
     @property
     def hold_request(self) -> bool:
         """Whether they begin with a whole request."""
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -12,12 +12,12 @@
 from twisted.internet.main import CONNECTION_DONE
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from magnoliahold.core.events import LeaveRequested
 from magnoliahold.core.policy import Policy
 from magnoliahold.core.serving.entry import SERVING_SYSTEMS
 from magnoliahold.core.serving.peers import PeerRecord
+from magnoliahold.core.serving.systems.admission import find_head_refusal
 from magnoliahold.core.serving.systems.completion import choose_retry_after
 from magnoliahold.core.serving.systems.feeds import restart_feed_calls
 from magnoliahold.core.serving.systems.leaving import STOP_REASON, find_unready_reason
@@ -25,6 +25,8 @@
 from magnoliahold.daemon import make_identity, run_until_stopped, stop_reactor
 from magnoliahold.endpoints import parse_endpoint
 from magnoliahold.health import TextResource
+from magnoliahold.inbound.intake import make_intake
+from magnoliahold.inbound.sites import BoundedSite
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import configure_logging, make_part_logger, set_log_level
 from magnoliahold.logwriting import NonBlockingStream, RateFilter
@@ -35,6 +37,7 @@
 from magnoliahold.serving.callers import CallerFactory, Callers
 from magnoliahold.serving.connections import ConnectionPool
 from magnoliahold.serving.copies import KvCacheCopier
+from magnoliahold.serving.memory import AnswerMemory
 from magnoliahold.serving.notices import NoticePort, NoticeProtocol
 from magnoliahold.serving.performers import ServingPorts
 from magnoliahold.serving.prompts import PromptListClient
@@ -82,13 +85,14 @@
         self.node.start_ticks()
         settings = self.settings
         self.listeners.append(self._listen_on(settings.callers, CallerFactory(callers)))
-        for address, path, read in (
-            (settings.readiness, READY_PATH, self._read_readiness),
-            (settings.metrics, "/metrics", self._read_metrics),
+        intake = callers.intake
+        for name, address, path, read in (
+            ("readiness", settings.readiness, READY_PATH, self._read_readiness),
+            ("metrics", settings.metrics, "/metrics", self._read_metrics),
         ):
             if address is not None:
-                site = Site(make_resource(path, read))
-                site.noisy = False
+                table = intake.add_other(name)
+                site = BoundedSite(make_resource(path, read), intake, table)
                 self.auxiliary_listeners.append(self._listen_on(address, site))
         if settings.peers is not None:
             own = parse_endpoint(settings.peers)
@@ -218,6 +222,7 @@
         for cause, count in self.node.ports.callers.ends.items():
             label = cause.name.lower()
             self.metrics.set_gauge("connections_ended", count, cause=label)
+        self.node.ports.callers.intake.report(self.metrics)
         age_s = self.node.world.measure_proof_age()
         if age_s is not None:
             self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
@@ -257,8 +262,22 @@
     )
     ports: Any = None
     node = Node(reactor, world, SERVING_SYSTEMS, ports)
-    callers = Callers(reactor, node.post_event)
-    exchanges = UpstreamExchanges(reactor, node.post_event, ConnectionPool(reactor))
+    bounds = settings.bounds
+    intake = make_intake(
+        reactor,
+        world.serving_policy.intake,
+        bounds.memory_mb,
+        bounds.max_descriptors,
+    )
+    callers = Callers(
+        reactor,
+        node.post_event,
+        intake=intake,
+        find_head_refusal=lambda caller: find_head_refusal(world, caller),
+    )
+    answers = AnswerMemory(intake.memory.limits.answer_bytes)
+    pool = ConnectionPool(reactor)
+    exchanges = UpstreamExchanges(reactor, node.post_event, pool, answers)
     store_url = f"http://{settings.store}"
     store = StoreClient(reactor, store_url, node.post_event, read_boot_clock)
     daemon = ServingDaemon(reactor, settings, node, metrics, on_stopped)
@@ -349,4 +368,9 @@
     if daemon.is_leaving:
         policy = evolve(policy, leave=world.serving_policy.leave)
     world.serving_policy = policy
+    bounds = settings.bounds
+    intake = daemon.node.ports.callers.intake
+    intake.apply(policy.intake, bounds.memory_mb, bounds.max_descriptors)
+    answers = daemon.node.ports.upstreams.memory
+    answers.limit_bytes = intake.memory.limits.answer_bytes
     logger.info("Settings reloaded.", name=settings.name)
--- a/src/magnoliahold/serving/memory.py
+++ b/src/magnoliahold/serving/memory.py
@@ -40,7 +40,7 @@
 
 @define(eq=False)
 class AnswerMemory:
-    """The bytes of all bodies, and pieces of streams, that are held until complete.
+    """The bytes of all bodies, and pieces of streams, that aren't passed on yet.
 
     Beyond `limit_bytes`, of those longer than `SHORT_BYTES` only the oldest is read on:
     it is passed on or given up sooner or later, which frees what it held.
@@ -49,6 +49,7 @@
     limit_bytes: int = MAX_HELD_BYTES
     held_bytes: int = 0
     _bytes_by_answer: dict[PausableAnswer, int] = field(factory=dict)
+    _complete: dict[PausableAnswer, int] = field(factory=dict)
 
     def hold(self, answer: PausableAnswer, size: int) -> None:
         """Sets how much of an answer is held; pauses it if all take too much."""
@@ -67,10 +68,19 @@
                 answers=len(self._bytes_by_answer),
             )
 
+    def complete(self, answer: PausableAnswer) -> None:
+        """Lets others be the oldest that is read; the answer counts until released."""
+        self._complete[answer] = self._bytes_by_answer.pop(answer, 0)
+        self._resume_others()
+
     def release(self, answer: PausableAnswer) -> None:
         """Removes what was passed on or given up, and lets others go on."""
         self.held_bytes -= self._bytes_by_answer.pop(answer, 0)
+        self.held_bytes -= self._complete.pop(answer, 0)
         answer.resume_reading(PauseReason.MEMORY)
+        self._resume_others()
+
+    def _resume_others(self) -> None:
         if self.held_bytes <= self.limit_bytes:
             for other in list(self._bytes_by_answer):
                 other.resume_reading(PauseReason.MEMORY)
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -248,6 +248,7 @@
                 self.memory.release(exchange)
                 self.post(StreamEnded(exchange.attempt))
             elif exchange.head is not None:
+                self.memory.complete(exchange)
                 self.post(AnswerReceived(exchange.attempt, exchange.head))
 
     def _is_complete(self, exchange: Exchange, reason: Failure) -> bool:
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -62,7 +62,9 @@
     `exposure_share` of a service's requests plus `exposure_extra`. All entries together
     may retry up to `retry_ratio` of a service's requests within `retry_window_s`, plus
     `retry_extra`. An upstream gets no request later than `drain_ms` after it has
-    registered that it is leaving. An instance's link carries `link_mbps`.
+    registered that it is leaving. An instance's link carries `link_mbps`. A process may
+    take `memory_mb`, 128 if that isn't given, and have `max_descriptors` open; without
+    those, as many count as the system allows it.
     """
 
     revocation_ms: float = field(
@@ -78,6 +80,12 @@
         metadata=checks(require_range(100, 600_000)), default=2000.0
     )
     link_mbps: float = field(metadata=checks(require_range(0.1, 1e6)), default=1000.0)
+    memory_mb: float | None = field(
+        metadata=checks(require_range(64, 1e6)), default=None
+    )
+    max_descriptors: int | None = field(
+        metadata=checks(require_range(64, 10_000_000)), default=None
+    )
 
 
 @frozen
--- a/tests/core/serving/test_names.py
+++ b/tests/core/serving/test_names.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.names import MAX_NAME_LENGTH, bound_name
 from magnoliahold.core.serving.peers import LoadNotice, PrefixCacheLocation
-from magnoliahold.core.serving.requests import PromptPart
 from magnoliahold.platform.callers import MAX_PROMPT_PARTS, read_caller_request
 from magnoliahold.serving.notices import MAX_ITEMS, encode_notice
 
+if TYPE_CHECKING:
+    from magnoliahold.core.serving.requests import PromptPart
+
 MAX_DATAGRAM_BYTES = 65_507
 LONG = "a" * 16_000
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -15,9 +15,9 @@
     RequestArrived,
 )
 from magnoliahold.core.serving.upstreams import UpstreamRecord
-from magnoliahold.serving.callerconnections import FRESH_S
 from magnoliahold.serving.callerlimits import LimitHistory
 from magnoliahold.serving.callers import CallerFactory, Callers
+from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
 
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -4,12 +4,14 @@
 
 import unittest
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 from attrs import evolve
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
-from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.core.serving.systems.admission import HeadRefusal
+from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.connectionends import DiscardedBytes, EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
@@ -21,6 +23,7 @@
     REQUEST,
     UPSTREAM,
     CallerTestCase,
+    set_limits,
 )
 from tests.serving.test_daemon import DaemonTestCase
 
@@ -59,6 +62,11 @@
 
 
 class ConnectionEndTests(CallerTestCase):
+    @property
+    def channels(self) -> set[Any]:
+        """The connections of callers."""
+        return self.callers.channels
+
     async def answer(self, content: bytes, body: bytes = b"x") -> tuple[Client, int]:
         """Sends a request and answers it; the connection closes behind that."""
         client, handle = await self.send_request(content)
@@ -107,6 +115,29 @@
     async def end_with_large_headers(self) -> None:
         await self.connect(HEAD + b"X: " + b"x" * 700 + b"\r\n\r\n")
 
+    async def end_with_large_body(self) -> None:
+        await self.connect(HEAD + b"Content-Length: 99999999\r\n\r\n")
+
+    async def end_refused_by_head(self) -> None:
+        refusal = HeadRefusal(401, "the credential is unknown")
+        with patch.object(self.callers, "find_head_refusal", return_value=refusal):
+            set_limits(self.callers, evolve(LIMITS, body_bytes=9_000_000))
+            await self.connect(HEAD + b"Content-Length: 100000\r\n\r\n")
+            await self.wait_until(lambda: bool(self.callers.ends))
+        set_limits(self.callers, LIMITS)
+
+    async def end_with_full_memory(self) -> None:
+        await self.connect(REQUEST[:-1])
+        await self.wait_until(lambda: any(item.requests for item in self.channels))
+        (channel,) = self.channels
+        channel.give_up()
+
+    async def end_for_room(self) -> None:
+        await self.connect(b"")
+        await self.wait_until(lambda: bool(self.channels))
+        (channel,) = self.channels
+        channel.close_for_room()
+
     async def end_with_late_headers(self) -> None:
         await self.connect(HEAD)
 
@@ -251,6 +282,10 @@
             (self.end_after_failed_tick, EndCause.FAILED_TICK, ""),
             (self.end_malformed, EndCause.MALFORMED, ""),
             (self.end_with_large_headers, EndCause.HEADERS_TOO_LARGE, ""),
+            (self.end_with_large_body, EndCause.BODY_TOO_LARGE, ""),
+            (self.end_refused_by_head, EndCause.REFUSED_BY_HEAD, ""),
+            (self.end_with_full_memory, EndCause.MEMORY_FULL, ""),
+            (self.end_for_room, EndCause.NO_ROOM, ""),
             (self.end_with_late_headers, EndCause.HEADERS_LATE, ""),
             (self.end_with_late_body, EndCause.BODY_LATE, ""),
             (self.end_unfinished_at_stop, EndCause.UNFINISHED_AT_STOP, ""),
--- a/tests/serving/test_end_causes.py
+++ b/tests/serving/test_end_causes.py
@@ -95,6 +95,15 @@
     async def end_with_large_headers(self) -> None:
         await self.send(CALL[:-6] + b"\r\nX: " + b"x" * 900 + b"\r\n\r\n")
 
+    async def end_with_large_body(self) -> None:
+        await self.send(CALL.replace(b"Length: 2", b"Length: 99999999"))
+
+    async def end_refused_by_head(self) -> None:
+        unknown = CALL.replace(b"key-1", b"key-9")
+        await self.start_case()
+        set_limits(self.callers, evolve(LIMITS_OF_CASES, body_bytes=9_000_000))
+        await self.connect(unknown.replace(b"Length: 2", b"Length: 100000"))
+
     async def end_with_late_headers(self) -> None:
         await self.send_late(CALL[:40], header_timeout_s=SHORT_S)
 
@@ -151,6 +160,8 @@
         yield self.end_refused, EndCause.REFUSED, ""
         yield self.end_malformed, EndCause.MALFORMED, ""
         yield self.end_with_large_headers, EndCause.HEADERS_TOO_LARGE, ""
+        yield self.end_with_large_body, EndCause.BODY_TOO_LARGE, ""
+        yield self.end_refused_by_head, EndCause.REFUSED_BY_HEAD, ""
         yield self.end_with_late_headers, EndCause.HEADERS_LATE, ""
         yield self.end_with_late_body, EndCause.BODY_LATE, ""
         yield self.end_idle, EndCause.IDLE, ""
@@ -194,6 +205,35 @@
             with self.subTest(end.__name__):
                 await self.expect_end(end, cause, unanswered)
 
+    @on_loopback
+    async def test_requests_that_hold_too_much_together(self) -> None:
+        await self.start_entry()
+        memory = self.callers.intake.memory
+        memory.limits = evolve(memory.limits, held_bytes=1)
+        clients = [await self.send(CALL[:-1]) for _ in range(2)]
+        await self.wait_until(lambda: all(item.closed for item in clients))
+        for client in clients:
+            self.assertEqual(client.received.split()[1:2], [b"503"])
+            self.assertIn(b"Retry-After: ", client.received)
+        await self.wait_until(lambda: not self.channels)
+        self.assertEqual(self.callers.ends, {EndCause.MEMORY_FULL: 2})
+        self.assertEqual(memory.given_up, {"request": 2})
+        self.assertEqual(memory.held_bytes, 0)
+
+    @on_loopback
+    async def test_connection_that_makes_room_for_another(self) -> None:
+        await self.start_entry()
+        self.callers.connections.most = 1
+        silent = await self.send(b"")
+        await self.wait_until(lambda: bool(self.channels))
+        client = await self.send(CLOSING, WHOLE)
+        await self.wait_until(lambda: silent.closed and client.closed)
+        self.assertEqual(client.received.split()[1:2], [b"200"])
+        await self.wait_until(lambda: not self.channels)
+        expected = {EndCause.NO_ROOM: 1, EndCause.ANSWERED: 1}
+        self.assertEqual(self.callers.ends, expected)
+        self.assertEqual(self.callers.connections.closed, {"unused": 1})
+
     async def stop_beside_idle(self, daemon: ServingDaemon) -> None:
         await self.send(b"")
         await self.wait_until(lambda: bool(self.channels))
@@ -249,6 +289,7 @@
         reached = {cause for _, cause, _ in self.list_running_ends()}
         reached |= {EndCause.IDLE_AT_STOP, EndCause.UNFINISHED_AT_STOP}
         reached |= {EndCause.PROCESS_STOPPED, EndCause.FAILED_TICK}
+        reached |= {EndCause.MEMORY_FULL, EndCause.NO_ROOM}
         self.assertEqual(reached, set(EndCause))
 
 
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -5,7 +5,7 @@
 from typing import Any
 from unittest import mock
 
-from magnoliahold.serving import callers as callers_module
+from magnoliahold.serving import callerrequests
 from magnoliahold.serving.callerexchanges import CallerExchange
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
@@ -22,7 +22,7 @@
             with (
                 self.subTest(type(error).__name__),
                 mock.patch.object(
-                    callers_module, "read_caller_request", side_effect=error
+                    callerrequests, "read_caller_request", side_effect=error
                 ),
                 self.assertLogs("magnoliahold", "ERROR") as logs,
             ):
--- a/tests/serving/test_half_closed_callers.py
+++ b/tests/serving/test_half_closed_callers.py
@@ -13,7 +13,7 @@
 from twisted.internet.epollreactor import EPollReactor
 
 from magnoliahold.core.serving.events import CallerHalfClosed
-from magnoliahold.serving.callerconnections import LINGER_S
+from magnoliahold.serving.callerstates import LINGER_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import Clock
 
 from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
-from magnoliahold.serving.callerconnections import FRESH_S, LINGER_S
+from magnoliahold.serving.callerstates import FRESH_S, LINGER_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
--- a/tests/serving/test_late_in_a_stop.py
+++ b/tests/serving/test_late_in_a_stop.py
@@ -10,7 +10,7 @@
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.events import RequestArrived
 from magnoliahold.node import BROKEN_TABLES
-from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.daemon import reload_settings
 from magnoliahold.settings.loading import parse_serving_settings
 from tests.loopback import on_loopback
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -10,7 +10,7 @@
 
 from magnoliahold.core.serving.effects import DeliverAnswer
 from magnoliahold.node import perform_effect
-from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
 from tests.serving.stopping import StoppingTestCase
--- a/tests/serving/test_odd_requests.py
+++ b/tests/serving/test_odd_requests.py
@@ -4,7 +4,7 @@
 
 from unittest.mock import Mock, patch
 
-from magnoliahold.serving import callers
+from magnoliahold.serving import callerrequests
 from tests.loopback import on_loopback
 from tests.platform.test_foreign_rows import ERRORS
 from tests.serving.test_callers import GET, CallerTestCase
@@ -23,7 +23,7 @@
                 failing = Mock(side_effect=error("odd"))
                 with (
                     self.subTest(name, error=error.__name__),
-                    patch.object(callers, name, failing),
+                    patch.object(callerrequests, name, failing),
                     self.assertLogs("magnoliahold.callers", "WARNING") as logged,
                 ):
                     client = await self.connect(GET)
--- a/tests/serving/test_random_callers.py
+++ b/tests/serving/test_random_callers.py
@@ -16,7 +16,7 @@
 
 from attrs import define, evolve, field
 
-from magnoliahold.serving.callerconnections import HALF_CLOSED_LOOK_S
+from magnoliahold.serving.callerclosing import HALF_CLOSED_LOOK_S
 from magnoliahold.serving.callerlimits import REPLACED_LIMIT_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -9,7 +9,7 @@
 
 from attrs import evolve
 
-from magnoliahold.serving.callerconnections import FRESH_S
+from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
