Bound requests at the entries and sidecars of the own deployment

Forms were parsed as well.

Their sites use the same bounded connections: bodies stay in memory and in the sum of all, are refused by head if too long or if the key is unknown, and no form is parsed. Refusals (413, 503 memory_full) are the API's JSON. test_stops builds its site with the new class.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -15,6 +15,7 @@
 from magnoliahold.core.systems.membership import add_peer
 from magnoliahold.errors import ProcessBrokenError
 from magnoliahold.gatheredlines import LINES
+from magnoliahold.inbound.intake import make_intake
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import make_part_logger
 from magnoliahold.metrics import make_metrics
@@ -28,6 +29,7 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from magnoliahold.entry.untaken import UntakenAnswers
+    from magnoliahold.inbound.intake import Intake
     from magnoliahold.metrics import Metrics
     from magnoliahold.node import Node
     from magnoliahold.settings.model import (
@@ -51,7 +53,8 @@
     """One entry or sidecar process running on a reactor.
 
     `on_stopped` is called with the reason once the daemon has stopped. `broken` is
-    set when it stopped because a failed tick left its tables inconsistent. `untaken`
+    set when it stopped because a failed tick left its tables inconsistent. `intake`
+    bounds what those who connect make it hold. `untaken`
     are the answers that a stop waits for, until `finish_limit` on the reactor's clock.
     """
 
@@ -60,6 +63,7 @@
     node: Node
     links: ZmqLinks
     metrics: Metrics
+    intake: Intake
     on_stopped: Callable[[str], None]
     broken: bool = False
     listeners: list[Any] = field(factory=list)
@@ -100,6 +104,7 @@
         self.metrics.set_gauge("effects_failed", self.node.failed_effects)
         self.metrics.set_gauge("link_messages_broken", self.links.broken_messages)
         self.metrics.set_gauge("link_messages_dropped", self.links.dropped_messages)
+        self.intake.report(self.metrics)
         return self.metrics.render()
 
     def leave(self, reason: str) -> None:
@@ -181,7 +186,11 @@
         stop=stop_later,
     )
     node = make_node(ports)
-    daemon = Daemon(reactor, identity, node, links, metrics, on_stopped)
+    instance = settings.instance
+    intake = make_intake(
+        reactor, settings.intake, instance.memory_mb, instance.max_descriptors
+    )
+    daemon = Daemon(reactor, identity, node, links, metrics, intake, on_stopped)
     return daemon
 
 
--- a/src/magnoliahold/entry/answers.py
+++ b/src/magnoliahold/entry/answers.py
@@ -27,10 +27,12 @@
     "unknown_service": "name a service of the workspace's template",
     "malformed_request": "send the documented JSON fields",
     "body_too_large": "send a smaller body",
+    "memory_full": "send the request again after the time in Retry-After",
     "malformed_event_id": "send back an event id unchanged, or leave the header out",
     "may_have_run": "check the effect before sending the call again",
 }
 DEFAULT_REMEDY = "send the request again after the time in Retry-After"
+NOT_RUN = "not_run"
 NO_REMEDY = "correct the request before sending it again"
 
 
@@ -87,10 +89,16 @@
     request.finish()
 
 
+def encode_rejection(code: str, sentence: str) -> bytes:
+    """Encodes why a request was rejected that has not run."""
+    remedy = REMEDIES.get(code, NO_REMEDY)
+    return encode_error(ErrorDocument(code, sentence, remedy, NOT_RUN))
+
+
 def reject_request(request: Request, rejection: RequestRejected) -> None:
     """Answers a request that was rejected before an event was posted."""
     remedy = REMEDIES.get(rejection.code, NO_REMEDY)
-    error = ErrorDocument(rejection.code, str(rejection), remedy, "not_run")
+    error = ErrorDocument(rejection.code, str(rejection), remedy, NOT_RUN)
     write_error(request, rejection.status, error)
 
 
--- a/src/magnoliahold/entry/daemon.py
+++ b/src/magnoliahold/entry/daemon.py
@@ -20,7 +20,7 @@
     OperatorSite,
     add_operator_resources,
 )
-from magnoliahold.entry.requests import BoundedSite
+from magnoliahold.entry.requests import EntrySite
 from magnoliahold.entry.resources import CallerSite, make_caller_resource
 from magnoliahold.entry.responders import OpenRequests
 from magnoliahold.health import add_health_resources
@@ -78,7 +78,13 @@
     )
     resource = make_caller_resource(caller_site)
     max_bytes = settings.limits.max_body_bytes
-    site = BoundedSite(resource, max_bytes, daemon.reactor)
+    site = EntrySite(
+        resource,
+        daemon.intake,
+        daemon.intake.add_callers(),
+        max_bytes,
+        caller_site.find_workspace,
+    )
     daemon.untaken.append(site.untaken)
     daemon.add_listener(site, settings.address, settings.caller_port)
 
@@ -98,7 +104,13 @@
     add_health_resources(
         root, daemon.render_metrics, lambda: find_unready_reason(world)
     )
-    site = BoundedSite(root, settings.limits.max_body_bytes, daemon.reactor)
+    site = EntrySite(
+        root,
+        daemon.intake,
+        daemon.intake.add_other("operators"),
+        settings.limits.max_body_bytes,
+        operator_site.require_operator,
+    )
     daemon.untaken.append(site.untaken)
     daemon.add_listener(site, settings.address, settings.operator_port)
 
--- a/src/magnoliahold/entry/operators.py
+++ b/src/magnoliahold/entry/operators.py
@@ -31,8 +31,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.web.server import Request
+
     from magnoliahold.core.administration import AnswerOperator
-    from magnoliahold.entry.requests import BoundedRequest
     from magnoliahold.settings.credentials import CredentialSettings
 
 UNAUTHORIZED_REMEDY = "send an operator's credential as 'Authorization: Bearer ...'"
@@ -71,7 +72,7 @@
     post: Callable[[object], None]
     make_request_id: Callable[[], str]
 
-    def require_operator(self, request: BoundedRequest) -> None:
+    def require_operator(self, request: Request) -> None:
         """Raises RequestRejected unless the request has an operator's credential."""
         if not self.credentials.is_operator(read_credential(request)):
             raise RequestRejected(401, "unauthorized", "the credential is unknown")
@@ -111,7 +112,7 @@
         self,
         site: OperatorSite,
         method: str,
-        make_event: Callable[[BoundedRequest, str], object],
+        make_event: Callable[[Request, str], object],
     ) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self._site = site
@@ -133,7 +134,7 @@
         return NOT_DONE_YET
 
 
-def make_apply_event(request: BoundedRequest, request_id: str) -> TemplateApplied:
+def make_apply_event(request: Request, request_id: str) -> TemplateApplied:
     """Parses `POST /v1/workspaces/{workspace}/template` and checks its template."""
     path = [part.decode("utf-8", "replace") for part in request.postpath or []]
     if len(path) != 2 or path[1] != "template":
@@ -155,7 +156,7 @@
     )
 
 
-def _read_apply(request: BoundedRequest) -> ApplyBody:
+def _read_apply(request: Request) -> ApplyBody:
     content = read_body(request)
     with translate_errors(make_malformed_rejection):
         return msgspec.json.decode(content, type=ApplyBody)
@@ -172,7 +173,7 @@
     return "; ".join(lines)
 
 
-def make_drain_event(request: BoundedRequest, request_id: str) -> DrainRequested:
+def make_drain_event(request: Request, request_id: str) -> DrainRequested:
     """Parses `POST /v1/drain/{name}`."""
     path = [part.decode("utf-8", "replace") for part in request.postpath or []]
     if len(path) != 1 or not path[0]:
@@ -180,7 +181,7 @@
     return DrainRequested(request_id, path[0])
 
 
-def make_status_event(request: BoundedRequest, request_id: str) -> StatusRequested:
+def make_status_event(request: Request, request_id: str) -> StatusRequested:
     """Parses `GET /v1/status?workspace=NAME`; the workspace is optional."""
     values = (request.args or {}).get(b"workspace", [b""])
     return StatusRequested(request_id, values[0].decode("utf-8", "replace"))
@@ -188,7 +189,7 @@
 
 def add_operator_resources(root: Resource, site: OperatorSite) -> None:
     """Adds the operators' API to a root resource."""
-    operations: dict[bytes, tuple[str, Callable[[BoundedRequest, str], object]]] = {
+    operations: dict[bytes, tuple[str, Callable[[Request, str], object]]] = {
         b"workspaces": ("POST", make_apply_event),
         b"drain": ("POST", make_drain_event),
         b"status": ("GET", make_status_event),
--- a/src/magnoliahold/entry/requests.py
+++ b/src/magnoliahold/entry/requests.py
@@ -1,4 +1,4 @@
-"""HTTP requests with bounded bodies, and parsing of the callers' JSON."""
+"""The site of an entry, and parsing of the callers' JSON."""
 
 from __future__ import annotations
 
@@ -7,63 +7,70 @@
 import msgspec
 import xxhash
 from attrs import frozen
-from twisted.web.server import Request, Site
 
 from magnoliahold.decoding import translate_errors
-from magnoliahold.entry.answers import RequestRejected, make_malformed_rejection
+from magnoliahold.entry.answers import (
+    JSON_TYPE,
+    RequestRejected,
+    encode_rejection,
+    make_malformed_rejection,
+)
 from magnoliahold.entry.untaken import UntakenAnswers
+from magnoliahold.inbound.sites import BoundedSite, Rejection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.web.resource import Resource
+    from twisted.web.server import Request
 
     from magnoliahold.core.events import EventId
+    from magnoliahold.inbound.connections import ConnectionTable
+    from magnoliahold.inbound.intake import Intake
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 131_072
 BEARER = "Bearer "
-IDLE_CONNECTION_TIMEOUT_S = 60
-
-
-class BoundedRequest(Request):
-    """A request that discards body bytes beyond the site's limit."""
-
-    body_bytes = 0
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Stores a chunk of the body unless the limit is exceeded."""
-        self.body_bytes += len(data)
-        if not self.is_too_large:
-            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
 
-    @property
-    def is_too_large(self) -> bool:
-        """Whether the body is larger than the site allows."""
-        site: Any = self.channel.site  # type: ignore[attr-defined]
-        return self.body_bytes > int(site.max_body_bytes)
 
+class EntrySite(BoundedSite):
+    """A site of an entry: rejections are JSON documents.
 
-class BoundedSite(Site):
-    """A site whose requests have bounded bodies.
-
-    `untaken` tells what its callers still have to take.
+    `untaken` tells what its callers still have to take. `check_credential` raises
+    RequestRejected for a request whose credential isn't known.
     """
 
-    def __init__(self, resource: Resource, max_body_bytes: int, reactor: Any) -> None:
-        super().__init__(  # type: ignore[no-untyped-call]
-            resource,
-            requestFactory=BoundedRequest,
-            timeout=IDLE_CONNECTION_TIMEOUT_S,
-            reactor=reactor,
-        )
-        self.max_body_bytes = max_body_bytes
-        self.noisy = False
-        self.untaken = UntakenAnswers(reactor)
+    rejection_type = JSON_TYPE.decode()
+
+    def __init__(
+        self,
+        resource: Resource,
+        intake: Intake,
+        table: ConnectionTable,
+        max_body_bytes: int,
+        check_credential: Callable[[Request], object],
+    ) -> None:
+        super().__init__(resource, intake, table, max_body_bytes)
+        self.untaken = UntakenAnswers(intake.clock)
+        self._check_credential = check_credential
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Makes a connection."""
-        protocol: Any = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
-        self.untaken.add_connection(protocol._channel)
-        return protocol
+        channel: Any = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
+        self.untaken.add_connection(channel)
+        return channel
+
+    def find_rejection(self, request: Request) -> Rejection | None:
+        """Rejects an unknown credential before a long body is read."""
+        try:
+            self._check_credential(request)
+        except RequestRejected as rejected:
+            return Rejection(rejected.status, rejected.code, str(rejected))
+        return None
+
+    def make_rejection(self, rejection: Rejection) -> bytes:
+        """Makes the body of a rejection."""
+        return encode_rejection(rejection.code, rejection.sentence)
 
 
 @frozen
@@ -85,7 +92,7 @@
 _completion_decoder = msgspec.json.Decoder(CompletionBody)
 
 
-def read_completion(request: BoundedRequest) -> CompletionBody:
+def read_completion(request: Request) -> CompletionBody:
     """Parses a completion request; raises RequestRejected when it is malformed."""
     content = read_body(request)
     with translate_errors(make_malformed_rejection):
@@ -118,10 +125,8 @@
     return body.prompt if isinstance(body.prompt, str) else body.prompt[0]
 
 
-def read_body(request: BoundedRequest) -> bytes:
-    """Reads the body; raises RequestRejected when it is too large."""
-    if request.is_too_large:
-        raise RequestRejected(413, "body_too_large", "the body is too large")
+def read_body(request: Request) -> bytes:
+    """Reads the body."""
     content: Any = request.content
     return bytes(content.read())
 
--- a/src/magnoliahold/entry/resources.py
+++ b/src/magnoliahold/entry/resources.py
@@ -32,9 +32,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliahold.entry.requests import (
-        BoundedRequest,
-    )
+    from twisted.web.server import Request
+
     from magnoliahold.entry.responders import OpenRequests, Responder
     from magnoliahold.settings.credentials import CredentialSettings
 
@@ -65,7 +64,7 @@
     post: Callable[[object], None]
     make_request_id: Callable[[], str]
 
-    def find_workspace(self, request: BoundedRequest) -> str:
+    def find_workspace(self, request: Request) -> str:
         """Returns the workspace of the credential, or raises RequestRejected."""
         workspace = self.credentials.find_workspace(read_credential(request))
         if workspace is None:
@@ -94,7 +93,7 @@
         super().__init__()  # type: ignore[no-untyped-call]
         self._site = site
 
-    def render_POST(self, request: BoundedRequest) -> int:  # noqa: N802
+    def render_POST(self, request: Request) -> int:  # noqa: N802
         """Starts a generation, or resumes one after Last-Event-ID."""
         try:
             self._start_generation(request)
@@ -102,7 +101,7 @@
             reject_request(request, rejection)
         return NOT_DONE_YET
 
-    def _start_generation(self, request: BoundedRequest) -> None:
+    def _start_generation(self, request: Request) -> None:
         workspace = self._site.find_workspace(request)
         body = read_completion(request)
         prompt = read_prompt(body)
@@ -148,7 +147,7 @@
             reject_request(request, rejection)
         return NOT_DONE_YET
 
-    def _start_call(self, request: BoundedRequest) -> None:
+    def _start_call(self, request: Request) -> None:
         workspace = self._site.find_workspace(request)
         body = read_body(request)
         service, path = read_service_path(request)
@@ -169,7 +168,7 @@
         self._site.open_request(request, responder, event, request_id)
 
 
-def read_service_path(request: BoundedRequest) -> tuple[str, str]:
+def read_service_path(request: Request) -> tuple[str, str]:
     """Parses the service's name and the remaining path with its query."""
     if not request.postpath or not request.postpath[0]:
         raise RequestRejected(404, "unknown_service", "the path names no service")
@@ -184,7 +183,7 @@
     return service, path
 
 
-def read_forwarded_headers(request: BoundedRequest) -> tuple[tuple[str, str], ...]:
+def read_forwarded_headers(request: Request) -> tuple[tuple[str, str], ...]:
     """Returns the headers to forward, without credentials and connection headers."""
     headers: list[tuple[str, str]] = []
     for name, values in request.requestHeaders.getAllRawHeaders():
--- a/src/magnoliahold/settings/model.py
+++ b/src/magnoliahold/settings/model.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from magnoliahold.core.policy import Policy
+from magnoliahold.inbound.limits import IntakePolicy
 from magnoliahold.settings.checks import (
     FieldError,
     Relation,
@@ -89,6 +90,22 @@
     )
 
 
+@frozen
+class InstanceSettings:
+    """What a process may take of its instance.
+
+    Without `memory_mb` that is 128 MB. Without `max_descriptors`, as many count as the
+    system allows the process.
+    """
+
+    memory_mb: float | None = field(
+        metadata=checks(require_range(64, 1e6)), default=None
+    )
+    max_descriptors: int | None = field(
+        metadata=checks(require_range(64, 10_000_000)), default=None
+    )
+
+
 @frozen
 class LogSettings:
     """The level from which messages are logged."""
@@ -113,6 +130,8 @@
     credentials: CredentialSettings
     peers: tuple[PeerSettings, ...] = ()
     limits: LimitSettings = field(factory=LimitSettings)
+    instance: InstanceSettings = field(factory=InstanceSettings)
+    intake: IntakePolicy = field(factory=IntakePolicy)
     log: LogSettings = field(factory=LogSettings)
     policy: Policy = field(factory=Policy)
 
@@ -153,6 +172,8 @@
     platform: PlatformSettings
     upstream: UpstreamSettings
     peers: tuple[PeerSettings, ...] = ()
+    instance: InstanceSettings = field(factory=InstanceSettings)
+    intake: IntakePolicy = field(factory=IntakePolicy)
     log: LogSettings = field(factory=LogSettings)
     policy: Policy = field(factory=Policy)
 
--- a/src/magnoliahold/sidecar/daemon.py
+++ b/src/magnoliahold/sidecar/daemon.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from magnoliahold.core.streams import Upstream
 from magnoliahold.daemon import (
@@ -16,6 +15,7 @@
     stop_reactor,
 )
 from magnoliahold.health import add_health_resources
+from magnoliahold.inbound.sites import BoundedSite
 from magnoliahold.logs import configure_logging
 from magnoliahold.sidecar.adapters import EngineAdapter, ServiceAdapter
 from magnoliahold.sidecar.engine_client import make_engine_client
@@ -55,7 +55,8 @@
     daemon = make_daemon(reactor, identity, settings, make_node, on_stopped)
     daemon.start_links(settings.address, settings.link_port)
     daemon.add_peers(settings.peers)
-    site = Site(_make_resource(daemon), reactor=reactor)
+    table = daemon.intake.add_other("operators")
+    site = BoundedSite(_make_resource(daemon), daemon.intake, table)
     daemon.add_listener(site, settings.address, settings.operator_port)
     return daemon
 
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -12,9 +12,11 @@
 
 from magnoliahold.core.policy import Policy
 from magnoliahold.daemon import make_daemon, make_identity
-from magnoliahold.entry.requests import BoundedSite
+from magnoliahold.entry.requests import EntrySite
 from magnoliahold.entry.untaken import STALLED_S
+from magnoliahold.inbound.limits import IntakePolicy
 from magnoliahold.node import BROKEN_TABLES
+from magnoliahold.settings.model import InstanceSettings
 from tests.loopback import LoopbackTestCase, on_loopback
 
 if TYPE_CHECKING:
@@ -108,14 +110,15 @@
         settings: Any = Mock()
         settings.platform.base_url = f"http://{LOOPBACK}:1"
         settings.platform.timeout_s = 1.0
+        settings.instance = InstanceSettings()
+        settings.intake = IntakePolicy()
         identity = make_identity("entry-1", "entry", "data-centre-1")
         daemon = make_daemon(
             self.reactor, identity, settings, make_node, self.stopped.append
         )
-        site = BoundedSite(LongAnswer(), 1000, self.reactor)
-        untaken = getattr(site, "untaken", None)
-        if untaken is not None:
-            daemon.untaken.append(untaken)
+        table = daemon.intake.add_callers()
+        site = EntrySite(LongAnswer(), daemon.intake, table, 1000, Mock())
+        daemon.untaken.append(site.untaken)
         return daemon, daemon.add_listener(site, LOOPBACK, 0)
 
     async def call(self, port: int, reads: bool) -> SlowCaller:
