Bound what requests that run hold together, and take the smallest instance as the default

Whole requests of up to 64 KiB were always admitted, so that 1,024 of them, or of wide heads, could hold 128 MB while slow upstreams work (by reckoning, no run). What runs is summed up now, heads included: short requests may take all of the sum, longer ones half. tests.crowds.test_whole_heads_at_once fails on with 330 MB.

Limits come from memory_mb and max_descriptors, by default those of the smallest instance.

--- a/src/magnoliahold/inbound/intake.py
+++ b/src/magnoliahold/inbound/intake.py
@@ -16,6 +16,10 @@
     from magnoliahold.runtime import Clock
 
 
+# The name of the address for callers.
+CALLERS = "callers"
+
+
 @define(eq=False)
 class Intake:
     """The bounds of a process, which all its addresses share.
@@ -31,7 +35,7 @@
 
     def add_callers(self) -> ConnectionTable:
         """Adds the address for callers."""
-        return self._add_table("callers", self.memory.limits.connections)
+        return self._add_table(CALLERS, self.memory.limits.connections)
 
     def add_other(self, address: str) -> ConnectionTable:
         """Adds an address that serves no callers."""
@@ -50,7 +54,7 @@
         self.policy = self.memory.policy = self.turns.policy = policy
         self.memory.limits = limits
         for table in self.tables:
-            is_callers = table.address == "callers"
+            is_callers = table.address == CALLERS
             table.most = limits.connections if is_callers else policy.other_connections
 
     def report(self, metrics: Metrics) -> None:
--- a/src/magnoliahold/inbound/limits.py
+++ b/src/magnoliahold/inbound/limits.py
@@ -12,8 +12,9 @@
     from attrs import Attribute
 
 MIB = 1024 * 1024
-# What a process may have where nobody tells: the smallest instances have so much.
+# What a process may take where nobody tells: the smallest instances have so much.
 DEFAULT_MEMORY_MB = 128.0
+DEFAULT_DESCRIPTORS = 1600
 # Descriptors that are kept for files, and the sockets of everything but callers.
 RESERVED_DESCRIPTORS = 200
 MIN_CONNECTIONS = 16
@@ -43,13 +44,13 @@
 
     Requests that aren't answered yet, and answers that nobody takes, hold at most
     `held_share` of the memory, beside the largest of them. Whole requests that wait for
-    their answers hold at most `whole_share` of that, beside the largest. Answers that
+    their answers hold at most `whole_share` of that, short ones all of it. Answers that
     upstreams send hold at most `answer_share` of the memory until they are passed on.
-    Who has sent and taken nothing for `stalled_s` makes no progress. Holdings of up to
-    `short_bytes` are short: they never wait for others. Connections use at most
-    `connection_share` of the memory, of which each is taken to need `connection_bytes`,
-    and at most `descriptor_share` of the descriptors. Addresses that serve no callers
-    take at most `other_connections` each.
+    Who has sent and taken nothing for `stalled_s` makes no progress. Requests of up to
+    `short_bytes` are short; longer ones must come from callers who may be served.
+    Connections use at most `connection_share` of the memory, of which each is taken to
+    need `connection_bytes`, and at most `descriptor_share` of the descriptors.
+    Addresses that serve no callers take at most `other_connections` each.
 
     Reading is counted in parts: chunks, header lines and requests. A connection reads
     at most `parts_per_turn` before others get their turn, and all together read at most
@@ -89,14 +90,11 @@
 def make_intake_limits(
     policy: IntakePolicy, memory_mb: float | None, descriptors: int | None
 ) -> IntakeLimits:
-    """Derives the limits from the memory and the descriptors of a process.
-
-    Without `descriptors`, those count that the system allows the process.
-    """
+    """Derives the limits from the memory and the descriptors that a process may take."""
     memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * MIB
     held_bytes = int(memory_bytes * policy.held_share)
     by_memory = memory_bytes * policy.connection_share / policy.connection_bytes
-    spare = (descriptors or count_allowed_descriptors()) - RESERVED_DESCRIPTORS
+    spare = (descriptors or find_default_descriptors()) - RESERVED_DESCRIPTORS
     by_descriptors = spare * policy.descriptor_share
     return IntakeLimits(
         held_bytes=held_bytes,
@@ -106,6 +104,7 @@
     )
 
 
-def count_allowed_descriptors() -> int:
-    """Counts the descriptors that the system allows this process."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+def find_default_descriptors() -> int:
+    """Finds the default, or what the system allows this process if that is less."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return min(allowed, DEFAULT_DESCRIPTORS)
--- a/src/magnoliahold/inbound/memory.py
+++ b/src/magnoliahold/inbound/memory.py
@@ -48,16 +48,19 @@
 
     Beyond the limit, holders that make no progress are given up before those that do,
     and among each those first that hold most. The largest holder alone doesn't count:
-    one request within its own limits is served whatever this limit is. `given_up`
-    counts what was given up, by its name.
+    one request within its own limits is served whatever this limit is. `whole_bytes`
+    of what is held are of requests that run. `given_up` counts what was given up, by
+    its name.
     """
 
     clock: Clock
     policy: IntakePolicy
     limits: IntakeLimits
     held_bytes: int = 0
+    whole_bytes: int = 0
     given_up: Counter[str] = field(factory=Counter)
     _held: dict[Holder, int] = field(factory=dict)
+    _whole: dict[Holder, int] = field(factory=dict)
     _largest: Holder | None = None
     _is_making_room: bool = False
 
@@ -70,23 +73,28 @@
     def release(self, holder: Holder) -> None:
         """Forgets a connection that has ended."""
         self.held_bytes -= self._held.pop(holder, 0)
+        self.whole_bytes -= self._whole.pop(holder, 0)
         if holder is self._largest:
             self._find_largest()
 
     def admits_whole(self, holder: Holder, size: int) -> bool:
         """Tells whether a request that was read whole may run.
 
-        It may if it is short, or if those that run hold little besides it.
+        Those that run leave room for others to be read, unless they are short, and one
+        alone may be of any size.
         """
-        if size <= self.policy.short_bytes:
-            return True
-        running = sum(item.count_whole() for item in self._held if item is not holder)
-        return not running or running + size <= self.limits.whole_bytes
+        running = self.whole_bytes - self._whole.get(holder, 0)
+        is_short = size <= self.policy.short_bytes
+        limit = self.limits.held_bytes if is_short else self.limits.whole_bytes
+        return not running or running + size <= limit
 
     def _count(self, holder: Holder) -> None:
         size = holder.count_held()
         self.held_bytes += size - self._held.get(holder, 0)
         self._held[holder] = size
+        whole = holder.count_whole()
+        self.whole_bytes += whole - self._whole.get(holder, 0)
+        self._whole[holder] = whole
         if holder is self._largest:
             self._find_largest()
         elif size > self._held.get(self._largest, 0):  # type: ignore[arg-type]
--- a/src/magnoliahold/inbound/sites.py
+++ b/src/magnoliahold/inbound/sites.py
@@ -174,7 +174,7 @@
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Passes on a request that was read whole, if there is room for it."""
         channel: Any = self.channel
-        if channel.intake.memory.admits_whole(channel, self.body_bytes):
+        if channel.intake.memory.admits_whole(channel, self.count_held()):
             super().requestReceived(command, path, version)  # type: ignore[no-untyped-call]
         else:
             channel.reject(MEMORY_FULL)
--- a/src/magnoliahold/serving/callers.py
+++ b/src/magnoliahold/serving/callers.py
@@ -176,7 +176,7 @@
             self._reject(exchange, CONTENT_TOO_LARGE, "the body is too large")
             return
         channel: Any = exchange.channel
-        if not self.intake.memory.admits_whole(channel, exchange.body_bytes):
+        if not self.intake.memory.admits_whole(channel, exchange.count_held()):
             logger.gather("Request refused.", status=UNAVAILABLE, reason=MEMORY_FULL)
             retry_after_s = self.intake.policy.retry_after_s
             self._reject(exchange, UNAVAILABLE, MEMORY_FULL, retry_after_s)
--- a/src/magnoliahold/settings/model.py
+++ b/src/magnoliahold/settings/model.py
@@ -94,8 +94,8 @@
 class InstanceSettings:
     """What a process may take of its instance.
 
-    Without `memory_mb` that is 128 MB. Without `max_descriptors`, as many count as the
-    system allows the process.
+    That is 128 MB without `memory_mb`, and without `max_descriptors` 1600 descriptors,
+    or what the system allows the process if that is less.
     """
 
     memory_mb: float | None = field(
--- a/src/magnoliahold/settings/serving.py
+++ b/src/magnoliahold/settings/serving.py
@@ -63,8 +63,8 @@
     may retry up to `retry_ratio` of a service's requests within `retry_window_s`, plus
     `retry_extra`. An upstream gets no request later than `drain_ms` after it has
     registered that it is leaving. An instance's link carries `link_mbps`. A process may
-    take `memory_mb`, 128 if that isn't given, and have `max_descriptors` open; without
-    those, as many count as the system allows it.
+    take `memory_mb`, 128 if that isn't given, and have `max_descriptors` open, 1600 if
+    that isn't given and the system allows no fewer.
     """
 
     revocation_ms: float = field(
--- a/tests/crowds/test_serving.py
+++ b/tests/crowds/test_serving.py
@@ -52,10 +52,10 @@
     return Content(start + announce(length), b"x" * KIB, fillers, sent)
 
 
-def make_wide_head() -> bytes:
+def make_wide_head(work: bytes = b"0.1") -> bytes:
     """Makes a head of many short fields, without its end."""
     fields = b"".join(b"name-%d: %s\r\n" % (n, b"v" * 450) for n in range(480))
-    return b"POST /calls/0.1 HTTP/1.1\r\nHost: 127.0.0.1\r\n" + fields
+    return HEAD % work + fields
 
 
 @frozen
@@ -113,6 +113,9 @@
     Content(announce(BODY_BYTES, b"2.0"), b"x" * KIB, BODY_BYTES // KIB),
 )
 HEADS = CrowdCase("heads without their end", 400, Content(make_wide_head()))
+WHOLE_HEADS = CrowdCase(
+    "whole heads at once", 400, Content(make_wide_head(b"9.0") + b"\r\n")
+)
 SILENT = CrowdCase("connections that send nothing", 700, Content())
 UNTAKEN = CrowdCase(
     "large answers that nobody takes",
@@ -256,6 +259,14 @@
         await self.wait_until(lambda: crowd.is_done)
         await self.check_afterwards(process)
 
+    @on_loopback
+    async def test_whole_heads_at_once(self) -> None:
+        process = await self.start_entry(max_header_bytes=HEADER_BYTES)
+        crowd = self.make_crowd(self.settings["callers"])
+        crowd.add(WHOLE_HEADS.count, WHOLE_HEADS.content)
+        await self.wait_until(lambda: crowd.is_done)
+        await self.check_afterwards(process)
+
     @on_loopback
     async def test_connections_that_send_nothing(self) -> None:
         for address in ("callers", *CLOSED_ADDRESSES):
--- a/tests/inbound/test_memory.py
+++ b/tests/inbound/test_memory.py
@@ -96,10 +96,15 @@
     def test_whole_requests_run_within_their_limit_or_alone(self) -> None:
         newest = FakeHolder("newest", 0)
         self.assertTrue(self.memory.admits_whole(newest, 9000))
-        self.memory.update(FakeHolder("running", 0, running=400))
+        first = FakeHolder("running", 0, running=400)
+        self.memory.update(first)
         for size, admitted in ((10, True), (100, True), (101, False), (9000, False)):
             with self.subTest(size=size):
                 self.assertEqual(self.memory.admits_whole(newest, size), admitted)
+        self.memory.update(FakeHolder("short", 0, running=595))
+        self.assertFalse(self.memory.admits_whole(newest, 10))
+        self.memory.release(first)
+        self.assertTrue(self.memory.admits_whole(newest, 10))
 
 
 class LimitTests(unittest.TestCase):
@@ -111,6 +116,7 @@
             (128, 512, 156),
             (128, 210, 16),
             (None, 4100, 1024),
+            (None, 1600, 700),
         ):
             with self.subTest(memory_mb=memory_mb, descriptors=descriptors):
                 limits = make_intake_limits(IntakePolicy(), memory_mb, descriptors)
--- a/tests/settings/test_serving.py
+++ b/tests/settings/test_serving.py
@@ -31,8 +31,6 @@
     "bounds.budget_window_s": "10",
     "bounds.drain_ms": "2000",
     "limits.link_mbps": "10.0",
-    "limits.memory_mb": "150",
-    "limits.max_fds": "4100",
 }
 # Time from the last log line of a process to its exit, on a small core.
 EXIT_TIME_S = 0.5
