--- a/src/magnoliahold/inbound/limits.py
+++ b/src/magnoliahold/inbound/limits.py
@@ -90,7 +90,7 @@
 def make_intake_limits(
     policy: IntakePolicy, memory_mb: float | None, descriptors: int | None
 ) -> IntakeLimits:
-    """Derives the limits from the memory and the descriptors that a process may take."""
+    """Derives the limits from the memory and descriptors that a process may take."""
     memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * MIB
     held_bytes = int(memory_bytes * policy.held_share)
     by_memory = memory_bytes * policy.connection_share / policy.connection_bytes
@@ -107,4 +107,6 @@
 def find_default_descriptors() -> int:
     """Finds the default, or what the system allows this process if that is less."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return DEFAULT_DESCRIPTORS
     return min(allowed, DEFAULT_DESCRIPTORS)
