--- a/src/magnoliahold/inbound/chunks.py
+++ b/src/magnoliahold/inbound/chunks.py
@@ -44,11 +44,6 @@
     _pending: bytes = b""
     _content: list[bytes] = field(factory=list)
 
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes wait for the rest of their line."""
-        return len(self._pending)
-
     def decode(self, data: bytes, parts: int) -> tuple[int, bytes]:
         """Decodes at most so many chunks and lines of trailers.
 
--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from zope.interface import implementer
 
-from magnoliahold.inbound.channels import HoldReason
+from magnoliahold.inbound.readings import HoldReason
 from magnoliahold.inbound.sockets import has_ended
 from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 from magnoliahold.serving.callerexchanges import CallerExchange
