Count what is refused by each bound, and bound names outside of the platform's folder

A whole request that is refused for want of memory, a request rejected at an address of the own deployment, and what is held of upstreams' answers had no counter; too many parts of a prompt no line.

--- a/src/magnoliahold/inbound/connections.py
+++ b/src/magnoliahold/inbound/connections.py
@@ -47,13 +47,15 @@
 
     One more takes the place of those that lose least by their close, and among them of
     those that have been quiet for longest. Where all are busy it is closed itself.
-    `closed` counts those that were closed for that, by what they lost.
+    `closed` counts those that were closed for that, by what they lost, and `rejected`
+    the requests that weren't read to their end, by the code of the answer.
     """
 
     address: str
     most: int
     channels: set[Any] = field(factory=set)
     closed: Counter[str] = field(factory=Counter)
+    rejected: Counter[str] = field(factory=Counter)
 
     def add(self, channel: Closable) -> None:
         """Adds a connection; closes others, or else itself, if that is one too many."""
--- a/src/magnoliahold/inbound/intake.py
+++ b/src/magnoliahold/inbound/intake.py
@@ -68,6 +68,8 @@
             address = table.address
             size = len(table.channels)
             metrics.set_gauge("intake_connections", size, address=address)
+            for code, count in table.rejected.items():
+                metrics.set_gauge("intake_rejected", count, address=address, code=code)
             for lost, count in table.closed.items():
                 metrics.set_gauge(
                     "intake_connections_closed", count, address=address, lost=lost
--- a/src/magnoliahold/inbound/memory.py
+++ b/src/magnoliahold/inbound/memory.py
@@ -78,7 +78,7 @@
             self._find_largest()
 
     def admits_whole(self, holder: Holder, size: int) -> bool:
-        """Tells whether a request that was read whole may run.
+        """Tells whether a request that was read whole may run; else it is given up.
 
         Those that run leave room for others to be read, unless they are short, and one
         alone may be of any size.
@@ -86,7 +86,10 @@
         running = self.whole_bytes - self._whole.get(holder, 0)
         is_short = size <= self.policy.short_bytes
         limit = self.limits.held_bytes if is_short else self.limits.whole_bytes
-        return not running or running + size <= limit
+        if not running or running + size <= limit:
+            return True
+        self.given_up["whole_request"] += 1
+        return False
 
     def _count(self, holder: Holder) -> None:
         size = holder.count_held()
--- a/src/magnoliahold/inbound/sites.py
+++ b/src/magnoliahold/inbound/sites.py
@@ -89,6 +89,7 @@
         """Answers a request that isn't read to its end, and closes the connection."""
         if self.is_ending:
             return
+        self.table.rejected[rejection.code] += 1
         logger.gather(
             "Request rejected.",
             kind=rejection.code,
--- a/src/magnoliahold/platform/callers.py
+++ b/src/magnoliahold/platform/callers.py
@@ -6,7 +6,6 @@
 
 from xxhash import xxh3_64_hexdigest, xxh32_intdigest
 
-from magnoliahold.core.serving.names import bound_name
 from magnoliahold.core.serving.requests import CallerRequest, PromptPart
 
 if TYPE_CHECKING:
@@ -15,7 +14,6 @@
 READY_PATH = "/-/readyz"
 CREDENTIAL_SCHEME = "token "
 MS_PER_S = 1000.0
-MAX_PROMPT_PARTS = 256
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -82,17 +80,14 @@
 
 
 def _read_prompt(headers: Headers) -> tuple[PromptPart, ...]:
-    """Reads the parts of the prompt; the list ends before the first malformed one.
-
-    A list of too many parts counts as absent.
-    """
+    """Reads the parts of the prompt; the list ends before the first malformed one."""
     parts = []
     for entry in (_read_header(headers, "Prompt-Prefix") or "").split(","):
         part_id, separator, tokens = entry.strip().partition(":")
         if not separator or not tokens.isdecimal():
             break
-        parts.append(PromptPart(bound_name(part_id), int(tokens)))
-    return tuple(parts) if len(parts) <= MAX_PROMPT_PARTS else ()
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
 
 
 def make_refusal_headers(
--- a/src/magnoliahold/serving/callerrequests.py
+++ b/src/magnoliahold/serving/callerrequests.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from magnoliahold.core.serving.configuration import MAX_NUMBER
+from magnoliahold.core.serving.names import bound_name
 from magnoliahold.decoding import describe_error
 from magnoliahold.logs import make_part_logger
 from magnoliahold.platform.callers import BadRequest, read_caller_request
@@ -12,7 +15,9 @@
 if TYPE_CHECKING:
     from twisted.web.http_headers import Headers
 
-    from magnoliahold.core.serving.requests import CallerRequest
+    from magnoliahold.core.serving.requests import CallerRequest, PromptPart
+
+MAX_PROMPT_PARTS = 256
 
 logger = make_part_logger("callers")
 
@@ -38,7 +43,16 @@
         reason = describe_error(error)
         logger.gather("Request can't be read and is refused.", reason=reason)
         raise BadRequest("send headers that can be read") from None
-    return caller
+    return evolve(caller, prompt=bound_prompt(caller.prompt))
+
+
+def bound_prompt(prompt: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
+    """Shortens the ids of a prompt's parts; too many parts count as none."""
+    if len(prompt) > MAX_PROMPT_PARTS:
+        sentence = "Prompt has too many parts and counts as absent."
+        logger.gather(sentence, parts=len(prompt))
+        return ()
+    return tuple(evolve(part, id=bound_name(part.id)) for part in prompt)
 
 
 def check_numbers(caller: CallerRequest) -> None:
--- a/src/magnoliahold/serving/daemon.py
+++ b/src/magnoliahold/serving/daemon.py
@@ -223,6 +223,8 @@
             label = cause.name.lower()
             self.metrics.set_gauge("connections_ended", count, cause=label)
         self.node.ports.callers.intake.report(self.metrics)
+        answers = self.node.ports.upstreams.memory
+        self.metrics.set_gauge("upstream_answers_held_bytes", answers.held_bytes)
         age_s = self.node.world.measure_proof_age()
         if age_s is not None:
             self.metrics.set_gauge("configuration_proof_age_seconds", age_s)
--- a/tests/inbound/test_memory.py
+++ b/tests/inbound/test_memory.py
@@ -103,6 +103,7 @@
                 self.assertEqual(self.memory.admits_whole(newest, size), admitted)
         self.memory.update(FakeHolder("short", 0, running=595))
         self.assertFalse(self.memory.admits_whole(newest, 10))
+        self.assertEqual(self.memory.given_up, {"whole_request": 3})
         self.memory.release(first)
         self.assertTrue(self.memory.admits_whole(newest, 10))
 
--- a/tests/core/serving/test_names.py
+++ b/tests/serving/test_long_names.py
@@ -9,7 +9,7 @@
 
 from magnoliahold.core.serving.names import MAX_NAME_LENGTH, bound_name
 from magnoliahold.core.serving.peers import LoadNotice, PrefixCacheLocation
-from magnoliahold.platform.callers import MAX_PROMPT_PARTS, read_caller_request
+from magnoliahold.serving.callerrequests import MAX_PROMPT_PARTS, read_request
 from magnoliahold.serving.notices import MAX_ITEMS, encode_notice
 
 if TYPE_CHECKING:
@@ -23,7 +23,7 @@
     def read_prompt(self, prompt: str) -> tuple[PromptPart, ...]:
         """Reads the parts of a prompt."""
         headers = Headers({"Request-Id": ["abc"], "Prompt-Prefix": [prompt]})
-        return read_caller_request(1, "POST", "/", headers).prompt
+        return read_request(1, b"POST", b"/", headers).prompt
 
     def test_short_names_stay_and_long_ones_differ(self) -> None:
         self.assertEqual(bound_name("a" * MAX_NAME_LENGTH), "a" * MAX_NAME_LENGTH)
