Decode small chunks in a tight loop, and use the whole pass for those that wait

Plain chunks that came whole are decoded in one loop, and turns go round until the pass has had its parts. The bounds a turn and a pass are as they were.

--- a/src/magnoliahold/inbound/chunks.py
+++ b/src/magnoliahold/inbound/chunks.py
@@ -16,6 +16,7 @@
 # Trailers are discarded; so much of them is read.
 MAX_TRAILER_BYTES = 16 * 1024
 LINE_END = b"\r\n"
+PLAIN_SIZE = re.compile(rb"([0-9A-Fa-f]{1,4})\r\n")
 SIZE_LINE = re.compile(rb"(0*[0-9A-Fa-f]{1,15})(?:;[\t\x20-\x7e\x80-\xff]*)?")
 
 
@@ -55,6 +56,9 @@
         used = 0
         position = 0
         while position < len(data) and self.state is not ChunkState.FINISHED:
+            if self.state is ChunkState.SIZE:
+                whole, position = self._decode_whole(data, position, parts - used)
+                used += whole
             begins_part = self.state in (ChunkState.SIZE, ChunkState.TRAILERS)
             if begins_part and used >= parts:
                 break
@@ -71,6 +75,24 @@
             rest = b""
         return used, rest
 
+    def _decode_whole(self, data: bytes, position: int, parts: int) -> tuple[int, int]:
+        """Decodes plain chunks that came whole, which may be many and very small.
+
+        Returns how many they are, and where the next one begins.
+        """
+        for count in range(parts):
+            match = PLAIN_SIZE.match(data, position)
+            if match is None:
+                return count, position
+            start = match.end()
+            end = start + int(match[1], 16)
+            behind = end + len(LINE_END)
+            if end == start or data[end:behind] != LINE_END:
+                return count, position
+            self._content.append(data[start:end])
+            position = behind
+        return max(0, parts), position
+
     def _decode_next(self, data: bytes, position: int) -> int:
         """Decodes what is due; returns its end, or `position` if more must come."""
         if self.state is ChunkState.CONTENT:
--- a/src/magnoliahold/inbound/turns.py
+++ b/src/magnoliahold/inbound/turns.py
@@ -69,7 +69,5 @@
         if not self._waiting:
             return
         self._pass_call = self.clock.callLater(0, self._begin_pass)
-        for _ in range(len(self._waiting)):
-            if self._left <= 0 or not self._waiting:
-                return
+        while self._left > 0 and self._waiting:
             self._waiting.popleft().take_turn()
