--- a/tests/crowds/test_entry.py
+++ b/tests/crowds/test_entry.py
@@ -52,6 +52,14 @@
     ),
 )
 
+# The greeting and the handshake of ZMTP 3.0 without authentication, as a DEALER sends
+# them, and the head of one long frame.
+GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+READY = b"\x05READY\x0bSocket-Type" + (6).to_bytes(4, "big") + b"DEALER"
+HANDSHAKE = GREETING + b"\x04" + bytes([len(READY)]) + READY
+FRAME_BYTES = 8 * MIB
+LONG_FRAME = HANDSHAKE + b"\x02" + FRAME_BYTES.to_bytes(8, "big")
+
 
 class EntryCrowdTests(CrowdTestCase):
     def setUp(self) -> None:
@@ -100,6 +108,13 @@
         port = self.fleet.ports["sidecar-engine-0.operator"]
         await self.check_crowd("sidecar-engine-0", port, make_unfinished(PATH))
 
+    @on_loopback
+    async def test_messages_without_their_last_byte_at_the_link_port(self) -> None:
+        port = self.fleet.ports["entry-0.link"]
+        fillers = FRAME_BYTES // KIB
+        content = Content(LONG_FRAME, b"x" * KIB, fillers, FRAME_BYTES - 1)
+        await self.check_crowd("entry-0", port, content)
+
     @on_loopback
     async def test_one_request_of_nearly_the_limit_is_read(self) -> None:
         port = self.fleet.ports["entry-0.caller"]
