Show silent connections at the addresses of the own deployment

700 connections that send nothing, 512 descriptors: on an entry has 125 left at its callers' port and none at the operators', where ordinary requests get no answer any more. They hold since: at least 128 stay free, at the sidecar's port as well.

--- a/tests/crowds/test_entry.py
+++ b/tests/crowds/test_entry.py
@@ -8,7 +8,12 @@
 from magnoliahold.httpclient import HttpClient
 from tests.crowds.cases import ANSWER_S, CrowdTestCase
 from tests.crowds.members import Content
-from tests.crowds.meters import MIB, measure_files, read_peak_bytes
+from tests.crowds.meters import (
+    MIB,
+    count_descriptors,
+    measure_files,
+    read_peak_bytes,
+)
 from tests.flooding import make_chunk
 from tests.loopback import on_loopback
 from tests.process_fleet import CALLER_CREDENTIAL, LOOPBACK, ProcessFleet
@@ -16,6 +21,10 @@
 BODY_BYTES = 4 * MIB
 KIB = 1024
 COUNT = 40
+# Descriptors of a process, and those that a crowd must leave to everything else.
+DESCRIPTORS = 512
+SPARE_DESCRIPTORS = 128
+SILENT = 700
 # What a crowd may make a process hold: half of the smallest instance.
 HELD_BYTES = 64 * MIB
 PATH = b"POST /v1/services/desk/lookup/x HTTP/1.1\r\nHost: x\r\n"
@@ -64,7 +73,7 @@
 class EntryCrowdTests(CrowdTestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.fleet = ProcessFleet(engines=1, entries=1)
+        self.fleet = ProcessFleet(engines=1, entries=1, descriptors=DESCRIPTORS)
         self.addCleanup(self.fleet.stop_all)
         self.fleet.start_all()
 
@@ -103,6 +112,24 @@
                     port = self.fleet.ports[f"entry-0.{address}"]
                     await self.check_crowd("entry-0", port, content)
 
+    @on_loopback
+    async def test_connections_that_send_nothing(self) -> None:
+        for process, address in (
+            ("entry-0", "entry-0.caller"),
+            ("entry-0", "entry-0.operator"),
+            ("sidecar-engine-0", "sidecar-engine-0.operator"),
+        ):
+            with self.subTest(address):
+                crowd = self.make_crowd(f"{LOOPBACK}:{self.fleet.ports[address]}")
+                crowd.add(SILENT, Content())
+                await self.wait_until(lambda crowd=crowd: crowd.is_done)
+                await self.sleep(1.0)
+                pid = self.fleet.processes[process].pid
+                left = DESCRIPTORS - count_descriptors(pid)
+                self.assertGreater(left, SPARE_DESCRIPTORS)
+                await self.count_attempts(self.ask)
+                self.close_crowds()
+
     @on_loopback
     async def test_bodies_at_a_sidecar(self) -> None:
         port = self.fleet.ports["sidecar-engine-0.operator"]
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import resource
 import signal
 import socket
 import subprocess
@@ -61,9 +62,15 @@
 
 
 class ProcessFleet:
-    """Processes of the platform, engines, a service, their sidecars and entries."""
+    """Processes of the platform, engines, a service, their sidecars and entries.
 
-    def __init__(self, engines: int = 2, entries: int = 2) -> None:
+    Each may have so many `descriptors` open, if that isn't 0.
+    """
+
+    def __init__(
+        self, engines: int = 2, entries: int = 2, descriptors: int = 0
+    ) -> None:
+        self.descriptors = descriptors
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -290,4 +297,11 @@
     def _start(self, name: str, *arguments: str) -> None:
         command = [sys.executable, "-m", "magnoliahold", *arguments]
         with (self.path / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
+            self.processes[name] = subprocess.Popen(
+                command, stderr=log, stdout=log, preexec_fn=self._limit_descriptors
+            )
+
+    def _limit_descriptors(self) -> None:
+        if self.descriptors:
+            limits = (self.descriptors, self.descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
