--- a/tests/test_last_events.py
+++ b/tests/test_last_events.py
@@ -35,7 +35,7 @@
         ports = Mock()
         node = Node(clock, world, (decide,), ports)
         stopped: list[str] = []
-        daemon = Daemon(clock, identity, node, Mock(), Mock(), stopped.append)
+        daemon = Daemon(clock, identity, node, Mock(), Mock(), Mock(), stopped.append)
         ports.stop = lambda reason: clock.callLater(0, daemon.stop, reason)
         node.start_ticks()
         call = CallArrived("r-1", "w", "desk", "POST", "/runs", (), b"", "f")
