--- a/review/6/case.py
+++ b/review/6/case.py
@@ -200,16 +200,17 @@
         for n in range(count)
         for name in [f"{kind}-{n}"]
     ]
-    await asyncio.sleep(CALM_S)
-    for entry in entries:
-        used_mb = read_memory_mb(entry.process.pid)
-        observer.record.write(f"{entry.name} uses {used_mb:.0f} MB")
-    engine.is_sick = TROUBLE
-    observer.record.write(f"{engine.id} is sick: {TROUBLE}")
-    await asyncio.sleep(SICK_S)
-    watching.cancel()
-    for caller in callers:
-        caller.cancel()
+    try:
+        await asyncio.sleep(CALM_S)
+        for entry in entries:
+            used_mb = read_memory_mb(entry.process.pid)
+            observer.record.write(f"{entry.name} uses {used_mb:.0f} MB")
+        engine.is_sick = TROUBLE
+        observer.record.write(f"{engine.id} is sick: {TROUBLE}")
+        await asyncio.sleep(SICK_S)
+    finally:
+        for task in (watching, *callers):
+            task.cancel()
     kills = Counter(observer.kills)
     text = (
         f"killed over {MEMORY_MB:.0f} MB: {dict(kills)}; "
--- a/review/rig2/platform.py
+++ b/review/rig2/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -28,20 +29,24 @@
 async def watch_memory(
     entries: Iterable[Entry], memory_mb: float, report: Callable[[Entry, float], None]
 ) -> None:
-    """Kills entries that exceed their memory, and starts them again."""
+    """Kills entries that exceed their memory, and starts them again.
+
+    Nothing is started any more once this is cancelled.
+    """
+    starts_at: dict[Entry, float] = {}
     while True:
+        now = time.monotonic()
         for entry in entries:
+            if entry in starts_at:
+                if now >= starts_at[entry]:
+                    del starts_at[entry]
+                    entry.start()
+                continue
             used_mb = 0.0
             if entry.process is not None and entry.process.poll() is None:
                 used_mb = read_memory_mb(entry.process.pid)
             if used_mb > memory_mb:
                 report(entry, used_mb)
                 entry.kill()
-                asyncio.get_running_loop().call_later(RESTART_S, entry.start)
+                starts_at[entry] = now + RESTART_S
         await asyncio.sleep(LOOK_S)
-
-
-async def await_ready(entries: Iterable[Entry]) -> None:
-    """Waits until all entries are ready."""
-    for entry in entries:
-        await entry.await_ready()
