Let nobody in by an empty list of tenants

Cause: admission asked for a credential only if the tuple of workspaces was true, and the reader of the document gave an empty tuple for a missing list as well as for an empty one. A missing list is None now and needs no credential; an empty one, or null, admits nobody. Both decide in Configuration alone, and an empty key matches no request without a key any more.

Tests that meant a deployment without keys said so with an empty tuple; they say None now and check what they did.

--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -124,12 +124,16 @@
 
 @frozen
 class Configuration:
-    """One version of the configuration that operators have put into force."""
+    """One version of the configuration that operators have put into force.
+
+    Without `workspaces` requests need no credential. An empty tuple is a deployment
+    whose last workspace was removed: no credential is known any more.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
-    workspaces: tuple[Workspace, ...] = ()
+    workspaces: tuple[Workspace, ...] | None = None
     limits: CallerLimits = field(factory=CallerLimits)
     ranked_services: frozenset[str] = field(init=False, repr=False, eq=False)
     routes_by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
@@ -165,10 +169,20 @@
     def _index_credentials(self) -> dict[str, Workspace]:
         return {
             credential: workspace
-            for workspace in self.workspaces
+            for workspace in self.workspaces or ()
             for credential in workspace.credentials
         }
 
+    def needs_credential(self, route: Route) -> bool:
+        """Tells whether only requests with a known credential may use a route."""
+        return self.workspaces is not None and not route.public
+
+    def find_workspace(self, credential: str | None) -> Workspace | None:
+        """Finds the workspace of a credential; None without a known one."""
+        if not credential:
+            return None
+        return self.workspaces_by_credential.get(credential)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Finds the route with the longest prefix that matches the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/src/magnoliahold/core/serving/systems/admission.py
+++ b/src/magnoliahold/core/serving/systems/admission.py
@@ -74,11 +74,11 @@
         _refuse(world, caller, NOT_FOUND, NO_ROUTE)
         return
     workspace = None
-    if configuration.workspaces and not route.public:
+    if configuration.needs_credential(route):
         if not _is_proof_fresh(world):
             _refuse(world, caller, UNAVAILABLE, "credentials can't be checked")
             return
-        workspace = configuration.workspaces_by_credential.get(caller.credential or "")
+        workspace = configuration.find_workspace(caller.credential)
         if workspace is None:
             _refuse(world, caller, UNAUTHORIZED, UNKNOWN_CREDENTIAL)
             return
@@ -118,9 +118,9 @@
     route = configuration.find_route(caller.host, caller.path)
     if route is None:
         return HeadRefusal(NOT_FOUND, NO_ROUTE)
-    if not configuration.workspaces or route.public or not _is_proof_fresh(world):
+    if not configuration.needs_credential(route) or not _is_proof_fresh(world):
         return None
-    if caller.credential not in configuration.workspaces_by_credential:
+    if configuration.find_workspace(caller.credential) is None:
         return HeadRefusal(UNAUTHORIZED, UNKNOWN_CREDENTIAL)
     return None
 
--- a/src/magnoliahold/core/serving/systems/configurations.py
+++ b/src/magnoliahold/core/serving/systems/configurations.py
@@ -32,7 +32,8 @@
         version=configuration.version,
         before=current.version if current else None,
         routes=len(configuration.routes),
-        workspaces=len(configuration.workspaces),
+        workspaces=len(configuration.workspaces or ()),
+        needs_credentials=configuration.workspaces is not None,
     )
 
 
--- a/src/magnoliahold/platform/documents.py
+++ b/src/magnoliahold/platform/documents.py
@@ -106,7 +106,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # An empty list, or null, takes all keys away; without the member none is needed.
+    tenants: list[_Tenant] | msgspec.UnsetType | None = msgspec.UNSET
 
 
 class _Order(msgspec.Struct):
@@ -144,10 +145,7 @@
             version=raw.version,
             routes=tuple(_make_route(route) for route in raw.routes),
             services=tuple(_make_service(service) for service in raw.services),
-            workspaces=tuple(
-                Workspace(item.name, tuple(item.api_keys), item.priority)
-                for item in raw.tenants
-            ),
+            workspaces=_make_workspaces(raw.tenants),
             limits=_make_limits(raw.limits),
         )
 
@@ -187,6 +185,16 @@
     )
 
 
+def _make_workspaces(
+    raw: list[_Tenant] | msgspec.UnsetType | None,
+) -> tuple[Workspace, ...] | None:
+    if raw is msgspec.UNSET:
+        return None
+    return tuple(
+        Workspace(item.name, tuple(item.api_keys), item.priority) for item in raw or ()
+    )
+
+
 def _make_limits(raw: _Limits) -> CallerLimits:
     return CallerLimits(
         header_bytes=raw.max_header_bytes,
--- a/tests/core/serving/changing_configurations.py
+++ b/tests/core/serving/changing_configurations.py
@@ -60,7 +60,7 @@
         whole,
         routes=tuple(routes),
         services=draw.choice((whole.services, tuple(services), (engines,))),
-        workspaces=draw.choice((whole.workspaces, others, others[1:], ())),
+        workspaces=draw.choice((whole.workspaces, others, others[1:], None)),
     )
 
 
--- a/tests/core/serving/crashing_parts.py
+++ b/tests/core/serving/crashing_parts.py
@@ -142,7 +142,7 @@
         self.random = Random(self.seed * 7 + 1)
         self.arrivals = Random(self.seed * 7 + 2)
         self.sessions = [self._make_session() for _ in range(OPEN_SESSIONS)]
-        keys = {} if self.day.has_keys else {"workspaces": ()}
+        keys = {} if self.day.has_keys else {"workspaces": None}
         self.put_row(Feed.CONFIGURATION, "config", make_configuration(**keys))
         for number in range(1, self.day.engines + 1):
             centre = f"data-centre-{number % DATA_CENTRES}"
--- a/tests/core/serving/test_admission.py
+++ b/tests/core/serving/test_admission.py
@@ -7,13 +7,15 @@
 
 from attrs import evolve
 
-from magnoliahold.core.serving.configuration import RouteKind
+from magnoliahold.core.serving.configuration import RouteKind, Workspace
 from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import FeedFailed, FeedHistoryGone
 from magnoliahold.core.serving.feeds import Feed
+from magnoliahold.core.serving.systems.admission import find_head_refusal
 from magnoliahold.core.serving.systems.leaving import find_unready_reason
 from tests.core.serving.harness import (
     CALLS,
+    CREDENTIAL,
     ServingHarness,
     make_configuration,
     make_route,
@@ -29,6 +31,13 @@
     ("an unknown host", {"host": "other.example"}, 404),
 )
 
+CREDENTIALS = (
+    ("the key that was taken away", CREDENTIAL),
+    ("a key of no configuration", "other"),
+    ("an empty key", ""),
+    ("no key", None),
+)
+
 
 class AdmissionTests(unittest.TestCase):
     def setUp(self) -> None:
@@ -41,6 +50,12 @@
         refusals = self.harness.pop_effects(RefuseCaller)
         return refusals[0].status if refusals else None
 
+    def find_head_status(self, **changes: Any) -> int | None:
+        """Returns the status with which a request is refused by its head alone."""
+        caller = self.harness.request(CALL, **changes)
+        refusal = find_head_refusal(self.harness.world, caller)
+        return refusal.status if refusal else None
+
     def test_each_request_is_sent_or_refused(self) -> None:
         self.harness.start()
         for name, changes, status in REQUESTS:
@@ -91,6 +106,38 @@
         self.harness.change(Feed.CONFIGURATION, {"config": changed})
         self.assertEqual(self.find_status(), 401)
 
+    # Failure: when the last workspace was removed, all routes were open to any key and
+    # to none (review case 7).
+    def test_empty_list_of_workspaces_opens_no_route(self) -> None:
+        self.harness.start()
+        self.assertIsNone(self.find_status())
+        empty = make_configuration(version=2, workspaces=())
+        self.harness.change(Feed.CONFIGURATION, {"config": empty})
+        for name, credential in CREDENTIALS:
+            with self.subTest(name):
+                changes = {"credential": credential}
+                self.assertEqual(self.find_status(**changes), 401)
+                self.assertEqual(self.find_head_status(**changes), 401)
+
+    def test_configuration_without_workspaces_needs_no_credential(self) -> None:
+        self.harness.start(make_configuration(workspaces=None))
+        for name, credential in CREDENTIALS:
+            with self.subTest(name):
+                self.assertIsNone(self.find_status(credential=credential))
+                self.assertIsNone(self.find_head_status(credential=credential))
+
+    def test_empty_credential_of_a_workspace_admits_nobody(self) -> None:
+        blank = (Workspace("workspace-1", ("",)),)
+        self.harness.start(make_configuration(workspaces=blank))
+        for credential in (None, ""):
+            with self.subTest(credential=credential):
+                self.assertEqual(self.find_status(credential=credential), 401)
+
+    def test_public_route_is_open_beside_an_empty_list_of_workspaces(self) -> None:
+        route = make_route(CALL, CALLS, public=True)
+        self.harness.start(make_configuration(routes=(route,), workspaces=()))
+        self.assertIsNone(self.find_status(credential=None))
+
     def test_older_configuration_is_ignored(self) -> None:
         self.harness.start(make_configuration(version=5))
         old = make_configuration(version=4, routes=())
--- a/tests/core/serving/test_crash_review.py
+++ b/tests/core/serving/test_crash_review.py
@@ -62,7 +62,7 @@
 class CrashReviewTests(unittest.TestCase):
     def setUp(self) -> None:
         self.harness = ServingHarness()
-        self.harness.start(make_configuration(workspaces=()), ENGINE_RECORDS)
+        self.harness.start(make_configuration(workspaces=None), ENGINE_RECORDS)
         self.harness.world.store_offset_s = 0.0
 
     def make_prompt(self, parts: Iterable[str]) -> tuple[PromptPart, ...]:
--- a/tests/core/serving/test_crashing_parts.py
+++ b/tests/core/serving/test_crashing_parts.py
@@ -328,7 +328,7 @@
             make_upstream(number, ENGINES, data_centre=f"data-centre-{number}")
             for number in range(1, 13)
         )
-        self.harness.start(make_configuration(workspaces=()), engines)
+        self.harness.start(make_configuration(workspaces=None), engines)
         self.harness.world.store_offset_s = STORE_CLOCK_OFFSET_S
 
     def request(self, *parts: str) -> CallerRequest:
@@ -444,7 +444,7 @@
         self.harness = ServingHarness()
         self.harness.world.checks_all_rows = False
         engines = tuple(make_upstream(number, ENGINES) for number in range(1, 10))
-        self.harness.start(make_configuration(workspaces=()), engines)
+        self.harness.start(make_configuration(workspaces=None), engines)
         self.harness.world.store_offset_s = STORE_CLOCK_OFFSET_S
 
     def count_rows(self) -> int:
--- a/tests/core/serving/test_quarantine.py
+++ b/tests/core/serving/test_quarantine.py
@@ -337,7 +337,7 @@
 
     def setUp(self) -> None:
         self.harness = ServingHarness()
-        configuration = make_configuration(workspaces=())
+        configuration = make_configuration(workspaces=None)
         self.harness.start(configuration, ENGINE_RECORDS)
         self.harness.world.store_offset_s = 0.0
         self.requests = 0
--- a/tests/core/serving/test_random_changes.py
+++ b/tests/core/serving/test_random_changes.py
@@ -109,7 +109,7 @@
             whole,
             routes=tuple(routes),
             services=draw.choice((whole.services, tuple(services), (engines,))),
-            workspaces=draw.choice((whole.workspaces, whole.workspaces, others, ())),
+            workspaces=draw.choice((whole.workspaces, whole.workspaces, others, None)),
         )
 
 
--- a/tests/core/serving/test_requests_beside_changes.py
+++ b/tests/core/serving/test_requests_beside_changes.py
@@ -67,9 +67,10 @@
 CHANGES: tuple[tuple[str, Change], ...] = (
     ("no routes", lambda whole: evolve(whole, routes=())),
     ("no services", lambda whole: evolve(whole, services=())),
-    ("no workspaces", lambda whole: evolve(whole, workspaces=())),
+    ("no workspaces", lambda whole: evolve(whole, workspaces=None)),
+    ("an empty list of workspaces", lambda whole: evolve(whole, workspaces=())),
     ("other keys", lambda whole: evolve(whole, workspaces=(Workspace("w", ("k",)),))),
-    ("nothing", lambda whole: evolve(whole, routes=(), services=(), workspaces=())),
+    ("nothing", lambda whole: evolve(whole, routes=(), services=(), workspaces=None)),
     ("no ranks", lambda whole: evolve(whole, routes=whole.routes[:3])),
     ("other service", change_routes(shares=(ServiceShare("nowhere", 1.0),))),
     ("other kind", change_routes(kind=RouteKind.NOT_REPEATABLE)),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -115,6 +115,17 @@
         self.assertEqual(configuration.workspaces_by_credential["k2"].name, "t")
         self.assertEqual(configuration.limits.header_timeout_s, 1.5)
 
+    # Failure: an empty list of tenants was read like a missing one (review case 7).
+    def test_only_a_missing_list_of_tenants_needs_no_credentials(self) -> None:
+        for document, workspaces in (
+            ({}, None),
+            ({"tenants": []}, ()),
+            ({"tenants": None}, ()),
+        ):
+            with self.subTest(document=document):
+                configuration = read_configuration(encode({"version": 1, **document}))
+                self.assertEqual(configuration.workspaces, workspaces)
+
     def test_version_that_no_proof_can_name_is_rejected(self) -> None:
         for number in TOO_LARGE:
             for version in (number, str(number)):
