Keep bodies of answers in one buffer, however small their parts

Cause: each chunk was reported by itself and kept in a list, 42 bytes for a byte of content, while all bounds counted content. Chunked answers are now decoded with the decoder of callers' bodies, which reports once a read, and bodies are collected in one buffer, in calls, in the HTTP client and in a sidecar's stream alike.

--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 
+from magnoliahold.httpanswers import replace_parser
 from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
@@ -53,8 +54,11 @@
 
     def request(self, request: Any) -> Any:
         """Sends a request; bounds the head of its answer."""
+        is_free = self.state == "QUIESCENT"
         self.allow_bytes(MAX_HEAD_BYTES)
         answer: Any = super().request(request)
+        if is_free and self._parser is not None:
+            replace_parser(self, request)
         if self.state == TRANSMITTING and self._responseDeferred is not None:
             self._responseDeferred.addCallback(self._begin_early_answer)
         return answer.addCallback(self._begin_body)
--- a/src/magnoliahold/inbound/chunks.py
+++ b/src/magnoliahold/httpchunks.py
@@ -49,9 +49,16 @@
         """Decodes at most so many chunks and lines of trailers.
 
         Returns how many it decoded, and the bytes that are left for want of parts.
-        Raises _MalformedChunkedDataError for what is no chunked body.
+        Raises _MalformedChunkedDataError for what is no chunked body, with the content
+        before it delivered.
         """
-        data = self._pending + data
+        try:
+            return self._decode(self._pending + data, parts)
+        except _MalformedChunkedDataError:
+            self._deliver()
+            raise
+
+    def _decode(self, data: bytes, parts: int) -> tuple[int, bytes]:
         self._pending = b""
         used = 0
         position = 0
--- a/src/magnoliahold/httpclient.py
+++ b/src/magnoliahold/httpclient.py
@@ -180,19 +180,17 @@
         self._max_bytes = max_bytes
         self._on_complete = on_complete
         self._on_failure = on_failure
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self._size += len(data)
-        if self._size > self._max_bytes:
+        if len(self._body) + len(data) > self._max_bytes:
             self._on_failure(f"answer is larger than {self._max_bytes} bytes")
             return
-        self._chunks.append(data)
+        self._body += data
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         if reason.check(ResponseDone):
-            self._on_complete(b"".join(self._chunks))
+            self._on_complete(bytes(self._body))
         elif reason.check(PotentialDataLoss):
             self._on_failure("answer has neither a length nor chunks; send one of them")
         else:
--- a/src/magnoliahold/inbound/readings.py
+++ b/src/magnoliahold/inbound/readings.py
@@ -11,7 +11,7 @@
     _MalformedChunkedDataError,
 )
 
-from magnoliahold.inbound.chunks import ChunkDecoder
+from magnoliahold.httpchunks import ChunkDecoder
 
 if TYPE_CHECKING:
     from magnoliahold.inbound.intake import Intake
--- a/src/magnoliahold/serving/bodies.py
+++ b/src/magnoliahold/serving/bodies.py
@@ -66,6 +66,8 @@
         try:
             pieces = self._splitter.add_bytes(data)
         except Exception as error:
+            # Good pieces and the bad one may have come together.
+            self._exchanges.add_pieces(self._exchange, self._splitter.take_complete())
             self._exchanges.interrupt(self._exchange, describe_error(error))
             return
         self._exchanges.add_pieces(self._exchange, pieces)
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -38,11 +38,11 @@
     """One attempt, its connection, and the part of its answer received so far.
 
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
-    and `last_piece` is the highest number so far; else `body` holds the chunks of the
-    answer, unless it `discards_body`. `size` counts the bytes of either. `aborted` is
-    set when its result is no longer wanted, `finished` when its answer is complete and
-    `interrupted` when it was reported as a failure. `reader` reads the body, unless
-    it is `paused_by` something.
+    and `last_piece` is the highest number so far; else `body` is what came of the body,
+    unless it `discards_body`. `size` counts the bytes of either. `aborted` is set when
+    its result is no longer wanted, `finished` when its answer is complete, and
+    `interrupted` when it was reported as a failure. `reader` reads the body, unless it
+    is `paused_by` something.
     """
 
     attempt: int
@@ -57,7 +57,7 @@
     status: int = 0
     head: AnswerHead | None = None
     headers: list[tuple[bytes, bytes]] = field(factory=list)
-    body: list[bytes] = field(factory=list)
+    body: bytearray = field(factory=bytearray)
     discards_body: bool = False
     size: int = 0
     pieces: list[Piece] = field(factory=list)
--- a/src/magnoliahold/serving/pieces.py
+++ b/src/magnoliahold/serving/pieces.py
@@ -37,23 +37,33 @@
     _buffer: bytearray = field(factory=bytearray)
     _event_start: int = 0
     _search_start: int = 0
+    _complete: list[Piece] = field(factory=list)
 
     def add_bytes(self, data: bytes) -> list[Piece]:
-        """Adds bytes and returns the pieces that are complete now."""
+        """Adds bytes and returns the pieces that are complete now.
+
+        After an error, `take_complete` returns those before it.
+        """
         self._buffer += data
         # An event ends with a line end, which is then among the new bytes.
-        pieces = self._split() if b"\n" in data else []
+        if b"\n" in data:
+            self._split()
         if len(self._buffer) > MAX_PIECE_BYTES:
             raise PieceTooLongError(f"a piece is longer than {MAX_PIECE_BYTES} bytes")
-        return pieces
+        return self.take_complete()
+
+    def take_complete(self) -> list[Piece]:
+        """Removes and returns the complete pieces that weren't returned yet."""
+        complete = self._complete
+        self._complete = []
+        return complete
 
-    def _split(self) -> list[Piece]:
-        """Removes the complete pieces from the buffer and returns them.
+    def _split(self) -> None:
+        """Removes the complete pieces from the buffer.
 
         The end of an event may have arrived in part.
         """
         buffer = self._buffer
-        pieces = []
         piece_start = 0
         for found in PIECE_END.finditer(buffer, self._search_start):
             end = found.end()
@@ -61,13 +71,12 @@
             self._event_start = end
             if number is not None:
                 content = bytes(buffer[piece_start:end])
-                pieces.append(Piece(int(number.group(1)), content))
+                self._complete.append(Piece(int(number.group(1)), content))
                 piece_start = end
         del buffer[:piece_start]
         self._event_start -= piece_start
         unsearched = len(buffer) - MAX_END_BYTES + 1
         self._search_start = max(self._event_start, unsearched)
-        return pieces
 
     @property
     def buffered_bytes(self) -> int:
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -201,7 +201,7 @@
         if exchange.size > limit:
             self._interrupt(exchange, "the answer is too long", False)
         elif not exchange.discards_body:
-            exchange.body.append(data)
+            exchange.body += data
             self.memory.hold(exchange, exchange.size)
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
--- a/src/magnoliahold/sidecar/engine_stream.py
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -192,18 +192,17 @@
         self._on_line = on_line
         self._on_long_line = on_long_line
         self._on_end = on_end
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._line = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         *ends, rest = data.split(b"\n")
         for end in ends:
-            self._on_line(b"".join((*self._parts, end)))
-            self._parts = []
-            self._size = 0
-        self._parts.append(rest)
-        self._size += len(rest)
-        if self._size > MAX_LINE_BYTES:
+            self._line += end
+            line = bytes(self._line)
+            self._line.clear()
+            self._on_line(line)
+        self._line += rest
+        if len(self._line) > MAX_LINE_BYTES:
             self._on_long_line(f"line is longer than {MAX_LINE_BYTES} bytes")
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
--- a/tests/serving/test_answers_review.py
+++ b/tests/serving/test_answers_review.py
@@ -80,7 +80,7 @@
                     self.assertIs(await self.wait_for_end(), AnswerReceived)
                     exchange = self.exchanges.find(attempt)
                     assert exchange is not None
-                    self.assertEqual(sum(map(len, exchange.body)), size)
+                    self.assertEqual(len(exchange.body), size)
 
     @on_loopback
     async def test_long_stream(self) -> None:
--- a/tests/serving/test_memory.py
+++ b/tests/serving/test_memory.py
@@ -108,7 +108,7 @@
                 self.assertIsInstance(self.events[1], AttemptInterrupted)
                 exchange: Any = self.exchanges.find(attempt)
                 self.assertLess(exchange.size, MAX_DISCARDED_BYTES + READ_BYTES + 1)
-                self.assertEqual(exchange.body, [])
+                self.assertEqual(exchange.body, b"")
                 self.assertEqual(self.exchanges.memory.held_bytes, 0)
 
     @on_loopback
--- a/tests/inbound/test_chunks.py
+++ b/tests/test_httpchunks.py
@@ -7,7 +7,7 @@
 
 from twisted.web.http import _MalformedChunkedDataError
 
-from magnoliahold.inbound.chunks import (
+from magnoliahold.httpchunks import (
     MAX_SIZE_LINE_BYTES,
     MAX_TRAILER_BYTES,
     ChunkDecoder,
