Take nothing for an answer that the protocol doesn't have

Cause: the library's parser takes any integer for a status, any protocol's name and several lengths at once; what follows tells failures by ranges that such a status is outside of. AnswerParser reads the answers of all clients, and what is none fails its attempt. 101 is none; interim answers cost no log line each.

Evidence: test_caller_never_gets_what_is_no_status had 7 failures on the code before, for calls, bookings and streams; test_what_is_no_answer_fails failed too.

--- a/src/magnoliahold/httpanswers.py
+++ b/src/magnoliahold/httpanswers.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
-from twisted.web._newclient import HTTPClientParser
-from twisted.web.http import _DataLoss
+from twisted.web._newclient import BODY, HTTPClientParser
+from twisted.web.http import _DataLoss, _IdentityTransferDecoder
 
 from magnoliahold.httpchunks import ChunkDecoder, ChunkState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# A status is one of three digits from 100 to 599; the library reads any number.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+FIRST_WITH_CHUNKS = (b"HTTP", 1, 1)
+
+
+class MalformedAnswerError(Exception):
+    """A server sent bytes that are no answer in the protocol."""
+
 
 class AnswerChunkDecoder:
     """Decodes a chunked body; what came in one read is delivered at once.
@@ -38,10 +49,50 @@
 
 
 class AnswerParser(HTTPClientParser):
-    """Parses one answer."""
+    """Parses one answer; raises MalformedAnswerError if it is none."""
 
     _transferDecoders = {b"chunked": AnswerChunkDecoder}  # type: ignore[dict-item]  # noqa: N815
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether a body is read that has neither a length nor chunks."""
+        decoder = self.bodyDecoder
+        return (
+            self.state == BODY
+            and isinstance(decoder, _IdentityTransferDecoder)
+            and decoder.contentLength is None
+        )
+
+    def statusReceived(self, status: bytes) -> None:  # noqa: N802
+        """Reads the status line."""
+        if STATUS_LINE.fullmatch(status) is None:
+            raise MalformedAnswerError("the status line can't be read")
+        super().statusReceived(status)  # type: ignore[no-untyped-call]
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Begins the body; ignores an interim answer, of which many may come."""
+        status = self.response.code
+        if status == SWITCHING_PROTOCOLS:
+            raise MalformedAnswerError("nobody asked for another protocol")
+        if status < FIRST_FINAL_STATUS:
+            self.connectionMade()  # type: ignore[no-untyped-call]
+            del self.response
+            return
+        self._check_framing()
+        super().allHeadersReceived()  # type: ignore[no-untyped-call]
+
+    def _check_framing(self) -> None:
+        """Checks that there is one way to find the end of the body."""
+        codings = self.connHeaders.getRawHeaders(b"Transfer-Encoding")
+        if codings is None:
+            return
+        if [coding.lower() for coding in codings] != [b"chunked"]:
+            raise MalformedAnswerError("the transfer encoding is unknown")
+        if self.connHeaders.hasHeader(b"Content-Length"):
+            raise MalformedAnswerError("the body has both a length and chunks")
+        if self.response.version < FIRST_WITH_CHUNKS:
+            raise MalformedAnswerError("the version has no chunks")
+
 
 def replace_parser(connection: Any, request: Any) -> None:
     """Lets a connection read the answer to a request that it just sent strictly.
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -71,10 +71,18 @@
         [b"HTTP/1.1 200 OK\r\nRequest-Id: abc\r\n" + EVENTS + CHUNKS + EVENT_BODY],
     ),
     ("stream of another request", [STREAM.replace(b"abc", b"other") + EVENT_BODY]),
+    ("no status", [b"HTTP/1.1 000 ERROR\r\n" + SIGNED + TEXT]),
     ("no HTTP", [b"ERROR\r\n\r\n", CLOSE]),
     ("part of a head", [STREAM[:-3], CLOSE]),
     ("part of a piece", [STREAM + make_chunk(b"id: 4\nERROR"), CLOSE]),
 )
+# Status lines without a status of the protocol, which no caller may get.
+NO_STATUS = (b"HTTP/1.1 000 Odd", b"HTTP/1.1 099 Odd", b"HTTP/1.1 600 Odd")
+SOUND = {
+    "bookings": [WHOLE],
+    "calls": [WHOLE],
+    "streams": [STREAM, *map(make_chunk, PIECES), LAST_CHUNK],
+}
 
 
 class CutHeadTests(ExchangeTestCase):
@@ -137,6 +145,21 @@
                     answer = await self.ask(name)
                     self.assertEqual(answer.split()[1], b"502")
 
+    # Failure: callers got the status 000 of an upstream in trouble, with its signature.
+    @on_loopback
+    async def test_caller_never_gets_what_is_no_status(self) -> None:
+        self.daemon = await self.start([CLOSE], [CLOSE])
+        for line in NO_STATUS:
+            for name, sound in SOUND.items():
+                with self.subTest(line, name=name):
+                    odd = line + b"\r\n" + SIGNED + TEXT
+                    self.share_scripts([odd], sound)
+                    await self.forget_failures()
+                    answer = await self.ask(name)
+                    status = b"502" if name == "bookings" else b"200"
+                    self.assertEqual(answer.split()[1], status)
+                    self.assertNotIn(b"ERROR", answer)
+
     # Failure elsewhere: clients found an error's text, at times its whole head, in the
     # middle of their stream, or the stream ended as if it were complete.
     @on_loopback
--- a/tests/test_httpanswers.py
+++ b/tests/test_httpanswers.py
@@ -5,8 +5,20 @@
 import tracemalloc
 from typing import TYPE_CHECKING, Any
 
+from twisted.python.failure import Failure
+
+from magnoliahold.core.serving.events import (
+    AnswerReceived,
+    AttemptInterrupted,
+    AttemptSent,
+    UpstreamFailedProbe,
+)
 from magnoliahold.httpclient import HttpClient
-from magnoliahold.sidecar.engine_client import EngineRequest, make_engine_client
+from magnoliahold.sidecar.engine_client import (
+    EngineRequest,
+    EngineStreamEnd,
+    make_engine_client,
+)
 from tests.flooding import CHUNKED, MIB, STATUS, FloodTestCase
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
@@ -14,6 +26,70 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+BODY = b"\r\nContent-Length: 2\r\n\r\nok"
+SIGNED = b"\r\nRequest-Id: abc\r\nResponse-Signature: s"
+OK = b"HTTP/1.1 200 OK" + SIGNED
+CODED = OK + b"\r\nTransfer-Encoding: "
+CHUNKS = b"\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Hints\r\n\r\n"
+STATUS_LINES = (
+    b"HTTP/1.1 000 Odd",
+    b"HTTP/1.1 0 Odd",
+    b"HTTP/1.1 99 Odd",
+    b"HTTP/1.1 099 Odd",
+    b"HTTP/1.1 600 Odd",
+    b"HTTP/1.1 999 Odd",
+    b"HTTP/1.1 1200 Odd",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 2_0_0 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/1.1 \t200 OK",
+    b"HTTP/1.1 200\x00 OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/11 200 OK",
+    b"http/1.1 200 OK",
+    b"FTP/1.1 200 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+)
+# What is no answer in the protocol.
+MALFORMED = (
+    *((line.decode(), line + SIGNED + BODY) for line in STATUS_LINES),
+    ("chunks and a length", CODED + b"chunked\r\nContent-Length: 2" + CHUNKS),
+    ("two codings", CODED + b"chunked\r\nTransfer-Encoding: chunked" + CHUNKS),
+    ("unknown coding", CODED + b"gzip" + CHUNKS),
+    ("list of codings", CODED + b"gzip, chunked" + CHUNKS),
+    ("chunks in an old version", CODED.replace(b"1.1", b"1.0") + b"chunked" + CHUNKS),
+    ("two lengths", OK + b"\r\nContent-Length: 3" + BODY),
+    (
+        "signed length",
+        OK + b"\r\nContent-Length: +2\r\n\r\nok",
+    ),
+    ("space in a name", OK + b"\r\nOdd name: x" + BODY),
+    ("space behind a name", OK + b"\r\nOdd : x" + BODY),
+    ("no name", OK + b"\r\n: x" + BODY),
+    ("no colon", OK + b"\r\nOdd" + BODY),
+)
+# What is one, however unusual.
+UNUSUAL = (
+    ("no reason", b"HTTP/1.1 200" + SIGNED + BODY),
+    ("empty reason", b"HTTP/1.1 200 " + SIGNED + BODY),
+    ("reason that is no ASCII", b"HTTP/1.1 200 d\xe9j\xe0" + SIGNED + BODY),
+    ("unknown status", b"HTTP/1.1 299 Odd" + SIGNED + BODY),
+    ("old version", b"HTTP/1.0 200 OK" + SIGNED + BODY),
+    ("newer version", b"HTTP/1.2 200 OK" + SIGNED + BODY),
+    ("capital coding", CODED + b"Chunked" + CHUNKS),
+    ("the same length twice", OK + BODY[:19] + BODY),
+    (
+        "interim answers",
+        b"HTTP/1.1 103 Hints\r\n\r\n" * 3 + CODED + b"chunked" + CHUNKS,
+    ),
+)
+
 SMALL_CHUNK = b"1\r\nx\r\n"
 # Fewer bytes of small chunks than any reader refuses.
 FLOOD_BYTES = 800 * 1024
@@ -22,35 +98,84 @@
 ENGINE_REQUEST = EngineRequest("p", (), 20, 0, "v1", "w")
 
 
-def start_call(case: SmallPartsTests, port: int) -> None:
+def start_call(case: AnswerTestCase, port: int) -> None:
     """Sends an attempt of an entry."""
     case.send(port)
 
 
-def start_request(case: SmallPartsTests, port: int) -> None:
+def start_request(case: AnswerTestCase, port: int) -> None:
     """Sends a request of the HTTP client."""
     client = HttpClient(case.reactor, f"http://127.0.0.1:{port}")
     client.send("GET", "/a").addErrback(case.events.append)
 
 
-def start_generation(case: SmallPartsTests, port: int) -> None:
+def start_generation(case: AnswerTestCase, port: int) -> None:
     """Starts a stream of a sidecar."""
     client = make_engine_client(case.reactor, f"http://127.0.0.1:{port}")
     client.start_stream("a", ENGINE_REQUEST, case.record, case.events.append)
 
 
-READERS: tuple[tuple[str, Callable[[SmallPartsTests, int], None]], ...] = (
+def start_probe(case: AnswerTestCase, port: int) -> None:
+    """Probes an upstream of an entry."""
+    case.exchanges.probe(case.make_record(port), 0.5)
+
+
+READERS: tuple[tuple[str, Callable[[AnswerTestCase, int], None]], ...] = (
     ("call", start_call),
     ("request", start_request),
     ("generation", start_generation),
 )
 
+FAILURES: tuple[tuple[str, Callable[[AnswerTestCase, int], None], type], ...] = (
+    ("call", start_call, AttemptInterrupted),
+    ("request", start_request, Failure),
+    ("generation", start_generation, EngineStreamEnd),
+    ("probe", start_probe, UpstreamFailedProbe),
+)
+
+
+class AnswerTestCase(ExchangeTestCase, FloodTestCase):
+    """A test case with each client that reads answers of upstreams."""
 
-class SmallPartsTests(ExchangeTestCase, FloodTestCase):
     def record(self, *values: Any) -> None:
         """Records what a stream reports."""
         self.events.append(values)
 
+
+class MalformedAnswerTests(AnswerTestCase):
+    async def read_end(
+        self, start: Callable[[AnswerTestCase, int], None], answer: bytes
+    ) -> Any:
+        """Lets a client read an answer, and returns the event of its end."""
+        self.events.clear()
+        server = self.listen([answer])
+        start(self, server.port)
+        await self.wait_until(
+            lambda: any(not isinstance(item, AttemptSent) for item in self.events)
+        )
+        return self.events[-1]
+
+    # Failure: a status of three zeros reached callers as a status.
+    @on_loopback
+    async def test_what_is_no_answer_fails(self) -> None:
+        for name, answer in MALFORMED:
+            for reader, start, failure in FAILURES:
+                with self.subTest(name, reader=reader):
+                    end = await self.read_end(start, answer)
+                    self.assertIsInstance(end, failure)
+
+    @on_loopback
+    async def test_unusual_answer_is_one(self) -> None:
+        for name, answer in UNUSUAL:
+            with self.subTest(name):
+                end = await self.read_end(start_call, answer)
+                self.assertIsInstance(end, AnswerReceived)
+                exchange = self.exchanges.find(end.attempt)
+                assert exchange is not None
+                self.assertEqual(exchange.body, b"ok")
+
+
+class SmallPartsTests(AnswerTestCase):
     # Failure: each chunk of one byte was kept as an object of its own, so that a body
     # without end filled the memory of an entry far below its bound (review case 6).
     @on_loopback
