Wait for a reset behind the end of an answer beside an upload

An upstream that dies beside a long upload may close its connection first and reset it only when more of the upload arrives.

Such an answer is complete now once the upstream has acknowledged the request, and broken off if a reset comes first. What knows of unread bytes (sockets.py) moved out of inbound/, since both sides use it.

--- a/src/magnoliahold/entry/untaken.py
+++ b/src/magnoliahold/entry/untaken.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from magnoliahold.inbound.sockets import count_undelivered, count_unwritten
+from magnoliahold.sockets import count_undelivered, count_unwritten
 
 if TYPE_CHECKING:
     from magnoliahold.runtime import Clock
--- a/src/magnoliahold/inbound/channels.py
+++ b/src/magnoliahold/inbound/channels.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from magnoliahold.inbound.readings import PacedChannel
-from magnoliahold.inbound.sockets import count_unwritten, count_write_buffer
+from magnoliahold.sockets import count_unwritten, count_write_buffer
 
 if TYPE_CHECKING:
     from magnoliahold.inbound.connections import Closability, ConnectionTable
--- a/src/magnoliahold/serving/callerclosing.py
+++ b/src/magnoliahold/serving/callerclosing.py
@@ -8,11 +8,11 @@
 from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
 from twisted.python.failure import Failure
 
-from magnoliahold.inbound.sockets import is_reset
 from magnoliahold.logs import make_part_logger
 from magnoliahold.serving.callerstates import LINGER_S, ObservedChannel
 from magnoliahold.serving.connectionends import REJECTION_STATUS, EndCause
 from magnoliahold.serving.idletimes import LOOKS_PER_TIMEOUT, STALLED_TIMEOUTS
+from magnoliahold.sockets import is_reset
 
 # How often to look whether a half-closed caller has its last answer.
 HALF_CLOSED_LOOK_S = 0.05
--- a/src/magnoliahold/serving/callerconnections.py
+++ b/src/magnoliahold/serving/callerconnections.py
@@ -8,11 +8,11 @@
 from zope.interface import implementer
 
 from magnoliahold.inbound.readings import HoldReason
-from magnoliahold.inbound.sockets import has_ended
 from magnoliahold.serving.backpressure import MAX_UNWRITTEN_BYTES
 from magnoliahold.serving.callerexchanges import CallerExchange
 from magnoliahold.serving.callertimeouts import TimedChannel
 from magnoliahold.serving.connectionends import EndCause, find_left_cause
+from magnoliahold.sockets import has_ended
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
--- a/src/magnoliahold/serving/callerstates.py
+++ b/src/magnoliahold/serving/callerstates.py
@@ -6,9 +6,9 @@
 
 from magnoliahold.inbound.channels import BoundedChannel
 from magnoliahold.inbound.connections import Closability
-from magnoliahold.inbound.sockets import count_undelivered, has_unread_bytes
 from magnoliahold.serving.connectionends import OPEN_CAUSES, DiscardedBytes
 from magnoliahold.serving.idletimes import IdleTime
+from magnoliahold.sockets import count_undelivered, has_unread_bytes
 
 if TYPE_CHECKING:
     from magnoliahold.serving.callers import Callers
--- a/src/magnoliahold/serving/connections.py
+++ b/src/magnoliahold/serving/connections.py
@@ -5,11 +5,14 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from magnoliahold.httpbounds import BoundedClientProtocol
+from magnoliahold.sockets import count_undelivered, count_unwritten, is_reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,10 +23,12 @@
 MAX_IDLE_S = 8.0
 KEEP_ALIVE_MARGIN_S = 0.5
 MAX_IDLE_PER_UPSTREAM = 8
+UNREAD_CHECK_INTERVAL_S = 0.02
 
 PoolKey = tuple[str, str, int]
 
 
+@implementer(IHalfCloseableProtocol)
 class UpstreamConnection(BoundedClientProtocol):
     """A connection to one upstream.
 
@@ -59,6 +64,48 @@
                 limit_s = float(value) - KEEP_ALIVE_MARGIN_S
                 self.idle_limit_s = min(MAX_IDLE_S, limit_s)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Ends the connection, of which the upstream has closed its side."""
+        parser: Any = self._parser
+        if parser is not None and parser.ends_with_connection:
+            self._end_when_request_is_read()
+        else:
+            self._end(ConnectionDone())
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Does nothing: this side is never closed by itself."""
+
+    def _end_when_request_is_read(self) -> None:
+        """Ends an answer that ends with its connection, once nothing may reset that.
+
+        An upstream that dies closes first and resets the connection as soon as more of
+        the request arrives.
+        """
+        if self.close_reason is not None:
+            return
+        transport: Any = self.transport
+        if is_reset(transport.socket):
+            self._end(ConnectionLost())
+        elif self._is_request_unread:
+            reactor = transport.reactor
+            reactor.callLater(UNREAD_CHECK_INTERVAL_S, self._end_when_request_is_read)
+        else:
+            self._end(ConnectionDone())
+
+    @property
+    def _is_request_unread(self) -> bool:
+        """Whether a part of the request hasn't reached the upstream."""
+        transport: Any = self.transport
+        return bool(
+            transport.producer is not None
+            or count_unwritten(transport)
+            or count_undelivered(transport.socket)
+        )
+
+    def _end(self, reason: Exception) -> None:
+        transport: Any = self.transport
+        transport.connectionLost(Failure(reason))
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Records why the connection ended and removes it from the pool."""
         self.close_reason = reason
