Bound the lines of heads, kept names of headers and the framing of chunks

Their content was bounded, not what it takes: a head of 64 KB in short lines was 3.4 MB of objects, held until its request ended; the library keeps the spelling of 10,000 names of headers, of 16 KB each, for as long as the process runs, whoever made them up; and 32 MB of chunks of one byte kept a processor busy.

A head has 256 lines at most, those of interim heads included; names over 64 bytes aren't kept, on connections of callers either; chunks may take 1 MiB more framing than content.

--- a/src/magnoliahold/daemon.py
+++ b/src/magnoliahold/daemon.py
@@ -15,6 +15,7 @@
 from magnoliahold.core.systems.membership import add_peer
 from magnoliahold.errors import ProcessBrokenError
 from magnoliahold.gatheredlines import LINES
+from magnoliahold.headernames import bound_kept_names
 from magnoliahold.inbound.intake import make_intake
 from magnoliahold.journal import MetricsJournal
 from magnoliahold.logs import make_part_logger
@@ -243,6 +244,7 @@
             reactor.stop()
 
     use_monotonic_clock(reactor)
+    bound_kept_names()
     signal.signal(signal.SIGTERM, handle_signal)
     signal.signal(signal.SIGINT, handle_signal)
     reactor.callWhenRunning(start_daemons)
--- /dev/null
+++ b/src/magnoliahold/headernames.py
@@ -0,0 +1,26 @@
+"""Bounds what the HTTP library remembers of the names of headers."""
+
+from __future__ import annotations
+
+from twisted.web import http_headers
+
+# Longer names are spelled anew each time.
+MAX_KEPT_NAME_BYTES = 64
+
+
+class ShortNames(dict[bytes | str, bytes]):
+    """The spellings of names of headers, without those of long names.
+
+    The library bounds how many it keeps, not how long they are: peers that make names
+    up could fill the memory of a process.
+    """
+
+    def __setitem__(self, name: bytes | str, spelling: bytes) -> None:
+        """Keeps the spelling of a short name."""
+        if len(name) <= MAX_KEPT_NAME_BYTES:
+            super().__setitem__(name, spelling)
+
+
+def bound_kept_names() -> None:
+    """Lets the library keep no long names, for all connections of the process."""
+    http_headers._nameEncoder._canonicalHeaderCache = ShortNames()
--- a/src/magnoliahold/httpanswers.py
+++ b/src/magnoliahold/httpanswers.py
@@ -15,11 +15,19 @@
 
 # A status is one of three digits from 100 to 599; the library reads any number.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
+# Each line takes some hundred bytes beside its content. Those of interim heads count.
+MAX_HEAD_LINES = 256
+# So many bytes more than their content may frame chunks.
+MAX_FRAMING_BYTES = 1024 * 1024
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 FIRST_WITH_CHUNKS = (b"HTTP", 1, 1)
 
 
+class AnswerTooLongError(Exception):
+    """A server sent more bytes for an answer, or a part of one, than are allowed."""
+
+
 class MalformedAnswerError(Exception):
     """A server sent bytes that are no answer in the protocol."""
 
@@ -27,7 +35,8 @@
 class AnswerChunkDecoder:
     """Decodes a chunked body; what came in one read is delivered at once.
 
-    Chunks may be as small as a byte, and each delivery costs time and objects.
+    Chunks may be as small as a byte, and each delivery costs time and objects. Raises
+    AnswerTooLongError if there is much more framing than content.
     """
 
     def __init__(
@@ -35,12 +44,23 @@
         on_content: Callable[[bytes], None],
         on_finished: Callable[[bytes], None],
     ) -> None:
-        self._decoder = ChunkDecoder(on_content, on_finished)
+        self._decoder = ChunkDecoder(self._add, on_finished)
+        self._on_content = on_content
+        self._content_bytes = 0
+        self._framing_bytes = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Decodes what came in one read; raises an error if it is malformed."""
+        self._framing_bytes += len(data)
         # Each chunk and each line of trailers takes a byte at least.
         self._decoder.decode(data, len(data))
+        if self._framing_bytes > self._content_bytes + MAX_FRAMING_BYTES:
+            raise AnswerTooLongError("the chunks are too small")
+
+    def _add(self, content: bytes) -> None:
+        self._framing_bytes -= len(content)
+        self._content_bytes += len(content)
+        self._on_content(content)
 
     def noMoreData(self) -> None:  # noqa: N802
         """Raises _DataLoss unless the body has ended."""
@@ -53,6 +73,15 @@
 
     _transferDecoders = {b"chunked": AnswerChunkDecoder}  # type: ignore[dict-item]  # noqa: N815
 
+    _head_lines = 0
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Reads a line of a head."""
+        self._head_lines += 1
+        if self._head_lines > MAX_HEAD_LINES:
+            raise AnswerTooLongError("the head has too many lines")
+        super().lineReceived(line)  # type: ignore[no-untyped-call]
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether a body is read that has neither a length nor chunks."""
--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 
-from magnoliahold.httpanswers import replace_parser
+from magnoliahold.httpanswers import AnswerTooLongError, replace_parser
 from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
@@ -28,10 +28,6 @@
 logger = make_part_logger("http")
 
 
-class AnswerTooLongError(Exception):
-    """A server sent more bytes for an answer, or a part of one, than are allowed."""
-
-
 class BoundedClientProtocol(HTTP11ClientProtocol):
     """A connection that is reset when an answer on it goes beyond its bounds.
 
--- a/tests/test_httpanswers.py
+++ b/tests/test_httpanswers.py
@@ -13,6 +13,7 @@
     AttemptSent,
     UpstreamFailedProbe,
 )
+from magnoliahold.httpanswers import MAX_HEAD_LINES
 from magnoliahold.httpclient import HttpClient
 from magnoliahold.sidecar.engine_client import (
     EngineRequest,
@@ -95,6 +96,10 @@
 FLOOD_BYTES = 800 * 1024
 # What a reader may hold for them: their content, and what is being read and sent.
 HELD_BYTES = 2 * MIB
+# Short lines that are less than the longest head.
+MANY_LINES = 10_000
+HEADS = 10
+HEADS_READ_S = 0.5
 ENGINE_REQUEST = EngineRequest("p", (), 20, 0, "v1", "w")
 
 
@@ -176,6 +181,42 @@
 
 
 class SmallPartsTests(AnswerTestCase):
+    # Failure: a head of 64 KB in short lines took 3 MB, so that those of one upstream
+    # in trouble filled the memory of an entry.
+    @on_loopback
+    async def test_heads_of_many_lines_take_little_memory(self) -> None:
+        lines = b"".join(b"%x:\r\n" % number for number in range(MANY_LINES))
+        server = self.listen([STATUS + lines + b"\r\n"])
+        tracemalloc.start()
+        try:
+            for _ in range(HEADS):
+                start_call(self, server.port)
+            await self.wait_until(lambda: len(server.requests) == HEADS)
+            await self.sleep(HEADS_READ_S)
+            held, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held, HELD_BYTES)
+        interrupted = [e for e in self.events if isinstance(e, AttemptInterrupted)]
+        self.assertEqual(len(interrupted), HEADS)
+
+    @on_loopback
+    async def test_head_of_as_many_lines_as_allowed_is_read(self) -> None:
+        lines = b"".join(b"%x: y\r\n" % n for n in range(MAX_HEAD_LINES - 6))
+        server = self.listen([OK + b"\r\n" + lines[:-2] + BODY])
+        start_call(self, server.port)
+        await self.wait_until(lambda: len(self.events) == 2)
+        self.assertIsInstance(self.events[-1], AnswerReceived)
+
+    # Failure: chunks of one byte, 32 MB of them, kept an entry busy for seconds.
+    @on_loopback
+    async def test_framing_without_content_is_cut_off(self) -> None:
+        for name, start in READERS:
+            with self.subTest(name):
+                server = self.flood(STATUS + CHUNKED, SMALL_CHUNK)
+                start(self, server.port)
+                await self.check_cut_off(server, 3 * MIB)
+
     # Failure: each chunk of one byte was kept as an object of its own, so that a body
     # without end filled the memory of an entry far below its bound (review case 6).
     @on_loopback
