Count answers with their objects, and bound prompt lists and answers to copies

What an entry holds of answers was counted in bytes of content: headers not at all, pieces that wait not at all, and a piece of 6 bytes as 6 where it takes 150 more. All count with their objects now; short ones are never paused and never keep long ones waiting. Lists of prompts (16 MB, many times that once decoded) are bounded at 256 KB and the answers to orders of copies at 4 KB.

--- a/src/magnoliahold/serving/copies.py
+++ b/src/magnoliahold/serving/copies.py
@@ -26,6 +26,7 @@
     from magnoliahold.runtime import Reactor
 
 OK = 200
+MAX_ANSWER_BYTES = 4 * 1024
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 logger = make_part_logger("copies")
@@ -60,7 +61,9 @@
         def handle_failure(failure: Any) -> None:
             self.post(CopyFailed(effect.attempt, holder_id, str(failure.value)))
 
-        sending = client.send("POST", COPY_PATH, body, JSON_HEADERS, effect.timeout_s)
+        sending = client.send(
+            "POST", COPY_PATH, body, JSON_HEADERS, effect.timeout_s, MAX_ANSWER_BYTES
+        )
         sending.addCallback(handle_answer).addErrback(handle_failure)
 
     def free(self, effect: FreeCopy) -> None:
@@ -78,6 +81,11 @@
                 log_failure(f"answered {answer.status}")
 
         path = make_free_path(reference.key)
-        sending = client.send("DELETE", path, timeout_s=effect.timeout_s)
+        sending = client.send(
+            "DELETE",
+            path,
+            timeout_s=effect.timeout_s,
+            max_body_bytes=MAX_ANSWER_BYTES,
+        )
         sending.addCallback(check_answer)
         sending.addErrback(lambda failure: log_failure(str(failure.value)))
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sys import getsizeof
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field, frozen
@@ -22,6 +23,11 @@
     from magnoliahold.serving.memory import PauseReason
     from magnoliahold.serving.pieces import Piece
 
+# What a header takes beside its name and value: a list and the library's table have it.
+HEADER_OBJECT_BYTES = 300
+# What a piece takes beside its content.
+PIECE_OBJECT_BYTES = 150
+
 
 @frozen
 class RequestContent:
@@ -39,10 +45,11 @@
 
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
     and `last_piece` is the highest number so far; else `body` is what came of the body,
-    unless it `discards_body`. `size` counts the bytes of either. `aborted` is set when
-    its result is no longer wanted, `finished` when its answer is complete, and
-    `interrupted` when it was reported as a failure. `reader` reads the body, unless it
-    is `paused_by` something.
+    unless it `discards_body`. `size` counts the bytes of either, those of pieces with
+    their objects, `part_bytes` those of a piece that isn't complete, and `head_bytes`
+    those of the headers. `aborted` is set when its result is no longer wanted,
+    `finished` when its answer is complete, and `interrupted` when it was reported as a
+    failure. `reader` reads the body, unless it is `paused_by` something.
     """
 
     attempt: int
@@ -60,6 +67,8 @@
     body: bytearray = field(factory=bytearray)
     discards_body: bool = False
     size: int = 0
+    part_bytes: int = 0
+    head_bytes: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
     reader: AnswerReader | None = None
@@ -75,6 +84,24 @@
         """Why its connection gave up the answer, if it did."""
         return self.connection.rejection if self.connection is not None else None
 
+    @property
+    def held_bytes(self) -> int:
+        """What the answer takes in memory, with its objects."""
+        content_bytes = self.size if self.is_stream else getsizeof(self.body)
+        return self.head_bytes + content_bytes + self.part_bytes
+
+    def keep_headers(self, headers: list[tuple[bytes, bytes]]) -> None:
+        """Keeps the headers that are passed on."""
+        self.headers = headers
+        self.head_bytes = sum(
+            len(name) + len(value) + HEADER_OBJECT_BYTES for name, value in headers
+        )
+
+    def add_pieces(self, pieces: list[Piece]) -> None:
+        """Adds pieces that are to be delivered."""
+        self.pieces.extend(pieces)
+        self.size += measure_pieces(pieces)
+
     def allow_bytes(self, count: int) -> None:
         """Bounds what may arrive on the connection until this is called again."""
         if self.connection is not None:
@@ -113,6 +140,11 @@
         return new
 
 
+def measure_pieces(pieces: list[Piece]) -> int:
+    """Measures the bytes that pieces take with their objects."""
+    return sum(len(piece.content) + PIECE_OBJECT_BYTES for piece in pieces)
+
+
 def make_request(effect: SendAttempt, content: RequestContent) -> Any:
     """Makes the request that an upstream gets for a caller's."""
     headers = make_upstream_headers(content.headers, effect)
--- a/src/magnoliahold/serving/memory.py
+++ b/src/magnoliahold/serving/memory.py
@@ -40,7 +40,7 @@
 
 @define(eq=False)
 class AnswerMemory:
-    """The bytes of all bodies, and pieces of streams, that aren't passed on yet.
+    """The bytes that all answers take which aren't passed on yet, as objects.
 
     Beyond `limit_bytes`, of those longer than `SHORT_BYTES` only the oldest is read on:
     it is passed on or given up sooner or later, which frees what it held.
@@ -50,17 +50,24 @@
     held_bytes: int = 0
     _bytes_by_answer: dict[PausableAnswer, int] = field(factory=dict)
     _complete: dict[PausableAnswer, int] = field(factory=dict)
+    _paused: set[PausableAnswer] = field(factory=set)
 
     def hold(self, answer: PausableAnswer, size: int) -> None:
         """Sets how much of an answer is held; pauses it if all take too much."""
         if not size:
             self.release(answer)
             return
-        self.held_bytes += size - self._bytes_by_answer.get(answer, 0)
+        before = self._bytes_by_answer.get(answer, 0)
+        self.held_bytes += size - before
         self._bytes_by_answer[answer] = size
+        if size <= SHORT_BYTES:
+            self._resume(answer)
+        if size < before:
+            self._resume_others()
         if self.held_bytes <= self.limit_bytes or size <= SHORT_BYTES:
             return
-        if answer is not self._find_oldest():
+        if answer is not self._find_oldest() and answer not in self._paused:
+            self._paused.add(answer)
             answer.pause_reading(PauseReason.MEMORY)
             logger.warning(
                 "Answer is not read on for now; all together take too much memory.",
@@ -77,17 +84,27 @@
         """Removes what was passed on or given up, and lets others go on."""
         self.held_bytes -= self._bytes_by_answer.pop(answer, 0)
         self.held_bytes -= self._complete.pop(answer, 0)
-        answer.resume_reading(PauseReason.MEMORY)
+        self._resume(answer)
         self._resume_others()
 
     def _resume_others(self) -> None:
+        """Lets paused answers go on, all of them or the oldest, as there is room."""
+        if not self._paused:
+            return
         if self.held_bytes <= self.limit_bytes:
-            for other in list(self._bytes_by_answer):
-                other.resume_reading(PauseReason.MEMORY)
+            for other in list(self._paused):
+                self._resume(other)
             return
         oldest = self._find_oldest()
         if oldest is not None:
-            oldest.resume_reading(PauseReason.MEMORY)
+            self._resume(oldest)
+
+    def _resume(self, answer: PausableAnswer) -> None:
+        if answer in self._paused:
+            self._paused.remove(answer)
+            answer.resume_reading(PauseReason.MEMORY)
 
     def _find_oldest(self) -> PausableAnswer | None:
-        return next(iter(self._bytes_by_answer), None)
+        """Finds the oldest of the answers that aren't short."""
+        held = self._bytes_by_answer.items()
+        return next((answer for answer, size in held if size > SHORT_BYTES), None)
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -78,7 +78,7 @@
     exchange = node.ports.upstreams.find(effect.attempt)
     if exchange is None:
         return
-    pieces = exchange.take_pieces()
+    pieces = node.ports.upstreams.take_pieces(exchange)
     after = effect.after
     selected = [item for item in pieces if after is None or item.number > after]
     content = b"".join(item.content for item in selected)
--- a/src/magnoliahold/serving/prompts.py
+++ b/src/magnoliahold/serving/prompts.py
@@ -22,6 +22,8 @@
     from magnoliahold.runtime import Reactor
 
 OK = 200
+# Each item of a list takes many times its bytes once it is decoded.
+MAX_LIST_BYTES = 256 * 1024
 
 
 @define(eq=False)
@@ -47,5 +49,7 @@
         def handle_failure(failure: Any) -> None:
             self.post(PromptListFailed(record.id, str(failure.value)))
 
-        sending = client.send("GET", PROMPTS_PATH, timeout_s=timeout_s)
+        sending = client.send(
+            "GET", PROMPTS_PATH, timeout_s=timeout_s, max_body_bytes=MAX_LIST_BYTES
+        )
         sending.addCallback(handle_answer).addErrback(handle_failure)
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -32,7 +32,12 @@
     ConnectionFactory,
     UpstreamConnection,
 )
-from magnoliahold.serving.exchanges import Exchange, make_pool_key, make_request
+from magnoliahold.serving.exchanges import (
+    Exchange,
+    make_pool_key,
+    make_request,
+    measure_pieces,
+)
 from magnoliahold.serving.memory import AnswerMemory
 from magnoliahold.serving.pieces import MAX_PIECE_BYTES
 from magnoliahold.serving.probes import Probe
@@ -148,6 +153,7 @@
         if head.request_id != exchange.request_id:
             self._end_with_foreign_answer(exchange, head, response)
             return
+        self.memory.hold(exchange, exchange.held_bytes)
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
             self.post(StreamOpened(exchange.attempt, head))
@@ -179,7 +185,7 @@
         if connection is not None:
             connection.update_idle_limit()
         exchange.status = response.code
-        exchange.headers = list_answer_headers(response.headers)
+        exchange.keep_headers(list_answer_headers(response.headers))
         exchange.is_stream = is_event_stream(response.code, response.headers)
         return read_answer_head(response.code, response.headers)
 
@@ -202,7 +208,7 @@
             self._interrupt(exchange, "the answer is too long", False)
         elif not exchange.discards_body:
             exchange.body += data
-            self.memory.hold(exchange, exchange.size)
+            self.memory.hold(exchange, exchange.held_bytes)
 
     def add_pieces(self, exchange: Exchange, pieces: list[Piece]) -> None:
         """Adds complete pieces of a stream and reports those that are new."""
@@ -211,19 +217,26 @@
         new = exchange.drop_repeated(pieces)
         if not new:
             return
-        size = sum(len(piece.content) for piece in new)
-        if exchange.size + size > MAX_WAITING_BYTES:
+        if exchange.size + measure_pieces(new) > MAX_WAITING_BYTES:
             self._interrupt(exchange, "too much of the stream waits", False)
             return
         exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
-        exchange.pieces.extend(new)
-        exchange.size += size
+        exchange.add_pieces(new)
+        self.memory.hold(exchange, exchange.held_bytes)
         self.post(PiecesReceived(exchange.attempt, new[-1].number, len(new)))
 
     def hold_part_of_piece(self, exchange: Exchange, size: int) -> None:
         """Sets how much is held of a piece that isn't complete yet."""
         if not exchange.aborted and not exchange.interrupted:
-            self.memory.hold(exchange, size)
+            exchange.part_bytes = size
+            self.memory.hold(exchange, exchange.held_bytes)
+
+    def take_pieces(self, exchange: Exchange) -> list[Piece]:
+        """Removes and returns the pieces of a stream that were not yet delivered."""
+        pieces = exchange.take_pieces()
+        if pieces and not (exchange.interrupted or exchange.finished):
+            self.memory.hold(exchange, exchange.held_bytes)
+        return pieces
 
     def interrupt(self, exchange: Exchange, reason: str) -> None:
         """Reports an attempt as failed by what its upstream sent."""
--- a/tests/serving/test_copies.py
+++ b/tests/serving/test_copies.py
@@ -18,11 +18,14 @@
 
 HOLDER = UpstreamRecord("i-2", "s", "10.0.0.2", 8081, "z-2")
 MADE = make_answer(b"200 OK", b'{"handle":"h-1","created":12}')
+# Failure: a key of up to 16 MB was kept, and sent to another upstream.
+LONG_ANSWER = b'{"handle":"%s"}' % (b"h" * 8000)
 ANSWERS: tuple[tuple[str, list[Any], type], ...] = (
     ("made", [MADE], KvCacheCopied),
     ("no such run", [make_answer(b"404 Not Found", b"{}")], CopyFailed),
     ("no room", [make_answer(b"503 Full", b'{"handle":"h-1"}')], CopyFailed),
     ("not JSON", [make_answer(b"200 OK", b"?")], CopyFailed),
+    ("too long", [make_answer(b"200 OK", LONG_ANSWER)], CopyFailed),
     ("closed", [CLOSE], CopyFailed),
     ("silent", [], CopyFailed),
 )
--- a/tests/serving/test_prompts.py
+++ b/tests/serving/test_prompts.py
@@ -15,12 +15,14 @@
 from tests.serving.scripted import CLOSE, ScriptedServer, make_answer
 
 LIST = b'{"epoch":1,"next":9,"held":[["","ab12",8000,"m"],["","cd34",200,"m"]]}'
-
+# Failure: a list of 16 MB was decoded to some 270 MB of objects.
+LONG_LIST = b'{"held":[%s]}' % b",".join([b'["","",0,""]'] * 30_000)
 
 ANSWERS: tuple[tuple[str, list[Any], type], ...] = (
     ("a list", [make_answer(b"200 OK", LIST)], PromptsListed),
     ("not JSON", [make_answer(b"200 OK", b"?")], PromptListFailed),
     ("other fields", [make_answer(b"200 OK", b'{"held":[[1]]}')], PromptListFailed),
+    ("too many items", [make_answer(b"200 OK", LONG_LIST)], PromptListFailed),
     ("full", [make_answer(b"429 Too Many", b"")], PromptListFailed),
     ("closed", [CLOSE], PromptListFailed),
     ("silent", [], PromptListFailed),
