Keep what was sent ahead when a limit is confirmed

Each report of a limit, also of the same one, set the shares anew, and that forgot the requests sent ahead of time.

--- a/src/magnoliahold/core/serving/limits.py
+++ b/src/magnoliahold/core/serving/limits.py
@@ -52,10 +52,11 @@
     next_at: float = 0.0
 
     def set_share(self, share_per_s: float, now: float) -> None:
-        """Changes the share; what was sent under the former one still counts."""
+        """Changes the share; what was sent ahead under the former one still counts."""
         self.share_per_s = share_per_s
         if share_per_s:
-            self.next_at = min(self.next_at, now + 1.0 / share_per_s)
+            longest_s = max(RESERVE_S, 1.0 / share_per_s)
+            self.next_at = min(self.next_at, now + longest_s)
 
     def find_free_at(self) -> float:
         """Returns when a request may be sent; infinite without a share."""
--- a/tests/core/serving/test_limits.py
+++ b/tests/core/serving/test_limits.py
@@ -11,7 +11,12 @@
 from magnoliahold.core.serving.effects import RefuseCaller, SendAttempt
 from magnoliahold.core.serving.events import NoticeReceived, UpstreamSignalled
 from magnoliahold.core.serving.feeds import Feed
-from magnoliahold.core.serving.limits import LimitReport, RateLimit, find_share
+from magnoliahold.core.serving.limits import (
+    RESERVE_S,
+    LimitReport,
+    RateLimit,
+    find_share,
+)
 from magnoliahold.core.serving.peers import LoadNotice, PeerRecord
 from tests.core.serving.crashing_day import EntryStop, Span
 from tests.core.serving.harness import CALLS, ServingHarness
@@ -35,6 +40,9 @@
     "entry_restarts": evolve(DAY, stops=(EntryStop(1, 7.0, 8.0),)),
 }
 
+# A limit is confirmed about that often, in hundredths of a second.
+CONFIRM_TICKS = 50
+
 
 def play(day: LimitDay) -> Iterator[LimitedFleet]:
     """Plays a day with each seed."""
@@ -103,6 +111,23 @@
             with self.subTest(share_per_s=share_per_s):
                 self.assertEqual(sent, expected)
 
+    # Failure: each report of the same limit forgot what had been sent ahead, so that an
+    # upstream got more than half as much again (review case 9).
+    def test_confirmed_share_forgets_nothing_that_was_sent(self) -> None:
+        for share_per_s in (0.5, 1.0, 6.0, 10.0, 50.0):
+            limit = RateLimit()
+            limit.set_share(share_per_s, 0.0)
+            sent = 0
+            for tick in range(1, 401):
+                now = tick / 100
+                if tick % CONFIRM_TICKS == 0:
+                    limit.set_share(share_per_s, now)
+                while limit.find_free_at() <= now:
+                    limit.record_send(now)
+                    sent += 1
+            with self.subTest(share_per_s=share_per_s):
+                self.assertLessEqual(sent, share_per_s * (4 + RESERVE_S) + 1)
+
     def test_limit_of_another_entry_is_kept_until_it_ends(self) -> None:
         harness = ServingHarness()
         harness.start()
