Keep a sound engine beside rows that name its address

An upstream is replaced only by a start that isn't earlier, of a service that the configuration names; others stand beside it, and their requests get 421.

--- a/src/magnoliahold/core/serving/configuration.py
+++ b/src/magnoliahold/core/serving/configuration.py
@@ -173,6 +173,12 @@
             for credential in workspace.credentials
         }
 
+    def names_service(self, service: str) -> bool:
+        """Tells whether a service is listed, or gets a share of some route."""
+        return service in self.services_by_name or any(
+            share.service == service for route in self.routes for share in route.shares
+        )
+
     def needs_credential(self, route: Route) -> bool:
         """Tells whether only requests with a known credential may use a route."""
         return self.workspaces is not None and not route.public
--- a/src/magnoliahold/core/serving/systems/registrations.py
+++ b/src/magnoliahold/core/serving/systems/registrations.py
@@ -53,22 +53,40 @@
     """Tells whether a later start under its id or its address is known."""
     for upstream in world.upstreams.by_id.values():
         other = upstream.record
-        same_address = (other.address, other.port) == (record.address, record.port)
-        if (same_address or other.id == record.id) and other.born_ms > record.born_ms:
+        is_same = other.id == record.id or _have_same_address(other, record)
+        if is_same and other.born_ms > record.born_ms:
             return True
     return False
 
 
 def _remove_replaced(world: ServingWorld, record: UpstreamRecord, now: float) -> None:
-    """Removes other upstreams registered under the address of a new one."""
+    """Removes other upstreams registered under the address of a new one.
+
+    One that started later stays, and none goes for a row of a service that the
+    configuration doesn't have: either may be an old row, or one of another writer. Any
+    other upstream at the address answers what is meant for that row with 421.
+    """
+    if not _is_service_known(world, record.service):
+        return
     for upstream in list(world.upstreams.by_id.values()):
         old = upstream.record
-        same_address = (old.address, old.port) == (record.address, record.port)
-        if same_address and (old.id, old.born_ms) != (record.id, record.born_ms):
+        is_other = (old.id, old.born_ms) != (record.id, record.born_ms)
+        is_later = old.born_ms > record.born_ms and old.id != record.id
+        if is_other and not is_later and _have_same_address(old, record):
             mark_down(world, upstream, "another upstream has its address", now)
             remove_upstream(world, upstream.id, False, now)
 
 
+def _have_same_address(one: UpstreamRecord, other: UpstreamRecord) -> bool:
+    return (one.address, one.port) == (other.address, other.port)
+
+
+def _is_service_known(world: ServingWorld, service: str) -> bool:
+    """Tells whether the configuration has a service; unknown without one."""
+    configuration = world.configuration
+    return configuration is None or configuration.names_service(service)
+
+
 def remove_unlisted_upstreams(
     world: ServingWorld, listed: set[str], may_have_lapsed: bool, now: float
 ) -> None:
--- a/tests/core/serving/test_upstreams.py
+++ b/tests/core/serving/test_upstreams.py
@@ -5,6 +5,8 @@
 import unittest
 from collections import Counter
 
+from attrs import evolve
+
 from magnoliahold.core.serving.configuration import RouteKind
 from magnoliahold.core.serving.effects import ProbeServingUpstream, SendAttempt
 from magnoliahold.core.serving.events import (
@@ -77,6 +79,27 @@
         self.harness.advance(2.4)
         self.assertEqual(set(self.harness.world.upstreams.by_id), {kept.id})
 
+    # Failure: a row of another writer with the address of a sound upstream removed that
+    # one for good (review case 8), as did the old row of an address that is used again.
+    def test_upstream_at_an_address_is_not_replaced_by_what_is_no_later_start(
+        self,
+    ) -> None:
+        sound = make_upstream(1, CALLS)
+        for name, changes in (
+            ("unknown service", {"service": "unknown", "born_ms": 0}),
+            ("unknown service, later", {"service": "unknown", "born_ms": 9000}),
+            ("no start", {"service": CALLS, "born_ms": 0}),
+            ("earlier start", {"service": ENGINES, "born_ms": 1}),
+        ):
+            with self.subTest(name):
+                self.harness = ServingHarness()
+                self.harness.start()
+                row = make_upstream(9, CALLS, id="odd-9", address=sound.address)
+                row = evolve(row, **changes)
+                self.harness.change(Feed.UPSTREAMS, {"odd-9": row})
+                known = self.harness.world.upstreams.by_id[sound.id]
+                self.assertIs(known.health, UpstreamHealth.HEALTHY)
+
     def test_upstream_whose_address_is_taken_over_is_down(self) -> None:
         self.harness.start()
         old = self.harness.world.upstreams.by_id["calls-1"]
