Pass on all of an answer of events

The media type alone made a stream of it, and of a stream only numbered events are passed on.

Only streaming routes have streams now, and what comes behind the last numbered event of a stream is passed on at its end.

--- a/src/magnoliahold/core/serving/effects.py
+++ b/src/magnoliahold/core/serving/effects.py
@@ -26,7 +26,8 @@
     `new_connection` all: the upstream has had the request before, and may send its
     earlier answer once more. `copy_to` is the address to which the upstream copies the
     KV cache of the request, `copy_source` the copy from which it resumes, and
-    `resume_after` the number of the last piece that is not to be sent again.
+    `resume_after` the number of the last piece that is not to be sent again. Only if it
+    `takes_stream`, an answer of events is read as a stream of pieces.
     """
 
     attempt: int
@@ -37,6 +38,7 @@
     deadline_s: float
     connect_timeout_s: float
     priority: int
+    takes_stream: bool
     fresh_connection: bool = False
     new_connection: bool = False
     resume_after: int | None = None
@@ -95,6 +97,14 @@
     after: int | None
 
 
+@frozen
+class DeliverRest:
+    """Sends the caller what an attempt's stream had behind its last piece."""
+
+    handle: int
+    attempt: int
+
+
 @frozen
 class FinishAnswer:
     """Ends a caller's stream as complete.
--- a/src/magnoliahold/core/serving/events.py
+++ b/src/magnoliahold/core/serving/events.py
@@ -110,9 +110,13 @@
 
 @frozen
 class StreamEnded:
-    """A stream was received up to its regular end."""
+    """A stream was received up to its regular end.
+
+    It `has_rest` if something came behind its last piece.
+    """
 
     attempt: int
+    has_rest: bool = False
 
 
 @frozen
--- a/src/magnoliahold/core/serving/systems/pieces.py
+++ b/src/magnoliahold/core/serving/systems/pieces.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from magnoliahold.core.effects import RecordMetric
-from magnoliahold.core.serving.effects import CloseAttempt, DeliverPieces, OpenAnswer
+from magnoliahold.core.serving.effects import (
+    CloseAttempt,
+    DeliverPieces,
+    DeliverRest,
+    OpenAnswer,
+)
 from magnoliahold.core.serving.events import (
     PiecesReceived,
     StreamEnded,
@@ -106,6 +111,8 @@
             count_outcome(world, attempt, False, now)
             record_begin(world, attempt, now)
             world.requests.end_attempt(attempt)
+            if ended.has_rest:
+                world.emit(DeliverRest(attempt.request.handle, attempt.number))
             world.emit(CloseAttempt(attempt.number))
             free_copy(world, attempt, now)
             _record_stream_duration(world, attempt, now)
--- a/src/magnoliahold/core/serving/systems/routing.py
+++ b/src/magnoliahold/core/serving/systems/routing.py
@@ -212,6 +212,7 @@
         deadline_s=request.deadline_at - now,
         connect_timeout_s=world.serving_policy.attempts.connect_timeout_s,
         priority=_choose_priority(request),
+        takes_stream=request.route.kind is RouteKind.STREAM,
         fresh_connection=not request.route.repeatable,
         new_connection=attempt.upstream.id in request.tried_upstreams,
         resume_after=request.last_piece,
--- a/src/magnoliahold/serving/bodies.py
+++ b/src/magnoliahold/serving/bodies.py
@@ -82,5 +82,6 @@
             self._exchanges.hold_part_of_piece(self._exchange, held)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self._exchange.rest = self._splitter.rest
         at_piece_boundary = self._splitter.is_at_piece_boundary
         self._exchanges.finish_body(self._exchange, reason, at_piece_boundary)
--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -44,12 +44,14 @@
     """One attempt, its connection, and the part of its answer received so far.
 
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
-    and `last_piece` is the highest number so far; else `body` is what came of the body,
-    unless it `discards_body`. `size` counts the bytes of either, those of pieces with
-    their objects, `part_bytes` those of a piece that isn't complete, and `head_bytes`
-    those of the headers. `aborted` is set when its result is no longer wanted,
-    `finished` when its answer is complete, and `interrupted` when it was reported as a
-    failure. `reader` reads the body, unless it is `paused_by` something.
+    and `last_piece` is the highest number so far, `rest` what came behind it when the
+    stream has ended. Else `body` is what came of the body, unless it `discards_body`.
+    Only an attempt that `takes_stream` gets a stream. `size` counts the bytes of either,
+    those of pieces with their objects, `part_bytes` those of a piece that isn't
+    complete, and `head_bytes` those of the headers. `aborted` is set when its result is
+    no longer wanted, `finished` when its answer is complete, and `interrupted` when it
+    was reported as a failure. `reader` reads the body, unless it is `paused_by`
+    something.
     """
 
     attempt: int
@@ -71,6 +73,8 @@
     head_bytes: int = 0
     pieces: list[Piece] = field(factory=list)
     last_piece: int | None = None
+    takes_stream: bool = True
+    rest: bytes = b""
     reader: AnswerReader | None = None
     paused_by: set[PauseReason] = field(factory=set)
 
--- a/src/magnoliahold/serving/performers.py
+++ b/src/magnoliahold/serving/performers.py
@@ -88,6 +88,13 @@
     node.ports.callers.write_pieces(effect.handle, content)
 
 
+@perform_effect.register(effects.DeliverRest)
+def _deliver_rest(effect: effects.DeliverRest, node: Node) -> None:
+    exchange = node.ports.upstreams.find(effect.attempt)
+    if exchange is not None:
+        node.ports.callers.write_pieces(effect.handle, exchange.rest)
+
+
 @perform_effect.register(effects.FinishAnswer)
 def _finish_answer(effect: effects.FinishAnswer, node: Node) -> None:
     request = node.ports.callers.find_open(effect.handle)
--- a/src/magnoliahold/serving/pieces.py
+++ b/src/magnoliahold/serving/pieces.py
@@ -30,7 +30,8 @@
 class PieceSplitter:
     """Buffers bytes of an event stream and splits them into complete events.
 
-    Events without a number, such as comments, become part of the next numbered piece.
+    Events without a number, such as comments, become part of the next numbered piece,
+    or are the rest of the stream.
     Each byte is searched once, however small the parts are in which the bytes arrive.
     """
 
@@ -83,6 +84,11 @@
         """The bytes of the piece that isn't complete yet."""
         return len(self._buffer)
 
+    @property
+    def rest(self) -> bytes:
+        """What came behind the last piece: events without a number, at the end."""
+        return bytes(self._buffer)
+
     @property
     def is_at_piece_boundary(self) -> bool:
         """Whether all bytes so far belong to complete events."""
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -82,7 +82,11 @@
         """Sends a request on a pooled connection, or on a new one."""
         record = effect.upstream
         exchange = Exchange(
-            effect.attempt, record, effect.request_id, last_piece=effect.resume_after
+            effect.attempt,
+            record,
+            effect.request_id,
+            last_piece=effect.resume_after,
+            takes_stream=effect.takes_stream,
         )
         pool_key = exchange.pool_key
         self._exchanges[effect.attempt] = exchange
@@ -186,7 +190,9 @@
             connection.update_idle_limit()
         exchange.status = response.code
         exchange.keep_headers(list_answer_headers(response.headers))
-        exchange.is_stream = is_event_stream(response.code, response.headers)
+        exchange.is_stream = exchange.takes_stream and is_event_stream(
+            response.code, response.headers
+        )
         return read_answer_head(response.code, response.headers)
 
     def report_signal(self, record: UpstreamRecord, response: Any) -> None:
@@ -259,7 +265,7 @@
             exchange.finished = True
             if exchange.is_stream:
                 self.memory.release(exchange)
-                self.post(StreamEnded(exchange.attempt))
+                self.post(StreamEnded(exchange.attempt, bool(exchange.rest)))
             elif exchange.head is not None:
                 self.memory.complete(exchange)
                 self.post(AnswerReceived(exchange.attempt, exchange.head))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -57,6 +57,7 @@
         "deadline_s": 1.5,
         "connect_timeout_s": 0.25,
         "priority": 4,
+        "takes_stream": True,
         **changes,
     }
     return SendAttempt(**values)
--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -36,7 +36,13 @@
         return server
 
     def send(
-        self, port: int, *, fresh: bool = False, new: bool = False, body: bytes = b""
+        self,
+        port: int,
+        *,
+        fresh: bool = False,
+        new: bool = False,
+        body: bytes = b"",
+        takes_stream: bool = True,
     ) -> int:
         """Sends an attempt and returns its number."""
         self.attempt += 1
@@ -49,6 +55,7 @@
             deadline_s=1.0,
             connect_timeout_s=0.5,
             priority=5,
+            takes_stream=takes_stream,
             fresh_connection=fresh,
             new_connection=new,
         )
--- a/tests/serving/test_broken_answers.py
+++ b/tests/serving/test_broken_answers.py
@@ -9,6 +9,7 @@
 
 from magnoliahold.core.serving.events import AttemptInterrupted, AttemptSent
 from magnoliahold.core.serving.upstreams import UpstreamHealth
+from magnoliahold.httpchunks import ChunkDecoder
 from tests.loopback import on_loopback
 from tests.serving.exchanging import ExchangeTestCase
 from tests.serving.scripted import CLOSE, RESET
@@ -83,6 +84,24 @@
     "calls": [WHOLE],
     "streams": [STREAM, *map(make_chunk, PIECES), LAST_CHUNK],
 }
+# Bodies of which all events, some, or none have a number.
+EVENT_BODIES = (
+    b"".join(PIECES),
+    b"event: booked\ndata: a\n\nevent: end\ndata:\n\n",
+    b"".join(PIECES) + b"data: [DONE]\n\n",
+    b": comment\n\n" + b"".join(PIECES) + b": end\n\n\n",
+)
+# Such of which only a call may be answered with: its numbers aren't rising.
+EVENTS_IN_ANY_ORDER = PIECES[1] + PIECES[0] + PIECES[1]
+
+
+def decode_chunks(wire: bytes) -> bytes:
+    """Decodes a complete chunked body."""
+    content: list[bytes] = []
+    ends: list[bytes] = []
+    ChunkDecoder(content.append, ends.append).decode(wire, len(wire))
+    assert ends == [b""]
+    return b"".join(content)
 
 
 class CutHeadTests(ExchangeTestCase):
@@ -160,6 +179,22 @@
                     self.assertEqual(answer.split()[1], status)
                     self.assertNotIn(b"ERROR", answer)
 
+    # Failure: a caller got a signed success with an empty body for an answer of events
+    # without numbers (review case 10).
+    @on_loopback
+    async def test_caller_gets_all_of_an_answer_of_events(self) -> None:
+        self.daemon = await self.start([CLOSE], [CLOSE])
+        answers = [(body, name) for body in EVENT_BODIES for name in SOUND]
+        answers += [(EVENTS_IN_ANY_ORDER, name) for name in ("bookings", "calls")]
+        for body, name in answers:
+            with self.subTest(body, name=name):
+                self.share_scripts([STREAM, make_chunk(body), LAST_CHUNK])
+                await self.forget_failures()
+                head, _, got = (await self.ask(name)).partition(HEAD_END)
+                self.assertEqual(head.split()[1], b"200")
+                content = decode_chunks(got) if b"chunked" in head else got
+                self.assertEqual(content, body)
+
     # Failure elsewhere: clients found an error's text, at times its whole head, in the
     # middle of their stream, or the stream ended as if it were complete.
     @on_loopback
