--- a/src/magnoliahold/serving/exchanges.py
+++ b/src/magnoliahold/serving/exchanges.py
@@ -46,8 +46,8 @@
     If it `is_stream`, `pieces` are the complete pieces not yet delivered to the caller,
     and `last_piece` is the highest number so far, `rest` what came behind it when the
     stream has ended. Else `body` is what came of the body, unless it `discards_body`.
-    Only an attempt that `takes_stream` gets a stream. `size` counts the bytes of either,
-    those of pieces with their objects, `part_bytes` those of a piece that isn't
+    Only an attempt that `takes_stream` gets a stream. `size` counts the bytes of
+    either, those of pieces with their objects, `part_bytes` those of a piece that isn't
     complete, and `head_bytes` those of the headers. `aborted` is set when its result is
     no longer wanted, `finished` when its answer is complete, and `interrupted` when it
     was reported as a failure. `reader` reads the body, unless it is `paused_by`
