Leave connections that their upstream closes, and quote little of odd heads

The library looks for the option "close" in small letters and alone in its header, and keeps connections of HTTP/1.0: such a connection got another request, which was lost with it.

--- a/src/magnoliahold/httpanswers.py
+++ b/src/magnoliahold/httpanswers.py
@@ -8,6 +8,7 @@
 from twisted.web._newclient import BODY, HTTPClientParser
 from twisted.web.http import _DataLoss, _IdentityTransferDecoder
 
+from magnoliahold.decoding import describe_error
 from magnoliahold.httpchunks import ChunkDecoder, ChunkState
 
 if TYPE_CHECKING:
@@ -21,7 +22,8 @@
 MAX_FRAMING_BYTES = 1024 * 1024
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
-FIRST_WITH_CHUNKS = (b"HTTP", 1, 1)
+# The first version with chunks, and with connections that stay open by default.
+VERSION_1_1 = (b"HTTP", 1, 1)
 
 
 class AnswerTooLongError(Exception):
@@ -80,7 +82,22 @@
         self._head_lines += 1
         if self._head_lines > MAX_HEAD_LINES:
             raise AnswerTooLongError("the head has too many lines")
-        super().lineReceived(line)  # type: ignore[no-untyped-call]
+        try:
+            super().lineReceived(line)  # type: ignore[no-untyped-call]
+        except (AnswerTooLongError, MalformedAnswerError):
+            raise
+        except Exception as error:
+            # The library's errors quote what the server sent.
+            raise MalformedAnswerError(describe_error(error)) from error
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether the server takes further requests on the connection."""
+        values = self.connHeaders.getRawHeaders(b"Connection", ())
+        options = {item.strip().lower() for item in b",".join(values).split(b",")}
+        if self.response.version < VERSION_1_1:
+            return b"keep-alive" in options
+        return b"close" not in options
 
     @property
     def ends_with_connection(self) -> bool:
@@ -119,7 +136,7 @@
             raise MalformedAnswerError("the transfer encoding is unknown")
         if self.connHeaders.hasHeader(b"Content-Length"):
             raise MalformedAnswerError("the body has both a length and chunks")
-        if self.response.version < FIRST_WITH_CHUNKS:
+        if self.response.version < VERSION_1_1:
             raise MalformedAnswerError("the version has no chunks")
 
 
--- a/src/magnoliahold/httpbounds.py
+++ b/src/magnoliahold/httpbounds.py
@@ -97,8 +97,15 @@
             transport.abortConnection()
 
     def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
-        """Marks the connection as dirty if bytes follow the end of an answer."""
+        """Marks the connection as dirty if bytes follow the end of an answer.
+
+        It isn't kept either if the server closes it.
+        """
         self.dirty = self.dirty or bool(rest)
+        parser: Any = self._parser
+        request: Any = self._currentRequest
+        if parser is not None and not parser.keeps_connection:
+            request.persistent = False
         super()._finishResponse(rest)
 
     def _handle_quiescent(self, _: Any) -> None:
--- a/tests/test_httpanswers.py
+++ b/tests/test_httpanswers.py
@@ -91,6 +91,20 @@
     ),
 )
 
+# Answers, and how many connections two of them take.
+KEPT = (
+    ("no option", OK + BODY, 1),
+    ("close", OK + b"\r\nConnection: close" + BODY, 2),
+    ("close in capitals", OK + b"\r\nConnection: Close" + BODY, 2),
+    ("close in a list", OK + b"\r\nConnection: x, close" + BODY, 2),
+    ("old version", OK.replace(b"1.1", b"1.0") + BODY, 2),
+    (
+        "old version that keeps it",
+        OK.replace(b"1.1", b"1.0") + b"\r\nConnection: Keep-Alive" + BODY,
+        1,
+    ),
+)
+
 SMALL_CHUNK = b"1\r\nx\r\n"
 # Fewer bytes of small chunks than any reader refuses.
 FLOOD_BYTES = 800 * 1024
@@ -180,6 +194,21 @@
                 self.assertEqual(exchange.body, b"ok")
 
 
+class KeptConnectionTests(AnswerTestCase):
+    # Failure: a connection that its server was about to close got another request.
+    @on_loopback
+    async def test_connection_that_its_server_closes_is_not_used_again(self) -> None:
+        for name, answer, connections in KEPT:
+            with self.subTest(name):
+                server = self.listen([answer])
+                for _ in range(2):
+                    self.events.clear()
+                    start_call(self, server.port)
+                    await self.wait_until(lambda: len(self.events) == 2)
+                    self.assertIsInstance(self.events[-1], AnswerReceived)
+                self.assertEqual(server.connections, connections)
+
+
 class SmallPartsTests(AnswerTestCase):
     # Failure: a head of 64 KB in short lines took 3 MB, so that those of one upstream
     # in trouble filled the memory of an entry.
