--- a/tests/crowds/test_upstreams.py
+++ b/tests/crowds/test_upstreams.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import DeferredList
 
 from magnoliahold.httpclient import HttpClient
 from tests.crowds.test_serving import EntryTestCase
-from tests.flooding import BODIES, HEADS, STATUS, FloodingServer
+from tests.flooding import BODIES, CHUNKED, HEADS, STATUS, FloodingServer
 from tests.loopback import on_loopback
 from tests.serving.test_endless_answers import STREAMS
 
+if TYPE_CHECKING:
+    from subprocess import Popen
+
 HEADERS = (
     ("Authorization", "Token key-1"),
     ("Request-Id", "abc"),
@@ -20,39 +23,43 @@
 ROUTES = ("calls", "bookings", "streams")
 REQUESTS = 30
 TIMEOUT_S = 4.0
-# What costs an entry far more than its bytes, beside the parts of any answer.
-SMALL_PARTS = (
-    ("small chunks", STATUS + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
-    ("names of headers", STATUS, b"%d:\n"),
-)
+SMALL_CHUNKS = ("small chunks", STATUS + CHUNKED, b"1\r\nx\r\n")
+HEADER_NAMES = ("names of headers", STATUS, b"%d:\n")
 
 
 class FloodingUpstreamTests(EntryTestCase):
     timeout_s = 240.0
 
-    # Failure: upstreams that sent without end filled the memory of an entry, and all
-    # requests on it were lost with its process (review case 6, issue 57).
+    # Failure: bodies of calls, each in a buffer that grows, left holes in the memory of
+    # an entry until it had more than its instance.
     @on_loopback
-    async def test_upstream_that_sends_without_end(self) -> None:
+    async def test_each_part_of_an_answer_without_end(self) -> None:
         process = await self.start_entry()
-        floods = (*SMALL_PARTS, *HEADS, *BODIES, *STREAMS)
-        for number, (name, start, filler) in enumerate(floods):
-            with self.subTest(name):
-                server = FloodingServer(start, filler)
-                server.count_from = 0 if b"%d" in filler else None
-                self.listeners.append(server.listen(self.reactor))
-                self.put_upstream(number, server.port, "ready")
-                while not server.requests:
-                    await self.send_requests()
-                self.put_upstream(number, server.port, "draining")
-                server.stop()
-                await self.count_attempts(self.ask)
-                self.check_process(process)
+        for flood in (SMALL_CHUNKS, HEADER_NAMES, *HEADS, *BODIES, *STREAMS):
+            with self.subTest(flood[0]):
+                await self.check_flood(process, flood)
+
+    async def check_flood(
+        self, process: Popen[bytes], flood: tuple[str, bytes, bytes]
+    ) -> None:
+        """Checks that an entry outlives a flooding upstream, within its memory."""
+        _, start, filler = flood
+        server = FloodingServer(start, filler)
+        server.count_from = 0 if b"%d" in filler else None
+        self.listeners.append(server.listen(self.reactor))
+        self.put_upstream(server.port, "ready")
+        while not server.requests:
+            await self.send_requests()
+        self.check_process(process)
+        self.put_upstream(server.port, "draining")
+        server.stop()
+        await self.count_attempts(self.ask)
+        self.check_process(process)
 
-    def put_upstream(self, number: int, port: int, state: str) -> None:
+    def put_upstream(self, port: int, state: str) -> None:
         """Registers a flooding upstream beside the sound one."""
         record = {"service": "s-1", "address": f"127.0.0.1:{port}", "zone": "z"}
-        self.store.put("servers", f"flooding-{number}", {**record, "state": state})
+        self.store.put("servers", f"flooding-{port}", {**record, "state": state})
 
     async def send_requests(self) -> None:
         """Sends requests of each kind at once, and waits for their ends.
