Pause answers with long heads like others

A head of more than 64 KB with its objects could be paused before its answer had a reader, which did nothing, and was taken for paused from then on, so that its body was read on beyond the memory for all. Heads are only counted now. Found by reading the diff; the new test fails without the change.

--- a/src/magnoliahold/serving/memory.py
+++ b/src/magnoliahold/serving/memory.py
@@ -52,14 +52,18 @@
     _complete: dict[PausableAnswer, int] = field(factory=dict)
     _paused: set[PausableAnswer] = field(factory=set)
 
+    def count(self, answer: PausableAnswer, size: int) -> None:
+        """Sets how much is held of an answer that can't be paused yet."""
+        self.held_bytes += size - self._bytes_by_answer.get(answer, 0)
+        self._bytes_by_answer[answer] = size
+
     def hold(self, answer: PausableAnswer, size: int) -> None:
         """Sets how much of an answer is held; pauses it if all take too much."""
         if not size:
             self.release(answer)
             return
         before = self._bytes_by_answer.get(answer, 0)
-        self.held_bytes += size - before
-        self._bytes_by_answer[answer] = size
+        self.count(answer, size)
         if size <= SHORT_BYTES:
             self._resume(answer)
         if size < before:
--- a/src/magnoliahold/serving/upstreamexchanges.py
+++ b/src/magnoliahold/serving/upstreamexchanges.py
@@ -157,7 +157,7 @@
         if head.request_id != exchange.request_id:
             self._end_with_foreign_answer(exchange, head, response)
             return
-        self.memory.hold(exchange, exchange.held_bytes)
+        self.memory.count(exchange, exchange.held_bytes)
         if exchange.is_stream:
             exchange.allow_bytes(MAX_PIECE_WIRE_BYTES)
             self.post(StreamOpened(exchange.attempt, head))
--- a/tests/serving/test_memory.py
+++ b/tests/serving/test_memory.py
@@ -170,6 +170,18 @@
         self.exchanges.abort(attempt)
         self.assertEqual(memory.held_bytes, 0)
 
+    # Failure: an answer with a long head was never paused, since it counted as paused
+    # from when it had no reader yet.
+    def test_answer_that_was_counted_is_paused_once_it_is_held(self) -> None:
+        memory = AnswerMemory(limit_bytes=LONG)
+        first, second = Answer(), Answer()
+        memory.count(first, LONG)
+        memory.count(second, LONG)
+        self.assertFalse(second.paused)
+        memory.hold(second, LONG + 1)
+        self.assertTrue(second.paused)
+        self.assertEqual(memory.held_bytes, 2 * LONG + 1)
+
     def test_short_answers_never_keep_long_ones_waiting(self) -> None:
         memory = AnswerMemory(limit_bytes=LONG)
         short, first, second = Answer(), Answer(), Answer()
