--- a/tests/serving/exchanging.py
+++ b/tests/serving/exchanging.py
@@ -6,6 +6,7 @@
 
 from twisted.web.http_headers import Headers
 
+from magnoliahold.bodybuffers import BodyBuffer
 from magnoliahold.core.serving.effects import SendAttempt
 from magnoliahold.core.serving.upstreams import UpstreamRecord
 from magnoliahold.serving.connections import ConnectionPool
@@ -15,6 +16,14 @@
 from tests.serving.scripted import ScriptedServer
 
 
+def make_body(*parts: bytes) -> BodyBuffer:
+    """Makes the body of an answer that came in parts."""
+    body = BodyBuffer()
+    for part in parts:
+        body.add(part)
+    return body
+
+
 class ExchangeTestCase(LoopbackTestCase):
     """A test case with the exchanges of an entry; `events` are those they post."""
 
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -20,6 +20,7 @@
 from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import LoopbackTestCase, on_loopback
+from tests.serving.exchanging import make_body
 
 LIMITS = CallerLimits(
     header_bytes=600, body_bytes=100, header_timeout_s=0.3, idle_timeout_s=0.6
@@ -137,7 +138,7 @@
     @on_loopback
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         client, handle = await self.send_request(REQUEST + REQUEST)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"first"))
         self.callers.answer(handle, answer, closing=False)
         await self.wait_until(lambda: len(self.events) == 2)
         second = self.events[1].caller.handle
@@ -181,7 +182,7 @@
                 getattr(client.transport, end)()
                 await self.wait_until(lambda: len(self.events) == 2)
                 self.assertEqual(self.events[1], expected(handle))
-                upstream = Exchange(1, UPSTREAM, status=200, body=[b"late"])
+                upstream = Exchange(1, UPSTREAM, status=200, body=make_body(b"late"))
                 self.callers.answer(handle, upstream, closing=False)
                 self.callers.abort(handle)
                 await self.wait_until(lambda: not self.callers.channels)
@@ -200,7 +201,7 @@
         self.callers.close_idle()
         await self.wait_until(lambda: idle.closed)
         self.assertFalse(busy.closed)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"x"))
         self.callers.answer(handle, answer, closing=True)
         await self.wait_until(lambda: busy.closed)
         self.assertIn(b"200", busy.received)
--- a/tests/serving/test_changed_limits.py
+++ b/tests/serving/test_changed_limits.py
@@ -8,6 +8,7 @@
 
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.test_callers import HEAD, LIMITS, REQUEST, UPSTREAM, set_limits
 from tests.serving.test_idle_times import SETTLED_S, PausedCallerTestCase
 
@@ -71,7 +72,7 @@
         count = len(self.events)
         client.sendall(REQUEST)
         await self.wait_until(lambda: len(self.events) > count)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"x"))
         self.callers.answer(self.events[-1].caller.handle, answer, closing=False)
         await self.sleep(SETTLED_S)
         client.recv(1000)
--- a/tests/serving/test_connection_ends.py
+++ b/tests/serving/test_connection_ends.py
@@ -15,6 +15,7 @@
 from magnoliahold.serving.connectionends import DiscardedBytes, EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.test_callers import (
     CHUNKED,
     GET,
@@ -70,7 +71,7 @@
     async def answer(self, content: bytes, body: bytes = b"x") -> tuple[Client, int]:
         """Sends a request and answers it; the connection closes behind that."""
         client, handle = await self.send_request(content)
-        answer = Exchange(1, UPSTREAM, status=200, body=[body])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(body))
         self.callers.answer(handle, answer, closing=True)
         return client, handle
 
@@ -98,7 +99,7 @@
 
     async def end_answered_as_asked(self) -> None:
         _, handle = await self.send_request(CLOSING)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"x"))
         self.callers.answer(handle, answer, closing=False)
 
     async def end_refused(self) -> None:
@@ -157,7 +158,7 @@
         client, handle = await self.send_request(REQUEST)
         transport: Any = client.transport
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=False)
 
     async def end_with_discarded_request(self) -> None:
@@ -219,7 +220,7 @@
         client, handle = await self.send_request(REQUEST)
         transport: Any = client.transport
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=True)
         await self.sleep(0.05)
         self.disconnect(client)
@@ -238,7 +239,7 @@
         client, handle = await self.send_request(REQUEST)
         transport: Any = client.transport
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=False)
         await self.sleep(0.05)
         transport.loseWriteConnection()
--- a/tests/serving/test_failed_requests.py
+++ b/tests/serving/test_failed_requests.py
@@ -10,6 +10,7 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.test_callers import HEAD, REQUEST, UPSTREAM, CallerTestCase
 
 ERRORS = (KeyError("a fault"), RecursionError("a fault"), TypeError("a fault"))
@@ -98,7 +99,9 @@
     @on_loopback
     async def test_request_whose_answer_can_not_be_written_ends(self) -> None:
         headers = [(b"Response-Signature", b"s")]
-        upstream = Exchange(1, UPSTREAM, status=200, headers=headers, body=[b"x"])
+        upstream = Exchange(
+            1, UPSTREAM, status=200, headers=headers, body=make_body(b"x")
+        )
         for error in ERRORS:
             client, handle = await self.send_request(REQUEST)
             writing = mock.patch.object(CallerExchange, "write", side_effect=error)
--- a/tests/serving/test_half_closed_callers.py
+++ b/tests/serving/test_half_closed_callers.py
@@ -17,6 +17,7 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_callers import (
     HEAD,
@@ -356,7 +357,7 @@
                 client, handle = await self.send_request(REQUEST * count)
                 half_close(client)
                 await self.sleep(0.05)
-                answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"first"))
                 self.callers.answer(handle, answer, closing=False)
                 await self.wait_for_end(client)
                 statuses = read_statuses(client.received)
@@ -373,7 +374,7 @@
         half_close(client)
         await self.sleep(0.05)
         self.assertEqual(len(self.events), 1)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"first"))
         self.callers.answer(handle, answer, closing=False)
         await self.wait_for_end(client)
         statuses = read_statuses(client.received)
@@ -483,7 +484,7 @@
         half_close(client)
         await self.sleep(0.05)
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=False)
         await self.sleep(0.05)
         self.assertEqual(len(self.callers.channels), 1)
@@ -502,7 +503,7 @@
                 client, handle = await self.send_request(REQUEST)
                 transport: Any = client.transport
                 transport.pauseProducing()
-                answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
                 self.callers.answer(handle, answer, closing=closing)
                 await self.sleep(0.05)
                 half_close(client)
@@ -556,7 +557,7 @@
                 client = self.connect_socket()
                 client.sendall(REQUEST * 2)
                 await self.wait_until(lambda: len(self.events) == 1)
-                answer = Exchange(1, UPSTREAM, status=200, body=[READY_BODY])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(READY_BODY))
                 handle = self.events[0].caller.handle
                 self.callers.answer(handle, answer, closing=False)
                 await self.wait_until(lambda: len(self.events) == 2)
@@ -607,7 +608,7 @@
                 if before:
                     client.shutdown(socket.SHUT_WR)
                     await self.sleep(0.05)
-                answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
                 self.callers.answer(handle, answer, closing=False)
                 await self.sleep(0.05)
                 if not before:
--- a/tests/serving/test_idle_times.py
+++ b/tests/serving/test_idle_times.py
@@ -18,6 +18,7 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.test_callers import LIMITS, REQUEST, UPSTREAM, CallerTestCase
 
 LARGE_BODY = b"x" * 6_000_000
@@ -67,7 +68,7 @@
         client.sendall(REQUEST)
         count = len(self.events)
         await self.wait_until(lambda: len(self.events) > count)
-        answer = Exchange(1, UPSTREAM, status=200, body=[body, LARGE_END])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(body, LARGE_END))
         self.callers.answer(self.events[-1].caller.handle, answer, closing=False)
         await self.sleep(SETTLED_S)
 
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -13,6 +13,7 @@
 from magnoliahold.serving.callerstates import FRESH_S
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_callers import (
     GET,
@@ -121,7 +122,7 @@
         client, handle = await self.send_request(REQUEST)
         transport: Any = client.transport
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=True)
         for _ in range(10):
             transport.write(b"y" * 2000)
@@ -183,7 +184,7 @@
                 client, handle = await self.send_request(REQUEST)
                 transport: Any = client.transport
                 transport.pauseProducing()
-                answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
                 self.callers.answer(handle, answer, closing)
                 await self.sleep(0.4)
                 self.assertEqual(len(self.callers.channels), 1)
@@ -196,7 +197,7 @@
         reader, handle = await self.send_request(REQUEST)
         transport: Any = reader.transport
         transport.pauseProducing()
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(LARGE_BODY))
         self.callers.answer(handle, answer, closing=False)
         sender = await self.connect(b"")
         await self.sleep(FRESH_S)
@@ -219,7 +220,7 @@
         self,
     ) -> None:
         client, handle = await self.send_request(REQUEST + REQUEST + GET)
-        answer = Exchange(1, UPSTREAM, status=200, body=[b"first"])
+        answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"first"))
         self.callers.answer(handle, answer, closing=True)
         await self.wait_until(lambda: client.closed or len(self.events) == 2)
         self.assertEqual(len(self.events), 2)
--- a/tests/serving/test_unannounced_closes.py
+++ b/tests/serving/test_unannounced_closes.py
@@ -13,6 +13,7 @@
 from magnoliahold.serving.connectionends import EndCause
 from magnoliahold.serving.exchanges import Exchange
 from tests.loopback import on_loopback
+from tests.serving.exchanging import make_body
 from tests.serving.stopping import StoppingTestCase
 from tests.serving.test_callers import (
     LIMITS,
@@ -103,7 +104,9 @@
         transport: Any = client.transport
         transport.pauseProducing()
         send_when_answered(client, b"xx", REQUEST)
-        answer = Exchange(1, UPSTREAM, status=200, body=[LARGE_BODY + b"y" * 9 + b"xx"])
+        answer = Exchange(
+            1, UPSTREAM, status=200, body=make_body(LARGE_BODY + b"y" * 9 + b"xx")
+        )
         self.callers.answer(handle, answer, closing=False)
         await self.sleep(0.1)
         self.callers.close_idle()
@@ -130,7 +133,7 @@
         for name, content in CLOSING_REQUESTS:
             with self.subTest(name):
                 client, handle = await self.send_request(content)
-                answer = Exchange(1, UPSTREAM, status=200, body=[b"x"])
+                answer = Exchange(1, UPSTREAM, status=200, body=make_body(b"x"))
                 self.callers.answer(handle, answer, closing=False)
                 await self.wait_until(lambda client=client: client.closed)
                 self.assertEqual(client.received.count(b"Connection: close"), 1)
