--- a/src/magnoliahold/headernames.py
+++ b/src/magnoliahold/headernames.py
@@ -1,9 +1,27 @@
-"""Bounds what the HTTP library remembers of the names of headers."""
+"""Names of headers: those of one connection, and what the library keeps of them."""
 
 from __future__ import annotations
 
 from twisted.web import http_headers
 
+# Headers that concern one connection only.
+HOP_BY_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
 # Longer names are spelled anew each time.
 MAX_KEPT_NAME_BYTES = 64
 
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -10,6 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.events import AnswerHead, UpstreamSignalled
+from magnoliahold.headernames import HOP_BY_HOP_HEADERS
 from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
@@ -30,22 +31,6 @@
 
 logger = make_part_logger("upstreams")
 
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "trailers",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # Headers that each request needs, whatever the Connection header says.
 NEEDED_HEADERS = frozenset(("host", "request-id"))
 # Headers that only this system may set; those that a caller sends are removed.
