--- a/src/magnoliahold/sidecar/engine_stream.py
+++ b/src/magnoliahold/sidecar/engine_stream.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Protocol
 
 from magnoliahold.decoding import describe_error
+from magnoliahold.httpanswers import AnswerTooLongError
 from magnoliahold.httpconnections import (
     DirectConnector,
     build_agent,
@@ -115,8 +116,9 @@
             self._reader.pause()
 
     def _handle_lost_connection(self, failure: Failure) -> None:
-        is_rejected = self._connector.rejection is not None
-        kind = EndKind.BROKEN if is_rejected else EndKind.CONNECTION_LOST
+        rejection = self._connector.rejection
+        too_long = rejection is not None and rejection.check(AnswerTooLongError)
+        kind = EndKind.BROKEN if too_long else EndKind.CONNECTION_LOST
         self._end(kind, describe_failure(failure))
 
     def _handle_line(self, line: bytes) -> None:
