Read the options of a connection in one place

AnswerParser.keeps_connection read the Connection header again, which platform/upstreams did already. Both call read_connection_options, beside the names of hop-by-hop headers. lineReceived no longer names an error that nothing raises there.

--- a/src/magnoliahold/headernames.py
+++ b/src/magnoliahold/headernames.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from twisted.web import http_headers
 
+if TYPE_CHECKING:
+    from twisted.web.http_headers import Headers
+
 # Headers that concern one connection only.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -39,6 +44,17 @@
             super().__setitem__(name, spelling)
 
 
+def read_connection_options(headers: Headers) -> set[str]:
+    """Reads the options of a connection, most of them names of further headers.
+
+    Values needn't be text. Names of headers are always ASCII, so that an option with
+    other bytes matches none.
+    """
+    values = headers.getRawHeaders(b"Connection", [])
+    options = b",".join(values).decode("ascii", errors="replace").split(",")
+    return {option.strip().lower() for option in options}
+
+
 def bound_kept_names() -> None:
     """Lets the library keep no long names, for all connections of the process."""
     http_headers._nameEncoder._canonicalHeaderCache = ShortNames()
--- a/src/magnoliahold/httpanswers.py
+++ b/src/magnoliahold/httpanswers.py
@@ -9,6 +9,7 @@
 from twisted.web.http import _DataLoss, _IdentityTransferDecoder
 
 from magnoliahold.decoding import describe_error
+from magnoliahold.headernames import read_connection_options
 from magnoliahold.httpchunks import ChunkDecoder, ChunkState
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
             raise AnswerTooLongError("the head has too many lines")
         try:
             super().lineReceived(line)  # type: ignore[no-untyped-call]
-        except (AnswerTooLongError, MalformedAnswerError):
+        except MalformedAnswerError:
             raise
         except Exception as error:
             # The library's errors quote what the server sent.
@@ -93,11 +94,10 @@
     @property
     def keeps_connection(self) -> bool:
         """Whether the server takes further requests on the connection."""
-        values = self.connHeaders.getRawHeaders(b"Connection", ())
-        options = {item.strip().lower() for item in b",".join(values).split(b",")}
+        options = read_connection_options(self.connHeaders)
         if self.response.version < VERSION_1_1:
-            return b"keep-alive" in options
-        return b"close" not in options
+            return "keep-alive" in options
+        return "close" not in options
 
     @property
     def ends_with_connection(self) -> bool:
--- a/src/magnoliahold/platform/upstreams.py
+++ b/src/magnoliahold/platform/upstreams.py
@@ -10,7 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from magnoliahold.core.serving.events import AnswerHead, UpstreamSignalled
-from magnoliahold.headernames import HOP_BY_HOP_HEADERS
+from magnoliahold.headernames import HOP_BY_HOP_HEADERS, read_connection_options
 from magnoliahold.logs import make_part_logger
 
 if TYPE_CHECKING:
@@ -55,9 +55,7 @@
 def make_upstream_headers(received: Headers, send: SendAttempt) -> Headers:
     """Builds the headers of an upstream request from those that the caller sent."""
     headers = Headers()
-    excluded = (
-        HOP_BY_HOP_HEADERS | RESERVED_HEADERS | _read_connection_options(received)
-    )
+    excluded = RESERVED_HEADERS | _list_hop_by_hop_headers(received)
     if send.resume_after is not None:
         excluded |= {"last-event-id"}
     for name, values in received.getAllRawHeaders():
@@ -91,15 +89,9 @@
     )
 
 
-def _read_connection_options(headers: Headers) -> set[str]:
-    """Reads the names of further hop-by-hop headers from the Connection header.
-
-    Values needn't be text. Names of headers are always ASCII, so that an option with
-    other bytes matches none.
-    """
-    values = headers.getRawHeaders(b"Connection", [])
-    options = b",".join(values).decode("ascii", errors="replace").split(",")
-    return {option.strip().lower() for option in options} - NEEDED_HEADERS
+def _list_hop_by_hop_headers(headers: Headers) -> frozenset[str]:
+    """Lists the headers that concern one connection only."""
+    return HOP_BY_HOP_HEADERS | (read_connection_options(headers) - NEEDED_HEADERS)
 
 
 class _PromptList(msgspec.Struct):
@@ -221,7 +213,7 @@
 
 def list_answer_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Lists the headers of an upstream's answer that are passed to the caller."""
-    excluded = HOP_BY_HOP_HEADERS | _read_connection_options(headers)
+    excluded = _list_hop_by_hop_headers(headers)
     return [
         (name, value)
         for name, values in headers.getAllRawHeaders()
