--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,8 +10,11 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.selectreactor import SelectReactor
+from twisted.web import http_headers
+from twisted.web.http_headers import Headers
 
 from magnoliahold.daemon import run_until_stopped
+from magnoliahold.headernames import MAX_KEPT_NAME_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -69,6 +72,24 @@
         self.assertLess(walked[0], MAX_OBJECTS)
 
 
+class HeaderNameTests(unittest.TestCase):
+    def setUp(self) -> None:
+        for number in SIGNALS:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.addCleanup(gc.unfreeze)
+        encoder = http_headers._nameEncoder
+        kept = encoder._canonicalHeaderCache
+        self.addCleanup(setattr, encoder, "_canonicalHeaderCache", kept)
+
+    # Failure: a process kept each long name of a header that a peer made up.
+    def test_process_keeps_no_long_names(self) -> None:
+        run_until_stopped(EndingReactor(), tuple)
+        name = b"x" * (MAX_KEPT_NAME_BYTES + 1)
+        Headers().addRawHeader(name, b"value")
+        kept = http_headers._nameEncoder._canonicalHeaderCache
+        self.assertNotIn(name, kept)
+
+
 class EndOfProcessTests(unittest.TestCase):
     def setUp(self) -> None:
         self.addCleanup(gc.unfreeze)
