Use one early server for all tests of early answers

test_early_answers had a server and a listener of its own beside those of test_answers_review. Both use earlyservers.py; assertions are unchanged.

--- a/tests/serving/test_early_answers.py
+++ b/tests/serving/test_early_answers.py
@@ -4,17 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field
-from twisted.internet.protocol import Protocol, ServerFactory
-
 from magnoliahold.core.serving.events import (
     AnswerReceived,
     AttemptInterrupted,
     StreamEnded,
 )
-from tests.flooding import HEAD_END, MIB, STATUS
+from tests.flooding import MIB, STATUS
 from tests.loopback import on_loopback
-from tests.serving.exchanging import ExchangeTestCase
+from tests.serving.earlyservers import EarlyServerTestCase, close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,7 +24,6 @@
     ("stream", EVENTS + b"\r\nid: 1\ndata: a\n\n", StreamEnded),
 )
 RESET_DELAY_S = 0.1
-ENDS = (AnswerReceived, AttemptInterrupted, StreamEnded)
 
 
 def reset(transport: Any) -> None:
@@ -35,11 +31,6 @@
     transport.reactor.callLater(RESET_DELAY_S, transport.abortConnection)
 
 
-def close(transport: Any) -> None:
-    """Closes the connection with the request unread, which resets it."""
-    transport.loseConnection()
-
-
 def close_and_reset(transport: Any) -> None:
     """Closes this side of the connection, and resets it a little later."""
     transport.loseWriteConnection()
@@ -59,43 +50,12 @@
 )
 
 
-@define(eq=False)
-class EarlyServer(Protocol):
-    """Answers as soon as it has read a head, and then acts on its connection."""
-
-    answer: bytes
-    act: Callable[[Any], None]
-    received: bytearray = field(factory=bytearray)
-    answered: bool = False
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.received += data
-        if self.answered or HEAD_END not in self.received:
-            return
-        self.answered = True
-        transport: Any = self.transport
-        transport.pauseProducing()
-        transport.write(self.answer)
-        self.act(transport)
-
-
-class EarlyAnswerTests(ExchangeTestCase):
-    def listen_early(self, answer: bytes, act: Callable[[Any], None]) -> int:
-        """Listens with a server that answers early, and returns its port."""
-        factory = ServerFactory()
-        factory.noisy = False
-        factory.buildProtocol = lambda _: EarlyServer(answer, act)  # type: ignore
-        listener: Any = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
-        listener.close = listener.stopListening
-        self.listeners.append(listener)
-        return int(listener.getHost().port)
-
+class EarlyAnswerTests(EarlyServerTestCase):
     async def send_upload(self, answer: bytes, act: Callable[[Any], None]) -> Any:
         """Sends a long request, and returns the event of its end."""
         self.events.clear()
         self.send(self.listen_early(answer, act), body=UPLOAD)
-        await self.wait_until(lambda: any(isinstance(e, ENDS) for e in self.events))
-        return self.events[-1]
+        return await self.wait_for_end()
 
     # Failure: a part of an answer was taken for all of it, since its upstream had
     # closed the connection before it reset that.
