--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -752,7 +752,7 @@
                 async with asyncio.timeout(110):
                     broken = await play(deployment, trouble)
                 return BROKEN if broken else HELD
-            except (CannotRunError, TimeoutError, OSError) as error:
+            except (Exception, asyncio.CancelledError) as error:
                 record.add(f"the case can't run: {error!r}")
                 return UNRUNNABLE
             finally:
@@ -763,7 +763,11 @@
 
     if not (ROOT / "target/deps").is_dir():
         sys.exit(UNRUNNABLE)
-    result = asyncio.new_event_loop().run_until_complete(play_all())
+    loop = asyncio.new_event_loop()
+    task = loop.create_task(play_all())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    result = loop.run_until_complete(task)
     words = {HELD: "the rule held", BROKEN: "the rule was broken"}
     record.add(words.get(result, "the case couldn't run"))
     record.write()
